--- /dev/null
+++ b/jayapi/acts.go
@@ -0,0 +1,63 @@
+package jayapi
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"jaythread/jaystate"
+	"jaythread/jaywire"
+)
+
+func (s *Server) handleMove(ctx *fasthttp.RequestCtx) error {
+	var m Move
+	if err := readBody(ctx, &m); err != nil {
+		return err
+	}
+	return s.decide(ctx, &jaywire.Command{
+		Base: s.versionOf(m.Instance),
+		Body: &jaywire.Command_DrainForMove{DrainForMove: &jaywire.DrainForMove{Instance: m.Instance, ToPool: m.Pool}},
+	})
+}
+
+// handleReleaseJob takes a parked job back into placement.
+func (s *Server) handleReleaseJob(ctx *fasthttp.RequestCtx) error {
+	parts := pathParts(ctx)
+	if len(parts) != 2 || parts[1] != "release" {
+		return badCall{text: "want /v1/jobs/JOB/release"}
+	}
+	return s.decide(ctx, &jaywire.Command{
+		Body: &jaywire.Command_ParkJob{ParkJob: &jaywire.ParkJob{Job: parts[0], Released: true}},
+	})
+}
+
+// handleQuarantine takes an instance out of service, or gives it back.
+func (s *Server) handleQuarantine(ctx *fasthttp.RequestCtx) error {
+	parts := pathParts(ctx)
+	if len(parts) != 2 || parts[1] != "set" && parts[1] != "lift" {
+		return badCall{text: "want /v1/quarantine/INSTANCE/set or lift"}
+	}
+	return s.decide(ctx, &jaywire.Command{
+		Base: s.versionOf(parts[0]),
+		Body: &jaywire.Command_QuarantineInstance{QuarantineInstance: &jaywire.QuarantineInstance{
+			Instance: parts[0],
+			Lifted:   parts[1] == "lift",
+		}},
+	})
+}
+
+func (s *Server) versionOf(instance string) uint64 {
+	var version uint64
+	s.backend.Read(func(state *jaystate.State) {
+		if i, known := state.Fleet.Instance(instance); known {
+			version = i.Version
+		}
+	})
+	return version
+}
+
+func (s *Server) decide(ctx *fasthttp.RequestCtx, c *jaywire.Command) error {
+	outcome, err := s.propose(ctx, "operator", c)
+	if err != nil {
+		return err
+	}
+	return answerJSON(ctx, Decided{Offset: outcome.Offset})
+}
--- /dev/null
+++ b/jayapi/client.go
@@ -0,0 +1,168 @@
+package jayapi
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Refused is a call that the entry answered with a problem.
+type Refused struct {
+	Status  int
+	Problem Problem
+}
+
+// Error returns the entry's reason.
+func (r *Refused) Error() string {
+	return r.Problem.Error
+}
+
+// ErrNoEntry means that the entry did not answer.
+var ErrNoEntry = errors.New("entry instance does not answer")
+
+// Client calls an entry's operator interface.
+type Client struct {
+	base  string
+	token string
+	actor string
+	http  *fasthttp.Client
+}
+
+// NewClient returns a client; actor is who asks, for the audit trail.
+func NewClient(base, token, actor string) *Client {
+	return &Client{
+		base:  strings.TrimSuffix(base, "/"),
+		token: token,
+		actor: actor,
+		http:  &fasthttp.Client{MaxIdemponentCallAttempts: 1},
+	}
+}
+
+// Status returns the state of the fleet.
+func (c *Client) Status() (*Status, error) {
+	var s Status
+	return &s, c.get("/v1/status", &s)
+}
+
+// Configuration returns the configuration in force.
+func (c *Client) Configuration() (*Configuration, error) {
+	var config Configuration
+	return &config, c.get("/v1/configuration", &config)
+}
+
+// Publish replaces the configuration.
+func (c *Client) Publish(p Publish) (*Decided, error) {
+	var d Decided
+	return &d, c.post("/v1/configuration", p, &d)
+}
+
+// InForce says which entries have a revision in force.
+func (c *Client) InForce(revision uint64) (*InForce, error) {
+	var f InForce
+	return &f, c.get("/v1/inForce?revision="+strconv.FormatUint(revision, 10), &f)
+}
+
+// StartWave starts a maintenance wave.
+func (c *Client) StartWave(w Wave) (*Decided, error) {
+	var d Decided
+	return &d, c.post("/v1/waves", w, &d)
+}
+
+// SetWave pauses, resumes or cancels a wave.
+func (c *Client) SetWave(wave, act string) (*Decided, error) {
+	var d Decided
+	return &d, c.post("/v1/waves/"+url.PathEscape(wave)+"/"+act, struct{}{}, &d)
+}
+
+// Move moves an instance to another pool.
+func (c *Client) Move(m Move) (*Decided, error) {
+	var d Decided
+	return &d, c.post("/v1/moves", m, &d)
+}
+
+// ReleaseJob takes a parked job back into placement.
+func (c *Client) ReleaseJob(job string) (*Decided, error) {
+	var d Decided
+	return &d, c.post("/v1/jobs/"+url.PathEscape(job)+"/release", struct{}{}, &d)
+}
+
+// Quarantine sets or lifts an instance's quarantine.
+func (c *Client) Quarantine(instance, act string) (*Decided, error) {
+	var d Decided
+	return &d, c.post("/v1/quarantine/"+url.PathEscape(instance)+"/"+act, struct{}{}, &d)
+}
+
+// AuditFilter selects audit entries; empty fields select all.
+type AuditFilter struct {
+	From    uint64
+	Kind    string
+	Subject string
+	Actor   string
+}
+
+// Audit returns audit entries, oldest first.
+func (c *Client) Audit(f AuditFilter) ([]AuditEntry, error) {
+	query := url.Values{}
+	query.Set("from", strconv.FormatUint(f.From, 10))
+	query.Set("kind", f.Kind)
+	query.Set("subject", f.Subject)
+	query.Set("actor", f.Actor)
+	var entries []AuditEntry
+	err := c.get("/v1/audit?"+query.Encode(), &entries)
+	return entries, err
+}
+
+// Explain says which rule decides on a request.
+func (c *Client) Explain(q Explain) (*Explained, error) {
+	var e Explained
+	return &e, c.post("/v1/explain", q, &e)
+}
+
+// Plan returns a dry run of a wave over pools; none means all.
+func (c *Client) Plan(pools []string, step time.Duration) (*Plan, error) {
+	query := url.Values{}
+	query.Set("pools", strings.Join(pools, ","))
+	query.Set("stepMillis", strconv.FormatInt(step.Milliseconds(), 10))
+	var p Plan
+	return &p, c.get("/v1/plan?"+query.Encode(), &p)
+}
+
+func (c *Client) get(path string, into any) error {
+	return c.call(fasthttp.MethodGet, path, nil, into)
+}
+
+func (c *Client) post(path string, body, into any) error {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	return c.call(fasthttp.MethodPost, path, text, into)
+}
+
+func (c *Client) call(method, path string, body []byte, into any) error {
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	req.Header.SetMethod(method)
+	req.SetRequestURI(c.base + path)
+	req.Header.Set(HeaderActor, c.actor)
+	if c.token != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.token)
+	}
+	req.SetBodyRaw(body)
+	if err := c.http.DoTimeout(req, resp, proposeTimeout+5*time.Second); err != nil {
+		return fmt.Errorf("%w: %s: %w", ErrNoEntry, c.base, err)
+	}
+	if resp.StatusCode() == fasthttp.StatusOK {
+		return json.Unmarshal(resp.Body(), into)
+	}
+	refused := &Refused{Status: resp.StatusCode()}
+	if err := json.Unmarshal(resp.Body(), &refused.Problem); err != nil {
+		refused.Problem.Error = strings.TrimSpace(string(resp.Body()))
+	}
+	return refused
+}
--- /dev/null
+++ b/jayapi/explain.go
@@ -0,0 +1,59 @@
+package jayapi
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"jaythread/jayconfig"
+	"jaythread/jayrule"
+	"jaythread/jaystate"
+)
+
+func (s *Server) handleExplain(ctx *fasthttp.RequestCtx) error {
+	var question Explain
+	if err := readBody(ctx, &question); err != nil {
+		return err
+	}
+	var config *jayconfig.Configuration
+	s.backend.Read(func(state *jaystate.State) { config = state.Configuration() })
+	if config == nil {
+		return badCall{text: "no configuration is in force"}
+	}
+	answer, err := ExplainRequest(config, question, time.Now())
+	if err != nil {
+		return err
+	}
+	return answerJSON(ctx, answer)
+}
+
+// ExplainRequest says which rule of a configuration decides on a request.
+func ExplainRequest(config *jayconfig.Configuration, q Explain, now time.Time) (*Explained, error) {
+	at := now.In(config.Location())
+	if q.Time != "" {
+		clock, err := time.Parse("15:04", q.Time)
+		if err != nil {
+			return nil, badCall{text: "time is not HH:MM: " + q.Time}
+		}
+		at = time.Date(at.Year(), at.Month(), at.Day(), clock.Hour(), clock.Minute(), 0, 0, at.Location())
+	}
+	service, _, _ := strings.Cut(strings.TrimPrefix(q.Path, "/"), "/")
+	subject := &jayrule.Subject{
+		Kind:    jayrule.AboutRequest,
+		Service: service,
+		Method:  q.Method,
+		Path:    q.Path,
+		Header:  func(name string) string { return q.Header[name] },
+		Caller:  q.Caller,
+		Time:    at,
+	}
+	answer := &Explained{Traces: config.Rules.Explain(subject), Action: "refused: no rule matches"}
+	action, rule := config.Decide(subject)
+	if action != nil {
+		answer.Rule = rule
+		answer.Action = fmt.Sprintf("%T %+v", action, action)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/jayclaim/resend.go
@@ -0,0 +1,125 @@
+package jayclaim
+
+import (
+	"bytes"
+	"time"
+
+	"jaythread/jaystate"
+	"jaythread/jayverdict"
+	"jaythread/jaywire"
+)
+
+// resendPoll is how often an entry asks another one for the answer of a
+// request that is still running there.
+const resendPoll = 50 * time.Millisecond
+
+// Known answers a resend whose key is known here already, without a slot at
+// an upstream. It returns nil if the key is new.
+func (c *Claimer) Known(key Key, fingerprint []byte, timeout time.Duration) (Decision, error) {
+	c.mu.Lock()
+	holder, held := c.table.Holder(key)
+	c.mu.Unlock()
+	if !held {
+		return nil, nil
+	}
+	return c.existing(key, holder, fingerprint, c.now().Add(timeout))
+}
+
+// existing answers a resend: with the stored answer, after waiting for the
+// first run if it is under way, or with "may have run".
+func (c *Claimer) existing(key Key, holder *jaywire.Claim, fingerprint []byte, deadline time.Time) (Decision, error) {
+	if !bytes.Equal(holder.Fingerprint, fingerprint) {
+		return nil, jayverdict.NewNotRun(422, "this Idempotency-Key was used for another request", 0)
+	}
+	if answer := c.ownAnswer(key, deadline); answer != nil {
+		return c.replay(answer), nil
+	}
+	if c.gaveBack(key) {
+		return nil, jayverdict.NewNotRun(503, "the first attempt did not run", time.Second)
+	}
+	if holder.Entry != c.self {
+		if answer := c.peerAnswer(key, holder.Entry, deadline); answer != nil {
+			return c.replay(answer), nil
+		}
+	}
+	return nil, jayverdict.NewMayHaveRun(409, "an earlier request with this key may have run", nil)
+}
+
+func (c *Claimer) replay(a *Answer) Replay {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counters.Replayed++
+	return Replay{Answer: a}
+}
+
+// ownAnswer returns the answer stored here, after a run that is under way.
+func (c *Claimer) ownAnswer(key Key, deadline time.Time) *Answer {
+	c.mu.Lock()
+	done, running := c.finished[key]
+	c.mu.Unlock()
+	if running {
+		timer := time.NewTimer(deadline.Sub(c.now()))
+		defer timer.Stop()
+		select {
+		case <-done:
+		case <-timer.C:
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answer, _ := c.table.Answer(key)
+	return answer
+}
+
+func (c *Claimer) gaveBack(key Key) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, held := c.table.Holder(key)
+	return !held
+}
+
+// peerAnswer asks the entry that ran the request, then the others.
+func (c *Claimer) peerAnswer(key Key, entry string, deadline time.Time) *Answer {
+	others := rank(c.peers.Others(), key[:])
+	for _, m := range others {
+		if m.Entry != entry {
+			continue
+		}
+		if answer := c.awaitPeer(m, key, deadline); answer != nil {
+			return answer
+		}
+	}
+	for _, m := range others {
+		if m.Entry == entry {
+			continue
+		}
+		if answer, _ := c.fetch(m, key); answer != nil {
+			return answer
+		}
+	}
+	return nil
+}
+
+func (c *Claimer) awaitPeer(m jaystate.Member, key Key, deadline time.Time) *Answer {
+	for {
+		answer, running := c.fetch(m, key)
+		if answer != nil || !running || !c.now().Before(deadline) {
+			return answer
+		}
+		time.Sleep(resendPoll)
+	}
+}
+
+func (c *Claimer) fetch(m jaystate.Member, key Key) (answer *Answer, running bool) {
+	response, err := c.peers.Ask(m, &jaywire.PeerRequest{
+		Body: &jaywire.PeerRequest_FetchAnswer{FetchAnswer: &jaywire.FetchAnswer{Key: key[:]}},
+	})
+	if err != nil {
+		return nil, false
+	}
+	stored := response.GetStoredAnswer()
+	if !stored.GetFound() {
+		return nil, stored.GetRunning()
+	}
+	return &Answer{Status: int(stored.Status), ContentType: stored.ContentType, Body: stored.Body}, false
+}
--- /dev/null
+++ b/jaycli/explain.go
@@ -0,0 +1,78 @@
+package jaycli
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"jaythread/jayapi"
+	"jaythread/jayconfig"
+)
+
+func explainCommand() *cli.Command {
+	return command(&cli.Command{
+		Name:        "explain",
+		Usage:       "say which rule decides on a request, and why the earlier ones do not",
+		ArgsUsage:   "PATH",
+		Description: "Example: jaythread explain --method POST --caller nursing /fees/pay\nWith --fleet the rules of a file or directory are asked instead of those in force.",
+		Flags: operatorFlags(
+			&cli.StringFlag{Name: "method", Value: "GET", Usage: "`METHOD` of the request"},
+			&cli.StringFlag{Name: "caller", Usage: "`NAME` of the caller"},
+			&cli.StringSliceFlag{Name: "header", Usage: "a `NAME=VALUE` of the request"},
+			&cli.StringFlag{Name: "time", Usage: "`HH:MM` in the configuration's time zone; default is now"},
+			&cli.StringFlag{Name: "fleet", Usage: "ask the rules of this `DIR|FILE`"},
+		),
+		Action: explain,
+	})
+}
+
+func explain(_ context.Context, c *cli.Command) error {
+	path, err := oneArgument(c, "one PATH")
+	if err != nil {
+		return err
+	}
+	question := jayapi.Explain{
+		Method: c.String("method"),
+		Path:   path,
+		Caller: c.String("caller"),
+		Header: map[string]string{},
+		Time:   c.String("time"),
+	}
+	for _, pair := range c.StringSlice("header") {
+		name, value, found := strings.Cut(pair, "=")
+		if !found {
+			return usage("--header takes NAME=VALUE, not %q", pair)
+		}
+		question.Header[name] = value
+	}
+	answer, err := ask(c, question)
+	if err != nil {
+		return err
+	}
+	return show(c, answer, func(p *printer) {
+		for _, t := range answer.Traces {
+			if t.Matched {
+				p.row(t.Rule, "decides:", answer.Action)
+				continue
+			}
+			p.row(t.Rule, "does not match:", t.Why)
+		}
+		if answer.Rule == "" {
+			p.row(answer.Action)
+		}
+	})
+}
+
+func ask(c *cli.Command, question jayapi.Explain) (*jayapi.Explained, error) {
+	fleet := c.String("fleet")
+	if fleet == "" {
+		return operatorClient(c).Explain(question)
+	}
+	config, _, err := jayconfig.ReadPath(fleet)
+	if err != nil {
+		return nil, err
+	}
+	return jayapi.ExplainRequest(config, question, time.Now())
+}
--- /dev/null
+++ b/jaycli/serve.go
@@ -0,0 +1,59 @@
+package jaycli
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"jaythread/jayentry"
+	"jaythread/jaylogger"
+	"jaythread/jayoptions"
+	"jaythread/jayplatform"
+)
+
+func serveCommand() *cli.Command {
+	return command(&cli.Command{
+		Name:        "serve",
+		Usage:       "run an entry instance",
+		Description: "Example: jaythread serve --config entry.jsonc",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "settings `FILE`; without one the defaults are used"},
+		},
+		Action: serve,
+	})
+}
+
+func serve(ctx context.Context, c *cli.Command) error {
+	options, err := settings(c.String("config"))
+	if err != nil {
+		return err
+	}
+	logger := jaylogger.New(os.Stderr, options.LogFormat, options.LogLevel)
+	platform := jayplatform.NewClient(options.PlatformURL, time.Duration(options.PlatformTimeout))
+	// The first read tells an operator at once that the address is wrong,
+	// where a retry would only show as an entry that never gets ready.
+	if _, err := platform.Since(0, 0); err != nil {
+		if len(options.PeerSeeds) == 0 {
+			return err
+		}
+		logger.Info("platform does not answer; asking peers", "error", err.Error())
+	}
+	entry, err := jayentry.New(options, platform, logger)
+	if err != nil {
+		return err
+	}
+	if err := entry.Start(context.WithoutCancel(ctx)); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return entry.Stop()
+}
+
+func settings(file string) (*jayoptions.Options, error) {
+	if file == "" {
+		return jayoptions.New(), nil
+	}
+	return jayoptions.ParseFile(file)
+}
--- /dev/null
+++ b/jaydemo/script.go
@@ -0,0 +1,148 @@
+package jaydemo
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"jaythread/jayapi"
+	"jaythread/jayrule"
+	"jaythread/jaystandin"
+)
+
+// script is what the operator and fate do: a wave, a rack that fails in the
+// middle of it, a change of the configuration, and an entry that is replaced.
+func (d *demo) script(ctx context.Context) {
+	d.breakOnPurpose()
+	if _, err := d.operator(0).StartWave(jayapi.Wave{Wave: waveName}); err != nil {
+		d.options.Logger.Error(err, "wave not started")
+		return
+	}
+	d.awaitReturned(ctx, waveBefore)
+	rack := d.rackOf(d.options.Profile.layout()[0])
+	for _, id := range rack {
+		d.platform.Fleet.Kill(id)
+	}
+	d.changeConfiguration(ctx)
+	pause(ctx, rackDownTime)
+	for _, id := range rack {
+		if err := d.platform.Fleet.Revive(id); err != nil {
+			d.options.Logger.Error(err, "worker not revived")
+		}
+	}
+	d.replaceEntry(ctx)
+	d.awaitDone(ctx)
+}
+
+func (d *demo) breakOnPurpose() {
+	ids := d.platform.Fleet.WorkerIDs()
+	switch d.options.Break {
+	case "runTwice":
+		for _, id := range ids {
+			w, _ := d.platform.Fleet.Worker(id)
+			w.SetFaults(jaystandin.WorkerFaults{RunTwice: true})
+		}
+	case "overlook":
+		for _, id := range ids[:d.options.Profile.WorkersEach/2] {
+			d.platform.Fleet.Kill(id)
+		}
+	}
+}
+
+func (d *demo) awaitReturned(ctx context.Context, n int) {
+	for ctx.Err() == nil {
+		status, err := d.operator(0).Status()
+		if err == nil && len(status.Waves) > 0 && status.Waves[0].Returned >= n {
+			return
+		}
+		pause(ctx, healthEvery)
+	}
+}
+
+func (d *demo) awaitDone(ctx context.Context) {
+	for ctx.Err() == nil && !d.waveDone() {
+		pause(ctx, healthEvery)
+	}
+}
+
+// rackOf returns the workers that share a rack with one.
+func (d *demo) rackOf(of placement) []string {
+	var ids []string
+	for _, at := range d.options.Profile.layout() {
+		if at.dataCenter == of.dataCenter && at.rack == of.rack {
+			ids = append(ids, at.id)
+		}
+	}
+	return ids
+}
+
+// changeConfiguration publishes a rule and asks every entry until it decides
+// by it.
+func (d *demo) changeConfiguration(ctx context.Context) {
+	client := d.operator(1)
+	current, err := client.Configuration()
+	if err != nil {
+		return
+	}
+	changed := d.options.Profile.Configuration()
+	probe := jayrule.Rule{
+		Name: "probe", About: jayrule.AboutRequest,
+		When: jayrule.When{Path: []string{"/probe"}}, Then: jayrule.Then{Refuse: "probe"},
+	}
+	changed.Rules = append(jayrule.List{probe}, changed.Rules...)
+	document, err := json.Marshal(changed)
+	if err != nil {
+		return
+	}
+	began := time.Now()
+	if _, err := client.Publish(jayapi.Publish{Replaces: current.Revision, Message: "probe", Document: string(document)}); err != nil {
+		d.options.Logger.Error(err, "change not accepted")
+		return
+	}
+	var asked sync.WaitGroup
+	for _, t := range d.balancer.all() {
+		asked.Go(func() { awaitProbe(ctx, t) })
+	}
+	asked.Wait()
+	d.inForce = time.Since(began)
+}
+
+// awaitProbe asks an entry until it refuses the probe by the new rule (403)
+// instead of finding no rule (404).
+func awaitProbe(ctx context.Context, t *target) {
+	for ctx.Err() == nil {
+		status, _, err := t.client.GetTimeout(nil, "http://"+t.addr+"/probe", time.Second)
+		if err == nil && status == fasthttp.StatusForbidden {
+			return
+		}
+		pause(ctx, time.Millisecond)
+	}
+}
+
+// replaceEntry stops the last entry gracefully and starts another one.
+func (d *demo) replaceEntry(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
+	last := d.running[len(d.running)-1]
+	if err := last.entry.Stop(); err != nil {
+		d.options.Logger.Error(err, "entry stopped with an error")
+	}
+	d.balancer.remove(last.target)
+	d.running = d.running[:len(d.running)-1]
+	if err := d.startEntry(entryCount); err != nil {
+		d.options.Logger.Error(err, "entry not replaced")
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/jayedge/handle.go
@@ -0,0 +1,76 @@
+package jayedge
+
+import (
+	"errors"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"jaythread/jayverdict"
+)
+
+// handle counts the request and refuses framing that two parsers could read
+// in two ways.
+func (e *Edge) handle(ctx *fasthttp.RequestCtx) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	if reason := ambiguous(&ctx.Request.Header); reason != "" {
+		Refuse(ctx, jayverdict.NewNotRun(fasthttp.StatusBadRequest, reason, 0))
+		ctx.SetConnectionClose()
+		return
+	}
+	e.handler(ctx)
+	if e.stopping.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+// handleError answers a request that could not be read. Its connection is
+// closed, since nobody knows where the next request would begin.
+func (e *Edge) handleError(ctx *fasthttp.RequestCtx, err error) {
+	status, reason := fasthttp.StatusBadRequest, "request cannot be read"
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(err, &small):
+		status, reason = fasthttp.StatusRequestHeaderFieldsTooLarge, "request header is too large"
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status, reason = fasthttp.StatusRequestEntityTooLarge, "request body is too large"
+	}
+	Refuse(ctx, jayverdict.NewNotRun(status, reason, 0))
+	ctx.SetConnectionClose()
+}
+
+// ambiguous says why a request's framing could be read in two ways. A request
+// smuggled past one reader would run under another caller's name.
+func ambiguous(h *fasthttp.RequestHeader) string {
+	lengths, encodings := 0, 0
+	for key := range h.All() {
+		switch string(key) {
+		case fasthttp.HeaderContentLength:
+			lengths++
+		case fasthttp.HeaderTransferEncoding:
+			encodings++
+		}
+	}
+	switch {
+	case lengths > 1 || encodings > 1:
+		return "framing stands twice"
+	case lengths > 0 && encodings > 0:
+		return "both Content-Length and Transfer-Encoding"
+	default:
+		return ""
+	}
+}
+
+// Refuse writes an answer of the system's own with its verdict.
+func Refuse(ctx *fasthttp.RequestCtx, e *jayverdict.Error) {
+	ctx.Response.Reset()
+	ctx.SetStatusCode(e.Status)
+	ctx.Response.Header.Set(jayverdict.Header, e.Verdict.String())
+	if e.Verdict == jayverdict.NotRun && e.RetryAfter > 0 {
+		seconds := int(e.RetryAfter.Seconds())
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(max(1, seconds)))
+	}
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.SetBodyString(e.Reason + " (" + e.Verdict.String() + ")\n")
+}
--- /dev/null
+++ b/jayedge/pipe.go
@@ -0,0 +1,222 @@
+package jayedge
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+)
+
+const (
+	// maxOutbound is how much of an answer may wait in the event loop for a
+	// slow caller before the writer has to wait.
+	maxOutbound = 256 << 10
+	// outboundPoll is how often a waiting writer looks whether there is room.
+	outboundPoll = 5 * time.Millisecond
+)
+
+// pipe is a net.Conn over a connection of the event loop. The loop puts in
+// what arrives and never waits for the reader; it closes a caller that sends
+// more than the limit while nobody reads.
+type pipe struct {
+	conn   gnet.Conn
+	local  net.Addr
+	remote net.Addr
+	limit  int
+
+	mu            sync.Mutex
+	readable      *sync.Cond
+	buffer        []byte
+	start         int
+	closed        bool
+	readDeadline  time.Time
+	readTimer     *time.Timer
+	writeDeadline time.Time
+	active        bool
+}
+
+func newPipe(c gnet.Conn, limit int) *pipe {
+	p := &pipe{conn: c, local: c.LocalAddr(), remote: c.RemoteAddr(), limit: limit}
+	p.readable = sync.NewCond(&p.mu)
+	return p
+}
+
+// put adds what arrived; it returns false if the limit is passed. Only the
+// event loop calls it.
+func (p *pipe) put(data []byte) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	if len(p.buffer)-p.start+len(data) > p.limit {
+		return false
+	}
+	if p.start > 0 && p.start == len(p.buffer) {
+		p.buffer, p.start = p.buffer[:0], 0
+	}
+	p.buffer = append(p.buffer, data...)
+	p.readable.Broadcast()
+	return true
+}
+
+// shut ends the pipe when the connection has ended.
+func (p *pipe) shut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.readable.Broadcast()
+}
+
+func (p *pipe) setIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.active = false
+}
+
+// idle reports whether no request is under way and no byte of one has come.
+func (p *pipe) idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.active && p.start == len(p.buffer)
+}
+
+// Read waits for bytes, the end or the deadline.
+func (p *pipe) Read(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.start == len(p.buffer) {
+		if p.closed {
+			return 0, io.EOF
+		}
+		if p.pastReadDeadline() {
+			return 0, os.ErrDeadlineExceeded
+		}
+		p.readable.Wait()
+	}
+	n := copy(b, p.buffer[p.start:])
+	p.active = true
+	p.start += n
+	if p.start == len(p.buffer) {
+		p.release()
+	}
+	return n, nil
+}
+
+// release gives the buffer's memory back, so that an idle caller costs little.
+func (p *pipe) release() {
+	p.start = 0
+	const keep = 4096
+	if cap(p.buffer) > keep {
+		p.buffer = nil
+		return
+	}
+	p.buffer = p.buffer[:0]
+}
+
+func (p *pipe) pastReadDeadline() bool {
+	return !p.readDeadline.IsZero() && !time.Now().Before(p.readDeadline)
+}
+
+// Write hands bytes to the event loop and returns when they are sent or wait
+// in its bounded buffer.
+func (p *pipe) Write(b []byte) (int, error) {
+	if err := p.handOver(b); err != nil {
+		return 0, err
+	}
+	return len(b), nil
+}
+
+type handedOver struct {
+	waiting int
+	err     error
+}
+
+func (p *pipe) handOver(b []byte) error {
+	done := make(chan handedOver, 1)
+	err := p.conn.AsyncWrite(b, func(c gnet.Conn, err error) error {
+		done <- handedOver{waiting: outbound(c), err: err}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	result := <-done
+	for result.err == nil && result.waiting > maxOutbound {
+		if p.pastWriteDeadline() {
+			_ = p.Close()
+			return os.ErrDeadlineExceeded
+		}
+		time.Sleep(outboundPoll)
+		if err := p.conn.Wake(func(c gnet.Conn, err error) error {
+			done <- handedOver{waiting: outbound(c), err: err}
+			return nil
+		}); err != nil {
+			return err
+		}
+		result = <-done
+	}
+	return result.err
+}
+
+func outbound(c gnet.Conn) int {
+	if c == nil {
+		return 0
+	}
+	return c.OutboundBuffered()
+}
+
+func (p *pipe) pastWriteDeadline() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed || !p.writeDeadline.IsZero() && !time.Now().Before(p.writeDeadline)
+}
+
+// Close closes the caller's connection after what was written.
+func (p *pipe) Close() error {
+	p.shut()
+	return p.conn.Close()
+}
+
+// LocalAddr returns the entry's address.
+func (p *pipe) LocalAddr() net.Addr { return p.local }
+
+// RemoteAddr returns the caller's address.
+func (p *pipe) RemoteAddr() net.Addr { return p.remote }
+
+// SetDeadline sets both deadlines.
+func (p *pipe) SetDeadline(t time.Time) error {
+	_ = p.SetReadDeadline(t)
+	return p.SetWriteDeadline(t)
+}
+
+// SetReadDeadline wakes a waiting read at the deadline.
+func (p *pipe) SetReadDeadline(t time.Time) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.readDeadline = t
+	if p.readTimer != nil {
+		p.readTimer.Stop()
+		p.readTimer = nil
+	}
+	if t.IsZero() {
+		return nil
+	}
+	p.readTimer = time.AfterFunc(time.Until(t), func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.readable.Broadcast()
+	})
+	return nil
+}
+
+// SetWriteDeadline bounds the wait for a slow caller.
+func (p *pipe) SetWriteDeadline(t time.Time) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.writeDeadline = t
+	return nil
+}
--- /dev/null
+++ b/jayentry/peers.go
@@ -0,0 +1,314 @@
+package jayentry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"jaythread/jaypeer"
+	"jaythread/jaystate"
+	"jaythread/jaywire"
+)
+
+const (
+	// viewLease is how long an entry that hears neither the log nor enough
+	// peers goes on routing by its view.
+	viewLease = 2 * time.Second
+	// fanOut bounds the heartbeats of one tick.
+	fanOut = 8
+)
+
+// peerHealth is what this entry last heard of a member.
+type peerHealth struct {
+	heard    time.Time
+	offset   uint64
+	revision uint64
+	ended    bool
+	stopping bool
+}
+
+// Membership knows the other members and how they are.
+type Membership struct {
+	self   string
+	client *jaypeer.Client
+	store  *Store
+	logger logr.Logger
+	now    func() time.Time
+
+	mu      sync.Mutex
+	health  map[string]peerHealth
+	next    int
+	leaving map[string]time.Time
+	// stopping says that this entry is leaving.
+	stopping bool
+}
+
+// NewMembership returns a membership over the store's members.
+func NewMembership(self string, client *jaypeer.Client, store *Store, logger logr.Logger) *Membership {
+	return &Membership{
+		self:    self,
+		client:  client,
+		store:   store,
+		logger:  logger,
+		now:     time.Now,
+		health:  map[string]peerHealth{},
+		leaving: map[string]time.Time{},
+	}
+}
+
+// Others returns the other members.
+func (m *Membership) Others() []jaystate.Member {
+	var others []jaystate.Member
+	m.store.Read(func(s *jaystate.State) {
+		for _, member := range s.Members {
+			if member.Entry != m.self {
+				others = append(others, member)
+			}
+		}
+	})
+	return others
+}
+
+// Ask sends a question to a member.
+func (m *Membership) Ask(member jaystate.Member, request *jaywire.PeerRequest) (*jaywire.PeerResponse, error) {
+	response, err := m.client.Ask(member.Entry, member.PeerAddr, request)
+	if errors.Is(err, jaypeer.ErrGone) {
+		m.noteEnded(member.Entry)
+	}
+	return response, err
+}
+
+func (m *Membership) noteEnded(entry string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.health[entry]
+	h.ended = true
+	m.health[entry] = h
+}
+
+// Ended returns the members whose incarnation has ended for certain.
+func (m *Membership) Ended() []string {
+	var ended []string
+	others := m.Others()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, member := range others {
+		if m.health[member.Entry].ended {
+			ended = append(ended, member.Entry)
+		}
+	}
+	return ended
+}
+
+// SetStopping tells the peers with the next heartbeat that this entry leaves.
+func (m *Membership) SetStopping() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stopping = true
+}
+
+// leavingKept is for how long a notice that an upstream leaves is passed on.
+const leavingKept = 10 * time.Second
+
+// NoteLeaving records that an upstream is leaving, and reports whether that
+// is news.
+func (m *Membership) NoteLeaving(upstream string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	seen, known := m.leaving[upstream]
+	if known && m.now().Sub(seen) < leavingKept {
+		return false
+	}
+	m.leaving[upstream] = m.now()
+	return true
+}
+
+func (m *Membership) leavingList() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []string
+	for upstream, seen := range m.leaving {
+		if m.now().Sub(seen) >= leavingKept {
+			delete(m.leaving, upstream)
+			continue
+		}
+		list = append(list, upstream)
+	}
+	return list
+}
+
+// Heartbeat asks some members how they are. All are asked in turn, fanOut of
+// them in one tick.
+func (m *Membership) Heartbeat(logAge time.Duration, onLeaving func(string)) {
+	others := m.Others()
+	var asked sync.WaitGroup
+	for _, member := range m.pick(others) {
+		asked.Go(func() { m.heartbeatOne(member, logAge, onLeaving) })
+	}
+	asked.Wait()
+	m.forget(others)
+}
+
+func (m *Membership) pick(others []jaystate.Member) []jaystate.Member {
+	if len(others) <= fanOut {
+		return others
+	}
+	picked := make([]jaystate.Member, 0, fanOut)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for range fanOut {
+		picked = append(picked, others[m.next%len(others)])
+		m.next++
+	}
+	return picked
+}
+
+func (m *Membership) heartbeatOne(member jaystate.Member, logAge time.Duration, onLeaving func(string)) {
+	offset, revision := m.position()
+	m.mu.Lock()
+	stopping := m.stopping
+	m.mu.Unlock()
+	sent := m.now()
+	response, err := m.Ask(member, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_Heartbeat{Heartbeat: &jaywire.Heartbeat{
+		Offset:       offset,
+		Revision:     revision,
+		Leaving:      m.leavingList(),
+		Stopping:     stopping,
+		LogAgeMillis: logAge.Milliseconds(),
+	}}})
+	ack := response.GetHeartbeatAck()
+	if err != nil || ack == nil {
+		return
+	}
+	m.heard(member.Entry, peerHealth{heard: sent, offset: ack.Offset, revision: ack.Revision, stopping: ack.Stopping})
+	for _, upstream := range ack.Leaving {
+		onLeaving(upstream)
+	}
+	if ack.Offset > offset && logAge > viewLease/2 {
+		m.catchUp(member)
+	}
+}
+
+// catchUp takes the state of a peer that is further on. An entry that is cut
+// off from the log only stays current this way.
+func (m *Membership) catchUp(member jaystate.Member) {
+	response, err := m.Ask(member, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_FetchState{FetchState: &jaywire.FetchState{}}})
+	if err != nil || response.GetSnapshot() == nil {
+		return
+	}
+	if _, err := m.store.Adopt(response.GetSnapshot()); err != nil {
+		m.logger.Info("peer's state refused", "peer", member.Entry, "error", err.Error())
+	}
+}
+
+func (m *Membership) heard(entry string, h peerHealth) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.health[entry] = h
+}
+
+func (m *Membership) forget(others []jaystate.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := make(map[string]bool, len(others))
+	for _, member := range others {
+		known[member.Entry] = true
+	}
+	for entry := range m.health {
+		if !known[entry] {
+			delete(m.health, entry)
+		}
+	}
+}
+
+func (m *Membership) position() (offset, revision uint64) {
+	m.store.Read(func(s *jaystate.State) { offset, revision = s.Offset, s.Revision.Number })
+	return offset, revision
+}
+
+// HandleHeartbeat answers a peer's heartbeat and learns from it.
+func (m *Membership) HandleHeartbeat(from string, h *jaywire.Heartbeat, logAge time.Duration, onLeaving func(string)) *jaywire.HeartbeatAck {
+	m.heard(from, peerHealth{heard: m.now(), offset: h.Offset, revision: h.Revision, stopping: h.Stopping})
+	for _, upstream := range h.Leaving {
+		onLeaving(upstream)
+	}
+	offset, revision := m.position()
+	m.mu.Lock()
+	stopping := m.stopping
+	m.mu.Unlock()
+	return &jaywire.HeartbeatAck{
+		Offset:       offset,
+		Revision:     revision,
+		Leaving:      m.leavingList(),
+		Stopping:     stopping,
+		LogAgeMillis: logAge.Milliseconds(),
+	}
+}
+
+// Majority reports whether this entry has heard from a majority of the
+// members, itself included, within the view lease.
+func (m *Membership) Majority() bool {
+	others := m.Others()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	heard := 1
+	for _, member := range others {
+		if m.now().Sub(m.health[member.Entry].heard) <= viewLease {
+			heard++
+		}
+	}
+	return 2*heard > len(others)+1
+}
+
+// Acked returns the lowest offset that each member which may still route has
+// folded. A member counts until it has ended, or until its lease on its view
+// has lapsed: it was silent for twice the lease while this entry, with a
+// majority, would have heard it.
+func (m *Membership) Acked() uint64 {
+	acked, _ := m.position()
+	majority := m.Majority()
+	others := m.Others()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, member := range others {
+		h := m.health[member.Entry]
+		lapsed := majority && m.now().Sub(h.heard) > 2*viewLease && !h.heard.IsZero()
+		if h.ended || lapsed {
+			continue
+		}
+		acked = min(acked, h.offset)
+	}
+	return acked
+}
+
+// Revisions returns the revision that each other member last reported.
+func (m *Membership) Revisions() map[string]uint64 {
+	others := m.Others()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	revisions := make(map[string]uint64, len(others))
+	for _, member := range others {
+		h := m.health[member.Entry]
+		if !h.ended {
+			revisions[member.Entry] = h.revision
+		}
+	}
+	return revisions
+}
+
+// Run heartbeats until the context ends.
+func (m *Membership) Run(ctx context.Context, every time.Duration, logAge func() time.Duration, onLeaving func(string)) {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			m.Heartbeat(logAge(), onLeaving)
+		}
+	}
+}
--- /dev/null
+++ b/jayjob/placement.go
@@ -0,0 +1,326 @@
+// Package jayjob decides where the tasks of jobs run. It is pure.
+package jayjob
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"jaythread/jaypool"
+	"jaythread/jayrule"
+)
+
+// Task is one replica of a job.
+type Task struct {
+	Job     string
+	Replica int
+	// Instance is empty while the task is not placed.
+	Instance string
+	// Fence is the offset of the placement; a worker refuses a lower one.
+	Fence uint64
+	// FailedOn names the workers on which the task failed.
+	FailedOn []string
+	// Withdrawn says that the configuration no longer declares the task.
+	Withdrawn bool
+}
+
+// Job is a job as placement sees it.
+type Job struct {
+	Name     string
+	Pool     string
+	Team     string
+	Priority jayrule.Priority
+	// Need is the learned size, or the declared one until usage is known.
+	Need jaypool.Resources
+	// DataCenters restricts placement; empty allows all.
+	DataCenters []string
+	// Displace lets the job take the room of jobs of lower priority.
+	Displace bool
+	// Parked jobs start no task; those that run go on.
+	Parked bool
+}
+
+// Decision is one act of a placement round: Start, Stop or Park.
+type Decision interface {
+	isDecision()
+}
+
+// Start places a task on an instance.
+type Start struct {
+	Task     Task
+	Instance string
+}
+
+// Stop checkpoints and stops a task. Why is a word for the audit trail.
+type Stop struct {
+	Task Task
+	Why  string
+}
+
+// Park takes a job out of placement with a reason for its operator.
+type Park struct {
+	Job string
+	Why string
+}
+
+func (Start) isDecision() {}
+func (Stop) isDecision()  {}
+func (Park) isDecision()  {}
+
+// MaxTaskFailures parks a job: a task that failed on so many workers would
+// fail on the next one as well.
+const MaxTaskFailures = 3
+
+// View is what a placement round is based on.
+type View struct {
+	Fleet *jaypool.Fleet
+	Jobs  map[string]Job
+	// Tasks are in the order of job and replica.
+	Tasks  []Task
+	Quotas map[string]jaypool.Resources
+	Wave   string
+}
+
+// Place returns what to stop, start and park now. A placed task stays where
+// it is as long as its instance serves (stickiness).
+func Place(v View) []Decision {
+	r := newRound(v)
+	r.stopUnserved()
+	for _, t := range r.waiting() {
+		r.place(t)
+	}
+	return r.decisions
+}
+
+type round struct {
+	view      View
+	free      map[string]jaypool.Resources
+	byPool    map[string][]*jaypool.Instance
+	spread    map[string]map[string]int
+	used      map[string]jaypool.Resources
+	stopped   map[int]bool
+	parked    map[string]bool
+	decisions []Decision
+}
+
+func newRound(v View) *round {
+	r := &round{
+		view:    v,
+		free:    make(map[string]jaypool.Resources, len(v.Fleet.IDs())),
+		byPool:  map[string][]*jaypool.Instance{},
+		spread:  map[string]map[string]int{},
+		used:    map[string]jaypool.Resources{},
+		stopped: map[int]bool{},
+		parked:  map[string]bool{},
+	}
+	for _, id := range v.Fleet.IDs() {
+		i, _ := v.Fleet.Instance(id)
+		if i.Available() {
+			r.free[id] = i.Capacity
+			r.byPool[i.Pool] = append(r.byPool[i.Pool], i)
+		}
+	}
+	for _, t := range v.Tasks {
+		if t.Instance != "" {
+			r.occupy(t, t.Instance)
+		}
+	}
+	return r
+}
+
+func (r *round) occupy(t Task, instance string) {
+	j := r.view.Jobs[t.Job]
+	if free, ok := r.free[instance]; ok {
+		r.free[instance] = free.Sub(j.Need)
+	}
+	r.used[j.Team] = r.used[j.Team].Add(j.Need)
+	if r.spread[t.Job] == nil {
+		r.spread[t.Job] = map[string]int{}
+	}
+	if i, ok := r.view.Fleet.Instance(instance); ok {
+		r.spread[t.Job][i.Domain(jaypool.RackDomain)]++
+	}
+}
+
+func (r *round) vacate(t Task) {
+	j := r.view.Jobs[t.Job]
+	if free, ok := r.free[t.Instance]; ok {
+		r.free[t.Instance] = free.Add(j.Need)
+	}
+	r.used[j.Team] = r.used[j.Team].Sub(j.Need)
+}
+
+// stopUnserved stops the tasks of instances that do not serve any more and
+// of jobs that were withdrawn.
+func (r *round) stopUnserved() {
+	for n, t := range r.view.Tasks {
+		if t.Instance == "" {
+			continue
+		}
+		_, declared := r.view.Jobs[t.Job]
+		_, serves := r.free[t.Instance]
+		switch {
+		case !declared || t.Withdrawn:
+			r.stop(n, "cancelled")
+		case !serves:
+			r.stop(n, "moved")
+		}
+	}
+}
+
+func (r *round) stop(n int, why string) {
+	t := r.view.Tasks[n]
+	r.stopped[n] = true
+	r.vacate(t)
+	r.decisions = append(r.decisions, Stop{Task: t, Why: why})
+}
+
+// waiting returns the tasks without a place, urgent ones first.
+func (r *round) waiting() []Task {
+	var tasks []Task
+	for _, t := range r.view.Tasks {
+		if _, declared := r.view.Jobs[t.Job]; declared && t.Instance == "" {
+			tasks = append(tasks, t)
+		}
+	}
+	slices.SortStableFunc(tasks, func(a, b Task) int {
+		return cmp.Compare(r.view.Jobs[b.Job].Priority, r.view.Jobs[a.Job].Priority)
+	})
+	return tasks
+}
+
+func (r *round) place(t Task) {
+	j := r.view.Jobs[t.Job]
+	if j.Parked || r.parked[j.Name] {
+		return
+	}
+	if len(t.FailedOn) >= MaxTaskFailures {
+		r.park(j.Name, fmt.Sprintf("replica %d failed on %v", t.Replica, t.FailedOn))
+		return
+	}
+	quota, limited := r.view.Quotas[j.Team]
+	if limited && !quota.Sub(r.used[j.Team]).Fits(j.Need) {
+		if !quota.Fits(j.Need) {
+			r.park(j.Name, fmt.Sprintf("one task is larger than the whole quota of team %s", j.Team))
+		}
+		return
+	}
+	target := r.best(j, t.FailedOn)
+	if target == nil && j.Displace {
+		target = r.displaceFor(j, t.FailedOn)
+	}
+	if target == nil {
+		if why := r.neverFits(j); why != "" {
+			r.park(j.Name, why)
+		}
+		return
+	}
+	r.occupy(t, target.ID)
+	r.decisions = append(r.decisions, Start{Task: t, Instance: target.ID})
+}
+
+func (r *round) park(job, why string) {
+	r.parked[job] = true
+	r.decisions = append(r.decisions, Park{Job: job, Why: why})
+}
+
+// best returns the instance with room that was maintained already, whose rack
+// holds the fewest tasks of the job, and that has the most room left.
+func (r *round) best(j Job, avoid []string) *jaypool.Instance {
+	var best *jaypool.Instance
+	for _, i := range r.byPool[j.Pool] {
+		if !allowed(j, i) || slices.Contains(avoid, i.ID) || !r.free[i.ID].Fits(j.Need) {
+			continue
+		}
+		if best == nil || r.better(j, i, best) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (r *round) better(j Job, a, b *jaypool.Instance) bool {
+	maintainedA, maintainedB := r.maintained(a), r.maintained(b)
+	if maintainedA != maintainedB {
+		return maintainedA
+	}
+	spreadA := r.spread[j.Name][a.Domain(jaypool.RackDomain)]
+	spreadB := r.spread[j.Name][b.Domain(jaypool.RackDomain)]
+	if spreadA != spreadB {
+		return spreadA < spreadB
+	}
+	return r.free[a.ID].MemoryMegabytes > r.free[b.ID].MemoryMegabytes
+}
+
+// maintained reports whether the running wave has passed the instance, so
+// that a task placed there will not move again in this wave.
+func (r *round) maintained(i *jaypool.Instance) bool {
+	return r.view.Wave != "" && i.MaintainedIn == r.view.Wave
+}
+
+func allowed(j Job, i *jaypool.Instance) bool {
+	return len(j.DataCenters) == 0 || slices.Contains(j.DataCenters, i.DataCenter)
+}
+
+// displaceFor stops as few tasks of lower priority as make room on one
+// instance, the lowest priority first.
+func (r *round) displaceFor(j Job, avoid []string) *jaypool.Instance {
+	var best *jaypool.Instance
+	var victims []int
+	for _, i := range r.byPool[j.Pool] {
+		if !allowed(j, i) || slices.Contains(avoid, i.ID) {
+			continue
+		}
+		candidate, fits := r.victimsOn(i, j)
+		if fits && (best == nil || len(candidate) < len(victims)) {
+			best, victims = i, candidate
+		}
+	}
+	for _, n := range victims {
+		r.stop(n, "displaced by "+j.Name)
+	}
+	return best
+}
+
+func (r *round) victimsOn(i *jaypool.Instance, j Job) ([]int, bool) {
+	var lower []int
+	for n, t := range r.view.Tasks {
+		if t.Instance == i.ID && !r.stopped[n] && r.view.Jobs[t.Job].Priority < j.Priority {
+			lower = append(lower, n)
+		}
+	}
+	slices.SortStableFunc(lower, func(a, b int) int {
+		return cmp.Compare(r.view.Jobs[r.view.Tasks[a].Job].Priority, r.view.Jobs[r.view.Tasks[b].Job].Priority)
+	})
+	room := r.free[i.ID]
+	var victims []int
+	for _, n := range lower {
+		if room.Fits(j.Need) {
+			break
+		}
+		room = room.Add(r.view.Jobs[r.view.Tasks[n].Job].Need)
+		victims = append(victims, n)
+	}
+	return victims, room.Fits(j.Need)
+}
+
+// neverFits says why no instance could ever hold a task of the job, or
+// returns "" if it only has to wait.
+func (r *round) neverFits(j Job) string {
+	members := 0
+	for _, id := range r.view.Fleet.IDs() {
+		i, _ := r.view.Fleet.Instance(id)
+		if i.Pool != j.Pool {
+			continue
+		}
+		members++
+		if allowed(j, i) && i.Capacity.Fits(j.Need) {
+			return ""
+		}
+	}
+	if members == 0 {
+		return ""
+	}
+	return fmt.Sprintf("no instance of pool %s is large enough for one task (%d milli-processors, %d MB, %d accelerators)",
+		j.Pool, j.Need.ProcessorsMilli, j.Need.MemoryMegabytes, j.Need.Accelerators)
+}
--- /dev/null
+++ b/jaypeer/client.go
@@ -0,0 +1,179 @@
+// Package jaypeer carries protobuf messages between entry instances: a yamux
+// session for each pair, a stream for each question. With keys configured the
+// link is mutual TLS.
+package jaypeer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"jaythread/jaywire"
+)
+
+// maxMessage bounds one message; a snapshot at the target size is below it.
+const maxMessage = 64 << 20
+
+// Errors of peer links.
+var (
+	// ErrUnreachable means that the peer did not answer; it may be alive.
+	ErrUnreachable = errors.New("peer does not answer")
+	// ErrGone means that the incarnation asked for has ended: its address
+	// refuses connections, or another incarnation answers there.
+	ErrGone = errors.New("peer has ended")
+)
+
+// Client asks peers. It keeps a session to each address.
+type Client struct {
+	self    string
+	timeout time.Duration
+	tls     *tls.Config
+
+	mu       sync.Mutex
+	sessions map[string]*yamux.Session
+	closed   bool
+}
+
+// NewClient returns a client for the entry named self. The TLS configuration
+// is nil on loopback without keys.
+func NewClient(self string, timeout time.Duration, config *tls.Config) *Client {
+	return &Client{self: self, timeout: timeout, tls: config, sessions: map[string]*yamux.Session{}}
+}
+
+// Ask sends a question to the incarnation named to, at its address, and
+// returns the answer. The error is ErrGone or ErrUnreachable.
+func (c *Client) Ask(to, addr string, request *jaywire.PeerRequest) (*jaywire.PeerResponse, error) {
+	request.From = c.self
+	request.To = to
+	response, err := c.exchange(addr, request)
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, fmt.Errorf("%w: %s at %s: %w", ErrGone, to, addr, err)
+		}
+		return nil, fmt.Errorf("%w: %s at %s: %w", ErrUnreachable, to, addr, err)
+	}
+	if to != "" && response.From != to {
+		return nil, fmt.Errorf("%w: %s at %s, which is %s now", ErrGone, to, addr, response.From)
+	}
+	return response, nil
+}
+
+// Close ends all sessions.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, s := range c.sessions {
+		_ = s.Close()
+	}
+}
+
+func (c *Client) exchange(addr string, request *jaywire.PeerRequest) (*jaywire.PeerResponse, error) {
+	session, err := c.session(addr)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		c.drop(addr, session)
+		return nil, err
+	}
+	defer func() { _ = stream.Close() }()
+	if err := stream.SetDeadline(time.Now().Add(c.timeout)); err != nil {
+		return nil, err
+	}
+	response := &jaywire.PeerResponse{}
+	if err := c.talk(stream, request, response); err != nil {
+		// A session whose peer froze would hold up each later question until
+		// its timeout; a new one finds out at once.
+		c.drop(addr, session)
+		return nil, err
+	}
+	return response, nil
+}
+
+func (c *Client) talk(stream io.ReadWriter, request *jaywire.PeerRequest, response *jaywire.PeerResponse) error {
+	if _, err := protodelim.MarshalTo(stream, request); err != nil {
+		return err
+	}
+	options := protodelim.UnmarshalOptions{MaxSize: maxMessage}
+	return options.UnmarshalFrom(bufio.NewReader(stream), response)
+}
+
+func (c *Client) session(addr string) (*yamux.Session, error) {
+	c.mu.Lock()
+	s, ok := c.sessions[addr]
+	closed := c.closed
+	c.mu.Unlock()
+	if closed {
+		return nil, net.ErrClosed
+	}
+	if ok && !s.IsClosed() {
+		return s, nil
+	}
+	conn, err := c.dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	s, err = yamux.Client(conn, sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return c.keep(addr, s), nil
+}
+
+// keep stores a session, or returns the one that another goroutine has stored
+// in the meantime.
+func (c *Client) keep(addr string, s *yamux.Session) *yamux.Session {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	other, ok := c.sessions[addr]
+	if ok && !other.IsClosed() {
+		_ = s.Close()
+		return other
+	}
+	c.sessions[addr] = s
+	return s
+}
+
+func (c *Client) drop(addr string, s *yamux.Session) {
+	c.mu.Lock()
+	if c.sessions[addr] == s {
+		delete(c.sessions, addr)
+	}
+	c.mu.Unlock()
+	_ = s.Close()
+}
+
+func (c *Client) dial(addr string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: c.timeout}
+	if c.tls == nil {
+		return dialer.Dial("tcp", addr)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
+	defer cancel()
+	secure := tls.Dialer{NetDialer: dialer, Config: c.tls}
+	return secure.DialContext(ctx, "tcp", addr)
+}
+
+func sessionConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.LogOutput = io.Discard
+	// Heartbeats of our own show a dead peer sooner than keep-alives.
+	config.EnableKeepAlive = false
+	config.ConnectionWriteTimeout = time.Second
+	config.StreamOpenTimeout = 0
+	config.StreamCloseTimeout = 5 * time.Second
+	return config
+}
--- /dev/null
+++ b/jaypeer/keys.go
@@ -0,0 +1,41 @@
+package jaypeer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"os"
+
+	"github.com/samber/oops"
+)
+
+// ErrAuthority is reported for an authority file without certificates.
+var ErrAuthority = errors.New("no certificate in the authority file")
+
+// LoadKeys returns the mutual TLS configuration of an entry: its own
+// certificate and key, and the authority that signs those of its peers. Empty
+// names return nil, which leaves the link plain.
+func LoadKeys(certFile, keyFile, authorityFile string) (*tls.Config, error) {
+	if certFile == "" {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
+	if err != nil {
+		return nil, oops.In("peer keys").Wrapf(err, "read %s and %s", certFile, keyFile)
+	}
+	text, err := os.ReadFile(authorityFile)
+	if err != nil {
+		return nil, oops.In("peer keys").Wrapf(err, "read %s", authorityFile)
+	}
+	authority := x509.NewCertPool()
+	if !authority.AppendCertsFromPEM(text) {
+		return nil, oops.In("peer keys").Wrapf(ErrAuthority, "read %s", authorityFile)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      authority,
+		ClientCAs:    authority,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
--- /dev/null
+++ b/jayrule/rule_test.go
@@ -0,0 +1,93 @@
+package jayrule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func at(clock string) time.Time {
+	t, _ := time.Parse("15:04", clock)
+	return t
+}
+
+func TestFirstMatchDecides(t *testing.T) {
+	list := List{
+		{Name: "payments", About: AboutRequest, When: When{Path: []string{"/fees/*"}, Method: []string{"POST"}}},
+		{Name: "night", About: AboutWave, When: When{Hours: "22:00-05:00"}},
+		{Name: "fees", About: AboutRequest, When: When{Path: []string{"/fees/*"}}},
+		{Name: "nursing", About: AboutRequest, When: When{Caller: []string{"nursing"}, Header: map[string]string{"X-Term": "2026*"}}},
+	}
+	cases := []struct {
+		subject Subject
+		want    string
+	}{
+		{Subject{Kind: AboutRequest, Path: "/fees/pay", Method: "POST"}, "payments"},
+		{Subject{Kind: AboutRequest, Path: "/fees/pay", Method: "GET"}, "fees"},
+		{Subject{Kind: AboutRequest, Path: "/feesible", Method: "GET"}, ""},
+		{Subject{Kind: AboutRequest, Caller: "nursing", Header: func(string) string { return "2026-2" }}, "nursing"},
+		{Subject{Kind: AboutRequest, Caller: "nursing", Header: func(string) string { return "2025-2" }}, ""},
+		{Subject{Kind: AboutWave, Time: at("23:30")}, "night"},
+		{Subject{Kind: AboutWave, Time: at("04:59")}, "night"},
+		{Subject{Kind: AboutWave, Time: at("05:00")}, ""},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%s %s %s", c.subject.Method, c.subject.Path, c.want), func(t *testing.T) {
+			is := is.New(t)
+			rule, ok := list.Decide(&c.subject)
+			is.Equal(ok, c.want != "")
+			if ok {
+				is.Equal(rule.Name, c.want)
+			}
+		})
+	}
+}
+
+func TestShadowed(t *testing.T) {
+	is := is.New(t)
+	list := List{
+		{Name: "all fees", About: AboutRequest, When: When{Path: []string{"/fees/*"}}},
+		{Name: "pay", About: AboutRequest, When: When{Path: []string{"/fees/pay"}, Method: []string{"POST"}}},
+		{Name: "seats", About: AboutRequest, When: When{Path: []string{"/seats/*"}}},
+		{Name: "waves", About: AboutWave},
+	}
+	by, shadowed := list.Shadowed(1)
+	is.True(shadowed)
+	is.Equal(by, "all fees")
+	_, shadowed = list.Shadowed(2)
+	is.True(!shadowed)
+	_, shadowed = list.Shadowed(3) // another kind
+	is.True(!shadowed)
+}
+
+func TestActionMustFitItsKind(t *testing.T) {
+	cases := map[string]Rule{
+		"route and refuse": {About: AboutRequest, Then: Then{Route: "a", Refuse: "b"}},
+		"neither":          {About: AboutRequest},
+		"wave that routes": {About: AboutWave, Then: Then{Route: "a"}},
+		"share above one":  {About: AboutWave, Then: Then{WaveShare: 1.5}},
+		"unknown kind":     {About: "weather"},
+		"unknown priority": {About: AboutRequest, Then: Then{Route: "a", Priority: "asap"}},
+	}
+	for name, rule := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := rule.Action()
+			is.New(t).True(err != nil)
+		})
+	}
+}
+
+func ExampleList_Explain() {
+	list := List{
+		{Name: "payments", About: AboutRequest, When: When{Method: []string{"POST"}}},
+		{Name: "reads", About: AboutRequest},
+	}
+	for _, trace := range list.Explain(&Subject{Kind: AboutRequest, Method: "GET"}) {
+		fmt.Println(trace.Rule, trace.Matched, trace.Why)
+	}
+	// Output:
+	// payments false method
+	// reads true
+}
--- /dev/null
+++ b/jayserve/exchange.go
@@ -0,0 +1,279 @@
+package jayserve
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"jaythread/jayclaim"
+	"jaythread/jayroute"
+	"jaythread/jayupstream"
+	"jaythread/jayverdict"
+	"jaythread/jaywire"
+)
+
+// serve answers the request, or returns an error of type *jayverdict.Error
+// that says whether it may have run.
+func (x *exchange) serve() error {
+	idempotencyKey := x.ctx.Request.Header.Peek(HeaderKey)
+	if x.route.Idempotent || len(idempotencyKey) == 0 {
+		_, err := x.attempts(nil)
+		return err
+	}
+	return x.serveKeyed(string(idempotencyKey))
+}
+
+// keyed is the claim of a keyed request while it is under way.
+type keyed struct {
+	key         jayclaim.Key
+	fingerprint []byte
+	claim       *jaywire.Claim
+}
+
+// serveKeyed runs the request at most once over all entries.
+func (x *exchange) serveKeyed(idempotencyKey string) error {
+	k := &keyed{
+		key:         jayclaim.NewKey(x.caller, idempotencyKey),
+		fingerprint: jayclaim.Fingerprint(string(x.ctx.Method()), string(x.ctx.RequestURI()), x.ctx.PostBody()),
+	}
+	claimer := x.server.claimer
+	decision, err := claimer.Known(k.key, k.fingerprint, x.left())
+	if err != nil {
+		return err
+	}
+	if replay, ok := decision.(jayclaim.Replay); ok {
+		x.replay(replay.Answer)
+		return nil
+	}
+	answer, err := x.attempts(k)
+	if k.claim == nil {
+		return err
+	}
+	if err != nil && jayverdict.Of(err) == jayverdict.NotRun {
+		claimer.Release(k.claim)
+		return err
+	}
+	claimer.Finish(k.claim, answer)
+	return err
+}
+
+func (x *exchange) replay(a *jayclaim.Answer) {
+	x.ctx.SetStatusCode(a.Status)
+	x.ctx.Response.Header.SetContentType(a.ContentType)
+	x.ctx.Response.Header.Set(jayverdict.Header, jayverdict.Ran.String())
+	x.ctx.Response.Header.Set("Idempotent-Replayed", "true")
+	x.ctx.SetBody(a.Body)
+}
+
+// attempts sends the request until it is answered or must not be sent again.
+// It returns the whole answer if one came that was not streamed.
+func (x *exchange) attempts(k *keyed) (*jayclaim.Answer, error) {
+	x.server.budget.First()
+	for attempt := 1; ; attempt++ {
+		answer, err := x.attempt(k)
+		if err == nil {
+			return answer, nil
+		}
+		err = x.honest(err)
+		var refused *refusedBeforeAttempt
+		if errors.As(err, &refused) {
+			return nil, refused.err
+		}
+		again := jayroute.MayRetry(jayverdict.Of(err), x.route.Idempotent, attempt)
+		if !again || !x.backOff(attempt) || !x.server.budget.Take() {
+			return nil, err
+		}
+		x.server.observer.Retried(x.route.Pool)
+	}
+}
+
+// honest keeps the weakest verdict of all attempts. Without it a request that
+// timed out at one upstream and then found no slot at another would be refused
+// as "not run", while the first upstream may still be running it.
+func (x *exchange) honest(err error) error {
+	verdict := jayverdict.Of(err)
+	if verdict == jayverdict.NotRun && x.touched {
+		return &refusedBeforeAttempt{err: jayverdict.NewMayHaveRun(502, "an attempt may have run, and none followed", err)}
+	}
+	x.touched = x.touched || verdict != jayverdict.NotRun
+	return err
+}
+
+// refusedBeforeAttempt ends a request that got no slot or no claim. Trying
+// again at once would only take the place of others.
+type refusedBeforeAttempt struct {
+	err error
+}
+
+func (r *refusedBeforeAttempt) Error() string {
+	return r.err.Error()
+}
+
+func (r *refusedBeforeAttempt) Unwrap() error {
+	return r.err
+}
+
+// attempt sends the request to one upstream.
+func (x *exchange) attempt(k *keyed) (*jayclaim.Answer, error) {
+	lease, err := x.pool.Acquire(jayroute.Ticket{
+		Caller:   x.caller,
+		Priority: x.route.Priority,
+		Avoid:    x.avoid,
+		Wait:     min(x.server.options.QueueTime, x.left()),
+	})
+	if err != nil {
+		return nil, &refusedBeforeAttempt{err: err}
+	}
+	replayed, err := x.claim(k)
+	if err != nil || replayed {
+		lease.Release(false)
+		return nil, err
+	}
+	result, err := x.send(lease)
+	if err != nil {
+		x.blame(lease, err)
+		return nil, err
+	}
+	return x.answer(lease, result)
+}
+
+// claim claims the key before the first byte is sent. It reports whether the
+// request was answered with a stored answer instead.
+func (x *exchange) claim(k *keyed) (replayed bool, err error) {
+	if k == nil || k.claim != nil {
+		return false, nil
+	}
+	decision, err := x.server.claimer.Take(k.key, k.fingerprint, x.left())
+	if err != nil {
+		return false, &refusedBeforeAttempt{err: err}
+	}
+	switch d := decision.(type) {
+	case jayclaim.Replay:
+		x.replay(d.Answer)
+		return true, nil
+	case jayclaim.Run:
+		k.claim = d.Claim
+	}
+	return false, nil
+}
+
+func (x *exchange) send(lease *jayroute.Lease) (*jayupstream.Result, error) {
+	timeout := x.left()
+	if timeout <= 0 {
+		return nil, jayverdict.NewNotRun(503, "no time left", time.Second)
+	}
+	return x.server.client.Do(jayupstream.Attempt{
+		Addr:        lease.Upstream.Addr,
+		Connections: x.view.Connections[x.route.Pool],
+		Fresh:       !x.route.Idempotent,
+		Timeout:     timeout,
+	}, x.upstreamRequest())
+}
+
+// blame ends a failed attempt. An upstream that refuses is not failing; one
+// that is leaving is told to everybody.
+func (x *exchange) blame(lease *jayroute.Lease, err error) {
+	leaving := errors.Is(err, jayupstream.ErrLeaving)
+	if leaving {
+		x.server.source.NoteLeaving(lease.Upstream.ID)
+	}
+	x.avoid = append(x.avoid, lease.Upstream.ID)
+	lease.Release(!leaving)
+}
+
+func (x *exchange) left() time.Duration {
+	return time.Until(x.deadline)
+}
+
+// backOff waits before the next attempt, with jitter, if time is left.
+func (x *exchange) backOff(attempt int) bool {
+	pause := jitter(firstBackoff << (attempt - 1))
+	if x.left() <= pause {
+		return false
+	}
+	time.Sleep(pause)
+	return true
+}
+
+// answer hands the upstream's answer to the caller.
+func (x *exchange) answer(lease *jayroute.Lease, result *jayupstream.Result) (*jayclaim.Answer, error) {
+	resp := &x.ctx.Response
+	copyAnswerHeader(&resp.Header, &result.Response.Header)
+	resp.SetStatusCode(result.Response.StatusCode())
+	resp.Header.Set(jayverdict.Header, jayverdict.Ran.String())
+	failed := result.Response.StatusCode() >= 500
+	if result.Rest != nil {
+		x.stream(lease, result, failed)
+		return nil, nil
+	}
+	lease.Release(failed)
+	if x.ctx.IsHead() {
+		resp.SkipBody = true
+		resp.Header.SetContentLength(max(0, result.Response.Header.ContentLength()))
+	}
+	resp.SetBodyRaw(result.Body)
+	return &jayclaim.Answer{
+		Status:      result.Response.StatusCode(),
+		ContentType: string(result.Response.Header.ContentType()),
+		Body:        result.Body,
+	}, nil
+}
+
+// stream passes on a large answer. The slot is held until its end. An answer
+// that is cut ends the caller's connection without its proper end, so that
+// the caller cannot take the part for the whole.
+func (x *exchange) stream(lease *jayroute.Lease, result *jayupstream.Result, failed bool) {
+	size := result.Response.Header.ContentLength()
+	if size < 0 {
+		size = -1
+	}
+	body := &streamed{result: result, lease: lease, failed: failed}
+	x.ctx.Response.SetBodyStream(body, size)
+}
+
+// streamed reads the buffered beginning and then the rest of an answer.
+type streamed struct {
+	result *jayupstream.Result
+	lease  *jayroute.Lease
+	failed bool
+	closed bool
+}
+
+// Read returns the next bytes of the answer.
+func (s *streamed) Read(p []byte) (int, error) {
+	if len(s.result.Body) > 0 {
+		n := copy(p, s.result.Body)
+		s.result.Body = s.result.Body[n:]
+		return n, nil
+	}
+	n, err := s.result.Rest.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.failed = true
+	}
+	return n, err
+}
+
+// Close ends the attempt.
+func (s *streamed) Close() error {
+	if s.closed {
+		return nil
+	}
+	s.closed = true
+	s.lease.Release(s.failed)
+	return s.result.Rest.Close()
+}
+
+// upstreamRequest copies the caller's request. It is not pooled: the client
+// may hold it a little longer than the call.
+func (x *exchange) upstreamRequest() *fasthttp.Request {
+	req := &fasthttp.Request{}
+	x.ctx.Request.Header.CopyTo(&req.Header)
+	dropHopByHop(&req.Header)
+	req.Header.Set(HeaderPool, x.route.Pool)
+	req.SetRequestURIBytes(x.ctx.RequestURI())
+	req.SetHostBytes(x.ctx.Host())
+	req.SetBodyRaw(x.ctx.PostBody())
+	return req
+}
--- /dev/null
+++ b/jayserve/limiter.go
@@ -0,0 +1,50 @@
+package jayserve
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// maxLimited bounds the callers whose rate is remembered. A caller that is
+// forgotten starts with a full allowance again.
+const maxLimited = 10_000
+
+// callerLimiter bounds the rate of each caller under each rule.
+type callerLimiter struct {
+	mu       sync.Mutex
+	limiters map[limiterKey]*rate.Limiter
+}
+
+type limiterKey struct {
+	caller string
+	rule   string
+}
+
+func newCallerLimiter() *callerLimiter {
+	return &callerLimiter{limiters: map[limiterKey]*rate.Limiter{}}
+}
+
+// allow reports whether the caller may send one more request now. A rate of
+// zero is no limit.
+func (l *callerLimiter) allow(caller, rule string, perSecond float64, now time.Time) bool {
+	if perSecond <= 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := limiterKey{caller: caller, rule: rule}
+	limiter, known := l.limiters[key]
+	if !known {
+		if len(l.limiters) >= maxLimited {
+			clear(l.limiters)
+		}
+		limiter = rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+		l.limiters[key] = limiter
+	}
+	if limiter.Limit() != rate.Limit(perSecond) {
+		limiter.SetLimitAt(now, rate.Limit(perSecond))
+	}
+	return limiter.AllowN(now, 1)
+}
--- /dev/null
+++ b/jayserve/server.go
@@ -0,0 +1,190 @@
+// Package jayserve takes one caller's request from its rule to its answer.
+package jayserve
+
+import (
+	"errors"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+
+	"jaythread/jayclaim"
+	"jaythread/jayconfig"
+	"jaythread/jayedge"
+	"jaythread/jayroute"
+	"jaythread/jayrule"
+	"jaythread/jayupstream"
+	"jaythread/jayverdict"
+)
+
+// Headers of requests.
+const (
+	HeaderKey  = "Idempotency-Key"
+	HeaderPool = "Jaythread-Pool"
+)
+
+// View is what requests are decided by. It is replaced as a whole, so that a
+// request sees one revision from beginning to end.
+type View struct {
+	Revision uint64
+	Offset   uint64
+	Config   *jayconfig.Configuration
+	Pools    map[string]*jayroute.Pool
+	// States holds the word that rules use for each pool's standing.
+	States map[string]string
+	// Connections is this entry's share of an upstream's connections, by pool.
+	Connections map[string]int
+}
+
+// Source tells the server what is in force.
+type Source interface {
+	// View returns the view, or a refusal if there is none to use.
+	View() (*View, *jayverdict.Error)
+	// NoteLeaving learns that an upstream takes no more work.
+	NoteLeaving(upstream string)
+	// Stopping reports whether this entry is about to end.
+	Stopping() bool
+}
+
+// Observer counts what happened to requests.
+type Observer interface {
+	Answered(pool string, v jayverdict.Verdict, status int, took time.Duration)
+	Retried(pool string)
+}
+
+// Options are the settings of a server.
+type Options struct {
+	CallerHeader string
+	QueueTime    time.Duration
+	Timeout      time.Duration
+	RetryShare   float64
+}
+
+// Server answers callers.
+type Server struct {
+	options  Options
+	source   Source
+	claimer  *jayclaim.Claimer
+	client   *jayupstream.Client
+	budget   *jayroute.RetryBudget
+	limiter  *callerLimiter
+	observer Observer
+	logger   logr.Logger
+}
+
+// NewServer returns a server.
+func NewServer(options Options, source Source, claimer *jayclaim.Claimer, client *jayupstream.Client, observer Observer, logger logr.Logger) *Server {
+	return &Server{
+		options:  options,
+		source:   source,
+		claimer:  claimer,
+		client:   client,
+		budget:   jayroute.NewRetryBudget(options.RetryShare),
+		limiter:  newCallerLimiter(),
+		observer: observer,
+		logger:   logger,
+	}
+}
+
+// exchange is one request under way.
+type exchange struct {
+	server   *Server
+	ctx      *fasthttp.RequestCtx
+	view     *View
+	route    jayrule.Route
+	pool     *jayroute.Pool
+	caller   string
+	began    time.Time
+	deadline time.Time
+	avoid    []string
+	// touched says that an attempt so far may have run the request. No later
+	// refusal may then call it "not run".
+	touched bool
+}
+
+// Handle answers one request.
+func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	began := time.Now()
+	x, refusal := s.admit(ctx, began)
+	if refusal != nil {
+		s.refuse(ctx, "", refusal, began)
+		return
+	}
+	err := x.serve()
+	if err == nil {
+		s.observer.Answered(x.route.Pool, jayverdict.Ran, ctx.Response.StatusCode(), time.Since(began))
+		return
+	}
+	var refused *jayverdict.Error
+	if !errors.As(err, &refused) {
+		refused = jayverdict.NewMayHaveRun(502, "internal failure", err)
+	}
+	s.refuse(ctx, x.route.Pool, refused, began)
+}
+
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, pool string, e *jayverdict.Error, began time.Time) {
+	jayedge.Refuse(ctx, e)
+	s.observer.Answered(pool, e.Verdict, e.Status, time.Since(began))
+}
+
+// admit decides by the rules whether and where the request goes.
+func (s *Server) admit(ctx *fasthttp.RequestCtx, began time.Time) (*exchange, *jayverdict.Error) {
+	view, refusal := s.source.View()
+	if refusal != nil {
+		return nil, refusal
+	}
+	caller := s.callerOf(ctx)
+	subject := describe(ctx, view, caller, began)
+	action, rule := view.Config.Decide(subject)
+	switch a := action.(type) {
+	case jayrule.Route:
+		if !s.limiter.allow(caller, rule, a.CallerRate, began) {
+			return nil, jayverdict.NewNotRun(429, "too many requests of this caller", time.Second)
+		}
+		x := &exchange{server: s, ctx: ctx, view: view, route: a, pool: view.Pools[a.Pool], caller: caller, began: began}
+		x.deadline = began.Add(s.options.Timeout)
+		if a.Timeout > 0 {
+			x.deadline = began.Add(a.Timeout)
+		}
+		return x, nil
+	case jayrule.Refuse:
+		return nil, jayverdict.NewNotRun(403, a.Reason, 0)
+	default:
+		return nil, jayverdict.NewNotRun(404, "no rule matches", 0)
+	}
+}
+
+// callerOf names the caller: the header that the balancer sets, or else the
+// credentials.
+func (s *Server) callerOf(ctx *fasthttp.RequestCtx) string {
+	if caller := ctx.Request.Header.Peek(s.options.CallerHeader); len(caller) > 0 {
+		return string(caller)
+	}
+	return string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
+}
+
+func describe(ctx *fasthttp.RequestCtx, view *View, caller string, now time.Time) *jayrule.Subject {
+	path := string(ctx.Path())
+	return &jayrule.Subject{
+		Kind:    jayrule.AboutRequest,
+		Service: firstPart(path),
+		Method:  string(ctx.Method()),
+		Path:    path,
+		Header:  func(name string) string { return string(ctx.Request.Header.Peek(name)) },
+		Caller:  caller,
+		Time:    now.In(view.Config.Location()),
+	}
+}
+
+// firstPart returns the service that a path names: its first part.
+func firstPart(path string) string {
+	for n := 1; n < len(path); n++ {
+		if path[n] == '/' {
+			return path[1:n]
+		}
+	}
+	if len(path) > 1 {
+		return path[1:]
+	}
+	return ""
+}
--- /dev/null
+++ b/jaystandin/server.go
@@ -0,0 +1,180 @@
+package jaystandin
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"jaythread/jayplatform"
+)
+
+// Platform is the whole stand-in: log service, instance list and workers.
+type Platform struct {
+	Log   *LogService
+	Fleet *Fleet
+}
+
+// Serve answers the platform's HTTP interface on a listener until it closes.
+func (p *Platform) Serve(listener net.Listener) error {
+	server := &fasthttp.Server{
+		Handler:               p.Handle,
+		NoDefaultServerHeader: true,
+		MaxRequestBodySize:    64 << 20,
+		Logger:                silentLogger{},
+	}
+	return server.Serve(listener)
+}
+
+// Handle answers one request of the platform's HTTP interface.
+func (p *Platform) Handle(ctx *fasthttp.RequestCtx) {
+	parts := strings.Split(strings.Trim(string(ctx.Path()), "/"), "/")
+	switch {
+	case len(parts) == 3 && parts[0] == "streams" && ctx.IsPost():
+		p.handleAppend(ctx, parts[1])
+	case len(parts) == 3 && parts[0] == "streams":
+		p.handleRead(ctx, parts[1])
+	case len(parts) == 1 && parts[0] == "instances" && ctx.IsPost():
+		p.handleEntry(ctx)
+	case len(parts) == 1 && parts[0] == "instances":
+		changes, err := p.Fleet.Since(number(ctx, "since"), wait(ctx))
+		answer(ctx, changes, err)
+	case len(parts) == 3 && parts[0] == "instances" && ctx.IsPost():
+		p.handleAct(ctx, parts[1], parts[2])
+	case len(parts) == 1 && parts[0] == "counters":
+		answer(ctx, p.Fleet.Ledger.Counters(), nil)
+	case len(parts) == 2 && parts[0] == "faults" && ctx.IsPost():
+		p.handleFaults(ctx, parts[1])
+	case len(parts) == 3 && parts[0] == "faults" && ctx.IsPost():
+		p.handleWorkerFaults(ctx, parts[2])
+	default:
+		ctx.Error("no such path", fasthttp.StatusNotFound)
+	}
+}
+
+func (p *Platform) handleAppend(ctx *fasthttp.RequestCtx, stream string) {
+	offset, err := p.Log.Append(stream, ctx.PostBody())
+	answer(ctx, map[string]uint64{"offset": offset}, err)
+}
+
+func (p *Platform) handleRead(ctx *fasthttp.RequestCtx, stream string) {
+	page, err := p.Log.Read(stream, number(ctx, "from"), wait(ctx))
+	if errors.Is(err, jayplatform.ErrExpired) {
+		answer(ctx, page, nil)
+		ctx.SetStatusCode(fasthttp.StatusGone)
+		return
+	}
+	answer(ctx, page, err)
+}
+
+// handleEntry lets the operator of a trial register an entry instance; a real
+// platform knows its instances itself.
+func (p *Platform) handleEntry(ctx *fasthttp.RequestCtx) {
+	var i jayplatform.Instance
+	err := json.Unmarshal(ctx.PostBody(), &i)
+	if err == nil {
+		p.Fleet.SetEntry(i)
+	}
+	answer(ctx, i, refused(err))
+}
+
+func (p *Platform) handleAct(ctx *fasthttp.RequestCtx, instance, name string) {
+	act, err := parseAct(name, ctx.PostBody())
+	if err == nil {
+		err = p.Fleet.Do(instance, number(ctx, "fence"), act)
+	}
+	answer(ctx, struct{}{}, err)
+}
+
+// handleFaults switches the faults of the log service, or kills or revives a
+// rack's or one worker named by the query.
+func (p *Platform) handleFaults(ctx *fasthttp.RequestCtx, what string) {
+	worker := string(ctx.QueryArgs().Peek("worker"))
+	switch what {
+	case "log":
+		var f LogFaults
+		err := json.Unmarshal(ctx.PostBody(), &f)
+		if err == nil {
+			p.Log.SetFaults(f)
+		}
+		answer(ctx, f, refused(err))
+	case "kill":
+		p.Fleet.Kill(worker)
+		answer(ctx, struct{}{}, nil)
+	case "revive":
+		answer(ctx, struct{}{}, refused(p.Fleet.Revive(worker)))
+	default:
+		ctx.Error("faults are log, kill, revive, worker/ID", fasthttp.StatusNotFound)
+	}
+}
+
+func (p *Platform) handleWorkerFaults(ctx *fasthttp.RequestCtx, id string) {
+	w, ok := p.Fleet.Worker(id)
+	if !ok {
+		ctx.Error("no such worker", fasthttp.StatusNotFound)
+		return
+	}
+	var f WorkerFaults
+	err := json.Unmarshal(ctx.PostBody(), &f)
+	if err == nil {
+		w.SetFaults(f)
+	}
+	answer(ctx, f, refused(err))
+}
+
+func parseAct(name string, body []byte) (jayplatform.Act, error) {
+	switch name {
+	case "drain":
+		return jayplatform.Drain{}, nil
+	case "undrain":
+		return jayplatform.Undrain{}, nil
+	case "reboot":
+		return jayplatform.Reboot{}, nil
+	case "startTask":
+		var a jayplatform.StartTask
+		return a, refused(json.Unmarshal(body, &a))
+	case "stopTask":
+		var a jayplatform.StopTask
+		return a, refused(json.Unmarshal(body, &a))
+	default:
+		return nil, errors.Join(jayplatform.ErrRefused, errors.New("no such act: "+name))
+	}
+}
+
+func refused(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Join(jayplatform.ErrRefused, err)
+}
+
+func number(ctx *fasthttp.RequestCtx, name string) uint64 {
+	n, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek(name)), 10, 64)
+	return n
+}
+
+func wait(ctx *fasthttp.RequestCtx) time.Duration {
+	return time.Duration(number(ctx, "waitMillis")) * time.Millisecond
+}
+
+func answer(ctx *fasthttp.RequestCtx, body any, err error) {
+	if err != nil {
+		status := fasthttp.StatusServiceUnavailable
+		if errors.Is(err, jayplatform.ErrRefused) {
+			status = fasthttp.StatusBadRequest
+		}
+		ctx.Error(err.Error(), status)
+		return
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(text)
+}
--- /dev/null
+++ b/jaystate/fold_configuration.go
@@ -0,0 +1,83 @@
+package jaystate
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"jaythread/jayconfig"
+	"jaythread/jaywire"
+)
+
+// publish takes a configuration if it replaces the revision in force. The
+// revision is the record's offset plus one: a later one is always higher, and
+// zero means none.
+func (s *State) publish(offset uint64, c *jaywire.Command, p *jaywire.PublishConfiguration, e *jaywire.AuditEntry) error {
+	e.Kind = "configuration"
+	e.Subject = p.Message
+	e.Before = fmt.Sprint(s.Revision.Number)
+	if p.Replaces != s.Revision.Number {
+		return fmt.Errorf("%w: %d is in force, the author edited %d", ErrConflict, s.Revision.Number, p.Replaces)
+	}
+	parsed, err := jayconfig.Parse("configuration", p.Document)
+	if err != nil {
+		return err
+	}
+	e.After = fmt.Sprint(offset + 1)
+	s.Revision = Revision{
+		Number:   offset + 1,
+		Document: p.Document,
+		Author:   c.Actor,
+		Message:  p.Message,
+		Parsed:   parsed,
+	}
+	return nil
+}
+
+func (s *State) joinEntry(j *jaywire.JoinEntry, e *jaywire.AuditEntry) error {
+	e.Kind = "entryJoined"
+	e.Subject = j.Entry
+	e.After = j.PeerAddr
+	if j.Entry == "" {
+		return fmt.Errorf("%w: an entry without identity", ErrNoSuch)
+	}
+	m := Member{Entry: j.Entry, PeerAddr: j.PeerAddr, DataCenter: j.DataCenter}
+	i, known := s.findMember(j.Entry)
+	if known {
+		s.Members[i] = m
+		return nil
+	}
+	s.Members = slices.Insert(s.Members, i, m)
+	return nil
+}
+
+func (s *State) leaveEntry(l *jaywire.LeaveEntry, e *jaywire.AuditEntry) error {
+	e.Kind = "entryLeft"
+	e.Subject = l.Entry
+	i, known := s.findMember(l.Entry)
+	if !known {
+		return fmt.Errorf("%w: entry %s", ErrNoSuch, l.Entry)
+	}
+	s.Members = slices.Delete(s.Members, i, i+1)
+	return nil
+}
+
+func (s *State) findMember(entry string) (int, bool) {
+	return slices.BinarySearchFunc(s.Members, entry, func(m Member, id string) int { return cmp.Compare(m.Entry, id) })
+}
+
+// takePlannerLease gives the next term to whoever names it first. Renewals
+// take a new term too; an old holder sees a higher term and stops planning.
+func (s *State) takePlannerLease(t *jaywire.TakePlannerLease, e *jaywire.AuditEntry) error {
+	if t.Term != s.Planner.Term+1 {
+		return fmt.Errorf("%w: term %d is taken, by %s", ErrState, t.Term, s.Planner.Entry)
+	}
+	if t.Entry != s.Planner.Entry {
+		e.Kind = "planner"
+		e.Subject = t.Entry
+		e.Before = s.Planner.Entry
+		e.After = t.Entry
+	}
+	s.Planner = Planner{Entry: t.Entry, Term: t.Term}
+	return nil
+}
--- /dev/null
+++ b/jaystate/fold_job.go
@@ -0,0 +1,97 @@
+package jaystate
+
+import (
+	"fmt"
+	"slices"
+
+	"jaythread/jayjob"
+	"jaythread/jaywire"
+)
+
+// placeTask gives a task to an instance. A task that has a place must be
+// ended first, so that it never stands in two.
+func (s *State) placeTask(offset uint64, p *jaywire.PlaceTask, e *jaywire.AuditEntry) error {
+	e.Kind = "task"
+	e.Subject = fmt.Sprintf("%s/%d", p.Job, p.Replica)
+	e.After = p.Instance
+	key := TaskKey{Job: p.Job, Replica: p.Replica}
+	task, known := s.Tasks[key]
+	if known && task.Instance != "" {
+		return fmt.Errorf("%w: %s runs on %s", ErrState, e.Subject, task.Instance)
+	}
+	if why, parked := s.Parked[p.Job]; parked {
+		return fmt.Errorf("%w: job %s is parked: %s", ErrState, p.Job, why)
+	}
+	i, err := s.instance(p.Instance)
+	if err != nil {
+		return err
+	}
+	if !i.Available() {
+		return fmt.Errorf("%w: %s is %s", ErrState, i.ID, i.Phase)
+	}
+	if !known {
+		task = &jayjob.Task{Job: p.Job, Replica: int(p.Replica)}
+		s.Tasks[key] = task
+	}
+	task.Instance = p.Instance
+	task.Fence = offset
+	return nil
+}
+
+// endTask takes a task from its instance. The base is the fence of the
+// placement that ended; a late report of an earlier one changes nothing.
+func (s *State) endTask(base uint64, t *jaywire.EndTask, e *jaywire.AuditEntry) error {
+	e.Kind = "task"
+	e.Subject = fmt.Sprintf("%s/%d", t.Job, t.Replica)
+	e.After = t.Outcome
+	task, known := s.Tasks[TaskKey{Job: t.Job, Replica: t.Replica}]
+	if !known || task.Instance == "" {
+		return fmt.Errorf("%w: %s is not placed", ErrState, e.Subject)
+	}
+	e.Before = task.Instance
+	if task.Fence != base {
+		return fmt.Errorf("%w: %s was placed again at %d", ErrState, e.Subject, task.Fence)
+	}
+	task.Instance = ""
+	switch t.Outcome {
+	case "failed":
+		task.FailedOn = append(task.FailedOn, e.Before)
+	case "cancelled":
+		delete(s.Tasks, TaskKey{Job: t.Job, Replica: t.Replica})
+	}
+	return nil
+}
+
+func (s *State) parkJob(p *jaywire.ParkJob, e *jaywire.AuditEntry) error {
+	e.Kind = "job"
+	e.Subject = p.Job
+	e.After = "parked: " + p.Why
+	_, parked := s.Parked[p.Job]
+	if parked != p.Released {
+		return fmt.Errorf("%w: job %s", ErrState, p.Job)
+	}
+	if p.Released {
+		e.After = "released"
+		delete(s.Parked, p.Job)
+		s.forgetFailures(p.Job)
+		return nil
+	}
+	s.Parked[p.Job] = p.Why
+	return nil
+}
+
+func (s *State) forgetFailures(job string) {
+	for key, task := range s.Tasks {
+		if key.Job == job {
+			task.FailedOn = nil
+		}
+	}
+}
+
+// clearBlame takes a quarantined worker off the tasks that failed on it: the
+// worker was to blame, and the jobs must not be parked for it.
+func (s *State) clearBlame(instance string) {
+	for _, task := range s.Tasks {
+		task.FailedOn = slices.DeleteFunc(task.FailedOn, func(on string) bool { return on == instance })
+	}
+}
--- /dev/null
+++ b/jaystate/fold_wave.go
@@ -0,0 +1,234 @@
+package jaystate
+
+import (
+	"fmt"
+	"slices"
+
+	"jaythread/jaypool"
+	"jaythread/jaywire"
+)
+
+func (s *State) startWave(w *jaywire.StartWave, e *jaywire.AuditEntry) error {
+	e.Kind = "wave"
+	e.Subject = w.Wave
+	e.After = "running"
+	if w.Wave == "" || len(w.Pools) == 0 {
+		return fmt.Errorf("%w: a wave needs a name and pools", ErrState)
+	}
+	if _, known := s.Wave(w.Wave); known {
+		return fmt.Errorf("%w: wave %s exists", ErrState, w.Wave)
+	}
+	for _, pool := range w.Pools {
+		if err := s.declared(pool); err != nil {
+			return err
+		}
+		if other, busy := s.WaveOf(pool); busy {
+			return fmt.Errorf("%w: pool %s is in wave %s", ErrState, pool, other.ID)
+		}
+	}
+	pools := slices.Clone(w.Pools)
+	slices.Sort(pools)
+	s.Waves = append(s.Waves, &Wave{
+		ID:      w.Wave,
+		Pools:   slices.Compact(pools),
+		Phase:   jaywire.WavePhase_WAVE_PHASE_RUNNING,
+		Version: 1,
+	})
+	s.forgetEndedWaves()
+	return nil
+}
+
+func (s *State) forgetEndedWaves() {
+	ended := 0
+	for _, w := range s.Waves {
+		if !w.Active() {
+			ended++
+		}
+	}
+	s.Waves = slices.DeleteFunc(s.Waves, func(w *Wave) bool {
+		if w.Active() || ended <= endedWavesKept {
+			return false
+		}
+		ended--
+		return true
+	})
+}
+
+func (s *State) setWavePhase(base uint64, p *jaywire.SetWavePhase, e *jaywire.AuditEntry) error {
+	e.Kind = "wave"
+	e.Subject = p.Wave
+	e.After = phaseWord(p.Phase)
+	w, ok := s.Wave(p.Wave)
+	if !ok {
+		return fmt.Errorf("%w: wave %s", ErrNoSuch, p.Wave)
+	}
+	e.Before = phaseWord(w.Phase)
+	if w.Version != base {
+		return fmt.Errorf("%w: wave %s is at %d, the command was based on %d", jaypool.ErrStaleVersion, w.ID, w.Version, base)
+	}
+	if !w.Active() {
+		return fmt.Errorf("%w: wave %s is %s", ErrState, w.ID, phaseWord(w.Phase))
+	}
+	if p.Phase == jaywire.WavePhase_WAVE_PHASE_UNSPECIFIED || p.Phase == w.Phase {
+		return fmt.Errorf("%w: wave %s is %s", ErrState, w.ID, phaseWord(w.Phase))
+	}
+	// An operator's pause stays until an operator ends it. Without this the
+	// planner would resume a wave that somebody stopped on purpose.
+	operatorPause := w.Phase == jaywire.WavePhase_WAVE_PHASE_PAUSED && !w.Automatic
+	if operatorPause && p.Automatic {
+		return fmt.Errorf("%w: wave %s was paused by an operator", ErrState, w.ID)
+	}
+	if p.Phase == jaywire.WavePhase_WAVE_PHASE_DONE && s.open(w) > 0 {
+		return fmt.Errorf("%w: wave %s has steps under way", ErrState, w.ID)
+	}
+	w.Phase = p.Phase
+	w.Automatic = p.Automatic
+	w.Version++
+	return nil
+}
+
+func (s *State) open(w *Wave) int {
+	n := 0
+	for _, step := range w.Steps {
+		if step.Phase < jaywire.StepPhase_STEP_PHASE_RETURNED {
+			n++
+		}
+	}
+	return n
+}
+
+// startStep takes an instance out for maintenance. The budget is judged here,
+// in log order, so that two planners together cannot break it.
+func (s *State) startStep(offset, base uint64, st *jaywire.StartStep, e *jaywire.AuditEntry) error {
+	e.Kind = "step"
+	e.Subject = st.Instance
+	e.Before = "serving"
+	e.After = "draining"
+	w, ok := s.Wave(st.Wave)
+	if !ok {
+		return fmt.Errorf("%w: wave %s", ErrNoSuch, st.Wave)
+	}
+	if w.Phase != jaywire.WavePhase_WAVE_PHASE_RUNNING {
+		return fmt.Errorf("%w: wave %s is %s", ErrState, w.ID, phaseWord(w.Phase))
+	}
+	i, err := s.instance(st.Instance)
+	if err != nil {
+		return err
+	}
+	if !slices.Contains(w.Pools, i.Pool) || i.MaintainedIn == w.ID {
+		return fmt.Errorf("%w: %s is not due in wave %s", ErrState, i.ID, w.ID)
+	}
+	if err := s.Fleet.BeginDrain(i.ID, base, s.budget(i.Pool)); err != nil {
+		return err
+	}
+	w.Steps = append(w.Steps, Step{Instance: i.ID, Fence: offset, Boots: st.Boots})
+	return nil
+}
+
+func (s *State) advanceStep(base uint64, a *jaywire.AdvanceStep, e *jaywire.AuditEntry) error {
+	e.Kind = "step"
+	e.Subject = a.Instance
+	e.After = stepWord(a.Phase)
+	w, ok := s.Wave(a.Wave)
+	if !ok {
+		return fmt.Errorf("%w: wave %s", ErrNoSuch, a.Wave)
+	}
+	step, ok := w.lastStep(a.Instance)
+	if !ok {
+		return fmt.Errorf("%w: no step of %s in wave %s", ErrNoSuch, a.Instance, a.Wave)
+	}
+	e.Before = stepWord(step.Phase)
+	if err := s.advanceInstance(base, a); err != nil {
+		return err
+	}
+	step.Phase = a.Phase
+	return nil
+}
+
+func (s *State) advanceInstance(base uint64, a *jaywire.AdvanceStep) error {
+	switch a.Phase {
+	case jaywire.StepPhase_STEP_PHASE_REBOOTING:
+		return s.Fleet.Advance(a.Instance, base, jaypool.Draining, jaypool.Rebooting)
+	case jaywire.StepPhase_STEP_PHASE_SETTLING:
+		return s.Fleet.Advance(a.Instance, base, jaypool.Rebooting, jaypool.Settling)
+	case jaywire.StepPhase_STEP_PHASE_RETURNED:
+		return s.Fleet.Return(a.Instance, base, a.Wave)
+	case jaywire.StepPhase_STEP_PHASE_ABANDONED:
+		return s.abandon(base, a)
+	default:
+		return fmt.Errorf("%w: step phase %d", ErrUnknown, a.Phase)
+	}
+}
+
+// abandon ends a step whose instance does not come back, so that it does not
+// block the wave, or that was cancelled before its reboot.
+func (s *State) abandon(base uint64, a *jaywire.AdvanceStep) error {
+	i, err := s.instance(a.Instance)
+	if err != nil {
+		return err
+	}
+	switch i.Phase {
+	case jaypool.Draining, jaypool.Rebooting, jaypool.Settling:
+	default:
+		return fmt.Errorf("%w: %s is %s", jaypool.ErrPhase, i.ID, i.Phase)
+	}
+	neverReturned := i.Phase != jaypool.Draining
+	if err := s.Fleet.Advance(a.Instance, base, i.Phase, jaypool.Serving); err != nil {
+		return err
+	}
+	if neverReturned {
+		i.MaintainedIn = a.Wave
+		return s.Fleet.SetFailed(a.Instance, true)
+	}
+	return nil
+}
+
+func (w *Wave) lastStep(instance string) (*Step, bool) {
+	for n := len(w.Steps) - 1; n >= 0; n-- {
+		if w.Steps[n].Instance == instance {
+			return &w.Steps[n], true
+		}
+	}
+	return nil, false
+}
+
+func phaseWord(p jaywire.WavePhase) string {
+	switch p {
+	case jaywire.WavePhase_WAVE_PHASE_RUNNING:
+		return "running"
+	case jaywire.WavePhase_WAVE_PHASE_PAUSED:
+		return "paused"
+	case jaywire.WavePhase_WAVE_PHASE_CANCELLED:
+		return "cancelled"
+	case jaywire.WavePhase_WAVE_PHASE_DONE:
+		return "done"
+	default:
+		return "unknown"
+	}
+}
+
+// String returns the wave's phase as operators read it.
+func (w *Wave) String() string {
+	word := phaseWord(w.Phase)
+	if w.Automatic && w.Phase == jaywire.WavePhase_WAVE_PHASE_PAUSED {
+		return word + " (automatic)"
+	}
+	return word
+}
+
+func stepWord(p jaywire.StepPhase) string {
+	switch p {
+	case jaywire.StepPhase_STEP_PHASE_UNSPECIFIED:
+		return "draining"
+	case jaywire.StepPhase_STEP_PHASE_REBOOTING:
+		return "rebooting"
+	case jaywire.StepPhase_STEP_PHASE_SETTLING:
+		return "settling"
+	case jaywire.StepPhase_STEP_PHASE_RETURNED:
+		return "returned"
+	case jaywire.StepPhase_STEP_PHASE_ABANDONED:
+		return "abandoned"
+	default:
+		return "unknown"
+	}
+}
--- /dev/null
+++ b/jayupstream/conn.go
@@ -0,0 +1,78 @@
+package jayupstream
+
+import (
+	"errors"
+	"net"
+	"sync/atomic"
+	"syscall"
+)
+
+// errUnwritten marks an error before the first byte of a request was written.
+var errUnwritten = errors.New("no byte of the request was written")
+
+// errStale is the cause when a kept connection was closed or sent bytes that
+// nobody asked for while it was idle.
+var errStale = errors.New("idle connection was closed or is out of step")
+
+// countedConn knows whether a byte of the current request was written.
+//
+// An upstream may close a kept connection just when the next request is sent:
+// the caller would see a failure of which nobody knows whether it ran. And an
+// upstream that answered twice would have its second answer taken for the next
+// request's. Both show as a readable socket before anything was asked, so the
+// first write of each request looks for that and fails without sending a byte.
+type countedConn struct {
+	net.Conn
+	raw     syscall.RawConn
+	written atomic.Int64
+	used    bool
+}
+
+func newCountedConn(c net.Conn) net.Conn {
+	counted := &countedConn{Conn: c}
+	if s, ok := c.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			counted.raw = raw
+		}
+	}
+	return counted
+}
+
+// Write sends bytes of a request.
+func (c *countedConn) Write(p []byte) (int, error) {
+	first := c.written.Load() == 0
+	if first && c.used && c.readable() {
+		return 0, errors.Join(errUnwritten, errStale)
+	}
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	if err != nil && first && n == 0 {
+		err = errors.Join(errUnwritten, err)
+	}
+	return n, err
+}
+
+// Read takes bytes of an answer; the next write begins another request.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.written.Store(0)
+		c.used = true
+	}
+	return n, err
+}
+
+// readable reports whether the socket has bytes or an end waiting.
+func (c *countedConn) readable() bool {
+	if c.raw == nil {
+		return false
+	}
+	ready := false
+	var peek [1]byte
+	err := c.raw.Read(func(fd uintptr) bool {
+		n, _, err := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ready = n > 0 || err == nil || !errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return ready || err != nil
+}
