--- a/Makefile
+++ b/Makefile
@@ -28,9 +28,9 @@
 	go test -run '^$$' -bench 'Capacity' -benchmem ./...
 
 fuzz: ## fuzz each decoder for ten seconds
-	for target in FuzzRecord FuzzSnapshot; do go test ./jaystate -run '^$$' -fuzz "^$$target$$" -fuzztime 10s || exit 1; done
-	go test ./jayconfig -run '^$$' -fuzz '^FuzzConfiguration$$' -fuzztime 10s
-	go test ./jaypeer -run '^$$' -fuzz '^FuzzPeerMessage$$' -fuzztime 10s
+	for target in FuzzRecord FuzzSnapshot; do go test ./jaystate -run '^$$' -fuzz "^$$target$$" -fuzztime 10s -fuzzminimizetime 10x || exit 1; done
+	go test ./jayconfig -run '^$$' -fuzz '^FuzzConfiguration$$' -fuzztime 10s -fuzzminimizetime 10x
+	go test ./jaypeer -run '^$$' -fuzz '^FuzzPeerMessage$$' -fuzztime 10s -fuzzminimizetime 10x
 
 generate: ## generate the wire types anew
 	mkdir -p .tools
--- a/jayclaim/claimer.go
+++ b/jayclaim/claimer.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
 
 	"jaythread/jaypeer"
 	"jaythread/jaystate"
@@ -168,7 +169,7 @@
 	if holder, held := c.table.Holder(key); held {
 		return holder, nil
 	}
-	c.table.Grant(claim, now)
+	c.table.Begin(claim, now)
 	c.table.SetRunning(key, true)
 	c.finished[key] = make(chan struct{})
 	return nil, nil
@@ -196,13 +197,22 @@
 		err = c.submitLate(claim)
 	}
 	c.count(logged, err)
-	if holder == nil && err == nil {
+	if holder == nil && err == nil && c.decide(claim) {
 		return nil, nil
 	}
 	c.Release(claim)
+	if holder == nil && err == nil {
+		return c.holder(key)
+	}
 	return holder, err
 }
 
+func (c *Claimer) decide(claim *jaywire.Claim) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Decide(claim)
+}
+
 var errLogDown = errors.New("the log does not answer")
 
 func (c *Claimer) commit(claim *jaywire.Claim) (first bool, err error) {
@@ -275,6 +285,7 @@
 // askCopies has peers hold a claim that stands first in the log, so that it is
 // known to them if the log goes down before they have read it.
 func (c *Claimer) askCopies(claim *jaywire.Claim) (*jaywire.Claim, error) {
+	claim = ahead(claim)
 	ranked := rank(c.peers.Others(), claim.Key)
 	need := min(c.options.Copies, len(ranked))
 	held, ended := 0, 0
@@ -301,11 +312,19 @@
 
 var errSilent = errors.New("a peer that may hold the key does not answer while the log is down")
 
-// askAll asks every member while the log does not answer.
+// askAll asks every member while the log does not answer: first the one that
+// ranks first for the key, so that of several entries with the same payment
+// one gets ahead and the others stop there.
 func (c *Claimer) askAll(claim *jaywire.Claim) (*jaywire.Claim, error) {
+	others := c.peers.Others()
+	if leader, ok := c.leader(others, claim); ok {
+		if g := c.askOne(leader, claim); g.outcome == jaywire.ClaimOutcome_CLAIM_OUTCOME_HELD {
+			return g.holder, nil
+		}
+	}
 	ended := 0
 	var failure error
-	for _, g := range c.askMany(c.peers.Others(), claim) {
+	for _, g := range c.askMany(others, ahead(claim)) {
 		switch {
 		case g.outcome == jaywire.ClaimOutcome_CLAIM_OUTCOME_HELD:
 			return g.holder, nil
@@ -325,6 +344,19 @@
 	return nil, nil
 }
 
+// leader returns the member that ranks first, unless it is this entry.
+func (c *Claimer) leader(others []jaystate.Member, claim *jaywire.Claim) (jaystate.Member, bool) {
+	all := rank(append(others, jaystate.Member{Entry: c.self}), claim.Key)
+	return all[0], all[0].Entry != c.self
+}
+
+// ahead returns a copy of a claim that others' undecided claims give way to.
+func ahead(claim *jaywire.Claim) *jaywire.Claim {
+	first := proto.Clone(claim).(*jaywire.Claim)
+	first.Ahead = true
+	return first
+}
+
 func refuse(err error) *jayverdict.Error {
 	e := jayverdict.NewNotRun(503, err.Error(), time.Second)
 	e.Err = err
--- a/jayclaim/resend.go
+++ b/jayclaim/resend.go
@@ -57,8 +57,9 @@
 	c.mu.Lock()
 	done, running := c.finished[key]
 	c.mu.Unlock()
-	if running {
-		timer := time.NewTimer(deadline.Sub(c.now()))
+	left := deadline.Sub(c.now())
+	if running && left > 0 {
+		timer := time.NewTimer(left)
 		defer timer.Stop()
 		select {
 		case <-done:
--- a/jayclaim/table.go
+++ b/jayclaim/table.go
@@ -44,6 +44,10 @@
 	answer   *Answer
 	running  bool
 	released []string
+	// mine is this entry's own claim. Until it is decided, nothing runs under
+	// it, and it may give way.
+	mine    string
+	decided bool
 }
 
 // Table is what one entry knows of claims. It is pure: the caller passes the
@@ -69,7 +73,32 @@
 	return len(t.slots)
 }
 
+// Begin records a claim of this entry itself.
+func (t *Table) Begin(claim *jaywire.Claim, now time.Time) (holder *jaywire.Claim, granted bool) {
+	holder, granted = t.Grant(claim, now)
+	if granted {
+		s := t.at(Key(claim.Key), now)
+		s.mine, s.decided = claim.Id, false
+	}
+	return holder, granted
+}
+
+// Decide makes this entry's own claim final: from now on it runs. It returns
+// false if the claim gave way meanwhile.
+func (t *Table) Decide(claim *jaywire.Claim) bool {
+	s, ok := t.slots[Key(claim.Key)]
+	if !ok || s.mine != claim.Id {
+		return false
+	}
+	s.decided = true
+	return true
+}
+
 // Grant records a claim unless another one holds the key, which it returns.
+//
+// A claim of this entry's own that is not decided gives way to one that is
+// ahead. Without this, entries that got the same payment at the same moment
+// would each hold a claim, refuse each other, and run it nowhere.
 func (t *Table) Grant(claim *jaywire.Claim, now time.Time) (holder *jaywire.Claim, granted bool) {
 	s := t.at(Key(claim.Key), now)
 	if slices.Contains(s.released, claim.Id) {
@@ -77,6 +106,9 @@
 		// way. Recording it now would block the key until the window ends.
 		return claim, false
 	}
+	if claim.Ahead && s.mine != claim.Id && !s.decided {
+		s.giveWay()
+	}
 	for _, c := range s.claims {
 		if c.Id != claim.Id {
 			return c, false
@@ -191,6 +223,11 @@
 	return s
 }
 
+func (s *slot) giveWay() {
+	s.claims = slices.DeleteFunc(s.claims, func(c *jaywire.Claim) bool { return c.Id == s.mine })
+	s.mine = ""
+}
+
 func (s *slot) add(claim *jaywire.Claim) {
 	for _, c := range s.claims {
 		if c.Id == claim.Id {
--- /dev/null
+++ b/jayedge/edge_test.go
@@ -0,0 +1,315 @@
+package jayedge
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"jaythread/jayverdict"
+)
+
+// newEdge starts an edge on loopback that echoes path and body.
+func newEdge(t *testing.T, handler fasthttp.RequestHandler, change func(*Options)) (*Edge, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := listener.Addr().String()
+	_ = listener.Close()
+	o := Options{Addr: addr, EventLoops: 2, MaxRequestBytes: 1 << 20, MaxConns: 100, Idle: time.Minute, Write: time.Minute}
+	if change != nil {
+		change(&o)
+	}
+	e := NewEdge(o, handler, logr.Discard())
+	if err := e.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = e.Stop(ctx)
+	})
+	return e, addr
+}
+
+func echo(ctx *fasthttp.RequestCtx) {
+	ctx.SetBodyString(fmt.Sprintf("%s %d", ctx.Path(), len(ctx.PostBody())))
+}
+
+// caller is a connection to the edge.
+type caller struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func connect(t *testing.T, addr string) *caller {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return &caller{t: t, conn: conn, in: bufio.NewReader(conn)}
+}
+
+func (c *caller) write(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c.conn, text); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// answer reads the next answer.
+func (c *caller) answer() (int, string, http.Header) {
+	c.t.Helper()
+	response, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if response.Close {
+		response.Header.Set("Connection", "close")
+	}
+	return response.StatusCode, string(body), response.Header
+}
+
+// ended reports whether the edge has closed the connection.
+func (c *caller) ended() bool {
+	_, err := c.in.ReadByte()
+	return err != nil
+}
+
+const get = "GET /%s HTTP/1.1\r\nHost: x\r\n\r\n"
+
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	is := is.New(t)
+	_, addr := newEdge(t, echo, nil)
+	c := connect(t, addr)
+	var all strings.Builder
+	for n := range 50 {
+		fmt.Fprintf(&all, get, fmt.Sprint(n))
+	}
+	c.write(all.String())
+	for n := range 50 {
+		_, body, _ := c.answer()
+		is.Equal(body, fmt.Sprintf("/%d 0", n))
+	}
+}
+
+func TestBodies(t *testing.T) {
+	_, addr := newEdge(t, echo, nil)
+	t.Run("large", func(t *testing.T) {
+		c := connect(t, addr)
+		c.write("POST /big HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 1000000))
+		_, body, _ := c.answer()
+		is.New(t).Equal(body, "/big 1000000")
+	})
+	t.Run("chunked", func(t *testing.T) {
+		c := connect(t, addr)
+		c.write("POST /c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+		_, body, _ := c.answer()
+		is.New(t).Equal(body, "/c 5")
+	})
+	t.Run("after 100 Continue", func(t *testing.T) {
+		is := is.New(t)
+		c := connect(t, addr)
+		c.write("POST /e HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+		line, err := c.in.ReadString('\n')
+		is.NoErr(err)
+		is.Equal(line, "HTTP/1.1 100 Continue\r\n")
+		_, err = c.in.ReadString('\n')
+		is.NoErr(err)
+		c.write("ab")
+		_, body, _ := c.answer()
+		is.Equal(body, "/e 2")
+	})
+	t.Run("byte by byte", func(t *testing.T) {
+		c := connect(t, addr)
+		for _, b := range []byte("POST /s HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc") {
+			c.write(string(b))
+		}
+		_, body, _ := c.answer()
+		is.New(t).Equal(body, "/s 3")
+	})
+}
+
+func TestRefusedRequests(t *testing.T) {
+	ran := false
+	_, addr := newEdge(t, func(ctx *fasthttp.RequestCtx) {
+		ran = true
+		ctx.SetBodyString("ran")
+	}, nil)
+	cases := []struct {
+		name, text string
+		status     int
+	}{
+		{"both framings", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		{"two lengths", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde", 400},
+		{"no number", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: x\r\n\r\n", 400},
+		{"unknown encoding", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\nContent-Length: 3\r\n\r\nabc", 400},
+		{"body too large", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2000000\r\n\r\n", 413},
+		{"header too large", "GET / HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("x", 20000) + "\r\n\r\n", 431},
+		{"no HTTP", "hello\r\n\r\n", 400},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			from := connect(t, addr)
+			from.write(c.text)
+			status, _, header := from.answer()
+			is.Equal(status, c.status)
+			is.Equal(header.Get(jayverdict.Header), "notRun")
+			is.True(from.ended())
+		})
+	}
+	is.New(t).True(!ran)
+}
+
+func TestCallerThatFloodsIsClosed(t *testing.T) {
+	// Symptom: the entry's memory grows without bound.
+	// Sequence: a caller sends on while its first request is still handled.
+	// Cause: the event loop takes in bytes that nobody reads.
+	is := is.New(t)
+	release := make(chan struct{})
+	_, addr := newEdge(t, func(*fasthttp.RequestCtx) { <-release }, func(o *Options) { o.MaxRequestBytes = 1024 })
+	defer close(release)
+	c := connect(t, addr)
+	c.write(fmt.Sprintf(get, "first"))
+	flood := strings.Repeat("x", 64<<10)
+	var err error
+	for n := 0; err == nil && n < 1000; n++ {
+		_, err = io.WriteString(c.conn, flood)
+	}
+	is.True(err != nil)
+}
+
+func TestSlowCallerGetsTheWholeAnswer(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("0123456789", 400_000)
+	_, addr := newEdge(t, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(body) }, nil)
+	c := connect(t, addr)
+	c.write(fmt.Sprintf(get, "large"))
+	_, got, _ := c.answer()
+	is.True(got == body)
+}
+
+func TestCutStreamIsVisible(t *testing.T) {
+	// Symptom: a caller takes a part of an answer for the whole.
+	// Sequence: an upstream is cut in the middle of a chunked answer.
+	// Cause: the answer to the caller ends properly all the same.
+	_, addr := newEdge(t, func(ctx *fasthttp.RequestCtx) {
+		size := -1
+		if string(ctx.Path()) == "/sized" {
+			size = 100
+		}
+		ctx.SetBodyStream(io.MultiReader(strings.NewReader("part"), brokenReader{}), size)
+	}, nil)
+	for _, path := range []string{"sized", "chunked"} {
+		t.Run(path, func(t *testing.T) {
+			c := connect(t, addr)
+			c.write(fmt.Sprintf(get, path))
+			response, err := http.ReadResponse(c.in, nil)
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+			}
+			is.New(t).True(err != nil)
+		})
+	}
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) {
+	return 0, errors.New("upstream was cut")
+}
+
+func TestGracefulStop(t *testing.T) {
+	// Symptom: a caller's request is cut when an entry is replaced.
+	// Sequence: a request is being answered, another connection is idle, a
+	// third has sent half a request; the entry stops.
+	// Cause: the listener's end took the connections with it.
+	is := is.New(t)
+	entered, release := make(chan struct{}), make(chan struct{})
+	e, addr := newEdge(t, func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == "/slow" {
+			close(entered)
+			<-release
+		}
+		ctx.SetBodyString("whole")
+	}, nil)
+	idle := connect(t, addr)
+	idle.write(fmt.Sprintf(get, "quick"))
+	idle.answer()
+	half := connect(t, addr)
+	half.write(fmt.Sprintf(get, "quick"))
+	half.answer()
+	half.write("GET /half HTTP/1.1\r\n")
+	busy := connect(t, addr)
+	busy.write(fmt.Sprintf(get, "slow"))
+	<-entered
+	e.Drain()
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		stopped <- e.Stop(ctx)
+	}()
+	is.True(idle.ended()) // an idle connection is closed
+	half.write("Host: x\r\n\r\n")
+	_, body, header := half.answer()
+	is.Equal(body, "whole")
+	is.Equal(header.Get("Connection"), "close")
+	close(release)
+	_, body, _ = busy.answer()
+	is.Equal(body, "whole")
+	is.NoErr(<-stopped)
+}
+
+func TestStopAtItsBoundSaysWhatItCut(t *testing.T) {
+	is := is.New(t)
+	entered, release := make(chan struct{}), make(chan struct{})
+	e, addr := newEdge(t, func(*fasthttp.RequestCtx) { close(entered); <-release }, nil)
+	defer close(release)
+	connect(t, addr).write(fmt.Sprintf(get, "slow"))
+	<-entered
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(errors.Is(e.Stop(ctx), ErrCut))
+}
+
+func TestTakenPort(t *testing.T) {
+	is := is.New(t)
+	_, addr := newEdge(t, echo, nil)
+	second := NewEdge(Options{Addr: addr, EventLoops: 1, MaxRequestBytes: 1, MaxConns: 1}, echo, logr.Discard())
+	err := second.Start()
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "listen for callers"))
+}
+
+func TestTooManyConnections(t *testing.T) {
+	is := is.New(t)
+	_, addr := newEdge(t, echo, func(o *Options) { o.MaxConns = 1 })
+	first := connect(t, addr)
+	first.write(fmt.Sprintf(get, "a"))
+	first.answer()
+	is.True(connect(t, addr).ended())
+	first.write(fmt.Sprintf(get, "b"))
+	_, body, _ := first.answer()
+	is.Equal(body, "/b 0")
+}
--- a/jayedge/handle.go
+++ b/jayedge/handle.go
@@ -1,6 +1,7 @@
 package jayedge
 
 import (
+	"bytes"
 	"errors"
 	"strconv"
 
@@ -41,14 +42,16 @@
 }
 
 // ambiguous says why a request's framing could be read in two ways. A request
-// smuggled past one reader would run under another caller's name.
+// smuggled past one reader would run under another caller's name. The library
+// drops a length that stands beside an encoding, so the raw lines are read.
 func ambiguous(h *fasthttp.RequestHeader) string {
 	lengths, encodings := 0, 0
-	for key := range h.All() {
-		switch string(key) {
-		case fasthttp.HeaderContentLength:
+	for line := range bytes.Lines(h.RawHeaders()) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		switch {
+		case bytes.EqualFold(name, contentLength):
 			lengths++
-		case fasthttp.HeaderTransferEncoding:
+		case bytes.EqualFold(name, transferEncoding):
 			encodings++
 		}
 	}
@@ -62,6 +65,11 @@
 	}
 }
 
+var (
+	contentLength    = []byte(fasthttp.HeaderContentLength)
+	transferEncoding = []byte(fasthttp.HeaderTransferEncoding)
+)
+
 // Refuse writes an answer of the system's own with its verdict.
 func Refuse(ctx *fasthttp.RequestCtx, e *jayverdict.Error) {
 	ctx.Response.Reset()
--- a/jayentry/peers.go
+++ b/jayentry/peers.go
@@ -307,14 +307,8 @@
 
 // Run heartbeats until the context ends.
 func (m *Membership) Run(ctx context.Context, every time.Duration, logAge func() time.Duration, onLeaving func(string)) {
-	tick := time.NewTicker(every)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			m.Heartbeat(logAge(), onLeaving)
-		}
+	for ctx.Err() == nil {
+		m.Heartbeat(logAge(), onLeaving)
+		sleep(ctx, every)
 	}
 }
--- a/jayentry/planner.go
+++ b/jayentry/planner.go
@@ -59,15 +59,9 @@
 		go d.actWorker(ctx)
 	}
 	go d.dispatchActs(ctx)
-	tick := time.NewTicker(time.Duration(d.entry.options.PlanEvery))
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			d.tick()
-		}
+	for ctx.Err() == nil {
+		d.tick()
+		sleep(ctx, time.Duration(d.entry.options.PlanEvery))
 	}
 }
 
--- /dev/null
+++ b/jayentry/world_test.go
@@ -0,0 +1,423 @@
+package jayentry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
+
+	"jaythread/jayoptions"
+	"jaythread/jaypeer"
+	"jaythread/jayplatform"
+	"jaythread/jaystandin"
+	"jaythread/jaystate"
+	"jaythread/jayverdict"
+	"jaythread/jaywire"
+)
+
+// world is a set of entries with fakes at their interfaces, on a fake clock:
+// the log stand-in, an instance list, upstreams on in-memory connections, and
+// a peer link that can be cut.
+type world struct {
+	t   *testing.T
+	log *jaystandin.LogService
+
+	mu    sync.Mutex
+	nodes []*node
+	runs  map[string]int
+	list  []jayplatform.Instance
+	// upstream answers a request at an upstream; nil answers with 200.
+	upstream func(addr string, r *http.Request, body string, conn net.Conn) bool
+	reverted []string
+}
+
+// node is one entry of the world and what is cut for it.
+type node struct {
+	world   *world
+	entry   *Entry
+	addr    string
+	cancel  context.CancelFunc
+	dead    bool
+	cutLog  bool
+	cutPeer bool
+	highest uint64
+}
+
+const (
+	peerTimeout = time.Second
+	linkDelay   = time.Millisecond
+)
+
+// inWorld runs a test in a world of n entries that have a configuration in
+// force, on a fake clock.
+func inWorld(t *testing.T, n int, test func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.stopAll()
+		for range n {
+			w.start()
+		}
+		w.publish(0, worldDocument)
+		w.settle()
+		test(w)
+		for _, text := range w.reverted {
+			t.Error(text)
+		}
+	})
+}
+
+const worldDocument = `{
+  "pools": [{"name": "fees", "instances": ["fees-*"], "minAvailable": 2}],
+  "rules": [
+    {"name": "pay", "about": "request", "when": {"method": ["POST"]}, "then": {"route": "fees"}},
+    {"name": "read", "about": "request", "then": {"route": "fees", "idempotent": true}}]}`
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, log: jaystandin.NewLogService(), runs: map[string]int{}}
+	for n := range 4 {
+		w.list = append(w.list, jayplatform.Instance{
+			ID: fmt.Sprintf("fees-%d", n), Kind: jayplatform.Worker, Addr: fmt.Sprintf("10.0.0.%d:80", n),
+			Rack: fmt.Sprint(n), DataCenter: "dc", State: jayplatform.Live,
+		})
+	}
+	return w
+}
+
+// start adds an entry.
+func (w *world) start() *node {
+	w.mu.Lock()
+	number := len(w.nodes)
+	w.mu.Unlock()
+	n := &node{world: w, addr: fmt.Sprintf("peer-%d", number)}
+	o := jayoptions.New()
+	o.Entry = fmt.Sprintf("entry-%d", number)
+	o.PeerAddr = n.addr
+	for _, other := range w.live() {
+		o.PeerSeeds = append(o.PeerSeeds, other.addr)
+	}
+	entry, err := New(o, &nodePlatform{node: n}, logr.Discard(), WithPeerLink(&link{node: n}), WithUpstreamDial(w.dial))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	n.entry = entry
+	w.mu.Lock()
+	w.nodes = append(w.nodes, n)
+	w.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	entry.startDuties(ctx)
+	go n.watchRevision(ctx)
+	return n
+}
+
+// watchRevision notes a revision in force that went back.
+func (n *node) watchRevision(ctx context.Context) {
+	for ctx.Err() == nil {
+		if v := n.entry.router.View(); v != nil {
+			n.world.mu.Lock()
+			if v.Revision < n.highest {
+				n.world.reverted = append(n.world.reverted, fmt.Sprintf("%s went back from %d to %d", n.entry.Self(), n.highest, v.Revision))
+			}
+			n.highest = max(n.highest, v.Revision)
+			n.world.mu.Unlock()
+		}
+		sleep(ctx, 20*time.Millisecond)
+	}
+}
+
+// kill ends an entry without warning.
+func (n *node) kill() {
+	n.world.mu.Lock()
+	n.dead = true
+	n.world.mu.Unlock()
+	n.cancel()
+}
+
+func (n *node) set(change func(n *node)) {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	change(n)
+}
+
+func (n *node) is(what func(n *node) bool) bool {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	return what(n)
+}
+
+func (w *world) live() []*node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var live []*node
+	for _, n := range w.nodes {
+		if !n.dead {
+			live = append(live, n)
+		}
+	}
+	return live
+}
+
+func (w *world) stopAll() {
+	for _, n := range w.live() {
+		n.kill()
+	}
+	w.log.SetFaults(jaystandin.LogFaults{})
+	time.Sleep(time.Minute)
+}
+
+// settle lets the entries finish what they have begun.
+func (w *world) settle() {
+	time.Sleep(4 * time.Second)
+	synctest.Wait()
+}
+
+func (w *world) publish(at int, document string) jaystate.Outcome {
+	w.t.Helper()
+	entry := w.nodes[at].entry
+	var replaces uint64
+	entry.Read(func(s *jaystate.State) { replaces = s.Revision.Number })
+	outcome, err := entry.Propose(publishCommand(replaces, document), 10*time.Second)
+	if err != nil {
+		w.t.Fatalf("publish: %v", err)
+	}
+	return outcome
+}
+
+func publishCommand(replaces uint64, document string) *jaywire.Command {
+	return &jaywire.Command{Actor: "operator", Body: &jaywire.Command_PublishConfiguration{
+		PublishConfiguration: &jaywire.PublishConfiguration{Replaces: replaces, Document: []byte(document)},
+	}}
+}
+
+func (n *node) revision() uint64 {
+	if v := n.entry.router.View(); v != nil {
+		return v.Revision
+	}
+	return 0
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	verdict jayverdict.Verdict
+	body    string
+	replay  bool
+}
+
+// pay sends a keyed payment to an entry.
+func (n *node) pay(key string) answer {
+	return n.send(http.MethodPost, "/fees/pay", key, "amount=1")
+}
+
+func (n *node) read() answer {
+	return n.send(http.MethodGet, "/fees/list", "", "")
+}
+
+func (n *node) send(method, path, key, body string, headers ...string) answer {
+	req := &fasthttp.Request{}
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://jaythread" + path)
+	req.SetBodyString(body)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ": ")
+		req.Header.Set(name, value)
+	}
+	ctx := &fasthttp.RequestCtx{}
+	ctx.Init(req, &net.TCPAddr{}, nil)
+	n.entry.server.Handle(ctx)
+	return answer{
+		status:  ctx.Response.StatusCode(),
+		verdict: jayverdict.Parse(string(ctx.Response.Header.Peek(jayverdict.Header))),
+		body:    string(ctx.Response.Body()),
+		replay:  len(ctx.Response.Header.Peek("Idempotent-Replayed")) > 0,
+	}
+}
+
+// runsOf returns how often an upstream ran the payment with a key.
+func (w *world) runsOf(key string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[key]
+}
+
+// dial connects to a fake upstream.
+func (w *world) dial(addr string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go w.serveUpstream(addr, far)
+	return near, nil
+}
+
+func (w *world) serveUpstream(addr string, conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		w.mu.Lock()
+		handle := w.upstream
+		w.mu.Unlock()
+		if handle != nil && !handle(addr, request, string(body), conn) {
+			return
+		}
+		if handle == nil {
+			w.ran(request)
+			respond(conn, 200, "ran")
+		}
+		if request.Close {
+			return
+		}
+	}
+}
+
+func (w *world) ran(r *http.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		w.runs[key]++
+	}
+}
+
+func respond(conn net.Conn, status int, body string, headers ...string) {
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(body))
+	for _, h := range headers {
+		head += h + "\r\n"
+	}
+	_, _ = conn.Write([]byte(head + "\r\n" + body))
+}
+
+// setUpstream replaces what upstreams do.
+func (w *world) setUpstream(handle func(addr string, r *http.Request, body string, conn net.Conn) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.upstream = handle
+}
+
+// link is an entry's link to peers.
+type link struct {
+	node *node
+}
+
+// Ask hands a question to the peer at an address.
+func (l *link) Ask(to, addr string, request *jaywire.PeerRequest) (*jaywire.PeerResponse, error) {
+	w := l.node.world
+	var target *node
+	w.mu.Lock()
+	for _, n := range w.nodes {
+		if n.addr == addr {
+			target = n
+		}
+	}
+	cut := l.node.cutPeer || target == nil || target.cutPeer
+	dead := target != nil && target.dead
+	w.mu.Unlock()
+	if cut {
+		time.Sleep(peerTimeout)
+		return nil, jaypeer.ErrUnreachable
+	}
+	time.Sleep(linkDelay)
+	if dead || to != "" && target.entry.Self() != to {
+		return nil, jaypeer.ErrGone
+	}
+	asked := proto.Clone(request).(*jaywire.PeerRequest)
+	asked.From = l.node.entry.Self()
+	response := target.entry.handlePeer(asked)
+	time.Sleep(linkDelay)
+	return proto.Clone(response).(*jaywire.PeerResponse), nil
+}
+
+// Close does nothing.
+func (l *link) Close() {}
+
+// nodePlatform is the platform as one entry reaches it.
+type nodePlatform struct {
+	node *node
+}
+
+var errCutLog = errors.Join(jayplatform.ErrUnavailable, errors.New("cut off from the log"))
+
+func (p *nodePlatform) cut() bool {
+	return p.node.is(func(n *node) bool { return n.cutLog || n.dead })
+}
+
+// Append adds a record, unless the entry is cut off.
+func (p *nodePlatform) Append(stream string, record []byte) (uint64, error) {
+	time.Sleep(linkDelay)
+	if p.cut() {
+		return 0, errCutLog
+	}
+	return p.node.world.log.Append(stream, record)
+}
+
+// Read reads records, unless the entry is cut off.
+func (p *nodePlatform) Read(stream string, from uint64, wait time.Duration) (jayplatform.Page, error) {
+	time.Sleep(linkDelay)
+	if p.cut() {
+		return jayplatform.Page{}, errCutLog
+	}
+	page, err := p.node.world.log.Read(stream, from, wait)
+	if p.cut() {
+		return jayplatform.Page{}, errCutLog
+	}
+	return page, err
+}
+
+// Since returns the instance list.
+func (p *nodePlatform) Since(version uint64, wait time.Duration) (jayplatform.Changes, error) {
+	w := p.node.world
+	w.mu.Lock()
+	changes := jayplatform.Changes{Version: uint64(len(w.list))}
+	if int(version) < len(w.list) {
+		changes.Instances = append(changes.Instances, w.list[version:]...)
+	}
+	w.mu.Unlock()
+	if len(changes.Instances) == 0 {
+		time.Sleep(wait)
+	}
+	return changes, nil
+}
+
+// setWorker changes a worker on the instance list.
+func (w *world) setWorker(id string, state jayplatform.InstanceState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, i := range w.list {
+		if i.ID == id {
+			i.State = state
+			w.list = append(w.list, i)
+			return
+		}
+	}
+}
+
+// Do takes every act.
+func (p *nodePlatform) Do(string, uint64, jayplatform.Act) error {
+	return nil
+}
+
+var noFaults = jaystandin.LogFaults{}
+
+func hasText(a answer, text string) bool {
+	return strings.Contains(a.body, text)
+}
--- a/jayroute/pool.go
+++ b/jayroute/pool.go
@@ -154,7 +154,7 @@
 }
 
 func (p *Pool) await(w *waiter, wait time.Duration) (*Lease, error) {
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(max(wait, time.Nanosecond))
 	defer timer.Stop()
 	select {
 	case u := <-w.granted:
--- /dev/null
+++ b/jaystate/fold_test.go
@@ -0,0 +1,372 @@
+package jaystate
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"jaythread/jaypool"
+	"jaythread/jaywire"
+)
+
+const document = `{
+  "pools": [
+    {"name": "seats", "instances": ["seats-*"], "minAvailable": 3},
+    {"name": "fees", "instances": ["fees-*"], "minAvailable": 1}],
+  "teams": [{"name": "t"}],
+  "jobs": [{"name": "index", "pool": "seats", "team": "t", "replicas": 2}],
+  "rules": [{"name": "all", "about": "request", "then": {"route": "seats"}}]}`
+
+// feed folds commands, a record each, and returns the outcomes.
+func feed(t testing.TB, s *State, commands ...*jaywire.Command) []Outcome {
+	t.Helper()
+	var outcomes []Outcome
+	for _, c := range commands {
+		decided, err := s.Apply(s.Offset, record(t, c))
+		if err != nil {
+			t.Fatal(err)
+		}
+		outcomes = append(outcomes, decided...)
+	}
+	return outcomes
+}
+
+func record(t testing.TB, commands ...*jaywire.Command) []byte {
+	t.Helper()
+	text, err := proto.Marshal(&jaywire.Batch{Commands: commands})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func publish(id string, replaces uint64, text string) *jaywire.Command {
+	return &jaywire.Command{Id: id, Actor: id, Body: &jaywire.Command_PublishConfiguration{
+		PublishConfiguration: &jaywire.PublishConfiguration{Replaces: replaces, Document: []byte(text)},
+	}}
+}
+
+func attach(id string, base uint64, pool, rack string) *jaywire.Command {
+	return &jaywire.Command{Base: base, Body: &jaywire.Command_AttachInstance{
+		AttachInstance: &jaywire.AttachInstance{Instance: id, Pool: pool, Rack: rack, DataCenter: "dc"},
+	}}
+}
+
+func startStep(wave, id string, base uint64) *jaywire.Command {
+	return &jaywire.Command{Base: base, Body: &jaywire.Command_StartStep{
+		StartStep: &jaywire.StartStep{Wave: wave, Instance: id},
+	}}
+}
+
+func startWave(id string, pools ...string) *jaywire.Command {
+	return &jaywire.Command{Body: &jaywire.Command_StartWave{StartWave: &jaywire.StartWave{Wave: id, Pools: pools}}}
+}
+
+func setWave(id string, base uint64, phase jaywire.WavePhase, automatic bool) *jaywire.Command {
+	return &jaywire.Command{Base: base, Body: &jaywire.Command_SetWavePhase{
+		SetWavePhase: &jaywire.SetWavePhase{Wave: id, Phase: phase, Automatic: automatic},
+	}}
+}
+
+func place(job string, replica int32, instance string) *jaywire.Command {
+	return &jaywire.Command{Body: &jaywire.Command_PlaceTask{
+		PlaceTask: &jaywire.PlaceTask{Job: job, Replica: replica, Instance: instance},
+	}}
+}
+
+// newState returns a state with six workers in three racks, and a wave.
+func newState(t testing.TB) *State {
+	t.Helper()
+	s := New()
+	feed(t, s, publish("first", 0, document))
+	for n := range 6 {
+		feed(t, s, attach(fmt.Sprintf("seats-%d", n), 0, "seats", fmt.Sprint(n/2)))
+	}
+	for _, o := range feed(t, s, startWave("w", "seats")) {
+		if o.Err != nil {
+			t.Fatal(o.Err)
+		}
+	}
+	return s
+}
+
+func digest(t testing.TB, s *State) []byte {
+	t.Helper()
+	d, err := s.Digest()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func TestOperatorsRace(t *testing.T) {
+	// Symptom: one operator's change vanishes without a word.
+	// Sequence: two operators read revision 1, edit it, and publish.
+	// Cause: the second would overwrite the first if it did not name the
+	// revision that it replaces.
+	is := is.New(t)
+	s := New()
+	is.NoErr(feed(t, s, publish("first", 0, document))[0].Err)
+	outcomes := feed(t, s, publish("aster", 1, document), publish("bekele", 1, document))
+	is.NoErr(outcomes[0].Err)
+	is.True(errors.Is(outcomes[1].Err, ErrConflict))
+	is.Equal(s.Revision.Author, "aster")
+	is.Equal(s.Revision.Number, uint64(2))
+	last := s.Audit()[len(s.Audit())-1]
+	is.Equal(last.Actor, "bekele") // the refused change stands in the audit trail
+	is.True(last.Rejected != "")
+}
+
+func TestRejectedDocumentChangesNothing(t *testing.T) {
+	is := is.New(t)
+	s := newState(t)
+	before := s.Revision.Number
+	outcome := feed(t, s, publish("bad", before, `{"pools": []}`))[0]
+	is.True(outcome.Err != nil)
+	is.Equal(s.Revision.Number, before)
+	is.True(s.Configuration() != nil)
+}
+
+func TestRepeatedCommandCountsOnce(t *testing.T) {
+	// Symptom: a wave is started twice, or a change is refused that was
+	// accepted before.
+	// Sequence: an append takes effect, its answer is lost, the proposer
+	// appends the command again.
+	// Cause: the log service cannot tell a repeat from a new record.
+	is := is.New(t)
+	s := New()
+	c := publish("once", 0, document)
+	outcomes := feed(t, s, c, c)
+	is.NoErr(outcomes[0].Err)
+	is.True(errors.Is(outcomes[1].Err, ErrDuplicate))
+	is.Equal(s.Revision.Number, uint64(1))
+}
+
+func TestLateRecordChangesNothing(t *testing.T) {
+	is := is.New(t)
+	s := newState(t)
+	before := digest(t, s)
+	outcomes, err := s.Apply(0, record(t, publish("late", 0, document)))
+	is.NoErr(err)
+	is.Equal(len(outcomes), 0)
+	is.True(bytes.Equal(before, digest(t, s)))
+}
+
+func TestUnreadableRecordIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	s := newState(t)
+	_, err := s.Apply(s.Offset, []byte{0xff, 0xff, 0xff})
+	is.True(err != nil)
+	is.NoErr(feed(t, s, attach("fees-1", 0, "fees", "r"))[0].Err)
+}
+
+func TestTwoPlannersCannotBreakTheBudget(t *testing.T) {
+	// Symptom: a pool falls below its budget in a wave.
+	// Sequence: a planner is paused; another takes over and starts a step;
+	// the first wakes and starts the step that it had planned.
+	// Cause: each step alone keeps the budget, both together do not. The fold
+	// judges them one after the other.
+	is := is.New(t)
+	s := newState(t)
+	outcomes := feed(t, s, startStep("w", "seats-0", 1), startStep("w", "seats-2", 1))
+	is.NoErr(outcomes[0].Err)
+	is.True(errors.Is(outcomes[1].Err, jaypool.ErrBudget))
+}
+
+func TestPlannerTermIsTakenOnce(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	take := func(entry string, term uint64) *jaywire.Command {
+		return &jaywire.Command{Body: &jaywire.Command_TakePlannerLease{TakePlannerLease: &jaywire.TakePlannerLease{Entry: entry, Term: term}}}
+	}
+	outcomes := feed(t, s, take("a", 1), take("b", 1), take("a", 2))
+	is.NoErr(outcomes[0].Err)
+	is.True(outcomes[1].Err != nil)
+	is.NoErr(outcomes[2].Err)
+	is.Equal(s.Planner, Planner{Entry: "a", Term: 2})
+}
+
+func TestOperatorsPauseHolds(t *testing.T) {
+	// Symptom: a wave that an operator stopped on purpose goes on by itself.
+	// Sequence: an operator pauses a wave; the planner sees that failures are
+	// over and resumes.
+	// Cause: the planner's own pauses and an operator's looked the same.
+	is := is.New(t)
+	s := newState(t)
+	paused, running := jaywire.WavePhase_WAVE_PHASE_PAUSED, jaywire.WavePhase_WAVE_PHASE_RUNNING
+	outcomes := feed(t, s, setWave("w", 1, paused, false), setWave("w", 2, running, true), setWave("w", 2, running, false))
+	is.NoErr(outcomes[0].Err)
+	is.True(outcomes[1].Err != nil)
+	is.NoErr(outcomes[2].Err)
+}
+
+func TestTaskStandsInOnePlace(t *testing.T) {
+	// Symptom: a task runs on two workers.
+	// Sequence: two planners place the same task; or a late report ends the
+	// placement that came after the one it speaks of.
+	// Cause: commands without the fence of the placement they were based on.
+	is := is.New(t)
+	s := newState(t)
+	outcomes := feed(t, s, place("index", 0, "seats-0"), place("index", 0, "seats-1"))
+	is.NoErr(outcomes[0].Err)
+	is.True(errors.Is(outcomes[1].Err, ErrState))
+	fence := s.Tasks[TaskKey{Job: "index"}].Fence
+	end := func(base uint64) *jaywire.Command {
+		return &jaywire.Command{Base: base, Body: &jaywire.Command_EndTask{EndTask: &jaywire.EndTask{Job: "index", Outcome: "lost"}}}
+	}
+	outcomes = feed(t, s, end(fence), place("index", 0, "seats-1"), end(fence))
+	is.NoErr(outcomes[0].Err)
+	is.NoErr(outcomes[1].Err)
+	is.True(errors.Is(outcomes[2].Err, ErrState))
+	is.Equal(s.Tasks[TaskKey{Job: "index"}].Instance, "seats-1")
+}
+
+func TestSnapshot(t *testing.T) {
+	t.Run("restores the same state", func(t *testing.T) {
+		is := is.New(t)
+		s := newState(t)
+		feed(t, s, startStep("w", "seats-0", 1), place("index", 0, "seats-1"))
+		snapshot, err := s.Snapshot()
+		is.NoErr(err)
+		loaded, err := Load(snapshot)
+		is.NoErr(err)
+		is.True(bytes.Equal(digest(t, s), digest(t, loaded)))
+	})
+	t.Run("a damaged one is refused", func(t *testing.T) {
+		is := is.New(t)
+		snapshot, err := newState(t).Snapshot()
+		is.NoErr(err)
+		snapshot.State[len(snapshot.State)/2] ^= 1
+		_, err = Load(snapshot)
+		is.True(errors.Is(err, ErrSnapshotDigest))
+	})
+	t.Run("one of another format is refused", func(t *testing.T) {
+		is := is.New(t)
+		snapshot, err := newState(t).Snapshot()
+		is.NoErr(err)
+		snapshot.Format++
+		_, err = Load(snapshot)
+		is.True(errors.Is(err, ErrSnapshotFormat))
+	})
+}
+
+// anyCommand draws a command over few names, so that commands often meet.
+func anyCommand(t *rapid.T, s *State) *jaywire.Command {
+	id := fmt.Sprintf("seats-%d", rapid.IntRange(0, 5).Draw(t, "instance"))
+	base := uint64(rapid.IntRange(0, 6).Draw(t, "base"))
+	if i, ok := s.Fleet.Instance(id); ok && rapid.Bool().Draw(t, "fresh") {
+		base = i.Version
+	}
+	wave := rapid.SampledFrom([]string{"w", "x"}).Draw(t, "wave")
+	replica := int32(rapid.IntRange(0, 1).Draw(t, "replica"))
+	switch rapid.IntRange(0, 10).Draw(t, "command") {
+	case 0:
+		return attach(id, base, rapid.SampledFrom([]string{"seats", "fees", "none"}).Draw(t, "pool"), "r")
+	case 1:
+		return startStep(wave, id, base)
+	case 2:
+		phase := jaywire.StepPhase(rapid.IntRange(0, 5).Draw(t, "phase"))
+		return &jaywire.Command{Base: base, Body: &jaywire.Command_AdvanceStep{AdvanceStep: &jaywire.AdvanceStep{Wave: wave, Instance: id, Phase: phase}}}
+	case 3:
+		return startWave(wave, "seats")
+	case 4:
+		phase := jaywire.WavePhase(rapid.IntRange(0, 5).Draw(t, "phase"))
+		return setWave(wave, base, phase, rapid.Bool().Draw(t, "automatic"))
+	case 5:
+		return &jaywire.Command{Base: base, Body: &jaywire.Command_DrainForMove{DrainForMove: &jaywire.DrainForMove{Instance: id, ToPool: "fees"}}}
+	case 6:
+		return &jaywire.Command{Base: base, Body: &jaywire.Command_DetachInstance{DetachInstance: &jaywire.DetachInstance{Instance: id, Gone: rapid.Bool().Draw(t, "gone")}}}
+	case 7:
+		return &jaywire.Command{Body: &jaywire.Command_ReportInstance{ReportInstance: &jaywire.ReportInstance{Instance: id, Failed: rapid.Bool().Draw(t, "failed")}}}
+	case 8:
+		return place("index", replica, id)
+	case 9:
+		if task, ok := s.Tasks[TaskKey{Job: "index", Replica: replica}]; ok {
+			base = task.Fence
+		}
+		return &jaywire.Command{Base: base, Body: &jaywire.Command_EndTask{EndTask: &jaywire.EndTask{Job: "index", Replica: replica, Outcome: "failed"}}}
+	default:
+		return &jaywire.Command{Base: base, Body: &jaywire.Command_QuarantineInstance{QuarantineInstance: &jaywire.QuarantineInstance{Instance: id, Lifted: rapid.Bool().Draw(t, "lifted")}}}
+	}
+}
+
+// TestFoldIsTheSameEverywhere folds the same records in one go, and with a
+// snapshot and repeated deliveries at any places.
+func TestFoldIsTheSameEverywhere(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newState(t)
+		var records [][]byte
+		start := s.Offset
+		snapshot, _ := s.Snapshot()
+		for n := range rapid.IntRange(1, 40).Draw(rt, "records") {
+			c := anyCommand(rt, s)
+			c.Id = fmt.Sprint("c", n%30) // some identities come twice
+			r := record(t, c)
+			records = append(records, r)
+			_, _ = s.Apply(s.Offset, r)
+		}
+		other, err := Load(snapshot)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		for n, r := range records {
+			_, _ = other.Apply(start+uint64(n), r)
+			if rapid.Bool().Draw(rt, "again") {
+				back := rapid.IntRange(0, n).Draw(rt, "back")
+				_, _ = other.Apply(start+uint64(back), records[back])
+			}
+			if rapid.IntRange(0, 5).Draw(rt, "restart") == 0 {
+				if snapshot, err = other.Snapshot(); err != nil {
+					rt.Fatal(err)
+				}
+				if other, err = Load(snapshot); err != nil {
+					rt.Fatal(err)
+				}
+			}
+		}
+		if !bytes.Equal(digest(t, s), digest(t, other)) {
+			rt.Fatal("the same records folded to another state")
+		}
+	})
+}
+
+// TestNoInterleavingBreaksARule checks the aggregates' rules after any
+// sequence of commands.
+func TestNoInterleavingBreaksARule(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newState(t)
+		for range rapid.IntRange(1, 80).Draw(rt, "commands") {
+			slack := s.Fleet.Pool("seats").Standing(s.budget("seats")).Slack()
+			revision := s.Revision.Number
+			c := anyCommand(rt, s)
+			outcomes, err := s.Apply(s.Offset, record(t, c))
+			if err != nil {
+				rt.Fatal(err)
+			}
+			after := s.Fleet.Pool("seats").Standing(s.budget("seats")).Slack()
+			_, observed := c.Body.(*jaywire.Command_ReportInstance)
+			_, advanced := c.Body.(*jaywire.Command_AdvanceStep)
+			chosen := outcomes[0].Accepted() && !observed && !advanced
+			if chosen && after < slack && after < 0 {
+				rt.Fatalf("%T was accepted and left a slack of %d", c.Body, after)
+			}
+			if s.Revision.Number < revision {
+				rt.Fatal("the revision went back")
+			}
+			running := 0
+			for _, w := range s.Waves {
+				if w.Active() {
+					running++
+				}
+			}
+			if running > 1 {
+				rt.Fatal("two waves cover one pool")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/jayupstream/client_test.go
@@ -0,0 +1,266 @@
+package jayupstream
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"jaythread/jayverdict"
+)
+
+// upstream is a fake upstream on loopback whose connections a test handles
+// itself, one request at a time.
+type upstream struct {
+	addr     string
+	requests chan *request
+}
+
+// request is a request that reached the upstream, and its connection.
+type request struct {
+	path string
+	conn net.Conn
+}
+
+func newUpstream(t *testing.T) *upstream {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	u := &upstream{addr: listener.Addr().String(), requests: make(chan *request, 16)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go u.read(conn)
+		}
+	}()
+	return u
+}
+
+func (u *upstream) read(conn net.Conn) {
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		u.requests <- &request{path: r.URL.Path, conn: conn}
+	}
+}
+
+func (r *request) write(text string) {
+	_, _ = io.WriteString(r.conn, text)
+}
+
+// outcome is what a call came to.
+type outcome struct {
+	result *Result
+	err    error
+}
+
+// call sends a request and hands what reaches the upstream to the test.
+func (u *upstream) call(c *Client, path string, a Attempt, handle func(r *request)) outcome {
+	req := &fasthttp.Request{}
+	req.SetRequestURI("http://upstream" + path)
+	a.Addr, a.Connections = u.addr, 4
+	if a.Timeout == 0 {
+		a.Timeout = 10 * time.Second
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		result, err := c.Do(a, req)
+		done <- outcome{result, err}
+	}()
+	select {
+	case r := <-u.requests:
+		handle(r)
+		return <-done
+	case o := <-done:
+		return o
+	}
+}
+
+func newClient() *Client {
+	return NewClient(time.Minute, time.Second, 1000)
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func TestVerdicts(t *testing.T) {
+	cases := []struct {
+		name   string
+		handle func(r *request)
+		want   jayverdict.Verdict
+	}{
+		{"closed before an answer", func(r *request) { _ = r.conn.Close() }, jayverdict.MayHaveRun},
+		{"closed in the head", func(r *request) { r.write("HTTP/1.1 200"); _ = r.conn.Close() }, jayverdict.MayHaveRun},
+		{"cut body", func(r *request) {
+			r.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart")
+			_ = r.conn.Close()
+		}, jayverdict.MayHaveRun},
+		{"cut chunks", func(r *request) {
+			r.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n")
+			_ = r.conn.Close()
+		}, jayverdict.MayHaveRun},
+		{"no HTTP", func(r *request) { r.write("hello\r\n\r\n"); _ = r.conn.Close() }, jayverdict.MayHaveRun},
+		{"refused by contract", func(r *request) {
+			r.write("HTTP/1.1 503 Busy\r\nJaythread-Verdict: notRun\r\nContent-Length: 0\r\n\r\n")
+		}, jayverdict.NotRun},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			got := newUpstream(t).call(newClient(), "/", Attempt{}, c.handle)
+			is.True(got.err != nil)
+			is.Equal(jayverdict.Of(got.err), c.want)
+		})
+	}
+	t.Run("a plain 503 ran", func(t *testing.T) {
+		is := is.New(t)
+		got := newUpstream(t).call(newClient(), "/", Attempt{}, func(r *request) {
+			r.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+		})
+		is.NoErr(got.err)
+	})
+	t.Run("nobody listens", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is := is.New(t)
+		is.NoErr(err)
+		_ = listener.Close()
+		_, err = newClient().Do(Attempt{Addr: listener.Addr().String(), Connections: 1, Timeout: time.Second}, &fasthttp.Request{})
+		is.Equal(jayverdict.Of(err), jayverdict.NotRun)
+	})
+	t.Run("leaving is told from busy", func(t *testing.T) {
+		is := is.New(t)
+		got := newUpstream(t).call(newClient(), "/", Attempt{}, func(r *request) {
+			r.write("HTTP/1.1 503 Busy\r\nConnection: close\r\nJaythread-Verdict: notRun\r\nContent-Length: 0\r\n\r\n")
+		})
+		is.True(errors.Is(got.err, ErrLeaving))
+	})
+}
+
+func TestLibraryDoesNotRepeat(t *testing.T) {
+	// Symptom: an upstream sees two requests for one call.
+	// Sequence: a kept connection is closed after a GET was sent on it.
+	// Cause: the client library repeats idempotent methods by itself.
+	is := is.New(t)
+	u, c := newUpstream(t), newClient()
+	got := u.call(c, "/first", Attempt{}, func(r *request) { r.write(ok) })
+	is.NoErr(got.err)
+	got = u.call(c, "/second", Attempt{}, func(r *request) { _ = r.conn.Close() })
+	is.Equal(jayverdict.Of(got.err), jayverdict.MayHaveRun)
+	is.Equal(len(u.requests), 0)
+}
+
+func TestIdleConnectionThatWasClosed(t *testing.T) {
+	// Symptom: a request fails with "may have run" although no upstream saw
+	// it.
+	// Sequence: an upstream closes a kept connection while it is idle; the
+	// next request is sent on it.
+	// Cause: the write succeeds before the end of the connection is noticed.
+	is := is.New(t)
+	u, c := newUpstream(t), newClient()
+	got := u.call(c, "/first", Attempt{}, func(r *request) {
+		r.write(ok)
+		_ = r.conn.Close()
+	})
+	is.NoErr(got.err)
+	got = u.call(c, "/second", Attempt{}, func(r *request) { r.write(ok) })
+	// Either the end was there already, and nothing was written, or the
+	// library had dropped the connection and took a new one.
+	is.True(got.err == nil || jayverdict.Of(got.err) == jayverdict.NotRun)
+}
+
+func TestUpstreamThatAnswersTwice(t *testing.T) {
+	// Symptom: a caller receives another caller's answer.
+	// Sequence: an upstream sends a second answer that nobody asked for; the
+	// next request on the connection takes it for its own.
+	// Cause: HTTP/1.1 matches answers to requests by their order alone.
+	is := is.New(t)
+	u, c := newUpstream(t), newClient()
+	var kept net.Conn
+	got := u.call(c, "/first", Attempt{}, func(r *request) { kept = r.conn; r.write(ok) })
+	is.NoErr(got.err)
+	_, err := io.WriteString(kept, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecret")
+	is.NoErr(err)
+	for range 2 {
+		got = u.call(c, "/second", Attempt{}, func(r *request) { r.write(ok) })
+		if got.err == nil {
+			is.Equal(string(got.result.Body), "ok")
+			continue
+		}
+		is.Equal(jayverdict.Of(got.err), jayverdict.NotRun)
+	}
+}
+
+func TestLateAnswer(t *testing.T) {
+	// Symptom: a caller receives the answer to a request that timed out.
+	// Sequence: a request times out; its answer comes later on the same
+	// connection; another request is sent.
+	// Cause: a connection that was given up is used again.
+	is := is.New(t)
+	u, c := newUpstream(t), newClient()
+	var late *request
+	got := u.call(c, "/slow", Attempt{Timeout: 20 * time.Millisecond}, func(r *request) { late = r })
+	is.Equal(jayverdict.Of(got.err), jayverdict.MayHaveRun)
+	late.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+	got = u.call(c, "/next", Attempt{}, func(r *request) { r.write(ok) })
+	is.NoErr(got.err)
+	is.Equal(string(got.result.Body), "ok")
+}
+
+func TestLargeAnswerIsStreamed(t *testing.T) {
+	body := strings.Repeat("x", 5000)
+	head := "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n"
+	t.Run("whole", func(t *testing.T) {
+		is := is.New(t)
+		got := newUpstream(t).call(newClient(), "/", Attempt{}, func(r *request) { r.write(head + body) })
+		is.NoErr(got.err)
+		is.True(got.result.Rest != nil)
+		rest, err := io.ReadAll(got.result.Rest)
+		is.NoErr(err)
+		is.Equal(string(got.result.Body)+string(rest), body)
+		is.NoErr(got.result.Rest.Close())
+	})
+	t.Run("cut", func(t *testing.T) {
+		is := is.New(t)
+		got := newUpstream(t).call(newClient(), "/", Attempt{}, func(r *request) {
+			r.write(head + body[:3000])
+			_ = r.conn.Close()
+		})
+		is.NoErr(got.err)
+		_, err := io.ReadAll(got.result.Rest)
+		is.True(err != nil)
+		_ = got.result.Rest.Close()
+	})
+	t.Run("chunked", func(t *testing.T) {
+		is := is.New(t)
+		got := newUpstream(t).call(newClient(), "/", Attempt{}, func(r *request) {
+			r.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n2\r\n s\r\n0\r\n\r\n")
+		})
+		is.NoErr(got.err)
+		is.Equal(string(got.result.Body), "part s")
+	})
+}
+
+func TestFreshConnection(t *testing.T) {
+	is := is.New(t)
+	u, c := newUpstream(t), newClient()
+	var first, second string
+	u.call(c, "/", Attempt{Fresh: true}, func(r *request) { first = r.conn.RemoteAddr().String(); r.write(ok) })
+	u.call(c, "/", Attempt{Fresh: true}, func(r *request) { second = r.conn.RemoteAddr().String(); r.write(ok) })
+	is.True(first != second)
+}
