--- a/jaydemo/profile.go
+++ b/jaydemo/profile.go
@@ -107,17 +107,29 @@
 	return all
 }
 
-// AddWorkers starts the profile's workers at a fleet.
-func (p Profile) AddWorkers(fleet *jaystandin.Fleet) error {
+// Workers returns the profile's workers as the instance list shows them,
+// without addresses.
+func (p Profile) Workers() []jayplatform.Instance {
+	var workers []jayplatform.Instance
 	for _, at := range p.layout() {
-		spec := jayplatform.Instance{
+		workers = append(workers, jayplatform.Instance{
 			ID:              at.id,
+			Kind:            jayplatform.Worker,
 			DataCenter:      at.dataCenter,
 			Rack:            at.rack,
+			State:           jayplatform.Live,
 			ProcessorsMilli: p.Processors * 1000,
 			MemoryMegabytes: p.MemoryGigabytes * 1024,
-		}
-		if _, err := fleet.AddWorker(spec, at.service, p.Slots, p.ServiceTime); err != nil {
+		})
+	}
+	return workers
+}
+
+// AddWorkers starts the profile's workers at a fleet.
+func (p Profile) AddWorkers(fleet *jaystandin.Fleet) error {
+	layout := p.layout()
+	for n, spec := range p.Workers() {
+		if _, err := fleet.AddWorker(spec, layout[n].service, p.Slots, p.ServiceTime); err != nil {
 			return err
 		}
 	}
--- a/jayjob/placement.go
+++ b/jayjob/placement.go
@@ -206,8 +206,9 @@
 		return
 	}
 	target := r.best(j, t.FailedOn)
-	if target == nil && j.Displace {
-		target = r.displaceFor(j, t.FailedOn)
+	if target == nil && j.Displace && r.displaceFor(j, t.FailedOn) {
+		// The place is free only once the displaced tasks have stopped.
+		return
 	}
 	if target == nil {
 		if why := r.neverFits(j); why != "" {
@@ -263,8 +264,10 @@
 }
 
 // displaceFor stops as few tasks of lower priority as make room on one
-// instance, the lowest priority first.
-func (r *round) displaceFor(j Job, avoid []string) *jaypool.Instance {
+// instance, the lowest priority first. Until they have stopped, each round
+// comes to the same choice, since nothing else has changed. It reports whether
+// room will come.
+func (r *round) displaceFor(j Job, avoid []string) bool {
 	var best *jaypool.Instance
 	var victims []int
 	for _, i := range r.byPool[j.Pool] {
@@ -276,10 +279,14 @@
 			best, victims = i, candidate
 		}
 	}
+	if best == nil {
+		return false
+	}
 	for _, n := range victims {
 		r.stop(n, "displaced by "+j.Name)
 	}
-	return best
+	r.free[best.ID] = r.free[best.ID].Sub(j.Need)
+	return true
 }
 
 func (r *round) victimsOn(i *jaypool.Instance, j Job) ([]int, bool) {
--- /dev/null
+++ b/jayplan/capacity_test.go
@@ -0,0 +1,127 @@
+package jayplan_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"jaythread/jayconfig"
+	"jaythread/jayplan"
+	"jaythread/jayplatform"
+	"jaythread/jayrule"
+	"jaythread/jaystate"
+	"jaythread/jaywire"
+)
+
+// bigState returns a state of workers in 34 pools with a running wave.
+func bigState(b *testing.B, workers int) (*jaystate.State, map[string]jayplatform.Instance) {
+	b.Helper()
+	const pools = 34
+	s := jaystate.New()
+	fold := func(commands ...*jaywire.Command) {
+		record, err := proto.Marshal(&jaywire.Batch{Commands: commands})
+		if err != nil {
+			b.Fatal(err)
+		}
+		outcomes, err := s.Apply(s.Offset, record)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, o := range outcomes {
+			if o.Err != nil {
+				b.Fatal(o.Err)
+			}
+		}
+	}
+	document := `{"teams":[{"name":"t"}],"pools":[`
+	var names []string
+	for p := range pools {
+		name := fmt.Sprintf("p%02d", p)
+		names = append(names, name)
+		if p > 0 {
+			document += ","
+		}
+		document += fmt.Sprintf(`{"name":%q,"instances":["%s-*"],"minAvailable":%d}`, name, name, workers/pools*8/10)
+	}
+	document += `],"rules":[{"name":"r","about":"request","then":{"route":"p00"}}]}`
+	fold(&jaywire.Command{Body: &jaywire.Command_PublishConfiguration{PublishConfiguration: &jaywire.PublishConfiguration{Document: []byte(document)}}})
+	list := map[string]jayplatform.Instance{}
+	for n := range workers {
+		pool := fmt.Sprintf("p%02d", n%pools)
+		id := fmt.Sprintf("%s-%05d", pool, n)
+		list[id] = jayplatform.Instance{ID: id, Kind: jayplatform.Worker, State: jayplatform.Live, DataCenter: fmt.Sprint("dc", n%10), Rack: fmt.Sprint("r", n/40)}
+		fold(&jaywire.Command{Body: &jaywire.Command_AttachInstance{AttachInstance: &jaywire.AttachInstance{
+			Instance: id, Pool: pool, DataCenter: fmt.Sprint("dc", n%10), Rack: fmt.Sprint("r", n/40),
+		}}})
+	}
+	fold(&jaywire.Command{Body: &jaywire.Command_StartWave{StartWave: &jaywire.StartWave{Wave: "w", Pools: names}}})
+	return s, list
+}
+
+// BenchmarkCapacityRound is the time of a whole round of the planner in a
+// wave, by fleet size.
+func BenchmarkCapacityRound(b *testing.B) {
+	for _, workers := range []int{50, 500, 5600} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			s, list := bigState(b, workers)
+			p := jayplan.NewPlanner(settings)
+			for b.Loop() {
+				p.Round(jayplan.Input{State: s, Workers: list, Now: sessionStart, Acked: s.Offset})
+			}
+		})
+	}
+}
+
+// TestQuarantine is the way from failing tasks to a worker out of service.
+func TestQuarantine(t *testing.T) {
+	// Symptom: good jobs are parked one after another.
+	// Sequence: a worker fails every task; each job that passes there counts
+	// a failure.
+	// Cause: failures were blamed on the jobs alone.
+	s := newSession(t)
+	s.useProfile("mesob")
+	s.config.Rules = append(jayrule.List{}, s.config.Rules...)
+	s.bad["fees-01"] = true
+	for n := range 4 {
+		s.config.Jobs = append(s.config.Jobs, jayconfig.Job{
+			Name: fmt.Sprint("job", n), Pool: "fees", Team: "platform", Replicas: 10, Processors: 1, MemoryGigabytes: 1,
+		})
+	}
+	s.publish()
+	for range 30 {
+		s.step()
+	}
+	i, _ := s.state.Fleet.Instance("fees-01")
+	if !i.Quarantined {
+		t.Error("the worker on which four jobs failed still serves")
+	}
+	if len(s.state.Parked) > 0 {
+		t.Errorf("jobs are parked for it: %v", s.state.Parked)
+	}
+	for key, task := range s.state.Tasks {
+		if task.Instance == "" || task.Instance == "fees-01" {
+			t.Errorf("task %v is at %q", key, task.Instance)
+		}
+	}
+}
+
+// TestInstanceThatNeverReturns does not hold up the wave.
+func TestInstanceThatNeverReturns(t *testing.T) {
+	s := newSession(t)
+	s.useProfile("mesob")
+	s.neverBack["seats-05"] = true
+	s.do("wave", []string{"w"})
+	for s.now < 20*time.Minute {
+		s.step()
+	}
+	w, _ := s.state.Wave("w")
+	if w.String() != "done" {
+		t.Errorf("the wave is %s", w)
+	}
+	i, _ := s.state.Fleet.Instance("seats-05")
+	if !i.Failed {
+		t.Error("the instance that never came back counts as well")
+	}
+}
--- a/jayplan/instances.go
+++ b/jayplan/instances.go
@@ -126,7 +126,7 @@
 			continue
 		}
 		if donor, rule := r.donor(needy); donor != nil {
-			r.move(donor, needy, "rule "+rule)
+			r.move(donor, needy, true, "rule "+rule)
 		}
 	}
 	r.giveBack()
@@ -170,19 +170,18 @@
 func (r *round) giveBack() {
 	for _, id := range r.in.State.Fleet.IDs() {
 		i, _ := r.in.State.Fleet.Instance(id)
-		home, ok := r.config.PoolOf(id)
-		if !ok || !i.Available() || i.Pool == home {
+		if !i.Available() || i.Pool == i.Home || r.busy[id] {
 			continue
 		}
 		after := r.in.State.Fleet.Pool(i.Pool).StandingWithout(i, r.config.Budget(i.Pool))
 		if after.Slack() >= 1 && r.due("give back "+id, i.Version, r.planner.settings.SettleTime) {
-			r.move(i, home, "not needed any more")
+			r.move(i, i.Home, false, "not needed any more")
 		}
 	}
 }
 
-func (r *round) move(i *jaypool.Instance, to, reason string) {
+func (r *round) move(i *jaypool.Instance, to string, lent bool, reason string) {
 	r.propose(reason, i.Version, &jaywire.Command{
-		Body: &jaywire.Command_DrainForMove{DrainForMove: &jaywire.DrainForMove{Instance: i.ID, ToPool: to}},
+		Body: &jaywire.Command_DrainForMove{DrainForMove: &jaywire.DrainForMove{Instance: i.ID, ToPool: to, Lent: lent}},
 	})
 }
--- a/jaypool/fleet.go
+++ b/jaypool/fleet.go
@@ -74,6 +74,10 @@
 		fresh.Failed = old.Failed
 		fresh.Quarantined = old.Quarantined
 		fresh.Fence = old.Fence
+		fresh.Home = old.Home
+	}
+	if fresh.Home == "" {
+		fresh.Home = fresh.Pool
 	}
 	fresh.Version = base + 1
 	fresh.Phase = Serving
@@ -82,23 +86,35 @@
 	return nil
 }
 
+// Move says where an instance goes.
+type Move struct {
+	ToPool string
+	// Fence is the offset of the command.
+	Fence uint64
+	// Lent instances keep their home.
+	Lent bool
+}
+
 // DrainForMove stops new work on an instance that will change its pool. The
 // donor's budget must hold without it.
-func (f *Fleet) DrainForMove(id, toPool string, base, fence uint64, budget Budget) error {
+func (f *Fleet) DrainForMove(id string, m Move, base uint64, budget Budget) error {
 	i, err := f.at(id, base)
 	if err != nil {
 		return err
 	}
-	if i.Pool == toPool {
-		return fmt.Errorf("%w: %s is in %s already", ErrAttached, id, toPool)
+	if i.Pool == m.ToPool {
+		return fmt.Errorf("%w: %s is in %s already", ErrAttached, id, m.ToPool)
 	}
 	if err := f.maySpare(i, budget); err != nil {
 		return err
 	}
 	f.change(i, func() {
 		i.Phase = Leaving
-		i.MoveTo = toPool
-		i.Fence = fence
+		i.MoveTo = m.ToPool
+		i.Fence = m.Fence
+		if !m.Lent {
+			i.Home = m.ToPool
+		}
 	})
 	return nil
 }
--- a/jaypool/fleet_test.go
+++ b/jaypool/fleet_test.go
@@ -73,7 +73,7 @@
 	is := is.New(t)
 	f := newTestFleet(t)
 	is.True(errors.Is(f.Attach(Instance{ID: "w0", Pool: "fees"}, 1), ErrAttached))
-	is.NoErr(f.DrainForMove("w0", "fees", 1, 9, budget))
+	is.NoErr(f.DrainForMove("w0", Move{ToPool: "fees", Fence: 9}, 1, budget))
 	is.True(errors.Is(f.Attach(Instance{ID: "w0", Pool: "fees"}, 2), ErrAttached)) // it still drains
 	is.NoErr(f.Detach("w0", 2))
 	is.Equal(f.Pool("seats").Standing(budget).Members, 5)
@@ -106,7 +106,7 @@
 			case 3:
 				err = f.Return(id, base, "wave")
 			case 4:
-				err = f.DrainForMove(id, "fees", base, 1, budget)
+				err = f.DrainForMove(id, Move{ToPool: "fees"}, base, budget)
 			case 5:
 				err = f.Detach(id, base)
 			case 6:
--- a/jaypool/instance.go
+++ b/jaypool/instance.go
@@ -82,6 +82,8 @@
 	// Fence is the offset at which the instance was last told to drain for a
 	// move.
 	Fence uint64
+	// Home is the pool that a lent instance goes back to.
+	Home string
 }
 
 // Available reports whether the instance counts for its pool's budget.
--- a/jaystate/fold_fleet.go
+++ b/jaystate/fold_fleet.go
@@ -52,7 +52,8 @@
 		return err
 	}
 	e.Before = i.Pool
-	return s.Fleet.DrainForMove(d.Instance, d.ToPool, base, offset, s.budget(i.Pool))
+	move := jaypool.Move{ToPool: d.ToPool, Fence: offset, Lent: d.Lent}
+	return s.Fleet.DrainForMove(d.Instance, move, base, s.budget(i.Pool))
 }
 
 func (s *State) detach(base uint64, d *jaywire.DetachInstance, e *jaywire.AuditEntry) error {
--- a/jaystate/fold_wave.go
+++ b/jaystate/fold_wave.go
@@ -69,7 +69,9 @@
 	if !w.Active() {
 		return fmt.Errorf("%w: wave %s is %s", ErrState, w.ID, phaseWord(w.Phase))
 	}
-	if p.Phase == jaywire.WavePhase_WAVE_PHASE_UNSPECIFIED || p.Phase == w.Phase {
+	// An operator may take over the planner's own pause.
+	takesOver := p.Phase == jaywire.WavePhase_WAVE_PHASE_PAUSED && w.Automatic && !p.Automatic
+	if p.Phase == jaywire.WavePhase_WAVE_PHASE_UNSPECIFIED || p.Phase == w.Phase && !takesOver {
 		return fmt.Errorf("%w: wave %s is %s", ErrState, w.ID, phaseWord(w.Phase))
 	}
 	// An operator's pause stays until an operator ends it. Without this the
--- a/jaystate/snapshot.go
+++ b/jaystate/snapshot.go
@@ -110,6 +110,7 @@
 		MoveTo:          i.MoveTo,
 		MaintainedIn:    i.MaintainedIn,
 		Fence:           i.Fence,
+		Home:            i.Home,
 		ProcessorsMilli: i.Capacity.ProcessorsMilli,
 		MemoryMegabytes: i.Capacity.MemoryMegabytes,
 		Accelerators:    i.Capacity.Accelerators,
@@ -182,6 +183,7 @@
 		MoveTo:       i.MoveTo,
 		MaintainedIn: i.MaintainedIn,
 		Fence:        i.Fence,
+		Home:         i.Home,
 		Capacity: jaypool.Resources{
 			ProcessorsMilli: i.ProcessorsMilli,
 			MemoryMegabytes: i.MemoryMegabytes,
--- a/jaywave/play.go
+++ b/jaywave/play.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -32,13 +34,21 @@
 	Stuck []string
 	// Rounds is how many decisions were taken.
 	Rounds int
+	// TaskMoves counts the moves of tasks, MostMoves those of one task.
+	TaskMoves int
+	MostMoves int
 }
 
 // Play plays a wave on the view's fleet, which it changes, as if each step
 // took the view's step time, with the failures given. It is a calculation for
 // dry runs and comparisons; nothing runs.
 func Play(v View, p Policy, failures ...Failure) Run {
-	g := &game{view: v, policy: p, ends: map[string]time.Duration{}}
+	g := &game{view: v, policy: p, ends: map[string]time.Duration{}, moved: map[string]int{}}
+	g.view.Busy = maps.Clone(v.Busy)
+	for id := range g.view.Busy {
+		g.tasks = append(g.tasks, id)
+	}
+	slices.Sort(g.tasks)
 	for _, f := range failures {
 		g.events = append(g.events, event{at: f.At, instance: f.Instance, failed: true}, event{at: f.Until, instance: f.Instance})
 	}
@@ -64,6 +74,9 @@
 	run    Run
 	spare  time.Duration
 	needed time.Duration
+	// tasks holds the instance of each task; moved counts by first instance.
+	tasks []string
+	moved map[string]int
 }
 
 // step starts what may start and goes on to the next event; it returns false
@@ -75,6 +88,7 @@
 		if err := g.view.Fleet.BeginDrain(id, i.Version, g.budget(i.Pool)); err != nil {
 			continue
 		}
+		g.moveTask(id)
 		g.ends[id] = g.now + g.view.StepTime
 		g.run.Steps = append(g.run.Steps, Started{Instance: id, At: g.now})
 	}
@@ -89,6 +103,48 @@
 	return true
 }
 
+// moveTask moves the task of a draining instance to an instance of its pool
+// without one, one that was maintained if there is any.
+func (g *game) moveTask(from string) {
+	if !g.view.Busy[from] {
+		return
+	}
+	target := g.taskTarget(from)
+	if target == "" {
+		return
+	}
+	delete(g.view.Busy, from)
+	g.view.Busy[target] = true
+	for n, at := range g.tasks {
+		if at != from {
+			continue
+		}
+		g.tasks[n] = target
+		task := fmt.Sprint("task ", n)
+		g.moved[task]++
+		g.run.TaskMoves++
+		g.run.MostMoves = max(g.run.MostMoves, g.moved[task])
+	}
+}
+
+func (g *game) taskTarget(from string) string {
+	pool, _ := g.view.Fleet.Instance(from)
+	target := ""
+	for _, id := range g.view.Fleet.IDs() {
+		i, _ := g.view.Fleet.Instance(id)
+		if i.Pool != pool.Pool || !i.Available() || g.view.Busy[id] {
+			continue
+		}
+		if i.MaintainedIn == g.view.Wave {
+			return id
+		}
+		if target == "" {
+			target = id
+		}
+	}
+	return target
+}
+
 func (g *game) budget(pool string) jaypool.Budget {
 	for _, p := range g.view.Pools {
 		if p.Name == pool {
--- a/jaywave/wave.go
+++ b/jaywave/wave.go
@@ -88,6 +88,8 @@
 	busyRacks map[string]int
 	underWay  int
 	limit     int
+	// mindTasks lets an instance wait until its task has where to go.
+	mindTasks bool
 	chosen    []string
 }
 
@@ -97,6 +99,10 @@
 	domains   map[string]int
 	underWay  int
 	remaining int
+	// free counts the maintained instances that can take a task.
+	free int
+	// empty counts the instances without a task that are due.
+	empty int
 }
 
 func newRound(v View) *round {
@@ -130,10 +136,21 @@
 		p.underWay++
 		r.busyRacks[i.Domain(jaypool.RackDomain)]++
 	case jaypool.Serving:
-		if i.MaintainedIn != r.view.Wave && !i.Failed {
-			r.remaining = append(r.remaining, i)
-			p.remaining++
+		r.seeServing(p, i)
+	}
+}
+
+func (r *round) seeServing(p *poolRound, i *jaypool.Instance) {
+	busy := r.view.Busy[i.ID]
+	switch {
+	case i.MaintainedIn != r.view.Wave && !i.Failed:
+		r.remaining = append(r.remaining, i)
+		p.remaining++
+		if !busy {
+			p.empty++
 		}
+	case i.Available() && !busy:
+		p.free++
 	}
 }
 
@@ -157,6 +174,9 @@
 	if p.MaxShare > 0 && p.underWay+1 > max(1, int(p.MaxShare*float64(p.standing.Members))) {
 		return false
 	}
+	if r.mindTasks && r.view.Busy[i.ID] && !p.hasPlaceForTask() {
+		return false
+	}
 	if !i.Available() {
 		return true
 	}
@@ -169,12 +189,24 @@
 		p.standing.Available--
 		p.domains[i.Domain(p.Budget.Survive)]--
 	}
+	if r.view.Busy[i.ID] {
+		p.free--
+	} else {
+		p.empty--
+	}
 	p.underWay++
 	r.busyRacks[i.Domain(jaypool.RackDomain)]++
 	r.limit--
 	r.chosen = append(r.chosen, i.ID)
 }
 
+// hasPlaceForTask reports whether the task of one more instance would find a
+// maintained instance. If not, the instance waits while others are on their
+// way, or the task would have to move twice.
+func (p *poolRound) hasPlaceForTask() bool {
+	return p.free > 0 || p.empty == 0 && p.underWay == 0
+}
+
 func (p *poolRound) slackWithout(i *jaypool.Instance) int {
 	domain := i.Domain(p.Budget.Survive)
 	worst := 0
@@ -222,6 +254,7 @@
 // packed orders the candidates so that open racks are finished first: a rack
 // that is partly stopped costs less of the reserve than a second one.
 func (r *round) packed(slack bool) {
+	r.mindTasks = true
 	order := slices.Clone(r.remaining)
 	slices.SortStableFunc(order, func(a, b *jaypool.Instance) int {
 		if slack {
