--- a/jayedge/pipe.go
+++ b/jayedge/pipe.go
@@ -34,13 +34,24 @@
 	closed        bool
 	readDeadline  time.Time
 	readTimer     *time.Timer
+	timerAt       time.Time
 	writeDeadline time.Time
 	active        bool
+
+	// handed receives the event loop's word on each write. One goroutine
+	// writes at a time.
+	handed   chan handedOver
+	callback gnet.AsyncCallback
 }
 
 func newPipe(c gnet.Conn, limit int) *pipe {
 	p := &pipe{conn: c, local: c.LocalAddr(), remote: c.RemoteAddr(), limit: limit}
 	p.readable = sync.NewCond(&p.mu)
+	p.handed = make(chan handedOver, 1)
+	p.callback = func(c gnet.Conn, err error) error {
+		p.handed <- handedOver{waiting: outbound(c), err: err}
+		return nil
+	}
 	return p
 }
 
@@ -68,6 +79,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	if p.readTimer != nil {
+		p.readTimer.Stop()
+	}
 	p.readable.Broadcast()
 }
 
@@ -136,28 +150,20 @@
 }
 
 func (p *pipe) handOver(b []byte) error {
-	done := make(chan handedOver, 1)
-	err := p.conn.AsyncWrite(b, func(c gnet.Conn, err error) error {
-		done <- handedOver{waiting: outbound(c), err: err}
-		return nil
-	})
-	if err != nil {
+	if err := p.conn.AsyncWrite(b, p.callback); err != nil {
 		return err
 	}
-	result := <-done
+	result := <-p.handed
 	for result.err == nil && result.waiting > maxOutbound {
 		if p.pastWriteDeadline() {
 			_ = p.Close()
 			return os.ErrDeadlineExceeded
 		}
 		time.Sleep(outboundPoll)
-		if err := p.conn.Wake(func(c gnet.Conn, err error) error {
-			done <- handedOver{waiting: outbound(c), err: err}
-			return nil
-		}); err != nil {
+		if err := p.conn.Wake(p.callback); err != nil {
 			return err
 		}
-		result = <-done
+		result = <-p.handed
 	}
 	return result.err
 }
@@ -193,26 +199,49 @@
 	return p.SetWriteDeadline(t)
 }
 
-// SetReadDeadline wakes a waiting read at the deadline.
+// SetReadDeadline wakes a waiting read at the deadline. Each request moves the
+// deadline on, so the timer is set anew only when it would ring too late, or
+// has rung too early.
 func (p *pipe) SetReadDeadline(t time.Time) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.readDeadline = t
-	if p.readTimer != nil {
-		p.readTimer.Stop()
-		p.readTimer = nil
+	if t.IsZero() || p.closed {
+		return nil
 	}
-	if t.IsZero() {
+	if p.readTimer == nil {
+		p.timerAt = t
+		p.readTimer = time.AfterFunc(time.Until(t), p.ring)
 		return nil
 	}
-	p.readTimer = time.AfterFunc(time.Until(t), func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.readable.Broadcast()
-	})
+	if t.Before(p.timerAt) {
+		p.rearm(t)
+	}
 	return nil
 }
 
+func (p *pipe) rearm(t time.Time) {
+	p.timerAt = t
+	p.readTimer.Reset(time.Until(t))
+}
+
+// ring is called by the timer.
+func (p *pipe) ring() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.readDeadline.IsZero() {
+		p.timerAt = time.Time{}
+		p.readTimer = nil
+		return
+	}
+	if p.pastReadDeadline() {
+		p.readable.Broadcast()
+		p.readTimer = nil
+		return
+	}
+	p.rearm(p.readDeadline)
+}
+
 // SetWriteDeadline bounds the wait for a slow caller.
 func (p *pipe) SetWriteDeadline(t time.Time) error {
 	p.mu.Lock()
--- /dev/null
+++ b/jayentry/pace.go
@@ -0,0 +1,13 @@
+package jayentry
+
+import "time"
+
+// controlShare is the part of a core that a duty of control may use.
+const controlShare = 0.02
+
+// pace returns how long a duty pauses after a round that took so long, so that
+// its share of a core stays bounded however large the fleet is. Without it a
+// round that takes 10 ms, five times a second, would take 5 % of a core.
+func pace(took, atLeast time.Duration) time.Duration {
+	return max(atLeast, time.Duration(float64(took)*(1/controlShare-1)))
+}
--- a/jayentry/planner.go
+++ b/jayentry/planner.go
@@ -60,26 +60,31 @@
 	}
 	go d.dispatchActs(ctx)
 	for ctx.Err() == nil {
-		d.tick()
-		sleep(ctx, time.Duration(d.entry.options.PlanEvery))
+		worked := d.tick()
+		sleep(ctx, pace(worked, time.Duration(d.entry.options.PlanEvery)))
 	}
 }
 
-func (d *plannerDuty) tick() {
+// tick makes one round and returns how long the decisions took; the wait for
+// the log is not work.
+func (d *plannerDuty) tick() time.Duration {
 	if !d.lease() {
-		return
+		return 0
 	}
 	d.removeEnded()
 	in := jayplan.Input{Workers: d.entry.router.Workers(), Now: time.Now(), Acked: d.entry.members.Acked()}
 	var out jayplan.Output
+	began := time.Now()
 	d.entry.store.Read(func(s *jaystate.State) {
 		in.State = s
 		out = d.planner.Round(in)
 	})
+	worked := time.Since(began)
 	for _, act := range out.Acts {
 		d.acts.Push(act)
 	}
 	d.propose(out.Commands)
+	return worked
 }
 
 // propose appends the commands together and waits until each is decided, so
--- a/jayentry/router.go
+++ b/jayentry/router.go
@@ -90,7 +90,9 @@
 		case <-r.leaving.Ready():
 		}
 		r.takeAll()
+		began := time.Now()
 		r.rebuild()
+		sleep(ctx, pace(time.Since(began), 0))
 	}
 }
 
--- a/jaypool/budget.go
+++ b/jaypool/budget.go
@@ -43,25 +43,29 @@
 	Name      string
 	members   int
 	available int
-	racks     map[string]int
-	centers   map[string]int
+	racks     *Spread
+	centers   *Spread
 }
 
 func newPool(name string) *Pool {
-	return &Pool{Name: name, racks: map[string]int{}, centers: map[string]int{}}
+	return &Pool{Name: name, racks: NewSpread(), centers: NewSpread()}
 }
 
 // Standing returns how the pool stands against a budget.
 func (p *Pool) Standing(b Budget) Standing {
-	s := Standing{Members: p.members, Available: p.available, MinAvailable: b.MinAvailable}
-	domains := p.racks
-	if b.Survive == DataCenterDomain {
-		domains = p.centers
+	return Standing{
+		Members:      p.members,
+		Available:    p.available,
+		WorstLoss:    p.spread(b).Worst(),
+		MinAvailable: b.MinAvailable,
 	}
-	for _, n := range domains {
-		s.WorstLoss = max(s.WorstLoss, n)
+}
+
+func (p *Pool) spread(b Budget) *Spread {
+	if b.Survive == DataCenterDomain {
+		return p.centers
 	}
-	return s
+	return p.racks
 }
 
 // StandingWithout returns the standing after one available member has stopped.
@@ -69,14 +73,14 @@
 	if !i.Available() || i.Pool != p.Name {
 		return p.Standing(b)
 	}
-	p.count(i, -1)
 	s := p.Standing(b)
-	p.count(i, 1)
+	s.Available--
+	s.WorstLoss = p.spread(b).WorstWithout(i.Domain(b.Survive))
 	return s
 }
 
 func (p *Pool) count(i *Instance, n int) {
 	p.available += n
-	p.racks[i.Domain(RackDomain)] += n
-	p.centers[i.Domain(DataCenterDomain)] += n
+	p.racks.Add(i.Domain(RackDomain), n)
+	p.centers.Add(i.Domain(DataCenterDomain), n)
 }
--- a/jaypool/instance.go
+++ b/jaypool/instance.go
@@ -84,6 +84,9 @@
 	Fence uint64
 	// Home is the pool that a lent instance goes back to.
 	Home string
+
+	// rackDomain is kept since it is asked for very often.
+	rackDomain string
 }
 
 // Available reports whether the instance counts for its pool's budget.
@@ -96,5 +99,8 @@
 	if kind == DataCenterDomain {
 		return i.DataCenter
 	}
-	return i.DataCenter + "/" + i.Rack
+	if i.rackDomain == "" {
+		i.rackDomain = i.DataCenter + "/" + i.Rack
+	}
+	return i.rackDomain
 }
--- a/jayserve/exchange.go
+++ b/jayserve/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -136,7 +137,7 @@
 		x.blame(lease, err)
 		return nil, err
 	}
-	return x.answer(lease, result)
+	return x.answer(lease, result, k != nil)
 }
 
 // claim claims the key before the first byte is sent. It reports whether the
@@ -164,14 +165,26 @@
 	if timeout <= 0 {
 		return nil, jayverdict.NewNotRun(503, "no time left", time.Second)
 	}
-	return x.server.client.Do(jayupstream.Attempt{
+	req := requests.Get().(*fasthttp.Request)
+	x.fillRequest(req)
+	result, err := x.server.client.Do(jayupstream.Attempt{
 		Addr:        lease.Upstream.Addr,
 		Connections: x.view.Connections[x.route.Pool],
 		Fresh:       !x.route.Idempotent,
 		Timeout:     timeout,
-	}, x.upstreamRequest())
+	}, req)
+	if err == nil {
+		req.Reset()
+		requests.Put(req)
+	}
+	return result, err
 }
 
+// requests holds requests that were answered. One whose call failed never
+// comes back here: the library may still hold it, and another caller's bytes
+// would then be sent in its place.
+var requests = sync.Pool{New: func() any { return &fasthttp.Request{} }}
+
 // blame ends a failed attempt. An upstream that refuses is not failing; one
 // that is leaving is told to everybody.
 func (x *exchange) blame(lease *jayroute.Lease, err error) {
@@ -197,8 +210,9 @@
 	return true
 }
 
-// answer hands the upstream's answer to the caller.
-func (x *exchange) answer(lease *jayroute.Lease, result *jayupstream.Result) (*jayclaim.Answer, error) {
+// answer hands the upstream's answer to the caller, and returns it for resends
+// if it is kept.
+func (x *exchange) answer(lease *jayroute.Lease, result *jayupstream.Result, keep bool) (*jayclaim.Answer, error) {
 	resp := &x.ctx.Response
 	copyAnswerHeader(&resp.Header, &result.Response.Header)
 	resp.SetStatusCode(result.Response.StatusCode())
@@ -214,6 +228,10 @@
 		resp.Header.SetContentLength(max(0, result.Response.Header.ContentLength()))
 	}
 	resp.SetBodyRaw(result.Body)
+	defer result.Release()
+	if !keep {
+		return nil, nil
+	}
 	return &jayclaim.Answer{
 		Status:      result.Response.StatusCode(),
 		ContentType: string(result.Response.Header.ContentType()),
@@ -265,15 +283,12 @@
 	return s.result.Rest.Close()
 }
 
-// upstreamRequest copies the caller's request. It is not pooled: the client
-// may hold it a little longer than the call.
-func (x *exchange) upstreamRequest() *fasthttp.Request {
-	req := &fasthttp.Request{}
+// fillRequest copies the caller's request into one for the upstream.
+func (x *exchange) fillRequest(req *fasthttp.Request) {
 	x.ctx.Request.Header.CopyTo(&req.Header)
 	dropHopByHop(&req.Header)
 	req.Header.Set(HeaderPool, x.route.Pool)
 	req.SetRequestURIBytes(x.ctx.RequestURI())
 	req.SetHostBytes(x.ctx.Host())
 	req.SetBodyRaw(x.ctx.PostBody())
-	return req
 }
--- a/jayupstream/client.go
+++ b/jayupstream/client.go
@@ -3,10 +3,10 @@
 package jayupstream
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +34,21 @@
 	Rest io.ReadCloser
 }
 
+// responses holds responses that were answered whole. One whose call failed
+// or whose body is streamed never comes back here: somebody may still read
+// into it.
+var responses = sync.Pool{New: func() any { return &fasthttp.Response{} }}
+
+// Release gives a whole answer back; nothing of Response may be used after
+// it. Body stays valid.
+func (r *Result) Release() {
+	if r.Rest != nil {
+		return
+	}
+	r.Response.Reset()
+	responses.Put(r.Response)
+}
+
 // Client keeps the connections to all upstreams.
 type Client struct {
 	idle        time.Duration
@@ -78,9 +93,7 @@
 // Do sends the request once. An error is of type *jayverdict.Error. The
 // request must not be changed or reused before Do returns.
 func (c *Client) Do(a Attempt, req *fasthttp.Request) (*Result, error) {
-	// The response is not pooled: its body may be streamed long after this
-	// call, and a recycled one would carry another caller's bytes.
-	resp := &fasthttp.Response{}
+	resp := responses.Get().(*fasthttp.Response)
 	resp.StreamBody = true
 	if a.Fresh {
 		req.SetConnectionClose()
@@ -160,22 +173,47 @@
 	if stream == nil {
 		return &Result{Response: resp, Body: resp.Body()}, nil
 	}
-	var body bytes.Buffer
-	if n := resp.Header.ContentLength(); n > 0 {
-		body.Grow(min(n, c.bufferBytes) + bytes.MinRead)
-	}
-	_, err := io.Copy(&body, io.LimitReader(stream, int64(c.bufferBytes)))
+	body, whole, err := c.readStart(stream, resp.Header.ContentLength())
 	if err != nil {
 		_ = resp.CloseBodyStream()
 		return nil, jayverdict.NewMayHaveRun(502, "upstream's answer was cut", errors.Join(ErrCut, err))
 	}
-	if body.Len() < c.bufferBytes {
+	if whole {
 		_ = resp.CloseBodyStream()
-		return &Result{Response: resp, Body: body.Bytes()}, nil
+		return &Result{Response: resp, Body: body}, nil
 	}
-	return &Result{Response: resp, Body: body.Bytes(), Rest: &rest{resp: resp, stream: stream}}, nil
+	return &Result{Response: resp, Body: body, Rest: &rest{resp: resp, stream: stream}}, nil
 }
 
+// readStart reads the body up to the buffer limit and reports whether that is
+// all of it. The end counts only once the stream has said so, which it does
+// not for an answer that was cut.
+func (c *Client) readStart(stream io.Reader, length int) (body []byte, whole bool, err error) {
+	size := smallBody
+	if length >= 0 {
+		size = length + 1
+	}
+	body = make([]byte, 0, min(size, c.bufferBytes))
+	for len(body) < c.bufferBytes {
+		if len(body) == cap(body) {
+			body = slices.Grow(body, min(cap(body), c.bufferBytes-len(body)))
+		}
+		limit := min(cap(body), c.bufferBytes)
+		n, err := stream.Read(body[len(body):limit])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return body, false, nil
+}
+
+// smallBody is the first buffer for an answer of unknown length.
+const smallBody = 512
+
 type rest struct {
 	resp   *fasthttp.Response
 	stream io.Reader
--- a/jaywave/wave.go
+++ b/jaywave/wave.go
@@ -96,7 +96,7 @@
 type poolRound struct {
 	Pool
 	standing  jaypool.Standing
-	domains   map[string]int
+	spread    *jaypool.Spread
 	underWay  int
 	remaining int
 	// free counts the maintained instances that can take a task.
@@ -109,7 +109,7 @@
 	r := &round{view: v, pools: make(map[string]*poolRound, len(v.Pools)), busyRacks: map[string]int{}}
 	for _, p := range v.Pools {
 		standing := v.Fleet.Pool(p.Name).Standing(p.Budget)
-		r.pools[p.Name] = &poolRound{Pool: p, standing: standing, domains: map[string]int{}}
+		r.pools[p.Name] = &poolRound{Pool: p, standing: standing, spread: jaypool.NewSpread()}
 	}
 	for _, id := range v.Fleet.IDs() {
 		r.see(id)
@@ -128,7 +128,7 @@
 		return
 	}
 	if i.Available() {
-		p.domains[i.Domain(p.Budget.Survive)]++
+		p.spread.Add(i.Domain(p.Budget.Survive), 1)
 	}
 	switch i.Phase {
 	case jaypool.Draining, jaypool.Rebooting, jaypool.Settling:
@@ -187,7 +187,7 @@
 	p := r.pools[i.Pool]
 	if i.Available() {
 		p.standing.Available--
-		p.domains[i.Domain(p.Budget.Survive)]--
+		p.spread.Add(i.Domain(p.Budget.Survive), -1)
 	}
 	if r.view.Busy[i.ID] {
 		p.free--
@@ -208,14 +208,7 @@
 }
 
 func (p *poolRound) slackWithout(i *jaypool.Instance) int {
-	domain := i.Domain(p.Budget.Survive)
-	worst := 0
-	for d, n := range p.domains {
-		if d == domain {
-			n--
-		}
-		worst = max(worst, n)
-	}
+	worst := p.spread.WorstWithout(i.Domain(p.Budget.Survive))
 	return p.standing.Available - 1 - worst - p.standing.MinAvailable
 }
 
@@ -295,7 +288,7 @@
 // holds: stopping in the fullest domain lowers the worst loss.
 func (r *round) fullest(i *jaypool.Instance) int {
 	p := r.pools[i.Pool]
-	return p.domains[i.Domain(p.Budget.Survive)]
+	return p.spread.Count(i.Domain(p.Budget.Survive))
 }
 
 // flexibility is minus the time that the pool's remaining steps need at the
