--- a/jaydemo/demo.go
+++ b/jaydemo/demo.go
@@ -124,7 +124,6 @@
 	centers := d.options.Profile.DataCenters
 	o.DataCenter = centers[n%len(centers)]
 	o.PlatformURL = d.url
-	o.EventLoops = 2
 	o.SettleTime = jayoptions.Duration(settleTime)
 	o.TaskLease = jayoptions.Duration(time.Second)
 	o.StopGrace = jayoptions.Duration(stopGrace)
--- a/jayedge/edge.go
+++ b/jayedge/edge.go
@@ -197,6 +197,7 @@
 		return nil, gnet.Close
 	}
 	p := newPipe(c, e.options.MaxRequestBytes+headRoom)
+	p.openOwn()
 	c.SetContext(p)
 	e.mu.Lock()
 	e.pipes[p] = struct{}{}
--- a/jayedge/pipe.go
+++ b/jayedge/pipe.go
@@ -1,6 +1,8 @@
 package jayedge
 
 import (
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -8,6 +10,7 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -42,10 +45,20 @@
 	// writes at a time.
 	handed   chan handedOver
 	callback gnet.AsyncCallback
+
+	// own is a descriptor of this pipe's own for the caller's socket, or -1.
+	// The loop's descriptor must not be written to from here: the loop may
+	// close it at any moment, and its number may be another caller's next.
+	writeMu sync.Mutex
+	own     int
+	// behind says that bytes wait in the loop, so that no later ones may pass
+	// them.
+	behind bool
 }
 
 func newPipe(c gnet.Conn, limit int) *pipe {
 	p := &pipe{conn: c, local: c.LocalAddr(), remote: c.RemoteAddr(), limit: limit}
+	p.own = -1
 	p.readable = sync.NewCond(&p.mu)
 	p.handed = make(chan handedOver, 1)
 	p.callback = func(c gnet.Conn, err error) error {
@@ -76,6 +89,7 @@
 
 // shut ends the pipe when the connection has ended.
 func (p *pipe) shut() {
+	p.closeOwn()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
@@ -135,15 +149,67 @@
 	return !p.readDeadline.IsZero() && !time.Now().Before(p.readDeadline)
 }
 
-// Write hands bytes to the event loop and returns when they are sent or wait
-// in its bounded buffer.
+// Write sends bytes at once as far as the socket takes them, hands the rest to
+// the event loop, and returns when that waits in the loop's bounded buffer.
 func (p *pipe) Write(b []byte) (int, error) {
-	if err := p.handOver(b); err != nil {
-		return 0, err
+	sent, err := p.writeNow(b)
+	if err != nil {
+		return sent, err
+	}
+	if sent == len(b) {
+		return sent, nil
+	}
+	if err := p.handOver(b[sent:]); err != nil {
+		return sent, err
 	}
 	return len(b), nil
 }
 
+// writeNow writes to the socket without waiting. It spares the way through
+// the event loop, which wakes another thread for each answer.
+func (p *pipe) writeNow(b []byte) (int, error) {
+	p.writeMu.Lock()
+	defer p.writeMu.Unlock()
+	if p.behind || p.own < 0 {
+		return 0, nil
+	}
+	sent := 0
+	for sent < len(b) {
+		n, err := unix.Write(p.own, b[sent:])
+		if n > 0 {
+			sent += n
+		}
+		switch {
+		case errors.Is(err, unix.EINTR):
+		case errors.Is(err, unix.EAGAIN):
+			p.behind = true
+			return sent, nil
+		case err != nil:
+			return sent, fmt.Errorf("write to caller: %w", err)
+		}
+	}
+	return sent, nil
+}
+
+// openOwn takes a descriptor of the pipe's own. Without one, writes go through
+// the loop. Only the event loop calls it.
+func (p *pipe) openOwn() {
+	fd, err := p.conn.Dup()
+	if err != nil {
+		return
+	}
+	p.own = fd
+}
+
+func (p *pipe) closeOwn() {
+	p.writeMu.Lock()
+	defer p.writeMu.Unlock()
+	if p.own >= 0 {
+		_ = unix.Close(p.own)
+		p.own = -1
+	}
+}
+
 type handedOver struct {
 	waiting int
 	err     error
@@ -165,6 +231,9 @@
 		}
 		result = <-p.handed
 	}
+	p.writeMu.Lock()
+	p.behind = result.waiting > 0
+	p.writeMu.Unlock()
 	return result.err
 }
 
--- a/jayentry/watch.go
+++ b/jayentry/watch.go
@@ -59,7 +59,11 @@
 	}
 }
 
+// sleep waits for d or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/jayoptions/options.go
+++ b/jayoptions/options.go
@@ -100,7 +100,7 @@
 
 		CallerHeader: "Jaythread-Caller",
 
-		EventLoops:       4,
+		EventLoops:       1,
 		MaxRequestBytes:  4 << 20,
 		BufferBytes:      1 << 20,
 		MaxCallerConns:   20_000,
--- /dev/null
+++ b/jayoptions/options_test.go
@@ -0,0 +1,71 @@
+package jayoptions
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestDefaultsAreGood(t *testing.T) {
+	is := is.New(t)
+	got, err := Parse("entry.jsonc", []byte("{}"))
+	is.NoErr(err)
+	is.Equal(got, New())
+}
+
+func TestParseNamesThePlace(t *testing.T) {
+	cases := []struct{ name, text, want string }{
+		{"unknown field", `{"callerAdr": "127.0.0.1:1"}`, `entry.jsonc:1:2: unknown field "callerAdr"`},
+		{"no IP", "{\n  \"callerAddr\": \"localhost:80\"}", "entry.jsonc:2:17: /callerAddr"},
+		{"no port", `{"peerAddr": "127.0.0.1"}`, "is not IP:PORT"},
+		{"out of range", `{"eventLoops": 0}`, "0 is outside 1 to 64"},
+		{"bad duration", `{"queueTime": "5"}`, "entry.jsonc:1:"},
+		{"too long", `{"queueTime": "2h"}`, "2h0m0s is outside 1ms to 1m0s"},
+		{"operators off loopback", `{"operatorAddr": "10.0.0.1:80"}`, "needs operatorToken"},
+		{"peers off loopback", `{"peerAddr": "10.0.0.1:80"}`, "needs peerCertFile"},
+		{"half of the keys", `{"peerCertFile": "a"}`, "go together"},
+		{"level", `{"logLevel": "loud"}`, "none of [debug info error]"},
+		{"share", `{"retryShare": 2}`, "outside 0 to 1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse("entry.jsonc", []byte(c.text))
+			is.True(err != nil)
+			t.Log(err)
+			is.True(strings.Contains(err.Error(), c.want))
+		})
+	}
+}
+
+// TestReferenceIsComplete compares the operators' page with the struct: each
+// field stands there with its default.
+func TestReferenceIsComplete(t *testing.T) {
+	page, err := os.ReadFile("../docs/operators/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defaults := reflect.ValueOf(*New())
+	for n := range defaults.NumField() {
+		name := defaults.Type().Field(n).Tag.Get("json")
+		value := fmt.Sprint(defaults.Field(n).Interface())
+		if d, ok := defaults.Field(n).Interface().(Duration); ok {
+			value = time.Duration(d).String()
+		}
+		row := fmt.Sprintf("| `%s` | %s |", name, value)
+		if !strings.Contains(string(page), row) {
+			t.Errorf("docs/operators/settings.md lacks the row %s", row)
+		}
+	}
+}
+
+func ExampleParse() {
+	_, err := Parse("entry.jsonc", []byte(`{"eventLoops": 100}`))
+	fmt.Println(err)
+	// Output: entry.jsonc:1:16: /eventLoops: 100 is outside 1 to 64
+}
--- /dev/null
+++ b/jaypeer/peer_test.go
@@ -0,0 +1,211 @@
+package jaypeer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"jaythread/jaywire"
+)
+
+const testTimeout = 5 * time.Second
+
+// serve starts a server on loopback that answers heartbeats.
+func serve(t *testing.T, self string, config *tls.Config, handler Handler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(self, testTimeout, handler)
+	go s.Serve(listener, config)
+	t.Cleanup(s.Close)
+	return listener.Addr().String()
+}
+
+func beat(request *jaywire.PeerRequest) *jaywire.PeerResponse {
+	return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_HeartbeatAck{
+		HeartbeatAck: &jaywire.HeartbeatAck{Offset: request.GetHeartbeat().GetOffset() + 1},
+	}}
+}
+
+func heartbeat(offset uint64) *jaywire.PeerRequest {
+	return &jaywire.PeerRequest{Body: &jaywire.PeerRequest_Heartbeat{Heartbeat: &jaywire.Heartbeat{Offset: offset}}}
+}
+
+func newClient(t *testing.T, config *tls.Config) *Client {
+	c := NewClient("a", testTimeout, config)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestAsk(t *testing.T) {
+	t.Run("is answered, many at once", func(t *testing.T) {
+		is := is.New(t)
+		addr := serve(t, "b", nil, beat)
+		c := newClient(t, nil)
+		answers := make(chan bool, 50)
+		for n := range uint64(50) {
+			go func() {
+				response, err := c.Ask("b", addr, heartbeat(n))
+				answers <- err == nil && response.GetHeartbeatAck().GetOffset() == n+1
+			}()
+		}
+		for range 50 {
+			is.True(<-answers)
+		}
+	})
+	t.Run("a closed port means that the peer has ended", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is := is.New(t)
+		is.NoErr(err)
+		_ = listener.Close()
+		_, err = newClient(t, nil).Ask("b", listener.Addr().String(), heartbeat(1))
+		is.True(errors.Is(err, ErrGone))
+	})
+	t.Run("another incarnation at the address means the same", func(t *testing.T) {
+		// Symptom: a replaced entry grants a payment that its predecessor
+		// knew to have run.
+		// Sequence: an entry is replaced at the same address; a peer asks the
+		// address for the old one.
+		// Cause: an address is not an incarnation.
+		is := is.New(t)
+		asked := false
+		addr := serve(t, "b2", nil, func(r *jaywire.PeerRequest) *jaywire.PeerResponse { asked = true; return beat(r) })
+		_, err := newClient(t, nil).Ask("b1", addr, heartbeat(1))
+		is.True(errors.Is(err, ErrGone))
+		is.True(!asked)
+	})
+	t.Run("a peer that does not answer may be alive", func(t *testing.T) {
+		is := is.New(t)
+		release := make(chan struct{})
+		defer close(release)
+		addr := serve(t, "b", nil, func(r *jaywire.PeerRequest) *jaywire.PeerResponse { <-release; return beat(r) })
+		c := NewClient("a", 20*time.Millisecond, nil)
+		defer c.Close()
+		_, err := c.Ask("b", addr, heartbeat(1))
+		is.True(errors.Is(err, ErrUnreachable))
+	})
+	t.Run("a link that broke is made anew", func(t *testing.T) {
+		is := is.New(t)
+		addr := serve(t, "b", nil, beat)
+		c := newClient(t, nil)
+		_, err := c.Ask("b", addr, heartbeat(1))
+		is.NoErr(err)
+		for _, s := range c.sessions {
+			is.NoErr(s.Close())
+		}
+		_, err = c.Ask("b", addr, heartbeat(1))
+		is.NoErr(err)
+	})
+}
+
+// keys writes an authority and a certificate that it signs, and returns their
+// TLS configuration.
+func keys(t *testing.T) *tls.Config {
+	t.Helper()
+	dir := t.TempDir()
+	authorityKey, authority := certificate(t, nil, nil)
+	key, cert := certificate(t, authority, authorityKey)
+	write := func(name, kind string, der []byte) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	der, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := LoadKeys(write("cert", "CERTIFICATE", cert.Raw), write("key", "EC PRIVATE KEY", der), write("authority", "CERTIFICATE", authority.Raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return config
+}
+
+func certificate(t *testing.T, parent *x509.Certificate, parentKey *ecdsa.PrivateKey) (*ecdsa.PrivateKey, *x509.Certificate) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		Subject:               pkix.Name{CommonName: "jaythread"},
+		NotBefore:             time.Now().Add(-time.Hour),
+		NotAfter:              time.Now().Add(time.Hour),
+		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA:                  parent == nil,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage:           []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	if parent == nil {
+		parent, parentKey = template, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, parentKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key, cert
+}
+
+func TestMutualTLS(t *testing.T) {
+	ours, others := keys(t), keys(t)
+	addr := serve(t, "b", ours, beat)
+	t.Run("with our keys", func(t *testing.T) {
+		_, err := newClient(t, ours).Ask("b", addr, heartbeat(1))
+		is.New(t).NoErr(err)
+	})
+	t.Run("with another authority's", func(t *testing.T) {
+		_, err := newClient(t, others).Ask("b", addr, heartbeat(1))
+		is.New(t).True(err != nil)
+	})
+	t.Run("without keys", func(t *testing.T) {
+		c := NewClient("a", 200*time.Millisecond, nil)
+		defer c.Close()
+		_, err := c.Ask("b", addr, heartbeat(1))
+		is.New(t).True(err != nil)
+	})
+	t.Run("unreadable files are named", func(t *testing.T) {
+		_, err := LoadKeys("nowhere", "nowhere", "nowhere")
+		is.New(t).True(err != nil)
+	})
+}
+
+// FuzzPeerMessage looks for messages that make a reader panic.
+func FuzzPeerMessage(f *testing.F) {
+	text, err := proto.Marshal(heartbeat(7))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		request := &jaywire.PeerRequest{}
+		if proto.Unmarshal(text, request) == nil {
+			beat(request)
+		}
+		_ = proto.Unmarshal(text, &jaywire.PeerResponse{})
+		_ = proto.Unmarshal(text, &jaywire.ClaimBatch{})
+	})
+}
