A drain ends in any case; the list shows the newest state

Two changes of a worker at once were put on the stand-in's list in the wrong order, so the list showed a request in flight for ever; and a drain had no bound. Ruled out: the fold (audit shows the step accepted), placement (task had moved). Change: the stand-in reads and lists a worker's state under one lock; a drain that does not end within rebootTimeout is given up and the instance serves again; a request that has not run may be tried five times.

--- a/jayplan/capacity_test.go
+++ b/jayplan/planner_test.go
@@ -125,3 +125,37 @@
 		t.Error("the instance that never came back counts as well")
 	}
 }
+
+// TestInstanceThatDoesNotBecomeIdle goes back into service.
+func TestInstanceThatDoesNotBecomeIdle(t *testing.T) {
+	// Symptom: a wave hangs, and an instance is out of service for hours.
+	// Sequence: an instance drains; the instance list goes on showing a
+	// request in flight.
+	// Cause: a drain without a bound.
+	s := newSession(t)
+	s.useProfile("mesob")
+	w := s.workers["seats-05"]
+	w.InFlight = 1
+	s.workers["seats-05"] = w
+	s.do("wave", []string{"w", "seats"})
+	for s.now < 10*time.Minute {
+		s.step()
+	}
+	served := false
+	for _, e := range s.state.Audit() {
+		served = served || e.Subject == "seats-05" && e.Reason == "did not become idle in time"
+	}
+	if !served {
+		t.Error("the drain never ended")
+	}
+	returned := 0
+	wave, _ := s.state.Wave("w")
+	for _, step := range wave.Steps {
+		if step.Phase == jaywire.StepPhase_STEP_PHASE_RETURNED {
+			returned++
+		}
+	}
+	if returned != 9 {
+		t.Errorf("%d of the other nine instances have returned", returned)
+	}
+}
--- a/jayplan/waves.go
+++ b/jayplan/waves.go
@@ -62,6 +62,13 @@
 	r.act(i.ID, step.Fence, jayplatform.Drain{})
 	if r.quiet(i.ID, step.Fence) {
 		r.advance(w, i, jaywire.StepPhase_STEP_PHASE_REBOOTING, "drained")
+		return
+	}
+	// A request or task that does not end, or a list that does not show its
+	// end, must not keep the instance out of service for good.
+	if r.due("drain "+i.ID, i.Version, r.planner.settings.RebootTimeout) {
+		r.act(i.ID, step.Fence, jayplatform.Undrain{})
+		r.advance(w, i, jaywire.StepPhase_STEP_PHASE_ABANDONED, "did not become idle in time")
 	}
 }
 
--- a/jayroute/budget.go
+++ b/jayroute/budget.go
@@ -9,8 +9,11 @@
 const (
 	// retryReserve lets a quiet entry retry at all.
 	retryReserve = 10
-	// maxAttempts bounds the attempts of one request.
+	// maxAttempts bounds the attempts of a request that may have run.
 	maxAttempts = 3
+	// maxUnrunAttempts bounds those of one that has not: they cost little,
+	// and when a rack is lost several upstreams may refuse in a row.
+	maxUnrunAttempts = 5
 )
 
 // RetryBudget keeps retries a small share of first attempts, so that an
@@ -49,8 +52,8 @@
 // MayRetry reports whether a failed attempt may be followed by another one:
 // the request has not run, or running it again does no harm.
 func MayRetry(v jayverdict.Verdict, idempotent bool, attempts int) bool {
-	if attempts >= maxAttempts {
-		return false
+	if v == jayverdict.NotRun {
+		return attempts < maxUnrunAttempts
 	}
-	return v == jayverdict.NotRun || idempotent
+	return idempotent && attempts < maxAttempts
 }
--- a/jaystandin/fleet.go
+++ b/jaystandin/fleet.go
@@ -57,14 +57,14 @@
 		fences:      map[string]uint64{},
 		tasks:       map[string]jayplatform.TaskReport{},
 	}
-	w.onChange = func() { f.note(w.report()) }
+	w.onChange = func() { f.noteWorker(w) }
 	if err := w.start(); err != nil {
 		return nil, err
 	}
 	f.mu.Lock()
 	f.workers[spec.ID] = w
 	f.mu.Unlock()
-	f.note(w.report())
+	f.noteWorker(w)
 	return w, nil
 }
 
@@ -80,8 +80,8 @@
 	i.Kind = jayplatform.Entry
 	f.mu.Lock()
 	f.entries[i.ID] = i
+	f.add(i)
 	f.mu.Unlock()
-	f.note(i)
 }
 
 // Available returns how many workers take work.
@@ -144,7 +144,7 @@
 func (f *Fleet) Kill(id string) {
 	if w, ok := f.Worker(id); ok {
 		w.stop(false)
-		f.note(w.report())
+		f.noteWorker(w)
 	}
 }
 
@@ -163,7 +163,7 @@
 	if err := w.start(); err != nil {
 		return err
 	}
-	f.note(w.report())
+	f.noteWorker(w)
 	return nil
 }
 
@@ -211,15 +211,23 @@
 // dropped when a newer one is visible.
 const maxChanges = 20_000
 
-func (f *Fleet) note(i jayplatform.Instance) {
+// noteWorker puts a worker's present state on the list. It reads the state
+// under the list's lock: of two changes at once, the older state would
+// otherwise come to stand last and stay there.
+func (f *Fleet) noteWorker(w *Worker) {
 	f.mu.Lock()
+	i := w.report()
+	f.add(i)
+	f.mu.Unlock()
+	f.judge(i)
+}
+
+func (f *Fleet) add(i jayplatform.Instance) {
 	f.version++
 	f.changes = append(f.changes, change{version: f.version, at: time.Now(), instance: i})
 	if len(f.changes) > maxChanges {
 		f.compact()
 	}
-	f.mu.Unlock()
-	f.judge(i)
 }
 
 func (f *Fleet) compact() {
@@ -277,7 +285,7 @@
 	case jayplatform.StopTask:
 		w.stopTask(a)
 	}
-	f.note(w.report())
+	f.noteWorker(w)
 	return nil
 }
 
