Share the claims' appends by the number of entries

Cause: 30 appends a second for each entry are 240 at 8 entries, but 720 at 24, above what the log service takes. Change: 240 a second for all, shared evenly by the members.

--- a/jayentry/claims.go
+++ b/jayentry/claims.go
@@ -17,9 +17,10 @@
 	"jaythread/jaywire"
 )
 
-// claimAppendsPerSecond is one entry's share of the log service's appends for
-// claims; many claims share an append.
-const claimAppendsPerSecond = 30
+// claimAppendsPerSecond is what all entries together may append for claims, of
+// the several hundred appends a second that the log service takes. The members
+// share it evenly; many claims share an append.
+const claimAppendsPerSecond = 240
 
 // claimLog carries claims to and from their stream.
 type claimLog struct {
--- a/jayentry/entry.go
+++ b/jayentry/entry.go
@@ -241,10 +241,12 @@
 
 const joinPause = 500 * time.Millisecond
 
-// keepJoined proposes to join until the state shows it, and again if another
+// keepJoined shares out the appends by the number of members, and proposes to join until the state shows it, and again if another
 // entry took this one for ended.
 func (e *Entry) keepJoined(ctx context.Context) {
 	for ctx.Err() == nil {
+		members := len(e.members.Others()) + 1
+		e.claimLog.committer.SetRate(claimAppendsPerSecond / float64(members))
 		joined := e.store.CaughtUp() && e.isMember()
 		if !joined && e.store.CaughtUp() && !e.stopping.Load() {
 			_, err := e.store.Propose(&jaywire.Command{
--- a/jaylog/committer.go
+++ b/jaylog/committer.go
@@ -173,6 +173,13 @@
 	return len(c.pending) + len(c.doubt) + len(c.flying)
 }
 
+// SetRate changes how many appends a second are made.
+func (c *Committer[T, R]) SetRate(perSecond float64) {
+	if c.limiter.Limit() != rate.Limit(perSecond) {
+		c.limiter.SetLimit(rate.Limit(perSecond))
+	}
+}
+
 // Run appends until the context ends.
 func (c *Committer[T, R]) Run(ctx context.Context) {
 	for {
