Look again just before sending; refuse at once what cannot be served

Cause: between slot and first byte a claim may wait or the process be paused; the upstream may have left or moved meanwhile. And a request that had tried every upstream waited in the queue for nothing.

--- a/jaycli/app.go
+++ b/jaycli/app.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"os/user"
+	"runtime"
 	"strings"
 	"syscall"
 
@@ -79,6 +80,7 @@
 			explainCommand(),
 			demoCommand(),
 			standinCommand(),
+			versionCommand(),
 		},
 	}
 }
@@ -135,6 +137,17 @@
 	return "unknown"
 }
 
+func versionCommand() *cli.Command {
+	return command(&cli.Command{
+		Name:  "version",
+		Usage: "print the program's and the language's version",
+		Action: func(_ context.Context, c *cli.Command) error {
+			say(c, "jaythread %s %s", Version, runtime.Version())
+			return nil
+		},
+	})
+}
+
 // command fills in what all subcommands share.
 func command(c *cli.Command) *cli.Command {
 	c.OnUsageError = onUsageError
--- a/jaydemo/script.go
+++ b/jaydemo/script.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync"
 	"time"
 
@@ -35,6 +36,24 @@
 	}
 	d.replaceEntry(ctx)
 	d.awaitDone(ctx)
+	d.moveInstance(ctx)
+}
+
+// moveInstance moves the last worker of the last service to the first one's
+// pool, under load.
+func (d *demo) moveInstance(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
+	services := d.options.Profile.Services
+	id := fmt.Sprintf("%s-%02d", services[len(services)-1], d.options.Profile.WorkersEach)
+	if _, err := d.operator(0).Move(jayapi.Move{Instance: id, Pool: services[0]}); err != nil {
+		d.options.Logger.Error(err, "instance not moved")
+		return
+	}
+	for ctx.Err() == nil && d.platform.Fleet.Ledger.Counters().InstanceMoves == 0 {
+		pause(ctx, healthEvery)
+	}
 }
 
 func (d *demo) breakOnPurpose() {
--- a/jayentry/requests_test.go
+++ b/jayentry/requests_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"jaythread/jayplatform"
+	"jaythread/jaystandin"
 	"jaythread/jayverdict"
 )
 
@@ -214,6 +215,37 @@
 	})
 }
 
+func TestUpstreamThatLeavesWhileAClaimWaits(t *testing.T) {
+	// Symptom: an instance that has left, or moved to another pool, gets one
+	// more payment.
+	// Sequence: a payment has its slot; its claim waits for a slow log; the
+	// instance leaves meanwhile.
+	// Cause: the choice of the upstream was not looked at again.
+	inWorld(t, 2, func(w *world) {
+		is := is.New(w.t)
+		for n := 1; n < 4; n++ {
+			w.setWorker(fmt.Sprint("fees-", n), jayplatform.Leaving)
+		}
+		w.settle()
+		var seen tries
+		w.setUpstream(func(addr string, r *http.Request, _ string, conn net.Conn) bool {
+			seen.add(addr)
+			w.ran(r)
+			respond(conn, 200, "paid")
+			return true
+		})
+		w.log.SetFaults(jaystandin.LogFaults{Delay: 250 * time.Millisecond})
+		got := make(chan answer, 1)
+		go func() { got <- w.nodes[0].pay("k") }()
+		time.Sleep(100 * time.Millisecond) // the slot on fees-0 is taken
+		w.nodes[0].entry.NoteLeaving("fees-0")
+		time.Sleep(time.Minute)
+		is.Equal((<-got).verdict, jayverdict.NotRun)
+		is.Equal(seen.sum(), 0)
+		is.Equal(w.runsOf("k"), 0)
+	})
+}
+
 func TestHeadersOfOneConnectionStayThere(t *testing.T) {
 	inWorld(t, 1, func(w *world) {
 		is := is.New(w.t)
--- a/jayroute/pool.go
+++ b/jayroute/pool.go
@@ -128,7 +128,7 @@
 // the request has not run.
 func (p *Pool) Acquire(t Ticket) (*Lease, error) {
 	p.mu.Lock()
-	if len(p.list) == 0 {
+	if !p.hasCandidate(t.Avoid) {
 		p.mu.Unlock()
 		return nil, jayverdict.NewNotRun(503, "no upstream in pool "+p.Name, time.Second)
 	}
@@ -153,6 +153,18 @@
 	return p.await(w, t.Wait)
 }
 
+// hasCandidate reports whether waiting can help: some upstream has not failed
+// this request yet. Without it, a request that has tried them all would wait
+// in the queue for nothing.
+func (p *Pool) hasCandidate(avoid []string) bool {
+	for _, u := range p.list {
+		if !u.leaving && !slices.Contains(avoid, u.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Pool) await(w *waiter, wait time.Duration) (*Lease, error) {
 	timer := time.NewTimer(max(wait, time.Nanosecond))
 	defer timer.Stop()
@@ -190,6 +202,15 @@
 	return true
 }
 
+// Valid reports whether the upstream still takes this pool's requests. Between
+// the slot and the first byte a claim may have waited, or the process may have
+// been paused; the upstream may have drained or changed its pool meanwhile.
+func (l *Lease) Valid() bool {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	return !l.Upstream.gone && !l.Upstream.leaving
+}
+
 // Release ends the attempt. Failed says that the upstream is to blame.
 func (l *Lease) Release(failed bool) {
 	p := l.pool
--- a/jayroute/pool_test.go
+++ b/jayroute/pool_test.go
@@ -182,6 +182,13 @@
 		is.Equal(lease.Upstream.ID, "u1")
 		_, err = p.Acquire(Ticket{Avoid: []string{"u0"}, Wait: time.Second})
 		is.True(err != nil)
+		// Symptom: a refusal comes only after the whole wait.
+		// Sequence: a request has tried every upstream of its pool.
+		// Cause: it waited for a slot that could never be its.
+		began := time.Now()
+		_, err = p.Acquire(Ticket{Avoid: []string{"u0", "u1"}, Wait: time.Second})
+		is.True(err != nil)
+		is.Equal(time.Since(began), time.Duration(0))
 	})
 }
 
--- a/jayserve/exchange.go
+++ b/jayserve/exchange.go
@@ -161,10 +161,10 @@
 }
 
 func (x *exchange) send(lease *jayroute.Lease) (*jayupstream.Result, error) {
-	timeout := x.left()
-	if timeout <= 0 {
-		return nil, jayverdict.NewNotRun(503, "no time left", time.Second)
+	if refusal := x.stillAllowed(lease); refusal != nil {
+		return nil, refusal
 	}
+	timeout := x.left()
 	req := requests.Get().(*fasthttp.Request)
 	x.fillRequest(req)
 	result, err := x.server.client.Do(jayupstream.Attempt{
@@ -180,6 +180,22 @@
 	return result, err
 }
 
+// stillAllowed looks again just before the first byte. A process that was
+// paused since the rule was decided would otherwise send by a view that the
+// others have left.
+func (x *exchange) stillAllowed(lease *jayroute.Lease) *jayverdict.Error {
+	if x.left() <= 0 {
+		return jayverdict.NewNotRun(503, "no time left", time.Second)
+	}
+	if _, refusal := x.server.source.View(); refusal != nil {
+		return refusal
+	}
+	if !lease.Valid() {
+		return jayverdict.NewNotRun(503, "upstream has left", time.Second)
+	}
+	return nil
+}
+
 // requests holds requests that were answered. One whose call failed never
 // comes back here: the library may still hold it, and another caller's bytes
 // would then be sent in its place.
@@ -193,7 +209,8 @@
 		x.server.source.NoteLeaving(lease.Upstream.ID)
 	}
 	x.avoid = append(x.avoid, lease.Upstream.ID)
-	lease.Release(!leaving)
+	failed := !leaving && lease.Valid()
+	lease.Release(failed)
 }
 
 func (x *exchange) left() time.Duration {
