--- a/jayplan/session_platform_test.go
+++ b/jayplan/session_platform_test.go
@@ -99,4 +99,3 @@
 	})
 	return append(kept, report)
 }
-
