--- a/jaypeer/client.go
+++ b/jaypeer/client.go
@@ -135,9 +135,10 @@
 	c.mu.Lock()
 	idle := c.idle[session]
 	if n := len(idle); n > 0 && time.Since(idle[n-1].used) < streamFresh {
+		newest := idle[n-1]
 		c.idle[session] = idle[:n-1]
 		c.mu.Unlock()
-		return idle[n-1], nil
+		return newest, nil
 	}
 	// The last one is the newest: if it is too old, all are.
 	delete(c.idle, session)
--- a/jaypeer/peer_test.go
+++ b/jaypeer/peer_test.go
@@ -58,11 +58,19 @@
 		is := is.New(t)
 		addr := serve(t, "b", nil, beat)
 		c := newClient(t, nil)
+		// Symptom: a question gets the answer to another one.
+		// Sequence: two questions at once take the same idle stream.
+		// Cause: the stream was read from the list after its lock was given
+		// back.
 		answers := make(chan bool, 50)
 		for n := range uint64(50) {
 			go func() {
-				response, err := c.Ask("b", addr, heartbeat(n))
-				answers <- err == nil && response.GetHeartbeatAck().GetOffset() == n+1
+				right := true
+				for m := range uint64(40) {
+					response, err := c.Ask("b", addr, heartbeat(100*n+m))
+					right = right && err == nil && response.GetHeartbeatAck().GetOffset() == 100*n+m+1
+				}
+				answers <- right
 			}()
 		}
 		for range 50 {
