Count what entries route by, not what they have folded

Cause, found reading the code: an entry told its peers the offset that it had folded, but its view is rebuilt later, up to 435 ms at 5,600 workers; the planner could reboot an instance that it still routed to. An append under way that its proposer had given up was made again after an outage. And acts were asked for in each round, 2,000 a second in a wave of 400 steps. Change: heartbeats carry the view's offset; a given-up item is forgotten in every state; an act is asked for again every 2 s.

--- a/jayentry/entry.go
+++ b/jayentry/entry.go
@@ -143,6 +143,7 @@
 	o := e.options
 	e.upstream = jayupstream.NewClient(time.Duration(o.UpstreamIdle), time.Duration(o.DialTimeout), o.BufferBytes, e.upstreamOptions...)
 	e.router = NewRouter(o.Entry, e.store, e.members, e.upstream, o.QueuePerPool, e.base.WithName("router"))
+	e.members.routed = e.router.Offset
 	e.server = jayserve.NewServer(jayserve.Options{
 		CallerHeader: o.CallerHeader,
 		QueueTime:    time.Duration(o.QueueTime),
--- a/jayentry/peers.go
+++ b/jayentry/peers.go
@@ -40,10 +40,13 @@
 
 // Membership knows the other members and how they are.
 type Membership struct {
-	self   string
-	link   PeerLink
-	store  *Store
-	every  time.Duration
+	self  string
+	link  PeerLink
+	store *Store
+	every time.Duration
+	// routed returns the offset of the view that requests are decided by. It
+	// may be behind what is folded; only what is routed by counts for a drain.
+	routed func() uint64
 	logger logr.Logger
 	now    func() time.Time
 
@@ -258,8 +261,12 @@
 	}
 }
 
+// position returns how far this entry's routing is.
 func (m *Membership) position() (offset, revision uint64) {
 	m.store.Read(func(s *jaystate.State) { offset, revision = s.Offset, s.Revision.Number })
+	if m.routed != nil {
+		offset = min(offset, m.routed())
+	}
 	return offset, revision
 }
 
--- a/jayentry/router.go
+++ b/jayentry/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -68,6 +69,16 @@
 	return r.view.Load()
 }
 
+// Offset returns how far the state behind the view was folded. Without a view
+// nothing is routed, and everything counts as seen.
+func (r *Router) Offset() uint64 {
+	v := r.view.Load()
+	if v == nil {
+		return math.MaxUint64
+	}
+	return v.Offset
+}
+
 // Workers returns a copy of the instance list.
 func (r *Router) Workers() map[string]jayplatform.Instance {
 	r.mu.Lock()
--- a/jayentry/state_test.go
+++ b/jayentry/state_test.go
@@ -310,6 +310,24 @@
 	})
 }
 
+func TestDrainWaitsForTheViewNotTheFold(t *testing.T) {
+	// Symptom: an instance reboots with requests in flight.
+	// Sequence: an entry has folded a drain, but its view is rebuilt only
+	// half a second later, as its pace allows; the planner reboots.
+	// Cause: entries told each other what they had folded, not by what they
+	// route.
+	inWorld(t, 2, func(w *world) {
+		is := is.New(w.t)
+		slow := w.nodes[1].entry.members
+		behind := w.nodes[1].entry.router.Offset()
+		slow.routed = func() uint64 { return behind }
+		outcome := w.publish(0, worldDocument)
+		w.settle()
+		is.True(w.nodes[0].entry.members.Acked() <= outcome.Offset)
+		is.Equal(w.nodes[0].entry.members.Acked(), behind)
+	})
+}
+
 func TestMemberThatWasNeverHeard(t *testing.T) {
 	// Symptom: no wave and no move gets on after all entries were replaced.
 	// Sequence: an entry vanishes without a trace; all others are replaced;
--- a/jaylog/committer.go
+++ b/jaylog/committer.go
@@ -145,12 +145,16 @@
 	c.signal()
 }
 
-// Forget drops an item that was not appended yet and its waiter.
+// Forget drops an item that was not appended yet, or whose append is under way
+// and may fail, and its waiter.
 func (c *Committer[T, R]) Forget(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.waiters, id)
 	delete(c.doubt, id)
+	// An append under way cannot be called back, but if it fails the item
+	// must not be appended again: its proposer has gone on without it.
+	delete(c.flying, id)
 	for n, e := range c.pending {
 		if e.id == id {
 			c.pending = append(c.pending[:n], c.pending[n+1:]...)
--- a/jaylog/committer_test.go
+++ b/jaylog/committer_test.go
@@ -150,6 +150,22 @@
 			is.Equal(l.text(), "")
 		})
 	})
+	t.Run("nor one that was given up while its append was under way", func(t *testing.T) {
+		// Symptom: plans of before an outage are carried out after it.
+		// Sequence: an append hangs; its proposer gives up; the append fails;
+		// the log is back.
+		// Cause: only items that waited were dropped.
+		inStream(t, func(t *testing.T, log *failingLog, c *Committer[string, int], l *lines) {
+			is := is.New(t)
+			log.SetFaults(jaystandin.LogFaults{Delay: 2 * time.Second, Down: true})
+			_, err := c.Commit("a", "a", time.Second)
+			is.True(errors.Is(err, ErrTimeout))
+			time.Sleep(5 * time.Second)
+			log.SetFaults(jaystandin.LogFaults{})
+			time.Sleep(10 * time.Second)
+			is.Equal(l.text(), "")
+		})
+	})
 	t.Run("too many waiting items are refused", func(t *testing.T) {
 		inStream(t, func(t *testing.T, log *failingLog, c *Committer[string, int], _ *lines) {
 			is := is.New(t)
--- a/jayplan/plan.go
+++ b/jayplan/plan.go
@@ -4,6 +4,7 @@
 package jayplan
 
 import (
+	"fmt"
 	"time"
 
 	"jaythread/jayconfig"
@@ -60,9 +61,16 @@
 type sighting struct {
 	form uint64
 	at   time.Time
-	used bool
+	// asked is when an act was last asked for.
+	asked time.Time
+	used  bool
 }
 
+// askAgain is after how long an act is asked for again. Its effect shows on
+// the instance list only after the list's lag; asking each round would send the
+// platform thousands of repeats in a large wave.
+const askAgain = 2 * time.Second
+
 // NewPlanner returns a planner that has seen nothing.
 func NewPlanner(settings Settings) *Planner {
 	return &Planner{settings: settings, memory: map[string]sighting{}, calm: map[string]time.Time{}}
@@ -127,7 +135,16 @@
 	r.out.Commands = append(r.out.Commands, c)
 }
 
+// act asks the platform for an act, at once and then now and again.
 func (r *round) act(instance string, fence uint64, act jayplatform.Act) {
+	name := fmt.Sprintf("act %s %T %v", instance, act, act)
+	r.planner.since(name, fence, r.in.Now)
+	s := r.planner.memory[name]
+	if !s.asked.IsZero() && r.in.Now.Sub(s.asked) < askAgain {
+		return
+	}
+	s.asked = r.in.Now
+	r.planner.memory[name] = s
 	r.out.Acts = append(r.out.Acts, Act{Instance: instance, Fence: fence, Act: act})
 }
 
