Requests ask about pool state and priority; close only what is quiet

Ruled out: the test's own order (the bytes were sent before the stop). Change: a connection with unread bytes is not idle; rules for requests look at Jaythread-Priority and at the state of the pool they name; the stand-in's retention can be switched; the command line's exit code on a broken promise is tested.

--- a/jayapi/explain.go
+++ b/jayapi/explain.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"jaythread/jayconfig"
+	"jaythread/jayplan"
 	"jaythread/jayrule"
 	"jaythread/jaystate"
 )
@@ -18,7 +19,10 @@
 		return err
 	}
 	var config *jayconfig.Configuration
-	s.backend.Read(func(state *jaystate.State) { config = state.Configuration() })
+	s.backend.Read(func(state *jaystate.State) {
+		config = state.Configuration()
+		question.PoolStates = poolStates(state)
+	})
 	if config == nil {
 		return badCall{text: "no configuration is in force"}
 	}
@@ -29,6 +33,16 @@
 	return answerJSON(ctx, answer)
 }
 
+func poolStates(state *jaystate.State) map[string]string {
+	states := map[string]string{}
+	if config := state.Configuration(); config != nil {
+		for _, p := range config.Pools {
+			states[p.Name] = jayplan.PoolState(state.Fleet.Pool(p.Name).Standing(config.Budget(p.Name)))
+		}
+	}
+	return states
+}
+
 // ExplainRequest says which rule of a configuration decides on a request.
 func ExplainRequest(config *jayconfig.Configuration, q Explain, now time.Time) (*Explained, error) {
 	at := now.In(config.Location())
@@ -41,13 +55,15 @@
 	}
 	service, _, _ := strings.Cut(strings.TrimPrefix(q.Path, "/"), "/")
 	subject := &jayrule.Subject{
-		Kind:    jayrule.AboutRequest,
-		Service: service,
-		Method:  q.Method,
-		Path:    q.Path,
-		Header:  func(name string) string { return q.Header[name] },
-		Caller:  q.Caller,
-		Time:    at,
+		Kind:        jayrule.AboutRequest,
+		Service:     service,
+		Method:      q.Method,
+		Path:        q.Path,
+		Header:      func(name string) string { return q.Header[name] },
+		Caller:      q.Caller,
+		Priority:    q.Header["Jaythread-Priority"],
+		PoolStateOf: func(pool string) string { return q.PoolStates[pool] },
+		Time:        at,
 	}
 	answer := &Explained{Traces: config.Rules.Explain(subject), Action: "refused: no rule matches"}
 	action, rule := config.Decide(subject)
--- a/jayapi/types.go
+++ b/jayapi/types.go
@@ -142,6 +142,8 @@
 	Header map[string]string `json:"header"`
 	// Time is HH:MM in the configuration's time zone; empty is now.
 	Time string `json:"time"`
+	// PoolStates are the states of pools; an entry fills in the present ones.
+	PoolStates map[string]string `json:"poolStates"`
 }
 
 // Explained says which rule decides, and why the earlier ones did not.
--- a/jaybench/bench_test.go
+++ b/jaybench/bench_test.go
@@ -273,3 +273,50 @@
 	b.ReportMetric(float64(latencies[len(latencies)/2].Microseconds()), "p50µs")
 	b.ReportMetric(float64(latencies[len(latencies)*99/100].Microseconds()), "p99µs")
 }
+
+// BenchmarkInForce is the time from an operator's call until all of 8 entries
+// decide by the new revision, with 1.5 ms for each call of the log service.
+func BenchmarkInForce(b *testing.B) {
+	p := &platform{LogService: jaystandin.NewLogService()}
+	p.SetFaults(jaystandin.LogFaults{Delay: 1500 * time.Microsecond})
+	var entries []*jayentry.Entry
+	var operators string
+	for range 8 {
+		o := jayoptions.New()
+		for _, addr := range []*string{&o.CallerAddr, &o.OperatorAddr, &o.PeerAddr} {
+			*addr = freeAddr(b)
+		}
+		o.StopGrace = 0
+		e, err := jayentry.New(o, p, logr.Discard())
+		if err != nil {
+			b.Fatal(err)
+		}
+		if err := e.Start(context.Background()); err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { _ = e.Stop() })
+		entries = append(entries, e)
+		operators = "http://" + o.OperatorAddr
+	}
+	client := jayapi.NewClient(operators, "", "bench")
+	revision := uint64(0)
+	var took []time.Duration
+	for b.Loop() {
+		began := time.Now()
+		decided, err := client.Publish(jayapi.Publish{Replaces: revision, Message: "bench", Document: document})
+		if err != nil {
+			b.Fatal(err)
+		}
+		revision = decided.Revision
+		for _, e := range entries {
+			for e.Revisions()[e.Self()] < revision {
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
+		took = append(took, time.Since(began))
+		time.Sleep(50 * time.Millisecond) // 20 changes a second at the most
+	}
+	sort.Slice(took, func(i, j int) bool { return took[i] < took[j] })
+	b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "p50ms")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds())/1000, "p99ms")
+}
--- a/jaycli/cli_test.go
+++ b/jaycli/cli_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"net"
 	"os"
 	"path/filepath"
@@ -61,6 +62,19 @@
 	}
 }
 
+func TestDemoExitsWithOneOnABrokenPromise(t *testing.T) {
+	is := is.New(t)
+	code, out, errOut := call(t, "demo", "--for", "15s", "--break", "overlook")
+	is.Equal(code, ExitRefused)
+	is.True(strings.Contains(errOut, "promises broken: budgetBreaches"))
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	is.True(strings.HasPrefix(lines[0], "callers: http://127.0.0.1:"))
+	is.True(strings.HasPrefix(lines[1], "operators: http://127.0.0.1:"))
+	var report map[string]any
+	is.NoErr(json.Unmarshal([]byte(lines[len(lines)-1]), &report))
+	is.True(report["budgetBreaches"].(float64) > 0)
+}
+
 func TestTakenPort(t *testing.T) {
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/jaycli/standin.go
+++ b/jaycli/standin.go
@@ -16,7 +16,7 @@
 	return command(&cli.Command{
 		Name:        "standin",
 		Usage:       "run stand-ins of the platform: log service, instance list and workers",
-		Description: "For trials only. Faults are switched by POST to /faults/log, /faults/kill, /faults/revive and\n/faults/worker/ID. Example: jaythread standin --listen 127.0.0.1:9000",
+		Description: "For trials only. Faults are switched by POST to /faults/log, /faults/expire?stream=S&before=OFFSET,\n/faults/kill?worker=ID, /faults/revive?worker=ID and /faults/worker/ID. Example: jaythread standin --listen 127.0.0.1:9000",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:9000", Usage: "`ADDR` of the platform's interface"},
 			&cli.StringFlag{Name: "profile", Value: "mesob", Usage: "whose workers: `NAME` mesob or qalam"},
--- a/jayedge/pipe.go
+++ b/jayedge/pipe.go
@@ -105,11 +105,25 @@
 	p.active = false
 }
 
-// idle reports whether no request is under way and no byte of one has come.
+// idle reports whether no request is under way and no byte of one has come,
+// also none that the event loop has not read yet: closing a socket with unread
+// bytes would reset a request that the caller has sent already.
 func (p *pipe) idle() bool {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return !p.active && p.start == len(p.buffer)
+	quiet := !p.active && p.start == len(p.buffer)
+	p.mu.Unlock()
+	return quiet && !p.unread()
+}
+
+func (p *pipe) unread() bool {
+	p.writeMu.Lock()
+	defer p.writeMu.Unlock()
+	if p.own < 0 {
+		return false
+	}
+	var peek [1]byte
+	n, _, err := unix.Recvfrom(p.own, peek[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == nil && n > 0
 }
 
 // Read waits for bytes, the end or the deadline.
--- a/jayrule/rule.go
+++ b/jayrule/rule.go
@@ -57,6 +57,9 @@
 	Pool      string
 	Team      string
 	PoolState string
+	// PoolStateOf returns the state of a pool by name. A request has no pool
+	// before a rule routes it, so its rules ask about the pool that they name.
+	PoolStateOf func(pool string) string
 	// Time is in the configuration's time zone.
 	Time time.Time
 }
@@ -75,7 +78,7 @@
 // Decide returns the first rule that matches, or false if none does.
 func (l List) Decide(s *Subject) (*Rule, bool) {
 	for i := range l {
-		if l[i].About == s.Kind && l[i].When.mismatch(s) == "" {
+		if l[i].About == s.Kind && l[i].mismatch(s) == "" {
 			return &l[i], true
 		}
 	}
@@ -89,7 +92,7 @@
 		if l[i].About != s.Kind {
 			continue
 		}
-		why := l[i].When.mismatch(s)
+		why := l[i].mismatch(s)
 		traces = append(traces, Trace{Rule: l[i].Name, Matched: why == "", Why: why})
 		if why == "" {
 			break
@@ -110,6 +113,29 @@
 }
 
 // mismatch returns the name of the first condition that fails, or "".
+func (r *Rule) mismatch(s *Subject) string {
+	if s.Kind != AboutRequest {
+		return r.When.mismatch(s)
+	}
+	request := *s
+	if len(r.When.PoolState) > 0 && s.PoolStateOf != nil {
+		request.PoolState = s.PoolStateOf(r.namedPool())
+	}
+	if len(r.When.Pool) > 0 {
+		request.Pool = r.When.Pool[0]
+	}
+	return r.When.mismatch(&request)
+}
+
+// namedPool is the pool whose state a request's rule asks about: the one that
+// when names, or else the one that it routes to.
+func (r *Rule) namedPool() string {
+	if len(r.When.Pool) > 0 {
+		return r.When.Pool[0]
+	}
+	return r.Then.Route
+}
+
 func (w *When) mismatch(s *Subject) string {
 	for _, c := range w.conditions(s) {
 		if len(c.allowed) > 0 && !matchesAny(c.allowed, c.value) {
--- a/jayrule/rule_test.go
+++ b/jayrule/rule_test.go
@@ -45,6 +45,29 @@
 	}
 }
 
+func TestRequestAsksAboutItsPool(t *testing.T) {
+	is := is.New(t)
+	list := List{
+		{Name: "browseNot", About: AboutRequest, When: When{Path: []string{"/catalogue/*"}, Pool: []string{"seats"}, PoolState: []string{"broken"}}, Then: Then{Refuse: "later"}},
+		{Name: "urgent", About: AboutRequest, When: When{Priority: []string{"urgent"}}, Then: Then{Route: "seats"}},
+		{Name: "tight", About: AboutRequest, When: When{PoolState: []string{"tight", "broken"}}, Then: Then{Route: "catalogue"}},
+	}
+	decide := func(seats, catalogue, priority string) string {
+		rule, ok := list.Decide(&Subject{
+			Kind: AboutRequest, Path: "/catalogue/1", Priority: priority,
+			PoolStateOf: func(pool string) string { return map[string]string{"seats": seats, "catalogue": catalogue}[pool] },
+		})
+		if !ok {
+			return ""
+		}
+		return rule.Name
+	}
+	is.Equal(decide("broken", "holds", ""), "browseNot")
+	is.Equal(decide("holds", "tight", ""), "tight")
+	is.Equal(decide("holds", "holds", ""), "")
+	is.Equal(decide("tight", "holds", "urgent"), "urgent")
+}
+
 func TestShadowed(t *testing.T) {
 	is := is.New(t)
 	list := List{
--- a/jayserve/server.go
+++ b/jayserve/server.go
@@ -21,6 +21,8 @@
 const (
 	HeaderKey  = "Idempotency-Key"
 	HeaderPool = "Jaythread-Pool"
+	// HeaderPriority is what a caller says of its request; rules may heed it.
+	HeaderPriority = "Jaythread-Priority"
 )
 
 // View is what requests are decided by. It is replaced as a whole, so that a
@@ -166,13 +168,15 @@
 func describe(ctx *fasthttp.RequestCtx, view *View, caller string, now time.Time) *jayrule.Subject {
 	path := string(ctx.Path())
 	return &jayrule.Subject{
-		Kind:    jayrule.AboutRequest,
-		Service: firstPart(path),
-		Method:  string(ctx.Method()),
-		Path:    path,
-		Header:  func(name string) string { return string(ctx.Request.Header.Peek(name)) },
-		Caller:  caller,
-		Time:    now.In(view.Config.Location()),
+		Kind:        jayrule.AboutRequest,
+		Service:     firstPart(path),
+		Method:      string(ctx.Method()),
+		Path:        path,
+		Header:      func(name string) string { return string(ctx.Request.Header.Peek(name)) },
+		Caller:      caller,
+		Priority:    string(ctx.Request.Header.Peek(HeaderPriority)),
+		PoolStateOf: func(pool string) string { return view.States[pool] },
+		Time:        now.In(view.Config.Location()),
 	}
 }
 
--- a/jaystandin/server.go
+++ b/jaystandin/server.go
@@ -105,10 +105,13 @@
 	case "kill":
 		p.Fleet.Kill(worker)
 		answer(ctx, struct{}{}, nil)
+	case "expire":
+		p.Log.Expire(string(ctx.QueryArgs().Peek("stream")), number(ctx, "before"))
+		answer(ctx, struct{}{}, nil)
 	case "revive":
 		answer(ctx, struct{}{}, refused(p.Fleet.Revive(worker)))
 	default:
-		ctx.Error("faults are log, kill, revive, worker/ID", fasthttp.StatusNotFound)
+		ctx.Error("faults are log, expire, kill, revive, worker/ID", fasthttp.StatusNotFound)
 	}
 }
 
