The view's freshness counts, not the log's; measures in the metrics

Cause: a trial with separate processes, one stopped for 8 s in mid-wave: one request reached a worker that had left. The entry had read the log and heard peers, both fresh, before its view was made anew. Ruled out: the lease's bound (2 s, the pause was 8), a late notice (peers had told it), the worker (it counted by its own clock). Change: a view is fresh if a read found nothing beyond it, or a majority that was heard was not ahead of it.

--- a/jayentry/backend.go
+++ b/jayentry/backend.go
@@ -73,7 +73,7 @@
 // on that. While the log is down for all, the majority is heard and serving
 // goes on.
 func (e *Entry) viewUsable() bool {
-	return e.stateFollower.Age() <= viewLease || e.members.Majority()
+	return time.Since(e.router.FreshAt()) <= viewLease || e.members.Confirmed()
 }
 
 // View returns the view that requests are decided by.
--- a/jayentry/metrics.go
+++ b/jayentry/metrics.go
@@ -28,9 +28,29 @@
 	m.Counter("jaythread_claims_refused_total", "Keyed requests refused because their claim could not be made safe.", func() float64 { return float64(e.claimer.Counters().Refused) })
 	m.Counter("jaythread_state_appends_total", "Appends to the state stream by this entry.", func() float64 { return float64(e.store.committer.Appends()) })
 	m.Counter("jaythread_claim_appends_total", "Appends to the claims stream by this entry.", func() float64 { return float64(e.claimLog.committer.Appends()) })
+	m.Counter("jaythread_instance_moves_total", "Instances that were told to move to another pool.", func() float64 { return float64(e.measures().InstanceMoves) })
+	m.Counter("jaythread_task_moves_total", "Tasks that moved to another instance.", func() float64 { return float64(e.measures().TaskMoves) })
+	m.Gauge("jaythread_last_roll_out_seconds", "Time from start to end of the last wave that was done.", func() float64 { return e.measures().LastRollOut.Seconds() })
+	m.Gauge("jaythread_budget_broken_pools", "Pools with fewer available instances than their budget asks for.", e.brokenPools)
 	m.PoolGauges(e.poolSamples)
 }
 
+func (e *Entry) measures() jaystate.Measures {
+	var measures jaystate.Measures
+	e.store.Read(func(s *jaystate.State) { measures = s.Measures })
+	return measures
+}
+
+func (e *Entry) brokenPools() float64 {
+	broken := 0
+	for _, p := range e.poolSamples() {
+		if p.Available < p.MinAvailable {
+			broken++
+		}
+	}
+	return float64(broken)
+}
+
 func (e *Entry) poolSamples() []jaymetric.PoolSample {
 	v := e.router.View()
 	if v == nil {
--- a/jayentry/peers.go
+++ b/jayentry/peers.go
@@ -24,6 +24,9 @@
 // peerHealth is what this entry last heard of a member.
 type peerHealth struct {
 	heard time.Time
+	// agreed is when the peer was last heard without being ahead of the view
+	// here.
+	agreed time.Time
 	// asked is when the peer's own heartbeat last came.
 	asked    time.Time
 	offset   uint64
@@ -242,8 +245,13 @@
 }
 
 func (m *Membership) heard(entry string, h peerHealth) {
+	offset, _ := m.position()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	h.agreed = m.health[entry].agreed
+	if h.offset <= offset {
+		h.agreed = h.heard
+	}
 	m.health[entry] = h
 }
 
@@ -292,12 +300,23 @@
 // Majority reports whether this entry has heard from a majority of the
 // members, itself included, within the view lease.
 func (m *Membership) Majority() bool {
+	return m.majority(func(h peerHealth) time.Time { return h.heard })
+}
+
+// Confirmed reports whether a majority was heard within the view lease that
+// was not ahead of this entry's view. To hear peers is not enough: an entry that
+// wakes from a pause hears them at once, and its view is old.
+func (m *Membership) Confirmed() bool {
+	return m.majority(func(h peerHealth) time.Time { return h.agreed })
+}
+
+func (m *Membership) majority(when func(peerHealth) time.Time) bool {
 	others := m.Others()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	heard := 1
 	for _, member := range others {
-		if m.now().Sub(m.health[member.Entry].heard) <= viewLease {
+		if m.now().Sub(when(m.health[member.Entry])) <= viewLease {
 			heard++
 		}
 	}
--- a/jayentry/router.go
+++ b/jayentry/router.go
@@ -79,6 +79,22 @@
 	return v.Offset
 }
 
+// FreshAt returns when the view was last known to be the newest. A view that is
+// behind the state is as old as when it was made, however lately the log was
+// read: an entry that wakes from a pause reads the log before it has made its
+// view anew.
+func (r *Router) FreshAt() time.Time {
+	v := r.view.Load()
+	if v == nil {
+		return time.Time{}
+	}
+	offset, at := r.store.Fresh()
+	if v.Offset < offset {
+		return v.FreshAt
+	}
+	return at
+}
+
 // Workers returns a copy of the instance list.
 func (r *Router) Workers() map[string]jayplatform.Instance {
 	r.mu.Lock()
@@ -171,6 +187,7 @@
 		States:      map[string]string{},
 		Connections: map[string]int{},
 	}
+	_, next.FreshAt = r.store.Fresh()
 	r.store.Read(func(s *jaystate.State) { r.fill(next, s) })
 	if next.Config == nil {
 		return
--- a/jayentry/state_test.go
+++ b/jayentry/state_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"jaythread/jayplatform"
 	"jaythread/jaystandin"
 	"jaythread/jaystate"
 	"jaythread/jayverdict"
@@ -282,6 +283,46 @@
 	})
 }
 
+func TestEntryThatWakesFromAPause(t *testing.T) {
+	// Symptom: a worker that has left gets a request ten seconds later (seen
+	// with a process that was stopped and continued in the middle of a wave).
+	// Sequence: an entry is paused; the others go on; it wakes, reads the log
+	// and hears its peers, and serves before its view is made anew.
+	// Cause: the log's freshness was taken for the view's.
+	t.Run("the log was read, the view not made anew", func(t *testing.T) {
+		inWorld(t, 3, func(w *world) {
+			is := is.New(w.t)
+			e := w.nodes[0].entry
+			w.nodes[0].set(func(n *node) { n.cutPeer = true })
+			w.nodes[0].cancel() // its duties stand still
+			time.Sleep(10 * time.Second)
+			is.True(!e.viewUsable())
+			next := jayplatform.Record{Offset: e.store.From(), Data: nil}
+			e.store.Take(jayplatform.Page{Next: next.Offset + 1, Records: []jayplatform.Record{next}}, time.Now(), true)
+			is.True(!e.viewUsable())
+			e.router.rebuild()
+			is.True(e.viewUsable())
+		})
+	})
+	t.Run("peers are heard that are ahead", func(t *testing.T) {
+		inWorld(t, 3, func(w *world) {
+			is := is.New(w.t)
+			woken := w.nodes[2]
+			woken.set(func(n *node) { n.cutLog, n.cutPeer = true, true })
+			time.Sleep(10 * time.Second)
+			offset := woken.entry.router.Offset()
+			for _, other := range w.nodes[:2] {
+				woken.entry.members.HandleHeartbeat(other.entry.Self(), &jaywire.Heartbeat{Offset: offset + 1}, 0, func(string) {})
+			}
+			is.True(!woken.entry.viewUsable())
+			for _, other := range w.nodes[:2] {
+				woken.entry.members.HandleHeartbeat(other.entry.Self(), &jaywire.Heartbeat{Offset: offset}, 0, func(string) {})
+			}
+			is.True(woken.entry.viewUsable())
+		})
+	})
+}
+
 func TestDrainWaitsForAnEntryThatMayStillRoute(t *testing.T) {
 	// Symptom: an instance reboots with requests in flight.
 	// Sequence: one entry is cut off from the log but serves with a majority
--- a/jayentry/store.go
+++ b/jayentry/store.go
@@ -37,9 +37,11 @@
 	// changed tells the duties that follow the state.
 	changed []*jayring.Ring[uint64]
 
-	mu            sync.Mutex
-	state         *jaystate.State
-	caughtUp      bool
+	mu       sync.Mutex
+	state    *jaystate.State
+	caughtUp bool
+	// freshAt is when the read began that found nothing beyond the state.
+	freshAt       time.Time
 	sinceSnapshot int
 	snapshotEvery int
 	snapshotDue   *jayring.Ring[*jaywire.Snapshot]
@@ -108,6 +110,14 @@
 	return s.state.Offset
 }
 
+// Fresh returns the state's offset and since when nothing newer than it was
+// known to stand in the log.
+func (s *Store) Fresh() (offset uint64, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Offset, s.freshAt
+}
+
 // CaughtUp reports whether the store has once reached the stream's end, or
 // has a peer's state.
 func (s *Store) CaughtUp() bool {
@@ -128,6 +138,9 @@
 		outcomes = append(outcomes, decided...)
 	}
 	s.caughtUp = s.caughtUp || caughtUp
+	if caughtUp {
+		s.freshAt = readBegan
+	}
 	s.sinceSnapshot += len(page.Records)
 	s.snapshotIfDue()
 	offset := s.state.Offset
--- a/jayserve/server.go
+++ b/jayserve/server.go
@@ -30,8 +30,11 @@
 type View struct {
 	Revision uint64
 	Offset   uint64
-	Config   *jayconfig.Configuration
-	Pools    map[string]*jayroute.Pool
+	// FreshAt is when the state behind the view was last known to be the
+	// newest, at the time when the view was made.
+	FreshAt time.Time
+	Config  *jayconfig.Configuration
+	Pools   map[string]*jayroute.Pool
 	// States holds the word that rules use for each pool's standing.
 	States map[string]string
 	// Connections is this entry's share of an upstream's connections, by pool.
--- a/jaystate/fold.go
+++ b/jaystate/fold.go
@@ -94,9 +94,9 @@
 	case *jaywire.Command_QuarantineInstance:
 		return s.quarantine(c.Base, body.QuarantineInstance, e)
 	case *jaywire.Command_StartWave:
-		return s.startWave(body.StartWave, e)
+		return s.startWave(c, body.StartWave, e)
 	case *jaywire.Command_SetWavePhase:
-		return s.setWavePhase(c.Base, body.SetWavePhase, e)
+		return s.setWavePhase(c, body.SetWavePhase, e)
 	case *jaywire.Command_StartStep:
 		return s.startStep(offset, c.Base, body.StartStep, e)
 	case *jaywire.Command_AdvanceStep:
--- a/jaystate/fold_fleet.go
+++ b/jaystate/fold_fleet.go
@@ -53,7 +53,11 @@
 	}
 	e.Before = i.Pool
 	move := jaypool.Move{ToPool: d.ToPool, Fence: offset, Lent: d.Lent}
-	return s.Fleet.DrainForMove(d.Instance, move, base, s.budget(i.Pool))
+	if err := s.Fleet.DrainForMove(d.Instance, move, base, s.budget(i.Pool)); err != nil {
+		return err
+	}
+	s.Measures.InstanceMoves++
+	return nil
 }
 
 func (s *State) detach(base uint64, d *jaywire.DetachInstance, e *jaywire.AuditEntry) error {
--- a/jaystate/fold_job.go
+++ b/jaystate/fold_job.go
@@ -54,6 +54,8 @@
 	}
 	task.Instance = ""
 	switch t.Outcome {
+	case "moved":
+		s.Measures.TaskMoves++
 	case "failed":
 		task.FailedOn = append(task.FailedOn, e.Before)
 	case "cancelled":
--- a/jaystate/fold_test.go
+++ b/jaystate/fold_test.go
@@ -226,6 +226,24 @@
 	is.Equal(s.Tasks[TaskKey{Job: "index"}].Instance, "seats-1")
 }
 
+func TestMeasures(t *testing.T) {
+	is := is.New(t)
+	s := newState(t)
+	move := &jaywire.Command{Base: 1, Body: &jaywire.Command_DrainForMove{DrainForMove: &jaywire.DrainForMove{Instance: "seats-0", ToPool: "fees"}}}
+	done := setWave("w", 1, jaywire.WavePhase_WAVE_PHASE_DONE, true)
+	done.UnixMillis = 90_000
+	for _, o := range feed(t, s, move, done) {
+		is.NoErr(o.Err)
+	}
+	is.Equal(s.Measures.InstanceMoves, uint64(1))
+	is.Equal(s.Measures.LastRollOut.Seconds(), 90.0)
+	snapshot, err := s.Snapshot()
+	is.NoErr(err)
+	loaded, err := Load(snapshot)
+	is.NoErr(err)
+	is.Equal(loaded.Measures, s.Measures)
+}
+
 func TestSnapshot(t *testing.T) {
 	t.Run("restores the same state", func(t *testing.T) {
 		is := is.New(t)
--- a/jaystate/fold_wave.go
+++ b/jaystate/fold_wave.go
@@ -3,12 +3,13 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"jaythread/jaypool"
 	"jaythread/jaywire"
 )
 
-func (s *State) startWave(w *jaywire.StartWave, e *jaywire.AuditEntry) error {
+func (s *State) startWave(c *jaywire.Command, w *jaywire.StartWave, e *jaywire.AuditEntry) error {
 	e.Kind = "wave"
 	e.Subject = w.Wave
 	e.After = "running"
@@ -33,6 +34,8 @@
 		Pools:   slices.Compact(pools),
 		Phase:   jaywire.WavePhase_WAVE_PHASE_RUNNING,
 		Version: 1,
+
+		StartedUnixMillis: c.UnixMillis,
 	})
 	s.forgetEndedWaves()
 	return nil
@@ -54,7 +57,7 @@
 	})
 }
 
-func (s *State) setWavePhase(base uint64, p *jaywire.SetWavePhase, e *jaywire.AuditEntry) error {
+func (s *State) setWavePhase(c *jaywire.Command, p *jaywire.SetWavePhase, e *jaywire.AuditEntry) error {
 	e.Kind = "wave"
 	e.Subject = p.Wave
 	e.After = phaseWord(p.Phase)
@@ -63,8 +66,8 @@
 		return fmt.Errorf("%w: wave %s", ErrNoSuch, p.Wave)
 	}
 	e.Before = phaseWord(w.Phase)
-	if w.Version != base {
-		return fmt.Errorf("%w: wave %s is at %d, the command was based on %d", jaypool.ErrStaleVersion, w.ID, w.Version, base)
+	if w.Version != c.Base {
+		return fmt.Errorf("%w: wave %s is at %d, the command was based on %d", jaypool.ErrStaleVersion, w.ID, w.Version, c.Base)
 	}
 	if !w.Active() {
 		return fmt.Errorf("%w: wave %s is %s", ErrState, w.ID, phaseWord(w.Phase))
@@ -83,6 +86,10 @@
 	if p.Phase == jaywire.WavePhase_WAVE_PHASE_DONE && s.open(w) > 0 {
 		return fmt.Errorf("%w: wave %s has steps under way", ErrState, w.ID)
 	}
+	if p.Phase == jaywire.WavePhase_WAVE_PHASE_DONE {
+		took := c.UnixMillis - w.StartedUnixMillis
+		s.Measures.LastRollOut = time.Duration(took) * time.Millisecond
+	}
 	w.Phase = p.Phase
 	w.Automatic = p.Automatic
 	w.Version++
--- a/jaystate/snapshot.go
+++ b/jaystate/snapshot.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -67,6 +68,11 @@
 		Planner:   &jaywire.PlannerState{Entry: s.Planner.Entry, Term: s.Planner.Term},
 		Audit:     s.audit,
 		RecentIds: s.recentIDs,
+		Measures: &jaywire.Measures{
+			InstanceMoves:     s.Measures.InstanceMoves,
+			TaskMoves:         s.Measures.TaskMoves,
+			LastRollOutMillis: s.Measures.LastRollOut.Milliseconds(),
+		},
 		Configuration: &jaywire.ConfigurationState{
 			Revision: s.Revision.Number,
 			Document: s.Revision.Document,
@@ -118,7 +124,7 @@
 }
 
 func waveMessage(w *Wave) *jaywire.WaveState {
-	m := &jaywire.WaveState{Id: w.ID, Pools: w.Pools, Phase: w.Phase, Automatic: w.Automatic, Version: w.Version}
+	m := &jaywire.WaveState{Id: w.ID, Pools: w.Pools, Phase: w.Phase, Automatic: w.Automatic, Version: w.Version, StartedUnixMillis: w.StartedUnixMillis}
 	for _, step := range w.Steps {
 		m.Steps = append(m.Steps, &jaywire.StepState{Instance: step.Instance, Phase: step.Phase, Fence: step.Fence, Boots: step.Boots})
 	}
@@ -129,6 +135,11 @@
 	s := New()
 	s.Offset = m.Offset
 	s.audit = m.Audit
+	s.Measures = Measures{
+		InstanceMoves: m.Measures.GetInstanceMoves(),
+		TaskMoves:     m.Measures.GetTaskMoves(),
+		LastRollOut:   time.Duration(m.Measures.GetLastRollOutMillis()) * time.Millisecond,
+	}
 	if err := s.restoreConfiguration(m.Configuration); err != nil {
 		return nil, err
 	}
@@ -193,7 +204,7 @@
 }
 
 func waveOf(w *jaywire.WaveState) *Wave {
-	wave := &Wave{ID: w.Id, Pools: w.Pools, Phase: w.Phase, Automatic: w.Automatic, Version: w.Version}
+	wave := &Wave{ID: w.Id, Pools: w.Pools, Phase: w.Phase, Automatic: w.Automatic, Version: w.Version, StartedUnixMillis: w.StartedUnixMillis}
 	for _, step := range w.Steps {
 		wave.Steps = append(wave.Steps, Step{Instance: step.Instance, Phase: step.Phase, Fence: step.Fence, Boots: step.Boots})
 	}
--- a/jaystate/state.go
+++ b/jaystate/state.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"jaythread/jayconfig"
 	"jaythread/jayjob"
@@ -66,6 +67,8 @@
 	Automatic bool
 	Version   uint64
 	Steps     []Step
+	// StartedUnixMillis is by the clock of who proposed the start.
+	StartedUnixMillis int64
 }
 
 // Active reports whether the wave has not ended.
@@ -79,6 +82,15 @@
 	Replica int32
 }
 
+// Measures count what operators measure, since the first record.
+type Measures struct {
+	InstanceMoves uint64
+	TaskMoves     uint64
+	// LastRollOut is how long the last wave that was done took, by its
+	// proposers' clocks.
+	LastRollOut time.Duration
+}
+
 // State is the folded state. Only Apply changes it.
 type State struct {
 	// Offset is the next offset to fold.
@@ -90,6 +102,7 @@
 	Waves    []*Wave
 	Tasks    map[TaskKey]*jayjob.Task
 	Parked   map[string]string
+	Measures Measures
 
 	audit     []*jaywire.AuditEntry
 	recent    map[string]struct{}
