--- a/jaydemo/demo.go
+++ b/jaydemo/demo.go
@@ -284,7 +284,9 @@
 		InstanceMoves:       seen.InstanceMoves,
 		JobMoves:            seen.JobMoves,
 		ConfigInForceMillis: float64(d.inForce.Microseconds()) / 1000,
-		LogAppends:          d.platform.Log.Appends(jayentry.StateStream) + d.platform.Log.Appends(jayentry.ClaimStream),
+		StateAppends:        d.platform.Log.Appends(jayentry.StateStream),
+		ClaimAppends:        d.platform.Log.Appends(jayentry.ClaimStream),
+		SnapshotAppends:     d.platform.Log.Appends(jayentry.SnapshotStream),
 		P50Millis:           float64(d.callers.latency.ValueAtQuantile(50)) / 1000,
 		P99Millis:           float64(d.callers.latency.ValueAtQuantile(99)) / 1000,
 	}
--- a/jaydemo/report.go
+++ b/jaydemo/report.go
@@ -29,7 +29,9 @@
 	InstanceMoves       int     `json:"instanceMoves"`
 	JobMoves            int     `json:"jobMoves"`
 	ConfigInForceMillis float64 `json:"configInForceMillis"`
-	LogAppends          int     `json:"logAppends"`
+	StateAppends        int     `json:"stateAppends"`
+	ClaimAppends        int     `json:"claimAppends"`
+	SnapshotAppends     int     `json:"snapshotAppends"`
 	P50Millis           float64 `json:"p50Millis"`
 	P99Millis           float64 `json:"p99Millis"`
 }
