Remove what nobody calls

Cause, found reading as a newcomer: an interface asked for a method that nobody used, and a comment ran over its line.

--- a/jayentry/backend.go
+++ b/jayentry/backend.go
@@ -88,11 +88,6 @@
 	return v, nil
 }
 
-// Stopping reports whether this entry is about to end.
-func (e *Entry) Stopping() bool {
-	return e.stopping.Load()
-}
-
 // NoteLeaving learns from an upstream or a peer that an upstream leaves.
 func (e *Entry) NoteLeaving(upstream string) {
 	if e.members.NoteLeaving(upstream) {
--- a/jayentry/entry.go
+++ b/jayentry/entry.go
@@ -242,8 +242,9 @@
 
 const joinPause = 500 * time.Millisecond
 
-// keepJoined shares out the appends by the number of members, and proposes to join until the state shows it, and again if another
-// entry took this one for ended.
+// keepJoined proposes to join until the state shows it, and again if another
+// entry took this one for ended. With each look it shares out the claims'
+// appends by the number of members.
 func (e *Entry) keepJoined(ctx context.Context) {
 	for ctx.Err() == nil {
 		members := len(e.members.Others()) + 1
--- a/jayserve/server.go
+++ b/jayserve/server.go
@@ -47,8 +47,6 @@
 	View() (*View, *jayverdict.Error)
 	// NoteLeaving learns that an upstream takes no more work.
 	NoteLeaving(upstream string)
-	// Stopping reports whether this entry is about to end.
-	Stopping() bool
 }
 
 // Observer counts what happened to requests.
--- a/jayserve/server_test.go
+++ b/jayserve/server_test.go
@@ -35,7 +35,6 @@
 }
 
 func (s *source) NoteLeaving(string) {}
-func (s *source) Stopping() bool     { return false }
 
 // observer counts retries.
 type observer struct {
