Say in the audit trail what stood before

And two benchmarks started entries in the same lines. Change: before and after for each; one function starts an entry.

--- a/jaybench/bench_test.go
+++ b/jaybench/bench_test.go
@@ -73,6 +73,18 @@
 			ID: fmt.Sprint("seats-", n), Kind: jayplatform.Worker, State: jayplatform.Live, Addr: addr, Rack: fmt.Sprint(n),
 		})
 	}
+	e, o := start(b, p, eventLoops)
+	client := jayapi.NewClient("http://"+o.OperatorAddr, "", "bench")
+	if _, err := client.Publish(jayapi.Publish{Message: "bench", Document: document}); err != nil {
+		b.Fatal(err)
+	}
+	awaitServing(b, o.CallerAddr)
+	return o.CallerAddr, e
+}
+
+// start starts an entry instance on free addresses.
+func start(b testing.TB, p *platform, eventLoops int) (*jayentry.Entry, *jayoptions.Options) {
+	b.Helper()
 	o := jayoptions.New()
 	o.EventLoops = eventLoops
 	for _, addr := range []*string{&o.CallerAddr, &o.OperatorAddr, &o.PeerAddr} {
@@ -87,12 +99,7 @@
 		b.Fatal(err)
 	}
 	b.Cleanup(func() { _ = e.Stop() })
-	client := jayapi.NewClient("http://"+o.OperatorAddr, "", "bench")
-	if _, err := client.Publish(jayapi.Publish{Message: "bench", Document: document}); err != nil {
-		b.Fatal(err)
-	}
-	awaitServing(b, o.CallerAddr)
-	return o.CallerAddr, e
+	return e, o
 }
 
 func freeAddr(b testing.TB) string {
@@ -282,19 +289,7 @@
 	var entries []*jayentry.Entry
 	var operators string
 	for range 8 {
-		o := jayoptions.New()
-		for _, addr := range []*string{&o.CallerAddr, &o.OperatorAddr, &o.PeerAddr} {
-			*addr = freeAddr(b)
-		}
-		o.StopGrace = 0
-		e, err := jayentry.New(o, p, logr.Discard())
-		if err != nil {
-			b.Fatal(err)
-		}
-		if err := e.Start(context.Background()); err != nil {
-			b.Fatal(err)
-		}
-		b.Cleanup(func() { _ = e.Stop() })
+		e, o := start(b, p, 1)
 		entries = append(entries, e)
 		operators = "http://" + o.OperatorAddr
 	}
--- a/jaystate/fold_fleet.go
+++ b/jaystate/fold_fleet.go
@@ -76,14 +76,12 @@
 func (s *State) report(r *jaywire.ReportInstance, e *jaywire.AuditEntry) error {
 	e.Kind = "health"
 	e.Subject = r.Instance
-	e.After = "healthy"
-	if r.Failed {
-		e.After = "failed"
-	}
+	e.After = healthWord(r.Failed)
 	i, err := s.instance(r.Instance)
 	if err != nil {
 		return err
 	}
+	e.Before = healthWord(i.Failed)
 	if i.Failed == r.Failed {
 		return fmt.Errorf("%w: %s is %s already", ErrState, r.Instance, e.After)
 	}
@@ -93,14 +91,12 @@
 func (s *State) quarantine(base uint64, q *jaywire.QuarantineInstance, e *jaywire.AuditEntry) error {
 	e.Kind = "quarantine"
 	e.Subject = q.Instance
-	e.After = "quarantined"
-	if q.Lifted {
-		e.After = "lifted"
-	}
+	e.After = quarantineWord(!q.Lifted)
 	i, err := s.instance(q.Instance)
 	if err != nil {
 		return err
 	}
+	e.Before = quarantineWord(i.Quarantined)
 	if err := s.Fleet.SetQuarantined(q.Instance, !q.Lifted, base, s.budget(i.Pool)); err != nil {
 		return err
 	}
@@ -108,6 +104,20 @@
 	return nil
 }
 
+func healthWord(failed bool) string {
+	if failed {
+		return "failed"
+	}
+	return "healthy"
+}
+
+func quarantineWord(on bool) string {
+	if on {
+		return "quarantined"
+	}
+	return "in service"
+}
+
 func (s *State) instance(id string) (*jaypool.Instance, error) {
 	i, ok := s.Fleet.Instance(id)
 	if !ok {
--- a/jaystate/fold_job.go
+++ b/jaystate/fold_job.go
@@ -68,7 +68,10 @@
 	e.Kind = "job"
 	e.Subject = p.Job
 	e.After = "parked: " + p.Why
-	_, parked := s.Parked[p.Job]
+	why, parked := s.Parked[p.Job]
+	if parked {
+		e.Before = "parked: " + why
+	}
 	if parked != p.Released {
 		return fmt.Errorf("%w: job %s", ErrState, p.Job)
 	}
--- a/jaystate/fold_test.go
+++ b/jaystate/fold_test.go
@@ -226,6 +226,23 @@
 	is.Equal(s.Tasks[TaskKey{Job: "index"}].Instance, "seats-1")
 }
 
+func TestAuditSaysBeforeAndAfter(t *testing.T) {
+	is := is.New(t)
+	s := newState(t)
+	report := func(failed bool) *jaywire.Command {
+		return &jaywire.Command{Body: &jaywire.Command_ReportInstance{ReportInstance: &jaywire.ReportInstance{Instance: "seats-0", Failed: failed}}}
+	}
+	quarantine := &jaywire.Command{Base: 3, Body: &jaywire.Command_QuarantineInstance{QuarantineInstance: &jaywire.QuarantineInstance{Instance: "seats-0"}}}
+	for _, o := range feed(t, s, report(true), report(false), quarantine) {
+		is.NoErr(o.Err)
+	}
+	var words []string
+	for _, e := range s.Audit()[len(s.Audit())-3:] {
+		words = append(words, e.Before+" -> "+e.After)
+	}
+	is.Equal(words, []string{"healthy -> failed", "failed -> healthy", "in service -> quarantined"})
+}
+
 func TestMeasures(t *testing.T) {
 	is := is.New(t)
 	s := newState(t)
