--- a/jaycli/serve.go
+++ b/jaycli/serve.go
@@ -19,7 +19,7 @@
 		Usage:       "run an entry instance",
 		Description: "Example: jaythread serve --config entry.jsonc",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Usage: "settings `FILE`; without one the defaults are used"},
+			&cli.StringFlag{Name: "config", Usage: "settings `FILE`; without one the defaults are used", Sources: cli.EnvVars("JAYTHREAD_SETTINGS")},
 		},
 		Action: serve,
 	})
@@ -30,6 +30,9 @@
 	if err != nil {
 		return err
 	}
+	if options.JobService.Enabled() {
+		return serveJobs(ctx, options)
+	}
 	logger := jaylogger.New(os.Stderr, options.LogFormat, options.LogLevel)
 	platform := jayplatform.NewClient(options.PlatformURL, time.Duration(options.PlatformTimeout))
 	// The first read tells an operator at once that the address is wrong,
--- /dev/null
+++ b/jaynode/declarations.go
@@ -0,0 +1,76 @@
+package jaynode
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"jaythread/jaycatalog"
+	"jaythread/jayport"
+)
+
+// declarations follows what operators declare.
+type declarations struct {
+	formats jayport.Formats
+	logger  logr.Logger
+	catalog atomic.Pointer[jaycatalog.Catalog]
+
+	mu    sync.Mutex
+	waves map[string]declaredWave
+	now   func() time.Duration
+}
+
+// declaredWave is a wave and when this entry learned of it.
+type declaredWave struct {
+	jayport.Wave
+	since time.Duration
+}
+
+func newDeclarations(n *Node) *declarations {
+	return &declarations{formats: n.ports.Formats, logger: n.logger.WithName("catalog"), waves: map[string]declaredWave{}, now: n.clock}
+}
+
+// Reset is called before a load. The catalog in force stays until a newer one
+// is read: it never goes back.
+func (d *declarations) Reset() {}
+
+// Apply takes in an operator's record.
+func (d *declarations) Apply(r jayport.Record) {
+	declared, err := d.formats.Declared(r)
+	if err != nil {
+		d.logger.Error(err, "declaration unreadable", "key", r.Key, "offset", r.Offset)
+		return
+	}
+	switch body := declared.(type) {
+	case jayport.CatalogDeclared:
+		d.adopt(body.Catalog)
+	case jayport.WaveDeclared:
+		d.addWave(body.Wave)
+	case jayport.NothingDeclared:
+	}
+}
+
+// adopt puts a catalog in force unless a newer one is: after records have
+// expired, an older record may be read again.
+func (d *declarations) adopt(c *jaycatalog.Catalog) {
+	if present := d.catalog.Load(); present != nil && present.Revision >= c.Revision {
+		return
+	}
+	d.catalog.Store(c)
+	d.logger.Info("catalog in force", "revision", c.Revision, "queues", len(c.Queues), "pools", len(c.Pools))
+}
+
+func (d *declarations) addWave(w jayport.Wave) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, known := d.waves[w.Name]; known {
+		return
+	}
+	d.waves[w.Name] = declaredWave{Wave: w, since: d.now()}
+	d.logger.Info("wave declared", "wave", w.Name, "hosts", len(w.Hosts), "maxAtOnce", w.MaxAtOnce, "within", w.Within.String())
+}
+
+// CaughtUp is called after each read.
+func (d *declarations) CaughtUp(time.Duration) {}
--- /dev/null
+++ b/jaynode/intake.go
@@ -0,0 +1,252 @@
+package jaynode
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"jaythread/jaycatalog"
+	"jaythread/jayjournal"
+	"jaythread/jayowner"
+	"jaythread/jaypeer"
+	"jaythread/jayport"
+	"jaythread/jaysched"
+	"jaythread/jayspec"
+	"jaythread/jayverdict"
+	"jaythread/jaywire"
+)
+
+// HTTP statuses of the intake's own answers.
+const (
+	statusBadRequest  = 400
+	statusNotFound    = 404
+	statusTooMany     = 429
+	statusUnavailable = 503
+	statusTimeout     = 504
+)
+
+const (
+	// storeRetry is what a caller is told to wait while the store does not
+	// take appends: most outages last some seconds.
+	storeRetry = 2 * time.Second
+	// ownerRetry is what a caller is told to wait while a pool changes owners.
+	ownerRetry = time.Second
+	// stuckAfter is how long an append may wait for its answer before new jobs
+	// are refused at once.
+	stuckAfter = 600 * time.Millisecond
+	// askPause is between two questions about a job whose owner does not
+	// answer.
+	askPause = 30 * time.Millisecond
+)
+
+// intake is what callers ask of the job service.
+type intake struct {
+	node     *Node
+	logger   logr.Logger
+	journals []*jayjournal.Journal
+}
+
+func newIntake(n *Node) *intake {
+	i := &intake{node: n, logger: n.logger.WithName("intake")}
+	for number := range n.ports.Formats.OwnPartitions() {
+		p := n.ports.Formats.Own(topicJobs, number)
+		i.journals = append(i.journals, jayjournal.New(n.ports.Store, p, n.incarnation, 1, n.clock, i.logger, jayjournal.WithRefusals()))
+	}
+	return i
+}
+
+func (i *intake) start(ctx context.Context) {
+	for _, j := range i.journals {
+		i.node.duties.Go(func() { _ = j.Run(ctx) })
+	}
+}
+
+// Submit accepts a job: it returns nil once the job is stored. Its error is a
+// *jayverdict.Error.
+func (n *Node) Submit(job *jayspec.Job, deadline time.Duration) error {
+	started := n.clock()
+	err := n.intake.submit(job, deadline)
+	took := n.clock() - started
+	if err != nil {
+		n.intake.logger.Info("job not accepted", "job", job.ID, "queue", job.Queue, "pool", job.Pool, "took", took.String(), "error", err.Error())
+		return err
+	}
+	n.intake.logger.Info("job accepted", "job", job.ID, "queue", job.Queue, "pool", job.Pool, "took", took.String())
+	return nil
+}
+
+func (i *intake) submit(job *jayspec.Job, deadline time.Duration) error {
+	if err := job.Check(); err != nil {
+		return jayverdict.NewNotRun(statusBadRequest, err.Error(), 0)
+	}
+	value, err := encodeJob(job)
+	if err != nil {
+		return jayverdict.NewNotRun(statusBadRequest, err.Error(), 0)
+	}
+	journal := i.journals[i.node.partitionOf(job.Pool)]
+	if journal.StuckFor() > stuckAfter {
+		return jayverdict.NewNotRun(statusUnavailable, "the store does not answer", storeRetry)
+	}
+	answered := make(chan error, 1)
+	entry := jayjournal.NewEntry([]jayport.Record{{Key: jobKey(job.Pool, job.ID), Value: value}}, func(err error) { answered <- err })
+	if journal.Add(entry) != nil {
+		return jayverdict.NewNotRun(statusUnavailable, "too many jobs wait for the store", storeRetry)
+	}
+	timer := time.NewTimer(deadline)
+	defer timer.Stop()
+	select {
+	case err := <-answered:
+		return submitError(err)
+	case <-timer.C:
+	}
+	if entry.Withdraw() {
+		return jayverdict.NewNotRun(statusUnavailable, "the store does not answer", storeRetry)
+	}
+	return jayverdict.NewMayHaveRun(statusTimeout, "the store has not answered in time", nil)
+}
+
+func submitError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, jayport.ErrNotDone), errors.Is(err, jayport.ErrMalformed):
+		return jayverdict.NewNotRun(statusUnavailable, "the store turned the job away", storeRetry)
+	default:
+		return jayverdict.NewMayHaveRun(statusTimeout, "the job may be stored", err)
+	}
+}
+
+// JobState returns the state of a job; known is false if there is none. Its
+// error is a *jayverdict.Error.
+func (n *Node) JobState(queue jaycatalog.Queue, id string, deadline time.Duration) (state jaysched.State, known bool, err error) {
+	return n.askOwner(queue.Pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskJob{
+		AskJob: &jaywire.AskJob{Pool: queue.Pool, Job: id},
+	}})
+}
+
+// CancelJob cancels a job; known is false if there is none. Its error is a
+// *jayverdict.Error.
+func (n *Node) CancelJob(queue jaycatalog.Queue, id string, deadline time.Duration) (known bool, err error) {
+	_, known, err = n.askOwner(queue.Pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_CancelJob{
+		CancelJob: &jaywire.CancelJob{Pool: queue.Pool, Job: id},
+	}})
+	return known, err
+}
+
+// Pending counts the jobs of a queue that have not begun.
+func (n *Node) Pending(queue jaycatalog.Queue, deadline time.Duration) (int, error) {
+	request := &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskPending{
+		AskPending: &jaywire.AskPending{Pool: queue.Pool, Queue: queue.Name},
+	}}
+	var pending int
+	err := n.untilOwned(queue.Pool, deadline, request, func(r *jaywire.PeerResponse) bool {
+		answer := r.GetPending()
+		pending = int(answer.GetPending())
+		return answer.GetOwned()
+	})
+	return pending, err
+}
+
+func (n *Node) askOwner(pool string, deadline time.Duration, request *jaywire.PeerRequest) (state jaysched.State, known bool, err error) {
+	err = n.untilOwned(pool, deadline, request, func(r *jaywire.PeerResponse) bool {
+		answer := r.GetJob()
+		known = answer.GetKnown()
+		state = stateOf(answer.GetState())
+		return answer.GetOwned()
+	})
+	return state, known, err
+}
+
+// untilOwned asks the owner of a pool until it answers or the time passes. The
+// questions are idempotent.
+func (n *Node) untilOwned(pool string, deadline time.Duration, request *jaywire.PeerRequest, owned func(*jaywire.PeerResponse) bool) error {
+	until := n.clock() + deadline
+	for {
+		if c, ok := n.owners.of(jayowner.PoolDuty(pool)); ok {
+			response, err := n.askIncarnation(c, request)
+			if err == nil && owned(response) {
+				return nil
+			}
+		}
+		if n.clock()+askPause >= until {
+			return jayverdict.NewNotRun(statusUnavailable, "the pool has no owner that answers", ownerRetry)
+		}
+		time.Sleep(askPause)
+	}
+}
+
+// askIncarnation asks an owner, which may be this entry itself.
+func (n *Node) askIncarnation(c jayowner.Claim, request *jaywire.PeerRequest) (*jaywire.PeerResponse, error) {
+	if c.Incarnation == n.incarnation {
+		return n.handlePeer(request), nil
+	}
+	response, err := n.peers.Ask(c.Incarnation, c.PeerAddr, request)
+	if errors.Is(err, jaypeer.ErrGone) {
+		return nil, err
+	}
+	return response, err
+}
+
+// askTimeout bounds a question to a pool's goroutine.
+const askTimeout = 300 * time.Millisecond
+
+// askOwned answers for the state of a job of a pool that this entry owns.
+func (n *Node) askOwned(pool, id string) *jaywire.JobAnswer {
+	return n.answerOwned(pool, func(p *jaysched.Pool, _ time.Duration) (jaysched.State, bool) { return p.StateOf(id) })
+}
+
+// cancelOwned cancels a job of a pool that this entry owns.
+func (n *Node) cancelOwned(pool, id string) *jaywire.JobAnswer {
+	return n.answerOwned(pool, func(p *jaysched.Pool, now time.Duration) (jaysched.State, bool) {
+		known := p.Cancel(id, now)
+		return jaysched.StateCanceled, known
+	})
+}
+
+func (n *Node) answerOwned(pool string, question func(*jaysched.Pool, time.Duration) (jaysched.State, bool)) *jaywire.JobAnswer {
+	answer := &jaywire.JobAnswer{}
+	duty := n.ownedPool(pool)
+	if duty == nil || !duty.loaded.Load() {
+		return answer
+	}
+	asked := duty.ask(func() {
+		state, known := question(duty.pool, n.clock())
+		answer.Known = known
+		answer.State = jaywire.JobState(state) + jaywire.JobState_JOB_STATE_QUEUED
+	}, askTimeout)
+	if !asked {
+		return &jaywire.JobAnswer{}
+	}
+	// A job that is not known may have been handed in a moment ago.
+	answer.Owned = answer.Known || duty.current()
+	return answer
+}
+
+// current reports whether the duty's view is fresh enough to say that a job
+// does not exist: it still owns the pool, and it has read what was handed in
+// up to a moment ago.
+func (d *poolDuty) current() bool {
+	oldest := d.node.clock() - maxUnknownAge
+	return d.jobs.tail.AsOf() > oldest && d.node.owners.table.Load().asOf > oldest
+}
+
+func (n *Node) pendingOwned(pool, queue string) *jaywire.PendingAnswer {
+	duty := n.ownedPool(pool)
+	if duty == nil || !duty.loaded.Load() {
+		return &jaywire.PendingAnswer{}
+	}
+	pending := 0
+	if !duty.ask(func() { pending = duty.pool.Pending(queue) }, askTimeout) {
+		return &jaywire.PendingAnswer{}
+	}
+	return &jaywire.PendingAnswer{Owned: true, Pending: uint32(pending)}
+}
+
+func stateOf(state jaywire.JobState) jaysched.State {
+	if state == jaywire.JobState_JOB_STATE_UNSPECIFIED {
+		return jaysched.Queued
+	}
+	return jaysched.State(state - jaywire.JobState_JOB_STATE_QUEUED)
+}
--- /dev/null
+++ b/jaynode/node.go
@@ -0,0 +1,185 @@
+package jaynode
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+
+	"jaythread/jaycatalog"
+	"jaythread/jayclock"
+	"jaythread/jaypeer"
+	"jaythread/jayport"
+	"jaythread/jaytail"
+	"jaythread/jaywire"
+)
+
+// The topics that the job service keeps on the platform's store.
+const (
+	// topicJobs holds what callers have handed in, a key for each job, in the
+	// partition of the job's pool. Every entry appends to it.
+	topicJobs = "jobs"
+	// topicProgress holds how far each job has come. Only the owner of its
+	// pool appends to it.
+	topicProgress = "progress"
+	// topicOwners holds the claims of duties.
+	topicOwners = "owners"
+	// topicEntries holds the running entries.
+	topicEntries = "entries"
+	// topicBeats holds signs of life of the entries that own a duty.
+	topicBeats = "beats"
+)
+
+// Ports are what an entry uses of the platform.
+type Ports struct {
+	Store     jayport.Store
+	Workers   jayport.Workers
+	Inventory jayport.Inventory
+	Advisor   jayport.Advisor
+	Formats   jayport.Formats
+}
+
+// Node is one entry of the job service.
+type Node struct {
+	settings    Settings
+	ports       Ports
+	clock       jayclock.Clock
+	logger      logr.Logger
+	incarnation string
+
+	declarations *declarations
+	reports      *reports
+	owners       *owners
+	entries      *entries
+	intake       *intake
+	peers        *jaypeer.Client
+	peerServer   *jaypeer.Server
+
+	mu    sync.Mutex
+	pools map[string]*poolDuty
+
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+	duties   sync.WaitGroup
+}
+
+// Option changes how a node is made.
+type Option func(*Node)
+
+// WithClock replaces the boot clock, for tests.
+func WithClock(clock jayclock.Clock) Option {
+	return func(n *Node) { n.clock = clock }
+}
+
+const (
+	// peerTimeout bounds a question to a peer.
+	peerTimeout = 700 * time.Millisecond
+	// declarationsWait and ownersWait are for how long a read of the operators'
+	// declarations and of the claims may wait. A change ends the wait at once;
+	// a connection that went silent is found out after it.
+	declarationsWait = time.Second
+	ownersWait       = time.Second
+	// entriesPause is between two looks at the entries: who else runs matters
+	// only when a duty is vacant.
+	entriesPause = time.Second
+	// reportsPause is between two looks at the workers' reports. Each worker
+	// writes about every 1.5 s; a draining one must be known within 2 s.
+	reportsPause = 300 * time.Millisecond
+)
+
+// New returns a node that is not started.
+func New(settings Settings, ports Ports, logger logr.Logger, options ...Option) *Node {
+	n := &Node{
+		settings:    settings,
+		ports:       ports,
+		clock:       jayclock.Boot,
+		logger:      logger,
+		incarnation: settings.Entry + "-" + uuid.NewString()[:8],
+		pools:       map[string]*poolDuty{},
+	}
+	for _, option := range options {
+		option(n)
+	}
+	n.peers = jaypeer.NewClient(n.incarnation, peerTimeout, nil)
+	n.peerServer = jaypeer.NewServer(n.incarnation, peerTimeout, n.handlePeer)
+	n.declarations = newDeclarations(n)
+	n.reports = newReports(n)
+	n.owners = newOwners(n)
+	n.entries = newEntries(n)
+	n.intake = newIntake(n)
+	return n
+}
+
+// Start opens the peers' listener and starts the duties.
+func (n *Node) Start(ctx context.Context) error {
+	listener, err := net.Listen("tcp4", n.settings.PeerAddr)
+	if err != nil {
+		return err
+	}
+	ctx, n.cancel = context.WithCancel(ctx)
+	n.logger.Info("started", "entry", n.settings.Entry, "incarnation", n.incarnation)
+	n.duties.Go(func() { n.peerServer.Serve(listener, nil) })
+	n.follow(ctx, n.ports.Formats.Declarations(), jaytail.Options{Wait: declarationsWait}, n.declarations)
+	n.owners.tail = n.follow(ctx, n.ports.Formats.Own(topicOwners, 0), jaytail.Options{Wait: ownersWait}, n.owners)
+	n.follow(ctx, n.ports.Formats.Own(topicEntries, 0), jaytail.Options{Pause: entriesPause}, n.entries)
+	n.follow(ctx, n.ports.Formats.Reports(), jaytail.Options{Pause: reportsPause}, n.reports)
+	n.duties.Go(func() { n.entries.announce(ctx) })
+	n.duties.Go(func() { n.owners.claim(ctx) })
+	n.intake.start(ctx)
+	return nil
+}
+
+func (n *Node) follow(ctx context.Context, p jayport.Partition, options jaytail.Options, handler jaytail.Handler) *jaytail.Tail {
+	tail := jaytail.New(n.ports.Store, p, options, handler, n.clock, n.logger.WithName(p.Topic))
+	n.duties.Go(func() { tail.Run(ctx) })
+	return tail
+}
+
+// Stop gives up all duties and ends the node.
+func (n *Node) Stop(ctx context.Context) {
+	n.stopping.Store(true)
+	n.logger.Info("stopping")
+	n.owners.release(ctx)
+	n.cancel()
+	n.peerServer.Close()
+	n.peers.Close()
+	n.duties.Wait()
+	n.logger.Info("stopped")
+}
+
+// Catalog returns the catalog in force, or nil before the first one is known.
+func (n *Node) Catalog() *jaycatalog.Catalog {
+	return n.declarations.catalog.Load()
+}
+
+// Ready reports whether the entry can serve callers.
+func (n *Node) Ready() bool {
+	return n.Catalog() != nil && n.owners.known() && !n.stopping.Load()
+}
+
+// ownedPool returns the duty of a pool that this entry owns, or nil.
+func (n *Node) ownedPool(pool string) *poolDuty {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.pools[pool]
+}
+
+// handlePeer answers a question of a peer.
+func (n *Node) handlePeer(request *jaywire.PeerRequest) *jaywire.PeerResponse {
+	switch body := request.Body.(type) {
+	case *jaywire.PeerRequest_AskJob:
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Job{Job: n.askOwned(body.AskJob.Pool, body.AskJob.Job)}}
+	case *jaywire.PeerRequest_CancelJob:
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Job{Job: n.cancelOwned(body.CancelJob.Pool, body.CancelJob.Job)}}
+	case *jaywire.PeerRequest_AskPending:
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Pending{Pending: n.pendingOwned(body.AskPending.Pool, body.AskPending.Queue)}}
+	case *jaywire.PeerRequest_Ping:
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Pong{Pong: &jaywire.Pong{Stopping: n.stopping.Load()}}}
+	default:
+		return &jaywire.PeerResponse{}
+	}
+}
--- /dev/null
+++ b/jaynode/poolduty.go
@@ -0,0 +1,312 @@
+package jaynode
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"jaythread/jayjournal"
+	"jaythread/jayowner"
+	"jaythread/jayport"
+	"jaythread/jayring"
+	"jaythread/jaysched"
+	"jaythread/jayspec"
+	"jaythread/jaytail"
+)
+
+const (
+	// poolInbox bounds the events that wait for a pool's goroutine.
+	poolInbox = 8192
+	// poolTick is how often a pool looks at what time alone changes.
+	poolTick = 50 * time.Millisecond
+	// orderTimeout bounds one order to a worker; a lost one is repeated.
+	orderTimeout = 400 * time.Millisecond
+	// reportTimeout bounds a worker's report, on top of the time for which it
+	// may wait.
+	reportTimeout = 700 * time.Millisecond
+	// jobsWait is for how long a read of the jobs handed in may wait.
+	jobsWait = time.Second
+	// leaseTime is how long a worker runs on without hearing from the owner.
+	// A new owner takes over within two seconds.
+	leaseTime = 4 * time.Second
+	// partitionHash spreads the pools over the partitions.
+	maxUnknownAge = 2500 * time.Millisecond
+)
+
+// poolDuty runs the tasks of one pool, in one goroutine, as long as this entry
+// owns the pool.
+type poolDuty struct {
+	node   *Node
+	name   string
+	claim  jayowner.Claim
+	logger logr.Logger
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	inbox  *jayring.Ring[event]
+	// loaded says that the jobs and their progress are known.
+	loaded atomic.Bool
+
+	// Only the duty's goroutine uses what follows.
+	pool     *jaysched.Pool
+	journal  *jayjournal.Journal
+	jobs     *jobTail
+	flushing bool
+	orders   chan struct{}
+}
+
+// event is what a pool's goroutine takes in.
+type event func(now time.Duration)
+
+func newPoolDuty(n *Node, name string, claim jayowner.Claim) *poolDuty {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &poolDuty{
+		node:   n,
+		name:   name,
+		claim:  claim,
+		logger: n.logger.WithName("pool").WithValues("pool", name, "fence", claim.Fence),
+		ctx:    ctx,
+		cancel: cancel,
+		inbox:  jayring.New[event](poolInbox),
+	}
+	d.pool = jaysched.NewPool(name, jaysched.Settings{
+		Lease:     min(leaseTime, n.settings.MaxLease),
+		Stop:      n.settings.StopTime,
+		FarFactor: n.settings.FarFactor,
+	}, jaysched.WithFence(claim.Fence, claim.Term), jaysched.WithPolicies(n.policyOf), jaysched.WithDueTimes(n.dueAt))
+	p := n.ports.Formats.Own(topicProgress, n.partitionOf(name))
+	d.journal = jayjournal.New(n.ports.Store, p, string(claim.Duty), claim.Fence, n.clock, d.logger)
+	d.jobs = newJobTail(d)
+	return d
+}
+
+// policyOf returns the present policy of a queue.
+func (n *Node) policyOf(queue string) (jayspec.Policy, bool) {
+	c := n.Catalog()
+	if c == nil {
+		return jayspec.Policy{}, false
+	}
+	q, found := c.Queues[queue]
+	return q.Policy, found
+}
+
+// dueAt turns a time of day into the node's clock.
+func (n *Node) dueAt(t time.Time) time.Duration {
+	return n.clock() + time.Until(t)
+}
+
+// end ends the duty.
+func (d *poolDuty) end(why string) {
+	d.logger.Info("duty ended", "why", why)
+	d.cancel()
+}
+
+// run takes the pool over and works on it until the duty ends.
+func (d *poolDuty) run() {
+	defer d.node.dropPool(d)
+	if !d.takeOver() {
+		return
+	}
+	d.node.duties.Go(func() {
+		if err := d.journal.Run(d.ctx); err != nil && d.ctx.Err() == nil {
+			d.end(err.Error())
+		}
+	})
+	tail := d.jobs.tail
+	d.node.duties.Go(func() { tail.Run(d.ctx) })
+	d.loaded.Store(true)
+	tick := time.NewTicker(poolTick)
+	defer tick.Stop()
+	for d.ctx.Err() == nil {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-tick.C:
+		case <-d.inbox.Ready():
+		}
+		d.step()
+	}
+}
+
+// step takes in all waiting events and acts on what they lead to.
+func (d *poolDuty) step() {
+	for {
+		handle, ok := d.inbox.Take()
+		if !ok {
+			break
+		}
+		handle(d.node.clock())
+	}
+	now := d.node.clock()
+	for _, action := range d.pool.Decide(now) {
+		d.perform(action)
+	}
+	d.flush()
+	d.logNotes()
+}
+
+// post hands an event to the duty's goroutine. A full ring makes the sender
+// wait: an answer that is dropped would leave a run in doubt.
+func (d *poolDuty) post(e event) {
+	for !d.inbox.Offer(e) {
+		if d.ctx.Err() != nil {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// ask runs a question in the duty's goroutine and returns when it has run; it
+// returns false if the duty ended or the time passed.
+func (d *poolDuty) ask(question func(), timeout time.Duration) bool {
+	done := make(chan struct{})
+	if !d.inbox.Offer(func(time.Duration) { question(); close(done) }) {
+		return false
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-d.ctx.Done():
+		return false
+	case <-timer.C:
+		return false
+	}
+}
+
+func (d *poolDuty) workersChanged() {
+	d.post(func(now time.Duration) { d.list(now) })
+}
+
+// list hands the newest list of workers to the pool.
+func (d *poolDuty) list(now time.Duration) {
+	workers, asOf := d.node.reports.of(d.name)
+	if asOf > 0 {
+		d.pool.Listed(workers, now)
+	}
+}
+
+func (d *poolDuty) perform(action jaysched.Action) {
+	switch a := action.(type) {
+	case jaysched.StartRun:
+		go d.startRun(a)
+	case jaysched.StopRun:
+		go d.stopRun(a)
+	case jaysched.RenewLease:
+		go d.renewLease(a)
+	case jaysched.PaceRun:
+	}
+}
+
+func (d *poolDuty) startRun(a jaysched.StartRun) {
+	clock, err := d.node.ports.Workers.Start(a.To, a.Order, orderTimeout)
+	d.post(func(now time.Duration) {
+		if d.lifeOver(a.To, err, now) {
+			return
+		}
+		d.pool.StartAnswered(a.To.ID, a.Order.Run, clock, err, now)
+	})
+}
+
+func (d *poolDuty) stopRun(a jaysched.StopRun) {
+	clock, err := d.node.ports.Workers.Stop(a.To, a.Run, d.claim.Fence, orderTimeout)
+	d.post(func(now time.Duration) {
+		if d.lifeOver(a.To, err, now) {
+			return
+		}
+		d.pool.StopAnswered(a.To.ID, a.Run, clock, err, now)
+	})
+}
+
+func (d *poolDuty) renewLease(a jaysched.RenewLease) {
+	asked := d.node.clock()
+	report, err := d.node.ports.Workers.Renew(a.To, a.Order, reportTimeout)
+	d.post(func(now time.Duration) {
+		switch {
+		case d.lifeOver(a.To, err, now):
+		case err != nil:
+			d.pool.Silent(a.To.ID, now)
+		default:
+			d.pool.Reported(a.To.ID, report, asked, now)
+		}
+	})
+}
+
+// lifeOver looks at a refusal for what it says of the worker's life or of this
+// owner's fence.
+func (d *poolDuty) lifeOver(life jayport.Life, err error, now time.Duration) bool {
+	var refused *jayport.RefusedError
+	if !errors.As(err, &refused) {
+		return false
+	}
+	switch refused.Reason {
+	case jayport.RefusedOtherLife:
+		d.pool.Ended(life.ID, "another life answers", now)
+		d.node.ports.Workers.Forget(life)
+		return true
+	case jayport.RefusedFenced:
+		d.end("a worker has seen a higher fence")
+		return true
+	default:
+		return false
+	}
+}
+
+// flush records what has changed, one append at a time.
+func (d *poolDuty) flush() {
+	if d.flushing {
+		return
+	}
+	batch := d.pool.Flush()
+	if batch == nil {
+		return
+	}
+	records := d.progressRecords(batch)
+	if len(records) == 0 {
+		d.pool.Flushed(batch, d.node.clock())
+		return
+	}
+	d.flushing = true
+	entry := jayjournal.NewEntry(records, func(err error) {
+		d.post(func(now time.Duration) {
+			d.flushing = false
+			if err == nil {
+				d.pool.Flushed(batch, now)
+			}
+		})
+	})
+	if err := d.journal.Add(entry); err != nil {
+		d.logger.Error(err, "progress not recorded")
+	}
+}
+
+func (d *poolDuty) logNotes() {
+	for _, note := range d.pool.Notes() {
+		values := []any{"at", note.At.String()}
+		if note.Job != "" {
+			values = append(values, "job", note.Job)
+		}
+		if note.Worker != "" {
+			values = append(values, "worker", note.Worker)
+		}
+		if note.Run.Number > 0 {
+			values = append(values, "task", note.Run.Task.String(), "run", note.Run.Number)
+		}
+		if note.Detail != "" {
+			values = append(values, "detail", note.Detail)
+		}
+		if note.Waited > 0 {
+			values = append(values, "waited", note.Waited.String())
+		}
+		if note.Since > 0 {
+			values = append(values, "since", note.Since.String())
+		}
+		d.logger.Info(string(note.Kind), values...)
+	}
+}
+
+var _ jaytail.Handler = (*jobTail)(nil)
--- /dev/null
+++ b/jaynode/takeover.go
@@ -0,0 +1,189 @@
+package jaynode
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"jaythread/jayport"
+	"jaythread/jaysched"
+	"jaythread/jayspec"
+	"jaythread/jaytail"
+	"jaythread/jaywire"
+)
+
+// partitionOf returns the partition that holds a pool's records.
+func (n *Node) partitionOf(pool string) int {
+	return int(xxhash.Sum64String(pool) % uint64(n.ports.Formats.OwnPartitions()))
+}
+
+// jobKey is the key of a job's records.
+func jobKey(pool, id string) string {
+	return pool + "/" + id
+}
+
+// jobID returns the job of a key of the pool.
+func jobID(pool, key string) string {
+	return strings.TrimPrefix(key, pool+"/")
+}
+
+// takeOver fences the former owner off, reads what it has recorded and the
+// jobs that were handed in. It returns false if the duty ended meanwhile.
+func (d *poolDuty) takeOver() bool {
+	began := d.node.clock()
+	// Fencing comes first: what the former owner records afterwards would be
+	// missing from what is read here.
+	if err := d.journal.Fence(d.ctx); err != nil {
+		d.logger.Info("not taken over", "error", err.Error())
+		return false
+	}
+	progress, err := d.readProgress()
+	for err != nil {
+		d.logger.Info("progress not read yet", "error", err.Error())
+		sleep(d.ctx, announcePause)
+		if d.ctx.Err() != nil {
+			return false
+		}
+		progress, err = d.readProgress()
+	}
+	d.jobs.progress = progress
+	for d.jobs.tail.Step(0) != nil {
+		sleep(d.ctx, announcePause)
+		if d.ctx.Err() != nil {
+			return false
+		}
+	}
+	d.jobs.finishLoad()
+	d.list(d.node.clock())
+	d.logger.Info("taken over", "term", d.claim.Term, "jobs", d.jobs.open, "ended", len(progress)-d.jobs.open, "took", (d.node.clock() - began).String())
+	return true
+}
+
+// readProgress returns the progress records of the pool by job.
+func (d *poolDuty) readProgress() (map[string]*jaywire.JobProgress, error) {
+	c := &progressCollector{pool: d.name, byJob: map[string]*jaywire.JobProgress{}}
+	tail := jaytail.New(d.node.ports.Store, d.node.ports.Formats.Own(topicProgress, d.node.partitionOf(d.name)),
+		jaytail.Options{Prefix: d.name + "/"}, c, d.node.clock, d.logger)
+	if err := tail.Step(0); err != nil {
+		return nil, err
+	}
+	return c.byJob, c.err
+}
+
+// progressCollector collects a pool's progress records.
+type progressCollector struct {
+	pool  string
+	byJob map[string]*jaywire.JobProgress
+	err   error
+}
+
+// Reset begins a load.
+func (c *progressCollector) Reset() { clear(c.byJob) }
+
+// Apply takes in a progress record.
+func (c *progressCollector) Apply(r jayport.Record) {
+	if r.Value == nil {
+		return
+	}
+	record := &jaywire.JobProgress{}
+	if err := proto.Unmarshal(r.Value, record); err != nil {
+		c.err = fmt.Errorf("progress %s: %w", r.Key, err)
+		return
+	}
+	c.byJob[jobID(c.pool, r.Key)] = record
+}
+
+// CaughtUp is called after the load.
+func (c *progressCollector) CaughtUp(time.Duration) {}
+
+// progressRecords are the records of a batch, in the order of their keys.
+func (d *poolDuty) progressRecords(batch *jaysched.Batch) []jayport.Record {
+	var records []jayport.Record
+	for id, progress := range batch.Progress {
+		if progress.Outcome != jaywire.JobOutcome_JOB_OUTCOME_UNSPECIFIED {
+			progress.EndedUnixMillis = time.Now().UnixMilli()
+		}
+		value, err := proto.Marshal(progress)
+		if err != nil {
+			d.logger.Error(err, "progress cannot be written", "job", id)
+			continue
+		}
+		records = append(records, jayport.Record{Key: jobKey(d.name, id), Value: value})
+	}
+	slices.SortFunc(records, func(a, b jayport.Record) int { return strings.Compare(a.Key, b.Key) })
+	return records
+}
+
+// jobTail follows the jobs that are handed in for a pool.
+type jobTail struct {
+	duty *poolDuty
+	tail *jaytail.Tail
+	// progress is set while the pool is loaded.
+	progress map[string]*jaywire.JobProgress
+	loading  bool
+	open     int
+}
+
+func newJobTail(d *poolDuty) *jobTail {
+	t := &jobTail{duty: d, loading: true}
+	n := d.node
+	t.tail = jaytail.New(n.ports.Store, n.ports.Formats.Own(topicJobs, n.partitionOf(d.name)),
+		jaytail.Options{Prefix: d.name + "/", Wait: jobsWait}, t, n.clock, d.logger)
+	return t
+}
+
+// Reset begins a load. Jobs that are known stay.
+func (t *jobTail) Reset() {}
+
+// CaughtUp is called after each read.
+func (t *jobTail) CaughtUp(time.Duration) {}
+
+// Apply takes in a job. While the pool is loaded, this runs in its goroutine.
+func (t *jobTail) Apply(r jayport.Record) {
+	if r.Value == nil {
+		return
+	}
+	id := jobID(t.duty.name, r.Key)
+	job, err := decodeJob(t.duty.name, id, r.Value)
+	if err != nil {
+		t.duty.logger.Error(err, "job unreadable", "job", id, "offset", r.Offset)
+		return
+	}
+	if t.loading {
+		t.restore(job)
+		return
+	}
+	t.duty.post(func(now time.Duration) {
+		if t.duty.pool.Declare(job, now) {
+			t.duty.logger.Info("job declared", "job", id, "queue", job.Queue, "tasks", job.Tasks(), "offset", r.Offset)
+		}
+	})
+}
+
+func (t *jobTail) restore(job *jayspec.Job) {
+	pool, now := t.duty.pool, t.duty.node.clock()
+	progress := t.progress[job.ID]
+	if outcome := jaysched.OutcomeOf(progress); outcome != jaysched.Open {
+		pool.RestoreEnded(job.ID, outcome, now)
+		return
+	}
+	t.open++
+	pool.Restore(job, progress, now)
+}
+
+// finishLoad adds the ended jobs whose declarations were removed. From now on
+// the tail runs in a goroutine of its own.
+func (t *jobTail) finishLoad() {
+	now := t.duty.node.clock()
+	for id, progress := range t.progress {
+		if outcome := jaysched.OutcomeOf(progress); outcome != jaysched.Open {
+			t.duty.pool.RestoreEnded(id, outcome, now)
+		}
+	}
+	t.progress = nil
+	t.loading = false
+}
--- a/jayoptions/options.go
+++ b/jayoptions/options.go
@@ -85,6 +85,10 @@
 	StopGrace       Duration `json:"stopGrace"`
 	StopBound       Duration `json:"stopBound"`
 	PlatformTimeout Duration `json:"platformTimeout"`
+
+	// JobService turns the entry into one that schedules jobs on the users'
+	// platform.
+	JobService JobService `json:"jobService"`
 }
 
 // New returns the defaults. Every default stands here and nowhere else.
@@ -127,5 +131,7 @@
 		StopGrace:       Duration(2 * time.Second),
 		StopBound:       Duration(30 * time.Second),
 		PlatformTimeout: Duration(2 * time.Second),
+
+		JobService: newJobService(),
 	}
 }
--- a/jayoptions/options_test.go
+++ b/jayoptions/options_test.go
@@ -50,20 +50,33 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defaults := reflect.ValueOf(*New())
-	for n := range defaults.NumField() {
-		name := defaults.Type().Field(n).Tag.Get("json")
-		value := fmt.Sprint(defaults.Field(n).Interface())
-		if d, ok := defaults.Field(n).Interface().(Duration); ok {
-			value = time.Duration(d).String()
-		}
-		row := fmt.Sprintf("| `%s` | %s |", name, value)
+	for _, row := range rows("", reflect.ValueOf(*New())) {
 		if !strings.Contains(string(page), row) {
 			t.Errorf("docs/operators/settings.md lacks the row %s", row)
 		}
 	}
 }
 
+// rows are the beginnings of the page's rows, a field each; those of a group
+// are named group.field.
+func rows(group string, defaults reflect.Value) []string {
+	var all []string
+	for n := range defaults.NumField() {
+		name := group + defaults.Type().Field(n).Tag.Get("json")
+		field := defaults.Field(n)
+		if field.Kind() == reflect.Struct {
+			all = append(all, rows(name+".", field)...)
+			continue
+		}
+		value := fmt.Sprint(field.Interface())
+		if d, ok := field.Interface().(Duration); ok {
+			value = time.Duration(d).String()
+		}
+		all = append(all, fmt.Sprintf("| `%s` | %s |", name, value))
+	}
+	return all
+}
+
 func ExampleParse() {
 	_, err := Parse("entry.jsonc", []byte(`{"eventLoops": 100}`))
 	fmt.Println(err)
--- a/jayoptions/parser.go
+++ b/jayoptions/parser.go
@@ -62,6 +62,7 @@
 func (o *Options) check(d *jaydocument.Document) {
 	o.checkAddresses(d)
 	o.checkRanges(d)
+	o.JobService.check(d)
 	oneOf(d, "/logLevel", o.LogLevel, "debug", "info", "error")
 	oneOf(d, "/logFormat", o.LogFormat, "auto", "json", "text")
 	if o.PlatformURL == "" {
@@ -76,7 +77,7 @@
 		d.Add("/operatorAddr", "off loopback the operator API needs operatorToken")
 	}
 	peerOpen := address(d, "/peerAddr", o.PeerAddr)
-	if peerOpen && o.PeerCertFile == "" {
+	if peerOpen && o.PeerCertFile == "" && !o.JobService.TrustedNetwork {
 		d.Add("/peerAddr", "off loopback the peer link needs peerCertFile, peerKeyFile and peerAuthorityFile")
 	}
 	for n, seed := range o.PeerSeeds {
--- /dev/null
+++ b/jayowner/assign.go
@@ -0,0 +1,55 @@
+package jayowner
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Candidate is an entry that can carry out duties.
+type Candidate struct {
+	Incarnation string
+	// Strength is the entry's share of processors and link; duties go to the
+	// strong first.
+	Strength int64
+}
+
+// Rankings returns for each vacant duty the candidates in the order in which
+// they should claim it. All entries come to the same rankings from the same
+// table. Duties are spread: one goes to the candidate with the fewest, measured
+// against its strength.
+func Rankings(vacant []Duty, held map[string]int, candidates []Candidate) map[Duty][]string {
+	load := make(map[string]int, len(candidates))
+	for id, n := range held {
+		load[id] = n
+	}
+	duties := slices.Clone(vacant)
+	slices.Sort(duties)
+	rankings := make(map[Duty][]string, len(duties))
+	for _, d := range duties {
+		ranked := slices.Clone(candidates)
+		slices.SortFunc(ranked, func(a, b Candidate) int {
+			return cmp.Or(
+				// (load+1)/strength, without fractions.
+				cmp.Compare(int64(load[a.Incarnation]+1)*max(1, b.Strength), int64(load[b.Incarnation]+1)*max(1, a.Strength)),
+				cmp.Compare(score(d, a.Incarnation), score(d, b.Incarnation)),
+				strings.Compare(a.Incarnation, b.Incarnation),
+			)
+		})
+		ids := make([]string, 0, len(ranked))
+		for _, c := range ranked {
+			ids = append(ids, c.Incarnation)
+		}
+		rankings[d] = ids
+		if len(ids) > 0 {
+			load[ids[0]]++
+		}
+	}
+	return rankings
+}
+
+func score(d Duty, incarnation string) uint64 {
+	return xxhash.Sum64String(string(d) + "\x00" + incarnation)
+}
--- /dev/null
+++ b/jayowner/table.go
@@ -0,0 +1,144 @@
+// Package jayowner decides which entry carries out which duty. A duty is
+// claimed by a record; its offset is the claim's fence, which rises with each
+// claim. Ownership is an economy: what protects a duty's effects are the
+// fences, so that two entries that both take themselves for the owner do no
+// harm.
+package jayowner
+
+import (
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"jaythread/jayport"
+	"jaythread/jaywire"
+)
+
+// Duty names what one entry at a time does for all.
+type Duty string
+
+const poolPrefix = "pool/"
+
+// Fleet is the duty that moves and maintains instances.
+const Fleet Duty = "fleet"
+
+// PoolDuty returns the duty that runs the tasks of a pool.
+func PoolDuty(pool string) Duty {
+	return Duty(poolPrefix + pool)
+}
+
+// Pool returns the pool of a pool's duty.
+func (d Duty) Pool() (string, bool) {
+	return strings.CutPrefix(string(d), poolPrefix)
+}
+
+// Claim is the newest claim of a duty.
+type Claim struct {
+	Duty        Duty
+	Fence       int64
+	Term        int64
+	Incarnation string
+	Entry       string
+	PeerAddr    string
+	// Released says that the owner gave the duty up.
+	Released bool
+}
+
+// Table holds the newest claim of each duty.
+type Table struct {
+	claims map[Duty]Claim
+	// end is the offset after the last record that was applied.
+	end int64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{claims: map[Duty]Claim{}}
+}
+
+// Apply takes in a record. A record that cannot be read is no claim.
+func (t *Table) Apply(r jayport.Record) error {
+	t.end = max(t.end, r.Offset+1)
+	duty := Duty(r.Key)
+	if r.Value == nil {
+		delete(t.claims, duty)
+		return nil
+	}
+	var claim jaywire.OwnerClaim
+	if err := proto.Unmarshal(r.Value, &claim); err != nil {
+		return err
+	}
+	fence := FenceOf(r.Offset)
+	if t.claims[duty].Fence >= fence {
+		return nil
+	}
+	t.claims[duty] = Claim{
+		Duty:        duty,
+		Fence:       fence,
+		Term:        int64(claim.Term),
+		Incarnation: claim.Incarnation,
+		Entry:       claim.Entry,
+		PeerAddr:    claim.PeerAddr,
+		Released:    claim.Released,
+	}
+	return nil
+}
+
+// FenceOf returns the fence of the claim at an offset; it is above zero, which
+// workers take for no fence at all.
+func FenceOf(offset int64) int64 {
+	return offset + 1
+}
+
+// End returns the offset after the last record that was applied.
+func (t *Table) End() int64 {
+	return t.end
+}
+
+// Claim returns the newest claim of a duty.
+func (t *Table) Claim(d Duty) (Claim, bool) {
+	c, ok := t.claims[d]
+	return c, ok
+}
+
+// Claims returns all claims in the order of their duties.
+func (t *Table) Claims() []Claim {
+	claims := make([]Claim, 0, len(t.claims))
+	for _, c := range t.claims {
+		claims = append(claims, c)
+	}
+	slices.SortFunc(claims, func(a, b Claim) int { return strings.Compare(string(a.Duty), string(b.Duty)) })
+	return claims
+}
+
+// Clone returns a copy.
+func (t *Table) Clone() *Table {
+	clone := NewTable()
+	clone.end = t.end
+	for d, c := range t.claims {
+		clone.claims[d] = c
+	}
+	return clone
+}
+
+// Reset forgets all claims.
+func (t *Table) Reset() {
+	clear(t.claims)
+}
+
+// Record returns the record of a claim, or of its release.
+func (c Claim) Record() jayport.Record {
+	value, err := proto.Marshal(&jaywire.OwnerClaim{
+		Incarnation: c.Incarnation,
+		Entry:       c.Entry,
+		PeerAddr:    c.PeerAddr,
+		Term:        uint32(c.Term),
+		Released:    c.Released,
+	})
+	if err != nil {
+		// A message of plain fields always can be written.
+		panic("encode claim: " + err.Error())
+	}
+	return jayport.Record{Key: string(c.Duty), Value: value}
+}
--- /dev/null
+++ b/jaysched/decide.go
@@ -0,0 +1,134 @@
+package jaysched
+
+import (
+	"time"
+
+	"jaythread/jayport"
+)
+
+const (
+	// resendAfter is before an order without an answer is sent again. The
+	// answer to an order takes some milliseconds.
+	resendAfter = 100 * time.Millisecond
+	// answerLost is when an order whose outcome was not reported is given up.
+	answerLost = 5 * time.Second
+	// runsPerTerm is the room for run numbers of one owner: each owner's
+	// numbers are above those of the owners before it, whether it knows of
+	// their runs or not.
+	runsPerTerm = 10_000
+)
+
+// Decide returns what is to be done now.
+func (p *Pool) Decide(now time.Duration) []Action {
+	p.expireLeases(now)
+	p.resend(now)
+	p.place(now)
+	p.renewLeases(now)
+	actions := p.actions
+	p.actions = nil
+	return actions
+}
+
+// expireLeases gives up the runs of silent workers whose lease must have
+// ended, so that their tasks can start elsewhere.
+func (p *Pool) expireLeases(now time.Duration) {
+	for _, w := range p.sorted {
+		if w.contact == silent && now >= w.leaseBound {
+			w.contact = lapsed
+			p.note(Note{Kind: WorkerLapsed, Worker: w.ID, Since: w.heardAt}, now)
+			p.lose(w)
+		}
+	}
+}
+
+// resend repeats orders whose answers were lost, to workers that answer.
+func (p *Pool) resend(now time.Duration) {
+	for _, w := range p.sorted {
+		if w.contact != connected {
+			continue
+		}
+		for _, r := range w.sortedRuns() {
+			if now < r.resendAt {
+				continue
+			}
+			switch r.phase {
+			case unsure:
+				p.sendStart(r, now)
+			case stopping:
+				r.resendAt = now + resendAfter
+				p.actions = append(p.actions, StopRun{To: w.life(), Run: r.ref(), Why: r.stopWhy})
+			case ordered:
+				// Its answer went astray inside this program.
+				if now > r.resendAt+answerLost {
+					r.phase = unsure
+				}
+			case running, stopped:
+			}
+		}
+	}
+}
+
+// sendStart orders a run, or orders it again.
+func (p *Pool) sendStart(r *run, now time.Duration) {
+	r.attempt++
+	r.phase = ordered
+	r.resendAt = now + resendAfter
+	p.actions = append(p.actions, StartRun{
+		To: r.worker.life(),
+		Order: jayport.StartOrder{
+			Run:        r.ref(),
+			Spec:       r.task.step.job.spec.Text,
+			Fence:      p.fence,
+			LeaseUntil: r.worker.leaseUntil(now, p.settings.Lease),
+			Checkpoint: r.checkpoint,
+		},
+		Attempt: r.attempt,
+	})
+}
+
+// start begins a run of a task on a worker.
+func (p *Pool) start(t *task, w *worker, number int64, now time.Duration) {
+	r := &run{task: t, worker: w, number: number, need: needOf(t.step), orderedAt: now, checkpoint: t.checkpoint, pace: fullPace}
+	t.last = number
+	t.runs = append(t.runs, r)
+	w.add(r)
+	p.note(Note{Kind: RunStarted, Worker: w.ID, Run: r.ref(), Since: now - w.heardAt, Waited: now - t.step.readyAt}, now)
+	p.sendStart(r, now)
+}
+
+// fullPace is the pace of a run that is not slowed down, in percent.
+const fullPace = 100
+
+// nextRun is the number of a task's next run.
+func (p *Pool) nextRun(last int64) int64 {
+	return max(last+1, (p.term-1)*runsPerTerm+1)
+}
+
+const (
+	// leaseWait is for how long a worker may hold back its report until a run
+	// ends. It also bounds how late a silent worker is noticed.
+	leaseWait = time.Second
+	// unrecordedPause is before a worker is asked again whose ends are not
+	// recorded yet: it would answer with the same ends at once.
+	unrecordedPause = 100 * time.Millisecond
+	// silentPause is before a silent worker is asked again.
+	silentPause = 200 * time.Millisecond
+)
+
+// renewLeases asks each worker that is not being asked.
+func (p *Pool) renewLeases(now time.Duration) {
+	for _, w := range p.sorted {
+		if w.asking || now < w.askAt {
+			continue
+		}
+		order := jayport.LeaseOrder{Fence: p.fence, Acknowledged: w.acknowledged}
+		if w.contact == connected {
+			order.LeaseUntil = w.leaseUntil(now, p.settings.Lease)
+			if w.processed == w.acknowledged {
+				order.Wait = leaseWait
+			}
+		}
+		w.asking = true
+		p.actions = append(p.actions, RenewLease{To: w.life(), Order: order})
+	}
+}
--- /dev/null
+++ b/jaysched/events.go
@@ -0,0 +1,243 @@
+package jaysched
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"jaythread/jayport"
+)
+
+// Listed takes in the newest list of the pool's workers. A worker that is
+// missing gets no new run; what runs there ends with its lease.
+func (p *Pool) Listed(list []jayport.Worker, now time.Duration) {
+	for _, w := range p.sorted {
+		w.listed = false
+	}
+	for _, listed := range list {
+		w, known := p.workers[listed.ID]
+		if !known {
+			w = newWorker(listed)
+			p.insert(w)
+			p.note(Note{Kind: WorkerJoined, Worker: w.ID}, now)
+		}
+		if listed.Draining && !w.Draining {
+			p.note(Note{Kind: WorkerDrains, Worker: w.ID}, now)
+		}
+		w.listed = true
+		w.Draining = listed.Draining
+		w.DrainLeft = listed.DrainLeft
+		w.Warming = listed.Warming
+		w.Addr = listed.Addr
+	}
+}
+
+// Ended takes in that a life of a worker is over: whatever ran there runs no
+// more.
+func (p *Pool) Ended(id, why string, now time.Duration) {
+	w, known := p.workers[id]
+	if !known {
+		return
+	}
+	p.lose(w)
+	p.remove(w)
+	p.note(Note{Kind: WorkerLeft, Worker: id, Detail: why}, now)
+}
+
+// lose drops all runs of a worker: their tasks wait again.
+func (p *Pool) lose(w *worker) {
+	for _, r := range w.sortedRuns() {
+		p.dropRun(r)
+	}
+}
+
+func (w *worker) sortedRuns() []*run {
+	runs := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int { return compareTasks(a.task.id(), b.task.id()) })
+	return runs
+}
+
+func (p *Pool) dropRun(r *run) {
+	r.worker.remove(r)
+	r.task.drop(r)
+}
+
+// Silent takes in that a worker did not answer a question about its runs.
+func (p *Pool) Silent(id string, now time.Duration) {
+	w, known := p.workers[id]
+	if !known {
+		return
+	}
+	w.asking = false
+	w.askAt = now + silentPause
+	if w.contact == connected {
+		w.contact = silent
+		p.note(Note{Kind: WorkerSilent, Worker: id, Since: w.heardAt}, now)
+	}
+}
+
+// Reported takes in a worker's report, which was asked for at a time: orders
+// that were answered before that time are in it.
+func (p *Pool) Reported(id string, report jayport.Report, asked, now time.Duration) {
+	w, known := p.workers[id]
+	if !known {
+		return
+	}
+	if w.contact != connected {
+		p.note(Note{Kind: WorkerAnswers, Worker: id, Since: w.heardAt}, now)
+	}
+	w.contact = connected
+	w.asking = false
+	w.seeClock(report.Clock, now)
+	for _, end := range report.Ended {
+		if end.Number > w.processed {
+			p.takeEnd(w, end, now)
+			w.processed = end.Number
+		}
+	}
+	seen := make(map[jayport.RunRef]bool, len(report.Active))
+	for _, active := range report.Active {
+		seen[active.Run] = true
+		p.takeActive(w, active, now)
+	}
+	if len(report.Ended) < jayport.MaxReportedEnds {
+		p.dropMissing(w, seen, asked, now)
+	}
+	w.askAt = now
+	if w.processed > w.acknowledged {
+		w.askAt = now + unrecordedPause
+	}
+}
+
+// dropMissing drops runs that the worker had confirmed before it was asked
+// and that it now lists neither as active nor as ended.
+func (p *Pool) dropMissing(w *worker, seen map[jayport.RunRef]bool, asked, now time.Duration) {
+	for _, r := range w.sortedRuns() {
+		confirmed := r.confirmedAt > 0 && r.confirmedAt < asked
+		if confirmed && !seen[r.ref()] {
+			p.note(Note{Kind: RunVanished, Worker: w.ID, Run: r.ref()}, now)
+			p.dropRun(r)
+		}
+	}
+}
+
+// takeActive takes in a run that a worker lists as active.
+func (p *Pool) takeActive(w *worker, active jayport.ActiveRun, now time.Duration) {
+	if r, known := w.runs[active.Run]; known {
+		p.confirm(r, now)
+		r.pace, r.load = active.Pace, active.Load
+		if active.Checkpoint != "" && r.task.step.decl.Checkpoint {
+			r.task.checkpoint = active.Checkpoint
+		}
+		return
+	}
+	t := p.taskOf(active.Run.Task)
+	adopted := t != nil && !t.done && t.step.job.outcome == Open && (len(t.runs) == 0 || t.step.decl.Speculative)
+	if !adopted {
+		p.actions = append(p.actions, StopRun{To: w.life(), Run: active.Run, Why: "notWanted"})
+		return
+	}
+	r := &run{task: t, worker: w, number: active.Run.Number, phase: running, need: needOf(t.step), orderedAt: now, confirmedAt: now, pace: active.Pace}
+	w.add(r)
+	t.runs = append(t.runs, r)
+	t.last = max(t.last, r.number)
+	t.step.gangRun = max(t.step.gangRun, r.number)
+	t.unseen = false
+	t.step.job.started = true
+	if active.Checkpoint != "" && t.step.decl.Checkpoint {
+		t.checkpoint = active.Checkpoint
+	}
+	p.note(Note{Kind: RunAdopted, Worker: w.ID, Run: active.Run}, now)
+}
+
+// confirm notes that a worker has a run.
+func (p *Pool) confirm(r *run, now time.Duration) {
+	if r.confirmedAt == 0 {
+		r.confirmedAt = now
+	}
+	if r.phase == ordered || r.phase == unsure {
+		r.phase = running
+	}
+	if !r.task.step.job.started {
+		r.task.step.job.started = true
+	}
+}
+
+func (p *Pool) taskOf(id jayport.TaskID) *task {
+	j, known := p.jobs[id.Job]
+	if !known {
+		return nil
+	}
+	return j.taskOf(id)
+}
+
+// StartAnswered takes in the answer to a start.
+func (p *Pool) StartAnswered(id string, ref jayport.RunRef, clock time.Duration, err error, now time.Duration) {
+	w, known := p.workers[id]
+	if !known {
+		return
+	}
+	r, known := w.runs[ref]
+	if !known {
+		return
+	}
+	if err == nil {
+		w.seeClock(clock, now)
+		p.confirm(r, now)
+		return
+	}
+	var refused *jayport.RefusedError
+	if !errors.As(err, &refused) {
+		if r.phase == ordered {
+			r.phase = unsure
+		}
+		return
+	}
+	w.seeClock(refused.Clock, now)
+	p.startRefused(r, refused.Reason, now)
+}
+
+// startRefused drops a run that the worker has refused. A repeated start that
+// is outdated may have run and ended; its end is in the worker's list, so the
+// report decides.
+func (p *Pool) startRefused(r *run, reason jayport.Reason, now time.Duration) {
+	p.note(Note{Kind: StartRefused, Worker: r.worker.ID, Run: r.ref(), Detail: reason.String()}, now)
+	if reason == jayport.RefusedOutdated && r.attempt > 1 {
+		r.confirmedAt = now
+		return
+	}
+	r.task.notBefore = now + refusedPause
+	r.worker.health.refused(reason, now)
+	p.dropRun(r)
+}
+
+// refusedPause is before a refused task is tried again: the room that the
+// worker lacked is known only with its next report.
+const refusedPause = 20 * time.Millisecond
+
+// StopAnswered takes in the answer to a stop.
+func (p *Pool) StopAnswered(id string, ref jayport.RunRef, clock time.Duration, err error, now time.Duration) {
+	w, known := p.workers[id]
+	if !known {
+		return
+	}
+	r, known := w.runs[ref]
+	if err == nil {
+		w.seeClock(clock, now)
+		if known && r.phase == stopping {
+			r.phase = stopped
+			// The worker's next report tells what became of it: a run that had
+			// not started is in no list.
+			if r.confirmedAt == 0 {
+				r.confirmedAt = now
+			}
+		}
+		return
+	}
+	if known && r.phase == stopping {
+		r.resendAt = now + resendAfter
+	}
+}
--- /dev/null
+++ b/jaysched/job.go
@@ -0,0 +1,237 @@
+package jaysched
+
+import (
+	"time"
+
+	"jaythread/jayport"
+	"jaythread/jayspec"
+)
+
+// Outcome is how a job has ended, or Open.
+type Outcome uint8
+
+// The outcomes of jobs.
+const (
+	Open Outcome = iota
+	Done
+	Failed
+	Canceled
+)
+
+var outcomeNames = [...]string{"open", "done", "failed", "canceled"}
+
+// String returns the outcome in lower case.
+func (o Outcome) String() string {
+	return outcomeNames[o]
+}
+
+// State is what a caller is told of a job.
+type State uint8
+
+// The states of jobs.
+const (
+	Queued State = iota
+	Running
+	StateDone
+	StateFailed
+	StateCanceled
+)
+
+var stateNames = [...]string{"queued", "running", "done", "failed", "canceled"}
+
+// String returns the state in lower case.
+func (s State) String() string {
+	return stateNames[s]
+}
+
+// job is a declared job and how far it has come.
+type job struct {
+	spec *jayspec.Job
+	// since is when the pool learned of the job.
+	since time.Duration
+	// target is when the job should be done.
+	target      time.Duration
+	occurrences []*occurrence
+	// openOccurrences counts those that have not ended.
+	openOccurrences int
+	outcome         Outcome
+	endedAt         time.Duration
+	// recorded is the outcome that stands in the store; callers are told of
+	// no other one, since an owner that dies would take it back.
+	recorded Outcome
+	started  bool
+	// dirty says that the progress differs from what was handed to the store.
+	dirty bool
+}
+
+// occurrence is one run through the steps of a job.
+type occurrence struct {
+	number    int
+	due       time.Duration
+	openSteps int
+	steps     []*step
+}
+
+// step is one step of one occurrence.
+type step struct {
+	job   *job
+	occ   *occurrence
+	id    jayport.StepID
+	decl  *jayspec.Step
+	open  int
+	after int
+	// next are the steps that wait for this one.
+	next  []*step
+	tasks []*task
+	// gangRun is the number of the gang's latest run.
+	gangRun int64
+	// placed counts the present runs of the step's tasks on each worker.
+	placed map[*worker]int
+	// readyAt is when the last step before it ended, or the occurrence began.
+	readyAt time.Duration
+}
+
+func (s *step) ready(now time.Duration) bool {
+	return s.after == 0 && s.open > 0 && now >= s.occ.due
+}
+
+// task is one task of a step.
+type task struct {
+	step  *step
+	index int
+	done  bool
+	// failedRuns are the numbers of the runs that have ended as failed. Their
+	// numbers are kept, since a worker repeats an end that was recorded but
+	// not acknowledged.
+	failedRuns []int64
+	checkpoint string
+	// runs are the present runs, more than one only of a speculative step.
+	runs []*run
+	// last is the number of the task's latest run.
+	last int64
+	// unseen says that a former owner may have started the task on a worker
+	// that has not reported yet.
+	unseen bool
+	// failedOn names the workers on which the task failed.
+	failedOn []string
+	// notBefore delays the next start after a failure.
+	notBefore time.Duration
+}
+
+func (t *task) id() jayport.TaskID {
+	return jayport.TaskID{Job: t.step.id.Job, Occurrence: t.step.id.Occurrence, Step: t.step.id.Step, Index: t.index}
+}
+
+func (t *task) waiting() bool {
+	return !t.done && len(t.runs) == 0
+}
+
+func (t *task) runOf(number int64) *run {
+	for _, r := range t.runs {
+		if r.number == number {
+			return r
+		}
+	}
+	return nil
+}
+
+func (t *task) drop(r *run) {
+	for n, other := range t.runs {
+		if other == r {
+			t.runs = append(t.runs[:n], t.runs[n+1:]...)
+			return
+		}
+	}
+}
+
+// newJob lays a declaration out. The offset turns times of day into the
+// pool's clock.
+func newJob(spec *jayspec.Job, now time.Duration, dueAt func(time.Time) time.Duration) *job {
+	j := &job{spec: spec, since: now, openOccurrences: spec.Schedule.Count()}
+	for n := range spec.Schedule.Count() {
+		due := now
+		if spec.Schedule.Timed() {
+			due = dueAt(spec.Schedule.Due(n))
+		}
+		j.occurrences = append(j.occurrences, newOccurrence(j, n, due))
+	}
+	return j
+}
+
+func newOccurrence(j *job, number int, due time.Duration) *occurrence {
+	o := &occurrence{number: number, due: due, openSteps: len(j.spec.Steps)}
+	for n := range j.spec.Steps {
+		decl := &j.spec.Steps[n]
+		s := &step{
+			job:     j,
+			occ:     o,
+			id:      jayport.StepID{Job: j.spec.ID, Occurrence: number, Step: n},
+			decl:    decl,
+			open:    decl.Tasks,
+			placed:  map[*worker]int{},
+			readyAt: due,
+		}
+		for index := range decl.Tasks {
+			s.tasks = append(s.tasks, &task{step: s, index: index})
+		}
+		for _, before := range uniqueSteps(decl.After) {
+			s.after++
+			o.steps[before].next = append(o.steps[before].next, s)
+		}
+		o.steps = append(o.steps, s)
+	}
+	return o
+}
+
+// uniqueSteps drops repeats, which would be counted twice.
+func uniqueSteps(after []int) []int {
+	var unique []int
+	seen := map[int]bool{}
+	for _, n := range after {
+		if !seen[n] {
+			seen[n] = true
+			unique = append(unique, n)
+		}
+	}
+	return unique
+}
+
+// state is what a caller is told.
+func (j *job) state() State {
+	switch j.recorded {
+	case Done:
+		return StateDone
+	case Failed:
+		return StateFailed
+	case Canceled:
+		return StateCanceled
+	default:
+		if j.started {
+			return Running
+		}
+		return Queued
+	}
+}
+
+// eachTask calls a function with every task.
+func (j *job) eachTask(do func(*task)) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				do(t)
+			}
+		}
+	}
+}
+
+// taskOf returns the task with a name, or nil.
+func (j *job) taskOf(id jayport.TaskID) *task {
+	if id.Occurrence < 0 || id.Occurrence >= len(j.occurrences) {
+		return nil
+	}
+	o := j.occurrences[id.Occurrence]
+	if id.Step < 0 || id.Step >= len(o.steps) || id.Index < 0 || id.Index >= len(o.steps[id.Step].tasks) {
+		return nil
+	}
+	return o.steps[id.Step].tasks[id.Index]
+}
--- /dev/null
+++ b/jaysched/note.go
@@ -0,0 +1,58 @@
+package jaysched
+
+import (
+	"time"
+
+	"jaythread/jayport"
+)
+
+// NoteKind is what a note tells.
+type NoteKind string
+
+// The kinds of notes. Each is a line in the log.
+const (
+	JobDeclared   NoteKind = "job declared"
+	JobEnded      NoteKind = "job ended"
+	RunStarted    NoteKind = "run started"
+	RunEnded      NoteKind = "run ended"
+	RunAdopted    NoteKind = "run adopted"
+	RunVanished   NoteKind = "run vanished"
+	RunStopped    NoteKind = "run stopped"
+	StartRefused  NoteKind = "start refused"
+	EndIgnored    NoteKind = "end ignored"
+	WorkerJoined  NoteKind = "worker joined"
+	WorkerDrains  NoteKind = "worker drains"
+	WorkerLeft    NoteKind = "worker left"
+	WorkerSilent  NoteKind = "worker silent"
+	WorkerAnswers NoteKind = "worker answers"
+	WorkerLapsed  NoteKind = "worker lapsed"
+	WorkerAvoided NoteKind = "worker avoided"
+	WorkerTrusted NoteKind = "worker trusted"
+)
+
+// Note is a decision, or a change of what the pool believes, with what
+// decided it.
+type Note struct {
+	Kind   NoteKind
+	At     time.Duration
+	Job    string
+	Worker string
+	Run    jayport.RunRef
+	Detail string
+	// Since is how old the knowledge is that decided.
+	Since time.Duration
+	// Waited is how long the task or job had waited.
+	Waited time.Duration
+}
+
+func (p *Pool) note(n Note, now time.Duration) {
+	n.At = now
+	p.notes = append(p.notes, n)
+}
+
+// Notes returns the notes since the last call.
+func (p *Pool) Notes() []Note {
+	notes := p.notes
+	p.notes = nil
+	return notes
+}
--- /dev/null
+++ b/jaysched/place.go
@@ -0,0 +1,154 @@
+package jaysched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// place starts what can be started now, in the order of the queue.
+func (p *Pool) place(now time.Duration) {
+	held := p.holdsBack(now)
+	for _, j := range p.queue(now) {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.ready(now) {
+					p.placeStep(s, held, now)
+				}
+			}
+		}
+	}
+}
+
+// holdsBack reports whether some worker may still run what a former owner has
+// started there.
+func (p *Pool) holdsBack(now time.Duration) bool {
+	if now < p.unheard {
+		return true
+	}
+	for _, w := range p.sorted {
+		if w.contact == unconfirmed && now < w.leaseBound {
+			return true
+		}
+	}
+	return false
+}
+
+// queue returns the open jobs in the order in which they are served.
+func (p *Pool) queue(now time.Duration) []*job {
+	order := slices.Clone(p.open)
+	slices.SortStableFunc(order, func(a, b *job) int {
+		return cmp.Compare(a.target, b.target)
+	})
+	return order
+}
+
+func (p *Pool) placeStep(s *step, held bool, now time.Duration) {
+	if s.decl.Gang {
+		p.placeGang(s, held, now)
+		return
+	}
+	for _, t := range s.tasks {
+		if !t.waiting() || now < t.notBefore || held && t.unseen {
+			continue
+		}
+		w := p.choose(t, now)
+		if w == nil {
+			return
+		}
+		p.start(t, w, p.nextRun(t.last), now)
+	}
+}
+
+// placeGang starts all members of a gang at once, or none.
+func (p *Pool) placeGang(s *step, held bool, now time.Duration) {
+	var chosen []*worker
+	for _, t := range s.tasks {
+		if !t.waiting() || now < t.notBefore || held && t.unseen {
+			return
+		}
+	}
+	number := p.nextRun(s.gangRun)
+	for _, t := range s.tasks {
+		w := p.choose(t, now)
+		if w == nil {
+			break
+		}
+		// Room is taken at once, so that the next member sees what is left.
+		w.free = w.free.Sub(needOf(s))
+		s.placed[w]++
+		chosen = append(chosen, w)
+	}
+	for _, w := range chosen {
+		w.free = w.free.Add(needOf(s))
+		if s.placed[w]--; s.placed[w] == 0 {
+			delete(s.placed, w)
+		}
+	}
+	if len(chosen) < len(s.tasks) {
+		return
+	}
+	s.gangRun = number
+	for n, t := range s.tasks {
+		p.start(t, chosen[n], number, now)
+	}
+}
+
+// choose returns the worker for a task, or nil if none has room.
+func (p *Pool) choose(t *task, now time.Duration) *worker {
+	var best *worker
+	for _, w := range p.sorted {
+		if !p.allows(w, t, now) {
+			continue
+		}
+		if best == nil || p.better(t, w, best) {
+			best = w
+		}
+	}
+	return best
+}
+
+// allows reports whether a task may start on a worker now.
+func (p *Pool) allows(w *worker, t *task, now time.Duration) bool {
+	s := t.step
+	switch {
+	case !w.usable() || !w.free.Fits(needOf(s)):
+		return false
+	case w.health.avoided(now) || w.health.onTrial() && len(w.runs) > 0:
+		return false
+	case s.decl.RequiredLabel != "" && !slices.Contains(w.Labels, s.decl.RequiredLabel):
+		return false
+	case s.decl.MaxPerInstance > 0 && s.placed[w] >= s.decl.MaxPerInstance:
+		return false
+	default:
+		return true
+	}
+}
+
+// better reports whether a suits a task better than b: where it did not fail,
+// near its data, on a worker that is well, and where the least room is left,
+// so that other workers stay empty.
+func (p *Pool) better(t *task, a, b *worker) bool {
+	return cmp.Or(
+		compareBool(slices.Contains(t.failedOn, a.ID), slices.Contains(t.failedOn, b.ID)),
+		compareBool(far(t.step, a), far(t.step, b)),
+		compareBool(a.health.onTrial(), b.health.onTrial()),
+		cmp.Compare(a.free.ProcessorsMilli, b.free.ProcessorsMilli),
+	) < 0
+}
+
+func far(s *step, w *worker) bool {
+	return s.decl.DataRack != "" && s.decl.DataRack != w.Rack
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
--- /dev/null
+++ b/jaysched/pool.go
@@ -0,0 +1,238 @@
+package jaysched
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"jaythread/jayport"
+	"jaythread/jayspec"
+)
+
+// Settings are the bounds that a pool keeps to.
+type Settings struct {
+	// Lease is how long a worker may run on without hearing from the owner.
+	Lease time.Duration
+	// Stop is how long a worker takes at most to stop a run.
+	Stop time.Duration
+	// FarFactor is how much longer a task takes away from its data or rack.
+	FarFactor float64
+}
+
+// Action is what the pool's owner is to do: StartRun, StopRun, PaceRun or
+// RenewLease.
+type Action interface {
+	isAction()
+}
+
+// StartRun sends a start to a worker. The same one may be asked for again
+// after an answer was lost: it is idempotent by its run.
+type StartRun struct {
+	To    jayport.Life
+	Order jayport.StartOrder
+	// Attempt counts the sendings of this run, from 1.
+	Attempt int
+}
+
+// StopRun tells a worker to stop a run, or never to start it.
+type StopRun struct {
+	To  jayport.Life
+	Run jayport.RunRef
+	Why string
+}
+
+// PaceRun sets the share of its speed at which a run works.
+type PaceRun struct {
+	To      jayport.Life
+	Run     jayport.RunRef
+	Percent int
+}
+
+// RenewLease renews a worker's lease and asks for its report.
+type RenewLease struct {
+	To    jayport.Life
+	Order jayport.LeaseOrder
+}
+
+func (StartRun) isAction()   {}
+func (RenewLease) isAction() {}
+func (StopRun) isAction()  {}
+func (PaceRun) isAction()  {}
+
+// Pool is the aggregate. One goroutine uses it.
+type Pool struct {
+	name     string
+	settings Settings
+	term     int64
+	fence    int64
+	// dueAt turns a time of day into the pool's clock.
+	dueAt func(time.Time) time.Duration
+	// policyOf returns the present policy of a queue, if it still exists.
+	policyOf func(queue string) (jayspec.Policy, bool)
+
+	jobs map[string]*job
+	// open are the jobs that have not ended, in the order of their arrival.
+	open    []*job
+	workers map[string]*worker
+	// sorted are the workers in the order of their IDs.
+	sorted []*worker
+	// unheard is until when workers that never reported to this owner may
+	// still run what a former owner started.
+	unheard time.Duration
+	actions []Action
+	notes   []Note
+	times   *durations
+}
+
+// Option changes how a pool is made.
+type Option func(*Pool)
+
+// WithFence sets the owner's fence and its term, which counts the owners.
+func WithFence(fence, term int64) Option {
+	return func(p *Pool) { p.fence, p.term = fence, term }
+}
+
+// WithDueTimes sets how times of day are turned into the pool's clock.
+func WithDueTimes(dueAt func(time.Time) time.Duration) Option {
+	return func(p *Pool) { p.dueAt = dueAt }
+}
+
+// WithPolicies sets where the present policy of a queue is found.
+func WithPolicies(of func(queue string) (jayspec.Policy, bool)) Option {
+	return func(p *Pool) { p.policyOf = of }
+}
+
+// NewPool returns a pool without jobs and workers.
+func NewPool(name string, settings Settings, options ...Option) *Pool {
+	p := &Pool{
+		name:     name,
+		settings: settings,
+		term:     1,
+		fence:    1,
+		dueAt:    func(time.Time) time.Duration { return 0 },
+		policyOf: func(string) (jayspec.Policy, bool) { return jayspec.Policy{}, false },
+		jobs:     map[string]*job{},
+		workers:  map[string]*worker{},
+		times:    newDurations(),
+	}
+	for _, option := range options {
+		option(p)
+	}
+	return p
+}
+
+// Name returns the pool's name.
+func (p *Pool) Name() string {
+	return p.name
+}
+
+// Fence returns the owner's fence.
+func (p *Pool) Fence() int64 {
+	return p.fence
+}
+
+// StateOf returns what a caller is told of a job; known is false if the pool
+// has no such job.
+func (p *Pool) StateOf(id string) (state State, known bool) {
+	j, known := p.jobs[id]
+	if !known {
+		return Queued, false
+	}
+	return j.state(), true
+}
+
+// Pending counts the open jobs of a queue of which no task has started.
+func (p *Pool) Pending(queue string) int {
+	count := 0
+	for _, j := range p.open {
+		if j.spec.Queue == queue && !j.started {
+			count++
+		}
+	}
+	return count
+}
+
+// policy is the present policy of a job's queue, or the one that it was
+// accepted under.
+func (p *Pool) policy(j *job) jayspec.Policy {
+	if present, ok := p.policyOf(j.spec.Queue); ok {
+		return present
+	}
+	return j.spec.Policy
+}
+
+// Declare adds a job. A job that is known already stays as it is.
+func (p *Pool) Declare(spec *jayspec.Job, now time.Duration) (added bool) {
+	if _, known := p.jobs[spec.ID]; known {
+		return false
+	}
+	p.add(newJob(spec, now, p.dueAt))
+	return true
+}
+
+func (p *Pool) add(j *job) {
+	p.jobs[j.spec.ID] = j
+	policy := p.policy(j)
+	chain := j.spec.LongestChain(func(n int) time.Duration { return j.spec.Steps[n].Estimate })
+	j.target = j.since + time.Duration(policy.Stretch*float64(chain)) + policy.Objective
+	p.open = append(p.open, j)
+}
+
+// Cancel ends a job; known is false if the pool has no such job. A job that
+// has ended stays as it ended.
+func (p *Pool) Cancel(id string, now time.Duration) (known bool) {
+	j, known := p.jobs[id]
+	if !known {
+		return false
+	}
+	if j.outcome == Open {
+		p.end(j, Canceled, now)
+	}
+	return true
+}
+
+// end closes a job and stops what still runs of it.
+func (p *Pool) end(j *job, outcome Outcome, now time.Duration) {
+	j.outcome = outcome
+	j.endedAt = now
+	j.dirty = true
+	p.open = slices.DeleteFunc(p.open, func(other *job) bool { return other == j })
+	j.eachTask(func(t *task) {
+		for _, r := range t.runs {
+			p.stop(r, outcome.String())
+		}
+	})
+}
+
+// stop tells a worker to stop a run. It is asked for again by Decide until
+// the run has ended.
+func (p *Pool) stop(r *run, why string) {
+	if r.phase == stopping || r.phase == stopped {
+		return
+	}
+	r.phase = stopping
+	r.stopWhy = why
+	p.actions = append(p.actions, StopRun{To: r.worker.life(), Run: r.ref(), Why: why})
+}
+
+// insert keeps the workers in the order of their IDs.
+func (p *Pool) insert(w *worker) {
+	p.workers[w.ID] = w
+	at, _ := slices.BinarySearchFunc(p.sorted, w, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
+	p.sorted = slices.Insert(p.sorted, at, w)
+}
+
+func (p *Pool) remove(w *worker) {
+	delete(p.workers, w.ID)
+	p.sorted = slices.DeleteFunc(p.sorted, func(other *worker) bool { return other == w })
+}
+
+func compareTasks(a, b jayport.TaskID) int {
+	return cmp.Or(
+		strings.Compare(a.Job, b.Job),
+		cmp.Compare(a.Occurrence, b.Occurrence),
+		cmp.Compare(a.Step, b.Step),
+		cmp.Compare(a.Index, b.Index),
+	)
+}
--- /dev/null
+++ b/jaysched/progress.go
@@ -0,0 +1,103 @@
+package jaysched
+
+import (
+	"time"
+
+	"jaythread/jaywire"
+)
+
+// Batch is what the owner is to record at once. Ends are acknowledged to the
+// workers only once it is: an end that was acknowledged and not recorded would
+// be lost with its owner, and its task would run twice.
+type Batch struct {
+	// Progress is by the jobs' IDs.
+	Progress map[string]*jaywire.JobProgress
+	outcomes map[string]Outcome
+	ends     map[string]int64
+}
+
+// Flush returns what is to be recorded, or nil if there is nothing.
+func (p *Pool) Flush() *Batch {
+	b := &Batch{Progress: map[string]*jaywire.JobProgress{}, outcomes: map[string]Outcome{}, ends: map[string]int64{}}
+	for id, j := range p.jobs {
+		if j.dirty {
+			j.dirty = false
+			b.Progress[id] = j.progress()
+			b.outcomes[id] = j.outcome
+		}
+	}
+	for _, w := range p.sorted {
+		if w.processed > w.acknowledged {
+			b.ends[w.ID] = w.processed
+		}
+	}
+	if len(b.Progress) == 0 && len(b.ends) == 0 {
+		return nil
+	}
+	return b
+}
+
+// Flushed takes in that a batch stands in the store: its ends are acknowledged
+// with the next question to their workers.
+func (p *Pool) Flushed(b *Batch, now time.Duration) {
+	for id, outcome := range b.outcomes {
+		if j, known := p.jobs[id]; known && outcome != Open && j.recorded == Open {
+			j.recorded = outcome
+		}
+	}
+	for _, w := range p.sorted {
+		if processed, ok := b.ends[w.ID]; ok && processed > w.acknowledged {
+			w.acknowledged = processed
+			w.askAt = min(w.askAt, now)
+		}
+	}
+}
+
+// progress is the record of how far a job has come.
+func (j *job) progress() *jaywire.JobProgress {
+	record := &jaywire.JobProgress{Outcome: jaywire.JobOutcome(j.outcome), Started: j.started}
+	if j.outcome != Open {
+		return record
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if step := s.progress(); step != nil {
+				record.Steps = append(record.Steps, step)
+			}
+		}
+	}
+	return record
+}
+
+func (s *step) progress() *jaywire.StepProgress {
+	record := &jaywire.StepProgress{Occurrence: uint32(s.id.Occurrence), Step: uint32(s.id.Step)}
+	for n, t := range s.tasks {
+		if t.done {
+			record.Done = setBit(record.Done, n)
+			continue
+		}
+		if len(t.failedRuns) > 0 || t.checkpoint != "" {
+			record.Tasks = append(record.Tasks, &jaywire.TaskProgress{
+				Index: uint32(n), FailedRuns: t.failedRuns, Checkpoint: t.checkpoint, LastRun: t.last,
+			})
+		}
+	}
+	if len(record.Done) == 0 && len(record.Tasks) == 0 {
+		return nil
+	}
+	return record
+}
+
+const bitsInByte = 8
+
+func setBit(bits []byte, n int) []byte {
+	for len(bits) <= n/bitsInByte {
+		bits = append(bits, 0)
+	}
+	bits[n/bitsInByte] |= 1 << (n % bitsInByte)
+	return bits
+}
+
+func hasBit(bits []byte, n int) bool {
+	return n/bitsInByte < len(bits) && bits[n/bitsInByte]&(1<<(n%bitsInByte)) != 0
+}
--- /dev/null
+++ b/jaysched/restore.go
@@ -0,0 +1,73 @@
+package jaysched
+
+import (
+	"time"
+
+	"jaythread/jayspec"
+	"jaythread/jaywire"
+)
+
+// Restore adds a job with the progress that a former owner has recorded. The
+// progress is nil if there is none. Tasks that the former owner may have
+// started wait until every worker has reported what runs there.
+func (p *Pool) Restore(spec *jayspec.Job, progress *jaywire.JobProgress, now time.Duration) {
+	if _, known := p.jobs[spec.ID]; known {
+		return
+	}
+	j := newJob(spec, now, p.dueAt)
+	if progress != nil {
+		j.started = progress.Started
+		for _, record := range progress.Steps {
+			j.restoreStep(record)
+		}
+	}
+	j.eachTask(func(t *task) { t.unseen = !t.done })
+	p.add(j)
+}
+
+// RestoreEnded adds a job that has ended, of which only the outcome is kept.
+func (p *Pool) RestoreEnded(id string, outcome Outcome, now time.Duration) {
+	p.jobs[id] = &job{spec: &jayspec.Job{ID: id}, outcome: outcome, recorded: outcome, endedAt: now}
+}
+
+// OutcomeOf returns the outcome of a record.
+func OutcomeOf(progress *jaywire.JobProgress) Outcome {
+	if progress == nil {
+		return Open
+	}
+	return Outcome(progress.Outcome)
+}
+
+func (j *job) restoreStep(record *jaywire.StepProgress) {
+	if int(record.Occurrence) >= len(j.occurrences) {
+		return
+	}
+	o := j.occurrences[record.Occurrence]
+	if int(record.Step) >= len(o.steps) {
+		return
+	}
+	s := o.steps[record.Step]
+	for _, t := range record.Tasks {
+		if int(t.Index) < len(s.tasks) {
+			s.tasks[t.Index].failedRuns = t.FailedRuns
+			s.tasks[t.Index].checkpoint = t.Checkpoint
+			s.tasks[t.Index].last = t.LastRun
+		}
+	}
+	for n, t := range s.tasks {
+		if hasBit(record.Done, n) {
+			t.done = true
+			s.open--
+		}
+	}
+	if s.open > 0 {
+		return
+	}
+	for _, next := range s.next {
+		next.after--
+	}
+	o.openSteps--
+	if o.openSteps == 0 {
+		j.openOccurrences--
+	}
+}
--- /dev/null
+++ b/jaysched/worker.go
@@ -0,0 +1,166 @@
+package jaysched
+
+import (
+	"time"
+
+	"jaythread/jaypool"
+	"jaythread/jayport"
+)
+
+// clockDrift is by how much a worker's clock may be slow, with the platform's
+// two percent rounded up.
+const clockDrift = 0.021
+
+// contact is what is known of the way to a worker.
+type contact uint8
+
+const (
+	// unconfirmed workers have not yet reported under this owner's fence:
+	// what runs there is not known.
+	unconfirmed contact = iota
+	// connected workers answered the last question.
+	connected
+	// silent workers did not: their runs go on until the lease ends.
+	silent
+	// lapsed workers were silent until their lease must have ended.
+	lapsed
+)
+
+// worker is one life of an instance and the runs on it.
+type worker struct {
+	jayport.Worker
+	contact contact
+	// clockAt is when the worker's clock showed clock, or later.
+	clock   time.Duration
+	clockAt time.Duration
+	// leaseBound is when the longest lease granted has ended in any case.
+	leaseBound time.Duration
+	// heardAt is when the last answer came.
+	heardAt time.Duration
+	runs    map[jayport.RunRef]*run
+	free    jaypool.Resources
+	// processed is the last end that was taken in, acknowledged the last one
+	// that the worker may forget.
+	processed    int64
+	acknowledged int64
+	// asking says that a question is on its way; askAt is when the next one is
+	// due.
+	asking bool
+	askAt  time.Duration
+	// listed says that the latest list of workers names it.
+	listed bool
+	// closed workers get no new run.
+	closed bool
+	// health is what its own runs say of it.
+	health health
+}
+
+// run is one run of a task on a worker.
+type run struct {
+	task   *task
+	worker *worker
+	number int64
+	phase  phase
+	need   jaypool.Resources
+	// orderedAt is when the start was sent, confirmedAt when the worker was
+	// known to have it.
+	orderedAt   time.Duration
+	confirmedAt time.Duration
+	// stopWhy is a word for the log.
+	stopWhy string
+	// checkpoint is what the run was started with: a repeated start must say
+	// the same.
+	checkpoint string
+	// attempt counts how often the start was sent; resendAt is when an order
+	// without an answer may be sent again.
+	attempt  int
+	resendAt time.Duration
+	pace     int
+	load     int64
+}
+
+// phase is what is known of a run.
+type phase uint8
+
+const (
+	// ordered runs were sent to the worker; no answer yet.
+	ordered phase = iota
+	// unsure runs got no answer: they may have started, or may yet.
+	unsure
+	// running runs were reported by the worker.
+	running
+	// stopping runs were told to stop; no answer yet.
+	stopping
+	// stopped runs will end, as the worker has confirmed.
+	stopped
+)
+
+func (r *run) ref() jayport.RunRef {
+	return jayport.RunRef{Task: r.task.id(), Number: r.number}
+}
+
+func newWorker(w jayport.Worker) *worker {
+	return &worker{Worker: w, runs: map[jayport.RunRef]*run{}, free: w.Capacity}
+}
+
+func (w *worker) life() jayport.Life {
+	return jayport.Life{ID: w.ID, Addr: w.Addr}
+}
+
+// usable reports whether new runs may be sent there.
+func (w *worker) usable() bool {
+	return w.contact == connected && w.listed && !w.Draining && !w.closed
+}
+
+// add takes room for a run.
+func (w *worker) add(r *run) {
+	w.runs[r.ref()] = r
+	w.free = w.free.Sub(r.need)
+	r.task.step.placed[w]++
+}
+
+// remove gives a run's room back.
+func (w *worker) remove(r *run) {
+	if w.runs[r.ref()] != r {
+		return
+	}
+	delete(w.runs, r.ref())
+	w.free = w.free.Add(r.need)
+	if r.task.step.placed[w]--; r.task.step.placed[w] == 0 {
+		delete(r.task.step.placed, w)
+	}
+}
+
+// leaseUntil is the worker's clock when a lease granted now should end, and
+// notes how long it may hold.
+func (w *worker) leaseUntil(now, length time.Duration) time.Duration {
+	if w.clockAt == 0 {
+		return 0
+	}
+	until := w.clock + (now - w.clockAt) + length
+	w.leaseBound = max(w.leaseBound, w.clockAt+stretched(until-w.clock))
+	return until
+}
+
+// stretched is how long a time on a worker's clock may take.
+func stretched(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*clockDrift)
+}
+
+// seeClock notes an answer that shows the worker's clock.
+func (w *worker) seeClock(clock, now time.Duration) {
+	if clock > 0 {
+		w.clock, w.clockAt = clock, now
+	}
+	w.heardAt = now
+}
+
+// needOf is the room that a run of the step takes. Filling tasks take what
+// processors are left over.
+func needOf(s *step) jaypool.Resources {
+	need := s.decl.Need
+	if s.decl.Fills {
+		need.ProcessorsMilli = 0
+	}
+	return need
+}
--- /dev/null
+++ b/jayspec/check.go
@@ -0,0 +1,96 @@
+package jayspec
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Bounds of a declaration. They keep one job from taking the memory and the
+// record size that all jobs share.
+const (
+	// MaxTextBytes bounds a job's text.
+	MaxTextBytes = 4000
+	// MaxSteps bounds the steps of a job.
+	MaxSteps = 64
+	// MaxTasks bounds the tasks of all steps of a job.
+	MaxTasks = 10_000
+	// MaxOccurrences bounds how often a job's steps run.
+	MaxOccurrences = 100_000
+	// idDigits is the length of a job's identity in hexadecimal digits.
+	idDigits = 16
+)
+
+// ErrInvalid is wrapped by every error of Check.
+var ErrInvalid = errors.New("invalid job")
+
+func invalid(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", ErrInvalid, fmt.Sprintf(format, args...))
+}
+
+// ValidID reports whether a text can be a job's identity: 16 hexadecimal
+// digits.
+func ValidID(id string) bool {
+	if len(id) != idDigits {
+		return false
+	}
+	for _, c := range []byte(id) {
+		digit := c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F'
+		if !digit {
+			return false
+		}
+	}
+	return true
+}
+
+// Check reports the first reason for which a declaration cannot be accepted.
+func (j *Job) Check() error {
+	if !ValidID(j.ID) {
+		return invalid("identity %q is not %d hexadecimal digits", j.ID, idDigits)
+	}
+	if len(j.Text) > MaxTextBytes {
+		return invalid("text has %d bytes, more than %d", len(j.Text), MaxTextBytes)
+	}
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return invalid("%d steps; 1 to %d are allowed", len(j.Steps), MaxSteps)
+	}
+	if err := j.Schedule.check(); err != nil {
+		return err
+	}
+	for n := range j.Steps {
+		if err := j.Steps[n].check(n); err != nil {
+			return err
+		}
+	}
+	if tasks := j.Tasks(); tasks > MaxTasks {
+		return invalid("%d tasks, more than %d", tasks, MaxTasks)
+	}
+	return nil
+}
+
+func (s Schedule) check() error {
+	if s.Occurrences < 0 || s.Occurrences > MaxOccurrences {
+		return invalid("%d occurrences; 0 to %d are allowed", s.Occurrences, MaxOccurrences)
+	}
+	if s.Interval < 0 {
+		return invalid("a negative interval")
+	}
+	return nil
+}
+
+func (s *Step) check(number int) error {
+	if s.Tasks < 1 || s.Tasks > MaxTasks {
+		return invalid("step %d has %d tasks; 1 to %d are allowed", number, s.Tasks, MaxTasks)
+	}
+	// An earlier step only: this also rules out cycles.
+	for _, before := range s.After {
+		if before < 0 || before >= number {
+			return invalid("step %d waits for step %d, which is not before it", number, before)
+		}
+	}
+	negative := s.Need.ProcessorsMilli < 0 || s.Need.MemoryMegabytes < 0 || s.Need.Accelerators < 0 ||
+		s.Estimate < 0 || s.MaxPerInstance < 0 || s.MayMiss < 0 || s.Target < 0
+	if negative {
+		return invalid("step %d has a negative number", number)
+	}
+	return nil
+}
--- /dev/null
+++ b/jaytail/tail.go
@@ -0,0 +1,195 @@
+// Package jaytail keeps up with a partition of the platform's store: the
+// newest record of each key first, then every later one.
+package jaytail
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"jaythread/jayclock"
+	"jaythread/jayport"
+)
+
+const (
+	// readTimeout bounds one read, on top of the time for which it asks to
+	// wait. A store that is slow answers within it.
+	readTimeout = 2 * time.Second
+	// pauseAfterError is between two reads that fail. Each call is paid for.
+	pauseAfterError = 200 * time.Millisecond
+)
+
+// Options say how a partition is followed.
+type Options struct {
+	// Prefix limits the keys that are loaded and handed on.
+	Prefix string
+	// Wait is for how long one read may wait for a record.
+	Wait time.Duration
+	// Pause is between two reads that succeed.
+	Pause time.Duration
+}
+
+// Handler takes in the records. It is called by one goroutine.
+type Handler interface {
+	// Reset is called before the newest records are handed on anew.
+	Reset()
+	// Apply takes a record; a nil value removes the key.
+	Apply(r jayport.Record)
+	// CaughtUp is called after each read, with the time at which it was sent:
+	// every record appended before that time has been applied.
+	CaughtUp(asOf time.Duration)
+}
+
+// Tail follows one partition.
+type Tail struct {
+	store     jayport.Store
+	partition jayport.Partition
+	options   Options
+	handler   Handler
+	clock     jayclock.Clock
+	logger    logr.Logger
+
+	next   int64
+	loaded bool
+	// asOf is the clock's time of the last read that succeeded, or zero.
+	asOf atomic.Int64
+	lost time.Duration
+}
+
+// New returns a tail that is not started.
+func New(store jayport.Store, p jayport.Partition, options Options, handler Handler, clock jayclock.Clock, logger logr.Logger) *Tail {
+	return &Tail{store: store, partition: p, options: options, handler: handler, clock: clock, logger: logger}
+}
+
+// AsOf returns the time up to which all records are known; zero is never.
+func (t *Tail) AsOf() time.Duration {
+	return time.Duration(t.asOf.Load())
+}
+
+// Next returns the offset that the tail reads next. Only the goroutine that
+// runs the tail may call it.
+func (t *Tail) Next() int64 {
+	return t.next
+}
+
+// Run follows the partition until the context ends.
+func (t *Tail) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := t.options.Pause
+		if err := t.Step(t.options.Wait); err != nil {
+			t.noteLost(err)
+			pause = pauseAfterError
+		} else {
+			t.noteRegained()
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// Step loads the partition if it is not loaded yet, or reads once.
+func (t *Tail) Step(wait time.Duration) error {
+	asked := t.clock()
+	if !t.loaded {
+		if err := t.load(); err != nil {
+			return err
+		}
+	} else if err := t.read(wait); err != nil {
+		return err
+	}
+	t.asOf.Store(int64(asked))
+	t.handler.CaughtUp(asked)
+	return nil
+}
+
+// load hands on the newest record of each key. Its pages are no snapshot; what
+// is appended meanwhile is read again afterwards.
+func (t *Tail) load() error {
+	t.handler.Reset()
+	after := keyBefore(t.options.Prefix)
+	first := true
+	for {
+		page, err := t.store.Latest(t.partition, after, readTimeout)
+		if err != nil {
+			return err
+		}
+		if first {
+			t.next, first = page.End, false
+		}
+		passed := false
+		for _, r := range page.Records {
+			after = r.Key
+			if hasPrefix(r.Key, t.options.Prefix) {
+				t.handler.Apply(r)
+			} else if r.Key > t.options.Prefix {
+				passed = true
+			}
+		}
+		if passed || !page.More || len(page.Records) == 0 {
+			break
+		}
+	}
+	t.loaded = true
+	return nil
+}
+
+func (t *Tail) read(wait time.Duration) error {
+	page, err := t.store.Read(t.partition, t.next, wait, readTimeout)
+	var expired *jayport.ExpiredError
+	if errors.As(err, &expired) {
+		// The records in between are gone; the newest of each key is kept.
+		t.loaded = false
+		return t.load()
+	}
+	if err != nil {
+		return err
+	}
+	for _, r := range page.Records {
+		if hasPrefix(r.Key, t.options.Prefix) {
+			t.handler.Apply(r)
+		}
+	}
+	t.next = page.Next
+	return nil
+}
+
+func (t *Tail) noteLost(err error) {
+	if t.lost == 0 {
+		t.lost = t.clock()
+		t.logger.Info("partition lost", "partition", t.partition.String(), "asOf", t.AsOf().String(), "error", err.Error())
+	}
+}
+
+func (t *Tail) noteRegained() {
+	if t.lost != 0 {
+		t.logger.Info("partition regained", "partition", t.partition.String(), "lostFor", (t.clock() - t.lost).String())
+		t.lost = 0
+	}
+}
+
+// keyBefore returns a key just before all keys with a prefix.
+func keyBefore(prefix string) string {
+	if prefix == "" {
+		return ""
+	}
+	last := len(prefix) - 1
+	return prefix[:last] + string([]byte{prefix[last] - 1, '~'})
+}
+
+func hasPrefix(key, prefix string) bool {
+	return len(key) >= len(prefix) && key[:len(prefix)] == prefix
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
