Hold doubtful tasks back after a takeover; reach the store through peers

Change: tasks that a former owner may have started wait until every worker, by list and inventory, has reported; calls to the store go through peers while the store does not serve an entry; counts of a stale owner are not given.

--- a/jaynode/entries.go
+++ b/jaynode/entries.go
@@ -67,6 +67,18 @@
 	return list
 }
 
+// addrOf returns the peer address of an incarnation, or an empty one.
+func (e *entries) addrOf(incarnation string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, record := range e.byName {
+		if record.Incarnation == incarnation {
+			return record.PeerAddr
+		}
+	}
+	return ""
+}
+
 const (
 	// storeTimeout bounds a single call to the store that is not repeated.
 	storeTimeout = 500 * time.Millisecond
@@ -90,7 +102,7 @@
 		return
 	}
 	for ctx.Err() == nil {
-		_, err := e.node.ports.Store.Append(jayport.Append{
+		_, err := e.node.store.Append(jayport.Append{
 			Partition: e.node.ports.Formats.Own(topicEntries, 0),
 			Records:   []jayport.Record{{Key: s.Entry, Value: value}},
 			AsOf:      jayport.AnyOffset,
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -52,7 +52,7 @@
 	i := &intake{node: n, logger: n.logger.WithName("intake")}
 	for number := range n.ports.Formats.OwnPartitions() {
 		p := n.ports.Formats.Own(topicJobs, number)
-		i.journals = append(i.journals, jayjournal.New(n.ports.Store, p, n.incarnation, 1, n.clock, i.logger, jayjournal.WithRefusals()))
+		i.journals = append(i.journals, jayjournal.New(n.store, p, n.incarnation, 1, n.clock, i.logger, jayjournal.WithRefusals()))
 	}
 	return i
 }
@@ -241,7 +241,7 @@
 	if !duty.ask(func() { pending = duty.pool.Pending(queue) }, askTimeout) {
 		return &jaywire.PendingAnswer{}
 	}
-	return &jaywire.PendingAnswer{Owned: true, Pending: uint32(pending)}
+	return &jaywire.PendingAnswer{Owned: duty.current(), Pending: uint32(pending)}
 }
 
 func stateOf(state jaywire.JobState) jaysched.State {
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -14,6 +14,7 @@
 	"jaythread/jayclock"
 	"jaythread/jaypeer"
 	"jaythread/jayport"
+	"jaythread/jayrelay"
 	"jaythread/jaytail"
 	"jaythread/jaywire"
 )
@@ -45,8 +46,11 @@
 
 // Node is one entry of the job service.
 type Node struct {
-	settings    Settings
-	ports       Ports
+	settings Settings
+	ports    Ports
+	// store reaches the platform's store, through peers if need be.
+	store       *jayrelay.Store
+	carriers    *carriers
 	clock       jayclock.Clock
 	logger      logr.Logger
 	incarnation string
@@ -104,6 +108,8 @@
 	for _, option := range options {
 		option(n)
 	}
+	n.carriers = &carriers{node: n, link: jaypeer.NewClient(n.incarnation, carryTimeout, nil)}
+	n.store = jayrelay.New(ports.Store, n.carriers, n.clock, logger.WithName("store"))
 	n.peers = jaypeer.NewClient(n.incarnation, peerTimeout, nil)
 	n.peerServer = jaypeer.NewServer(n.incarnation, peerTimeout, n.handlePeer)
 	n.declarations = newDeclarations(n)
@@ -134,7 +140,7 @@
 }
 
 func (n *Node) follow(ctx context.Context, p jayport.Partition, options jaytail.Options, handler jaytail.Handler) *jaytail.Tail {
-	tail := jaytail.New(n.ports.Store, p, options, handler, n.clock, n.logger.WithName(p.Topic))
+	tail := jaytail.New(n.store, p, options, handler, n.clock, n.logger.WithName(p.Topic))
 	n.duties.Go(func() { tail.Run(ctx) })
 	return tail
 }
@@ -147,6 +153,7 @@
 	n.cancel()
 	n.peerServer.Close()
 	n.peers.Close()
+	n.carriers.link.Close()
 	n.duties.Wait()
 	n.logger.Info("stopped")
 }
@@ -177,6 +184,8 @@
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Job{Job: n.cancelOwned(body.CancelJob.Pool, body.CancelJob.Job)}}
 	case *jaywire.PeerRequest_AskPending:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Pending{Pending: n.pendingOwned(body.AskPending.Pool, body.AskPending.Queue)}}
+	case *jaywire.PeerRequest_StoreCall:
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_StoreResult{StoreResult: jayrelay.Serve(n.ports.Store, body.StoreCall)}}
 	case *jaywire.PeerRequest_Ping:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Pong{Pong: &jaywire.Pong{Stopping: n.stopping.Load()}}}
 	default:
--- a/jaynode/owners.go
+++ b/jaynode/owners.go
@@ -168,7 +168,7 @@
 	}
 	// The condition makes sure that no claim was made since this entry looked;
 	// a claim whose answer is lost shows in the tail like any other.
-	_, err := o.node.ports.Store.Append(jayport.Append{
+	_, err := o.node.store.Append(jayport.Append{
 		Partition: o.node.ports.Formats.Own(topicOwners, 0),
 		Records:   records,
 		AsOf:      view.next,
@@ -232,6 +232,13 @@
 	return now-seen > deadAfter
 }
 
+// hasEnded reports whether an incarnation is known to have ended.
+func (o *owners) hasEnded(incarnation string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.gone[incarnation]
+}
+
 // held counts the duties of each live owner.
 func (o *owners) held(view *ownerView) map[string]int {
 	held := map[string]int{}
@@ -315,7 +322,7 @@
 	if len(records) == 0 {
 		return
 	}
-	_, err := o.node.ports.Store.Append(jayport.Append{
+	_, err := o.node.store.Append(jayport.Append{
 		Partition: o.node.ports.Formats.Own(topicOwners, 0),
 		Records:   records,
 		AsOf:      view.next,
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -32,7 +32,14 @@
 	// leaseTime is how long a worker runs on without hearing from the owner.
 	// A new owner takes over within two seconds.
 	leaseTime = 4 * time.Second
-	// partitionHash spreads the pools over the partitions.
+	// maxSilence is how long an owner goes on without word from the store that
+	// it still owns its pool. It is longer than most outages.
+	maxSilence = 10 * time.Second
+	// formerHold is for how long a former owner's leases may go on after a
+	// claim: it may not know of the claim for maxSilence.
+	formerHold = maxSilence + leaseTime + leaseTime/20
+	// maxUnknownAge is how old a view may be that says that a job does not
+	// exist.
 	maxUnknownAge = 2500 * time.Millisecond
 )
 
@@ -72,13 +79,21 @@
 		cancel: cancel,
 		inbox:  jayring.New[event](poolInbox),
 	}
+	options := []jaysched.Option{
+		jaysched.WithFence(claim.Fence, claim.Term),
+		jaysched.WithPolicies(n.policyOf),
+		jaysched.WithDueTimes(n.dueAt),
+	}
+	if claim.Term > 1 {
+		options = append(options, jaysched.WithFormerOwner(n.clock()+formerHold))
+	}
 	d.pool = jaysched.NewPool(name, jaysched.Settings{
 		Lease:     min(leaseTime, n.settings.MaxLease),
 		Stop:      n.settings.StopTime,
 		FarFactor: n.settings.FarFactor,
-	}, jaysched.WithFence(claim.Fence, claim.Term), jaysched.WithPolicies(n.policyOf), jaysched.WithDueTimes(n.dueAt))
+	}, options...)
 	p := n.ports.Formats.Own(topicProgress, n.partitionOf(name))
-	d.journal = jayjournal.New(n.ports.Store, p, string(claim.Duty), claim.Fence, n.clock, d.logger)
+	d.journal = jayjournal.New(n.store, p, string(claim.Duty), claim.Fence, n.clock, d.logger)
 	d.jobs = newJobTail(d)
 	return d
 }
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -59,14 +59,34 @@
 	}
 	d.jobs.finishLoad()
 	d.list(d.node.clock())
+	d.node.duties.Go(d.survey)
 	d.logger.Info("taken over", "term", d.claim.Term, "jobs", d.jobs.open, "ended", len(progress)-d.jobs.open, "took", (d.node.clock() - began).String())
 	return true
 }
 
+// survey tells the pool which workers exist by the inventory.
+func (d *poolDuty) survey() {
+	for d.ctx.Err() == nil {
+		hosts, err := d.node.ports.Inventory.Hosts(storeTimeout)
+		if err == nil {
+			var ids []string
+			for _, h := range hosts {
+				if h.Pool == d.name && h.Worker != "" {
+					ids = append(ids, h.Worker)
+				}
+			}
+			d.post(func(time.Duration) { d.pool.Surveyed(ids) })
+			return
+		}
+		d.logger.Info("workers not surveyed yet", "error", err.Error())
+		sleep(d.ctx, announcePause)
+	}
+}
+
 // readProgress returns the progress records of the pool by job.
 func (d *poolDuty) readProgress() (map[string]*jaywire.JobProgress, error) {
 	c := &progressCollector{pool: d.name, byJob: map[string]*jaywire.JobProgress{}}
-	tail := jaytail.New(d.node.ports.Store, d.node.ports.Formats.Own(topicProgress, d.node.partitionOf(d.name)),
+	tail := jaytail.New(d.node.store, d.node.ports.Formats.Own(topicProgress, d.node.partitionOf(d.name)),
 		jaytail.Options{Prefix: d.name + "/"}, c, d.node.clock, d.logger)
 	if err := tail.Step(0); err != nil {
 		return nil, err
@@ -131,7 +151,7 @@
 func newJobTail(d *poolDuty) *jobTail {
 	t := &jobTail{duty: d, loading: true}
 	n := d.node
-	t.tail = jaytail.New(n.ports.Store, n.ports.Formats.Own(topicJobs, n.partitionOf(d.name)),
+	t.tail = jaytail.New(n.store, n.ports.Formats.Own(topicJobs, n.partitionOf(d.name)),
 		jaytail.Options{Prefix: d.name + "/", Wait: jobsWait}, t, n.clock, d.logger)
 	return t
 }
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -19,6 +19,7 @@
 		if !known {
 			w = newWorker(listed)
 			p.insert(w)
+			delete(p.missing, w.ID)
 			p.note(Note{Kind: WorkerJoined, Worker: w.ID}, now)
 		}
 		if listed.Draining && !w.Draining {
@@ -32,6 +33,18 @@
 	}
 }
 
+// Surveyed takes in which workers the inventory knows in the pool. Those that
+// are not on the list of workers may run what a former owner has started.
+func (p *Pool) Surveyed(ids []string) {
+	p.surveyed = true
+	clear(p.missing)
+	for _, id := range ids {
+		if _, known := p.workers[id]; !known {
+			p.missing[id] = true
+		}
+	}
+}
+
 // Ended takes in that a life of a worker is over: whatever ran there runs no
 // more.
 func (p *Pool) Ended(id, why string, now time.Duration) {
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -23,11 +23,14 @@
 // holdsBack reports whether some worker may still run what a former owner has
 // started there.
 func (p *Pool) holdsBack(now time.Duration) bool {
-	if now < p.unheard {
+	if now >= p.heldUntil {
+		return false
+	}
+	if !p.surveyed || len(p.missing) > 0 {
 		return true
 	}
 	for _, w := range p.sorted {
-		if w.contact == unconfirmed && now < w.leaseBound {
+		if w.contact == unconfirmed {
 			return true
 		}
 	}
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -57,8 +57,8 @@
 
 func (StartRun) isAction()   {}
 func (RenewLease) isAction() {}
-func (StopRun) isAction()  {}
-func (PaceRun) isAction()  {}
+func (StopRun) isAction()    {}
+func (PaceRun) isAction()    {}
 
 // Pool is the aggregate. One goroutine uses it.
 type Pool struct {
@@ -77,9 +77,15 @@
 	workers map[string]*worker
 	// sorted are the workers in the order of their IDs.
 	sorted []*worker
-	// unheard is until when workers that never reported to this owner may
-	// still run what a former owner started.
-	unheard time.Duration
+	// heldUntil is when the last lease that a former owner granted must have
+	// ended; until then tasks that it may have started wait for the workers
+	// that have not reported yet.
+	heldUntil time.Duration
+	// surveyed says that every worker that exists is known, also one that the
+	// list of workers does not name.
+	surveyed bool
+	// missing are workers that exist but are not on the list.
+	missing map[string]bool
 	actions []Action
 	notes   []Note
 	times   *durations
@@ -93,6 +99,12 @@
 	return func(p *Pool) { p.fence, p.term = fence, term }
 }
 
+// WithFormerOwner makes tasks that a former owner may have started wait until
+// its leases must have ended, or all workers have reported.
+func WithFormerOwner(heldUntil time.Duration) Option {
+	return func(p *Pool) { p.heldUntil = heldUntil }
+}
+
 // WithDueTimes sets how times of day are turned into the pool's clock.
 func WithDueTimes(dueAt func(time.Time) time.Duration) Option {
 	return func(p *Pool) { p.dueAt = dueAt }
@@ -114,6 +126,7 @@
 		policyOf: func(string) (jayspec.Policy, bool) { return jayspec.Policy{}, false },
 		jobs:     map[string]*job{},
 		workers:  map[string]*worker{},
+		missing:  map[string]bool{},
 		times:    newDurations(),
 	}
 	for _, option := range options {
--- a/jaytail/tail.go
+++ b/jaytail/tail.go
@@ -17,7 +17,7 @@
 const (
 	// readTimeout bounds one read, on top of the time for which it asks to
 	// wait. A store that is slow answers within it.
-	readTimeout = 2 * time.Second
+	readTimeout = 900 * time.Millisecond
 	// pauseAfterError is between two reads that fail. Each call is paid for.
 	pauseAfterError = 200 * time.Millisecond
 )
