--- a/jaycli/serve_jobs.go
+++ b/jaycli/serve_jobs.go
@@ -29,6 +29,9 @@
 		MaxLease:        time.Duration(s.MaxLease),
 		StopTime:        time.Duration(s.StopTime),
 		FarFactor:       s.FarFactor,
+		MoveTime:        time.Duration(s.MoveTime),
+		MaintenanceTime: time.Duration(s.MaintenanceTime),
+		HolderTime:      time.Duration(s.HolderTime),
 	}, jaynode.Ports{
 		Store:     platform.NewStore(s.StoreAddr),
 		Workers:   platform.NewWorkers(),
--- /dev/null
+++ b/jayfleet/fleet.go
@@ -0,0 +1,289 @@
+package jayfleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"jaythread/jayport"
+)
+
+// Settings are the bounds of the fleet.
+type Settings struct {
+	// MoveTime and MaintenanceTime are how long a host is away for them.
+	MoveTime        time.Duration
+	MaintenanceTime time.Duration
+	// ActFrom is the clock from which on this owner may act: the owner before
+	// it may still have acted until then.
+	ActFrom time.Duration
+}
+
+// Action is what the fleet's owner is to do: MoveHost, MaintainHost or
+// RecordWave.
+type Action interface {
+	isAction()
+}
+
+// MoveHost brings a host up in another pool.
+type MoveHost struct {
+	Host string
+	Pool string
+	// From and Why are for the log.
+	From string
+	Why  string
+}
+
+// MaintainHost maintains a host for a wave.
+type MaintainHost struct {
+	Host string
+	Wave string
+}
+
+// RecordWave records how far a wave is.
+type RecordWave struct {
+	Wave       string
+	Maintained []string
+	Done       bool
+}
+
+func (MoveHost) isAction()     {}
+func (MaintainHost) isAction() {}
+func (RecordWave) isAction()   {}
+
+// Load is what the owner of a pool says of one worker.
+type Load struct {
+	UsedMilli int64
+	Runs      int
+	LongRuns  int
+	Vacated   bool
+	Idle      time.Duration
+}
+
+// Demand is what the owner of a pool needs.
+type Demand struct {
+	WantedMilli int64
+	// Loads are by the workers' IDs.
+	Loads map[string]Load
+	// At is when it was said.
+	At time.Duration
+}
+
+// Fleet is the aggregate. One goroutine uses it.
+type Fleet struct {
+	settings Settings
+	hosts    map[string]*host
+	sorted   []*host
+	// listedAt is when the present list of hosts was asked for.
+	listedAt time.Duration
+	standby  map[string]bool
+	working  map[string]bool
+	demands  map[string]Demand
+	waves    map[string]*wave
+	actions  []Action
+}
+
+// host is an instance and what is under way with it.
+type host struct {
+	jayport.Host
+	act act
+	// actSent is when the act was sent last, actDone when it was accepted.
+	actSent time.Duration
+	actDone time.Duration
+	sending bool
+	// vacating says that its pool is to empty it, and why.
+	vacating purpose
+	urgent   bool
+	// moveTo is where a host goes that is vacated for a move.
+	moveTo string
+	// vacatingSince is when its pool was first to be told.
+	vacatingSince time.Duration
+}
+
+// act is what was asked of the inventory.
+type act interface {
+	isAct()
+}
+
+type moving struct {
+	to string
+}
+
+type maintaining struct {
+	wave string
+}
+
+func (moving) isAct()      {}
+func (maintaining) isAct() {}
+
+// purpose is why a host is vacated.
+type purpose uint8
+
+const (
+	notVacating purpose = iota
+	forMove
+	forWave
+)
+
+// New returns a fleet without hosts.
+func New(settings Settings) *Fleet {
+	return &Fleet{
+		settings: settings,
+		hosts:    map[string]*host{},
+		standby:  map[string]bool{},
+		working:  map[string]bool{},
+		demands:  map[string]Demand{},
+		waves:    map[string]*wave{},
+	}
+}
+
+// SetPools names the pools that run tasks and those whose hosts are off.
+func (f *Fleet) SetPools(working, standby []string) {
+	clear(f.working)
+	clear(f.standby)
+	for _, p := range working {
+		f.working[p] = true
+	}
+	for _, p := range standby {
+		f.standby[p] = true
+	}
+}
+
+// Listed takes in the inventory, which was asked for at a time.
+func (f *Fleet) Listed(list []jayport.Host, asked time.Duration) {
+	f.listedAt = asked
+	present := make(map[string]bool, len(list))
+	for _, listed := range list {
+		present[listed.Name] = true
+		h, known := f.hosts[listed.Name]
+		if !known {
+			h = &host{}
+			f.hosts[listed.Name] = h
+			f.sorted = append(f.sorted, h)
+		}
+		h.Host = listed
+		h.settle(asked)
+	}
+	f.sorted = slices.DeleteFunc(f.sorted, func(h *host) bool {
+		if !present[h.Name] {
+			delete(f.hosts, h.Name)
+		}
+		return !present[h.Name]
+	})
+	slices.SortFunc(f.sorted, func(a, b *host) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// settle ends an act that the list shows to be over: it was accepted before
+// the list was asked for, and the host is neither moving nor maintained.
+func (h *host) settle(asked time.Duration) {
+	over := h.act != nil && h.actDone > 0 && h.actDone < asked &&
+		(h.State == jayport.HostUp || h.State == jayport.HostDown)
+	if over {
+		h.act = nil
+		h.actDone = 0
+		h.vacating = notVacating
+	}
+}
+
+// Demanded takes in what the owner of a pool needs.
+func (f *Fleet) Demanded(pool string, d Demand) {
+	f.demands[pool] = d
+}
+
+// Answered takes in what came of an act.
+func (f *Fleet) Answered(name string, err error, now time.Duration) {
+	h, known := f.hosts[name]
+	if !known || h.act == nil {
+		return
+	}
+	h.sending = false
+	switch outcome(err) {
+	case accepted:
+		h.actDone = now
+		h.vacating = notVacating
+		if m, ok := h.act.(maintaining); ok {
+			f.noteMaintained(m.wave, name)
+		}
+	case refused:
+		h.act = nil
+		h.vacating = notVacating
+	case inDoubt:
+		// It may be carried out at any moment: the same act is asked for again
+		// until the answer is known.
+	}
+}
+
+// Vacating returns the hosts' workers that each pool is to empty.
+func (f *Fleet) Vacating(pool string) map[string]bool {
+	workers := map[string]bool{}
+	for _, h := range f.sorted {
+		if h.Pool == pool && h.Worker != "" && (h.vacating != notVacating || h.act != nil) {
+			workers[h.Worker] = h.urgent
+		}
+	}
+	return workers
+}
+
+// Decide returns what is to be done now.
+func (f *Fleet) Decide(now time.Duration) []Action {
+	f.actions = nil
+	if now >= f.settings.ActFrom && f.listedAt > 0 {
+		f.resend(now)
+		f.runWaves(now)
+		f.finishMoves(now)
+		f.balance(now)
+	}
+	return f.actions
+}
+
+// resendAfter is before an act without an answer is asked for again.
+const resendAfter = 300 * time.Millisecond
+
+func (f *Fleet) resend(now time.Duration) {
+	for _, h := range f.sorted {
+		if h.act != nil && h.actDone == 0 && !h.sending && now >= h.actSent+resendAfter {
+			f.send(h, "repeated", now)
+		}
+	}
+}
+
+func (f *Fleet) begin(h *host, a act, why string, now time.Duration) {
+	h.act = a
+	h.actDone = 0
+	f.send(h, why, now)
+}
+
+func (f *Fleet) send(h *host, why string, now time.Duration) {
+	h.sending = true
+	h.actSent = now
+	switch a := h.act.(type) {
+	case moving:
+		f.actions = append(f.actions, MoveHost{Host: h.Name, Pool: a.to, From: h.Pool, Why: why})
+	case maintaining:
+		f.actions = append(f.actions, MaintainHost{Host: h.Name, Wave: a.wave})
+	}
+}
+
+// load returns what the host's pool says of it.
+func (f *Fleet) load(h *host) (Load, bool) {
+	d, ok := f.demands[h.Pool]
+	if !ok {
+		return Load{}, false
+	}
+	l, ok := d.Loads[h.Worker]
+	return l, ok
+}
+
+// empty reports whether an act on the host ends no run: it is off, or its pool
+// has emptied it and keeps it closed.
+func (f *Fleet) empty(h *host, now time.Duration) bool {
+	if f.standby[h.Pool] {
+		return true
+	}
+	l, known := f.load(h)
+	fresh := now-f.demands[h.Pool].At < freshDemand
+	return known && fresh && l.Vacated
+}
+
+// freshDemand is how old a pool's word may be that a host is empty. Its owner
+// keeps the host closed for two seconds after it was last told to.
+const freshDemand = time.Second
--- a/jaynode/declarations.go
+++ b/jaynode/declarations.go
@@ -72,5 +72,16 @@
 	d.logger.Info("wave declared", "wave", w.Name, "hosts", len(w.Hosts), "maxAtOnce", w.MaxAtOnce, "within", w.Within.String())
 }
 
+// allWaves returns the waves that were declared.
+func (d *declarations) allWaves() []declaredWave {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	waves := make([]declaredWave, 0, len(d.waves))
+	for _, w := range d.waves {
+		waves = append(waves, w)
+	}
+	return waves
+}
+
 // CaughtUp is called after each read.
 func (d *declarations) CaughtUp(time.Duration) {}
--- a/jaynode/duties.go
+++ b/jaynode/duties.go
@@ -18,9 +18,18 @@
 		delete(n.pools, pool)
 		duty.end("another owner")
 	}
+	fleetClaim, _ := view.Claim(jayowner.Fleet)
+	if n.fleet != nil && (fleetClaim.Fence != n.fleet.claim.Fence || fleetClaim.Released) {
+		n.fleet.end("another owner")
+		n.fleet = nil
+	}
 	if n.stopping.Load() {
 		return
 	}
+	if n.fleet == nil && fleetClaim.Incarnation == n.incarnation && !fleetClaim.Released {
+		n.fleet = newFleetDuty(n, fleetClaim)
+		n.duties.Go(n.fleet.run)
+	}
 	for _, c := range view.Claims() {
 		pool, isPool := c.Duty.Pool()
 		if !isPool || c.Released || c.Incarnation != n.incarnation {
@@ -43,6 +52,15 @@
 	}
 }
 
+// dropFleet forgets the fleet's duty when it has ended by itself.
+func (n *Node) dropFleet(duty *fleetDuty) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.fleet == duty {
+		n.fleet = nil
+	}
+}
+
 // workersChanged tells the owner of a pool here that its workers have changed.
 func (n *Node) workersChanged(pool string) {
 	if duty := n.ownedPool(pool); duty != nil {
--- /dev/null
+++ b/jaynode/fleetduty.go
@@ -0,0 +1,322 @@
+package jaynode
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+
+	"jaythread/jayfleet"
+	"jaythread/jayjournal"
+	"jaythread/jayowner"
+	"jaythread/jayport"
+	"jaythread/jayring"
+	"jaythread/jaytail"
+	"jaythread/jaywire"
+)
+
+const (
+	// topicWaves holds how far each maintenance wave is.
+	topicWaves = "waves"
+	// fleetTick is how often the fleet is looked at.
+	fleetTick = 50 * time.Millisecond
+	// demandEvery is how often each pool is asked what it needs.
+	demandEvery = 150 * time.Millisecond
+	// hostsEvery is how often the inventory is read; each reading is paid for.
+	hostsEvery = 500 * time.Millisecond
+	// inventoryTimeout bounds a call to the inventory.
+	inventoryTimeout = 700 * time.Millisecond
+	// fleetInbox bounds the events that wait for the fleet's goroutine.
+	fleetInbox = 4096
+)
+
+// fleetDuty moves and maintains hosts, as long as this entry owns the fleet.
+type fleetDuty struct {
+	node   *Node
+	claim  jayowner.Claim
+	logger logr.Logger
+	ctx    context.Context
+	cancel context.CancelFunc
+	inbox  *jayring.Ring[event]
+
+	// Only the duty's goroutine uses what follows.
+	fleet   *jayfleet.Fleet
+	journal *jayjournal.Journal
+	listing bool
+	listAt  time.Duration
+	asking  map[string]bool
+	askAt   map[string]time.Duration
+	told    map[string]string
+}
+
+func newFleetDuty(n *Node, claim jayowner.Claim) *fleetDuty {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &fleetDuty{
+		node:   n,
+		claim:  claim,
+		logger: n.logger.WithName("fleet").WithValues("fence", claim.Fence),
+		ctx:    ctx,
+		cancel: cancel,
+		inbox:  jayring.New[event](fleetInbox),
+		asking: map[string]bool{},
+		askAt:  map[string]time.Duration{},
+		told:   map[string]string{},
+	}
+	settings := jayfleet.Settings{MoveTime: n.settings.MoveTime, MaintenanceTime: n.settings.MaintenanceTime}
+	if claim.Term > 1 {
+		settings.ActFrom = n.clock() + n.settings.HolderTime
+	}
+	d.fleet = jayfleet.New(settings)
+	d.journal = jayjournal.New(n.store, n.ports.Formats.Own(topicWaves, 0), string(claim.Duty), claim.Fence, n.clock, d.logger)
+	return d
+}
+
+func (d *fleetDuty) end(why string) {
+	d.logger.Info("duty ended", "why", why)
+	d.cancel()
+}
+
+// run takes the fleet over and works on it until the duty ends.
+func (d *fleetDuty) run() {
+	defer d.node.dropFleet(d)
+	recorded, ok := d.takeOver()
+	if !ok {
+		return
+	}
+	d.node.duties.Go(func() {
+		if err := d.journal.Run(d.ctx); err != nil && d.ctx.Err() == nil {
+			d.end(err.Error())
+		}
+	})
+	tick := time.NewTicker(fleetTick)
+	defer tick.Stop()
+	for d.ctx.Err() == nil {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-tick.C:
+		case <-d.inbox.Ready():
+		}
+		d.step(recorded)
+	}
+}
+
+// takeOver fences the former owner off and reads how far the waves are.
+func (d *fleetDuty) takeOver() (map[string]*jaywire.WaveProgress, bool) {
+	if err := d.journal.Fence(d.ctx); err != nil {
+		d.logger.Info("not taken over", "error", err.Error())
+		return nil, false
+	}
+	c := &waveCollector{waves: map[string]*jaywire.WaveProgress{}, logger: d.logger}
+	tail := jaytail.New(d.node.store, d.node.ports.Formats.Own(topicWaves, 0), jaytail.Options{}, c, d.node.clock, d.logger)
+	for tail.Step(0) != nil {
+		sleep(d.ctx, announcePause)
+		if d.ctx.Err() != nil {
+			return nil, false
+		}
+	}
+	d.logger.Info("fleet taken over", "term", d.claim.Term, "waves", len(c.waves))
+	return c.waves, true
+}
+
+// waveCollector collects what was recorded of the waves.
+type waveCollector struct {
+	waves  map[string]*jaywire.WaveProgress
+	logger logr.Logger
+}
+
+// Reset begins a load.
+func (c *waveCollector) Reset() { clear(c.waves) }
+
+// Apply takes in a record.
+func (c *waveCollector) Apply(r jayport.Record) {
+	if r.Value == nil {
+		return
+	}
+	progress := &jaywire.WaveProgress{}
+	if err := proto.Unmarshal(r.Value, progress); err != nil {
+		c.logger.Error(err, "wave unreadable", "wave", r.Key)
+		return
+	}
+	c.waves[r.Key] = progress
+}
+
+// CaughtUp is called after the load.
+func (c *waveCollector) CaughtUp(time.Duration) {}
+
+func (d *fleetDuty) step(recorded map[string]*jaywire.WaveProgress) {
+	for {
+		handle, ok := d.inbox.Take()
+		if !ok {
+			break
+		}
+		handle(d.node.clock())
+	}
+	now := d.node.clock()
+	catalog := d.node.Catalog()
+	if catalog == nil {
+		return
+	}
+	working := catalog.WorkingPools()
+	d.fleet.SetPools(working, catalog.StandbyPools())
+	for _, w := range d.node.declarations.allWaves() {
+		progress := recorded[w.Name]
+		d.fleet.Declared(w.Wave, w.since, progress.GetMaintained(), progress.GetDone())
+	}
+	for _, action := range d.fleet.Decide(now) {
+		d.perform(action)
+	}
+	d.readHosts(now)
+	for _, pool := range working {
+		d.askDemand(pool, now)
+	}
+}
+
+func (d *fleetDuty) post(e event) {
+	for !d.inbox.Offer(e) {
+		if d.ctx.Err() != nil {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// readHosts reads the inventory from time to time.
+func (d *fleetDuty) readHosts(now time.Duration) {
+	if d.listing || now < d.listAt {
+		return
+	}
+	d.listing = true
+	go func() {
+		hosts, err := d.node.ports.Inventory.Hosts(inventoryTimeout)
+		d.post(func(at time.Duration) {
+			d.listing = false
+			d.listAt = at + hostsEvery
+			if err != nil {
+				d.logger.Info("inventory not read", "error", err.Error())
+				return
+			}
+			d.fleet.Listed(hosts, now)
+		})
+	}()
+}
+
+// askDemand asks a pool's owner what it needs and tells it which workers to
+// vacate: from time to time, and at once when these have changed.
+func (d *fleetDuty) askDemand(pool string, now time.Duration) {
+	vacating := d.fleet.Vacating(pool)
+	orders := make([]*jaywire.VacateOrder, 0, len(vacating))
+	for worker, urgent := range vacating {
+		orders = append(orders, &jaywire.VacateOrder{Worker: worker, Urgent: urgent})
+	}
+	slices.SortFunc(orders, func(a, b *jaywire.VacateOrder) int { return strings.Compare(a.Worker, b.Worker) })
+	names := ordersText(orders)
+	if d.asking[pool] || now < d.askAt[pool] && names == d.told[pool] {
+		return
+	}
+	d.asking[pool] = true
+	d.told[pool] = names
+	go func() {
+		report, err := d.node.askDemand(pool, d.claim.Fence, orders)
+		d.post(func(at time.Duration) {
+			d.asking[pool] = false
+			d.askAt[pool] = at + demandEvery
+			if err == nil && report.GetOwned() {
+				d.fleet.Demanded(pool, demandOf(report, now))
+			}
+		})
+	}()
+}
+
+func ordersText(orders []*jaywire.VacateOrder) string {
+	var b strings.Builder
+	for _, o := range orders {
+		b.WriteString(o.Worker)
+		if o.Urgent {
+			b.WriteByte('!')
+		}
+		b.WriteByte(' ')
+	}
+	return b.String()
+}
+
+func demandOf(report *jaywire.DemandReport, at time.Duration) jayfleet.Demand {
+	demand := jayfleet.Demand{WantedMilli: report.WantedMilli, Loads: make(map[string]jayfleet.Load, len(report.Workers)), At: at}
+	for _, w := range report.Workers {
+		demand.Loads[w.Worker] = jayfleet.Load{
+			UsedMilli: w.UsedMilli,
+			Runs:      int(w.Runs),
+			LongRuns:  int(w.LongRuns),
+			Vacated:   w.Vacated,
+			Idle:      millis(w.IdleMillis),
+		}
+	}
+	return demand
+}
+
+func (d *fleetDuty) perform(action jayfleet.Action) {
+	lease := jayport.Lease{Holder: d.node.settings.Entry, Fence: d.claim.Fence}
+	switch a := action.(type) {
+	case jayfleet.MoveHost:
+		d.logger.Info("moving host", "host", a.Host, "from", a.From, "to", a.Pool, "why", a.Why)
+		go func() {
+			d.answered(a.Host, d.node.ports.Inventory.Move(a.Host, a.Pool, lease, inventoryTimeout))
+		}()
+	case jayfleet.MaintainHost:
+		d.logger.Info("maintaining host", "host", a.Host, "wave", a.Wave)
+		go func() {
+			d.answered(a.Host, d.node.ports.Inventory.Maintain(a.Host, a.Wave, lease, inventoryTimeout))
+		}()
+	case jayfleet.RecordWave:
+		d.recordWave(a)
+	}
+}
+
+func (d *fleetDuty) answered(host string, err error) {
+	d.post(func(now time.Duration) {
+		if err != nil {
+			d.logger.Info("act not accepted", "host", host, "error", err.Error())
+		}
+		d.fleet.Answered(host, err, now)
+		d.listAt = min(d.listAt, now+hostsEvery/2)
+	})
+}
+
+// recordWave records how far a wave is for the next owner, and tells operators.
+func (d *fleetDuty) recordWave(a jayfleet.RecordWave) {
+	value, err := proto.Marshal(&jaywire.WaveProgress{Maintained: a.Maintained, Done: a.Done})
+	if err != nil {
+		d.logger.Error(err, "wave cannot be written", "wave", a.Wave)
+		return
+	}
+	d.logger.Info("wave progress", "wave", a.Wave, "maintained", len(a.Maintained), "done", a.Done)
+	entry := jayjournal.NewEntry([]jayport.Record{{Key: a.Wave, Value: value}}, func(err error) {
+		if err != nil {
+			d.logger.Info("wave progress not recorded", "wave", a.Wave, "error", err.Error())
+			return
+		}
+		if a.Done || len(a.Maintained) == 0 {
+			d.node.duties.Go(func() { d.tellOperators(a.Wave, a.Done) })
+		}
+	})
+	if err := d.journal.Add(entry); err != nil {
+		d.logger.Error(err, "wave progress not recorded", "wave", a.Wave)
+	}
+}
+
+// tellOperators writes the status of a wave until the store has it.
+func (d *fleetDuty) tellOperators(wave string, done bool) {
+	p, record := d.node.ports.Formats.WaveStatus(wave, done)
+	for d.ctx.Err() == nil {
+		_, err := d.node.store.Append(jayport.Append{Partition: p, Records: []jayport.Record{record}, AsOf: jayport.AnyOffset}, storeTimeout)
+		if err == nil {
+			d.logger.Info("wave status written", "wave", wave, "done", done)
+			return
+		}
+		d.logger.Info("wave status not written yet", "wave", wave, "error", err.Error())
+		sleep(d.ctx, announcePause)
+	}
+}
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -65,6 +65,7 @@
 
 	mu    sync.Mutex
 	pools map[string]*poolDuty
+	fleet *fleetDuty
 
 	stopping atomic.Bool
 	cancel   context.CancelFunc
@@ -184,6 +185,8 @@
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Job{Job: n.cancelOwned(body.CancelJob.Pool, body.CancelJob.Job)}}
 	case *jaywire.PeerRequest_AskPending:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Pending{Pending: n.pendingOwned(body.AskPending.Pool, body.AskPending.Queue)}}
+	case *jaywire.PeerRequest_AskDemand:
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Demand{Demand: n.demandOwned(body.AskDemand)}}
 	case *jaywire.PeerRequest_StoreCall:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_StoreResult{StoreResult: jayrelay.Serve(n.ports.Store, body.StoreCall)}}
 	case *jaywire.PeerRequest_Ping:
--- a/jaynode/owners.go
+++ b/jaynode/owners.go
@@ -115,7 +115,7 @@
 	if c == nil {
 		return nil
 	}
-	var duties []jayowner.Duty
+	duties := []jayowner.Duty{jayowner.Fleet}
 	for _, pool := range c.WorkingPools() {
 		duties = append(duties, jayowner.PoolDuty(pool))
 	}
--- a/jaynode/settings.go
+++ b/jaynode/settings.go
@@ -17,4 +17,10 @@
 	StopTime time.Duration
 	// FarFactor is how much longer a task takes away from its data or rack.
 	FarFactor float64
+	// MoveTime and MaintenanceTime are how long a host is away for them.
+	MoveTime        time.Duration
+	MaintenanceTime time.Duration
+	// HolderTime is how long after one owner of the fleet the next one may act
+	// on a host.
+	HolderTime time.Duration
 }
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -179,7 +179,7 @@
 	}
 	t.duty.post(func(now time.Duration) {
 		if t.duty.pool.Declare(job, now) {
-			t.duty.logger.Info("job declared", "job", id, "queue", job.Queue, "tasks", job.Tasks(), "offset", r.Offset)
+			t.duty.logger.Info("job declared", "job", id, "queue", job.Queue, "steps", job.Summary(), "offset", r.Offset)
 		}
 	})
 }
--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -22,6 +22,7 @@
 func (p *Pool) Decide(now time.Duration) []Action {
 	p.expireLeases(now)
 	p.resend(now)
+	p.vacate(now)
 	p.place(now)
 	p.renewLeases(now)
 	actions := p.actions
@@ -36,7 +37,7 @@
 		if w.contact == silent && now >= w.leaseBound {
 			w.contact = lapsed
 			p.note(Note{Kind: WorkerLapsed, Worker: w.ID, Since: w.heardAt}, now)
-			p.lose(w)
+			p.lose(w, now)
 		}
 	}
 }
@@ -88,7 +89,7 @@
 
 // start begins a run of a task on a worker.
 func (p *Pool) start(t *task, w *worker, number int64, now time.Duration) {
-	r := &run{task: t, worker: w, number: number, need: needOf(t.step), orderedAt: now, checkpoint: t.checkpoint, pace: fullPace}
+	r := &run{task: t, worker: w, number: number, need: needOf(t.step), orderedAt: now, checkpoint: t.checkpoint}
 	t.last = number
 	t.runs = append(t.runs, r)
 	w.add(r)
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -17,7 +17,7 @@
 	for _, listed := range list {
 		w, known := p.workers[listed.ID]
 		if !known {
-			w = newWorker(listed)
+			w = newWorker(listed, now)
 			p.insert(w)
 			delete(p.missing, w.ID)
 			p.note(Note{Kind: WorkerJoined, Worker: w.ID}, now)
@@ -52,15 +52,15 @@
 	if !known {
 		return
 	}
-	p.lose(w)
+	p.lose(w, now)
 	p.remove(w)
 	p.note(Note{Kind: WorkerLeft, Worker: id, Detail: why}, now)
 }
 
 // lose drops all runs of a worker: their tasks wait again.
-func (p *Pool) lose(w *worker) {
+func (p *Pool) lose(w *worker, now time.Duration) {
 	for _, r := range w.sortedRuns() {
-		p.dropRun(r)
+		p.dropRun(r, now)
 	}
 }
 
@@ -73,8 +73,8 @@
 	return runs
 }
 
-func (p *Pool) dropRun(r *run) {
-	r.worker.remove(r)
+func (p *Pool) dropRun(r *run, now time.Duration) {
+	r.worker.remove(r, now)
 	r.task.drop(r)
 }
 
@@ -132,7 +132,7 @@
 		confirmed := r.confirmedAt > 0 && r.confirmedAt < asked
 		if confirmed && !seen[r.ref()] {
 			p.note(Note{Kind: RunVanished, Worker: w.ID, Run: r.ref()}, now)
-			p.dropRun(r)
+			p.dropRun(r, now)
 		}
 	}
 }
@@ -224,7 +224,7 @@
 	}
 	r.task.notBefore = now + refusedPause
 	r.worker.health.refused(reason, now)
-	p.dropRun(r)
+	p.dropRun(r, now)
 }
 
 // refusedPause is before a refused task is tried again: the room that the
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -86,9 +86,13 @@
 	surveyed bool
 	// missing are workers that exist but are not on the list.
 	missing map[string]bool
-	actions []Action
-	notes   []Note
-	times   *durations
+	// arrivals measures the rate of new work.
+	arrivals arrivals
+	// vacatingUntil is when the orders to vacate workers expire.
+	vacatingUntil time.Duration
+	actions       []Action
+	notes         []Note
+	times         *durations
 }
 
 // Option changes how a pool is made.
@@ -155,6 +159,12 @@
 	return j.state(), true
 }
 
+// Recorded reports whether a job has ended and its end stands in the store.
+func (p *Pool) Recorded(id string) bool {
+	j, known := p.jobs[id]
+	return known && j.recorded != Open
+}
+
 // Pending counts the open jobs of a queue of which no task has started.
 func (p *Pool) Pending(queue string) int {
 	count := 0
@@ -180,7 +190,9 @@
 	if _, known := p.jobs[spec.ID]; known {
 		return false
 	}
-	p.add(newJob(spec, now, p.dueAt))
+	j := newJob(spec, now, p.dueAt)
+	p.add(j)
+	p.arrivals.add(j, now)
 	return true
 }
 
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -49,8 +49,12 @@
 	askAt  time.Duration
 	// listed says that the latest list of workers names it.
 	listed bool
-	// closed workers get no new run.
+	// closed workers get no new run, and urgent ones have theirs stopped where
+	// that loses little.
 	closed bool
+	urgent bool
+	// idleSince is since when nothing has run there.
+	idleSince time.Duration
 	// health is what its own runs say of it.
 	health health
 }
@@ -99,8 +103,8 @@
 	return jayport.RunRef{Task: r.task.id(), Number: r.number}
 }
 
-func newWorker(w jayport.Worker) *worker {
-	return &worker{Worker: w, runs: map[jayport.RunRef]*run{}, free: w.Capacity}
+func newWorker(w jayport.Worker, now time.Duration) *worker {
+	return &worker{Worker: w, runs: map[jayport.RunRef]*run{}, free: w.Capacity, idleSince: now}
 }
 
 func (w *worker) life() jayport.Life {
@@ -120,12 +124,15 @@
 }
 
 // remove gives a run's room back.
-func (w *worker) remove(r *run) {
+func (w *worker) remove(r *run, now time.Duration) {
 	if w.runs[r.ref()] != r {
 		return
 	}
 	delete(w.runs, r.ref())
 	w.free = w.free.Add(r.need)
+	if len(w.runs) == 0 {
+		w.idleSince = now
+	}
 	if r.task.step.placed[w]--; r.task.step.placed[w] == 0 {
 		delete(r.task.step.placed, w)
 	}
--- a/jayspec/job.go
+++ b/jayspec/job.go
@@ -3,6 +3,8 @@
 package jayspec
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"jaythread/jaypool"
@@ -145,3 +147,42 @@
 	}
 	return longest
 }
+
+// Summary describes the steps in one line for logs, as in
+// "6x3500m,13000MB,800ms>0": tasks, processors in thousandths of a core,
+// memory, estimate, the steps before it, and flags.
+func (j *Job) Summary() string {
+	steps := make([]string, len(j.Steps))
+	for n := range j.Steps {
+		steps[n] = j.Steps[n].summary()
+	}
+	return strings.Join(steps, " ")
+}
+
+func (s *Step) summary() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%dx%dm,%dMB", s.Tasks, s.Need.ProcessorsMilli, s.Need.MemoryMegabytes)
+	if s.Need.Accelerators > 0 {
+		fmt.Fprintf(&b, ",%dacc", s.Need.Accelerators)
+	}
+	fmt.Fprintf(&b, ",%s", s.Estimate)
+	for _, before := range s.After {
+		fmt.Fprintf(&b, ">%d", before)
+	}
+	flags := []struct {
+		set  bool
+		name string
+	}{
+		{s.Checkpoint, "checkpoint"}, {s.Gang, "gang"}, {s.RackLocal, "rackLocal"},
+		{s.Speculative, "speculative"}, {s.LongRunning, "longRunning"}, {s.Fills, "fills"},
+		{s.RequiredLabel != "", "label=" + s.RequiredLabel}, {s.DataRack != "", "rack=" + s.DataRack},
+		{s.Image != "", "image=" + s.Image}, {s.MaxPerInstance > 0, fmt.Sprint("max=", s.MaxPerInstance)},
+		{s.MayMiss > 0, fmt.Sprint("mayMiss=", s.MayMiss)}, {s.Target > 0, "target=" + s.Target.String()},
+	}
+	for _, f := range flags {
+		if f.set {
+			b.WriteString("," + f.name)
+		}
+	}
+	return b.String()
+}
