Replace hosts that a wave empties; forget workers that left the list

Change: such hosts do not count; a long-running task is stopped only if there is room for it elsewhere; a silent worker that left the list is not asked again.

--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -183,16 +183,23 @@
 	return s
 }
 
-// serves reports whether a host serves a pool or soon will.
+// serves reports whether a host serves a pool or soon will. One that is
+// emptied for maintenance does not, or a pool whose hosts are all emptied at
+// once would get no other in their place.
 func (f *Fleet) serves(h *host, pool string) bool {
 	switch a := h.act.(type) {
 	case moving:
 		return a.to == pool
+	case maintaining:
+		return false
+	}
+	switch h.vacating {
+	case forMove:
+		return h.moveTo == pool
+	case forWave:
+		return false
 	default:
-		if h.vacating == forMove {
-			return h.moveTo == pool
-		}
-		return h.Pool == pool && h.State != jayport.HostDown
+		return h.Pool == pool && (h.State == jayport.HostUp || h.State == jayport.HostMoving)
 	}
 }
 
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -213,6 +213,8 @@
 		go d.stopRun(a)
 	case jaysched.RenewLease:
 		go d.renewLease(a)
+	case jaysched.ForgetWorker:
+		d.node.ports.Workers.Forget(a.To)
 	case jaysched.PaceRun:
 	}
 }
--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -1,6 +1,7 @@
 package jaysched
 
 import (
+	"slices"
 	"time"
 
 	"jaythread/jayport"
@@ -33,12 +34,19 @@
 // expireLeases gives up the runs of silent workers whose lease must have
 // ended, so that their tasks can start elsewhere.
 func (p *Pool) expireLeases(now time.Duration) {
-	for _, w := range p.sorted {
+	for _, w := range slices.Clone(p.sorted) {
 		if w.contact == silent && now >= w.leaseBound {
 			w.contact = lapsed
 			p.note(Note{Kind: WorkerLapsed, Worker: w.ID, Since: w.heardAt}, now)
 			p.lose(w, now)
 		}
+		// A worker that has left the list and does not answer is not asked for
+		// ever: each try is a new connection to an address that may be another
+		// worker's by now.
+		if !w.listed && w.contact != connected && len(w.runs) == 0 {
+			p.Ended(w.ID, "left the list", now)
+			p.actions = append(p.actions, ForgetWorker{To: w.life()})
+		}
 	}
 }
 
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -134,7 +134,7 @@
 			continue
 		}
 		for _, r := range w.sortedRuns() {
-			if r.phase == running && mayEvict(r) {
+			if r.phase == running && p.mayEvict(r, now) {
 				p.note(Note{Kind: RunStopped, Worker: w.ID, Run: r.ref(), Detail: "vacating"}, now)
 				p.stop(r, "vacating")
 			}
@@ -143,13 +143,13 @@
 }
 
 // mayEvict reports whether a run should be stopped so that its worker becomes
-// free.
-func mayEvict(r *run) bool {
+// free: its step can miss one more task, and there is room for it elsewhere.
+func (p *Pool) mayEvict(r *run, now time.Duration) bool {
 	s := r.task.step
-	if !s.decl.LongRunning {
+	if !s.decl.LongRunning || s.away() >= max(1, s.decl.MayMiss) {
 		return false
 	}
-	return s.away() < s.decl.MayMiss || s.decl.MayMiss == 0 && s.away() == 0
+	return p.choose(r.task, now) != nil
 }
 
 // away counts the tasks of a long-running step that are not at work.
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -20,8 +20,8 @@
 	FarFactor float64
 }
 
-// Action is what the pool's owner is to do: StartRun, StopRun, PaceRun or
-// RenewLease.
+// Action is what the pool's owner is to do: StartRun, StopRun, PaceRun,
+// RenewLease or ForgetWorker.
 type Action interface {
 	isAction()
 }
@@ -55,10 +55,16 @@
 	Order jayport.LeaseOrder
 }
 
-func (StartRun) isAction()   {}
-func (RenewLease) isAction() {}
-func (StopRun) isAction()    {}
-func (PaceRun) isAction()    {}
+// ForgetWorker closes the connections to a worker that is gone.
+type ForgetWorker struct {
+	To jayport.Life
+}
+
+func (StartRun) isAction()     {}
+func (ForgetWorker) isAction() {}
+func (RenewLease) isAction()   {}
+func (StopRun) isAction()      {}
+func (PaceRun) isAction()      {}
 
 // Pool is the aggregate. One goroutine uses it.
 type Pool struct {
