Learn from the inventory which workers have ended; hand duties over without a gap

Change: the fleet's owner tells pools which workers exist; surveys go on while some worker is waited for; a duty that is given up is carried out until its next claim; ranks wait longer while the store is slow; hangups reload.

--- a/jaycli/serve.go
+++ b/jaycli/serve.go
@@ -31,7 +31,7 @@
 		return err
 	}
 	if options.JobService.Enabled() {
-		return serveJobs(ctx, options)
+		return serveJobs(ctx, c, options)
 	}
 	logger := jaylogger.New(os.Stderr, options.LogFormat, options.LogLevel)
 	platform := jayplatform.NewClient(options.PlatformURL, time.Duration(options.PlatformTimeout))
--- a/jaycli/serve_jobs.go
+++ b/jaycli/serve_jobs.go
@@ -5,8 +5,12 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/urfave/cli/v3"
 	"github.com/valyala/fasthttp"
 
 	"jaythread/jayedge"
@@ -17,7 +21,7 @@
 )
 
 // serveJobs runs an entry that schedules jobs on the users' platform.
-func serveJobs(ctx context.Context, options *jayoptions.Options) error {
+func serveJobs(ctx context.Context, c *cli.Command, options *jayoptions.Options) error {
 	logger := jaylogger.New(os.Stdout, options.LogFormat, options.LogLevel)
 	s := &options.JobService
 	node := jaynode.New(jaynode.Settings{
@@ -60,10 +64,48 @@
 	if err := node.Start(context.WithoutCancel(ctx)); err != nil {
 		return err
 	}
-	<-ctx.Done()
-	stop, cancel := context.WithTimeout(context.Background(), time.Duration(options.StopBound))
+	reloadUntil(ctx, c, logger)
+	return stopJobs(options, node, edge)
+}
+
+// stopJobs ends an entry gracefully. Its duties go to others at once; callers
+// are served until the balancer has seen that the entry leaves, and answered
+// after that.
+func stopJobs(options *jayoptions.Options, node *jaynode.Node, edge *jayedge.Edge) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(options.StopBound))
 	defer cancel()
+	node.Leave()
 	edge.Drain()
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(options.StopGrace)):
+	}
+	err := edge.Stop(ctx)
 	node.Stop()
-	return edge.Stop(stop)
+	return err
+}
+
+// reloadUntil reads the settings again at each hangup until the context ends.
+// What can change while the entry runs is the level of the logs; for all else
+// it says that a restart is needed. Without a handler a hangup would end the
+// process.
+func reloadUntil(ctx context.Context, c *cli.Command, logger logr.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	present := c.String("config")
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		options, err := settings(present)
+		if err != nil {
+			logger.Error(err, "settings not reloaded")
+			continue
+		}
+		jaylogger.SetLevel(options.LogLevel)
+		logger.Info("settings reloaded", "logLevel", options.LogLevel)
+	}
 }
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -80,6 +80,15 @@
 	demands  map[string]Demand
 	waves    map[string]*wave
 	actions  []Action
+	notes    []Note
+}
+
+// Note is a change of what the fleet believes of a host.
+type Note struct {
+	Host   string
+	Pool   string
+	State  jayport.HostState
+	Worker string
 }
 
 // host is an instance and what is under way with it.
@@ -160,6 +169,9 @@
 			f.hosts[listed.Name] = h
 			f.sorted = append(f.sorted, h)
 		}
+		if h.Pool != listed.Pool || h.State != listed.State || h.Worker != listed.Worker {
+			f.notes = append(f.notes, Note{Host: listed.Name, Pool: listed.Pool, State: listed.State, Worker: listed.Worker})
+		}
 		h.Host = listed
 		h.settle(asked)
 	}
@@ -184,6 +196,13 @@
 	}
 }
 
+// Notes returns the notes since the last call.
+func (f *Fleet) Notes() []Note {
+	notes := f.notes
+	f.notes = nil
+	return notes
+}
+
 // Demanded takes in what the owner of a pool needs.
 func (f *Fleet) Demanded(pool string, d Demand) {
 	f.demands[pool] = d
@@ -223,6 +242,17 @@
 	return workers
 }
 
+// Existing returns the workers of a pool by the inventory and when it was asked;
+// known is false before it was read.
+func (f *Fleet) Existing(pool string) (workers []string, asked time.Duration, known bool) {
+	for _, h := range f.sorted {
+		if h.Pool == pool && h.Worker != "" {
+			workers = append(workers, h.Worker)
+		}
+	}
+	return workers, f.listedAt, f.listedAt > 0
+}
+
 // Decide returns what is to be done now.
 func (f *Fleet) Decide(now time.Duration) []Action {
 	f.actions = nil
--- a/jaylogger/logger.go
+++ b/jaylogger/logger.go
@@ -24,10 +24,16 @@
 	zerologr.NameFieldName = "part"
 	zerologr.NameSeparator = "."
 	zerologr.VerbosityFieldName = ""
-	logger := zerolog.New(writer).With().Timestamp().Logger().Level(levelOf(level))
+	SetLevel(level)
+	logger := zerolog.New(writer).With().Timestamp().Logger()
 	return zerologr.New(&logger)
 }
 
+// SetLevel changes the level of all loggers of the process.
+func SetLevel(level string) {
+	zerolog.SetGlobalLevel(levelOf(level))
+}
+
 func levelOf(level string) zerolog.Level {
 	switch level {
 	case "debug":
--- a/jaynode/claims.go
+++ b/jaynode/claims.go
@@ -13,9 +13,15 @@
 const (
 	// claimPause is between two looks for vacant duties.
 	claimPause = 50 * time.Millisecond
-	// rankDelay is how long a candidate waits for each one that ranks before
-	// it: an append and its way to all readers take about 30 ms.
+	// rankDelay is how long a candidate waits at least for each one that ranks
+	// before it: an append and its way to all readers take about 30 ms.
 	rankDelay = 150 * time.Millisecond
+	// rankLatencies is the same in appends, for a store that is slow: it takes
+	// the appends to a partition one by one, also those that are turned down.
+	rankLatencies = 3
+	// claimTimeout bounds the append of a claim. A slow store takes several
+	// hundred milliseconds.
+	claimTimeout = 1500 * time.Millisecond
 	// settleTime is after this entry's start before it claims anything, so
 	// that entries that start together know of each other.
 	settleTime = 600 * time.Millisecond
@@ -53,7 +59,7 @@
 		Partition: o.node.ports.Formats.Own(topicOwners, 0),
 		Records:   records,
 		AsOf:      view.next,
-	}, storeTimeout)
+	}, claimTimeout)
 	var stale *jayport.StaleError
 	if err != nil && !errors.As(err, &stale) {
 		o.logger.Info("claim failed", "error", err.Error())
@@ -64,10 +70,11 @@
 // claimsOf returns the claims that this entry should make now.
 func (o *owners) claimsOf(view *ownerView, vacant []jayowner.Duty, now time.Duration) []jayport.Record {
 	rankings := jayowner.Rankings(vacant, held(view), o.candidates(now))
+	delay := max(rankDelay, rankLatencies*o.node.store.Latency())
 	var records []jayport.Record
 	for _, d := range vacant {
 		rank := slices.Index(rankings[d], o.node.incarnation)
-		if rank < 0 || now-o.vacantSince[d] < time.Duration(rank)*rankDelay {
+		if rank < 0 || now-o.vacantSince[d] < time.Duration(rank)*delay {
 			continue
 		}
 		former, _ := view.Claim(d)
@@ -124,10 +131,10 @@
 
 // candidates are the entries that are not known to have ended.
 func (o *owners) candidates(now time.Duration) []jayowner.Candidate {
-	candidates := []jayowner.Candidate{{Incarnation: o.node.incarnation, Strength: o.node.settings.ProcessorsMilli}}
+	candidates := []jayowner.Candidate{{Incarnation: o.node.incarnation, Strength: o.node.settings.ProcessorsMilli, Started: o.node.started.UnixMilli()}}
 	for _, e := range o.node.entries.all() {
 		if e.Incarnation != o.node.incarnation && !o.node.liveness.hasEnded(e.Incarnation, now) {
-			candidates = append(candidates, jayowner.Candidate{Incarnation: e.Incarnation, Strength: e.ProcessorsMilli})
+			candidates = append(candidates, jayowner.Candidate{Incarnation: e.Incarnation, Strength: e.ProcessorsMilli, Started: e.StartedUnixMillis})
 		}
 	}
 	return candidates
--- /dev/null
+++ b/jaynode/demand.go
@@ -0,0 +1,77 @@
+package jaynode
+
+import (
+	"errors"
+	"time"
+
+	"jaythread/jayowner"
+	"jaythread/jaysched"
+	"jaythread/jaywire"
+)
+
+// askDemand asks the owner of a pool what it needs, for the fleet's owner.
+func (n *Node) askDemand(ask *jaywire.AskDemand) (*jaywire.DemandReport, error) {
+	c, ok := n.owners.of(jayowner.PoolDuty(ask.Pool))
+	if !ok {
+		return nil, errNoOwner
+	}
+	response, err := n.askIncarnation(c, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskDemand{
+		AskDemand: ask,
+	}})
+	if err != nil {
+		return nil, err
+	}
+	return response.GetDemand(), nil
+}
+
+// surveySlack is more than a question from the fleet's owner takes.
+const surveySlack = 200 * time.Millisecond
+
+// errNoOwner is reported while a pool has no owner.
+var errNoOwner = errors.New("the pool has no owner")
+
+// demandOwned answers the fleet's owner for a pool that this entry owns. An
+// owner of the fleet that was replaced is not listened to.
+func (n *Node) demandOwned(ask *jaywire.AskDemand) *jaywire.DemandReport {
+	report := &jaywire.DemandReport{}
+	duty := n.ownedPool(ask.Pool)
+	fleet, owned := n.owners.of(jayowner.Fleet)
+	if duty == nil || !duty.loaded.Load() || !owned || fleet.Fence > ask.Fence {
+		return report
+	}
+	vacate := make([]jaysched.Vacate, 0, len(ask.Vacate))
+	for _, v := range ask.Vacate {
+		vacate = append(vacate, jaysched.Vacate{Worker: v.Worker, Urgent: v.Urgent})
+	}
+	// The survey is taken for a little older than it is: the question took some
+	// time on its way.
+	age := millis(ask.SurveyAgeMillis) + surveySlack
+	asked := duty.ask(func() {
+		now := n.clock()
+		if ask.Surveyed {
+			duty.pool.Surveyed(ask.Existing, now-age, now)
+		}
+		duty.pool.SetVacating(vacate, now)
+		writeDemand(report, duty.pool.Demand(now))
+	}, askTimeout)
+	if !asked {
+		return &jaywire.DemandReport{}
+	}
+	report.Owned = true
+	report.Fence = duty.claim.Fence
+	return report
+}
+
+func writeDemand(report *jaywire.DemandReport, d jaysched.Demand) {
+	report.WantedMilli = d.WantedMilli
+	for _, l := range d.Loads {
+		report.Workers = append(report.Workers, &jaywire.WorkerLoad{
+			Worker:     l.Worker,
+			UsedMilli:  l.UsedMilli,
+			Runs:       uint32(l.Runs),
+			LongRuns:   uint32(l.LongRuns),
+			Vacated:    l.Vacated,
+			IdleMillis: l.Idle.Milliseconds(),
+		})
+	}
+}
--- a/jaynode/duties.go
+++ b/jaynode/duties.go
@@ -12,14 +12,14 @@
 	defer n.mu.Unlock()
 	for pool, duty := range n.pools {
 		c, claimed := view.Claim(jayowner.PoolDuty(pool))
-		if claimed && c.Fence == duty.claim.Fence && !c.Released {
+		if claimed && c.Fence == duty.claim.Fence {
 			continue
 		}
 		delete(n.pools, pool)
 		duty.end("another owner")
 	}
 	fleetClaim, _ := view.Claim(jayowner.Fleet)
-	if n.fleet != nil && (fleetClaim.Fence != n.fleet.claim.Fence || fleetClaim.Released) {
+	if n.fleet != nil && fleetClaim.Fence != n.fleet.claim.Fence {
 		n.fleet.end("another owner")
 		n.fleet = nil
 	}
@@ -43,6 +43,20 @@
 	}
 }
 
+// endDuties ends all duties of an entry that stops.
+func (n *Node) endDuties() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, duty := range n.pools {
+		duty.end("stopping")
+	}
+	clear(n.pools)
+	if n.fleet != nil {
+		n.fleet.end("stopping")
+		n.fleet = nil
+	}
+}
+
 // dropPool forgets a duty that has ended by itself.
 func (n *Node) dropPool(duty *poolDuty) {
 	n.mu.Lock()
--- a/jaynode/entries.go
+++ b/jaynode/entries.go
@@ -95,7 +95,7 @@
 		DataCenter:        s.DataCenter,
 		ProcessorsMilli:   s.ProcessorsMilli,
 		LinkMegabits:      s.LinkMegabits,
-		StartedUnixMillis: time.Now().UnixMilli(),
+		StartedUnixMillis: e.node.started.UnixMilli(),
 	})
 	if err != nil {
 		e.logger.Error(err, "announcement cannot be written")
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -26,7 +26,7 @@
 	// demandEvery is how often each pool is asked what it needs.
 	demandEvery = 150 * time.Millisecond
 	// hostsEvery is how often the inventory is read; each reading is paid for.
-	hostsEvery = 500 * time.Millisecond
+	hostsEvery = 400 * time.Millisecond
 	// inventoryTimeout bounds a call to the inventory.
 	inventoryTimeout = 700 * time.Millisecond
 	// fleetInbox bounds the events that wait for the fleet's goroutine.
@@ -169,6 +169,9 @@
 	for _, action := range d.fleet.Decide(now) {
 		d.perform(action)
 	}
+	for _, n := range d.fleet.Notes() {
+		d.logger.Info("host changed", "host", n.Host, "pool", n.Pool, "state", n.State.String(), "worker", n.Worker)
+	}
 	d.readHosts(now)
 	for _, pool := range working {
 		d.askDemand(pool, now)
@@ -219,8 +222,12 @@
 	}
 	d.asking[pool] = true
 	d.told[pool] = names
+	ask := &jaywire.AskDemand{Pool: pool, Fence: d.claim.Fence, Vacate: orders}
+	if existing, asked, known := d.fleet.Existing(pool); known {
+		ask.Surveyed, ask.Existing, ask.SurveyAgeMillis = true, existing, (now - asked).Milliseconds()
+	}
 	go func() {
-		report, err := d.node.askDemand(pool, d.claim.Fence, orders)
+		report, err := d.node.askDemand(ask)
 		d.post(func(at time.Duration) {
 			d.asking[pool] = false
 			d.askAt[pool] = at + demandEvery
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -261,64 +261,6 @@
 	return &jaywire.PendingAnswer{Owned: duty.current(), Pending: uint32(pending)}
 }
 
-// askDemand asks the owner of a pool what it needs, for the fleet's owner.
-func (n *Node) askDemand(pool string, fence int64, vacate []*jaywire.VacateOrder) (*jaywire.DemandReport, error) {
-	c, ok := n.owners.of(jayowner.PoolDuty(pool))
-	if !ok {
-		return nil, errNoOwner
-	}
-	response, err := n.askIncarnation(c, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskDemand{
-		AskDemand: &jaywire.AskDemand{Pool: pool, Fence: fence, Vacate: vacate},
-	}})
-	if err != nil {
-		return nil, err
-	}
-	return response.GetDemand(), nil
-}
-
-// errNoOwner is reported while a pool has no owner.
-var errNoOwner = errors.New("the pool has no owner")
-
-// demandOwned answers the fleet's owner for a pool that this entry owns. An
-// owner of the fleet that was replaced is not listened to.
-func (n *Node) demandOwned(ask *jaywire.AskDemand) *jaywire.DemandReport {
-	report := &jaywire.DemandReport{}
-	duty := n.ownedPool(ask.Pool)
-	fleet, owned := n.owners.of(jayowner.Fleet)
-	if duty == nil || !duty.loaded.Load() || !owned || fleet.Fence > ask.Fence {
-		return report
-	}
-	vacate := make([]jaysched.Vacate, 0, len(ask.Vacate))
-	for _, v := range ask.Vacate {
-		vacate = append(vacate, jaysched.Vacate{Worker: v.Worker, Urgent: v.Urgent})
-	}
-	asked := duty.ask(func() {
-		now := n.clock()
-		duty.pool.SetVacating(vacate, now)
-		writeDemand(report, duty.pool.Demand(now))
-	}, askTimeout)
-	if !asked {
-		return &jaywire.DemandReport{}
-	}
-	report.Owned = true
-	report.Fence = duty.claim.Fence
-	return report
-}
-
-func writeDemand(report *jaywire.DemandReport, d jaysched.Demand) {
-	report.WantedMilli = d.WantedMilli
-	for _, l := range d.Loads {
-		report.Workers = append(report.Workers, &jaywire.WorkerLoad{
-			Worker:     l.Worker,
-			UsedMilli:  l.UsedMilli,
-			Runs:       uint32(l.Runs),
-			LongRuns:   uint32(l.LongRuns),
-			Vacated:    l.Vacated,
-			IdleMillis: l.Idle.Milliseconds(),
-		})
-	}
-}
-
 func stateOf(state jaywire.JobState) jaysched.State {
 	if state == jaywire.JobState_JOB_STATE_UNSPECIFIED {
 		return jaysched.Queued
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -54,6 +54,7 @@
 	clock       jayclock.Clock
 	logger      logr.Logger
 	incarnation string
+	started     time.Time
 
 	declarations *declarations
 	reports      *reports
@@ -105,6 +106,7 @@
 		clock:       jayclock.Boot,
 		logger:      logger,
 		incarnation: settings.Entry + "-" + uuid.NewString()[:8],
+		started:     time.Now(),
 		pools:       map[string]*poolDuty{},
 	}
 	for _, option := range options {
@@ -149,11 +151,18 @@
 	return tail
 }
 
-// Stop gives up all duties and ends the node.
-func (n *Node) Stop() {
+// Leave gives up all duties. Each is carried out until its next owner has
+// claimed it, and callers are still answered.
+func (n *Node) Leave() {
 	n.stopping.Store(true)
-	n.logger.Info("stopping")
+	n.logger.Info("leaving")
 	n.owners.release()
+}
+
+// Stop ends the node.
+func (n *Node) Stop() {
+	n.stopping.Store(true)
+	n.endDuties()
 	n.cancel()
 	n.peerServer.Close()
 	n.peers.Close()
--- a/jaynode/owners.go
+++ b/jaynode/owners.go
@@ -69,14 +69,15 @@
 	return o.table.Load() != nil
 }
 
-// of returns the owner of a duty, if it has one.
+// of returns the owner of a duty, if it has one. One that gives the duty up
+// still answers for it.
 func (o *owners) of(d jayowner.Duty) (jayowner.Claim, bool) {
 	view := o.table.Load()
 	if view == nil {
 		return jayowner.Claim{}, false
 	}
 	c, ok := view.Claim(d)
-	return c, ok && !c.Released
+	return c, ok
 }
 
 // duties are those that should have an owner now.
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -60,26 +60,38 @@
 	d.jobs.finishLoad()
 	d.list(d.node.clock())
 	d.node.duties.Go(d.survey)
-	d.logger.Info("taken over", "term", d.claim.Term, "jobs", d.jobs.open, "ended", len(progress)-d.jobs.open, "took", (d.node.clock() - began).String())
+	d.logger.Info("taken over", "term", d.claim.Term, "jobs", d.jobs.open, "ended", d.jobs.ended, "took", (d.node.clock() - began).String())
 	return true
 }
 
-// survey tells the pool which workers exist by the inventory.
+// surveyPause is between two looks at the inventory while workers do not
+// answer. Each look is paid for.
+const surveyPause = 500 * time.Millisecond
+
+// survey tells the pool which workers exist by the inventory, as long as it
+// waits for word from some.
 func (d *poolDuty) survey() {
 	for d.ctx.Err() == nil {
-		hosts, err := d.node.ports.Inventory.Hosts(storeTimeout)
-		if err == nil {
-			var ids []string
-			for _, h := range hosts {
-				if h.Pool == d.name && h.Worker != "" {
-					ids = append(ids, h.Worker)
-				}
+		needed := false
+		if !d.ask(func() { needed = d.pool.NeedsSurvey(d.node.clock()) }, askTimeout) || !needed {
+			sleep(d.ctx, surveyPause/5)
+			continue
+		}
+		asked := d.node.clock()
+		hosts, err := d.node.ports.Inventory.Hosts(inventoryTimeout)
+		if err != nil {
+			d.logger.Info("workers not surveyed", "error", err.Error())
+			sleep(d.ctx, surveyPause)
+			continue
+		}
+		var ids []string
+		for _, h := range hosts {
+			if h.Pool == d.name && h.Worker != "" {
+				ids = append(ids, h.Worker)
 			}
-			d.post(func(time.Duration) { d.pool.Surveyed(ids) })
-			return
 		}
-		d.logger.Info("workers not surveyed yet", "error", err.Error())
-		sleep(d.ctx, announcePause)
+		d.post(func(now time.Duration) { d.pool.Surveyed(ids, asked, now) })
+		sleep(d.ctx, surveyPause)
 	}
 }
 
@@ -146,6 +158,7 @@
 	progress map[string]*jaywire.JobProgress
 	loading  bool
 	open     int
+	ended    int
 }
 
 func newJobTail(d *poolDuty) *jobTail {
@@ -202,6 +215,7 @@
 	for id, progress := range t.progress {
 		if outcome := jaysched.OutcomeOf(progress); outcome != jaysched.Open {
 			t.duty.pool.RestoreEnded(id, outcome, now)
+			t.ended++
 		}
 	}
 	t.progress = nil
--- a/jayowner/assign.go
+++ b/jayowner/assign.go
@@ -14,12 +14,16 @@
 	// Strength is the entry's share of processors and link; duties go to the
 	// strong first.
 	Strength int64
+	// Started is when the entry was started, in milliseconds of its own time
+	// of day.
+	Started int64
 }
 
 // Rankings returns for each vacant duty the candidates in the order in which
 // they should claim it. All entries come to the same rankings from the same
 // table. Duties are spread: one goes to the candidate with the fewest, measured
-// against its strength.
+// against its strength, and among equals to the one that was started last: when
+// all entries are restarted in turn, it has been already.
 func Rankings(vacant []Duty, held map[string]int, candidates []Candidate) map[Duty][]string {
 	load := make(map[string]int, len(candidates))
 	for id, n := range held {
@@ -34,6 +38,7 @@
 			return cmp.Or(
 				// (load+1)/strength, without fractions.
 				cmp.Compare(int64(load[a.Incarnation]+1)*max(1, b.Strength), int64(load[b.Incarnation]+1)*max(1, a.Strength)),
+				cmp.Compare(b.Started/startedGrain, a.Started/startedGrain),
 				cmp.Compare(score(d, a.Incarnation), score(d, b.Incarnation)),
 				strings.Compare(a.Incarnation, b.Incarnation),
 			)
@@ -50,6 +55,10 @@
 	return rankings
 }
 
+// startedGrain makes entries equals that were started together, in
+// milliseconds.
+const startedGrain = 1000
+
 func score(d Duty, incarnation string) uint64 {
 	return xxhash.Sum64String(string(d) + "\x00" + incarnation)
 }
--- a/jayowner/owner_test.go
+++ b/jayowner/owner_test.go
@@ -32,6 +32,10 @@
 	is.NoErr(table.Apply(at(Claim{Duty: Fleet, Incarnation: "b", Term: 2, Released: true}, 3)))
 	c, _ = table.Claim(Fleet)
 	is.True(c.Released)
+	is.Equal(c.Fence, int64(3)) // the owner goes on under its fence
+	is.NoErr(table.Apply(at(Claim{Duty: Fleet, Incarnation: "a", Term: 1, Released: true}, 4)))
+	c, _ = table.Claim(Fleet)
+	is.Equal(c.Incarnation, "b") // a release that comes late
 	is.True(table.Apply(jayport.Record{Key: "fleet", Value: []byte{0xff}, Offset: 9}) != nil)
 	clone := table.Clone()
 	table.Reset()
@@ -48,7 +52,7 @@
 }
 
 func TestRankings(t *testing.T) {
-	candidates := []Candidate{{"a", 400}, {"b", 400}, {"c", 800}, {"d", 400}}
+	candidates := []Candidate{{Incarnation: "a", Strength: 400}, {Incarnation: "b", Strength: 400}, {Incarnation: "c", Strength: 800}, {Incarnation: "d", Strength: 400}}
 	t.Run("spread duties, the strong take more", func(t *testing.T) {
 		is := is.New(t)
 		var duties []Duty
@@ -67,6 +71,12 @@
 		ranking := Rankings([]Duty{Fleet}, map[string]int{"a": 1, "b": 1, "c": 2}, candidates)[Fleet]
 		is.New(t).Equal(ranking[0], "d")
 	})
+	t.Run("prefer what was restarted already", func(t *testing.T) {
+		restarted := append([]Candidate{}, candidates...)
+		restarted[3].Started = 90_000
+		ranking := Rankings([]Duty{Fleet}, map[string]int{"c": 2}, restarted)[Fleet]
+		is.New(t).Equal(ranking[0], "d")
+	})
 	t.Run("are the same everywhere", func(t *testing.T) {
 		is := is.New(t)
 		duties := []Duty{Fleet, PoolDuty("x"), PoolDuty("y")}
--- a/jayowner/table.go
+++ b/jayowner/table.go
@@ -41,8 +41,11 @@
 	Incarnation string
 	Entry       string
 	PeerAddr    string
-	// Released says that the owner gave the duty up.
+	// Released says that the owner gives the duty up: it carries it out until
+	// the next claim.
 	Released bool
+	// offset is that of the newest record.
+	offset int64
 }
 
 // Table holds the newest claim of each duty.
@@ -69,13 +72,24 @@
 	if err := proto.Unmarshal(r.Value, &claim); err != nil {
 		return err
 	}
-	fence := FenceOf(r.Offset)
-	if t.claims[duty].Fence >= fence {
+	present, claimed := t.claims[duty]
+	if claimed && present.offset >= r.Offset {
 		return nil
 	}
+	if claim.Released {
+		if present.Incarnation == claim.Incarnation {
+			present.Released, present.offset = true, r.Offset
+			t.claims[duty] = present
+			return nil
+		}
+		if claimed {
+			return nil
+		}
+	}
 	t.claims[duty] = Claim{
 		Duty:        duty,
-		Fence:       fence,
+		offset:      r.Offset,
+		Fence:       FenceOf(r.Offset),
 		Term:        int64(claim.Term),
 		Incarnation: claim.Incarnation,
 		Entry:       claim.Entry,
--- a/jayrelay/relay.go
+++ b/jayrelay/relay.go
@@ -47,6 +47,8 @@
 	failures int
 	probedAt time.Duration
 	lostAt   time.Duration
+	// latency is a running mean of how long the store takes for an append.
+	latency time.Duration
 	// carrier is the peer that carried the last call.
 	carrier string
 	turn    int
@@ -69,7 +71,9 @@
 func (s *Store) Append(a jayport.Append, timeout time.Duration) (jayport.Appended, error) {
 	var got jayport.Appended
 	err := s.try(a.Producer != nil, func() (err error) {
+		sent := s.clock()
 		got, err = s.direct.Append(a, timeout)
+		s.noteLatency(s.clock() - sent)
 		return err
 	}, func(peer string) error {
 		result, err := s.peers.Carry(peer, appendCall(a, timeout))
@@ -218,6 +222,22 @@
 	return chosen
 }
 
+// latencyShare is the share of the newest append in the running mean.
+const latencyShare = 4
+
+func (s *Store) noteLatency(took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latency += (took - s.latency) / latencyShare
+}
+
+// Latency returns how long an append takes at present.
+func (s *Store) Latency() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.latency
+}
+
 func (s *Store) noteCarrier(peer string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -43,7 +43,10 @@
 		// A worker that has left the list and does not answer is not asked for
 		// ever: each try is a new connection to an address that may be another
 		// worker's by now.
-		if !w.listed && w.contact != connected && len(w.runs) == 0 {
+		// While tasks are held back, though, one that never reported may be what
+		// they wait for.
+		mayRun := w.contact == unconfirmed && now < p.heldUntil
+		if !w.listed && w.contact != connected && len(w.runs) == 0 && !mayRun {
 			p.Ended(w.ID, "left the list", now)
 			p.actions = append(p.actions, ForgetWorker{To: w.life()})
 		}
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,8 +15,12 @@
 	for _, w := range p.sorted {
 		w.listed = false
 	}
+	maps.DeleteFunc(p.gone, func(_ string, until time.Duration) bool { return now >= until })
 	for _, listed := range list {
 		w, known := p.workers[listed.ID]
+		if !known && now < p.gone[listed.ID] {
+			continue
+		}
 		if !known {
 			w = newWorker(listed, now)
 			p.insert(w)
@@ -33,16 +38,35 @@
 	}
 }
 
-// Surveyed takes in which workers the inventory knows in the pool. Those that
-// are not on the list of workers may run what a former owner has started.
-func (p *Pool) Surveyed(ids []string) {
+// Surveyed takes in which workers the inventory knew in the pool at a time.
+// One that is not on the list of workers may run what a former owner has
+// started; one that the inventory does not know any more, and that has not
+// answered since, has ended.
+func (p *Pool) Surveyed(ids []string, asked, now time.Duration) {
 	p.surveyed = true
+	exists := make(map[string]bool, len(ids))
 	clear(p.missing)
 	for _, id := range ids {
+		exists[id] = true
 		if _, known := p.workers[id]; !known {
 			p.missing[id] = true
 		}
 	}
+	for _, w := range slices.Clone(p.sorted) {
+		if !exists[w.ID] && w.joinedAt < asked && w.heardAt < asked {
+			p.Ended(w.ID, "not in the inventory", now)
+			p.actions = append(p.actions, ForgetWorker{To: w.life()})
+		}
+	}
+}
+
+// NeedsSurvey reports whether the pool waits for word from workers that do not
+// answer.
+func (p *Pool) NeedsSurvey(now time.Duration) bool {
+	if p.holdsBack(now) {
+		return true
+	}
+	return slices.ContainsFunc(p.sorted, func(w *worker) bool { return w.contact == silent && len(w.runs) > 0 })
 }
 
 // Ended takes in that a life of a worker is over: whatever ran there runs no
@@ -54,9 +78,14 @@
 	}
 	p.lose(w, now)
 	p.remove(w)
+	p.gone[id] = now + goneFor
 	p.note(Note{Kind: WorkerLeft, Worker: id, Detail: why}, now)
 }
 
+// goneFor is for how long a life that has ended is not taken for a new worker:
+// the list of workers still names it until its entry expires.
+const goneFor = 6 * time.Second
+
 // lose drops all runs of a worker: their tasks wait again.
 func (p *Pool) lose(w *worker, now time.Duration) {
 	for _, r := range w.sortedRuns() {
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -92,6 +92,9 @@
 	surveyed bool
 	// missing are workers that exist but are not on the list.
 	missing map[string]bool
+	// gone are lives that have ended, and until when their entries on the list
+	// are not believed.
+	gone map[string]time.Duration
 	// arrivals measures the rate of new work.
 	arrivals arrivals
 	// vacatingUntil is when the orders to vacate workers expire.
@@ -137,6 +140,7 @@
 		jobs:     map[string]*job{},
 		workers:  map[string]*worker{},
 		missing:  map[string]bool{},
+		gone:     map[string]time.Duration{},
 		times:    newDurations(),
 	}
 	for _, option := range options {
--- a/jaysched/takeover_test.go
+++ b/jaysched/takeover_test.go
@@ -29,7 +29,7 @@
 	for id := range w.workers {
 		ids = append(ids, id)
 	}
-	w.pool.Surveyed(ids)
+	w.pool.Surveyed(ids, w.now, w.now)
 }
 
 func TestTakeover(t *testing.T) {
@@ -85,10 +85,36 @@
 		next := takeOver(t, first, spec)
 		next.run()
 		is.Equal(next.starts("j.0.0.0"), 0) // not surveyed yet
-		next.pool.Surveyed([]string{"w0", "w1", "hidden"})
+		next.pool.Surveyed([]string{"w0", "w1", "hidden"}, next.now, next.now)
 		next.pass(time.Second)
 		is.Equal(next.starts("j.0.0.0"), 0)
 	})
+	t.Run("a worker that leaves the list before it has reported counts too", func(t *testing.T) {
+		// Symptom: a task was started after it had failed as often as it may.
+		// Sequence: an owner is lost while the store is down; the workers'
+		// entries expire meanwhile; the next owner drops the workers that the
+		// list does not name any more, with the ends that they hold.
+		// Cause: a worker that had not reported was taken for one that had
+		// nothing to tell.
+		is := is.New(t)
+		first := newWorld(t, 1)
+		spec := newSpec("j", 1)
+		declare(first, spec)
+		next := takeOver(t, first, spec)
+		hidden := next.workers["w0"]
+		hidden.silent = true
+		next.run()
+		survey(next)
+		delete(next.workers, "w0")
+		next.addWorker("w9")
+		next.list()
+		next.pass(time.Second)
+		is.Equal(next.starts("j.0.0.0"), 0)
+		// The inventory says that the worker has ended.
+		next.pool.Surveyed([]string{"w9"}, next.now, next.now)
+		next.pass(time.Second)
+		is.Equal(next.starts("j.0.0.0"), 1)
+	})
 	t.Run("run numbers are above those of all former owners", func(t *testing.T) {
 		is := is.New(t)
 		first := newWorld(t, 1)
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -35,10 +35,12 @@
 	clockAt time.Duration
 	// leaseBound is when the longest lease granted has ended in any case.
 	leaseBound time.Duration
-	// heardAt is when the last answer came.
-	heardAt time.Duration
-	runs    map[jayport.RunRef]*run
-	free    jaypool.Resources
+	// joinedAt is when the pool learned of the worker, heardAt when its last
+	// answer came.
+	joinedAt time.Duration
+	heardAt  time.Duration
+	runs     map[jayport.RunRef]*run
+	free     jaypool.Resources
 	// processed is the last end that was taken in, acknowledged the last one
 	// that the worker may forget.
 	processed    int64
@@ -104,7 +106,7 @@
 }
 
 func newWorker(w jayport.Worker, now time.Duration) *worker {
-	return &worker{Worker: w, runs: map[jayport.RunRef]*run{}, free: w.Capacity, idleSince: now}
+	return &worker{Worker: w, runs: map[jayport.RunRef]*run{}, free: w.Capacity, idleSince: now, joinedAt: now}
 }
 
 func (w *worker) life() jayport.Life {
