Owners group the jobs of all entries into few appends

Change: an entry hands a job to the owner of its pool, which appends those of all entries together; it appends by itself if the owner does not answer. Beats are spread over partitions and slow down with the store.

--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -12,6 +12,7 @@
 	"jaythread/jayowner"
 	"jaythread/jaypeer"
 	"jaythread/jayport"
+	"jaythread/jayrelay"
 	"jaythread/jaysched"
 	"jaythread/jayspec"
 	"jaythread/jayverdict"
@@ -36,6 +37,8 @@
 	// stuckAfter is how long an append may wait for its answer before new jobs
 	// are refused at once.
 	stuckAfter = 600 * time.Millisecond
+	// stuckLatencies is the same in appends, for a store that is slow.
+	stuckLatencies = 4
 	// askPause is between two questions about a job whose owner does not
 	// answer.
 	askPause = 30 * time.Millisecond
@@ -46,10 +49,11 @@
 	node     *Node
 	logger   logr.Logger
 	journals []*jayjournal.Journal
+	link     *jaypeer.Client
 }
 
 func newIntake(n *Node) *intake {
-	i := &intake{node: n, logger: n.logger.WithName("intake")}
+	i := &intake{node: n, logger: n.logger.WithName("intake"), link: jaypeer.NewClient(n.incarnation, storeJobTimeout, nil)}
 	for number := range n.ports.Formats.OwnPartitions() {
 		p := n.ports.Formats.Own(topicJobs, number)
 		i.journals = append(i.journals, jayjournal.New(n.store, p, n.incarnation, 1, n.clock, i.logger, jayjournal.WithRefusals(), jayjournal.WithLatency(n.store.Latency)))
@@ -77,6 +81,11 @@
 	return nil
 }
 
+// submit stores a job. The owner of its pool groups the jobs of all entries
+// into few appends: the store takes the appends to a partition one after the
+// other, so that a slow store would serve each of eight entries only every
+// eighth time. An entry that does not reach the owner appends by itself; the
+// same job stored twice is one job.
 func (i *intake) submit(job *jayspec.Job, deadline time.Duration) error {
 	if err := job.Check(); err != nil {
 		return jayverdict.NewNotRun(statusBadRequest, err.Error(), 0)
@@ -85,34 +94,86 @@
 	if err != nil {
 		return jayverdict.NewNotRun(statusBadRequest, err.Error(), 0)
 	}
-	journal := i.journals[i.node.partitionOf(job.Pool)]
-	if journal.StuckFor() > stuckAfter {
-		return jayverdict.NewNotRun(statusUnavailable, "the store does not answer", storeRetry)
+	until := i.node.clock() + deadline
+	outcome := i.storeAtOwner(job.Pool, job.ID, value, deadline)
+	if outcome == nil || i.node.clock() >= until {
+		return submitError(outcome)
+	}
+	own := i.store(job.Pool, job.ID, value, until-i.node.clock())
+	if errors.Is(outcome, jayport.ErrNoAnswer) && own != nil {
+		// The owner may have stored it, whatever became of the second try.
+		return submitError(outcome)
+	}
+	return submitError(own)
+}
+
+// storeAtOwner asks the owner of a pool to store a job. Its errors are
+// jayport.ErrNotDone and jayport.ErrNoAnswer.
+func (i *intake) storeAtOwner(pool, id string, value []byte, deadline time.Duration) error {
+	c, owned := i.node.owners.of(jayowner.PoolDuty(pool))
+	if !owned {
+		return jayport.ErrNotDone
+	}
+	if c.Incarnation == i.node.incarnation {
+		return i.store(pool, id, value, deadline)
+	}
+	// Half of the time is left for an append of this entry's own.
+	request := &jaywire.StoreJob{Pool: pool, Job: id, Declaration: value, TimeoutMillis: (deadline / 2).Milliseconds()}
+	response, err := i.link.Ask(c.Incarnation, c.PeerAddr, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_StoreJob{StoreJob: request}})
+	i.node.liveness.pinged(c.Incarnation, err)
+	switch {
+	case errors.Is(err, jaypeer.ErrGone):
+		return jayport.ErrNotDone
+	case err != nil:
+		return jayport.ErrNoAnswer
+	default:
+		return jayrelay.ErrorOf(&jaywire.StoreResult{Outcome: response.GetJobStored().GetOutcome()})
+	}
+}
+
+// store appends a job. Its errors are jayport.ErrNotDone and
+// jayport.ErrNoAnswer.
+func (i *intake) store(pool, id string, value []byte, timeout time.Duration) error {
+	journal := i.journals[i.node.partitionOf(pool)]
+	if journal.StuckFor() > max(stuckAfter, stuckLatencies*i.node.store.Latency()) {
+		return jayport.ErrNotDone
 	}
 	answered := make(chan error, 1)
-	entry := jayjournal.NewEntry([]jayport.Record{{Key: jobKey(job.Pool, job.ID), Value: value}}, func(err error) { answered <- err })
+	entry := jayjournal.NewEntry([]jayport.Record{{Key: jobKey(pool, id), Value: value}}, func(err error) { answered <- err })
 	if journal.Add(entry) != nil {
-		return jayverdict.NewNotRun(statusUnavailable, "too many jobs wait for the store", storeRetry)
+		return jayport.ErrNotDone
 	}
-	timer := time.NewTimer(deadline)
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case err := <-answered:
-		return submitError(err)
+		if err == nil || errors.Is(err, jayport.ErrNotDone) || errors.Is(err, jayport.ErrMalformed) {
+			return err
+		}
+		return jayport.ErrNoAnswer
 	case <-timer.C:
 	}
 	if entry.Withdraw() {
-		return jayverdict.NewNotRun(statusUnavailable, "the store does not answer", storeRetry)
+		return jayport.ErrNotDone
 	}
-	return jayverdict.NewMayHaveRun(statusTimeout, "the store has not answered in time", nil)
+	return jayport.ErrNoAnswer
 }
 
+// storeFor stores a job for a peer.
+func (i *intake) storeFor(ask *jaywire.StoreJob) *jaywire.JobStored {
+	err := i.store(ask.Pool, ask.Job, ask.Declaration, millis(ask.TimeoutMillis))
+	return &jaywire.JobStored{Outcome: jayrelay.OutcomeOf(err)}
+}
+
+// storeJobTimeout bounds a question to an owner to store a job.
+const storeJobTimeout = 1500 * time.Millisecond
+
 func submitError(err error) error {
 	switch {
 	case err == nil:
 		return nil
 	case errors.Is(err, jayport.ErrNotDone), errors.Is(err, jayport.ErrMalformed):
-		return jayverdict.NewNotRun(statusUnavailable, "the store turned the job away", storeRetry)
+		return jayverdict.NewNotRun(statusUnavailable, "the store does not take the job", storeRetry)
 	default:
 		return jayverdict.NewMayHaveRun(statusTimeout, "the job may be stored", err)
 	}
--- a/jaynode/liveness.go
+++ b/jaynode/liveness.go
@@ -20,6 +20,8 @@
 	pingPause = 300 * time.Millisecond
 	// beatPause is between two signs of life that an owner writes to the store.
 	beatPause = 500 * time.Millisecond
+	// beatLatencies is the same in appends, for a store that is slow.
+	beatLatencies = 3
 	// suspectPause is between two looks at the beats while an owner is
 	// suspected.
 	suspectPause = 150 * time.Millisecond
@@ -156,7 +158,7 @@
 		if l.node.ownsSomething() {
 			count++
 			_, err := l.node.store.Append(jayport.Append{
-				Partition: l.node.ports.Formats.Own(topicBeats, 0),
+				Partition: l.node.beatsOf(l.node.incarnation),
 				Records:   []jayport.Record{{Key: l.node.incarnation, Value: strconv.AppendUint(nil, count, 10)}},
 				AsOf:      jayport.AnyOffset,
 			}, storeTimeout)
@@ -164,57 +166,76 @@
 				l.logger.V(1).Info("beat not written", "error", err.Error())
 			}
 		}
-		sleep(ctx, beatPause)
+		sleep(ctx, max(beatPause, beatLatencies*l.node.store.Latency()))
 	}
 }
 
+// beatsOf returns the partition of an incarnation's beats. They are spread, so
+// that a slow store takes them side by side.
+func (n *Node) beatsOf(incarnation string) jayport.Partition {
+	return n.ports.Formats.Own(topicBeats, n.partitionOf(incarnation))
+}
+
 // lookAtBeats reads the beats while an owner is suspected.
 func (l *liveness) lookAtBeats(ctx context.Context) {
 	for ctx.Err() == nil {
-		if l.anySuspects() {
-			l.look()
-		}
+		l.look()
 		sleep(ctx, suspectPause)
 	}
 }
 
-func (l *liveness) anySuspects() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.suspects) > 0
-}
-
-// look compares the newest beats with those seen before. While the store does
-// not answer, nobody's beat counts as missing.
+// look compares the newest beats of the suspects with those seen before. While
+// the store does not answer, nobody's beat counts as missing.
 func (l *liveness) look() {
-	offsets := map[string]int64{}
-	after := ""
-	for {
-		latest, err := l.node.store.Latest(l.node.ports.Formats.Own(topicBeats, 0), after, storeTimeout)
+	for _, incarnation := range l.suspected() {
+		offset, err := l.newestBeat(incarnation)
 		if err != nil {
 			l.logger.V(1).Info("beats not read", "error", err.Error())
 			l.excuse()
 			return
 		}
-		for _, r := range latest.Records {
-			offsets[r.Key] = r.Offset
-			after = r.Key
-		}
-		if !latest.More || len(latest.Records) == 0 {
-			break
+		l.noteBeat(incarnation, offset)
+	}
+}
+
+func (l *liveness) suspected() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	suspects := make([]string, 0, len(l.suspects))
+	for incarnation := range l.suspects {
+		suspects = append(suspects, incarnation)
+	}
+	return suspects
+}
+
+// newestBeat returns the offset of the newest beat of an incarnation, or -1.
+func (l *liveness) newestBeat(incarnation string) (int64, error) {
+	after := keyBefore(incarnation)
+	latest, err := l.node.store.Latest(l.node.beatsOf(incarnation), after, storeTimeout)
+	if err != nil {
+		return 0, err
+	}
+	for _, r := range latest.Records {
+		if r.Key == incarnation {
+			return r.Offset, nil
 		}
 	}
+	return -1, nil
+}
+
+// keyBefore returns a key just before another one.
+func keyBefore(key string) string {
+	last := len(key) - 1
+	return key[:last] + string([]byte{key[last] - 1, '~'})
+}
+
+func (l *liveness) noteBeat(incarnation string, offset int64) {
 	now := l.node.clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for incarnation, s := range l.suspects {
-		offset, has := offsets[incarnation]
-		if !has {
-			offset = -1
-		}
-		if !s.looked || offset != s.offset {
-			s.looked, s.offset, s.quietSince = true, offset, now
-		}
+	s, suspected := l.suspects[incarnation]
+	if suspected && (!s.looked || offset != s.offset) {
+		s.looked, s.offset, s.quietSince = true, offset, now
 	}
 }
 
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -167,6 +167,7 @@
 	n.peerServer.Close()
 	n.peers.Close()
 	n.carriers.link.Close()
+	n.intake.link.Close()
 	n.duties.Wait()
 	n.logger.Info("stopped")
 }
@@ -204,6 +205,8 @@
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Job{Job: n.cancelOwned(body.CancelJob.Pool, body.CancelJob.Job)}}
 	case *jaywire.PeerRequest_AskPending:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Pending{Pending: n.pendingOwned(body.AskPending.Pool, body.AskPending.Queue)}}
+	case *jaywire.PeerRequest_StoreJob:
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_JobStored{JobStored: n.intake.storeFor(body.StoreJob)}}
 	case *jaywire.PeerRequest_AskDemand:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Demand{Demand: n.demandOwned(body.AskDemand)}}
 	case *jaywire.PeerRequest_StoreCall:
--- a/jayrelay/codec.go
+++ b/jayrelay/codec.go
@@ -93,6 +93,14 @@
 	return &jaywire.StoreResult{Outcome: jaywire.StoreOutcome_STORE_OUTCOME_GOOD, First: appended.First, End: appended.End}
 }
 
+// OutcomeOf writes an error without its number.
+func OutcomeOf(err error) jaywire.StoreOutcome {
+	if err == nil {
+		return jaywire.StoreOutcome_STORE_OUTCOME_GOOD
+	}
+	return resultOf(err).Outcome
+}
+
 // resultOf writes an error.
 func resultOf(err error) *jaywire.StoreResult {
 	var (
