A new owner of the fleet keeps off only the hosts that were just acted on

Change: each act is recorded before it is sent, with a bound of 150 ms; the next owner keeps off the hosts with an act of the last seconds.

--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -34,7 +34,7 @@
 	standings := f.standings(now)
 	var free []*host
 	for _, h := range f.sorted {
-		if f.standby[h.Pool] && h.act == nil && h.State == jayport.HostUp && !f.dueNow(h) {
+		if f.standby[h.Pool] && h.act == nil && h.State == jayport.HostUp && !f.dueNow(h) && !f.held(h, now) {
 			free = append(free, h)
 		}
 	}
@@ -96,7 +96,7 @@
 			continue
 		}
 		for n, h := range from.idle {
-			if h.act == nil && h.vacating == notVacating {
+			if h.act == nil && h.vacating == notVacating && !f.held(h, now) {
 				from.idle = slices.Delete(from.idle, n, n+1)
 				from.have--
 				return h
@@ -118,7 +118,7 @@
 			if s.have <= s.need || l.Idle < idleBeforeStandby {
 				break
 			}
-			if h.act != nil || h.vacating != notVacating {
+			if h.act != nil || h.vacating != notVacating || f.held(h, now) {
 				continue
 			}
 			f.moveHost(h, target, "idle", now)
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -13,9 +13,10 @@
 	// MoveTime and MaintenanceTime are how long a host is away for them.
 	MoveTime        time.Duration
 	MaintenanceTime time.Duration
-	// ActFrom is the clock from which on this owner may act: the owner before
-	// it may still have acted until then.
-	ActFrom time.Duration
+	// HeldUntil is the clock until which this owner keeps off the hosts that
+	// the owner before it has just acted on; Held names them.
+	HeldUntil time.Duration
+	Held      map[string]bool
 }
 
 // Action is what the fleet's owner is to do: MoveHost, MaintainHost or
@@ -256,7 +257,7 @@
 // Decide returns what is to be done now.
 func (f *Fleet) Decide(now time.Duration) []Action {
 	f.actions = nil
-	if now >= f.settings.ActFrom && f.listedAt > 0 {
+	if f.listedAt > 0 {
 		f.resend(now)
 		f.runWaves(now)
 		f.finishMoves(now)
@@ -265,6 +266,12 @@
 	return f.actions
 }
 
+// held reports whether a host must be left alone: two owners that act on one
+// host shortly after one another could undo what the other has begun.
+func (f *Fleet) held(h *host, now time.Duration) bool {
+	return now < f.settings.HeldUntil && f.settings.Held[h.Name]
+}
+
 // resendAfter is before an act without an answer is asked for again.
 const resendAfter = 300 * time.Millisecond
 
--- a/jayfleet/waves.go
+++ b/jayfleet/waves.go
@@ -88,7 +88,7 @@
 		if room <= 0 {
 			break
 		}
-		if h.act != nil || h.State != jayport.HostUp {
+		if h.act != nil || h.State != jayport.HostUp || f.held(h, now) {
 			continue
 		}
 		if f.empty(h, now) {
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -19,8 +19,16 @@
 )
 
 const (
-	// topicWaves holds how far each maintenance wave is.
-	topicWaves = "waves"
+	// topicFleet holds how far each maintenance wave is, and when each host was
+	// last acted on. Only the owner of the fleet appends to it.
+	topicFleet = "fleet"
+	waveKeys   = "wave/"
+	hostKeys   = "host/"
+	// recordActTime is how long an act waits at most for its record. Without
+	// it hosts would stay where they are whenever the store is away.
+	recordActTime = 150 * time.Millisecond
+	// clockSkew is by how much two entries' times of day may differ.
+	clockSkew = 2500 * time.Millisecond
 	// fleetTick is how often the fleet is looked at.
 	fleetTick = 50 * time.Millisecond
 	// demandEvery is how often each pool is asked what it needs.
@@ -65,12 +73,7 @@
 		askAt:  map[string]time.Duration{},
 		told:   map[string]string{},
 	}
-	settings := jayfleet.Settings{MoveTime: n.settings.MoveTime, MaintenanceTime: n.settings.MaintenanceTime}
-	if claim.Term > 1 {
-		settings.ActFrom = n.clock() + n.settings.HolderTime
-	}
-	d.fleet = jayfleet.New(settings)
-	d.journal = jayjournal.New(n.store, n.ports.Formats.Own(topicWaves, 0), string(claim.Duty), claim.Fence, n.clock, d.logger, jayjournal.WithLatency(n.store.Latency))
+	d.journal = jayjournal.New(n.store, n.ports.Formats.Own(topicFleet, 0), string(claim.Duty), claim.Fence, n.clock, d.logger, jayjournal.WithLatency(n.store.Latency))
 	return d
 }
 
@@ -110,42 +113,74 @@
 		d.logger.Info("not taken over", "error", err.Error())
 		return nil, false
 	}
-	c := &waveCollector{waves: map[string]*jaywire.WaveProgress{}, logger: d.logger}
-	tail := jaytail.New(d.node.store, d.node.ports.Formats.Own(topicWaves, 0), jaytail.Options{}, c, d.node.clock, d.logger)
+	c := newFleetCollector(d.logger)
+	tail := jaytail.New(d.node.store, d.node.ports.Formats.Own(topicFleet, 0), jaytail.Options{}, c, d.node.clock, d.logger)
 	for tail.Step(0) != nil {
 		sleep(d.ctx, announcePause)
 		if d.ctx.Err() != nil {
 			return nil, false
 		}
 	}
-	d.logger.Info("fleet taken over", "term", d.claim.Term, "waves", len(c.waves))
+	held := c.actedSince(time.Now().Add(-d.node.settings.HolderTime - clockSkew))
+	d.fleet = jayfleet.New(jayfleet.Settings{
+		MoveTime:        d.node.settings.MoveTime,
+		MaintenanceTime: d.node.settings.MaintenanceTime,
+		HeldUntil:       d.node.clock() + d.node.settings.HolderTime,
+		Held:            held,
+	})
+	d.logger.Info("fleet taken over", "term", d.claim.Term, "waves", len(c.waves), "heldHosts", len(held))
 	return c.waves, true
 }
 
-// waveCollector collects what was recorded of the waves.
-type waveCollector struct {
+// fleetCollector collects what was recorded of waves and hosts.
+type fleetCollector struct {
 	waves  map[string]*jaywire.WaveProgress
+	acts   map[string]*jaywire.HostAct
 	logger logr.Logger
 }
 
+func newFleetCollector(logger logr.Logger) *fleetCollector {
+	return &fleetCollector{waves: map[string]*jaywire.WaveProgress{}, acts: map[string]*jaywire.HostAct{}, logger: logger}
+}
+
 // Reset begins a load.
-func (c *waveCollector) Reset() { clear(c.waves) }
+func (c *fleetCollector) Reset() {
+	clear(c.waves)
+	clear(c.acts)
+}
 
 // Apply takes in a record.
-func (c *waveCollector) Apply(r jayport.Record) {
+func (c *fleetCollector) Apply(r jayport.Record) {
 	if r.Value == nil {
 		return
 	}
-	progress := &jaywire.WaveProgress{}
-	if err := proto.Unmarshal(r.Value, progress); err != nil {
-		c.logger.Error(err, "wave unreadable", "wave", r.Key)
-		return
+	wave, act := &jaywire.WaveProgress{}, &jaywire.HostAct{}
+	var err error
+	if name, ok := strings.CutPrefix(r.Key, waveKeys); ok {
+		err = proto.Unmarshal(r.Value, wave)
+		c.waves[name] = wave
+	} else if name, ok := strings.CutPrefix(r.Key, hostKeys); ok {
+		err = proto.Unmarshal(r.Value, act)
+		c.acts[name] = act
+	}
+	if err != nil {
+		c.logger.Error(err, "fleet's record unreadable", "key", r.Key)
 	}
-	c.waves[r.Key] = progress
 }
 
 // CaughtUp is called after the load.
-func (c *waveCollector) CaughtUp(time.Duration) {}
+func (c *fleetCollector) CaughtUp(time.Duration) {}
+
+// actedSince returns the hosts that were acted on since a time of day.
+func (c *fleetCollector) actedSince(since time.Time) map[string]bool {
+	hosts := map[string]bool{}
+	for host, act := range c.acts {
+		if act.UnixMillis >= since.UnixMilli() {
+			hosts[host] = true
+		}
+	}
+	return hosts
+}
 
 func (d *fleetDuty) step(recorded map[string]*jaywire.WaveProgress) {
 	for {
@@ -269,19 +304,40 @@
 	switch a := action.(type) {
 	case jayfleet.MoveHost:
 		d.logger.Info("moving host", "host", a.Host, "from", a.From, "to", a.Pool, "why", a.Why)
-		go func() {
-			d.answered(a.Host, d.node.ports.Inventory.Move(a.Host, a.Pool, lease, inventoryTimeout))
-		}()
+		d.act(a.Host, func() error { return d.node.ports.Inventory.Move(a.Host, a.Pool, lease, inventoryTimeout) })
 	case jayfleet.MaintainHost:
 		d.logger.Info("maintaining host", "host", a.Host, "wave", a.Wave)
-		go func() {
-			d.answered(a.Host, d.node.ports.Inventory.Maintain(a.Host, a.Wave, lease, inventoryTimeout))
-		}()
+		d.act(a.Host, func() error { return d.node.ports.Inventory.Maintain(a.Host, a.Wave, lease, inventoryTimeout) })
 	case jayfleet.RecordWave:
 		d.recordWave(a)
 	}
 }
 
+// act records that a host is acted on, and does it.
+func (d *fleetDuty) act(host string, do func() error) {
+	value, err := proto.Marshal(&jaywire.HostAct{UnixMillis: time.Now().UnixMilli()})
+	if err != nil {
+		d.logger.Error(err, "act cannot be written", "host", host)
+	}
+	recorded := make(chan error, 1)
+	entry := jayjournal.NewEntry([]jayport.Record{{Key: hostKeys + host, Value: value}}, func(err error) { recorded <- err })
+	if err := d.journal.Add(entry); err != nil {
+		d.logger.Error(err, "act not recorded", "host", host)
+	}
+	go func() {
+		timer := time.NewTimer(recordActTime)
+		defer timer.Stop()
+		select {
+		case <-recorded:
+		case <-timer.C:
+		}
+		// An owner that was replaced meanwhile acts no more.
+		if d.ctx.Err() == nil {
+			d.answered(host, do())
+		}
+	}()
+}
+
 func (d *fleetDuty) answered(host string, err error) {
 	d.post(func(now time.Duration) {
 		if err != nil {
@@ -300,7 +356,7 @@
 		return
 	}
 	d.logger.Info("wave progress", "wave", a.Wave, "maintained", len(a.Maintained), "done", a.Done)
-	entry := jayjournal.NewEntry([]jayport.Record{{Key: a.Wave, Value: value}}, func(err error) {
+	entry := jayjournal.NewEntry([]jayport.Record{{Key: waveKeys + a.Wave, Value: value}}, func(err error) {
 		if err != nil {
 			d.logger.Info("wave progress not recorded", "wave", a.Wave, "error", err.Error())
 			return
