Miss a lost owner sooner; replace one that only the store hears

Change: pings of their own with 350 ms, beats of 300 ms; an owner that writes beats and is silent here is replaced if most other entries answer.

--- a/jaynode/liveness.go
+++ b/jaynode/liveness.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,20 +19,32 @@
 
 const (
 	// pingPause is between two signs of life asked of each owner.
-	pingPause = 300 * time.Millisecond
+	pingPause = 200 * time.Millisecond
+	// pingTimeout bounds one of them. An entry answers within some
+	// milliseconds, a slowed one within some tens.
+	pingTimeout = 350 * time.Millisecond
 	// beatPause is between two signs of life that an owner writes to the store.
-	beatPause = 500 * time.Millisecond
+	beatPause = 300 * time.Millisecond
 	// beatLatencies is the same in appends, for a store that is slow.
 	beatLatencies = 3
 	// suspectPause is between two looks at the beats while an owner is
 	// suspected.
-	suspectPause = 150 * time.Millisecond
+	suspectPause = 100 * time.Millisecond
 	// refusedPatience is how long an owner whose port is closed may be without
 	// a beat before it counts as ended: a little more than one beat.
-	refusedPatience = 700 * time.Millisecond
+	refusedPatience = 450 * time.Millisecond
 	// silentPatience is the same for an owner that does not answer: three
 	// beats, since it may only be slow.
-	silentPatience = 1500 * time.Millisecond
+	silentPatience = 900 * time.Millisecond
+	// isolatedPatience is how long an owner may be silent here that still
+	// writes its beats. If this entry reaches others, it is the owner that is
+	// cut off, and callers cannot ask it.
+	isolatedPatience = 2500 * time.Millisecond
+	// heardWithin is how recently others must have answered for that.
+	heardWithin = time.Second
+	// othersPinged is how many entries that own nothing are pinged as well, to
+	// know whether this entry is cut off itself.
+	othersPinged = 2
 )
 
 // liveness tells owners that have ended from those that this entry merely does
@@ -47,6 +61,12 @@
 	// ended are incarnations that have ended for certain: another one answers
 	// at their address.
 	ended map[string]bool
+	// heard is when each entry last answered a ping.
+	heard map[string]time.Duration
+	// tried is when each entry was last pinged.
+	tried map[string]time.Duration
+	turn  int
+	link  *jaypeer.Client
 }
 
 // suspicion is what speaks against an owner.
@@ -62,7 +82,15 @@
 }
 
 func newLiveness(n *Node) *liveness {
-	return &liveness{node: n, logger: n.logger.WithName("liveness"), suspects: map[string]*suspicion{}, ended: map[string]bool{}}
+	return &liveness{
+		node:     n,
+		logger:   n.logger.WithName("liveness"),
+		suspects: map[string]*suspicion{},
+		ended:    map[string]bool{},
+		heard:    map[string]time.Duration{},
+		tried:    map[string]time.Duration{},
+		link:     jaypeer.NewClient(n.incarnation, pingTimeout, nil),
+	}
 }
 
 // start begins to ask owners for signs of life and to give this entry's own.
@@ -87,7 +115,26 @@
 	if s.refused {
 		patience = refusedPatience
 	}
-	return now-s.quietSince > patience
+	if now-s.quietSince > patience {
+		return true
+	}
+	return now-s.since > isolatedPatience && l.hearsOthers(incarnation, now)
+}
+
+// hearsOthers reports whether most of the other entries that were pinged have
+// answered lately.
+func (l *liveness) hearsOthers(but string, now time.Duration) bool {
+	pinged, answered := 0, 0
+	for incarnation, at := range l.tried {
+		if incarnation == but || l.ended[incarnation] || now-at > heardWithin {
+			continue
+		}
+		pinged++
+		if now-l.heard[incarnation] < heardWithin {
+			answered++
+		}
+	}
+	return answered > 0 && 2*answered > pinged
 }
 
 // watch asks the owners of duties for signs of life.
@@ -102,11 +149,48 @@
 				}
 			}
 			l.forget(asked)
+			for _, e := range l.nextOthers(asked) {
+				l.node.duties.Go(func() { l.pingOther(e) })
+			}
 		}
 		sleep(ctx, pingPause)
 	}
 }
 
+// nextOthers returns some entries in turn that are not asked already.
+func (l *liveness) nextOthers(asked map[string]bool) []*jaywire.EntryRecord {
+	all := l.node.entries.all()
+	slices.SortFunc(all, func(a, b *jaywire.EntryRecord) int { return strings.Compare(a.Incarnation, b.Incarnation) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var others []*jaywire.EntryRecord
+	for range all {
+		l.turn++
+		if e := all[l.turn%len(all)]; !asked[e.Incarnation] && !l.ended[e.Incarnation] && len(others) < othersPinged {
+			others = append(others, e)
+		}
+	}
+	return others
+}
+
+func (l *liveness) pingOther(e *jaywire.EntryRecord) {
+	l.try(e.Incarnation)
+	_, err := l.link.Ask(e.Incarnation, e.PeerAddr, newPing())
+	now := l.node.clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err == nil:
+		l.heard[e.Incarnation] = now
+	case errors.Is(err, jaypeer.ErrReplaced):
+		l.ended[e.Incarnation] = true
+	}
+}
+
+func newPing() *jaywire.PeerRequest {
+	return &jaywire.PeerRequest{Body: &jaywire.PeerRequest_Ping{Ping: &jaywire.Ping{}}}
+}
+
 // forget drops what is held against incarnations that own nothing any more.
 func (l *liveness) forget(owners map[string]bool) {
 	l.mu.Lock()
@@ -118,8 +202,16 @@
 	}
 }
 
+// try notes that an entry is pinged.
+func (l *liveness) try(incarnation string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tried[incarnation] = l.node.clock()
+}
+
 func (l *liveness) ping(c jayowner.Claim) {
-	_, err := l.node.peers.Ask(c.Incarnation, c.PeerAddr, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_Ping{Ping: &jaywire.Ping{}}})
+	l.try(c.Incarnation)
+	_, err := l.link.Ask(c.Incarnation, c.PeerAddr, newPing())
 	l.pinged(c.Incarnation, err)
 }
 
@@ -129,6 +221,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err == nil {
+		l.heard[incarnation] = now
 		if s, suspected := l.suspects[incarnation]; suspected {
 			l.logger.Info("owner answers again", "owner", incarnation, "suspectedFor", (now - s.since).String())
 			delete(l.suspects, incarnation)
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -168,6 +168,7 @@
 	n.peers.Close()
 	n.carriers.link.Close()
 	n.intake.link.Close()
+	n.liveness.link.Close()
 	n.duties.Wait()
 	n.logger.Info("stopped")
 }
