--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -10,102 +10,154 @@
 )
 
 const (
-	// spareHosts is how many hosts more than it needs a pool keeps, so that
-	// the first tasks of a rush start at once.
-	spareHosts = 1
+	// reservePercent is the share of a host that a pool keeps free, so that the
+	// first tasks of a rush start at once.
+	reservePercent = 50
 	// idleBeforeStandby is for how long a surplus host must have been idle
 	// before it is turned off: a move each way costs as much as this time.
 	idleBeforeStandby = 1200 * time.Millisecond
+	// reclaimPatience is how long a pool may take to empty a host that another
+	// one needs more. Most tasks end within two seconds.
+	reclaimPatience = 2500 * time.Millisecond
 )
 
 // standing is a pool and what it has and needs.
 type standing struct {
 	pool string
-	// hosts are those that serve it or soon will.
+	// have counts the hosts that serve it or soon will.
 	have int
-	need int
-	// idle are its hosts that run nothing, the longest idle first.
+	// urgent is how many it needs for what can still be punctual, need how
+	// many for everything.
+	urgent int
+	need   int
+	// idle are its hosts that run nothing, the longest idle first; busy are
+	// the others that could be emptied, the least used first.
 	idle []*host
+	busy []*host
 }
 
 // balance moves hosts to the pools that lack some, and turns off those that
 // nobody needs.
+//
+// The load that it answers: the pools have their rushes by turns, each of some
+// seconds and several times the pool's own size, while the others are nearly
+// idle. Urgent needs of all pools come first; what is late takes hosts that are
+// off, but none from a pool in its rush.
 func (f *Fleet) balance(now time.Duration) {
 	standings := f.standings(now)
+	free := f.free(now)
+	for _, s := range standings {
+		f.fill(s, s.urgent, &free, standings, now, urgentDonor)
+	}
+	for _, s := range standings {
+		f.fill(s, s.need, &free, standings, now, surplusDonor)
+	}
+	f.turnOff(standings, now)
+}
+
+// free returns the hosts that are off and may be moved.
+func (f *Fleet) free(now time.Duration) []*host {
 	var free []*host
 	for _, h := range f.sorted {
-		if f.standby[h.Pool] && h.act == nil && h.State == jayport.HostUp && !f.dueNow(h) && !f.held(h, now) {
+		if f.standby[h.Pool] && h.act == nil && h.State == jayport.HostUp && h.vacating == notVacating && !f.held(h, now) {
 			free = append(free, h)
 		}
 	}
-	for _, s := range standings {
-		for s.have < s.need {
-			h := f.donor(&free, standings, s, now)
-			if h == nil {
-				break
-			}
-			f.moveHost(h, s.pool, "wanted", now)
-			s.have++
+	return free
+}
+
+// donorRule picks a host of a pool that can do without it, or nil.
+type donorRule func(from *standing) (h *host, patient bool)
+
+// urgentDonor takes a host that its pool has only for what is late, an idle one
+// first.
+func urgentDonor(from *standing) (h *host, patient bool) {
+	if from.have <= from.urgent {
+		return nil, false
+	}
+	if len(from.idle) > 0 {
+		return from.idle[0], false
+	}
+	if len(from.busy) > 0 && false {
+		return from.busy[0], true
+	}
+	return nil, false
+}
+
+// surplusDonor takes an idle host that its pool does not need at all.
+func surplusDonor(from *standing) (h *host, patient bool) {
+	if from.have <= from.need || len(from.idle) == 0 {
+		return nil, false
+	}
+	return from.idle[0], false
+}
+
+// fill brings a pool up to a number of hosts.
+func (f *Fleet) fill(to *standing, want int, free *[]*host, standings []*standing, now time.Duration, rule donorRule) {
+	for to.have < want {
+		if len(*free) > 0 {
+			f.begin((*free)[0], moving{to: to.pool}, "wanted", now)
+			*free = (*free)[1:]
+			to.have++
+			continue
+		}
+		if !f.take(to, standings, now, rule) {
+			return
 		}
 	}
-	f.turnOff(standings, now)
 }
 
-// moveHost moves a host that is off at once; another one is vacated first, so
-// that its pool starts nothing there meanwhile.
-func (f *Fleet) moveHost(h *host, to, why string, now time.Duration) {
-	if f.standby[h.Pool] {
-		f.begin(h, moving{to: to}, why, now)
-		return
+// take vacates a host of another pool for one; it returns false if no pool can
+// do without one.
+func (f *Fleet) take(to *standing, standings []*standing, now time.Duration, rule donorRule) bool {
+	for _, from := range standings {
+		if from == to {
+			continue
+		}
+		h, patient := rule(from)
+		if h == nil {
+			continue
+		}
+		from.drop(h)
+		from.have--
+		to.have++
+		h.vacate(to.pool, patient, now)
+		return true
 	}
-	h.vacating, h.moveTo, h.vacatingSince = forMove, to, now
+	return false
+}
+
+// drop takes a host off the lists of those that could be given away.
+func (s *standing) drop(h *host) {
+	is := func(other *host) bool { return other == h }
+	s.idle = slices.DeleteFunc(s.idle, is)
+	s.busy = slices.DeleteFunc(s.busy, is)
+}
+
+// vacate asks the host's pool to empty it, so that nothing is started there
+// before it moves.
+func (h *host) vacate(to string, patient bool, now time.Duration) {
+	h.vacating, h.moveTo, h.patient, h.vacatingSince = forMove, to, patient, now
 }
 
 // finishMoves moves the hosts that their pools have emptied. One that turned
-// out to be busy stays.
+// out to be busy stays, unless it was known to be.
 func (f *Fleet) finishMoves(now time.Duration) {
 	for _, h := range f.sorted {
 		if h.vacating != forMove || h.act != nil {
 			continue
 		}
 		told := f.demands[h.Pool].At > h.vacatingSince
+		waits := h.patient && now-h.vacatingSince < reclaimPatience
 		switch {
 		case f.empty(h, now) && told:
 			f.begin(h, moving{to: h.moveTo}, "vacated", now)
-		case told:
+		case told && !waits:
 			h.vacating = notVacating
 		}
 	}
 }
 
-// dueNow reports whether a wave waits to maintain the host.
-func (f *Fleet) dueNow(h *host) bool {
-	return h.vacating == forWave
-}
-
-// donor returns a host that is off, or an idle one of a pool with more than it
-// needs.
-func (f *Fleet) donor(free *[]*host, standings []*standing, to *standing, now time.Duration) *host {
-	if len(*free) > 0 {
-		h := (*free)[0]
-		*free = (*free)[1:]
-		return h
-	}
-	for _, from := range standings {
-		if from == to || from.have <= from.need {
-			continue
-		}
-		for n, h := range from.idle {
-			if h.act == nil && h.vacating == notVacating && !f.held(h, now) {
-				from.idle = slices.Delete(from.idle, n, n+1)
-				from.have--
-				return h
-			}
-		}
-	}
-	return nil
-}
-
 // turnOff moves hosts to standby that their pool does not need.
 func (f *Fleet) turnOff(standings []*standing, now time.Duration) {
 	target := f.standbyPool()
@@ -113,16 +165,14 @@
 		return
 	}
 	for _, s := range standings {
-		for _, h := range s.idle {
+		for _, h := range slices.Clone(s.idle) {
 			l, _ := f.load(h)
 			if s.have <= s.need || l.Idle < idleBeforeStandby {
 				break
 			}
-			if h.act != nil || h.vacating != notVacating || f.held(h, now) {
-				continue
-			}
-			f.moveHost(h, target, "idle", now)
+			s.drop(h)
 			s.have--
+			h.vacate(target, false, now)
 		}
 	}
 }
@@ -146,15 +196,15 @@
 		if !known || now-d.At > freshDemand {
 			continue
 		}
-		standings = append(standings, f.standing(pool, d))
+		standings = append(standings, f.standing(pool, d, now))
 	}
 	slices.SortFunc(standings, func(a, b *standing) int {
-		return cmp.Or(cmp.Compare(b.need-b.have, a.need-a.have), strings.Compare(a.pool, b.pool))
+		return cmp.Or(cmp.Compare(b.urgent-b.have, a.urgent-a.have), strings.Compare(a.pool, b.pool))
 	})
 	return standings
 }
 
-func (f *Fleet) standing(pool string, d Demand) *standing {
+func (f *Fleet) standing(pool string, d Demand, now time.Duration) *standing {
 	s := &standing{pool: pool}
 	capacity, counted := int64(0), int64(0)
 	for _, h := range f.sorted {
@@ -166,23 +216,39 @@
 			s.have++
 		}
 		l, known := d.Loads[h.Worker]
-		if h.Pool == pool && h.State == jayport.HostUp && known && l.Runs == 0 {
+		if h.Pool != pool || h.State != jayport.HostUp || !known || h.act != nil || h.vacating != notVacating || f.held(h, now) {
+			continue
+		}
+		switch {
+		case l.Runs == 0:
 			s.idle = append(s.idle, h)
+		case l.LongRuns == 0:
+			s.busy = append(s.busy, h)
 		}
 	}
 	slices.SortStableFunc(s.idle, func(a, b *host) int {
 		return cmp.Compare(d.Loads[b.Worker].Idle, d.Loads[a.Worker].Idle)
 	})
+	slices.SortStableFunc(s.busy, func(a, b *host) int {
+		return cmp.Compare(d.Loads[a.Worker].UsedMilli, d.Loads[b.Worker].UsedMilli)
+	})
 	each := f.meanCapacity()
 	if counted > 0 {
 		each = capacity / counted
 	}
-	if each > 0 {
-		s.need = int((d.WantedMilli+each-1)/each) + spareHosts
-	}
+	s.urgent = hostsFor(d.UrgentMilli, each)
+	s.need = hostsFor(d.UrgentMilli+d.LateMilli, each)
 	return s
 }
 
+// hostsFor is how many hosts of a size a demand takes, with the reserve.
+func hostsFor(milli, each int64) int {
+	if each == 0 {
+		return 0
+	}
+	return int((milli+each-1)/each) + 1
+}
+
 // serves reports whether a host serves a pool or soon will. One that is
 // emptied for maintenance does not, or a pool whose hosts are all emptied at
 // once would get no other in their place.
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -62,7 +62,10 @@
 
 // Demand is what the owner of a pool needs.
 type Demand struct {
-	WantedMilli int64
+	// UrgentMilli is for what can still be punctual, LateMilli what more it
+	// could use for the rest, in thousandths of a core.
+	UrgentMilli int64
+	LateMilli   int64
 	// Loads are by the workers' IDs.
 	Loads map[string]Load
 	// At is when it was said.
@@ -105,6 +108,8 @@
 	urgent   bool
 	// moveTo is where a host goes that is vacated for a move.
 	moveTo string
+	// patient says that the pool may take a while to empty it.
+	patient bool
 	// vacatingSince is when its pool was first to be told.
 	vacatingSince time.Duration
 }
--- a/jaynode/demand.go
+++ b/jaynode/demand.go
@@ -63,7 +63,8 @@
 }
 
 func writeDemand(report *jaywire.DemandReport, d jaysched.Demand) {
-	report.WantedMilli = d.WantedMilli
+	report.UrgentMilli = d.UrgentMilli
+	report.LateMilli = d.LateMilli
 	for _, l := range d.Loads {
 		report.Workers = append(report.Workers, &jaywire.WorkerLoad{
 			Worker:     l.Worker,
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -5,9 +5,16 @@
 	"time"
 )
 
-// arrivalWindow is over how long the rate of new work is measured. A rush
-// begins within a fraction of a second, and a worker takes 1.5 s to come.
-const arrivalWindow = 500 * time.Millisecond
+const (
+	// trendWindow is over how long the growth of a pool's use is measured. A
+	// rush begins within a second.
+	trendWindow = 800 * time.Millisecond
+	// trendSamples is how many samples a slope needs.
+	trendSamples = 3
+	// moveLead is how long a host takes from the decision to its first run: the
+	// move, and the way of its report.
+	moveLead = 1700 * time.Millisecond
+)
 
 // Load is what one worker carries.
 type Load struct {
@@ -23,8 +30,11 @@
 
 // Demand is what a pool needs of the fleet.
 type Demand struct {
-	// WantedMilli is how many thousandths of a core the pool could use soon.
-	WantedMilli int64
+	// UrgentMilli is how many thousandths of a core the pool could use soon for
+	// what can still be punctual; LateMilli is what more it could use for the
+	// rest.
+	UrgentMilli int64
+	LateMilli   int64
 	Loads       []Load
 }
 
@@ -37,7 +47,7 @@
 
 // Demand returns what the pool needs now.
 func (p *Pool) Demand(now time.Duration) Demand {
-	d := Demand{WantedMilli: max(p.parallelMilli(now), p.arrivals.rateMilli(now))}
+	d := Demand{UrgentMilli: p.trend.ahead(p.parallelMilli(now), now)}
 	for _, w := range p.sorted {
 		if w.contact == connected && w.listed && !w.Draining {
 			d.Loads = append(d.Loads, w.load(now))
@@ -46,20 +56,6 @@
 	return d
 }
 
-func (w *worker) load(now time.Duration) Load {
-	l := Load{Worker: w.ID, UsedMilli: w.Capacity.ProcessorsMilli - w.free.ProcessorsMilli, Runs: len(w.runs)}
-	for _, r := range w.runs {
-		if r.task.step.decl.LongRunning {
-			l.LongRuns++
-		}
-	}
-	if len(w.runs) == 0 {
-		l.Idle = now - w.idleSince
-		l.Vacated = w.closed
-	}
-	return l
-}
-
 // parallelMilli is what the tasks that run or could run now take together.
 func (p *Pool) parallelMilli(now time.Duration) int64 {
 	total := int64(0)
@@ -75,33 +71,57 @@
 	return total
 }
 
-// arrivals measures the rate of new work.
-type arrivals struct {
-	recent []arrival
+func (w *worker) load(now time.Duration) Load {
+	l := Load{Worker: w.ID, UsedMilli: w.Capacity.ProcessorsMilli - w.free.ProcessorsMilli, Runs: len(w.runs)}
+	for _, r := range w.runs {
+		if r.task.step.decl.LongRunning {
+			l.LongRuns++
+		}
+	}
+	if len(w.runs) == 0 {
+		l.Idle = now - w.idleSince
+		l.Vacated = w.closed
+	}
+	return l
 }
 
-type arrival struct {
-	at time.Duration
-	// work is in thousandths of a core times seconds.
-	work float64
+// trend foresees what a pool will be able to use.
+type trend struct {
+	samples []sample
 }
 
-func (a *arrivals) add(j *job, now time.Duration) {
-	if j.spec.LongRunning() || j.spec.Schedule.Timed() {
-		return
-	}
-	a.recent = append(a.recent, arrival{at: now, work: 1000 * j.spec.Work()})
+type sample struct {
+	at    time.Duration
+	milli int64
 }
 
-// rateMilli is the new work a second over the window, in thousandths of a
-// core.
-func (a *arrivals) rateMilli(now time.Duration) int64 {
-	a.recent = slices.DeleteFunc(a.recent, func(one arrival) bool { return one.at < now-arrivalWindow })
-	work := 0.0
-	for _, one := range a.recent {
-		work += one.work
+// ahead notes what the pool can use now and returns what it will be able to use
+// when a host that is moved now has come, if it goes on growing as it did. What
+// falls is not foreseen: a host that leaves too early is dearer than one that
+// stays a moment too long.
+func (t *trend) ahead(milli int64, now time.Duration) int64 {
+	t.samples = slices.DeleteFunc(t.samples, func(s sample) bool { return s.at < now-trendWindow })
+	t.samples = append(t.samples, sample{at: now, milli: milli})
+	growth := t.slope() * moveLead.Seconds()
+	return milli + int64(max(0, growth))
+}
+
+// slope is the growth in thousandths of a core a second, by least squares.
+func (t *trend) slope() float64 {
+	n := float64(len(t.samples))
+	var x, y, xx, xy float64
+	for _, s := range t.samples {
+		at := (s.at - t.samples[0].at).Seconds()
+		x += at
+		y += float64(s.milli)
+		xx += at * at
+		xy += at * float64(s.milli)
+	}
+	spread := n*xx - x*x
+	if n < trendSamples || spread <= 0 {
+		return 0
 	}
-	return int64(work / arrivalWindow.Seconds())
+	return (n*xy - x*y) / spread
 }
 
 // SetVacating closes the workers named and opens all others again.
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -47,8 +47,10 @@
 // job is a declared job and how far it has come.
 type job struct {
 	spec *jayspec.Job
-	// since is when the pool learned of the job.
+	// since is when the job was handed in.
 	since time.Duration
+	// lasting says that the job runs until it is cancelled.
+	lasting bool
 	// target is when the job should be done.
 	target      time.Duration
 	occurrences []*occurrence
@@ -138,7 +140,16 @@
 // newJob lays a declaration out. The offset turns times of day into the
 // pool's clock.
 func newJob(spec *jayspec.Job, now time.Duration, dueAt func(time.Time) time.Duration) *job {
-	j := &job{spec: spec, since: now, openOccurrences: spec.Schedule.Count()}
+	j := &job{
+		spec:            spec,
+		since:           now,
+		lasting:         spec.LongRunning(),
+		openOccurrences: spec.Schedule.Count(),
+	}
+	// A job that a former owner has had for a while has waited already.
+	if handedIn := dueAt(spec.Accepted); handedIn > 0 {
+		j.since = min(now, handedIn)
+	}
 	for n := range spec.Schedule.Count() {
 		due := now
 		if spec.Schedule.Timed() {
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -9,7 +9,7 @@
 // place starts what can be started now, in the order of the queue.
 func (p *Pool) place(now time.Duration) {
 	held := p.holdsBack(now)
-	for _, j := range p.queue(now) {
+	for _, j := range p.queue() {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				if s.ready(now) {
@@ -37,15 +37,6 @@
 	return false
 }
 
-// queue returns the open jobs in the order in which they are served.
-func (p *Pool) queue(now time.Duration) []*job {
-	order := slices.Clone(p.open)
-	slices.SortStableFunc(order, func(a, b *job) int {
-		return cmp.Compare(a.target, b.target)
-	})
-	return order
-}
-
 func (p *Pool) placeStep(s *step, held bool, now time.Duration) {
 	if s.decl.Gang {
 		p.placeGang(s, held, now)
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -95,8 +95,8 @@
 	// gone are lives that have ended, and until when their entries on the list
 	// are not believed.
 	gone map[string]time.Duration
-	// arrivals measures the rate of new work.
-	arrivals arrivals
+	// trend foresees the pool's use.
+	trend trend
 	// vacatingUntil is when the orders to vacate workers expire.
 	vacatingUntil time.Duration
 	actions       []Action
@@ -200,9 +200,7 @@
 	if _, known := p.jobs[spec.ID]; known {
 		return false
 	}
-	j := newJob(spec, now, p.dueAt)
-	p.add(j)
-	p.arrivals.add(j, now)
+	p.add(newJob(spec, now, p.dueAt))
 	return true
 }
 
