Migrate runs with checkpoints so that hosts become free for a rush

Change: the fleet takes busy hosts that can be empty within 0.8 s; their pool stops what saves its progress and can wait, and resumes it elsewhere.

--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -16,9 +16,10 @@
 	// idleBeforeStandby is for how long a surplus host must have been idle
 	// before it is turned off: a move each way costs as much as this time.
 	idleBeforeStandby = 1200 * time.Millisecond
-	// reclaimPatience is how long a pool may take to empty a host that another
-	// one needs more. Most tasks end within two seconds.
-	reclaimPatience = 2500 * time.Millisecond
+	// soonEmpty is how soon a busy host must become empty to be taken for a
+	// pool that needs it more, and reclaimPatience how long it may take in fact.
+	soonEmpty       = 800 * time.Millisecond
+	reclaimPatience = 1500 * time.Millisecond
 )
 
 // standing is a pool and what it has and needs.
@@ -31,7 +32,7 @@
 	urgent int
 	need   int
 	// idle are its hosts that run nothing, the longest idle first; busy are
-	// the others that could be emptied, the least used first.
+	// others that could be emptied soon, the soonest first.
 	idle []*host
 	busy []*host
 }
@@ -78,7 +79,7 @@
 	if len(from.idle) > 0 {
 		return from.idle[0], false
 	}
-	if len(from.busy) > 0 && false {
+	if len(from.busy) > 0 {
 		return from.busy[0], true
 	}
 	return nil, false
@@ -222,7 +223,7 @@
 		switch {
 		case l.Runs == 0:
 			s.idle = append(s.idle, h)
-		case l.LongRuns == 0:
+		case l.EmptyIn >= 0 && l.EmptyIn <= soonEmpty:
 			s.busy = append(s.busy, h)
 		}
 	}
@@ -230,7 +231,7 @@
 		return cmp.Compare(d.Loads[b.Worker].Idle, d.Loads[a.Worker].Idle)
 	})
 	slices.SortStableFunc(s.busy, func(a, b *host) int {
-		return cmp.Compare(d.Loads[a.Worker].UsedMilli, d.Loads[b.Worker].UsedMilli)
+		return cmp.Compare(d.Loads[a.Worker].EmptyIn, d.Loads[b.Worker].EmptyIn)
 	})
 	each := f.meanCapacity()
 	if counted > 0 {
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -58,6 +58,17 @@
 	LongRuns  int
 	Vacated   bool
 	Idle      time.Duration
+	// EmptyIn is how long the worker should take to become empty if its runs
+	// are migrated; negative is never.
+	EmptyIn time.Duration
+}
+
+// Vacate is how a worker is to be emptied.
+type Vacate struct {
+	// Urgent lets all runs be stopped that do not last, Migrate those that can
+	// go on elsewhere.
+	Urgent  bool
+	Migrate bool
 }
 
 // Demand is what the owner of a pool needs.
@@ -238,11 +249,11 @@
 }
 
 // Vacating returns the hosts' workers that each pool is to empty.
-func (f *Fleet) Vacating(pool string) map[string]bool {
-	workers := map[string]bool{}
+func (f *Fleet) Vacating(pool string) map[string]Vacate {
+	workers := map[string]Vacate{}
 	for _, h := range f.sorted {
 		if h.Pool == pool && h.Worker != "" && (h.vacating != notVacating || h.act != nil) {
-			workers[h.Worker] = h.urgent
+			workers[h.Worker] = Vacate{Urgent: h.urgent, Migrate: h.patient}
 		}
 	}
 	return workers
--- a/jayfleet/fleet_test.go
+++ b/jayfleet/fleet_test.go
@@ -104,7 +104,7 @@
 				continue
 			}
 			_, closed := vacating[h.Worker]
-			l := Load{Runs: w.runs[h.Worker], LongRuns: w.longRuns[h.Worker], UsedMilli: int64(w.runs[h.Worker]) * 1000}
+			l := Load{Runs: w.runs[h.Worker], LongRuns: w.longRuns[h.Worker], UsedMilli: int64(w.runs[h.Worker]) * 1000, EmptyIn: -1}
 			if l.Runs == 0 {
 				l.Vacated, l.Idle = closed, 10*time.Second
 			}
@@ -288,8 +288,8 @@
 		w.wanted["seats"] = hostMilli
 		w.fleet.Declared(wave([]string{"m0"}, 20*time.Second, 1), w.now, nil, false)
 		w.steps(5 * time.Second)
-		is.Equal(w.fleet.Vacating("seats")["w-m0"], false)
+		is.Equal(w.fleet.Vacating("seats")["w-m0"].Urgent, false)
 		w.steps(10 * time.Second)
-		is.Equal(w.fleet.Vacating("seats")["w-m0"], true)
+		is.Equal(w.fleet.Vacating("seats")["w-m0"].Urgent, true)
 	})
 }
--- a/jaynode/demand.go
+++ b/jaynode/demand.go
@@ -41,7 +41,7 @@
 	}
 	vacate := make([]jaysched.Vacate, 0, len(ask.Vacate))
 	for _, v := range ask.Vacate {
-		vacate = append(vacate, jaysched.Vacate{Worker: v.Worker, Urgent: v.Urgent})
+		vacate = append(vacate, jaysched.Vacate{Worker: v.Worker, Urgent: v.Urgent, Migrate: v.Migrate})
 	}
 	// The survey is taken for a little older than it is: the question took some
 	// time on its way.
@@ -62,10 +62,17 @@
 	return report
 }
 
+// neverEmpty stands for a worker that does not become empty by itself.
+const neverEmpty = -1
+
 func writeDemand(report *jaywire.DemandReport, d jaysched.Demand) {
 	report.UrgentMilli = d.UrgentMilli
 	report.LateMilli = d.LateMilli
 	for _, l := range d.Loads {
+		emptyIn := l.EmptyIn.Milliseconds()
+		if l.EmptyIn == jaysched.Never {
+			emptyIn = neverEmpty
+		}
 		report.Workers = append(report.Workers, &jaywire.WorkerLoad{
 			Worker:     l.Worker,
 			UsedMilli:  l.UsedMilli,
@@ -73,6 +80,8 @@
 			LongRuns:   uint32(l.LongRuns),
 			Vacated:    l.Vacated,
 			IdleMillis: l.Idle.Milliseconds(),
+
+			EmptyInMillis: emptyIn,
 		})
 	}
 }
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -247,8 +247,8 @@
 func (d *fleetDuty) askDemand(pool string, now time.Duration) {
 	vacating := d.fleet.Vacating(pool)
 	orders := make([]*jaywire.VacateOrder, 0, len(vacating))
-	for worker, urgent := range vacating {
-		orders = append(orders, &jaywire.VacateOrder{Worker: worker, Urgent: urgent})
+	for worker, how := range vacating {
+		orders = append(orders, &jaywire.VacateOrder{Worker: worker, Urgent: how.Urgent, Migrate: how.Migrate})
 	}
 	slices.SortFunc(orders, func(a, b *jaywire.VacateOrder) int { return strings.Compare(a.Worker, b.Worker) })
 	names := ordersText(orders)
@@ -294,6 +294,7 @@
 			LongRuns:  int(w.LongRuns),
 			Vacated:   w.Vacated,
 			Idle:      millis(w.IdleMillis),
+			EmptyIn:   millis(w.EmptyInMillis),
 		}
 	}
 	return demand
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -1,6 +1,7 @@
 package jaysched
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -26,8 +27,14 @@
 	Vacated bool
 	// Idle is for how long nothing has run there.
 	Idle time.Duration
+	// EmptyIn is how long the worker should take to become empty if its runs
+	// are migrated, or Never.
+	EmptyIn time.Duration
 }
 
+// Never is the time until a worker is empty on which a task runs that lasts.
+const Never = time.Duration(math.MaxInt64)
+
 // Demand is what a pool needs of the fleet.
 type Demand struct {
 	// UrgentMilli is how many thousandths of a core the pool could use soon for
@@ -43,6 +50,9 @@
 type Vacate struct {
 	Worker string
 	Urgent bool
+	// Migrate lets runs be stopped that can go on elsewhere from their
+	// checkpoint without making their job late.
+	Migrate bool
 }
 
 // Demand returns what the pool needs now.
@@ -50,7 +60,7 @@
 	d := Demand{UrgentMilli: p.trend.ahead(p.parallelMilli(now), now)}
 	for _, w := range p.sorted {
 		if w.contact == connected && w.listed && !w.Draining {
-			d.Loads = append(d.Loads, w.load(now))
+			d.Loads = append(d.Loads, p.load(w, now))
 		}
 	}
 	return d
@@ -71,12 +81,15 @@
 	return total
 }
 
-func (w *worker) load(now time.Duration) Load {
+func (p *Pool) load(w *worker, now time.Duration) Load {
 	l := Load{Worker: w.ID, UsedMilli: w.Capacity.ProcessorsMilli - w.free.ProcessorsMilli, Runs: len(w.runs)}
 	for _, r := range w.runs {
 		if r.task.step.decl.LongRunning {
 			l.LongRuns++
+			l.EmptyIn = Never
+			continue
 		}
+		l.EmptyIn = max(l.EmptyIn, p.emptyIn(r, now))
 	}
 	if len(w.runs) == 0 {
 		l.Idle = now - w.idleSince
@@ -127,11 +140,11 @@
 // SetVacating closes the workers named and opens all others again.
 func (p *Pool) SetVacating(orders []Vacate, now time.Duration) {
 	for _, w := range p.sorted {
-		w.closed, w.urgent = false, false
+		w.open()
 	}
 	for _, o := range orders {
 		if w, known := p.workers[o.Worker]; known {
-			w.closed, w.urgent = true, o.Urgent
+			w.closed, w.urgent, w.migrate = true, o.Urgent, o.Migrate
 		}
 	}
 	p.vacatingUntil = now + vacatingTime
@@ -146,7 +159,7 @@
 func (p *Pool) vacate(now time.Duration) {
 	if now >= p.vacatingUntil {
 		for _, w := range p.sorted {
-			w.closed, w.urgent = false, false
+			w.open()
 		}
 	}
 	for _, w := range p.sorted {
@@ -154,7 +167,7 @@
 			continue
 		}
 		for _, r := range w.sortedRuns() {
-			if r.phase == running && (p.mayEvict(r, now) || w.urgent && !r.task.step.decl.LongRunning) {
+			if r.phase == running && p.shouldLeave(r, now) {
 				p.note(Note{Kind: RunStopped, Worker: w.ID, Run: r.ref(), Detail: "vacating"}, now)
 				p.stop(r, "vacating")
 			}
@@ -162,6 +175,64 @@
 	}
 }
 
+// open lets runs be started on a worker again.
+func (w *worker) open() {
+	w.closed, w.urgent, w.migrate = false, false, false
+}
+
+// shouldLeave reports whether a run on a closed worker is to be stopped now.
+func (p *Pool) shouldLeave(r *run, now time.Duration) bool {
+	switch {
+	case r.task.step.decl.LongRunning:
+		return p.mayEvict(r, now)
+	case r.worker.urgent:
+		return true
+	default:
+		return r.worker.migrate && p.mayMigrate(r, now)
+	}
+}
+
+const (
+	// migrationTime is what a migration costs a run: its stop, and the time to
+	// resume elsewhere.
+	migrationTime = 900 * time.Millisecond
+	// migrationSlack is what its job must be able to wait beyond that.
+	migrationSlack = 600 * time.Millisecond
+	// stopTime is about how long a worker takes to stop a run.
+	stopTime = 250 * time.Millisecond
+)
+
+// mayMigrate reports whether a run should go on elsewhere: it saves its
+// progress, it would run for longer than the move takes, its job is not made
+// late by it, and there is room.
+func (p *Pool) mayMigrate(r *run, now time.Duration) bool {
+	s := r.task.step
+	if !s.decl.Checkpoint || s.decl.Gang || p.leftOf(r, now) < migrationTime {
+		return false
+	}
+	slack := s.job.target - now - p.leftOf(r, now)
+	return slack > migrationTime+migrationSlack && p.choose(r.task, now) != nil
+}
+
+// leftOf is how long a run should still take. One that has outlasted its
+// estimate is taken to need as long again as it is over.
+func (p *Pool) leftOf(r *run, now time.Duration) time.Duration {
+	takes := p.times.of(r.task.step.job.spec.Queue, r.task.step.decl.Estimate)
+	ran := now - r.orderedAt
+	if ran < takes {
+		return takes - ran
+	}
+	return ran - takes
+}
+
+// emptyIn is how long a run should hold its worker if it may be migrated.
+func (p *Pool) emptyIn(r *run, now time.Duration) time.Duration {
+	if p.mayMigrate(r, now) {
+		return stopTime
+	}
+	return p.leftOf(r, now)
+}
+
 // mayEvict reports whether a run should be stopped so that its worker becomes
 // free: its step can miss one more task, and there is room for it elsewhere.
 func (p *Pool) mayEvict(r *run, now time.Duration) bool {
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -51,10 +51,11 @@
 	askAt  time.Duration
 	// listed says that the latest list of workers names it.
 	listed bool
-	// closed workers get no new run, and urgent ones have theirs stopped where
-	// that loses little.
-	closed bool
-	urgent bool
+	// closed workers get no new run; urgent ones have theirs stopped, and those
+	// that migrate have theirs moved where that loses little.
+	closed  bool
+	urgent  bool
+	migrate bool
 	// idleSince is since when nothing has run there.
 	idleSince time.Duration
 	// health is what its own runs say of it.
