--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// reservePercent is the share of a host that a pool keeps free, so that the
-	// first tasks of a rush start at once.
-	reservePercent = 50
 	// idleBeforeStandby is for how long a surplus host must have been idle
 	// before it is turned off: a move each way costs as much as this time.
 	idleBeforeStandby = 1200 * time.Millisecond
