--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -1,16 +1,15 @@
 package jaysched
 
 import (
-	"slices"
 	"time"
 
 	"jaythread/jayport"
 )
 
 const (
-	// resendAfter is before an order without an answer is sent again. The
+	// resendPause is before an order without an answer is sent again. The
 	// answer to an order takes some milliseconds.
-	resendAfter = 100 * time.Millisecond
+	resendPause = 100 * time.Millisecond
 	// answerLost is when an order whose outcome was not reported is given up.
 	answerLost = 5 * time.Second
 	// runsPerTerm is the room for run numbers of one owner: each owner's
@@ -34,7 +33,8 @@
 // expireLeases gives up the runs of silent workers whose lease must have
 // ended, so that their tasks can start elsewhere.
 func (p *Pool) expireLeases(now time.Duration) {
-	for _, w := range slices.Clone(p.sorted) {
+	var left []*worker
+	for _, w := range p.sorted {
 		if w.contact == silent && now >= w.leaseBound {
 			w.contact = lapsed
 			p.note(Note{Kind: WorkerLapsed, Worker: w.ID, Since: w.heardAt}, now)
@@ -47,36 +47,46 @@
 		// they wait for.
 		mayRun := w.contact == unconfirmed && now < p.heldUntil
 		if !w.listed && w.contact != connected && len(w.runs) == 0 && !mayRun {
-			p.Ended(w.ID, "left the list", now)
-			p.actions = append(p.actions, ForgetWorker{To: w.life()})
+			left = append(left, w)
 		}
 	}
+	for _, w := range left {
+		p.Ended(w.ID, "left the list", now)
+		p.actions = append(p.actions, ForgetWorker{To: w.life()})
+	}
 }
 
 // resend repeats orders whose answers were lost, to workers that answer.
 func (p *Pool) resend(now time.Duration) {
 	for _, w := range p.sorted {
-		if w.contact != connected {
+		if w.contact != connected || now < w.resendAt {
 			continue
 		}
-		for _, r := range w.sortedRuns() {
-			if now < r.resendAt {
-				continue
-			}
-			switch r.phase {
-			case unsure:
-				p.sendStart(r, now)
-			case stopping:
-				r.resendAt = now + resendAfter
-				p.actions = append(p.actions, StopRun{To: w.life(), Run: r.ref(), Why: r.stopWhy})
-			case ordered:
-				// Its answer went astray inside this program.
-				if now > r.resendAt+answerLost {
-					r.phase = unsure
-				}
-			case running, stopped:
-			}
+		w.resendAt = Never
+		for _, r := range w.inOrder {
+			p.resendRun(r, now)
+			r.expectAnswer()
+		}
+	}
+}
+
+// resendRun repeats the order for a run if its answer is overdue.
+func (p *Pool) resendRun(r *run, now time.Duration) {
+	if now < r.resendAt {
+		return
+	}
+	switch r.phase {
+	case unsure:
+		p.sendStart(r, now)
+	case stopping:
+		r.resendAfter(now)
+		p.actions = append(p.actions, StopRun{To: r.worker.life(), Run: r.ref(), Why: r.stopWhy})
+	case ordered:
+		// Its answer went astray inside this program.
+		if now >= r.resendAt+answerLost {
+			r.phase = unsure
 		}
+	case running, stopped:
 	}
 }
 
@@ -84,7 +94,7 @@
 func (p *Pool) sendStart(r *run, now time.Duration) {
 	r.attempt++
 	r.phase = ordered
-	r.resendAt = now + resendAfter
+	r.resendAfter(now)
 	p.actions = append(p.actions, StartRun{
 		To: r.worker.life(),
 		Order: jayport.StartOrder{
@@ -102,7 +112,7 @@
 func (p *Pool) start(t *task, w *worker, number int64, now time.Duration) {
 	r := &run{task: t, worker: w, number: number, need: needOf(t.step), orderedAt: now, checkpoint: t.checkpoint}
 	t.last = number
-	t.runs = append(t.runs, r)
+	t.take(r)
 	w.add(r)
 	p.note(Note{Kind: RunStarted, Worker: w.ID, Run: r.ref(), Since: now - w.heardAt, Waited: now - t.step.readyAt}, now)
 	p.sendStart(r, now)
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -166,10 +166,10 @@
 		if w.contact != connected || !w.closed && !w.Draining {
 			continue
 		}
-		for _, r := range w.sortedRuns() {
+		for _, r := range w.inOrder {
 			if r.phase == running && p.shouldLeave(r, now) {
 				p.note(Note{Kind: RunStopped, Worker: w.ID, Run: r.ref(), Detail: "vacating"}, now)
-				p.stop(r, "vacating")
+				p.stop(r, "vacating", now)
 			}
 		}
 	}
--- a/jaysched/ends.go
+++ b/jaysched/ends.go
@@ -58,23 +58,22 @@
 		finished = t.step.tasks
 	}
 	for _, f := range finished {
-		p.finishTask(f)
+		p.finishTask(f, now)
 	}
-	t.step.job.dirty = true
+	p.touch(t.step.job)
 	if t.step.open == 0 {
 		p.stepDone(t.step, now)
 	}
 }
 
-func (p *Pool) finishTask(t *task) {
+func (p *Pool) finishTask(t *task, now time.Duration) {
 	if t.done {
 		return
 	}
-	t.done = true
-	t.step.open--
+	t.finish()
 	for _, other := range t.runs {
 		if !t.step.decl.Gang {
-			p.stop(other, "anotherCopyEnded")
+			p.stop(other, "anotherCopyEnded", now)
 		}
 	}
 }
@@ -111,7 +110,7 @@
 		return
 	}
 	t.failedRuns = append(t.failedRuns, number)
-	t.step.job.dirty = true
+	p.touch(t.step.job)
 	if failures := t.failures(); failures >= p.policy(t.step.job).Attempts {
 		p.end(t.step.job, Failed, now)
 		p.note(Note{Kind: JobEnded, Job: t.step.job.spec.ID, Detail: fmt.Sprintf("failed: %s failed %d times", t.id(), failures), Waited: now - t.step.job.since}, now)
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -88,20 +88,11 @@
 
 // lose drops all runs of a worker: their tasks wait again.
 func (p *Pool) lose(w *worker, now time.Duration) {
-	for _, r := range w.sortedRuns() {
+	for _, r := range slices.Clone(w.inOrder) {
 		p.dropRun(r, now)
 	}
 }
 
-func (w *worker) sortedRuns() []*run {
-	runs := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		runs = append(runs, r)
-	}
-	slices.SortFunc(runs, func(a, b *run) int { return compareTasks(a.task.id(), b.task.id()) })
-	return runs
-}
-
 func (p *Pool) dropRun(r *run, now time.Duration) {
 	r.worker.remove(r, now)
 	r.task.drop(r)
@@ -157,7 +148,7 @@
 // dropMissing drops runs that the worker had confirmed before it was asked
 // and that it now lists neither as active nor as ended.
 func (p *Pool) dropMissing(w *worker, seen map[jayport.RunRef]bool, asked, now time.Duration) {
-	for _, r := range w.sortedRuns() {
+	for _, r := range slices.Clone(w.inOrder) {
 		confirmed := r.confirmedAt > 0 && r.confirmedAt < asked
 		if confirmed && !seen[r.ref()] {
 			p.note(Note{Kind: RunVanished, Worker: w.ID, Run: r.ref()}, now)
@@ -184,7 +175,7 @@
 	}
 	r := &run{task: t, worker: w, number: active.Run.Number, phase: running, need: needOf(t.step), orderedAt: now, confirmedAt: now, pace: active.Pace}
 	w.add(r)
-	t.runs = append(t.runs, r)
+	t.take(r)
 	t.last = max(t.last, r.number)
 	t.step.gangRun = max(t.step.gangRun, r.number)
 	t.unseen = false
@@ -235,6 +226,7 @@
 	if !errors.As(err, &refused) {
 		if r.phase == ordered {
 			r.phase = unsure
+			r.expectAnswer()
 		}
 		return
 	}
@@ -280,6 +272,6 @@
 		return
 	}
 	if known && r.phase == stopping {
-		r.resendAt = now + resendAfter
+		r.resendAfter(now)
 	}
 }
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -80,8 +80,11 @@
 	occ   *occurrence
 	id    jayport.StepID
 	decl  *jayspec.Step
-	open  int
-	after int
+	// open counts the tasks that are not done, waiting those of them that have
+	// no run.
+	open    int
+	waiting int
+	after   int
 	// next are the steps that wait for this one.
 	next  []*step
 	tasks []*task
@@ -128,13 +131,35 @@
 	return !t.done && len(t.runs) == 0
 }
 
+// take notes a run of the task.
+func (t *task) take(r *run) {
+	if t.waiting() {
+		t.step.waiting--
+	}
+	t.runs = append(t.runs, r)
+}
+
+// drop forgets a run of the task.
 func (t *task) drop(r *run) {
 	for n, other := range t.runs {
-		if other == r {
-			t.runs = append(t.runs[:n], t.runs[n+1:]...)
-			return
+		if other != r {
+			continue
+		}
+		t.runs = append(t.runs[:n], t.runs[n+1:]...)
+		if t.waiting() {
+			t.step.waiting++
 		}
+		return
+	}
+}
+
+// finish notes that the task is done.
+func (t *task) finish() {
+	if t.waiting() {
+		t.step.waiting--
 	}
+	t.done = true
+	t.step.open--
 }
 
 // newJob lays a declaration out. The offset turns times of day into the
@@ -170,6 +195,7 @@
 			id:      jayport.StepID{Job: j.spec.ID, Occurrence: number, Step: n},
 			decl:    decl,
 			open:    decl.Tasks,
+			waiting: decl.Tasks,
 			placed:  map[*worker]int{},
 			readyAt: due,
 		}
--- a/jaysched/order.go
+++ b/jaysched/order.go
@@ -5,21 +5,27 @@
 	"slices"
 )
 
-// queue returns the open jobs in the order in which they are served: those that
-// last, which serve others all the while, then by the time at which each should
-// be done.
+// enqueue adds a job to the open ones, which are kept in the order in which
+// they are served: those that last, which serve others all the while, then by
+// the time at which each should be done.
 //
 // The load that it answers: for some seconds a queue is handed several times
 // what its pool can do. Among the orders that were measured this one earns
 // most; see docs/notes/scheduling.md. Jobs that are late already come first in
 // it, so that none is lost altogether while the rush goes on.
-func (p *Pool) queue() []*job {
-	order := slices.Clone(p.open)
-	slices.SortStableFunc(order, func(a, b *job) int {
-		return cmp.Or(
-			compareBool(!a.lasting, !b.lasting),
-			cmp.Compare(a.target, b.target),
-		)
+//
+// Kept in order, the queue need not be sorted for each decision.
+func (p *Pool) enqueue(j *job) {
+	at, _ := slices.BinarySearchFunc(p.open, j, func(other, j *job) int {
+		// Among equals the newest job is the last.
+		return cmp.Or(compareJobs(other, j), -1)
 	})
-	return order
+	p.open = slices.Insert(p.open, at, j)
+}
+
+func compareJobs(a, b *job) int {
+	return cmp.Or(
+		compareBool(!a.lasting, !b.lasting),
+		cmp.Compare(a.target, b.target),
+	)
 }
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -9,10 +9,11 @@
 // place starts what can be started now, in the order of the queue.
 func (p *Pool) place(now time.Duration) {
 	held := p.holdsBack(now)
-	for _, j := range p.queue() {
+	p.noRoom = p.noRoom[:0]
+	for _, j := range p.open {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.ready(now) {
+				if s.waiting > 0 && s.ready(now) {
 					p.placeStep(s, held, now)
 				}
 			}
@@ -42,18 +43,42 @@
 		p.placeGang(s, held, now)
 		return
 	}
+	if p.lacksRoom(s) {
+		return
+	}
 	for _, t := range s.tasks {
 		if !t.waiting() || now < t.notBefore || held && t.unseen {
 			continue
 		}
 		w := p.choose(t, now)
 		if w == nil {
+			p.noteNoRoom(s)
 			return
 		}
 		p.start(t, w, p.nextRun(t.last), now)
 	}
 }
 
+// noteNoRoom notes a need that found no worker, if it is for want of room alone.
+func (p *Pool) noteNoRoom(s *step) {
+	if s.decl.RequiredLabel == "" && s.decl.MaxPerInstance == 0 {
+		p.noRoom = append(p.noRoom, needOf(s))
+	}
+}
+
+// lacksRoom reports whether a step that needs no more has just found no
+// worker: while jobs are placed, room only becomes less. In a rush with hundreds
+// of jobs waiting this spares the look at every worker for each of them.
+func (p *Pool) lacksRoom(s *step) bool {
+	need := needOf(s)
+	for _, missing := range p.noRoom {
+		if need.Fits(missing) {
+			return true
+		}
+	}
+	return false
+}
+
 // placeGang starts all members of a gang at once, or none.
 func (p *Pool) placeGang(s *step, held bool, now time.Duration) {
 	var chosen []*worker
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"jaythread/jaypool"
 	"jaythread/jayport"
 	"jaythread/jayspec"
 )
@@ -78,8 +79,13 @@
 	policyOf func(queue string) (jayspec.Policy, bool)
 
 	jobs map[string]*job
-	// open are the jobs that have not ended, in the order of their arrival.
-	open    []*job
+	// open are the jobs that have not ended, in the order in which they are
+	// served.
+	open []*job
+	// noRoom are needs that no worker could meet in the present decision.
+	noRoom []jaypool.Resources
+	// changed are the jobs whose progress is to be recorded.
+	changed []*job
 	workers map[string]*worker
 	// sorted are the workers in the order of their IDs.
 	sorted []*worker
@@ -209,7 +215,7 @@
 	policy := p.policy(j)
 	chain := j.spec.LongestChain(func(n int) time.Duration { return p.times.of(j.spec.Queue, j.spec.Steps[n].Estimate) })
 	j.target = j.since + time.Duration(policy.Stretch*float64(chain)) + policy.Objective
-	p.open = append(p.open, j)
+	p.enqueue(j)
 }
 
 // Cancel ends a job; known is false if the pool has no such job. A job that
@@ -229,23 +235,24 @@
 func (p *Pool) end(j *job, outcome Outcome, now time.Duration) {
 	j.outcome = outcome
 	j.endedAt = now
-	j.dirty = true
+	p.touch(j)
 	p.open = slices.DeleteFunc(p.open, func(other *job) bool { return other == j })
 	j.eachTask(func(t *task) {
 		for _, r := range t.runs {
-			p.stop(r, outcome.String())
+			p.stop(r, outcome.String(), now)
 		}
 	})
 }
 
 // stop tells a worker to stop a run. It is asked for again by Decide until
 // the run has ended.
-func (p *Pool) stop(r *run, why string) {
+func (p *Pool) stop(r *run, why string, now time.Duration) {
 	if r.phase == stopping || r.phase == stopped {
 		return
 	}
 	r.phase = stopping
 	r.stopWhy = why
+	r.resendAfter(now)
 	p.actions = append(p.actions, StopRun{To: r.worker.life(), Run: r.ref(), Why: why})
 }
 
--- a/jaysched/pool_test.go
+++ b/jaysched/pool_test.go
@@ -311,8 +311,8 @@
 		return false
 	}
 	declare(w, newSpec("j", 1))
-	w.pass(resendAfter)
-	w.pass(resendAfter)
+	w.pass(resendPause)
+	w.pass(resendPause)
 	is.Equal(len(w.running()), 2)
 	is.Equal(w.starts("j.0.0.0"), 1)
 	is.Equal(w.starts("j.0.0.1"), 1)
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -16,16 +16,23 @@
 	ends     map[string]int64
 }
 
+// touch notes that a job's progress is to be recorded.
+func (p *Pool) touch(j *job) {
+	if !j.dirty {
+		j.dirty = true
+		p.changed = append(p.changed, j)
+	}
+}
+
 // Flush returns what is to be recorded, or nil if there is nothing.
 func (p *Pool) Flush() *Batch {
 	b := &Batch{Progress: map[string]*jaywire.JobProgress{}, outcomes: map[string]Outcome{}, ends: map[string]int64{}}
-	for id, j := range p.jobs {
-		if j.dirty {
-			j.dirty = false
-			b.Progress[id] = j.progress()
-			b.outcomes[id] = j.outcome
-		}
+	for _, j := range p.changed {
+		j.dirty = false
+		b.Progress[j.spec.ID] = j.progress()
+		b.outcomes[j.spec.ID] = j.outcome
 	}
+	p.changed = p.changed[:0]
 	for _, w := range p.sorted {
 		if w.processed > w.acknowledged {
 			b.ends[w.ID] = w.processed
--- a/jaysched/restore.go
+++ b/jaysched/restore.go
@@ -56,8 +56,7 @@
 	}
 	for n, t := range s.tasks {
 		if hasBit(record.Done, n) {
-			t.done = true
-			s.open--
+			t.finish()
 		}
 	}
 	if s.open > 0 {
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -1,6 +1,8 @@
 package jaysched
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"jaythread/jaypool"
@@ -40,6 +42,10 @@
 	joinedAt time.Duration
 	heardAt  time.Duration
 	runs     map[jayport.RunRef]*run
+	// inOrder are the same runs in the order of their tasks.
+	inOrder []*run
+	// resendAt is when the first order to it may have to be repeated.
+	resendAt time.Duration
 	free     jaypool.Resources
 	// processed is the last end that was taken in, acknowledged the last one
 	// that the worker may forget.
@@ -106,6 +112,27 @@
 	return jayport.RunRef{Task: r.task.id(), Number: r.number}
 }
 
+// resendAfter notes that the order for the run may be repeated after a pause.
+func (r *run) resendAfter(now time.Duration) {
+	r.resendAt = now + resendPause
+	r.expectAnswer()
+}
+
+// expectAnswer has the worker looked at when the run's order may be overdue.
+func (r *run) expectAnswer() {
+	switch r.phase {
+	case unsure, stopping:
+		r.worker.resendAt = min(r.worker.resendAt, r.resendAt)
+	case ordered:
+		r.worker.resendAt = min(r.worker.resendAt, r.resendAt+answerLost)
+	case running, stopped:
+	}
+}
+
+func compareRuns(a, b *run) int {
+	return cmp.Or(compareTasks(a.task.id(), b.task.id()), cmp.Compare(a.number, b.number))
+}
+
 func newWorker(w jayport.Worker, now time.Duration) *worker {
 	return &worker{Worker: w, runs: map[jayport.RunRef]*run{}, free: w.Capacity, idleSince: now, joinedAt: now}
 }
@@ -122,6 +149,8 @@
 // add takes room for a run.
 func (w *worker) add(r *run) {
 	w.runs[r.ref()] = r
+	at, _ := slices.BinarySearchFunc(w.inOrder, r, compareRuns)
+	w.inOrder = slices.Insert(w.inOrder, at, r)
 	w.free = w.free.Sub(r.need)
 	r.task.step.placed[w]++
 }
@@ -132,6 +161,8 @@
 		return
 	}
 	delete(w.runs, r.ref())
+	at, _ := slices.BinarySearchFunc(w.inOrder, r, compareRuns)
+	w.inOrder = slices.Delete(w.inOrder, at, at+1)
 	w.free = w.free.Add(r.need)
 	if len(w.runs) == 0 {
 		w.idleSince = now
