--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -76,10 +76,10 @@
 
 // step is one step of one occurrence.
 type step struct {
-	job   *job
-	occ   *occurrence
-	id    jayport.StepID
-	decl  *jayspec.Step
+	job  *job
+	occ  *occurrence
+	id   jayport.StepID
+	decl *jayspec.Step
 	// open counts the tasks that are not done, waiting those of them that have
 	// no run.
 	open    int
