Log lines go through one writer that never blocks

Cause: each line was a write of its own by the goroutine that logged it; with a standard output that nobody reads the entry would stand still. Change: a bounded buffer to one writer; lines that find no room are counted and said. Tests: order, a stuck output.

--- a/jaycli/serve_jobs.go
+++ b/jaycli/serve_jobs.go
@@ -20,9 +20,14 @@
 	"jaythread/platform"
 )
 
+// logFlush is how long the end of the process waits at most for its last log
+// lines.
+const logFlush = 200 * time.Millisecond
+
 // serveJobs runs an entry that schedules jobs on the users' platform.
 func serveJobs(ctx context.Context, c *cli.Command, options *jayoptions.Options) error {
-	logger := jaylogger.New(os.Stdout, options.LogFormat, options.LogLevel)
+	logger, lines := jaylogger.NewBuffered(os.Stdout, options.LogFormat, options.LogLevel)
+	defer lines.Close(logFlush)
 	s := &options.JobService
 	node := jaynode.New(jaynode.Settings{
 		Entry:           options.Entry,
--- a/jaylogger/logger.go
+++ b/jaylogger/logger.go
@@ -16,9 +16,19 @@
 // New returns a logger. The format is auto, json or text; the level is debug,
 // info or error.
 func New(out *os.File, format, level string) logr.Logger {
-	var writer io.Writer = out
-	if format == "text" || format == "auto" && isatty.IsTerminal(out.Fd()) {
-		writer = zerolog.ConsoleWriter{Out: out, TimeFormat: time.TimeOnly, NoColor: !isatty.IsTerminal(out.Fd())}
+	return newLogger(out, isatty.IsTerminal(out.Fd()), format, level)
+}
+
+// NewBuffered returns a logger that never blocks, and its writer, which is to
+// be closed at the end.
+func NewBuffered(out *os.File, format, level string) (logr.Logger, *Writer) {
+	writer := NewWriter(out)
+	return newLogger(writer, isatty.IsTerminal(out.Fd()), format, level), writer
+}
+
+func newLogger(writer io.Writer, terminal bool, format, level string) logr.Logger {
+	if format == "text" || format == "auto" && terminal {
+		writer = zerolog.ConsoleWriter{Out: writer, TimeFormat: time.TimeOnly, NoColor: !terminal}
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	zerologr.NameFieldName = "part"
--- /dev/null
+++ b/jaylogger/writer_test.go
@@ -0,0 +1,60 @@
+package jaylogger
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// output is a standard output that can be stuck.
+type output struct {
+	mu     sync.Mutex
+	text   bytes.Buffer
+	writes int
+	stuck  chan struct{}
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	if o.stuck != nil {
+		<-o.stuck
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.writes++
+	return o.text.Write(p)
+}
+
+func TestWriter(t *testing.T) {
+	t.Run("lines are written in order, many at once", func(t *testing.T) {
+		is := is.New(t)
+		out := &output{}
+		w := NewWriter(out)
+		for range 1000 {
+			_, _ = w.Write([]byte("line\n"))
+		}
+		w.Close(time.Second)
+		is.Equal(out.text.String(), strings.Repeat("line\n", 1000))
+		is.True(out.writes < 100)
+		is.Equal(w.Lost(), 0)
+	})
+	t.Run("a stuck output blocks nobody, and lost lines are counted", func(t *testing.T) {
+		// Symptom: an entry stops answering callers.
+		// Sequence: nobody reads its standard output any more; the pipe fills.
+		// Cause: each line was written by the goroutine that logged it.
+		is := is.New(t)
+		out := &output{stuck: make(chan struct{})}
+		w := NewWriter(out)
+		line := []byte(strings.Repeat("x", 1023) + "\n")
+		for range 2*maxWaiting/len(line) + 10 {
+			_, _ = w.Write(line)
+		}
+		is.True(w.Lost() > 0)
+		close(out.stuck)
+		w.Close(time.Second)
+		is.True(strings.Contains(out.text.String(), `"message":"log lines lost"`))
+	})
+}
