--- a/jaynode/claims.go
+++ b/jaynode/claims.go
@@ -23,8 +23,10 @@
 	// hundred milliseconds.
 	claimTimeout = 1500 * time.Millisecond
 	// settleTime is after this entry's start before it claims anything, so
-	// that entries that start together know of each other.
-	settleTime = 600 * time.Millisecond
+	// that entries that start together know of each other: a weak one takes
+	// half a second until it is announced. One that claims too early takes all
+	// duties.
+	settleTime = 900 * time.Millisecond
 )
 
 // claim claims vacant duties until the context ends.
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -90,9 +90,10 @@
 	// a connection that went silent is found out after it.
 	declarationsWait = time.Second
 	ownersWait       = time.Second
-	// entriesPause is between two looks at the entries: who else runs matters
-	// only when a duty is vacant.
-	entriesPause = 2 * time.Second
+	// entriesWait is for how long a read of the entries may wait: an entry that
+	// joins is known at once, so that duties are spread over all from the
+	// start.
+	entriesWait = 3 * time.Second
 	// reportsPause is between two looks at the workers' reports. Each worker
 	// writes about every 1.5 s; a draining one must be known within 2 s.
 	reportsPause = 300 * time.Millisecond
@@ -136,7 +137,7 @@
 	n.duties.Go(func() { n.peerServer.Serve(listener, nil) })
 	n.follow(ctx, n.ports.Formats.Declarations(), jaytail.Options{Wait: declarationsWait}, n.declarations)
 	n.owners.tail = n.follow(ctx, n.ports.Formats.Own(topicOwners, 0), jaytail.Options{Wait: ownersWait}, n.owners)
-	n.follow(ctx, n.ports.Formats.Own(topicEntries, 0), jaytail.Options{Pause: entriesPause}, n.entries)
+	n.follow(ctx, n.ports.Formats.Own(topicEntries, 0), jaytail.Options{Wait: entriesWait}, n.entries)
 	n.follow(ctx, n.ports.Formats.Reports(), jaytail.Options{Pause: reportsPause, Needed: n.ownsSomething}, n.reports)
 	n.duties.Go(func() { n.entries.announce(ctx) })
 	n.liveness.start(ctx)
