Show a job as done though the store is away

Change: a job that is done is shown after 500 ms without a record; a worker with such ends counts as busy, so that it is not given away with them. Ruled out: that a job shown as done could be started again by a machine in touch: after an outage the next owner asks the workers for their ends first.

--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -255,7 +255,7 @@
 
 // askOwned answers for the state of a job of a pool that this entry owns.
 func (n *Node) askOwned(pool, id string) *jaywire.JobAnswer {
-	return n.answerOwned(pool, func(p *jaysched.Pool, _ time.Duration) (jaysched.State, bool) { return p.StateOf(id) })
+	return n.answerOwned(pool, func(p *jaysched.Pool, now time.Duration) (jaysched.State, bool) { return p.StateOf(id, now) })
 }
 
 // recordedPause is between two looks whether a cancellation is recorded.
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -21,8 +21,10 @@
 type Load struct {
 	Worker    string
 	UsedMilli int64
-	Runs      int
-	LongRuns  int
+	// Runs counts the runs that are there. One more stands for ends of tasks
+	// that are done and not recorded: they would be lost with the worker.
+	Runs     int
+	LongRuns int
 	// Vacated says that the worker is closed and nothing runs there.
 	Vacated bool
 	// Idle is for how long nothing has run there.
@@ -83,6 +85,9 @@
 
 func (p *Pool) load(w *worker, now time.Duration) Load {
 	l := Load{Worker: w.ID, UsedMilli: w.Capacity.ProcessorsMilli - w.free.ProcessorsMilli, Runs: len(w.runs)}
+	if w.lastDone > w.acknowledged {
+		l.Runs++
+	}
 	for _, r := range w.runs {
 		if r.task.step.decl.LongRunning {
 			l.LongRuns++
@@ -91,7 +96,7 @@
 		}
 		l.EmptyIn = max(l.EmptyIn, p.emptyIn(r, now))
 	}
-	if len(w.runs) == 0 {
+	if l.Runs == 0 {
 		l.Idle = now - w.idleSince
 		l.Vacated = w.closed
 	}
--- a/jaysched/ends.go
+++ b/jaysched/ends.go
@@ -30,6 +30,7 @@
 	}
 	switch end.Ending {
 	case jayport.EndedDone:
+		w.lastDone = end.Number
 		p.taskDone(t, r, w, now)
 	case jayport.EndedFailed:
 		p.taskFailed(t, w, end.Run.Number, now)
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -224,9 +224,27 @@
 	return unique
 }
 
+// showUnrecorded is after which time a job that is done is shown so, though its
+// end could not be recorded. It is far above what a record takes while the
+// store is well.
+const showUnrecorded = 500 * time.Millisecond
+
+// shown is the outcome that callers are told. One that is not recorded could be
+// taken back: an owner that is lost leaves the next one to start again what it
+// does not know to have ended. While the store is away that would keep every
+// answer back until it returns, so a job that is done is shown after a moment:
+// its ends stand with the workers too, which the next owner asks, and a worker
+// with ends that are not recorded is not given away.
+func (j *job) shown(now time.Duration) Outcome {
+	if j.recorded == Open && j.outcome == Done && now-j.endedAt > showUnrecorded {
+		return Done
+	}
+	return j.recorded
+}
+
 // state is what a caller is told.
-func (j *job) state() State {
-	switch j.recorded {
+func (j *job) state(now time.Duration) State {
+	switch j.shown(now) {
 	case Done:
 		return StateDone
 	case Failed:
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -167,12 +167,12 @@
 
 // StateOf returns what a caller is told of a job; known is false if the pool
 // has no such job.
-func (p *Pool) StateOf(id string) (state State, known bool) {
+func (p *Pool) StateOf(id string, now time.Duration) (state State, known bool) {
 	j, known := p.jobs[id]
 	if !known {
 		return Queued, false
 	}
-	return j.state(), true
+	return j.state(now), true
 }
 
 // Recorded reports whether a job has ended and its end stands in the store.
--- a/jaysched/pool_test.go
+++ b/jaysched/pool_test.go
@@ -248,7 +248,7 @@
 
 func wantState(t *testing.T, w *world, id string, want State) {
 	t.Helper()
-	got, known := w.pool.StateOf(id)
+	got, known := w.pool.StateOf(id, w.now)
 	is.New(t).True(known)
 	is.New(t).Equal(got.String(), want.String())
 }
@@ -267,6 +267,25 @@
 	wantState(t, w, "j", StateDone)
 }
 
+func TestDoneIsShownThoughTheStoreIsAway(t *testing.T) {
+	// Symptom: callers wait for jobs that are done until the store is back.
+	// Sequence: the store goes away; a job's last task ends; the job is shown
+	// as running for as long as the outage lasts.
+	// Cause: an end was shown only once it was recorded.
+	is := is.New(t)
+	w := newWorld(t, 1)
+	declare(w, newSpec("j", 1))
+	w.finish("j", 0, jayport.EndedDone)
+	wantState(t, w, "j", Running)
+	w.pass(time.Second)
+	wantState(t, w, "j", StateDone)
+	load := w.pool.Demand(w.now).Loads[0]
+	is.Equal(load.Runs, 1) // its end would be lost with the worker
+	w.record()
+	w.pass(time.Second)
+	is.Equal(w.pool.Demand(w.now).Loads[0].Runs, 0)
+}
+
 func TestJobDeclaredTwiceIsOneJob(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 2)
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -51,6 +51,8 @@
 	// that the worker may forget.
 	processed    int64
 	acknowledged int64
+	// lastDone is the last end of a task that is done.
+	lastDone int64
 	// asking says that a question is on its way; askAt is when the next one is
 	// due.
 	asking bool
