A new owner of the fleet does not hold hosts acted on before its own start

Change: what was acted on before this entry was started was acted on by an owner that ended with all others; only younger acts hold.

--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -121,7 +121,7 @@
 			return nil, false
 		}
 	}
-	held := c.actedSince(time.Now().Add(-d.node.settings.HolderTime - clockSkew))
+	held := c.heldHosts(time.Now(), d.node.started, d.node.settings.HolderTime)
 	d.fleet = jayfleet.New(jayfleet.Settings{
 		MoveTime:        d.node.settings.MoveTime,
 		MaintenanceTime: d.node.settings.MaintenanceTime,
@@ -171,8 +171,16 @@
 // CaughtUp is called after the load.
 func (c *fleetCollector) CaughtUp(time.Duration) {}
 
-// actedSince returns the hosts that were acted on since a time of day.
-func (c *fleetCollector) actedSince(since time.Time) map[string]bool {
+// heldHosts returns the hosts that a new owner must leave alone for a while,
+// since the former one acted on them a moment ago and may do so again. What was
+// acted on before this entry was started was acted on by an owner that this one
+// has not met: after the loss of all entries, with hundreds of hosts just
+// moved, no pool would get a host for the whole time.
+func (c *fleetCollector) heldHosts(now, started time.Time, holder time.Duration) map[string]bool {
+	since := now.Add(-holder - clockSkew)
+	if started.After(since) {
+		since = started
+	}
 	hosts := map[string]bool{}
 	for host, act := range c.acts {
 		if act.UnixMillis >= since.UnixMilli() {
