After a total loss each entry claims its own share of the duties at once

Change: in that time an entry claims the duties that fall to its name among all names ever announced; everyone comes to the same shares.

--- a/jaynode/claims.go
+++ b/jaynode/claims.go
@@ -22,16 +22,19 @@
 	// claimTimeout bounds the append of a claim. A slow store takes several
 	// hundred milliseconds.
 	claimTimeout = 1500 * time.Millisecond
-	// settleTime is after this entry's start before it claims anything, so
-	// that entries that start together know of each other: a weak one takes
-	// half a second until it is announced. One that claims too early takes all
-	// duties.
+	// settleTime is after this entry's start before it claims whatever is
+	// vacant, so that entries that start together know of each other: a weak one
+	// takes half a second until it is announced. One that claims too early takes
+	// all duties.
 	settleTime = 900 * time.Millisecond
+	// ownShareTime is after this entry's start before it claims the duties that
+	// fall to its name: the claims and the entries must have been read.
+	ownShareTime = 100 * time.Millisecond
 )
 
 // claim claims vacant duties until the context ends.
 func (o *owners) claim(ctx context.Context) {
-	sleep(ctx, settleTime)
+	sleep(ctx, ownShareTime)
 	for ctx.Err() == nil {
 		if !o.node.stopping.Load() {
 			o.claimVacant(ctx)
@@ -71,6 +74,9 @@
 
 // claimsOf returns the claims that this entry should make now.
 func (o *owners) claimsOf(view *ownerView, vacant []jayowner.Duty, now time.Duration) []jayport.Record {
+	if !o.settled(now) {
+		return o.ownShare(view, vacant, now)
+	}
 	rankings := jayowner.Rankings(vacant, held(view), o.candidates(now))
 	delay := max(rankDelay, rankLatencies*o.node.store.Latency())
 	var records []jayport.Record
@@ -79,15 +85,47 @@
 		if rank < 0 || now-o.vacantSince[d] < time.Duration(rank)*delay {
 			continue
 		}
-		former, _ := view.Claim(d)
-		records = append(records, jayowner.Claim{
-			Duty:        d,
-			Term:        former.Term + 1,
-			Incarnation: o.node.incarnation,
-			Entry:       o.node.settings.Entry,
-			PeerAddr:    o.node.settings.PeerAddr,
-		}.Record())
-		o.logger.Info("claiming", "duty", string(d), "rank", rank, "former", former.Incarnation, "vacantFor", (now - o.vacantSince[d]).String())
+		records = append(records, o.claimOf(view, d, rank, now))
+	}
+	return records
+}
+
+// claimOf returns the record that claims a duty.
+func (o *owners) claimOf(view *ownerView, d jayowner.Duty, rank int, now time.Duration) jayport.Record {
+	former, _ := view.Claim(d)
+	o.logger.Info("claiming", "duty", string(d), "rank", rank, "former", former.Incarnation, "vacantFor", (now - o.vacantSince[d]).String())
+	return jayowner.Claim{
+		Duty:        d,
+		Term:        former.Term + 1,
+		Incarnation: o.node.incarnation,
+		Entry:       o.node.settings.Entry,
+		PeerAddr:    o.node.settings.PeerAddr,
+	}.Record()
+}
+
+// settled reports whether entries that started together with this one should be
+// known by now.
+func (o *owners) settled(now time.Duration) bool {
+	return now-o.node.startedAt >= settleTime
+}
+
+// ownShare returns the claims of the vacant duties that fall to this entry's
+// name among all names that were ever announced. After the loss of all entries
+// nobody knows yet who is back; names are known to all, so that each entry takes
+// other duties, and no pool waits until all entries have settled.
+func (o *owners) ownShare(view *ownerView, vacant []jayowner.Duty, now time.Duration) []jayport.Record {
+	var candidates []jayowner.Candidate
+	for name, e := range o.node.entries.names() {
+		candidates = append(candidates, jayowner.Candidate{Incarnation: name, Strength: e.ProcessorsMilli})
+	}
+	share := jayowner.Share(o.duties(), candidates, o.node.settings.Entry)
+	var records []jayport.Record
+	for _, d := range vacant {
+		// A duty that never had an owner is one of a first start, when no name
+		// is known either.
+		if _, owned := view.Claim(d); owned && slices.Contains(share, d) {
+			records = append(records, o.claimOf(view, d, 0, now))
+		}
 	}
 	return records
 }
--- a/jaynode/entries.go
+++ b/jaynode/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -67,6 +68,14 @@
 	return list
 }
 
+// names returns the newest announcement under each name, also of entries that
+// have ended since.
+func (e *entries) names() map[string]*jaywire.EntryRecord {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.byName)
+}
+
 // addrOf returns the peer address of an incarnation, or an empty one.
 func (e *entries) addrOf(incarnation string) string {
 	e.mu.Lock()
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -55,6 +55,8 @@
 	logger      logr.Logger
 	incarnation string
 	started     time.Time
+	// startedAt is the same on the node's clock.
+	startedAt time.Duration
 
 	declarations *declarations
 	reports      *reports
@@ -113,6 +115,7 @@
 	for _, option := range options {
 		option(n)
 	}
+	n.startedAt = n.clock()
 	n.carriers = &carriers{node: n, link: jaypeer.NewClient(n.incarnation, carryTimeout, nil)}
 	n.store = jayrelay.New(ports.Store, n.carriers, n.clock, logger.WithName("store"))
 	n.peers = jaypeer.NewClient(n.incarnation, peerTimeout, nil)
--- a/jayowner/assign.go
+++ b/jayowner/assign.go
@@ -55,6 +55,19 @@
 	return rankings
 }
 
+// Share returns the duties that fall to one candidate if nobody holds any. All
+// who know the same candidates come to shares that do not overlap.
+func Share(duties []Duty, candidates []Candidate, own string) []Duty {
+	var share []Duty
+	for d, ranked := range Rankings(duties, nil, candidates) {
+		if len(ranked) > 0 && ranked[0] == own {
+			share = append(share, d)
+		}
+	}
+	slices.Sort(share)
+	return share
+}
+
 // startedGrain makes entries equals that were started together, in
 // milliseconds.
 const startedGrain = 1000
--- a/jayowner/owner_test.go
+++ b/jayowner/owner_test.go
@@ -51,6 +51,26 @@
 	is.True(!ok)
 }
 
+func TestShares(t *testing.T) {
+	// Symptom: after the loss of all entries no pool is served for a second.
+	// Sequence: all entries come back at once; each waits until the others are
+	// announced, since the first one would take all duties.
+	// Cause: duties were given by who is back, not by who there was.
+	is := is.New(t)
+	names := []Candidate{{Incarnation: "a", Strength: 800}, {Incarnation: "b", Strength: 800}, {Incarnation: "c", Strength: 800}, {Incarnation: "weak", Strength: 192}}
+	duties := []Duty{Fleet, PoolDuty("seats"), PoolDuty("fees"), PoolDuty("registry"), PoolDuty("catalogue")}
+	taken := map[Duty]string{}
+	for _, name := range names {
+		for _, d := range Share(duties, names, name.Incarnation) {
+			is.Equal(taken[d], "")
+			taken[d] = name.Incarnation
+		}
+	}
+	is.Equal(len(taken), len(duties))
+	is.Equal(len(Share(duties, names, "weak")), 0)
+	is.Equal(len(Share(duties, names, "unknown")), 0)
+}
+
 func TestRankings(t *testing.T) {
 	candidates := []Candidate{{Incarnation: "a", Strength: 400}, {Incarnation: "b", Strength: 400}, {Incarnation: "c", Strength: 800}, {Incarnation: "d", Strength: 400}}
 	t.Run("spread duties, the strong take more", func(t *testing.T) {
