--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -207,16 +207,24 @@
 	stopTime = 250 * time.Millisecond
 )
 
+// lateFactor is up to how many times its time a job that is late still earns
+// something.
+const lateFactor = 3
+
 // mayMigrate reports whether a run should go on elsewhere: it saves its
 // progress, it would run for longer than the move takes, its job is not made
-// late by it, and there is room.
+// late by it, or too late if it is late anyway, and there is room.
 func (p *Pool) mayMigrate(r *run, now time.Duration) bool {
 	s := r.task.step
 	if !s.decl.Checkpoint || s.decl.Gang || p.leftOf(r, now) < migrationTime {
 		return false
 	}
-	slack := s.job.target - now - p.leftOf(r, now)
-	return slack > migrationTime+migrationSlack && p.choose(r.task, now) != nil
+	ends := now + p.leftOf(r, now)
+	bound := s.job.target
+	if ends > bound {
+		bound = s.job.since + lateFactor*(s.job.target-s.job.since)
+	}
+	return bound-ends > migrationTime+migrationSlack && p.choose(r.task, now) != nil
 }
 
 // leftOf is how long a run should still take. One that has outlasted its
