--- a/jaylogger/writer.go
+++ b/jaylogger/writer.go
@@ -1,6 +1,7 @@
 package jaylogger
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"time"
@@ -15,6 +16,9 @@
 	// writePause lets lines gather, so that an owner that logs a thousand lines
 	// a second makes a hundred writes of it.
 	writePause = 10 * time.Millisecond
+	// maxWrite bounds one write. A pipe takes so many bytes at once, so that no
+	// reader sees half a line.
+	maxWrite = 4096
 )
 
 // Writer hands lines to one goroutine that writes them. It never blocks those
@@ -95,8 +99,7 @@
 				}
 				break
 			}
-			// Nobody can be told that the log cannot be written.
-			_, _ = w.out.Write(next)
+			w.write(next)
 			lines = next
 			if !closed {
 				time.Sleep(writePause)
@@ -105,6 +108,23 @@
 	}
 }
 
+// write writes whole lines, as many at once as a pipe takes undivided.
+func (w *Writer) write(lines []byte) {
+	for len(lines) > 0 {
+		part := lines
+		if len(part) > maxWrite {
+			end := bytes.LastIndexByte(part[:maxWrite], '\n') + 1
+			if end == 0 {
+				end = bytes.IndexByte(part, '\n') + 1
+			}
+			part = part[:end]
+		}
+		// Nobody can be told that the log cannot be written.
+		_, _ = w.out.Write(part)
+		lines = lines[len(part):]
+	}
+}
+
 // take returns the lines that wait and leaves an empty buffer in their place.
 func (w *Writer) take(empty []byte) (lines []byte, lost int, closed bool) {
 	w.mu.Lock()
