--- a/jaycli/serve_jobs.go
+++ b/jaycli/serve_jobs.go
@@ -12,9 +12,11 @@
 	"github.com/go-logr/logr"
 	"github.com/urfave/cli/v3"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"jaythread/jayedge"
 	"jaythread/jaylogger"
+	"jaythread/jaymetric"
 	"jaythread/jaynode"
 	"jaythread/jayoptions"
 	"jaythread/platform"
@@ -28,7 +30,12 @@
 func serveJobs(ctx context.Context, c *cli.Command, options *jayoptions.Options) error {
 	logger, lines := jaylogger.NewBuffered(os.Stdout, options.LogFormat, options.LogLevel)
 	defer lines.Close(logFlush)
+	metrics := jaymetric.NewJobs()
+	metrics.Counter("jaythread_lost_log_lines_total", "Log lines that found no room.", func() float64 { return float64(lines.Lost()) })
 	s := &options.JobService
+	if err := serveMetrics(s.MetricsAddr, metrics); err != nil {
+		return err
+	}
 	node := jaynode.New(jaynode.Settings{
 		Entry:           options.Entry,
 		DataCenter:      options.DataCenter,
@@ -47,7 +54,7 @@
 		Inventory: platform.NewInventory(s.InventoryAddr),
 		Advisor:   platform.NewAdvisor(s.AdvisorAddr),
 		Formats:   platform.Formats{},
-	}, logger)
+	}, logger, jaynode.WithMetrics(metrics))
 	front := platform.NewFront(node)
 	ready := &fasthttp.Server{Handler: front.Ready, NoDefaultServerHeader: true, IdleTimeout: time.Duration(options.CallerIdle)}
 	listener, err := net.Listen("tcp4", s.ReadyAddr)
@@ -73,6 +80,34 @@
 	return stopJobs(options, node, edge)
 }
 
+// serveMetrics serves the metrics at an address, or nothing if it is empty.
+func serveMetrics(addr string, m *jaymetric.Jobs) error {
+	if addr == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return fmt.Errorf("listen for metrics: %w", err)
+	}
+	server := &fasthttp.Server{Handler: metricsHandler(m), NoDefaultServerHeader: true, IdleTimeout: metricsIdle}
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// metricsIdle closes a scraper's connection that it does not use.
+const metricsIdle = time.Minute
+
+func metricsHandler(m *jaymetric.Jobs) fasthttp.RequestHandler {
+	serve := fasthttpadaptor.NewFastHTTPHandler(m.Handler())
+	return func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) != "/metrics" {
+			ctx.Error("not found", fasthttp.StatusNotFound)
+			return
+		}
+		serve(ctx)
+	}
+}
+
 // stopJobs ends an entry gracefully. Its duties go to others at once; callers
 // are served until the balancer has seen that the entry leaves, and answered
 // after that.
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -79,6 +79,7 @@
 
 func (d *fleetDuty) end(why string) {
 	d.logger.Info("duty ended", "why", why)
+	d.node.metrics.DutyChanged(string(d.claim.Duty), "ended")
 	d.cancel()
 }
 
@@ -128,6 +129,7 @@
 		HeldUntil:       d.node.clock() + d.node.settings.HolderTime,
 		Held:            held,
 	})
+	d.node.metrics.DutyChanged(string(d.claim.Duty), "takenOver")
 	d.logger.Info("fleet taken over", "term", d.claim.Term, "waves", len(c.waves), "heldHosts", len(held))
 	return c.waves, true
 }
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -72,6 +72,7 @@
 func (n *Node) Submit(job *jayspec.Job, deadline time.Duration) error {
 	started := n.clock()
 	err := n.intake.submit(job, deadline)
+	n.answered("submit", started, err)
 	took := n.clock() - started
 	if err != nil {
 		n.intake.logger.Info("job not accepted", "job", job.ID, "queue", job.Queue, "pool", job.Pool, "took", took.String(), "error", err.Error())
@@ -182,6 +183,13 @@
 // JobState returns the state of a job; known is false if there is none. Its
 // error is a *jayverdict.Error.
 func (n *Node) JobState(queue jaycatalog.Queue, id string, deadline time.Duration) (state jaysched.State, known bool, err error) {
+	began := n.clock()
+	defer func() {
+		n.answered("state", began, err)
+		if err != nil || !known {
+			n.intake.noteAnswer("question", id, known, n.clock()-began, err)
+		}
+	}()
 	return n.askOwner(queue.Pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskJob{
 		AskJob: &jaywire.AskJob{Pool: queue.Pool, Job: id},
 	}})
@@ -190,23 +198,42 @@
 // CancelJob cancels a job; known is false if there is none. Its error is a
 // *jayverdict.Error.
 func (n *Node) CancelJob(queue jaycatalog.Queue, id string, deadline time.Duration) (known bool, err error) {
+	began := n.clock()
+	defer func() {
+		n.answered("cancel", began, err)
+		n.intake.noteAnswer("cancellation", id, known, n.clock()-began, err)
+	}()
 	_, known, err = n.askOwner(queue.Pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_CancelJob{
 		CancelJob: &jaywire.CancelJob{Pool: queue.Pool, Job: id},
 	}})
 	return known, err
 }
 
+// noteAnswer logs what a caller was told of a job.
+func (i *intake) noteAnswer(what, job string, known bool, took time.Duration, err error) {
+	switch {
+	case err != nil:
+		i.logger.Info(what+" not answered", "job", job, "took", took.String(), "error", err.Error())
+	case !known:
+		i.logger.Info(what+" of an unknown job", "job", job, "took", took.String())
+	default:
+		i.logger.Info(what+" answered", "job", job, "took", took.String())
+	}
+}
+
 // Pending counts the jobs of a queue that have not begun.
 func (n *Node) Pending(queue jaycatalog.Queue, deadline time.Duration) (int, error) {
 	request := &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskPending{
 		AskPending: &jaywire.AskPending{Pool: queue.Pool, Queue: queue.Name},
 	}}
 	var pending int
+	began := n.clock()
 	err := n.untilOwned(queue.Pool, deadline, request, func(r *jaywire.PeerResponse) bool {
 		answer := r.GetPending()
 		pending = int(answer.GetPending())
 		return answer.GetOwned()
 	})
+	n.answered("pending", began, err)
 	return pending, err
 }
 
--- /dev/null
+++ b/jaynode/meters.go
@@ -0,0 +1,175 @@
+package jaynode
+
+import (
+	"errors"
+	"time"
+
+	"jaythread/jayclock"
+	"jaythread/jaymetric"
+	"jaythread/jayport"
+	"jaythread/jaysched"
+	"jaythread/jayverdict"
+)
+
+// metered returns the ports with each call counted.
+func metered(ports Ports, m *jaymetric.Jobs, clock jayclock.Clock) Ports {
+	ports.Store = &meteredStore{Store: ports.Store, metrics: m, clock: clock}
+	ports.Workers = &meteredWorkers{Workers: ports.Workers, metrics: m, clock: clock}
+	ports.Inventory = &meteredInventory{Inventory: ports.Inventory, metrics: m}
+	return ports
+}
+
+// outcomeOf is the label of a call's outcome.
+func outcomeOf(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, jayport.ErrNoAnswer):
+		return "noAnswer"
+	case errors.Is(err, jayport.ErrNotDone):
+		return "turnedAway"
+	default:
+		return "refused"
+	}
+}
+
+// meteredStore counts the calls to the store.
+type meteredStore struct {
+	jayport.Store
+	metrics *jaymetric.Jobs
+	clock   jayclock.Clock
+}
+
+// Append adds records.
+func (s *meteredStore) Append(a jayport.Append, timeout time.Duration) (jayport.Appended, error) {
+	began := s.clock()
+	appended, err := s.Store.Append(a, timeout)
+	s.metrics.StoreCalled("append", a.Partition.Topic, outcomeOf(err), s.clock()-began)
+	return appended, err
+}
+
+// Read returns records from an offset on.
+func (s *meteredStore) Read(p jayport.Partition, from int64, wait, timeout time.Duration) (jayport.Page, error) {
+	began := s.clock()
+	page, err := s.Store.Read(p, from, wait, timeout)
+	s.metrics.StoreCalled("read", p.Topic, outcomeOf(err), s.clock()-began)
+	return page, err
+}
+
+// Latest returns the newest records.
+func (s *meteredStore) Latest(p jayport.Partition, after string, timeout time.Duration) (jayport.Latest, error) {
+	began := s.clock()
+	latest, err := s.Store.Latest(p, after, timeout)
+	s.metrics.StoreCalled("latest", p.Topic, outcomeOf(err), s.clock()-began)
+	return latest, err
+}
+
+// meteredWorkers counts the orders to workers.
+type meteredWorkers struct {
+	jayport.Workers
+	metrics *jaymetric.Jobs
+	clock   jayclock.Clock
+}
+
+// Start orders a worker to start a run.
+func (w *meteredWorkers) Start(to jayport.Life, o jayport.StartOrder, timeout time.Duration) (time.Duration, error) {
+	began := w.clock()
+	clock, err := w.Workers.Start(to, o, timeout)
+	w.metrics.Ordered("start", outcomeOf(err), w.clock()-began)
+	return clock, err
+}
+
+// Stop orders a worker to stop a run.
+func (w *meteredWorkers) Stop(to jayport.Life, run jayport.RunRef, fence int64, timeout time.Duration) (time.Duration, error) {
+	began := w.clock()
+	clock, err := w.Workers.Stop(to, run, fence, timeout)
+	w.metrics.Ordered("stop", outcomeOf(err), w.clock()-began)
+	return clock, err
+}
+
+// Pace sets the share of its speed at which a run works.
+func (w *meteredWorkers) Pace(to jayport.Life, o jayport.PaceOrder, timeout time.Duration) (time.Duration, error) {
+	began := w.clock()
+	clock, err := w.Workers.Pace(to, o, timeout)
+	w.metrics.Ordered("pace", outcomeOf(err), w.clock()-began)
+	return clock, err
+}
+
+// Renew renews the lease and returns the worker's report.
+func (w *meteredWorkers) Renew(to jayport.Life, o jayport.LeaseOrder, timeout time.Duration) (jayport.Report, error) {
+	began := w.clock()
+	report, err := w.Workers.Renew(to, o, timeout)
+	w.metrics.Ordered("renew", outcomeOf(err), w.clock()-began)
+	return report, err
+}
+
+// meteredInventory counts the acts on hosts.
+type meteredInventory struct {
+	jayport.Inventory
+	metrics *jaymetric.Jobs
+}
+
+// Move brings a host up in another pool.
+func (i *meteredInventory) Move(host, pool string, lease jayport.Lease, timeout time.Duration) error {
+	err := i.Inventory.Move(host, pool, lease, timeout)
+	i.metrics.HostActed("move", outcomeOf(err))
+	return err
+}
+
+// Maintain maintains a host for a wave.
+func (i *meteredInventory) Maintain(host, wave string, lease jayport.Lease, timeout time.Duration) error {
+	err := i.Inventory.Maintain(host, wave, lease, timeout)
+	i.metrics.HostActed("maintain", outcomeOf(err))
+	return err
+}
+
+// answered counts an answer to a caller.
+func (n *Node) answered(call string, began time.Duration, err error) {
+	outcome := "ok"
+	var verdict *jayverdict.Error
+	if errors.As(err, &verdict) {
+		outcome = verdict.Verdict.String()
+	}
+	n.metrics.Answered(call, outcome, n.clock()-began)
+}
+
+// meter counts what a pool has decided or learned.
+func (d *poolDuty) meter(note jaysched.Note) {
+	m := d.node.metrics
+	m.PoolEvent(d.name, string(note.Kind))
+	switch note.Kind {
+	case jaysched.RunStarted:
+		m.TaskStarted(d.name, note.Waited)
+	case jaysched.JobEnded:
+		m.JobEnded(d.name, note.Waited)
+	}
+}
+
+// registerGauges adds what is read when the metrics are scraped.
+func (n *Node) registerGauges() {
+	n.metrics.Gauge("jaythread_duties", "Duties that this entry carries out.", func() float64 {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		duties := len(n.pools)
+		if n.fleet != nil {
+			duties++
+		}
+		return float64(duties)
+	})
+	n.metrics.Gauge("jaythread_claims_age_seconds", "Age of this entry's view of who owns what.", func() float64 {
+		view := n.owners.table.Load()
+		if view == nil {
+			return 0
+		}
+		return (n.clock() - view.asOf).Seconds()
+	})
+	n.metrics.Gauge("jaythread_catalog_revision", "Revision of the operators' configuration in force.", func() float64 {
+		if c := n.Catalog(); c != nil {
+			return float64(c.Revision)
+		}
+		return 0
+	})
+	n.metrics.Gauge("jaythread_store_latency_seconds", "What an append to the store takes at present.", func() float64 {
+		return n.store.Latency().Seconds()
+	})
+}
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -12,6 +12,7 @@
 
 	"jaythread/jaycatalog"
 	"jaythread/jayclock"
+	"jaythread/jaymetric"
 	"jaythread/jaypeer"
 	"jaythread/jayport"
 	"jaythread/jayrelay"
@@ -53,6 +54,7 @@
 	carriers    *carriers
 	clock       jayclock.Clock
 	logger      logr.Logger
+	metrics     *jaymetric.Jobs
 	incarnation string
 	started     time.Time
 	// startedAt is the same on the node's clock.
@@ -84,6 +86,11 @@
 	return func(n *Node) { n.clock = clock }
 }
 
+// WithMetrics counts in the metrics given.
+func WithMetrics(m *jaymetric.Jobs) Option {
+	return func(n *Node) { n.metrics = m }
+}
+
 const (
 	// peerTimeout bounds a question to a peer.
 	peerTimeout = 700 * time.Millisecond
@@ -108,6 +115,7 @@
 		ports:       ports,
 		clock:       jayclock.Boot,
 		logger:      logger,
+		metrics:     jaymetric.NewJobs(),
 		incarnation: settings.Entry + "-" + uuid.NewString()[:8],
 		started:     time.Now(),
 		pools:       map[string]*poolDuty{},
@@ -116,8 +124,10 @@
 		option(n)
 	}
 	n.startedAt = n.clock()
+	n.logger = n.logger.WithValues("entry", settings.Entry)
+	n.ports = metered(n.ports, n.metrics, n.clock)
 	n.carriers = &carriers{node: n, link: jaypeer.NewClient(n.incarnation, carryTimeout, nil)}
-	n.store = jayrelay.New(ports.Store, n.carriers, n.clock, logger.WithName("store"))
+	n.store = jayrelay.New(n.ports.Store, n.carriers, n.clock, n.logger.WithName("store"))
 	n.peers = jaypeer.NewClient(n.incarnation, peerTimeout, nil)
 	n.peerServer = jaypeer.NewServer(n.incarnation, peerTimeout, n.handlePeer)
 	n.declarations = newDeclarations(n)
@@ -126,6 +136,7 @@
 	n.liveness = newLiveness(n)
 	n.entries = newEntries(n)
 	n.intake = newIntake(n)
+	n.registerGauges()
 	return n
 }
 
@@ -136,7 +147,7 @@
 		return err
 	}
 	ctx, n.cancel = context.WithCancel(ctx)
-	n.logger.Info("started", "entry", n.settings.Entry, "incarnation", n.incarnation)
+	n.logger.Info("started", "incarnation", n.incarnation)
 	n.duties.Go(func() { n.peerServer.Serve(listener, nil) })
 	n.follow(ctx, n.ports.Formats.Declarations(), jaytail.Options{Wait: declarationsWait}, n.declarations)
 	n.owners.tail = n.follow(ctx, n.ports.Formats.Own(topicOwners, 0), jaytail.Options{Wait: ownersWait}, n.owners)
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -115,6 +115,7 @@
 // end ends the duty.
 func (d *poolDuty) end(why string) {
 	d.logger.Info("duty ended", "why", why)
+	d.node.metrics.DutyChanged(string(d.claim.Duty), "ended")
 	d.cancel()
 }
 
@@ -302,6 +303,7 @@
 
 func (d *poolDuty) logNotes() {
 	for _, note := range d.pool.Notes() {
+		d.meter(note)
 		values := []any{"at", note.At.String()}
 		if note.Job != "" {
 			values = append(values, "job", note.Job)
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -60,6 +60,7 @@
 	d.jobs.finishLoad()
 	d.list(d.node.clock())
 	d.node.duties.Go(d.survey)
+	d.node.metrics.DutyChanged(string(d.claim.Duty), "takenOver")
 	d.logger.Info("taken over", "term", d.claim.Term, "jobs", d.jobs.open, "ended", d.jobs.ended, "took", (d.node.clock() - began).String())
 	return true
 }
@@ -206,6 +207,7 @@
 	}
 	t.open++
 	pool.Restore(job, progress, now)
+	t.duty.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "steps", job.Summary(), "restored", true)
 }
 
 // finishLoad adds the ended jobs whose declarations were removed. From now on
--- a/jaysched/note.go
+++ b/jaysched/note.go
@@ -13,6 +13,7 @@
 const (
 	JobDeclared   NoteKind = "job declared"
 	JobEnded      NoteKind = "job ended"
+	JobRecorded   NoteKind = "job recorded"
 	RunStarted    NoteKind = "run started"
 	RunEnded      NoteKind = "run ended"
 	RunAdopted    NoteKind = "run adopted"
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -227,6 +227,7 @@
 	}
 	if j.outcome == Open {
 		p.end(j, Canceled, now)
+		p.note(Note{Kind: JobEnded, Job: id, Detail: Canceled.String(), Waited: now - j.since}, now)
 	}
 	return true
 }
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -1,6 +1,8 @@
 package jaysched
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"jaythread/jaywire"
@@ -47,9 +49,11 @@
 // Flushed takes in that a batch stands in the store: its ends are acknowledged
 // with the next question to their workers.
 func (p *Pool) Flushed(b *Batch, now time.Duration) {
-	for id, outcome := range b.outcomes {
+	for _, id := range slices.Sorted(maps.Keys(b.outcomes)) {
+		outcome := b.outcomes[id]
 		if j, known := p.jobs[id]; known && outcome != Open && j.recorded == Open {
 			j.recorded = outcome
+			p.note(Note{Kind: JobRecorded, Job: id, Detail: outcome.String(), Waited: now - j.endedAt}, now)
 		}
 	}
 	for _, w := range p.sorted {
