--- a/jaylogger/logger.go
+++ b/jaylogger/logger.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -30,15 +31,21 @@
 	if format == "text" || format == "auto" && terminal {
 		writer = zerolog.ConsoleWriter{Out: writer, TimeFormat: time.TimeOnly, NoColor: !terminal}
 	}
-	zerolog.TimeFieldFormat = time.RFC3339Nano
-	zerologr.NameFieldName = "part"
-	zerologr.NameSeparator = "."
-	zerologr.VerbosityFieldName = ""
+	nameFields()
 	SetLevel(level)
 	logger := zerolog.New(writer).With().Timestamp().Logger()
 	return zerologr.New(&logger)
 }
 
+// nameFields sets the library's names of fields, once, since loggers that exist
+// read them all the time.
+var nameFields = sync.OnceFunc(func() {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	zerologr.NameFieldName = "part"
+	zerologr.NameSeparator = "."
+	zerologr.VerbosityFieldName = ""
+})
+
 // SetLevel changes the level of all loggers of the process.
 func SetLevel(level string) {
 	zerolog.SetGlobalLevel(levelOf(level))
