Ask the advisor where a queue has one; a fault soak of the real programs

And the project had no soak of its own. Change: a step of an advised queue asks about few workers, remembers what it is told and starts only with a ticket that holds. jaysoak runs entries as processes behind loopback proxies against the stand-in and injects signals, cuts, outages, restarts, changes and waves; callers and stand-ins check the promises.

--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -215,10 +215,27 @@
 		go d.renewLease(a)
 	case jaysched.ForgetWorker:
 		d.node.ports.Workers.Forget(a.To)
+	case jaysched.AskAdvice:
+		go d.askAdvice(a)
 	case jaysched.PaceRun:
 	}
 }
 
+// adviceTimeout bounds a question to the advisor: it answers those of one
+// caller in turn, each after some hundred milliseconds.
+const adviceTimeout = 3 * time.Second
+
+func (d *poolDuty) askAdvice(a jaysched.AskAdvice) {
+	asked := d.node.clock()
+	got, err := d.node.ports.Advisor.Advise(a.Step, a.Workers, adviceTimeout)
+	if err != nil {
+		d.logger.Info("advice not given", "job", a.Step.Job, "step", a.Step.Step, "workers", len(a.Workers), "error", err.Error())
+	} else {
+		d.logger.Info("advice given", "job", a.Step.Job, "step", a.Step.Step, "workers", len(a.Workers), "good", len(got.Tickets), "valid", got.Valid.String())
+	}
+	d.post(func(now time.Duration) { d.pool.Advised(a, got, err, asked, now) })
+}
+
 func (d *poolDuty) startRun(a jaysched.StartRun) {
 	clock, err := d.node.ports.Workers.Start(a.To, a.Order, orderTimeout)
 	d.post(func(now time.Duration) {
--- /dev/null
+++ b/jaysched/advice_test.go
@@ -0,0 +1,116 @@
+package jaysched
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaythread/jayport"
+)
+
+// advisedWorld has a job of two tasks in a queue with an advisor.
+func advisedWorld(t *testing.T) *world {
+	t.Helper()
+	w := newWorld(t, 6)
+	spec := newSpec("j", 1)
+	spec.Policy.Advised = true
+	declare(w, spec)
+	return w
+}
+
+// lastAsked returns the newest question to the advisor.
+func (w *world) lastAsked() (ask AskAdvice, count int) {
+	for _, a := range w.sent {
+		if asked, ok := a.(AskAdvice); ok {
+			ask, count = asked, count+1
+		}
+	}
+	return ask, count
+}
+
+func (w *world) advise(valid time.Duration, good ...string) {
+	ask, _ := w.lastAsked()
+	a := jayport.Advice{Tickets: map[string]string{}, Valid: valid}
+	for _, id := range good {
+		a.Tickets[id] = "ticket-" + id
+	}
+	w.pool.Advised(ask, a, nil, w.now, w.now)
+	w.run()
+}
+
+func (w *world) startsWithTicket(ticket string) int {
+	count := 0
+	for _, a := range w.sent {
+		if start, ok := a.(StartRun); ok && start.Order.Ticket == ticket {
+			count++
+		}
+	}
+	return count
+}
+
+func TestAdvisedStepsStartWithTickets(t *testing.T) {
+	t.Run("only where the advisor allows", func(t *testing.T) {
+		// Symptom: every start of a queue is refused for want of a ticket, and
+		// its jobs never run.
+		// Sequence: a queue has an advisor; its tasks are started anywhere.
+		// Cause: nobody asked the advisor.
+		is := is.New(t)
+		w := advisedWorld(t)
+		is.Equal(len(w.running()), 0)
+		ask, count := w.lastAsked()
+		is.Equal(count, 1)
+		is.Equal(len(ask.Workers), 4) // few, not all
+		w.advise(3*time.Second, ask.Workers[2])
+		is.Equal(len(w.running()), 2)
+		is.Equal(w.startsWithTicket("ticket-"+ask.Workers[2]), 2)
+	})
+	t.Run("others are asked about if too few may run it", func(t *testing.T) {
+		is := is.New(t)
+		w := advisedWorld(t)
+		first, _ := w.lastAsked()
+		w.advise(3 * time.Second)
+		second, count := w.lastAsked()
+		is.Equal(count, 2)
+		is.Equal(len(second.Workers), 2) // the rest
+		for _, id := range second.Workers {
+			for _, before := range first.Workers {
+				is.True(id != before)
+			}
+		}
+		w.advise(3*time.Second, second.Workers...)
+		is.Equal(len(w.running()), 2)
+	})
+	t.Run("a ticket that has expired is not used", func(t *testing.T) {
+		is := is.New(t)
+		w := advisedWorld(t)
+		ask, _ := w.lastAsked()
+		w.advise(100*time.Millisecond, ask.Workers...)
+		is.Equal(len(w.running()), 0)
+	})
+	t.Run("an advisor that does not answer is asked again", func(t *testing.T) {
+		is := is.New(t)
+		w := advisedWorld(t)
+		ask, _ := w.lastAsked()
+		w.pool.Advised(ask, jayport.Advice{}, errors.New("lost"), w.now, w.now)
+		w.pass(time.Second)
+		_, count := w.lastAsked()
+		is.Equal(count, 2)
+	})
+	t.Run("a refused ticket is asked for anew", func(t *testing.T) {
+		is := is.New(t)
+		w := advisedWorld(t)
+		ask, _ := w.lastAsked()
+		w.lose = func(a Action) bool { _, start := a.(StartRun); return start }
+		w.advise(3*time.Second, ask.Workers...)
+		runs := w.pool.workers[ask.Workers[0]].inOrder
+		is.True(len(runs) > 0)
+		for _, r := range slices.Clone(runs) {
+			w.pool.StartAnswered(r.worker.ID, r.ref(), w.now, &jayport.RefusedError{Reason: jayport.RefusedNoTicket}, w.now)
+			_, ok := r.task.step.ticketFor(r.worker.ID, w.now)
+			is.True(!ok)
+		}
+	})
+}
--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -103,6 +103,7 @@
 			Fence:      p.fence,
 			LeaseUntil: r.worker.leaseUntil(now, p.settings.Lease),
 			Checkpoint: r.checkpoint,
+			Ticket:     r.ticket,
 		},
 		Attempt: r.attempt,
 	})
@@ -111,6 +112,9 @@
 // start begins a run of a task on a worker.
 func (p *Pool) start(t *task, w *worker, number int64, now time.Duration) {
 	r := &run{task: t, worker: w, number: number, need: needOf(t.step), orderedAt: now, checkpoint: t.checkpoint}
+	if t.step.job.advised {
+		r.ticket, _ = t.step.ticketFor(w.ID, now)
+	}
 	t.last = number
 	t.take(r)
 	w.add(r)
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -245,6 +245,9 @@
 	}
 	r.task.notBefore = now + refusedPause
 	r.worker.health.refused(reason, now)
+	if reason == jayport.RefusedNoTicket {
+		delete(r.task.step.advice.tickets, r.worker.ID)
+	}
 	p.dropRun(r, now)
 }
 
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -49,8 +49,10 @@
 	spec *jayspec.Job
 	// since is when the job was handed in.
 	since time.Duration
-	// lasting says that the job runs until it is cancelled.
+	// lasting says that the job runs until it is cancelled, advised that only
+	// the advisor knows where its steps may run.
 	lasting bool
+	advised bool
 	// target is when the job should be done.
 	target      time.Duration
 	occurrences []*occurrence
@@ -92,6 +94,8 @@
 	gangRun int64
 	// placed counts the present runs of the step's tasks on each worker.
 	placed map[*worker]int
+	// advice is what the advisor has said, for a queue that has one.
+	advice advice
 	// readyAt is when the last step before it ended, or the occurrence began.
 	readyAt time.Duration
 }
@@ -197,6 +201,7 @@
 			open:    decl.Tasks,
 			waiting: decl.Tasks,
 			placed:  map[*worker]int{},
+			advice:  advice{tickets: map[string]ticket{}, refused: map[string]bool{}},
 			readyAt: due,
 		}
 		for index := range decl.Tasks {
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -39,6 +39,9 @@
 }
 
 func (p *Pool) placeStep(s *step, held bool, now time.Duration) {
+	if s.job.advised {
+		p.seekAdvice(s, now)
+	}
 	if s.decl.Gang {
 		p.placeGang(s, held, now)
 		return
@@ -61,7 +64,7 @@
 
 // noteNoRoom notes a need that found no worker, if it is for want of room alone.
 func (p *Pool) noteNoRoom(s *step) {
-	if s.decl.RequiredLabel == "" && s.decl.MaxPerInstance == 0 {
+	if s.decl.RequiredLabel == "" && s.decl.MaxPerInstance == 0 && !s.job.advised {
 		p.noRoom = append(p.noRoom, needOf(s))
 	}
 }
@@ -139,6 +142,9 @@
 		return false
 	case s.decl.MaxPerInstance > 0 && s.placed[w] >= s.decl.MaxPerInstance:
 		return false
+	case s.job.advised:
+		_, ok := s.ticketFor(w.ID, now)
+		return ok
 	default:
 		return true
 	}
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -22,7 +22,7 @@
 }
 
 // Action is what the pool's owner is to do: StartRun, StopRun, PaceRun,
-// RenewLease or ForgetWorker.
+// RenewLease, ForgetWorker or AskAdvice.
 type Action interface {
 	isAction()
 }
@@ -213,6 +213,7 @@
 func (p *Pool) add(j *job) {
 	p.jobs[j.spec.ID] = j
 	policy := p.policy(j)
+	j.advised = policy.Advised
 	chain := j.spec.LongestChain(func(n int) time.Duration { return p.times.of(j.spec.Queue, j.spec.Steps[n].Estimate) })
 	j.target = j.since + time.Duration(policy.Stretch*float64(chain)) + policy.Objective
 	p.enqueue(j)
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -86,6 +86,8 @@
 	// checkpoint is what the run was started with: a repeated start must say
 	// the same.
 	checkpoint string
+	// ticket is the advisor's leave, likewise.
+	ticket string
 	// attempt counts how often the start was sent; resendAt is when an order
 	// without an answer may be sent again.
 	attempt  int
--- /dev/null
+++ b/jaysoak/entry_test.go
@@ -0,0 +1,137 @@
+package jaysoak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// process is one entry, run as a process of its own. Only processes that the
+// soak has started are ever signalled.
+type process struct {
+	name   string
+	binary string
+	config string
+	log    string
+	caller string
+	store  *proxy
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// stopBound is how long a graceful stop of these settings may take.
+const stopBound = 3 * time.Second
+
+func newProcess(t *testing.T, dir, binary, name, storeAddr, inventoryAddr string) *process {
+	t.Helper()
+	store, err := newProxy(storeAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{
+		name: name, binary: binary, caller: freeAddr(t), store: store,
+		config: filepath.Join(dir, name+".jsonc"), log: filepath.Join(dir, name+".log"),
+	}
+	settings := map[string]any{
+		"entry": name, "dataCenter": "z", "callerAddr": p.caller, "peerAddr": freeAddr(t), "logFormat": "json",
+		"eventLoops": 1, "stopGrace": "300ms", "stopBound": stopBound.String(),
+		"jobService": map[string]any{
+			"storeAddr": store.addr(), "inventoryAddr": inventoryAddr, "readyAddr": freeAddr(t), "trustedNetwork": true,
+			"processors": 0.4, "moveTime": "200ms", "maintenanceTime": "200ms", "holderTime": "300ms",
+		},
+	}
+	text, err := json.Marshal(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(p.config, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// start runs the process unless it runs.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil
+	}
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(p.binary, "serve", "--config", p.config)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.name, err)
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() {
+		_ = cmd.Wait()
+		_ = log.Close()
+		p.mu.Lock()
+		p.cmd = nil
+		p.mu.Unlock()
+		close(done)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process if it runs, and returns what is closed
+// when it has ended.
+func (p *process) signal(s syscall.Signal) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+	return p.done
+}
+
+// replace ends the process by a signal and starts it again after a pause. One
+// that does not end by itself in time is killed; that is reported.
+func (p *process) replace(s syscall.Signal, pause time.Duration) error {
+	ended := p.signal(s)
+	var late error
+	select {
+	case <-ended:
+	case <-time.After(stopBound + 2*time.Second):
+		late = fmt.Errorf("%s did not end within its bound after %s", p.name, s)
+		<-p.signal(syscall.SIGKILL)
+	}
+	time.Sleep(pause)
+	if err := p.start(); err != nil {
+		return err
+	}
+	return late
+}
+
+// end kills the process for good.
+func (p *process) end() {
+	p.signal(syscall.SIGCONT)
+	if done := p.signal(syscall.SIGKILL); done != nil {
+		<-done
+	}
+	p.store.close()
+}
--- /dev/null
+++ b/jaysoak/soak_test.go
@@ -0,0 +1,242 @@
+package jaysoak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"jaythread/platform/jaystub"
+)
+
+const (
+	// soakEntries and soakMachines are the size of an installation: with the
+	// proxies and callers a few dozen sockets and processes.
+	soakEntries  = 4
+	soakMachines = 8
+	// finishTime is how long after the last fault every accepted job must have
+	// ended: a lost owner's leases and the claims take some seconds.
+	finishTime = 30 * time.Second
+	// shortSoak is how long faults are injected for one seed in CI.
+	shortSoak = 6 * time.Second
+)
+
+// regressions are seeds that have failed once, with the cause. They run each
+// time.
+var regressions = []uint64{}
+
+// soak is one run: an installation, its faults and its callers.
+type soak struct {
+	t        *testing.T
+	platform *jaystub.Platform
+	entries  []*process
+	workers  map[string]*proxy
+
+	mu       sync.Mutex
+	failures []string
+	faults   sync.WaitGroup
+}
+
+func (s *soak) broken(rule, text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failures = append(s.failures, rule+": "+text)
+}
+
+func (s *soak) anyEntry(r *rand.Rand) *process {
+	return s.entries[r.IntN(len(s.entries))]
+}
+
+// TestSoak runs the regression seeds and one fixed seed. JAYTHREAD_SOAK_SEEDS
+// gives others, as "1-50" or "fresh:10", JAYTHREAD_SOAK_FOR the time for which
+// faults are injected.
+func TestSoak(t *testing.T) {
+	seeds, length := append([]uint64{1}, regressions...), shortSoak
+	if spec := os.Getenv("JAYTHREAD_SOAK_SEEDS"); spec != "" {
+		seeds = seedsOf(t, spec)
+	}
+	if spec := os.Getenv("JAYTHREAD_SOAK_FOR"); spec != "" {
+		var err error
+		if length, err = time.ParseDuration(spec); err != nil {
+			t.Fatal(err)
+		}
+	}
+	binary := build(t)
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { play(t, binary, seed, length) })
+	}
+}
+
+func seedsOf(t *testing.T, spec string) []uint64 {
+	t.Helper()
+	number := func(text string) uint64 {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			t.Fatalf("seeds %q: %v", spec, err)
+		}
+		return n
+	}
+	var seeds []uint64
+	if count, fresh := strings.CutPrefix(spec, "fresh:"); fresh {
+		for range number(count) {
+			seeds = append(seeds, rand.Uint64N(1_000_000))
+		}
+		return seeds
+	}
+	first, last, isRange := strings.Cut(spec, "-")
+	if !isRange {
+		last = first
+	}
+	for n := number(first); n <= number(last); n++ {
+		seeds = append(seeds, n)
+	}
+	return seeds
+}
+
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "jaythread")
+	out, err := exec.Command("go", "build", "-o", binary, "jaythread").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
+// play runs one seed. The logs of a run that fails are kept.
+func play(t *testing.T, binary string, seed uint64, length time.Duration) {
+	r := rand.New(rand.NewPCG(seed, 7))
+	dir, err := os.MkdirTemp("", fmt.Sprint("jaysoak-", seed, "-"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := install(t, dir, binary)
+	c := newCallers(s)
+	var calls sync.WaitGroup
+	until, number := time.Now().Add(length), 0
+	next := time.Now()
+	for time.Now().Before(until) {
+		number++
+		job, own := number, rand.New(rand.NewPCG(seed, uint64(number)+100))
+		calls.Go(func() { c.live(job, own) })
+		if time.Now().After(next) {
+			s.injectOne(r)
+			next = time.Now().Add(time.Duration(200+r.IntN(900)) * time.Millisecond)
+		}
+		time.Sleep(time.Duration(20+r.IntN(80)) * time.Millisecond)
+	}
+	calls.Wait()
+	s.faults.Wait()
+	accepted, refused := c.finish(finishTime, r)
+	for _, p := range s.platform.Judge.Broken() {
+		s.broken(p.Rule, p.Text)
+	}
+	t.Logf("%d jobs, %d accepted, %d turned away", number, accepted, refused)
+	if accepted == 0 {
+		s.broken("soak", "no job was accepted")
+	}
+	if len(s.failures) == 0 {
+		_ = os.RemoveAll(dir)
+		return
+	}
+	t.Errorf("seed %d, logs in %s:\n%s", seed, dir, strings.Join(s.failures, "\n"))
+}
+
+func install(t *testing.T, dir, binary string) *soak {
+	t.Helper()
+	platform, err := jaystub.NewPlatform(rand.Float64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &soak{t: t, platform: platform, workers: map[string]*proxy{}}
+	platform.Announce = func(machine, addr string) string {
+		p, err := newProxy(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.workers[machine] = p
+		return p.addr()
+	}
+	s.configure(1)
+	for n := range soakMachines {
+		if _, err := platform.AddMachine(fmt.Sprint("m", n), []string{"seats", "fees"}[n%2], 8); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for n := range soakEntries {
+		p := newProcess(t, dir, binary, fmt.Sprint("e", n), platform.StoreAddr, platform.InventoryAddr)
+		if err := p.start(); err != nil {
+			t.Fatal(err)
+		}
+		s.entries = append(s.entries, p)
+	}
+	t.Cleanup(func() {
+		for _, p := range s.entries {
+			p.end()
+		}
+		for _, p := range s.workers {
+			p.close()
+		}
+		platform.Close()
+	})
+	return s
+}
+
+func (s *soak) configure(version int) {
+	s.platform.Configure(version, [3]string{"a.example", "/seats/", "seats"}, [3]string{"a.example", "/fees/", "fees"})
+}
+
+// injectOne begins one random fault. Faults overlap.
+func (s *soak) injectOne(r *rand.Rand) {
+	entry, pause := s.anyEntry(r), time.Duration(200+r.IntN(1500))*time.Millisecond
+	machine := fmt.Sprint("m", r.IntN(soakMachines))
+	link := linkFault(1 + r.IntN(int(linkFaults)-1))
+	version := int(time.Now().UnixMilli())
+	kinds := []func(){
+		func() { s.check(entry.replace(syscall.SIGKILL, pause)) },
+		func() { s.check(entry.replace(syscall.SIGTERM, pause)) },
+		func() { entry.signal(syscall.SIGSTOP); time.Sleep(2 * pause); entry.signal(syscall.SIGCONT) },
+		func() { entry.signal(syscall.SIGHUP) },
+		func() { entry.store.set(link); time.Sleep(pause); entry.store.set(linkWell) },
+		func() { s.workers[machine].set(link); time.Sleep(pause); s.workers[machine].set(linkWell) },
+		func() { s.storeFault(jaystub.Faults{Down: true}, pause) },
+		func() { s.storeFault(jaystub.Faults{Silent: true}, pause) },
+		func() { s.storeFault(jaystub.Faults{Delay: 150 * time.Millisecond}, pause) },
+		func() { s.storeFault(jaystub.Faults{LoseAnswers: 0.3}, pause) },
+		func() { s.platform.Store.Forget() },
+		func() { s.platform.Restart(s.platform.Machine(machine)) },
+		func() { s.configure(version) },
+		func() { s.platform.DeclareWave(version, []string{machine}, 10*time.Second, 1) },
+		s.everyone,
+	}
+	kind := kinds[r.IntN(len(kinds))]
+	s.faults.Go(kind)
+}
+
+// everyone kills all entries at once.
+func (s *soak) everyone() {
+	var all sync.WaitGroup
+	for _, p := range s.entries {
+		all.Go(func() { s.check(p.replace(syscall.SIGKILL, 500*time.Millisecond)) })
+	}
+	all.Wait()
+}
+
+func (s *soak) storeFault(f jaystub.Faults, length time.Duration) {
+	s.platform.Store.SetFaults(f)
+	time.Sleep(length)
+	s.platform.Store.SetFaults(jaystub.Faults{})
+}
+
+func (s *soak) check(err error) {
+	if err != nil {
+		s.broken("process", err.Error())
+	}
+}
