Slow fillers down beside serving tasks that are over their target

Cause: fillers ran at full speed whatever they did to their neighbours; the protocol's pace was never used. Change: a control loop for each worker, on its reports: 100, 40, 16, 0 percent in two seconds, up again below 70 percent of the target, and a pause if slowing does not help. Tests replay the three cases.

--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -218,9 +218,21 @@
 	case jaysched.AskAdvice:
 		go d.askAdvice(a)
 	case jaysched.PaceRun:
+		go d.paceRun(a)
 	}
 }
 
+// paceRun sends a run's pace. The worker's next report tells whether it came;
+// if it did not, it is sent again.
+func (d *poolDuty) paceRun(a jaysched.PaceRun) {
+	order := jayport.PaceOrder{Run: a.Run, Fence: d.claim.Fence, Percent: a.Percent}
+	_, err := d.node.ports.Workers.Pace(a.To, order, orderTimeout)
+	if err != nil {
+		d.logger.Info("pace not set", "worker", a.To.ID, "task", a.Run.Task.String(), "run", a.Run.Number, "percent", a.Percent, "error", err.Error())
+	}
+	d.post(func(now time.Duration) { d.lifeOver(a.To, err, now) })
+}
+
 // adviceTimeout bounds a question to the advisor: it answers those of one
 // caller in turn, each after some hundred milliseconds.
 const adviceTimeout = 3 * time.Second
--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -24,6 +24,7 @@
 	p.resend(now)
 	p.vacate(now)
 	p.place(now)
+	p.paceFillers(now)
 	p.renewLeases(now)
 	actions := p.actions
 	p.actions = nil
--- a/jaysched/note.go
+++ b/jaysched/note.go
@@ -19,6 +19,7 @@
 	RunAdopted    NoteKind = "run adopted"
 	RunVanished   NoteKind = "run vanished"
 	RunStopped    NoteKind = "run stopped"
+	RunPaced      NoteKind = "run paced"
 	StartRefused  NoteKind = "start refused"
 	EndIgnored    NoteKind = "end ignored"
 	WorkerJoined  NoteKind = "worker joined"
--- /dev/null
+++ b/jaysched/pace_test.go
@@ -0,0 +1,83 @@
+package jaysched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaythread/jaypool"
+	"jaythread/jayport"
+	"jaythread/jayspec"
+)
+
+// sharedWorker has a serving task with a target of 200 ms and a filler.
+func sharedWorker(t *testing.T) *world {
+	t.Helper()
+	w := newWorld(t, 1)
+	lasting := func(id string, change func(*jayspec.Step)) {
+		s := jayspec.Step{Tasks: 1, Need: jaypool.Resources{ProcessorsMilli: 1000, MemoryMegabytes: 100}, LongRunning: true}
+		change(&s)
+		declare(w, &jayspec.Job{ID: id, Queue: "q", Pool: "seats", Steps: []jayspec.Step{s}})
+	}
+	lasting("serves", func(s *jayspec.Step) { s.Target = 200 * time.Millisecond })
+	lasting("fills", func(s *jayspec.Step) { s.Fills = true })
+	return w
+}
+
+// tail has the worker report a tail of the serving task for a time, and the
+// pace that it was told for the filler. It returns the filler's pace.
+func (w *world) tail(millis int64, length time.Duration) int {
+	pace := fullPace
+	for until := w.now + length; w.now < until; w.now += 100 * time.Millisecond {
+		f := w.workers["w0"]
+		report := jayport.Report{Clock: w.now}
+		for ref, a := range f.active {
+			if ref.Task.Job == "serves" {
+				a.Load = millis
+			}
+			f.active[ref] = a
+			report.Active = append(report.Active, a)
+			if ref.Task.Job == "fills" {
+				pace = a.Pace
+			}
+		}
+		w.pool.Reported("w0", report, w.now, w.now)
+		for _, action := range w.pool.Decide(w.now) {
+			if p, ok := action.(PaceRun); ok {
+				a := f.active[p.Run]
+				a.Pace = p.Percent
+				f.active[p.Run] = a
+				pace = p.Percent
+			}
+		}
+	}
+	return pace
+}
+
+func TestFillersAreSlowedDown(t *testing.T) {
+	t.Run("beside a task over its target", func(t *testing.T) {
+		// Symptom: users of a serving task wait for seconds on end.
+		// Sequence: a filler is started beside it and disturbs it.
+		// Cause: nobody slowed the filler down.
+		is := is.New(t)
+		w := sharedWorker(t)
+		is.Equal(w.tail(100, time.Second), 100)
+		is.Equal(w.tail(300, 500*time.Millisecond), 40)
+		is.Equal(w.tail(300, 2*time.Second), 0) // before 4 s have passed
+	})
+	t.Run("until there is room again", func(t *testing.T) {
+		is := is.New(t)
+		w := sharedWorker(t)
+		w.tail(300, 2500*time.Millisecond)
+		is.Equal(w.tail(180, time.Second), 0) // just below: neither way
+		is.Equal(w.tail(100, 5*time.Second), 100)
+	})
+	t.Run("not for ever if they are not the cause", func(t *testing.T) {
+		is := is.New(t)
+		w := sharedWorker(t)
+		is.Equal(w.tail(300, 2500*time.Millisecond), 0)
+		is.Equal(w.tail(300, 5*time.Second), 100)
+		is.Equal(w.tail(300, 2*time.Second), 100)
+	})
+}
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -66,6 +66,8 @@
 	migrate bool
 	// idleSince is since when nothing has run there.
 	idleSince time.Duration
+	// pacing is how fast its fillers may work.
+	pacing pacing
 	// health is what its own runs say of it.
 	health health
 }
