--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -174,6 +174,10 @@
 	n.owners.release()
 }
 
+// lastCalls is how long a stop waits for calls under way. Reads of the store wait
+// for records for seconds; nobody needs their answers any more.
+const lastCalls = 300 * time.Millisecond
+
 // Stop ends the node.
 func (n *Node) Stop() {
 	n.stopping.Store(true)
@@ -184,8 +188,17 @@
 	n.carriers.link.Close()
 	n.intake.link.Close()
 	n.liveness.link.Close()
-	n.duties.Wait()
-	n.logger.Info("stopped")
+	ended := make(chan struct{})
+	go func() {
+		n.duties.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		n.logger.Info("stopped")
+	case <-time.After(lastCalls):
+		n.logger.Info("stopped with calls under way")
+	}
 }
 
 // Catalog returns the catalog in force, or nil before the first one is known.
