--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -62,6 +62,7 @@
 	journal  *jayjournal.Journal
 	jobs     *jobTail
 	flushing bool
+	expireAt time.Duration
 }
 
 // event is what a pool's goroutine takes in.
@@ -160,6 +161,7 @@
 		d.perform(action)
 	}
 	d.flush()
+	d.expire(now)
 	d.logNotes()
 }
 
--- a/jaynode/settings.go
+++ b/jaynode/settings.go
@@ -23,4 +23,6 @@
 	// HolderTime is how long after one owner of the fleet the next one may act
 	// on a host.
 	HolderTime time.Duration
+	// RetainEnded is how long the state of an ended job is shown.
+	RetainEnded time.Duration
 }
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -53,6 +53,8 @@
 	// the advisor knows where its steps may run.
 	lasting bool
 	advised bool
+	// priority is its queue's; zero comes first.
+	priority int
 	// target is when the job should be done.
 	target      time.Duration
 	occurrences []*occurrence
@@ -63,6 +65,8 @@
 	// recorded is the outcome that stands in the store; callers are told of
 	// no other one, since an owner that dies would take it back.
 	recorded Outcome
+	// removing says that the records of the ended job are being removed.
+	removing bool
 	started  bool
 	// dirty says that the progress differs from what was handed to the store.
 	dirty bool
--- a/jaysched/order.go
+++ b/jaysched/order.go
@@ -7,7 +7,7 @@
 
 // enqueue adds a job to the open ones, which are kept in the order in which
 // they are served: those that last, which serve others all the while, then by
-// the time at which each should be done.
+// their queue's priority, then by the time at which each should be done.
 //
 // The load that it answers: for some seconds a queue is handed several times
 // what its pool can do. Among the orders that were measured this one earns
@@ -26,6 +26,7 @@
 func compareJobs(a, b *job) int {
 	return cmp.Or(
 		compareBool(!a.lasting, !b.lasting),
+		cmp.Compare(a.priority, b.priority),
 		cmp.Compare(a.target, b.target),
 	)
 }
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -213,7 +213,7 @@
 func (p *Pool) add(j *job) {
 	p.jobs[j.spec.ID] = j
 	policy := p.policy(j)
-	j.advised = policy.Advised
+	j.advised, j.priority = policy.Advised, policy.Priority
 	chain := j.spec.LongestChain(func(n int) time.Duration { return p.times.of(j.spec.Queue, j.spec.Steps[n].Estimate) })
 	j.target = j.since + time.Duration(policy.Stretch*float64(chain)) + policy.Objective
 	p.enqueue(j)
--- a/jaysched/pool_test.go
+++ b/jaysched/pool_test.go
@@ -267,6 +267,22 @@
 	wantState(t, w, "j", StateDone)
 }
 
+func TestPriorityComesFirst(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 0)
+	later := newSpec("a", 1)
+	later.Policy.Priority = 1
+	declare(w, later)
+	w.now += time.Second
+	declare(w, newSpec("b", 1))
+	w.addWorker("w0")
+	w.workers["w0"].info.Capacity.ProcessorsMilli = 2000 // room for one job
+	w.list()
+	w.run()
+	is.Equal(w.starts("b.0.0.0"), 1)
+	is.Equal(w.starts("a.0.0.0"), 0)
+}
+
 func TestDoneIsShownThoughTheStoreIsAway(t *testing.T) {
 	// Symptom: callers wait for jobs that are done until the store is back.
 	// Sequence: the store goes away; a job's last task ends; the job is shown
