--- /dev/null
+++ b/jaysched/record_test.go
@@ -0,0 +1,61 @@
+package jaysched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaythread/jayport"
+)
+
+func TestDoneIsShownThoughTheStoreIsAway(t *testing.T) {
+	// Symptom: callers wait for jobs that are done until the store is back.
+	// Sequence: the store goes away; a job's last task ends; the job is shown
+	// as running for as long as the outage lasts.
+	// Cause: an end was shown only once it was recorded.
+	is := is.New(t)
+	w := newWorld(t, 1)
+	declare(w, newSpec("j", 1))
+	w.finish("j", 0, jayport.EndedDone)
+	wantState(t, w, "j", Running)
+	w.pass(time.Second)
+	wantState(t, w, "j", StateDone)
+	load := w.pool.Demand(w.now).Loads[0]
+	is.Equal(load.Runs, 1) // its end would be lost with the worker
+	w.record()
+	w.pass(time.Second)
+	is.Equal(w.pool.Demand(w.now).Loads[0].Runs, 0)
+}
+
+func TestEndsAreAcknowledgedOnlyOnceRecorded(t *testing.T) {
+	// Symptom: a task runs twice, though its first end was taken note of.
+	// Sequence: a worker reports an end; the owner acknowledges it and is
+	// lost before the end is recorded; the next owner knows of no end.
+	// Cause: the acknowledgement did not wait for the record.
+	is := is.New(t)
+	w := newWorld(t, 1)
+	declare(w, newSpec("j", 1))
+	w.finish("j", 0, jayport.EndedDone)
+	w.pass(time.Second)
+	is.Equal(len(w.workers["w0"].ended), 2)
+	w.record()
+	w.pass(time.Second)
+	is.Equal(len(w.workers["w0"].ended), 0)
+}
+
+func TestPriorityComesFirst(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 0)
+	later := newSpec("a", 1)
+	later.Policy.Priority = 1
+	declare(w, later)
+	w.now += time.Second
+	declare(w, newSpec("b", 1))
+	w.addWorker("w0")
+	w.workers["w0"].info.Capacity.ProcessorsMilli = 2000 // room for one job
+	w.list()
+	w.run()
+	is.Equal(w.starts("b.0.0.0"), 1)
+	is.Equal(w.starts("a.0.0.0"), 0)
+}
--- a/jaysoak/entry_test.go
+++ b/jaysoak/entry_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"jaythread/platform/jaystub"
 )
 
 // process is one entry, run as a process of its own. Only processes that the
@@ -61,12 +62,11 @@
 
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	addr, err := jaystub.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return addr
 }
 
 // start runs the process unless it runs.
