Find out at once that the store is back

Change: while the store is lost it is asked every 150 ms; when it answers, calls that were sent well before are given up and made again; lost answers count for 400 ms of latency at most; a tail that was lost reads without waiting.

--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -180,7 +180,7 @@
 // that gets no answer would leave the caller without one until its deadline.
 func (i *intake) storeAway() bool {
 	view := i.node.owners.table.Load()
-	return view == nil || i.node.clock()-view.asOf > awayAfter
+	return view == nil || i.node.clock()-view.asOf > awayAfter && !i.node.store.Direct()
 }
 
 // storeFor stores a job for a peer.
--- a/jayrelay/relay.go
+++ b/jayrelay/relay.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -21,6 +22,16 @@
 	// probeEvery is how often a direct call is tried while peers carry the
 	// calls.
 	probeEvery = 500 * time.Millisecond
+	// askEvery is how often the store is asked whether it is back, and
+	// askTimeout how long each question may take. A store that is slow answers
+	// within it.
+	askEvery   = 150 * time.Millisecond
+	askTimeout = time.Second
+	// hungMargin is by how much a call must be older than the first question
+	// that is answered again, to count as lost.
+	hungMargin = 400 * time.Millisecond
+	// longestLoss bounds what a call without an answer says of the latency.
+	longestLoss = 400 * time.Millisecond
 	// maxRelayWait bounds the wait of a read that a peer carries, so that a
 	// peer that falls silent is noticed.
 	maxRelayWait = 500 * time.Millisecond
@@ -52,11 +63,16 @@
 	// carrier is the peer that carried the last call.
 	carrier string
 	turn    int
+	// regained is closed when the store is back, which it was at the latest when
+	// the question was sent at regainedAt.
+	regained   chan struct{}
+	regainedAt time.Duration
+	asking     bool
 }
 
 // New returns a store that falls back on peers.
 func New(direct jayport.Store, peers Peers, clock jayclock.Clock, logger logr.Logger) *Store {
-	return &Store{direct: direct, peers: peers, clock: clock, logger: logger}
+	return &Store{direct: direct, peers: peers, clock: clock, logger: logger, regained: make(chan struct{})}
 }
 
 // Direct reports whether the store serves this entry itself.
@@ -69,85 +85,109 @@
 // Append adds records. An append without a producer is not repeated through a
 // peer once it may have taken effect.
 func (s *Store) Append(a jayport.Append, timeout time.Duration) (jayport.Appended, error) {
-	var got jayport.Appended
-	err := s.try(a.Producer != nil, func() (err error) {
+	return try(s, a.Producer != nil, func() (jayport.Appended, error) {
 		sent := s.clock()
-		got, err = s.direct.Append(a, timeout)
-		s.noteLatency(s.clock() - sent)
-		return err
-	}, func(peer string) error {
+		got, err := s.direct.Append(a, timeout)
+		s.noteLatency(s.clock()-sent, err)
+		return got, err
+	}, func(peer string) (jayport.Appended, error) {
 		result, err := s.peers.Carry(peer, appendCall(a, timeout))
 		if err != nil {
-			return err
+			return jayport.Appended{}, err
 		}
-		got = jayport.Appended{First: result.First, End: result.End}
-		return nil
+		return jayport.Appended{First: result.First, End: result.End}, nil
 	})
-	return got, err
 }
 
 // Read returns records from an offset on.
 func (s *Store) Read(p jayport.Partition, from int64, wait, timeout time.Duration) (jayport.Page, error) {
-	var got jayport.Page
-	err := s.try(true, func() (err error) {
-		got, err = s.direct.Read(p, from, wait, timeout)
-		return err
-	}, func(peer string) error {
+	return try(s, true, func() (jayport.Page, error) {
+		return s.direct.Read(p, from, wait, timeout)
+	}, func(peer string) (jayport.Page, error) {
 		result, err := s.peers.Carry(peer, readCall(p, from, min(wait, maxRelayWait), timeout))
 		if err != nil {
-			return err
+			return jayport.Page{}, err
 		}
-		got = jayport.Page{Records: recordsOf(result.Records), Next: result.Next, End: result.End}
-		return nil
+		return jayport.Page{Records: recordsOf(result.Records), Next: result.Next, End: result.End}, nil
 	})
-	return got, err
 }
 
 // Latest returns the newest records of the keys after a key.
 func (s *Store) Latest(p jayport.Partition, after string, timeout time.Duration) (jayport.Latest, error) {
-	var got jayport.Latest
-	err := s.try(true, func() (err error) {
-		got, err = s.direct.Latest(p, after, timeout)
-		return err
-	}, func(peer string) error {
+	return try(s, true, func() (jayport.Latest, error) {
+		return s.direct.Latest(p, after, timeout)
+	}, func(peer string) (jayport.Latest, error) {
 		result, err := s.peers.Carry(peer, latestCall(p, after, timeout))
 		if err != nil {
-			return err
+			return jayport.Latest{}, err
 		}
-		got = jayport.Latest{Records: recordsOf(result.Records), More: result.More, End: result.End}
-		return nil
+		return jayport.Latest{Records: recordsOf(result.Records), More: result.More, End: result.End}, nil
 	})
-	return got, err
 }
 
-// try makes a call directly, unless direct calls keep failing, and then
+// outcome is what a call came to.
+type outcome[T any] struct {
+	got T
+	err error
+}
+
+// try makes a call. One that was sent well before the store came back is given
+// up: its answer is lost, and it would keep its caller for the rest of its
+// timeout.
+func try[T any](s *Store, repeatable bool, direct func() (T, error), carried func(peer string) (T, error)) (T, error) {
+	began := s.clock()
+	done := make(chan outcome[T], 1)
+	go func() {
+		got, err := attempt(s, repeatable, direct, carried)
+		done <- outcome[T]{got, err}
+	}()
+	for {
+		regained := s.awaitRegained()
+		select {
+		case o := <-done:
+			return o.got, o.err
+		case <-regained:
+			if s.hung(began) {
+				var none T
+				return none, errHung
+			}
+		}
+	}
+}
+
+// errHung is reported for a call that was given up.
+var errHung = fmt.Errorf("%w: sent before the store came back", jayport.ErrNoAnswer)
+
+// attempt makes a call directly, unless direct calls keep failing, and then
 // through peers. Repeatable calls may be made again after an answer was lost.
-func (s *Store) try(repeatable bool, direct func() error, carried func(peer string) error) error {
+func attempt[T any](s *Store, repeatable bool, direct func() (T, error), carried func(peer string) (T, error)) (T, error) {
+	var none T
 	var err error
 	if s.mayGoDirect() {
-		err = direct()
+		var got T
+		got, err = direct()
 		if s.noteDirect(err) {
-			return err
+			return got, err
 		}
 		if errors.Is(err, jayport.ErrNoAnswer) && !repeatable {
-			return err
+			return none, err
 		}
 	}
 	for _, peer := range s.carriers() {
-		carriedErr := carried(peer)
+		got, carriedErr := carried(peer)
 		if !pathFailed(carriedErr) {
 			s.noteCarrier(peer)
-			return carriedErr
+			return got, carriedErr
 		}
 		err = worse(err, carriedErr)
 		if errors.Is(carriedErr, jayport.ErrNoAnswer) && !repeatable {
-			return err
+			return none, err
 		}
 	}
 	if err == nil {
 		err = jayport.ErrNotDone
 	}
-	return err
+	return none, err
 }
 
 // worse keeps the error that leaves more in doubt: a call that was turned away
@@ -190,6 +230,7 @@
 			s.lostAt = s.clock()
 			s.probedAt = s.lostAt
 			s.logger.Info("store lost", "error", err.Error())
+			s.askUntilBack()
 		}
 		return false
 	}
@@ -230,7 +271,10 @@
 	latencyFall = 8
 )
 
-func (s *Store) noteLatency(took time.Duration) {
+func (s *Store) noteLatency(took time.Duration, err error) {
+	if errors.Is(err, jayport.ErrNoAnswer) {
+		took = min(took, longestLoss)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	share := time.Duration(latencyFall)
--- a/jayrelay/relay_test.go
+++ b/jayrelay/relay_test.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -13,30 +16,53 @@
 	"jaythread/jaywire"
 )
 
-// fakeStore answers appends with an error, or well.
+// fakeStore answers calls with an error, or well. Questions whether it is back
+// come from the background and are not counted.
 type fakeStore struct {
 	jayport.Store
+	mu    sync.Mutex
 	err   error
 	calls int
 }
 
+func (f *fakeStore) call() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	return f.err
+}
+
+func (f *fakeStore) counted() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+func (f *fakeStore) set(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.err = err
+}
+
 // Append counts the call.
 func (f *fakeStore) Append(jayport.Append, time.Duration) (jayport.Appended, error) {
-	f.calls++
-	return jayport.Appended{First: 7, End: 8}, f.err
+	return jayport.Appended{First: 7, End: 8}, f.call()
 }
 
 // Read counts the call.
-func (f *fakeStore) Read(jayport.Partition, int64, time.Duration, time.Duration) (jayport.Page, error) {
-	f.calls++
+func (f *fakeStore) Read(p jayport.Partition, _ int64, _, _ time.Duration) (jayport.Page, error) {
+	if p == askedPartition {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return jayport.Page{}, f.err
+	}
 	page := jayport.Page{Next: 2, End: 2, Records: []jayport.Record{{Key: "a", Value: []byte("x")}, {Key: "b", Offset: 1}}}
-	return page, f.err
+	return page, f.call()
 }
 
 // Latest counts the call.
 func (f *fakeStore) Latest(jayport.Partition, string, time.Duration) (jayport.Latest, error) {
-	f.calls++
-	return jayport.Latest{End: 3, More: true, Records: []jayport.Record{{Key: "a", Value: []byte("x")}}}, f.err
+	return jayport.Latest{End: 3, More: true, Records: []jayport.Record{{Key: "a", Value: []byte("x")}}}, f.call()
 }
 
 // fakePeers carry calls to stores of their own.
@@ -62,9 +88,10 @@
 	errAway   = fmt.Errorf("%w: test", jayport.ErrNotDone)
 )
 
-func newStore(direct *fakeStore, peers fakePeers) (*Store, *time.Duration) {
-	now := time.Minute
-	return New(direct, peers, func() time.Duration { return now }, logr.Discard()), &now
+func newStore(direct *fakeStore, peers fakePeers) (*Store, *atomic.Int64) {
+	now := &atomic.Int64{}
+	now.Store(int64(time.Minute))
+	return New(direct, peers, func() time.Duration { return time.Duration(now.Load()) }, logr.Discard()), now
 }
 
 func numbered() jayport.Append {
@@ -79,7 +106,7 @@
 		got, err := s.Append(numbered(), time.Second)
 		is.NoErr(err)
 		is.Equal(got.First, int64(7))
-		is.Equal(peer.calls, 0)
+		is.Equal(peer.counted(), 0)
 	})
 	t.Run("goes through a peer while it does not", func(t *testing.T) {
 		// Symptom: an owner shows an old view of its pool.
@@ -98,14 +125,14 @@
 		is.True(latest.More)
 		is.True(!s.Direct())
 		// It keeps to the peer that served, and tries directly now and then.
-		calls := direct.calls
+		calls := direct.counted()
 		for range 5 {
 			_, err = s.Append(numbered(), time.Second)
 			is.NoErr(err)
 		}
-		is.Equal(direct.calls, calls)
-		direct.err = nil
-		*now += probeEvery
+		is.Equal(direct.counted(), calls)
+		direct.set(nil)
+		now.Add(int64(probeEvery))
 		_, err = s.Append(numbered(), time.Second)
 		is.NoErr(err)
 		is.True(s.Direct())
@@ -118,7 +145,7 @@
 		var stale *jayport.StaleError
 		is.True(errors.As(err, &stale))
 		is.Equal(stale.End, int64(5))
-		is.Equal(peer.calls, 0)
+		is.Equal(peer.counted(), 0)
 	})
 	t.Run("an append without a number is not sent twice", func(t *testing.T) {
 		// Symptom: a claim is made twice.
@@ -129,7 +156,7 @@
 		s, _ := newStore(&fakeStore{err: errSilent}, fakePeers{"p1": peer})
 		_, err := s.Append(jayport.Append{AsOf: 3}, time.Second)
 		is.True(errors.Is(err, jayport.ErrNoAnswer))
-		is.Equal(peer.calls, 0)
+		is.Equal(peer.counted(), 0)
 	})
 	t.Run("a lost answer on one path outweighs a refusal on the other", func(t *testing.T) {
 		is := is.New(t)
@@ -153,3 +180,69 @@
 	}
 	is.New(t).NoErr(ErrorOf(&jaywire.StoreResult{Outcome: jaywire.StoreOutcome_STORE_OUTCOME_GOOD}))
 }
+
+// hangingStore leaves calls without an answer until it is back, and those that
+// were sent before for ever.
+type hangingStore struct {
+	jayport.Store
+	away atomic.Bool
+}
+
+func (h *hangingStore) answer() error {
+	if h.away.Load() {
+		time.Sleep(10 * time.Second)
+		return errSilent
+	}
+	return nil
+}
+
+// Append answers unless the store is away.
+func (h *hangingStore) Append(_ jayport.Append, timeout time.Duration) (jayport.Appended, error) {
+	if h.away.Load() {
+		time.Sleep(timeout)
+		return jayport.Appended{}, errSilent
+	}
+	return jayport.Appended{First: 1}, nil
+}
+
+// Read answers unless the store is away.
+func (h *hangingStore) Read(jayport.Partition, int64, time.Duration, time.Duration) (jayport.Page, error) {
+	return jayport.Page{}, h.answer()
+}
+
+func TestCallsSentBeforeTheStoreCameBackAreGivenUp(t *testing.T) {
+	// Symptom: half a second and more after an outage of the store, jobs are
+	// still refused.
+	// Sequence: the store falls silent; appends and reads are sent and hang; the
+	// store is back; they hang on until their timeouts.
+	// Cause: nobody asked whether the store is back but those that hung.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		direct := &hangingStore{}
+		s := New(direct, fakePeers{}, func() time.Duration { return time.Since(began) }, logr.Discard())
+		direct.away.Store(true)
+		hung := make(chan time.Duration, 1)
+		go func() {
+			_, err := s.Read(jayport.Partition{}, 0, 0, 10*time.Second)
+			is.True(err != nil)
+			hung <- time.Since(began)
+		}()
+		for range distrustAfter {
+			_, err := s.Append(numbered(), 100*time.Millisecond)
+			is.True(errors.Is(err, jayport.ErrNoAnswer))
+		}
+		is.True(!s.Direct())
+		time.Sleep(2 * time.Second)
+		direct.away.Store(false)
+		back := time.Since(began)
+		time.Sleep(2 * askEvery)
+		is.True(s.Direct())
+		if read := <-hung; read > back+2*askEvery {
+			t.Errorf("a call hung on for %s", read-back)
+		}
+		_, err := s.Append(numbered(), 100*time.Millisecond)
+		is.NoErr(err)
+		time.Sleep(20 * time.Second)
+	})
+}
--- a/jaytail/tail.go
+++ b/jaytail/tail.go
@@ -88,7 +88,13 @@
 			sleep(ctx, neededPause)
 			continue
 		}
-		if err := t.Step(t.options.Wait); err != nil {
+		wait := t.options.Wait
+		if t.lost != 0 {
+			// What was missed is wanted at once, and so is the word that there
+			// is nothing.
+			wait = 0
+		}
+		if err := t.Step(wait); err != nil {
 			t.noteLost(err)
 			pause = pauseAfterError
 		} else {
