--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BUF = github.com/bufbuild/buf/cmd/buf@v1.75.0
 PROTOC_GEN_GO = google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 
-.PHONY: help build test demo ci bench capacity fuzz generate
+.PHONY: help build test demo ci bench capacity fuzz soak generate
 
 help: ## list the targets
 	@grep -E '^[a-z]+:.*##' Makefile | sed 's/:.*## /\t/'
@@ -32,6 +32,9 @@
 	go test ./jayconfig -run '^$$' -fuzz '^FuzzConfiguration$$' -fuzztime 10s -fuzzminimizetime 10x
 	go test ./jaypeer -run '^$$' -fuzz '^FuzzPeerMessage$$' -fuzztime 10s -fuzzminimizetime 10x
 
+soak: ## run the fault soak with ten fresh seeds
+	JAYTHREAD_SOAK_SEEDS=fresh:10 go test ./jaysoak -v -count=1 -timeout 30m
+
 generate: ## generate the wire types anew
 	mkdir -p .tools
 	GOBIN=$(CURDIR)/.tools go install $(BUF)
