Calls at peers are made again when the store is back; the claims' tail is known first

Cause: its read of the configuration went to peers that were gone, each up to 1.5 s, and went on doing so when the store was back. Ruled out: the read of the record itself, which took 10 ms. Change: a call that waits for a peer is given up when the store is back; while it is lost calls go to peers only, since the store is asked apart from them. Whether the store is away is judged by the last word from it, a question's answer included.

--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -180,7 +180,11 @@
 // that gets no answer would leave the caller without one until its deadline.
 func (i *intake) storeAway() bool {
 	view := i.node.owners.table.Load()
-	return view == nil || i.node.clock()-view.asOf > awayAfter && !i.node.store.Direct()
+	if view == nil {
+		return true
+	}
+	lastWord := max(view.asOf, i.node.store.RegainedAt())
+	return i.node.clock()-lastWord > awayAfter
 }
 
 // storeFor stores a job for a peer.
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -150,7 +150,10 @@
 	n.logger.Info("started", "incarnation", n.incarnation)
 	n.duties.Go(func() { n.peerServer.Serve(listener, nil) })
 	n.follow(ctx, n.ports.Formats.Declarations(), jaytail.Options{Wait: declarationsWait}, n.declarations)
-	n.owners.tail = n.follow(ctx, n.ports.Formats.Own(topicOwners, 0), jaytail.Options{Wait: ownersWait}, n.owners)
+	// The claims' handler asks its tail how far it has read, so it must know it
+	// before the tail runs.
+	n.owners.tail = n.newTail(n.ports.Formats.Own(topicOwners, 0), jaytail.Options{Wait: ownersWait}, n.owners)
+	n.duties.Go(func() { n.owners.tail.Run(ctx) })
 	n.follow(ctx, n.ports.Formats.Own(topicEntries, 0), jaytail.Options{Wait: entriesWait}, n.entries)
 	n.follow(ctx, n.ports.Formats.Reports(), jaytail.Options{Pause: reportsPause, Needed: n.ownsSomething}, n.reports)
 	n.duties.Go(func() { n.entries.announce(ctx) })
@@ -160,10 +163,14 @@
 	return nil
 }
 
-func (n *Node) follow(ctx context.Context, p jayport.Partition, options jaytail.Options, handler jaytail.Handler) *jaytail.Tail {
-	tail := jaytail.New(n.store, p, options, handler, n.clock, n.logger.WithName(p.Topic))
+func (n *Node) newTail(p jayport.Partition, options jaytail.Options, handler jaytail.Handler) *jaytail.Tail {
+	return jaytail.New(n.store, p, options, handler, n.clock, n.logger.WithName(p.Topic))
+}
+
+// follow hands the records of a partition to a handler until the context ends.
+func (n *Node) follow(ctx context.Context, p jayport.Partition, options jaytail.Options, handler jaytail.Handler) {
+	tail := n.newTail(p, options, handler)
 	n.duties.Go(func() { tail.Run(ctx) })
-	return tail
 }
 
 // Leave gives up all duties. Each is carried out until its next owner has
--- a/jayrelay/regain.go
+++ b/jayrelay/regain.go
@@ -51,6 +51,13 @@
 	s.logger.Info("store regained", "lostFor", (s.clock() - s.lostAt).String())
 }
 
+// RegainedAt returns when the store was last known to be back, or zero.
+func (s *Store) RegainedAt() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.regainedAt
+}
+
 // awaitRegained returns what is closed when the store is back next time.
 func (s *Store) awaitRegained() <-chan struct{} {
 	s.mu.Lock()
--- a/jayrelay/relay.go
+++ b/jayrelay/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -19,9 +20,6 @@
 	// distrustAfter is how many direct calls in a row must fail before calls
 	// go to a peer first.
 	distrustAfter = 2
-	// probeEvery is how often a direct call is tried while peers carry the
-	// calls.
-	probeEvery = 500 * time.Millisecond
 	// askEvery is how often the store is asked whether it is back, and
 	// askTimeout how long each question may take. A store that is slow answers
 	// within it.
@@ -56,7 +54,6 @@
 
 	mu       sync.Mutex
 	failures int
-	probedAt time.Duration
 	lostAt   time.Duration
 	// latency is a running mean of how long the store takes for an append.
 	latency time.Duration
@@ -131,14 +128,18 @@
 	err error
 }
 
-// try makes a call. One that was sent well before the store came back is given
-// up: its answer is lost, and it would keep its caller for the rest of its
-// timeout.
+// try makes a call. When the store comes back, a call is given up that was sent
+// well before, since its answer is lost, and one that waits for a peer: each
+// would keep its caller for seconds, and can now be made directly.
 func try[T any](s *Store, repeatable bool, direct func() (T, error), carried func(peer string) (T, error)) (T, error) {
 	began := s.clock()
 	done := make(chan outcome[T], 1)
+	var atPeer atomic.Bool
 	go func() {
-		got, err := attempt(s, repeatable, direct, carried)
+		got, err := attempt(s, repeatable, direct, func(peer string) (T, error) {
+			atPeer.Store(true)
+			return carried(peer)
+		})
 		done <- outcome[T]{got, err}
 	}()
 	for {
@@ -147,7 +148,7 @@
 		case o := <-done:
 			return o.got, o.err
 		case <-regained:
-			if s.hung(began) {
+			if atPeer.Load() || s.hung(began) {
 				var none T
 				return none, errHung
 			}
@@ -163,7 +164,7 @@
 func attempt[T any](s *Store, repeatable bool, direct func() (T, error), carried func(peer string) (T, error)) (T, error) {
 	var none T
 	var err error
-	if s.mayGoDirect() {
+	if s.Direct() {
 		var got T
 		got, err = direct()
 		if s.noteDirect(err) {
@@ -205,21 +206,6 @@
 	return errors.Is(err, jayport.ErrNoAnswer) || errors.Is(err, jayport.ErrNotDone)
 }
 
-// mayGoDirect reports whether a call should be tried directly first.
-func (s *Store) mayGoDirect() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.failures < distrustAfter {
-		return true
-	}
-	now := s.clock()
-	if now-s.probedAt < probeEvery {
-		return false
-	}
-	s.probedAt = now
-	return true
-}
-
 // noteDirect counts a direct call; it returns true if the store served it.
 func (s *Store) noteDirect(err error) bool {
 	s.mu.Lock()
@@ -228,7 +214,6 @@
 		s.failures++
 		if s.failures == distrustAfter {
 			s.lostAt = s.clock()
-			s.probedAt = s.lostAt
 			s.logger.Info("store lost", "error", err.Error())
 			s.askUntilBack()
 		}
--- a/jayrelay/relay_test.go
+++ b/jayrelay/relay_test.go
@@ -88,10 +88,8 @@
 	errAway   = fmt.Errorf("%w: test", jayport.ErrNotDone)
 )
 
-func newStore(direct *fakeStore, peers fakePeers) (*Store, *atomic.Int64) {
-	now := &atomic.Int64{}
-	now.Store(int64(time.Minute))
-	return New(direct, peers, func() time.Duration { return time.Duration(now.Load()) }, logr.Discard()), now
+func newStore(direct *fakeStore, peers fakePeers) *Store {
+	return New(direct, peers, func() time.Duration { return time.Minute }, logr.Discard())
 }
 
 func numbered() jayport.Append {
@@ -102,7 +100,7 @@
 	t.Run("goes direct while the store serves", func(t *testing.T) {
 		is := is.New(t)
 		direct, peer := &fakeStore{}, &fakeStore{}
-		s, _ := newStore(direct, fakePeers{"p1": peer})
+		s := newStore(direct, fakePeers{"p1": peer})
 		got, err := s.Append(numbered(), time.Second)
 		is.NoErr(err)
 		is.Equal(got.First, int64(7))
@@ -114,7 +112,7 @@
 		// Cause: the owner knew no other way to the store.
 		is := is.New(t)
 		direct, bad, good := &fakeStore{err: errAway}, &fakeStore{err: errSilent}, &fakeStore{}
-		s, now := newStore(direct, fakePeers{"p1": bad, "p2": good})
+		s := newStore(direct, fakePeers{"p1": bad, "p2": good})
 		page, err := s.Read(jayport.Partition{}, 0, 0, time.Second)
 		is.NoErr(err)
 		is.Equal(len(page.Records), 2)
@@ -124,7 +122,7 @@
 		is.NoErr(err)
 		is.True(latest.More)
 		is.True(!s.Direct())
-		// It keeps to the peer that served, and tries directly now and then.
+		// It keeps to the peer that served, and asks whether the store is back.
 		calls := direct.counted()
 		for range 5 {
 			_, err = s.Append(numbered(), time.Second)
@@ -132,15 +130,18 @@
 		}
 		is.Equal(direct.counted(), calls)
 		direct.set(nil)
-		now.Add(int64(probeEvery))
+		for until := time.Now().Add(2 * time.Second); !s.Direct() && time.Now().Before(until); {
+			time.Sleep(askEvery / 10)
+		}
+		is.True(s.Direct())
 		_, err = s.Append(numbered(), time.Second)
 		is.NoErr(err)
-		is.True(s.Direct())
+		is.Equal(direct.counted(), calls+1)
 	})
 	t.Run("refusals of the call itself are final", func(t *testing.T) {
 		is := is.New(t)
 		peer := &fakeStore{}
-		s, _ := newStore(&fakeStore{err: &jayport.StaleError{End: 5}}, fakePeers{"p1": peer})
+		s := newStore(&fakeStore{err: &jayport.StaleError{End: 5}}, fakePeers{"p1": peer})
 		_, err := s.Append(numbered(), time.Second)
 		var stale *jayport.StaleError
 		is.True(errors.As(err, &stale))
@@ -153,17 +154,17 @@
 		// Cause: only a numbered append is taken once.
 		is := is.New(t)
 		peer := &fakeStore{}
-		s, _ := newStore(&fakeStore{err: errSilent}, fakePeers{"p1": peer})
+		s := newStore(&fakeStore{err: errSilent}, fakePeers{"p1": peer})
 		_, err := s.Append(jayport.Append{AsOf: 3}, time.Second)
 		is.True(errors.Is(err, jayport.ErrNoAnswer))
 		is.Equal(peer.counted(), 0)
 	})
 	t.Run("a lost answer on one path outweighs a refusal on the other", func(t *testing.T) {
 		is := is.New(t)
-		s, _ := newStore(&fakeStore{err: errSilent}, fakePeers{"p1": {err: errAway}})
+		s := newStore(&fakeStore{err: errSilent}, fakePeers{"p1": {err: errAway}})
 		_, err := s.Append(numbered(), time.Second)
 		is.True(errors.Is(err, jayport.ErrNoAnswer))
-		s, _ = newStore(&fakeStore{err: errAway}, fakePeers{"p1": {err: errAway}})
+		s = newStore(&fakeStore{err: errAway}, fakePeers{"p1": {err: errAway}})
 		_, err = s.Append(numbered(), time.Second)
 		is.True(errors.Is(err, jayport.ErrNotDone))
 	})
@@ -246,3 +247,44 @@
 		time.Sleep(20 * time.Second)
 	})
 }
+
+// hangingPeers never answer.
+type hangingPeers struct{}
+
+// Incarnations returns two peers.
+func (hangingPeers) Incarnations() []string { return []string{"p1", "p2"} }
+
+// Carry waits for longer than anybody should.
+func (hangingPeers) Carry(string, *jaywire.StoreCall) (*jaywire.StoreResult, error) {
+	time.Sleep(1500 * time.Millisecond)
+	return nil, errSilent
+}
+
+func TestCallsThatPeersCarryAreMadeAgainWhenTheStoreIsBack(t *testing.T) {
+	// Symptom: two seconds after a configuration was accepted an entry still
+	// answers by the one before.
+	// Sequence: the store turns the entry away; its read of the configuration
+	// goes to two peers that are gone; the store serves the entry again.
+	// Cause: the read waited for both peers, though it could have gone directly.
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		direct := &hangingStore{}
+		s := New(direct, hangingPeers{}, func() time.Duration { return time.Since(began) }, logr.Discard())
+		direct.away.Store(true)
+		for range distrustAfter {
+			_, _ = s.Append(jayport.Append{AsOf: jayport.AnyOffset}, 100*time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			direct.away.Store(false)
+		}()
+		asked := time.Now()
+		_, err := s.Read(jayport.Partition{}, 0, 0, time.Second)
+		is.New(t).True(errors.Is(err, jayport.ErrNoAnswer))
+		if took := time.Since(asked); took > 100*time.Millisecond+2*askEvery {
+			t.Errorf("the call took %s", took)
+		}
+		time.Sleep(20 * time.Second)
+	})
+}
