The inventory's list is dated by the pool's own clock; acts decided too long ago are dropped

After a pause in between, workers that had joined meanwhile were taken for ended and their tasks started again. And a move decided before a pause was sent after it, though the host might run tasks again. Change: the pool's owner tells its clock with each answer; the list is dated by it, never younger than it is. An act older than a second is not sent but decided anew.

--- a/jayfleet/fleet_test.go
+++ b/jayfleet/fleet_test.go
@@ -204,6 +204,29 @@
 		w.steps(time.Second)
 		is.Equal(len(w.moves), 3)
 	})
+	t.Run("an act that was decided too long ago is decided anew", func(t *testing.T) {
+		// Symptom: a move ends tasks that were started a moment ago.
+		// Sequence: a move of an empty host is decided; the owner is paused; the
+		// host's pool opens the host again and starts tasks there; the owner wakes
+		// and sends the move.
+		// Cause: nobody looked how old the decision was.
+		is := is.New(t)
+		w := newWorld(t, map[string]int{"seats": 1, "standby": 2})
+		stale := true
+		w.answer = func(Action) error {
+			if stale {
+				return ErrStale
+			}
+			return nil
+		}
+		w.wanted["seats"] = hostMilli
+		w.steps(300 * time.Millisecond)
+		is.Equal(w.in("seats"), 1)
+		is.Equal(w.in("standby"), 2)
+		stale = false
+		w.steps(2 * time.Second)
+		is.Equal(w.in("seats"), 2)
+	})
 	t.Run("an act without an answer is asked for again, not another one", func(t *testing.T) {
 		// Symptom: a pool gets twice the hosts that it wants.
 		// Sequence: the answer to a move is lost; another host is moved.
--- a/jayfleet/outcome.go
+++ b/jayfleet/outcome.go
@@ -6,6 +6,10 @@
 	"jaythread/jayport"
 )
 
+// ErrStale is the answer to an act that was not sent, since it was decided too
+// long ago.
+var ErrStale = errors.New("decided too long ago")
+
 // outcomeKind is what is known of an act after its answer.
 type outcomeKind uint8
 
@@ -23,7 +27,7 @@
 	switch {
 	case err == nil:
 		return accepted
-	case errors.As(err, &hostError), errors.Is(err, jayport.ErrMalformed):
+	case errors.As(err, &hostError), errors.Is(err, jayport.ErrMalformed), errors.Is(err, ErrStale):
 		return refused
 	default:
 		return inDoubt
--- a/jaynode/codec.go
+++ b/jaynode/codec.go
@@ -123,6 +123,10 @@
 	return step
 }
 
+func micros(n int64) time.Duration {
+	return time.Duration(n) * time.Microsecond
+}
+
 func millis(n int64) time.Duration {
 	return time.Duration(n) * time.Millisecond
 }
--- a/jaynode/demand.go
+++ b/jaynode/demand.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"time"
 
 	"jaythread/jayowner"
 	"jaythread/jaysched"
@@ -24,9 +23,6 @@
 	return response.GetDemand(), nil
 }
 
-// surveySlack is more than a question from the fleet's owner takes.
-const surveySlack = 200 * time.Millisecond
-
 // errNoOwner is reported while a pool has no owner.
 var errNoOwner = errors.New("the pool has no owner")
 
@@ -43,16 +39,14 @@
 	for _, v := range ask.Vacate {
 		vacate = append(vacate, jaysched.Vacate{Worker: v.Worker, Urgent: v.Urgent, Migrate: v.Migrate})
 	}
-	// The survey is taken for a little older than it is: the question took some
-	// time on its way.
-	age := millis(ask.SurveyAgeMillis) + surveySlack
 	asked := duty.ask(func() {
 		now := n.clock()
-		if ask.Surveyed {
-			duty.pool.Surveyed(ask.Existing, now-age, now)
+		if ask.Surveyed && ask.SurveyedFence == duty.claim.Fence {
+			duty.pool.Surveyed(ask.Existing, micros(ask.SurveyedAtMicros), now)
 		}
 		duty.pool.SetVacating(vacate, now)
 		writeDemand(report, duty.pool.Demand(now))
+		report.ClockMicros = now.Microseconds()
 	}, askTimeout)
 	if !asked {
 		return &jaywire.DemandReport{}
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -27,6 +27,10 @@
 	// recordActTime is how long an act waits at most for its record. Without
 	// it hosts would stay where they are whenever the store is away.
 	recordActTime = 150 * time.Millisecond
+	// staleAct is how long ago an act may have been decided when it is sent. An
+	// entry that was paused in between would end what was started on the host
+	// meanwhile: its pool keeps an emptied host closed for two seconds.
+	staleAct = time.Second
 	// clockSkew is by how much two entries' times of day may differ.
 	clockSkew = 2500 * time.Millisecond
 	// fleetTick is how often the fleet is looked at.
@@ -58,6 +62,8 @@
 	asking  map[string]bool
 	askAt   map[string]time.Duration
 	told    map[string]string
+	// clocks are those of the pools' owners.
+	clocks map[string]peerClock
 }
 
 func newFleetDuty(n *Node, claim jayowner.Claim) *fleetDuty {
@@ -72,6 +78,7 @@
 		asking: map[string]bool{},
 		askAt:  map[string]time.Duration{},
 		told:   map[string]string{},
+		clocks: map[string]peerClock{},
 	}
 	d.journal = jayjournal.New(n.store, n.ports.Formats.Own(topicFleet, 0), string(claim.Duty), claim.Fence, n.clock, d.logger, jayjournal.WithLatency(n.store.Latency))
 	return d
@@ -268,8 +275,10 @@
 	d.asking[pool] = true
 	d.told[pool] = names
 	ask := &jaywire.AskDemand{Pool: pool, Fence: d.claim.Fence, Vacate: orders}
-	if existing, asked, known := d.fleet.Existing(pool); known {
-		ask.Surveyed, ask.Existing, ask.SurveyAgeMillis = true, existing, (now - asked).Milliseconds()
+	existing, asked, read := d.fleet.Existing(pool)
+	if clock, known := d.clocks[pool]; known && read {
+		ask.Surveyed, ask.Existing = true, existing
+		ask.SurveyedFence, ask.SurveyedAtMicros = clock.fence, clock.notAfter(asked).Microseconds()
 	}
 	go func() {
 		report, err := d.node.askDemand(ask)
@@ -278,6 +287,7 @@
 			d.askAt[pool] = at + demandEvery
 			if err == nil && report.GetOwned() {
 				d.fleet.Demanded(pool, demandOf(report, now))
+				d.clocks[pool] = peerClock{fence: report.Fence, clock: micros(report.ClockMicros), heardAt: at}
 			}
 		})
 	}()
@@ -335,6 +345,7 @@
 	if err := d.journal.Add(entry); err != nil {
 		d.logger.Error(err, "act not recorded", "host", host)
 	}
+	decided := d.node.clock()
 	go func() {
 		timer := time.NewTimer(recordActTime)
 		defer timer.Stop()
@@ -342,8 +353,12 @@
 		case <-recorded:
 		case <-timer.C:
 		}
-		// An owner that was replaced meanwhile acts no more.
-		if d.ctx.Err() == nil {
+		switch {
+		case d.ctx.Err() != nil:
+			// An owner that was replaced meanwhile acts no more.
+		case d.node.clock()-decided > staleAct:
+			d.answered(host, jayfleet.ErrStale)
+		default:
 			d.answered(host, do())
 		}
 	}()
