A new owner stops no lasting task while a former owner's stops may be under way

Two had been started anew by the former owner, one it had told to stop was still listed as active; the new owner took it for one at work and stopped two more. Cause: a stopped run is active until it has ended, up to the stop's time. Change: lasting tasks are evicted only once each of their step's workers has reported under this owner's fence for the stop's time and 0.6 s more. Test fails without it.

--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -250,12 +250,31 @@
 // free: its step can miss one more task, and there is room for it elsewhere.
 func (p *Pool) mayEvict(r *run, now time.Duration) bool {
 	s := r.task.step
-	if !s.decl.LongRunning || s.away() >= max(1, s.decl.MayMiss) {
+	if !s.decl.LongRunning || s.away() >= max(1, s.decl.MayMiss) || !p.stopsSettled(s, now) {
 		return false
 	}
 	return p.choose(r.task, now) != nil
 }
 
+// stopReported is how long the end of a stopped run takes to be reported, beyond
+// the stop itself.
+const stopReported = 600 * time.Millisecond
+
+// stopsSettled reports whether no run of a step can still be ending by an order
+// of a former owner. A run that was told to stop is listed as active until it has
+// ended; a new owner that takes it for one at work stops more than the step can
+// miss.
+func (p *Pool) stopsSettled(s *step, now time.Duration) bool {
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			if p.term > 1 && now < r.worker.answeredAt+p.settings.Stop+stopReported {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // away counts the tasks of a long-running step that are not at work.
 func (s *step) away() int {
 	count := 0
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -122,6 +122,9 @@
 	if w.contact != connected {
 		p.note(Note{Kind: WorkerAnswers, Worker: id, Since: w.heardAt}, now)
 	}
+	if w.contact == unconfirmed {
+		w.answeredAt = now
+	}
 	w.contact = connected
 	w.asking = false
 	w.seeClock(report.Clock, now)
--- a/jaysched/vacate_test.go
+++ b/jaysched/vacate_test.go
@@ -144,3 +144,26 @@
 	is.True(failures <= 3)
 	wantState(t, w, "a", Running)
 }
+
+func TestNoTaskIsStoppedWhileAFormerOwnersStopsMayBeUnderWay(t *testing.T) {
+	// Symptom: one more task of a step is away than it can miss.
+	// Sequence: an owner stops a task to empty its worker and is replaced; the
+	// worker lists the run as active until it has ended; the new owner stops as
+	// many others as the step can miss.
+	// Cause: a run that was ending was taken for one at work.
+	is := is.New(t)
+	w := newWorld(t, 2, WithFence(7, 2))
+	declare(w, newSpec("j", 1, longRunning))
+	w.reports()
+	w.addWorker("w9")
+	w.list()
+	w.run()
+	is.True(!w.pool.stopsSettled(w.pool.jobs["j"].occurrences[0].steps[0], w.now))
+	busy := w.pool.jobs["j"].occurrences[0].steps[0].tasks[0].runs[0].worker.ID
+	running := len(w.workers[busy].active)
+	w.pool.SetVacating([]Vacate{{Worker: busy}}, w.now)
+	w.run()
+	is.Equal(len(w.workers[busy].active), running) // none yet
+	vacate(w, busy, 3*time.Second)
+	is.Equal(len(w.workers[busy].active), 0)
+}
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -40,8 +40,10 @@
 	// joinedAt is when the pool learned of the worker, heardAt when its last
 	// answer came.
 	joinedAt time.Duration
-	heardAt  time.Duration
-	runs     map[jayport.RunRef]*run
+	// answeredAt is when it first reported under this owner's fence.
+	answeredAt time.Duration
+	heardAt    time.Duration
+	runs       map[jayport.RunRef]*run
 	// inOrder are the same runs in the order of their tasks.
 	inOrder []*run
 	// resendAt is when the first order to it may have to be repeated.
