A refused repeat does not free a task whose first start had no answer

Cause: the answer to the first start was lost; the repeated one was refused, and the task was taken for free though the first may be carried out seconds later. Change: such a run is stopped first; the worker refuses it for ever once it has confirmed.

--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -246,8 +246,15 @@
 		r.confirmedAt = now
 		return
 	}
-	r.task.notBefore = now + refusedPause
 	r.worker.health.refused(reason, now)
+	if r.attempt > 1 {
+		// An earlier start had no answer and may be carried out seconds later,
+		// whatever the repeated one was told. Once the worker has confirmed a stop
+		// it refuses that run for ever, and the task can start elsewhere.
+		p.stop(r, "refusedAfterALostAnswer", now)
+		return
+	}
+	r.task.notBefore = now + refusedPause
 	if reason == jayport.RefusedNoTicket {
 		delete(r.task.step.advice.tickets, r.worker.ID)
 	}
--- a/jaysched/record_test.go
+++ b/jaysched/record_test.go
@@ -59,3 +59,34 @@
 	is.Equal(w.starts("b.0.0.0"), 1)
 	is.Equal(w.starts("a.0.0.0"), 0)
 }
+
+func TestRefusalOfARepeatedStartDoesNotFreeTheTask(t *testing.T) {
+	// Symptom: a task is started again after it was done.
+	// Sequence: the answer to a start is lost; the repeated start is refused for
+	// want of room; the task is started elsewhere and done; the first start is
+	// carried out seconds late.
+	// Cause: the refusal of the second was taken for that of the first.
+	is := is.New(t)
+	w := newWorld(t, 2)
+	first := true
+	w.lose = func(a Action) bool {
+		_, start := a.(StartRun)
+		return start && first
+	}
+	declare(w, newSpec("j", 1))
+	first = false
+	r := w.pool.jobs["j"].occurrences[0].steps[0].tasks[0].runs[0]
+	id := r.worker.ID
+	w.lose = func(a Action) bool { stop, ok := a.(StopRun); return ok && stop.To.ID == id }
+	r.attempt = 2
+	w.pool.StartAnswered(id, r.ref(), w.now, &jayport.RefusedError{Reason: jayport.RefusedNoRoom}, w.now)
+	starts := w.starts("j.0.0.0")
+	w.run()
+	is.Equal(r.phase, stopping)
+	is.Equal(w.starts("j.0.0.0"), starts) // not before the stop is confirmed
+	w.lose = func(Action) bool { return false }
+	w.pass(2 * time.Second)
+	w.reports()
+	w.pass(time.Second)
+	is.True(w.starts("j.0.0.0") > starts)
+}
