A wave keeps an even pace and yields to pools that lack hosts

Cause: on the grown Qalam a wave is declared 1.5 s into the first rush. It took 73 hosts that were off in one step, while the rush asked for them, and then closed up to 70 busy hosts in the rush (on 294, used 160 to 195, tasks for 60 more waiting). It was taken to be late after 5 of 26 s. Change: hosts are moved first; a wave takes as many as an even pace needs to be done in 0.6 of its time, none while a pool lacks hosts, busy hosts with short runs only when it is late; late is 1.5 times what is left and 3 s.

--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -44,8 +44,10 @@
 func (f *Fleet) balance(now time.Duration) {
 	standings := f.standings(now)
 	free := f.free(now)
+	f.lacking = false
 	for _, s := range standings {
 		f.fill(s, s.urgent, &free, standings, now, urgentDonor)
+		f.lacking = f.lacking || s.have+reserveHosts < s.urgent
 	}
 	for _, s := range standings {
 		f.fill(s, s.need, &free, standings, now, surplusDonor)
@@ -239,12 +241,16 @@
 	return s
 }
 
+// reserveHosts is how many hosts a pool has beyond its demand, for the first jobs
+// of a rush and for tasks that do not fit side by side.
+const reserveHosts = 1
+
 // hostsFor is how many hosts of a size a demand takes, with the reserve.
 func hostsFor(milli, each int64) int {
 	if each == 0 {
 		return 0
 	}
-	return int((milli+each-1)/each) + 1
+	return int((milli+each-1)/each) + reserveHosts
 }
 
 // serves reports whether a host serves a pool or soon will. One that is
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -94,8 +94,10 @@
 	working  map[string]bool
 	demands  map[string]Demand
 	waves    map[string]*wave
-	actions  []Action
-	notes    []Note
+	// lacking says that some pool has fewer hosts than its urgent work needs.
+	lacking bool
+	actions []Action
+	notes   []Note
 }
 
 // Note is a change of what the fleet believes of a host.
@@ -275,9 +277,9 @@
 	f.actions = nil
 	if f.listedAt > 0 {
 		f.resend(now)
-		f.runWaves(now)
 		f.finishMoves(now)
 		f.balance(now)
+		f.runWaves(now)
 	}
 	return f.actions
 }
--- a/jayfleet/fleet_test.go
+++ b/jayfleet/fleet_test.go
@@ -304,6 +304,27 @@
 		w.steps(3 * time.Second)
 		is.True(w.in("seats") > 2)
 	})
+	t.Run("a wave leaves hosts to a rush", func(t *testing.T) {
+		// Symptom: jobs wait in a rush while a fifth of the fleet is maintained.
+		// Sequence: a wave is declared; a pool's rush begins a moment later.
+		// Cause: the wave took at once as many hosts as it was allowed to, hosts
+		// that were off before the rush could get them, and busy ones in it.
+		is := is.New(t)
+		w := newWorld(t, map[string]int{"seats": 4, "standby": 16})
+		for _, name := range w.names[:4] {
+			w.runs[w.hosts[name].Worker] = 1
+		}
+		w.wanted["seats"] = 3 * hostMilli
+		w.fleet.Declared(wave(w.names, 25*time.Second, 16), w.now, nil, false)
+		w.steps(200 * time.Millisecond)
+		w.wanted["seats"] = 14 * hostMilli
+		w.steps(1800 * time.Millisecond)
+		is.True(w.in("seats") >= 13)
+		is.Equal(len(w.fleet.Vacating("seats")), 0)
+		w.wanted["seats"] = 3 * hostMilli
+		w.steps(22 * time.Second)
+		is.Equal(len(w.fleet.waves["1"].maintained), 16)
+	})
 	t.Run("an emptied host is urgent once the wave is late", func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, map[string]int{"seats": 1, "standby": 1})
--- a/jayfleet/waves.go
+++ b/jayfleet/waves.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -39,8 +40,11 @@
 	}
 }
 
-// runWaves begins maintenance where a host is empty and empties others, as
-// many as may be down at once.
+// runWaves begins maintenance where a host is empty and empties others.
+//
+// The load that it answers: a pool's rush comes in the middle of a wave. The
+// wave keeps an even pace and takes nothing while a pool lacks hosts, as long as
+// it can still be in time; most hosts are off once in every turn of the rushes.
 func (f *Fleet) runWaves(now time.Duration) {
 	for _, w := range f.sortedWaves() {
 		f.runWave(w, now)
@@ -82,8 +86,9 @@
 		w.done = true
 		return
 	}
+	late := f.late(w, len(left), now)
 	f.order(left, now)
-	room := w.MaxAtOnce - down
+	room := w.atOnce(len(left), f.roundTime(), now) - down
 	for _, h := range left {
 		if room <= 0 {
 			break
@@ -91,19 +96,38 @@
 		if h.act != nil || h.State != jayport.HostUp || f.held(h, now) {
 			continue
 		}
+		if f.lacking && !late && h.vacating != forWave {
+			continue
+		}
 		if f.empty(h, now) {
 			f.begin(h, maintaining{wave: w.Name}, "wave", now)
 			room--
 			continue
 		}
-		if f.mayVacate(h) {
+		if f.mayVacate(h, late) {
 			h.vacating = forWave
-			h.urgent = f.late(w, len(left), now)
+			h.urgent = late
 			room--
 		}
 	}
 }
 
+// paceShare is in which share of its time a wave is to be done if nothing comes
+// between; the rest is for outages and rushes.
+const paceShare = 0.6
+
+// atOnce is how many hosts of a wave should be away now, so that the rest is
+// done at an even pace. As many as the wave allows would take a fifth of a
+// fleet in its first seconds, also in those in which a pool's rush needs it.
+func (w *wave) atOnce(left int, round time.Duration, now time.Duration) int {
+	until := w.declaredAt + time.Duration(paceShare*float64(w.Within))
+	if until <= now {
+		return w.MaxAtOnce
+	}
+	pace := float64(left) * float64(round) / float64(until-now)
+	return min(w.MaxAtOnce, int(math.Ceil(pace)))
+}
+
 // order puts the hosts first whose maintenance costs least: those that are
 // off, then empty ones, then those with the fewest runs.
 func (f *Fleet) order(hosts []*host, now time.Duration) {
@@ -129,18 +153,34 @@
 // busy cores more: the task is away while it starts elsewhere.
 const longRunCost = 4000
 
-// mayVacate reports whether a pool can do without one more host.
-func (f *Fleet) mayVacate(h *host) bool {
-	_, known := f.load(h)
-	return known && f.working[h.Pool]
+// mayVacate reports whether a host is to be emptied for a wave. One with short
+// runs alone becomes idle by itself before long, unless the wave is late; one
+// with a run that lasts does not.
+func (f *Fleet) mayVacate(h *host, late bool) bool {
+	l, known := f.load(h)
+	return known && f.working[h.Pool] && (late || l.Runs == 0 || l.LongRuns > 0)
 }
 
+const (
+	// lateFactor is how many times what a wave still takes at the pace that its
+	// bound allows must be left, or it is late.
+	lateFactor = 1.5
+	// lateSlack is what must be left beyond that: most losses of an owner or of
+	// the inventory are over by then.
+	lateSlack = 3 * time.Second
+)
+
 // late reports whether a wave must hurry: at the pace that its bound allows,
 // the rest takes most of the time that is left.
 func (f *Fleet) late(w *wave, left int, now time.Duration) bool {
-	rounds := (left + w.MaxAtOnce - 1) / max(1, w.MaxAtOnce)
-	need := time.Duration(rounds) * (f.settings.MaintenanceTime + roundSlack)
-	return w.declaredAt+w.Within-now < 2*need
+	rounds := math.Ceil(float64(left) / float64(max(1, w.MaxAtOnce)))
+	need := time.Duration(lateFactor * rounds * float64(f.roundTime()))
+	return w.declaredAt+w.Within-now < need+lateSlack
+}
+
+// roundTime is how long one host is away for a wave.
+func (f *Fleet) roundTime() time.Duration {
+	return f.settings.MaintenanceTime + roundSlack
 }
 
 // roundSlack is what one round of maintenance takes beside the maintenance:
