The owner takes in jobs as it stores them; repeats are known while the store is away

In an outage, repeats of jobs that had been accepted were answered with 503. Change: the owner declares a job when its append is acknowledged; its reads, which now bring only what others have stored, are 100 ms apart. A job that the owner knows is answered as accepted though the store takes no append.

--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -125,9 +125,27 @@
 	}
 }
 
-// store appends a job. Its errors are jayport.ErrNotDone and
-// jayport.ErrNoAnswer.
+// store appends a job and hands it to the pool's duty, if it is here. Its errors
+// are jayport.ErrNotDone and jayport.ErrNoAnswer.
+//
+// The owner reads all jobs from the store as well. But a read can be held up
+// while appends go on: jobs that were accepted then began only when it had timed
+// out.
 func (i *intake) store(pool, id string, value []byte, timeout time.Duration) error {
+	err := i.append(pool, id, value, timeout)
+	if err == nil {
+		i.node.declareStored(pool, id, value)
+	}
+	if errors.Is(err, jayport.ErrNotDone) && i.node.knows(pool, id) {
+		// A job that the owner knows is stored: this is a repeat of a request that
+		// was accepted, and refusing it would say that the job never runs.
+		return nil
+	}
+	return err
+}
+
+// append appends a job. Its errors are those of store.
+func (i *intake) append(pool, id string, value []byte, timeout time.Duration) error {
 	journal := i.journals[i.node.partitionOf(pool)]
 	if i.stuck(journal) {
 		return jayport.ErrNotDone
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -29,6 +29,9 @@
 	reportTimeout = 700 * time.Millisecond
 	// jobsWait is for how long a read of the jobs handed in may wait.
 	jobsWait = time.Second
+	// jobsPause is between two of them: an owner knows the jobs that it has
+	// stored itself, which are nearly all, and each read is paid for.
+	jobsPause = 100 * time.Millisecond
 	// leaseTime is how long a worker runs on without hearing from the owner.
 	// A new owner takes over within two seconds.
 	leaseTime = 4 * time.Second
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -166,7 +166,7 @@
 	t := &jobTail{duty: d, loading: true}
 	n := d.node
 	t.tail = jaytail.New(n.store, n.ports.Formats.Own(topicJobs, n.partitionOf(d.name)),
-		jaytail.Options{Prefix: d.name + "/", Wait: jobsWait}, t, n.clock, d.logger)
+		jaytail.Options{Prefix: d.name + "/", Wait: jobsWait, Pause: jobsPause}, t, n.clock, d.logger)
 	return t
 }
 
@@ -191,13 +191,46 @@
 		t.restore(job)
 		return
 	}
-	t.duty.post(func(now time.Duration) {
-		if t.duty.pool.Declare(job, now) {
-			t.duty.logger.Info("job declared", "job", id, "queue", job.Queue, "steps", job.Summary(), "offset", r.Offset)
+	t.duty.declare(job, "read")
+}
+
+// declare hands a job that is stored to the pool. A job that it knows already
+// stays as it is.
+func (d *poolDuty) declare(job *jayspec.Job, how string) {
+	d.post(func(now time.Duration) {
+		if d.pool.Declare(job, now) {
+			d.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "steps", job.Summary(), "how", how)
 		}
 	})
 }
 
+// declareStored hands a job that this entry has just stored to the duty of its
+// pool, if that is here.
+func (n *Node) declareStored(pool, id string, value []byte) {
+	duty := n.ownedPool(pool)
+	if duty == nil {
+		return
+	}
+	job, err := decodeJob(pool, id, value)
+	if err != nil {
+		duty.logger.Error(err, "job unreadable", "job", id)
+		return
+	}
+	duty.declare(job, "stored")
+}
+
+// knows reports whether this entry owns a pool and knows a job of it. What it
+// knows has been read from the store, or stored by this entry.
+func (n *Node) knows(pool, id string) bool {
+	duty := n.ownedPool(pool)
+	if duty == nil || !duty.loaded.Load() {
+		return false
+	}
+	known := false
+	asked := duty.ask(func() { _, known = duty.pool.StateOf(id, n.clock()) }, askTimeout)
+	return asked && known
+}
+
 func (t *jobTail) restore(job *jayspec.Job) {
 	pool, now := t.duty.pool, t.duty.node.clock()
 	progress := t.progress[job.ID]
