A wave keeps its time through owners

Change: the time at which the first owner learned of a wave is recorded with its progress; the next owner goes by the earlier one.

--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -45,6 +45,8 @@
 	Wave       string
 	Maintained []string
 	Done       bool
+	// DeclaredAt is since when the wave's time runs.
+	DeclaredAt time.Duration
 }
 
 func (MoveHost) isAction()     {}
--- a/jayfleet/waves.go
+++ b/jayfleet/waves.go
@@ -198,7 +198,7 @@
 		names = append(names, name)
 	}
 	slices.Sort(names)
-	f.actions = append(f.actions, RecordWave{Wave: w.Name, Maintained: names, Done: w.done})
+	f.actions = append(f.actions, RecordWave{Wave: w.Name, Maintained: names, Done: w.done, DeclaredAt: w.declaredAt})
 }
 
 // compareBool orders false before true.
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -216,7 +216,8 @@
 	d.fleet.SetPools(working, catalog.StandbyPools())
 	for _, w := range d.node.declarations.allWaves() {
 		progress := recorded[w.Name]
-		d.fleet.Declared(w.Wave, w.since, progress.GetMaintained(), progress.GetDone())
+		since := waveSince(w.since, progress, now, time.Now())
+		d.fleet.Declared(w.Wave, since, progress.GetMaintained(), progress.GetDone())
 	}
 	for _, action := range d.fleet.Decide(now) {
 		d.perform(action)
@@ -230,6 +231,17 @@
 	}
 }
 
+// waveSince is since when a wave's time runs. An entry that was started in the
+// middle of a wave learned of it late: if it went by that, a wave would begin its
+// time anew with each owner, and the last hosts would be maintained too late.
+func waveSince(learned time.Duration, progress *jaywire.WaveProgress, now time.Duration, wall time.Time) time.Duration {
+	if progress.GetDeclaredUnixMillis() == 0 {
+		return learned
+	}
+	declared := now - wall.Sub(time.UnixMilli(progress.DeclaredUnixMillis))
+	return min(learned, declared)
+}
+
 func (d *fleetDuty) post(e event) {
 	for !d.inbox.Offer(e) {
 		if d.ctx.Err() != nil {
@@ -376,7 +388,8 @@
 
 // recordWave records how far a wave is for the next owner, and tells operators.
 func (d *fleetDuty) recordWave(a jayfleet.RecordWave) {
-	value, err := proto.Marshal(&jaywire.WaveProgress{Maintained: a.Maintained, Done: a.Done})
+	declared := time.Now().Add(a.DeclaredAt - d.node.clock())
+	value, err := proto.Marshal(&jaywire.WaveProgress{Maintained: a.Maintained, Done: a.Done, DeclaredUnixMillis: declared.UnixMilli()})
 	if err != nil {
 		d.logger.Error(err, "wave cannot be written", "wave", a.Wave)
 		return
--- a/jaynode/fleetduty_test.go
+++ b/jaynode/fleetduty_test.go
@@ -36,3 +36,17 @@
 		is.New(t).True(!held(2*time.Second, time.Second))
 	})
 }
+
+func TestWaveKeepsItsTimeThroughOwners(t *testing.T) {
+	// Symptom: the last hosts of a wave are maintained after its time.
+	// Sequence: entries are restarted in turn; the fleet's new owner was started
+	// fourteen seconds into the wave.
+	// Cause: it took the wave for one that was declared when it learned of it.
+	is := is.New(t)
+	wall := time.UnixMilli(1_000_000_000)
+	now := time.Hour
+	recorded := &jaywire.WaveProgress{DeclaredUnixMillis: wall.Add(-14 * time.Second).UnixMilli()}
+	is.Equal(waveSince(now-time.Second, recorded, now, wall), now-14*time.Second)
+	is.Equal(waveSince(now-20*time.Second, recorded, now, wall), now-20*time.Second)
+	is.Equal(waveSince(now-time.Second, nil, now, wall), now-time.Second)
+}
