Growth within chance is not followed; hosts beyond what chance may need go off at once

Change: growth of demand counts above one standard deviation of a sum of so many jobs; hosts above need plus one such deviation go off after 0.2 s. The two kinds of need that the fleet was told, one of them always zero, are need and spare.

--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -10,9 +10,13 @@
 )
 
 const (
-	// idleBeforeStandby is for how long a surplus host must have been idle
-	// before it is turned off: a move each way costs as much as this time.
+	// idleBeforeStandby is for how long a host that is not needed must have been
+	// idle before it is turned off: a move each way costs as much as this time.
 	idleBeforeStandby = 1200 * time.Millisecond
+	// surplusBeforeStandby is the same for hosts beyond what the pool may need
+	// by chance: after a rush none of them is needed again. It is a little more
+	// than a worker waits between two tasks of one job.
+	surplusBeforeStandby = 200 * time.Millisecond
 	// soonEmpty is how soon a busy host must become empty to be taken for a
 	// pool that needs it more, and reclaimPatience how long it may take in fact.
 	soonEmpty       = 800 * time.Millisecond
@@ -24,10 +28,9 @@
 	pool string
 	// have counts the hosts that serve it or soon will.
 	have int
-	// urgent is how many it needs for what can still be punctual, need how
-	// many for everything.
-	urgent int
-	need   int
+	// need is how many it can use soon, keep how many it may need by chance.
+	need int
+	keep int
 	// idle are its hosts that run nothing, the longest idle first; busy are
 	// others that could be emptied soon, the soonest first.
 	idle []*host
@@ -39,18 +42,14 @@
 //
 // The load that it answers: the pools have their rushes by turns, each of some
 // seconds and several times the pool's own size, while the others are nearly
-// idle. Urgent needs of all pools come first; what is late takes hosts that are
-// off, but none from a pool in its rush.
+// idle.
 func (f *Fleet) balance(now time.Duration) {
 	standings := f.standings(now)
 	free := f.free(now)
 	f.lacking = false
 	for _, s := range standings {
-		f.fill(s, s.urgent, &free, standings, now, urgentDonor)
-		f.lacking = f.lacking || s.have+reserveHosts < s.urgent
-	}
-	for _, s := range standings {
-		f.fill(s, s.need, &free, standings, now, surplusDonor)
+		f.fill(s, &free, standings, now)
+		f.lacking = f.lacking || s.have+reserveHosts < s.need
 	}
 	f.turnOff(standings, now)
 }
@@ -66,42 +65,30 @@
 	return free
 }
 
-// donorRule picks a host of a pool that can do without it, or nil.
-type donorRule func(from *standing) (h *host, patient bool)
-
-// urgentDonor takes a host that its pool has only for what is late, an idle one
-// first.
-func urgentDonor(from *standing) (h *host, patient bool) {
-	if from.have <= from.urgent {
+// donor returns a host that its pool can do without, an idle one first, or nil.
+func (s *standing) donor() (h *host, patient bool) {
+	if s.have <= s.need {
 		return nil, false
 	}
-	if len(from.idle) > 0 {
-		return from.idle[0], false
+	if len(s.idle) > 0 {
+		return s.idle[0], false
 	}
-	if len(from.busy) > 0 {
-		return from.busy[0], true
+	if len(s.busy) > 0 {
+		return s.busy[0], true
 	}
 	return nil, false
 }
 
-// surplusDonor takes an idle host that its pool does not need at all.
-func surplusDonor(from *standing) (h *host, patient bool) {
-	if from.have <= from.need || len(from.idle) == 0 {
-		return nil, false
-	}
-	return from.idle[0], false
-}
-
-// fill brings a pool up to a number of hosts.
-func (f *Fleet) fill(to *standing, want int, free *[]*host, standings []*standing, now time.Duration, rule donorRule) {
-	for to.have < want {
+// fill brings a pool up to the hosts that it needs.
+func (f *Fleet) fill(to *standing, free *[]*host, standings []*standing, now time.Duration) {
+	for to.have < to.need {
 		if len(*free) > 0 {
 			f.begin((*free)[0], moving{to: to.pool}, "wanted", now)
 			*free = (*free)[1:]
 			to.have++
 			continue
 		}
-		if !f.take(to, standings, now, rule) {
+		if !f.take(to, standings, now) {
 			return
 		}
 	}
@@ -109,12 +96,12 @@
 
 // take vacates a host of another pool for one; it returns false if no pool can
 // do without one.
-func (f *Fleet) take(to *standing, standings []*standing, now time.Duration, rule donorRule) bool {
+func (f *Fleet) take(to *standing, standings []*standing, now time.Duration) bool {
 	for _, from := range standings {
 		if from == to {
 			continue
 		}
-		h, patient := rule(from)
+		h, patient := from.donor()
 		if h == nil {
 			continue
 		}
@@ -167,7 +154,7 @@
 	for _, s := range standings {
 		for _, h := range slices.Clone(s.idle) {
 			l, _ := f.load(h)
-			if s.have <= s.need || l.Idle < idleBeforeStandby {
+			if s.have <= s.need || l.Idle < s.idleBefore() {
 				break
 			}
 			s.drop(h)
@@ -177,6 +164,14 @@
 	}
 }
 
+// idleBefore is for how long a host must have been idle before it is turned off.
+func (s *standing) idleBefore() time.Duration {
+	if s.have > s.keep {
+		return surplusBeforeStandby
+	}
+	return idleBeforeStandby
+}
+
 func (f *Fleet) standbyPool() string {
 	first := ""
 	for name := range f.standby {
@@ -199,7 +194,7 @@
 		standings = append(standings, f.standing(pool, d, now))
 	}
 	slices.SortFunc(standings, func(a, b *standing) int {
-		return cmp.Or(cmp.Compare(b.urgent-b.have, a.urgent-a.have), strings.Compare(a.pool, b.pool))
+		return cmp.Or(cmp.Compare(b.need-b.have, a.need-a.have), strings.Compare(a.pool, b.pool))
 	})
 	return standings
 }
@@ -236,8 +231,8 @@
 	if counted > 0 {
 		each = capacity / counted
 	}
-	s.urgent = hostsFor(d.UrgentMilli, each)
-	s.need = hostsFor(d.UrgentMilli+d.LateMilli, each)
+	s.need = hostsFor(d.NeedMilli, each)
+	s.keep = hostsFor(d.NeedMilli+d.SpareMilli, each)
 	return s
 }
 
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -75,10 +75,10 @@
 
 // Demand is what the owner of a pool needs.
 type Demand struct {
-	// UrgentMilli is for what can still be punctual, LateMilli what more it
-	// could use for the rest, in thousandths of a core.
-	UrgentMilli int64
-	LateMilli   int64
+	// NeedMilli is what the pool can use soon, SpareMilli what more it may need
+	// by chance, in thousandths of a core.
+	NeedMilli  int64
+	SpareMilli int64
 	// Loads are by the workers' IDs.
 	Loads map[string]Load
 	// At is when it was said.
--- a/jayfleet/fleet_test.go
+++ b/jayfleet/fleet_test.go
@@ -22,6 +22,9 @@
 	hosts  map[string]*jayport.Host
 	names  []string
 	wanted map[string]int64
+	spare  map[string]int64
+	// idle is for how long hosts without runs are said to be idle.
+	idle time.Duration
 	// runs counts the runs on each worker, longRuns those that last.
 	runs     map[string]int
 	longRuns map[string]int
@@ -41,7 +44,7 @@
 
 func newWorld(t *testing.T, pools map[string]int) *world {
 	w := &world{
-		t: t, now: time.Minute, hosts: map[string]*jayport.Host{}, wanted: map[string]int64{}, runs: map[string]int{},
+		t: t, now: time.Minute, hosts: map[string]*jayport.Host{}, wanted: map[string]int64{}, spare: map[string]int64{}, idle: 10 * time.Second, runs: map[string]int{},
 		longRuns: map[string]int{}, back: map[string]comeback{}, answer: func(Action) error { return nil },
 	}
 	w.fleet = New(Settings{MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second})
@@ -97,7 +100,7 @@
 // soon as nothing runs there.
 func (w *world) tellDemands() {
 	for _, pool := range []string{"fees", "seats"} {
-		d := Demand{UrgentMilli: w.wanted[pool], Loads: map[string]Load{}, At: w.now}
+		d := Demand{NeedMilli: w.wanted[pool], SpareMilli: w.spare[pool], Loads: map[string]Load{}, At: w.now}
 		vacating := w.fleet.Vacating(pool)
 		for _, h := range w.hosts {
 			if h.Pool != pool || h.State != jayport.HostUp {
@@ -106,7 +109,7 @@
 			_, closed := vacating[h.Worker]
 			l := Load{Runs: w.runs[h.Worker], LongRuns: w.longRuns[h.Worker], UsedMilli: int64(w.runs[h.Worker]) * 1000, EmptyIn: -1}
 			if l.Runs == 0 {
-				l.Vacated, l.Idle = closed, 10*time.Second
+				l.Vacated, l.Idle = closed, w.idle
 			}
 			d.Loads[h.Worker] = l
 		}
@@ -178,6 +181,21 @@
 		is.Equal(w.in("seats"), 7)
 		is.Equal(w.in("fees"), 1)
 	})
+	t.Run("after a rush at once, but for what chance may need", func(t *testing.T) {
+		// Symptom: a third of the hosts that are paid for after a rush are idle.
+		// Sequence: the rush ends, hosts become empty one by one.
+		// Cause: each was kept for as long as one that may be needed again.
+		is := is.New(t)
+		w := newWorld(t, map[string]int{"seats": 20})
+		w.fleet.SetPools([]string{"fees", "seats"}, []string{"standby"})
+		w.wanted["seats"], w.spare["seats"] = 5*hostMilli, 4*hostMilli
+		w.idle = 300 * time.Millisecond
+		w.steps(3 * time.Second)
+		is.Equal(w.in("seats"), 10)
+		w.idle = 1300 * time.Millisecond
+		w.steps(3 * time.Second)
+		is.Equal(w.in("seats"), 6)
+	})
 	t.Run("busy hosts stay", func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, map[string]int{"seats": 1, "fees": 3})
--- a/jaynode/demand.go
+++ b/jaynode/demand.go
@@ -60,8 +60,8 @@
 const neverEmpty = -1
 
 func writeDemand(report *jaywire.DemandReport, d jaysched.Demand) {
-	report.UrgentMilli = d.UrgentMilli
-	report.LateMilli = d.LateMilli
+	report.NeedMilli = d.NeedMilli
+	report.SpareMilli = d.SpareMilli
 	for _, l := range d.Loads {
 		emptyIn := l.EmptyIn.Milliseconds()
 		if l.EmptyIn == jaysched.Never {
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -12,6 +12,8 @@
 	trendWindow = 800 * time.Millisecond
 	// trendSamples is how many samples a slope needs.
 	trendSamples = 3
+	// growthNoise is how many standard deviations growth must exceed to count: what chance does in two cases of three.
+	growthNoise = 1
 	// moveLead is how long a host takes from the decision to its first run: the
 	// move, and the way of its report.
 	moveLead = 1700 * time.Millisecond
@@ -39,12 +41,11 @@
 
 // Demand is what a pool needs of the fleet.
 type Demand struct {
-	// UrgentMilli is how many thousandths of a core the pool could use soon for
-	// what can still be punctual; LateMilli is what more it could use for the
-	// rest.
-	UrgentMilli int64
-	LateMilli   int64
-	Loads       []Load
+	// NeedMilli is how many thousandths of a core the pool could use soon;
+	// SpareMilli is what more it may need by chance.
+	NeedMilli  int64
+	SpareMilli int64
+	Loads      []Load
 }
 
 // Vacate is a worker that is to get no new run. Urgent ones have their runs
@@ -59,7 +60,8 @@
 
 // Demand returns what the pool needs now.
 func (p *Pool) Demand(now time.Duration) Demand {
-	d := Demand{UrgentMilli: p.trend.ahead(p.parallelMilli(now), now)}
+	milli, noise := p.parallelMilli(now)
+	d := Demand{NeedMilli: p.trend.ahead(milli, noise, now), SpareMilli: int64(noise)}
 	for _, w := range p.sorted {
 		if w.contact == connected && w.listed && !w.Draining {
 			d.Loads = append(d.Loads, p.load(w, now))
@@ -68,15 +70,28 @@
 	return d
 }
 
-// parallelMilli is what the tasks that run or could run now take together.
-func (p *Pool) parallelMilli(now time.Duration) int64 {
-	total := int64(0)
+// parallelMilli is what the tasks that run or could run now take together, and
+// by how much that differs from one moment to another because jobs come one by
+// one: the standard deviation of a sum of so many independent jobs.
+func (p *Pool) parallelMilli(now time.Duration) (total int64, noise float64) {
+	squares := 0.0
 	for _, j := range p.open {
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				if s.ready(now) {
-					total += int64(s.open) * needOf(s).ProcessorsMilli
-				}
+		ready := j.readyMilli(now)
+		total += ready
+		if !j.lasting {
+			squares += float64(ready) * float64(ready)
+		}
+	}
+	return total, math.Sqrt(squares)
+}
+
+// readyMilli is what a job's tasks that run or could run now take together.
+func (j *job) readyMilli(now time.Duration) int64 {
+	total := int64(0)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.ready(now) {
+				total += int64(s.open) * needOf(s).ProcessorsMilli
 			}
 		}
 	}
@@ -116,11 +131,13 @@
 // ahead notes what the pool can use now and returns what it will be able to use
 // when a host that is moved now has come, if it goes on growing as it did. What
 // falls is not foreseen: a host that leaves too early is dearer than one that
-// stays a moment too long.
-func (t *trend) ahead(milli int64, now time.Duration) int64 {
+// stays a moment too long. Growth within the noise is not followed: in the middle
+// of a rush, use goes up and down by chance, and each time it went up a third
+// more hosts than needed came and stayed.
+func (t *trend) ahead(milli int64, noise float64, now time.Duration) int64 {
 	t.samples = slices.DeleteFunc(t.samples, func(s sample) bool { return s.at < now-trendWindow })
 	t.samples = append(t.samples, sample{at: now, milli: milli})
-	growth := t.slope() * moveLead.Seconds()
+	growth := t.slope()*moveLead.Seconds() - growthNoise*noise
 	return milli + int64(max(0, growth))
 }
 
--- a/jaysched/vacate_test.go
+++ b/jaysched/vacate_test.go
@@ -101,10 +101,10 @@
 	t.Run("is what runs or could run now", func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 1)
-		is.Equal(w.pool.Demand(w.now).UrgentMilli, int64(0))
+		is.Equal(w.pool.Demand(w.now).NeedMilli, int64(0))
 		declare(w, newSpec("j", 2, func(s *jayspec.Step) { s.Tasks = 6 }))
 		w.pass(2 * time.Second)
-		is.Equal(w.pool.Demand(w.now).UrgentMilli, int64(6000))
+		is.Equal(w.pool.Demand(w.now).NeedMilli, int64(6000))
 	})
 	t.Run("runs ahead of a rush", func(t *testing.T) {
 		is := is.New(t)
@@ -116,12 +116,33 @@
 		}
 		// Two cores more every tenth of a second: twenty now, and 34 more when
 		// a host that is moved now has come.
-		between(t, time.Duration(w.pool.Demand(w.now).UrgentMilli), 45_000, 56_000)
+		between(t, time.Duration(w.pool.Demand(w.now).NeedMilli), 45_000, 56_000)
 		w.pass(2 * time.Second)
-		is.Equal(w.pool.Demand(w.now).UrgentMilli, int64(20_000))
+		is.Equal(w.pool.Demand(w.now).NeedMilli, int64(20_000))
 	})
 }
 
+func TestChanceIsNotTakenForGrowth(t *testing.T) {
+	// Symptom: in the middle of a rush a third of the hosts that are on run
+	// nothing.
+	// Sequence: jobs come and end one by one, so that the pool's use goes up and
+	// down; hosts are asked for each time it goes up.
+	// Cause: any growth was extrapolated.
+	is := is.New(t)
+	var steady trend
+	const noise = 20_000
+	for n, milli := range []int64{200_000, 206_000, 198_000, 204_000, 207_000} {
+		ahead := steady.ahead(milli, noise, time.Duration(n)*200*time.Millisecond)
+		is.Equal(ahead, milli)
+	}
+	var rush trend
+	ahead := int64(0)
+	for n, milli := range []int64{20_000, 40_000, 60_000, 80_000} {
+		ahead = rush.ahead(milli, noise, time.Duration(n)*200*time.Millisecond)
+	}
+	is.True(ahead > 200_000)
+}
+
 func TestWorkerThatFailsAllIsAvoided(t *testing.T) {
 	// Symptom: jobs fail although they could be done.
 	// Sequence: a worker fails whatever it starts, at once, and so has always
