Hosts are asked for by the work that comes and by what waits

Cause: at the beginning of a rush jobs find free room or are in their first step, so that the use of a pool says too little; in its middle use goes up and down by chance. Change: need is the largest of use and its growth beyond one standard deviation, use and the growth of what waits, and what the work that came lately will keep busy when a host that is moved now has come.

--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -2,23 +2,9 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
-const (
-	// trendWindow is over how long the growth of a pool's use is measured. A
-	// rush begins within a second.
-	trendWindow = 800 * time.Millisecond
-	// trendSamples is how many samples a slope needs.
-	trendSamples = 3
-	// growthNoise is how many standard deviations growth must exceed to count: what chance does in two cases of three.
-	growthNoise = 1
-	// moveLead is how long a host takes from the decision to its first run: the
-	// move, and the way of its report.
-	moveLead = 1700 * time.Millisecond
-)
-
 // Load is what one worker carries.
 type Load struct {
 	Worker    string
@@ -60,8 +46,14 @@
 
 // Demand returns what the pool needs now.
 func (p *Pool) Demand(now time.Duration) Demand {
-	milli, noise := p.parallelMilli(now)
-	d := Demand{NeedMilli: p.trend.ahead(milli, noise, now), SpareMilli: int64(noise)}
+	u := p.use(now)
+	spread := int64(math.Sqrt(u.variance))
+	// In the middle of a rush, use goes up and down by chance; each time it went
+	// up, a third more hosts than needed came. So only what exceeds chance counts,
+	// and what waits, which would not if there were enough hosts.
+	growth := max(p.waitingTrend.growth(u.waiting, now), p.trend.growth(u.milli, now)-spread)
+	need := max(u.milli+growth, p.offered.ahead(u.milli, now))
+	d := Demand{NeedMilli: need, SpareMilli: spread}
 	for _, w := range p.sorted {
 		if w.contact == connected && w.listed && !w.Draining {
 			d.Loads = append(d.Loads, p.load(w, now))
@@ -70,32 +62,43 @@
 	return d
 }
 
-// parallelMilli is what the tasks that run or could run now take together, and
-// by how much that differs from one moment to another because jobs come one by
-// one: the standard deviation of a sum of so many independent jobs.
-func (p *Pool) parallelMilli(now time.Duration) (total int64, noise float64) {
-	squares := 0.0
+// use is what the tasks that run or could run now take, in thousandths of a
+// core.
+type use struct {
+	milli int64
+	// waiting is the part of the tasks that do not run.
+	waiting int64
+	// variance is by how much the sum differs from one moment to another because
+	// jobs come one by one: that of a sum of so many independent jobs.
+	variance float64
+}
+
+func (p *Pool) use(now time.Duration) use {
+	var total use
 	for _, j := range p.open {
-		ready := j.readyMilli(now)
-		total += ready
+		milli, waiting := j.use(now)
+		total.milli += milli
+		total.waiting += waiting
 		if !j.lasting {
-			squares += float64(ready) * float64(ready)
+			total.variance += float64(milli) * float64(milli)
 		}
 	}
-	return total, math.Sqrt(squares)
+	return total
 }
 
-// readyMilli is what a job's tasks that run or could run now take together.
-func (j *job) readyMilli(now time.Duration) int64 {
-	total := int64(0)
+// use is what a job's tasks that run or could run now take, and the part of
+// those that do not run.
+func (j *job) use(now time.Duration) (milli, waiting int64) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if s.ready(now) {
-				total += int64(s.open) * needOf(s).ProcessorsMilli
+				need := needOf(s).ProcessorsMilli
+				milli += int64(s.open) * need
+				waiting += int64(s.waiting) * need
 			}
 		}
 	}
-	return total
+	return milli, waiting
 }
 
 func (p *Pool) load(w *worker, now time.Duration) Load {
@@ -118,47 +121,6 @@
 	return l
 }
 
-// trend foresees what a pool will be able to use.
-type trend struct {
-	samples []sample
-}
-
-type sample struct {
-	at    time.Duration
-	milli int64
-}
-
-// ahead notes what the pool can use now and returns what it will be able to use
-// when a host that is moved now has come, if it goes on growing as it did. What
-// falls is not foreseen: a host that leaves too early is dearer than one that
-// stays a moment too long. Growth within the noise is not followed: in the middle
-// of a rush, use goes up and down by chance, and each time it went up a third
-// more hosts than needed came and stayed.
-func (t *trend) ahead(milli int64, noise float64, now time.Duration) int64 {
-	t.samples = slices.DeleteFunc(t.samples, func(s sample) bool { return s.at < now-trendWindow })
-	t.samples = append(t.samples, sample{at: now, milli: milli})
-	growth := t.slope()*moveLead.Seconds() - growthNoise*noise
-	return milli + int64(max(0, growth))
-}
-
-// slope is the growth in thousandths of a core a second, by least squares.
-func (t *trend) slope() float64 {
-	n := float64(len(t.samples))
-	var x, y, xx, xy float64
-	for _, s := range t.samples {
-		at := (s.at - t.samples[0].at).Seconds()
-		x += at
-		y += float64(s.milli)
-		xx += at * at
-		xy += at * float64(s.milli)
-	}
-	spread := n*xx - x*x
-	if n < trendSamples || spread <= 0 {
-		return 0
-	}
-	return (n*xy - x*y) / spread
-}
-
 // SetVacating closes the workers named and opens all others again.
 func (p *Pool) SetVacating(orders []Vacate, now time.Duration) {
 	for _, w := range p.sorted {
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -101,8 +101,10 @@
 	// gone are lives that have ended, and until when their entries on the list
 	// are not believed.
 	gone map[string]time.Duration
-	// trend foresees the pool's use.
-	trend trend
+	// trend and offered foresee the pool's use.
+	trend        trend
+	waitingTrend trend
+	offered      offered
 	// vacatingUntil is when the orders to vacate workers expire.
 	vacatingUntil time.Duration
 	actions       []Action
@@ -206,17 +208,20 @@
 	if _, known := p.jobs[spec.ID]; known {
 		return false
 	}
-	p.add(newJob(spec, now, p.dueAt))
+	j := newJob(spec, now, p.dueAt)
+	p.offer(spec, p.add(j), now)
 	return true
 }
 
-func (p *Pool) add(j *job) {
+// add takes a job in and returns how long it takes on its own.
+func (p *Pool) add(j *job) (chain time.Duration) {
 	p.jobs[j.spec.ID] = j
 	policy := p.policy(j)
 	j.advised, j.priority = policy.Advised, policy.Priority
-	chain := j.spec.LongestChain(func(n int) time.Duration { return p.times.of(j.spec.Queue, j.spec.Steps[n].Estimate) })
+	chain = j.spec.LongestChain(func(n int) time.Duration { return p.times.of(j.spec.Queue, j.spec.Steps[n].Estimate) })
 	j.target = j.since + time.Duration(policy.Stretch*float64(chain)) + policy.Objective
 	p.enqueue(j)
+	return chain
 }
 
 // Cancel ends a job; known is false if the pool has no such job. A job that
