A slow store gets each append once; owners that refuse are not gone around

Cause: with appends of 300 ms an owner sent its first one six times, directly and through peers, before an answer could come, and then turned jobs away; each entry that was asked tried an append of its own.

--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -89,8 +89,8 @@
 		return jayverdict.NewNotRun(statusBadRequest, err.Error(), 0)
 	}
 	until := i.node.clock() + deadline
-	outcome := i.storeAtOwner(job.Pool, job.ID, value, deadline)
-	if outcome == nil || i.node.clock() >= until || i.storeAway() {
+	outcome, final := i.storeAtOwner(job.Pool, job.ID, value, deadline)
+	if final || i.node.clock() >= until || i.storeAway() {
 		return submitError(outcome)
 	}
 	own := i.store(job.Pool, job.ID, value, until-i.node.clock())
@@ -103,13 +103,18 @@
 
 // storeAtOwner asks the owner of a pool to store a job. Its errors are
 // jayport.ErrNotDone and jayport.ErrNoAnswer.
-func (i *intake) storeAtOwner(pool, id string, value []byte, deadline time.Duration) error {
+//
+// The outcome is final if this entry should not try an append of its own. An
+// owner that turns a job away while it has word from the store does so because
+// the store is slow: appends of all entries beside the owner's would have the
+// partition, which takes them one by one, turn all of them away.
+func (i *intake) storeAtOwner(pool, id string, value []byte, deadline time.Duration) (err error, final bool) {
 	c, owned := i.node.owners.of(jayowner.PoolDuty(pool))
 	if !owned {
-		return jayport.ErrNotDone
+		return jayport.ErrNotDone, false
 	}
 	if c.Incarnation == i.node.incarnation {
-		return i.store(pool, id, value, deadline)
+		return i.store(pool, id, value, deadline), true
 	}
 	// Half of the time is left for an append of this entry's own.
 	request := &jaywire.StoreJob{Pool: pool, Job: id, Declaration: value, TimeoutMillis: (deadline / 2).Milliseconds()}
@@ -117,12 +122,13 @@
 	i.node.liveness.pinged(c.Incarnation, err)
 	switch {
 	case errors.Is(err, jaypeer.ErrGone):
-		return jayport.ErrNotDone
+		return jayport.ErrNotDone, false
 	case err != nil:
-		return jayport.ErrNoAnswer
-	default:
-		return jayrelay.ErrorOf(&jaywire.StoreResult{Outcome: response.GetJobStored().GetOutcome()})
+		return jayport.ErrNoAnswer, false
 	}
+	stored := response.GetJobStored()
+	err = jayrelay.ErrorOf(&jaywire.StoreResult{Outcome: stored.GetOutcome()})
+	return err, err == nil || !stored.GetStoreAway()
 }
 
 // store appends a job and hands it to the pool's duty, if it is here. Its errors
@@ -208,7 +214,7 @@
 // storeFor stores a job for a peer.
 func (i *intake) storeFor(ask *jaywire.StoreJob) *jaywire.JobStored {
 	err := i.store(ask.Pool, ask.Job, ask.Declaration, millis(ask.TimeoutMillis))
-	return &jaywire.JobStored{Outcome: jayrelay.OutcomeOf(err)}
+	return &jaywire.JobStored{Outcome: jayrelay.OutcomeOf(err), StoreAway: i.storeAway()}
 }
 
 // storeJobTimeout bounds a question to an owner to store a job.
--- a/jayrelay/relay.go
+++ b/jayrelay/relay.go
@@ -160,7 +160,9 @@
 var errHung = fmt.Errorf("%w: sent before the store came back", jayport.ErrNoAnswer)
 
 // attempt makes a call directly, unless direct calls keep failing, and then
-// through peers. Repeatable calls may be made again after an answer was lost.
+// through peers. Repeatable calls may be made again after an answer was lost. A
+// first answer that is missing is no reason to ask peers: the store may have
+// become slow, and would get the call three times.
 func attempt[T any](s *Store, repeatable bool, direct func() (T, error), carried func(peer string) (T, error)) (T, error) {
 	var none T
 	var err error
@@ -170,7 +172,7 @@
 		if s.noteDirect(err) {
 			return got, err
 		}
-		if errors.Is(err, jayport.ErrNoAnswer) && !repeatable {
+		if errors.Is(err, jayport.ErrNoAnswer) && (!repeatable || s.Direct()) {
 			return none, err
 		}
 	}
