--- a/jayfleet/fleet_test.go
+++ b/jayfleet/fleet_test.go
@@ -30,6 +30,10 @@
 	longRuns map[string]int
 	// back is when a host is up again, and in which pool.
 	back map[string]comeback
+	// evictEvery is how often a closed host loses its runs that last; zero is
+	// never. evictedAt is when one did last.
+	evictEvery time.Duration
+	evictedAt  time.Duration
 	// answer is what the inventory answers to an act.
 	answer func(Action) error
 	moves  []MoveHost
@@ -90,12 +94,30 @@
 		}
 	}
 	w.fleet.Listed(list, w.now)
+	w.evict()
 	w.tellDemands()
 	for _, a := range w.fleet.Decide(w.now) {
 		w.perform(a)
 	}
 }
 
+// evict moves the runs that last off one closed host, at most every so often: a
+// step can miss few of its tasks at once.
+func (w *world) evict() {
+	if w.evictEvery == 0 || w.now-w.evictedAt < w.evictEvery {
+		return
+	}
+	closed := w.fleet.Vacating("seats")
+	for _, name := range w.names {
+		id := w.hosts[name].Worker
+		if _, vacating := closed[id]; vacating && w.longRuns[id] > 0 {
+			w.runs[id], w.longRuns[id] = 0, 0
+			w.evictedAt = w.now
+			return
+		}
+	}
+}
+
 // tellDemands answers for the pools' owners: an emptied worker is vacated as
 // soon as nothing runs there.
 func (w *world) tellDemands() {
@@ -343,6 +365,23 @@
 		w.steps(22 * time.Second)
 		is.Equal(len(w.fleet.waves["1"].maintained), 16)
 	})
+	t.Run("hosts with runs that last are emptied from the start", func(t *testing.T) {
+		// Symptom: the last hosts of a wave are maintained after its time.
+		// Sequence: hosts that are off are maintained first and take all of the
+		// wave's pace; then all hosts with runs that last are emptied together.
+		// Cause: a step can miss few of its tasks at once, so that its hosts are
+		// emptied one after the other, however many are to be emptied.
+		is := is.New(t)
+		w := newWorld(t, map[string]int{"seats": 9, "standby": 120})
+		for _, name := range w.names[:9] {
+			w.runs[w.hosts[name].Worker], w.longRuns[w.hosts[name].Worker] = 1, 1
+		}
+		w.wanted["seats"] = 9 * hostMilli
+		w.evictEvery = 2400 * time.Millisecond
+		w.fleet.Declared(wave(w.names, 25*time.Second, 30), w.now, nil, false)
+		w.steps(25 * time.Second)
+		is.Equal(len(w.fleet.waves["1"].maintained), 129)
+	})
 	t.Run("an emptied host is urgent once the wave is late", func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, map[string]int{"seats": 1, "standby": 1})
--- a/jayfleet/waves.go
+++ b/jayfleet/waves.go
@@ -88,28 +88,50 @@
 	}
 	late := f.late(w, len(left), now)
 	f.order(left, now)
-	room := w.atOnce(len(left), f.roundTime(), now) - down
-	for _, h := range left {
-		if room <= 0 {
+	lasting := f.lasting(left)
+	room := w.MaxAtOnce - down
+	room -= f.maintain(w, lasting, min(room, w.atOnce(len(lasting), f.roundTime(), now)), late, now)
+	if f.lacking && !late {
+		return
+	}
+	f.maintain(w, left, min(room, w.atOnce(len(left), f.roundTime(), now)-down), late, now)
+}
+
+// lasting returns the hosts that can only be emptied slowly: they carry runs that
+// last, or are being emptied already. A step can miss few of its tasks at once,
+// so that its hosts are emptied one after the other, and must be from the start.
+func (f *Fleet) lasting(hosts []*host) []*host {
+	var lasting []*host
+	for _, h := range hosts {
+		if l, known := f.load(h); h.vacating == forWave || known && l.LongRuns > 0 {
+			lasting = append(lasting, h)
+		}
+	}
+	return lasting
+}
+
+// maintain begins maintenance of hosts that are empty and empties others, up to
+// a number, and returns how many it took.
+func (f *Fleet) maintain(w *wave, hosts []*host, room int, late bool, now time.Duration) (taken int) {
+	for _, h := range hosts {
+		if taken >= room {
 			break
 		}
 		if h.act != nil || h.State != jayport.HostUp || f.held(h, now) {
 			continue
 		}
-		if f.lacking && !late && h.vacating != forWave {
-			continue
-		}
 		if f.empty(h, now) {
 			f.begin(h, maintaining{wave: w.Name}, "wave", now)
-			room--
+			taken++
 			continue
 		}
 		if f.mayVacate(h, late) {
 			h.vacating = forWave
 			h.urgent = late
-			room--
+			taken++
 		}
 	}
+	return taken
 }
 
 // paceShare is in which share of its time a wave is to be done if nothing comes
