Rack-local steps run on one rack where it has room

Cause: the rack was no part of the choice of a worker, so that the tasks of a rack-local step were spread and all of them slow. Change: the rack of the tasks that run already, or else the one with room for most.

--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -94,6 +94,8 @@
 	// next are the steps that wait for this one.
 	next  []*step
 	tasks []*task
+	// rack is where a rack-local step runs.
+	rack string
 	// gangRun is the number of the gang's latest run.
 	gangRun int64
 	// placed counts the present runs of the step's tasks on each worker.
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -42,6 +42,9 @@
 	if s.job.advised {
 		p.seekAdvice(s, now)
 	}
+	if s.decl.RackLocal {
+		s.rack = p.rackFor(s, now)
+	}
 	if s.decl.Gang {
 		p.placeGang(s, held, now)
 		return
@@ -151,12 +154,13 @@
 }
 
 // better reports whether a suits a task better than b: where it did not fail,
-// near its data, on a worker that is well, and where the least room is left,
+// near its data, beside the tasks that it must be near, on a worker that is well, and where the least room is left,
 // so that other workers stay empty.
 func (p *Pool) better(t *task, a, b *worker) bool {
 	return cmp.Or(
 		compareBool(slices.Contains(t.failedOn, a.ID), slices.Contains(t.failedOn, b.ID)),
 		compareBool(far(t.step, a), far(t.step, b)),
+		compareBool(offRack(t.step, a), offRack(t.step, b)),
 		compareBool(a.health.onTrial(), b.health.onTrial()),
 		cmp.Compare(a.free.ProcessorsMilli, b.free.ProcessorsMilli),
 	) < 0
