--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -14,9 +14,13 @@
 	// idle before it is turned off: a move each way costs as much as this time.
 	idleBeforeStandby = 1200 * time.Millisecond
 	// surplusBeforeStandby is the same for hosts beyond what the pool may need
-	// by chance: after a rush none of them is needed again. It is a little more
-	// than a worker waits between two tasks of one job.
+	// by chance, while many hosts are off: after a rush none of them is needed
+	// again. It is a little more than a worker waits between two tasks of one job.
 	surplusBeforeStandby = 200 * time.Millisecond
+	// amplyOff is the share of all hosts that are then off: what the next rush
+	// takes in its first seconds. With fewer, a host that goes off as the rush
+	// begins comes a move later than one that stayed.
+	amplyOff = 1.0 / 3
 	// soonEmpty is how soon a busy host must become empty to be taken for a
 	// pool that needs it more, and reclaimPatience how long it may take in fact.
 	soonEmpty       = 800 * time.Millisecond
@@ -51,7 +55,7 @@
 		f.fill(s, &free, standings, now)
 		f.lacking = f.lacking || s.have+reserveHosts < s.need
 	}
-	f.turnOff(standings, now)
+	f.turnOff(standings, float64(len(free)) >= amplyOff*float64(len(f.hosts)), now)
 }
 
 // free returns the hosts that are off and may be moved.
@@ -146,7 +150,7 @@
 }
 
 // turnOff moves hosts to standby that their pool does not need.
-func (f *Fleet) turnOff(standings []*standing, now time.Duration) {
+func (f *Fleet) turnOff(standings []*standing, ample bool, now time.Duration) {
 	target := f.standbyPool()
 	if target == "" {
 		return
@@ -154,7 +158,7 @@
 	for _, s := range standings {
 		for _, h := range slices.Clone(s.idle) {
 			l, _ := f.load(h)
-			if s.have <= s.need || l.Idle < s.idleBefore() {
+			if s.have <= s.need || l.Idle < s.idleBefore(ample) {
 				break
 			}
 			s.drop(h)
@@ -164,9 +168,10 @@
 	}
 }
 
-// idleBefore is for how long a host must have been idle before it is turned off.
-func (s *standing) idleBefore() time.Duration {
-	if s.have > s.keep {
+// idleBefore is for how long a host must have been idle before it is turned off;
+// ample says that many are off already.
+func (s *standing) idleBefore(ample bool) time.Duration {
+	if ample && s.have > s.keep {
 		return surplusBeforeStandby
 	}
 	return idleBeforeStandby
--- a/jayfleet/fleet_test.go
+++ b/jayfleet/fleet_test.go
@@ -208,8 +208,7 @@
 		// Sequence: the rush ends, hosts become empty one by one.
 		// Cause: each was kept for as long as one that may be needed again.
 		is := is.New(t)
-		w := newWorld(t, map[string]int{"seats": 20})
-		w.fleet.SetPools([]string{"fees", "seats"}, []string{"standby"})
+		w := newWorld(t, map[string]int{"seats": 20, "standby": 20})
 		w.wanted["seats"], w.spare["seats"] = 5*hostMilli, 4*hostMilli
 		w.idle = 300 * time.Millisecond
 		w.steps(3 * time.Second)
@@ -218,6 +217,21 @@
 		w.steps(3 * time.Second)
 		is.Equal(w.in("seats"), 6)
 	})
+	t.Run("not at once while few are off", func(t *testing.T) {
+		// Symptom: a rush gets its hosts three seconds after it has begun.
+		// Sequence: all entries come back; a pool has hosts left that it does not
+		// need, and they are turned off; a moment later another pool's rush begins.
+		// Cause: a host on its way to standby can be moved again only when it has
+		// arrived there.
+		is := is.New(t)
+		w := newWorld(t, map[string]int{"seats": 20, "fees": 2, "standby": 5})
+		w.wanted["seats"], w.wanted["fees"] = 2*hostMilli, hostMilli
+		w.idle = 300 * time.Millisecond
+		w.steps(500 * time.Millisecond)
+		w.wanted["fees"] = 20 * hostMilli
+		w.steps(2 * time.Second)
+		is.True(w.in("fees") >= 20)
+	})
 	t.Run("busy hosts stay", func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, map[string]int{"seats": 1, "fees": 3})
