--- a/jaysoak/soak_test.go
+++ b/jaysoak/soak_test.go
@@ -33,6 +33,8 @@
 var regressions = []uint64{
 	// A stop waited for long reads of the store.
 	42,
+	// Two processes of the installation had one port.
+	166744,
 }
 
 // soak is one run: an installation, its faults and its callers.
