--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -18,9 +18,12 @@
 	// again. It is a little more than a worker waits between two tasks of one job.
 	surplusBeforeStandby = 200 * time.Millisecond
 	// amplyOff is the share of all hosts that are then off: what the next rush
-	// takes in its first seconds. With fewer, a host that goes off as the rush
+	// takes in its first second. With fewer, a host that goes off as the rush
 	// begins comes a move later than one that stayed.
-	amplyOff = 1.0 / 3
+	amplyOff = 1.0 / 5
+	// newOwner is after a takeover until when no host goes off at once: after a
+	// loss of all entries the pools learn only then what has been handed in.
+	newOwner = 3 * time.Second
 	// soonEmpty is how soon a busy host must become empty to be taken for a
 	// pool that needs it more, and reclaimPatience how long it may take in fact.
 	soonEmpty       = 800 * time.Millisecond
@@ -55,7 +58,12 @@
 		f.fill(s, &free, standings, now)
 		f.lacking = f.lacking || s.have+reserveHosts < s.need
 	}
-	f.turnOff(standings, float64(len(free)) >= amplyOff*float64(len(f.hosts)), now)
+	f.turnOff(standings, f.amply(len(free), now), now)
+}
+
+// amply reports whether so many hosts are off that others may follow at once.
+func (f *Fleet) amply(off int, now time.Duration) bool {
+	return now-f.since > newOwner && float64(off) >= amplyOff*float64(len(f.hosts))
 }
 
 // free returns the hosts that are off and may be moved.
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -90,6 +90,8 @@
 	settings Settings
 	hosts    map[string]*host
 	sorted   []*host
+	// since is when this owner first decided.
+	since time.Duration
 	// listedAt is when the present list of hosts was asked for.
 	listedAt time.Duration
 	standby  map[string]bool
@@ -277,6 +279,9 @@
 // Decide returns what is to be done now.
 func (f *Fleet) Decide(now time.Duration) []Action {
 	f.actions = nil
+	if f.since == 0 {
+		f.since = now
+	}
 	if f.listedAt > 0 {
 		f.resend(now)
 		f.finishMoves(now)
--- a/jayfleet/fleet_test.go
+++ b/jayfleet/fleet_test.go
@@ -212,6 +212,8 @@
 		w.wanted["seats"], w.spare["seats"] = 5*hostMilli, 4*hostMilli
 		w.idle = 300 * time.Millisecond
 		w.steps(3 * time.Second)
+		is.Equal(w.in("seats"), 20) // a new owner waits
+		w.steps(3 * time.Second)
 		is.Equal(w.in("seats"), 10)
 		w.idle = 1300 * time.Millisecond
 		w.steps(3 * time.Second)
