Repeats of stored jobs need no append; a slow store has time to take a job

Change: a job that the owner knows is answered at once; the owner gets 70 % of the caller's time, 2.2 s at most.

--- a/jaynode/expire.go
+++ b/jaynode/expire.go
@@ -39,7 +39,7 @@
 		} else {
 			d.logger.Info("ended jobs removed", "jobs", len(ids), "first", ids[0])
 		}
-		d.post(func(time.Duration) { d.pool.Removed(ids, err == nil) })
+		d.post(func(time.Duration) { d.forget(ids, err == nil) })
 	}
 	declarations := d.node.intake.journals[d.node.partitionOf(d.name)]
 	add(declarations, removals, func(err error) {
@@ -51,6 +51,17 @@
 	})
 }
 
+// forget drops jobs whose records were removed.
+func (d *poolDuty) forget(ids []string, removed bool) {
+	d.pool.Removed(ids, removed)
+	if !removed {
+		return
+	}
+	for _, id := range ids {
+		d.known.Delete(id)
+	}
+}
+
 // add hands records to a journal; a journal that takes none answers at once.
 func add(j *jayjournal.Journal, records []jayport.Record, done func(error)) {
 	if err := j.Add(jayjournal.NewEntry(records, done)); err != nil {
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -121,8 +121,9 @@
 		// the question times out; the job is stored as well without it.
 		return false, jayport.ErrNotDone
 	}
-	// Half of the time is left for an append of this entry's own.
-	request := &jaywire.StoreJob{Pool: pool, Job: id, Declaration: value, TimeoutMillis: (deadline / 2).Milliseconds()}
+	// Some time is left for an append of this entry's own.
+	patience := min(deadline*ownerShare/100, storeJobTimeout)
+	request := &jaywire.StoreJob{Pool: pool, Job: id, Declaration: value, TimeoutMillis: patience.Milliseconds()}
 	response, err := i.link.Ask(c.Incarnation, c.PeerAddr, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_StoreJob{StoreJob: request}})
 	i.node.liveness.pinged(c.Incarnation, err)
 	switch {
@@ -143,15 +144,17 @@
 // while appends go on: jobs that were accepted then began only when it had timed
 // out.
 func (i *intake) store(pool, id string, value []byte, timeout time.Duration) error {
+	if i.node.knows(pool, id) {
+		// A job that the owner knows is stored: this is a repeat of a request that
+		// was accepted, or whose answer was lost. While the store takes no append,
+		// refusing it would say that the job never runs; while it is slow, each
+		// append more makes it slower.
+		return nil
+	}
 	err := i.append(pool, id, value, timeout)
 	if err == nil {
 		i.node.declareStored(pool, id, value)
 	}
-	if errors.Is(err, jayport.ErrNotDone) && i.node.knows(pool, id) {
-		// A job that the owner knows is stored: this is a repeat of a request that
-		// was accepted, and refusing it would say that the job never runs.
-		return nil
-	}
 	return err
 }
 
@@ -222,8 +225,13 @@
 	return &jaywire.JobStored{Outcome: jayrelay.OutcomeOf(err), StoreAway: i.storeAway()}
 }
 
-// storeJobTimeout bounds a question to an owner to store a job.
-const storeJobTimeout = 1500 * time.Millisecond
+const (
+	// storeJobTimeout bounds a question to an owner to store a job. With a store
+	// that takes 600 ms for an append, a job waits for the append before its own.
+	storeJobTimeout = 2200 * time.Millisecond
+	// ownerShare is the share of a caller's time, in percent, that the owner gets.
+	ownerShare = 70
+)
 
 func submitError(err error) error {
 	switch {
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,6 +60,8 @@
 	inbox  *jayring.Ring[event]
 	// loaded says that the jobs and their progress are known.
 	loaded atomic.Bool
+	// known are the IDs of the jobs that stand in the store.
+	known sync.Map
 	// crowded says that tasks wait for room.
 	crowded atomic.Bool
 
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -198,6 +198,7 @@
 // stays as it is.
 func (d *poolDuty) declare(job *jayspec.Job, how string) {
 	d.post(func(now time.Duration) {
+		d.known.Store(job.ID, true)
 		if d.pool.Declare(job, now) {
 			d.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "steps", job.Summary(), "how", how)
 		}
@@ -226,14 +227,14 @@
 	if duty == nil || !duty.loaded.Load() {
 		return false
 	}
-	known := false
-	asked := duty.ask(func() { _, known = duty.pool.StateOf(id, n.clock()) }, askTimeout)
-	return asked && known
+	_, known := duty.known.Load(id)
+	return known
 }
 
 func (t *jobTail) restore(job *jayspec.Job) {
 	pool, now := t.duty.pool, t.duty.node.clock()
 	progress := t.progress[job.ID]
+	t.duty.known.Store(job.ID, true)
 	if outcome := jaysched.OutcomeOf(progress); outcome != jaysched.Open {
 		pool.RestoreEnded(job.ID, outcome, now)
 		return
@@ -250,6 +251,7 @@
 	for id, progress := range t.progress {
 		if outcome := jaysched.OutcomeOf(progress); outcome != jaysched.Open {
 			t.duty.pool.RestoreEnded(id, outcome, now)
+			t.duty.known.Store(id, true)
 			t.ended++
 		}
 	}
