--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -98,7 +98,7 @@
 	working  map[string]bool
 	demands  map[string]Demand
 	waves    map[string]*wave
-	// lacking says that some pool has fewer hosts than its urgent work needs.
+	// lacking says that some pool has fewer hosts than it can use soon.
 	lacking bool
 	actions []Action
 	notes   []Note
--- a/jayjournal/journal.go
+++ b/jayjournal/journal.go
@@ -23,8 +23,8 @@
 	// maxBatchRecords bounds the records of one append.
 	maxBatchRecords = 1000
 	// firstTimeout is how long the first sending of an append waits for its
-	// answer. An append that is not held up is answered within 20 ms, and one of
-	// a store that has become slow within some 300 ms; sent again by then, it
+	// answer. An append that is not held up is answered within 20 ms, one of a
+	// store that has become slow within 300 to 600 ms; sent again before, it
 	// would take the partition's time once more.
 	firstTimeout = 400 * time.Millisecond
 	// latencyMargin times the store's present latency is the least timeout: a
