An owner of the fleet that was replaced acts no more where fences are not checked

The setting for checked fences was not read. Change: jayfleet.Guard; acts recorded first where fences are not checked; hosts held by the actor's clock, as long as needed; a refused fence ends the duty; calls that were given up are dropped, not sent on. Ruled out: equal fences, stale acts, the new owner's wait.

--- a/jaycli/serve_jobs.go
+++ b/jaycli/serve_jobs.go
@@ -48,6 +48,7 @@
 		MoveTime:        time.Duration(s.MoveTime),
 		MaintenanceTime: time.Duration(s.MaintenanceTime),
 		HolderTime:      time.Duration(s.HolderTime),
+		FencesChecked:   s.FencesChecked,
 		RetainEnded:     time.Duration(s.RetainEnded),
 	}, jaynode.Ports{
 		Store:     platform.NewStore(s.StoreAddr),
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -13,10 +13,9 @@
 	// MoveTime and MaintenanceTime are how long a host is away for them.
 	MoveTime        time.Duration
 	MaintenanceTime time.Duration
-	// HeldUntil is the clock until which this owner keeps off the hosts that
-	// the owner before it has just acted on; Held names them.
-	HeldUntil time.Duration
-	Held      map[string]bool
+	// HeldUntil is until when this owner keeps off hosts that the owners before
+	// it have just acted on, by the hosts' names.
+	HeldUntil map[string]time.Duration
 }
 
 // Action is what the fleet's owner is to do: MoveHost, MaintainHost or
@@ -294,7 +293,7 @@
 // held reports whether a host must be left alone: two owners that act on one
 // host shortly after one another could undo what the other has begun.
 func (f *Fleet) held(h *host, now time.Duration) bool {
-	return now < f.settings.HeldUntil && f.settings.Held[h.Name]
+	return now < f.settings.HeldUntil[h.Name]
 }
 
 // resendAfter is before an act without an answer is asked for again.
--- a/jayfleet/fleet_test.go
+++ b/jayfleet/fleet_test.go
@@ -251,8 +251,7 @@
 		// Cause: it did not know of the act before.
 		is := is.New(t)
 		w := newWorld(t, map[string]int{"seats": 1, "standby": 3})
-		w.fleet.settings.HeldUntil = w.now + time.Second
-		w.fleet.settings.Held = map[string]bool{"m1": true, "m2": true}
+		w.fleet.settings.HeldUntil = map[string]time.Duration{"m1": w.now + time.Second, "m2": w.now + time.Second}
 		w.wanted["seats"] = 3 * hostMilli
 		w.steps(900 * time.Millisecond)
 		is.Equal(len(w.moves), 1)
--- /dev/null
+++ b/jaynode/fakes_test.go
@@ -0,0 +1,324 @@
+package jaynode
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"jaythread/jaycatalog"
+	"jaythread/jayclock"
+	"jaythread/jayowner"
+	"jaythread/jayport"
+)
+
+// errCut is what a call comes to whose way is cut.
+var errCut = fmt.Errorf("%w: cut", jayport.ErrNoAnswer)
+
+// sharedStore is the platform's store as all entries of a test see it: it takes
+// numbered appends once, in the order of their epochs.
+type sharedStore struct {
+	mu         sync.Mutex
+	partitions map[jayport.Partition]*sharedPartition
+}
+
+type sharedPartition struct {
+	records   []jayport.Record
+	producers map[string]jayport.Producer
+}
+
+func newSharedStore() *sharedStore {
+	return &sharedStore{partitions: map[jayport.Partition]*sharedPartition{}}
+}
+
+// at returns a partition. The lock is held.
+func (s *sharedStore) at(p jayport.Partition) *sharedPartition {
+	if s.partitions[p] == nil {
+		s.partitions[p] = &sharedPartition{producers: map[string]jayport.Producer{}}
+	}
+	return s.partitions[p]
+}
+
+func (s *sharedStore) append(a jayport.Append) (jayport.Appended, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.at(a.Partition)
+	end := int64(len(p.records))
+	if a.AsOf != jayport.AnyOffset && a.AsOf != end {
+		return jayport.Appended{}, &jayport.StaleError{End: end}
+	}
+	if a.Producer != nil {
+		last := p.producers[a.Producer.Name]
+		switch {
+		case a.Producer.Epoch < last.Epoch:
+			return jayport.Appended{}, &jayport.FencedError{}
+		case a.Producer.Epoch > last.Epoch:
+			last = jayport.Producer{Epoch: a.Producer.Epoch, Sequence: a.Producer.Sequence - 1}
+		case len(a.Records) > 0 && a.Producer.Sequence <= last.Sequence:
+			return jayport.Appended{First: end, End: end}, nil // taken before
+		}
+		if len(a.Records) > 0 {
+			last.Sequence = a.Producer.Sequence
+		}
+		p.producers[a.Producer.Name] = last
+	}
+	for _, r := range a.Records {
+		r.Offset = int64(len(p.records))
+		p.records = append(p.records, r)
+	}
+	return jayport.Appended{First: end, End: int64(len(p.records))}, nil
+}
+
+func (s *sharedStore) read(p jayport.Partition, from int64) jayport.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records := s.at(p).records
+	end := int64(len(records))
+	return jayport.Page{Records: slices.Clone(records[min(from, end):]), Next: end, End: end}
+}
+
+func (s *sharedStore) latest(p jayport.Partition, after string) jayport.Latest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := map[string]jayport.Record{}
+	for _, r := range s.at(p).records {
+		if newest[r.Key] = r; r.Value == nil {
+			delete(newest, r.Key)
+		}
+	}
+	latest := jayport.Latest{End: int64(len(s.at(p).records))}
+	for _, key := range slices.Sorted(maps.Keys(newest)) {
+		if key > after {
+			latest.Records = append(latest.Records, newest[key])
+		}
+	}
+	return latest
+}
+
+// storeWay is one entry's way to the store, with what goes wrong on it.
+type storeWay struct {
+	store *sharedStore
+
+	mu sync.Mutex
+	// cut keeps calls from arriving, deaf answers from coming back.
+	cut, deaf bool
+	// refuse turns all calls away.
+	refuse bool
+	// delay is before an append takes effect, lag before its answer comes.
+	delay, lag time.Duration
+	appends    int
+}
+
+func (w *storeWay) set(change func(*storeWay)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change(w)
+}
+
+func (w *storeWay) look() (cut, deaf, refuse bool, delay, lag time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut, w.deaf, w.refuse, w.delay, w.lag
+}
+
+// call makes a call, with what goes wrong on its way.
+func call[T any](w *storeWay, timeout time.Duration, do func() (T, error)) (T, error) {
+	var none T
+	cut, deaf, refuse, delay, lag := w.look()
+	switch {
+	case refuse:
+		return none, fmt.Errorf("%w: test", jayport.ErrNotDone)
+	case cut:
+		time.Sleep(timeout)
+		return none, errCut
+	case delay > 0:
+		time.Sleep(delay)
+	}
+	got, err := do()
+	switch {
+	case deaf, delay+lag > timeout:
+		time.Sleep(max(timeout-delay, time.Millisecond))
+		return none, errCut
+	case lag > 0:
+		time.Sleep(lag)
+	}
+	return got, err
+}
+
+// Append adds records.
+func (w *storeWay) Append(a jayport.Append, timeout time.Duration) (jayport.Appended, error) {
+	w.set(func(w *storeWay) { w.appends++ })
+	return call(w, timeout, func() (jayport.Appended, error) { return w.store.append(a) })
+}
+
+// Read returns records from an offset on. It waits if there are none.
+func (w *storeWay) Read(p jayport.Partition, from int64, wait, timeout time.Duration) (jayport.Page, error) {
+	return call(w, timeout, func() (jayport.Page, error) {
+		page := w.store.read(p, from)
+		if len(page.Records) == 0 && wait > 0 {
+			time.Sleep(wait)
+			page = w.store.read(p, from)
+		}
+		return page, nil
+	})
+}
+
+// Latest returns the newest records.
+func (w *storeWay) Latest(p jayport.Partition, after string, timeout time.Duration) (jayport.Latest, error) {
+	return call(w, timeout, func() (jayport.Latest, error) { return w.store.latest(p, after), nil })
+}
+
+// sentAct is an act that reached the inventory.
+type sentAct struct {
+	host  string
+	fence int64
+	at    time.Duration
+}
+
+// sharedHosts is the inventory as all entries of a test see it. It carries out
+// whatever it is told, whatever the fence.
+type sharedHosts struct {
+	mu    sync.Mutex
+	hosts map[string]jayport.Host
+	acts  []sentAct
+	clock jayclock.Clock
+	// lives counts the workers.
+	lives int
+}
+
+func newSharedHosts(clock jayclock.Clock, pools map[string]int) *sharedHosts {
+	s := &sharedHosts{hosts: map[string]jayport.Host{}, clock: clock}
+	for _, pool := range slices.Sorted(maps.Keys(pools)) {
+		for range pools[pool] {
+			name := fmt.Sprint("m", len(s.hosts))
+			s.hosts[name] = jayport.Host{Name: name, Pool: pool, State: jayport.HostUp}
+		}
+	}
+	return s
+}
+
+func (s *sharedHosts) act(host, pool string, fence int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acts = append(s.acts, sentAct{host: host, fence: fence, at: s.clock()})
+	h := s.hosts[host]
+	if pool != "" {
+		h.Pool = pool
+	}
+	s.hosts[host] = h
+}
+
+// sent returns what has arrived so far.
+func (s *sharedHosts) sent() []sentAct {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.acts)
+}
+
+// hostsWay is one entry's way to the inventory.
+type hostsWay struct {
+	hosts *sharedHosts
+	// late is how long an act is under way.
+	late time.Duration
+}
+
+// slow makes acts arrive late from now on.
+func (w *hostsWay) slow(late time.Duration) {
+	w.hosts.mu.Lock()
+	defer w.hosts.mu.Unlock()
+	w.late = late
+}
+
+func (w *hostsWay) delay() time.Duration {
+	w.hosts.mu.Lock()
+	defer w.hosts.mu.Unlock()
+	return w.late
+}
+
+// Hosts returns the whole list.
+func (w *hostsWay) Hosts(time.Duration) ([]jayport.Host, error) {
+	w.hosts.mu.Lock()
+	defer w.hosts.mu.Unlock()
+	return slices.Collect(maps.Values(w.hosts.hosts)), nil
+}
+
+// Move brings a host up in another pool.
+func (w *hostsWay) Move(host, pool string, lease jayport.Lease, timeout time.Duration) error {
+	return w.act(host, pool, lease, timeout)
+}
+
+// Maintain maintains a host.
+func (w *hostsWay) Maintain(host, _ string, lease jayport.Lease, timeout time.Duration) error {
+	return w.act(host, "", lease, timeout)
+}
+
+func (w *hostsWay) act(host, pool string, lease jayport.Lease, timeout time.Duration) error {
+	late := w.delay()
+	time.Sleep(min(late, timeout))
+	w.hosts.act(host, pool, lease.Fence)
+	if late >= timeout {
+		return errCut
+	}
+	return nil
+}
+
+// testFormats are the partitions of a test.
+type testFormats struct{ jayport.Formats }
+
+// OwnPartitions is how many partitions each topic has.
+func (testFormats) OwnPartitions() int { return 1 }
+
+// Own is a partition of the program's own.
+func (testFormats) Own(topic string, number int) jayport.Partition {
+	return jayport.Partition{Topic: topic, Number: number}
+}
+
+// WaveStatus is what operators are told of a wave.
+func (testFormats) WaveStatus(wave string, done bool) (jayport.Partition, jayport.Record) {
+	return jayport.Partition{Topic: "status"}, jayport.Record{Key: wave, Value: []byte(fmt.Sprint(done))}
+}
+
+// testEntry is an entry whose duties a test runs one by one.
+type testEntry struct {
+	node  *Node
+	store *storeWay
+	hosts *hostsWay
+}
+
+// newTestEntry returns an entry that shares a store and an inventory with others.
+// It is not started: nothing of it runs but what the test runs.
+func newTestEntry(t *testing.T, name string, store *sharedStore, hosts *sharedHosts, clock jayclock.Clock) *testEntry {
+	t.Helper()
+	e := &testEntry{store: &storeWay{store: store}, hosts: &hostsWay{hosts: hosts}}
+	e.node = New(Settings{
+		Entry: name, PeerAddr: "127.0.0.1:1", MoveTime: time.Second, MaintenanceTime: time.Second,
+		HolderTime: 3 * time.Second, MaxLease: 10 * time.Second, StopTime: 200 * time.Millisecond,
+	}, Ports{Store: e.store, Inventory: e.hosts, Formats: testFormats{}}, logr.Discard(), WithClock(clock))
+	e.node.declarations.adopt(jaycatalog.New(1, jaycatalog.Limits{}, []jaycatalog.Pool{
+		{Name: "seats"}, {Name: "standby", Standby: true},
+	}, nil))
+	return e
+}
+
+// claim is a claim of the fleet by the entry.
+func (e *testEntry) claim(duty jayowner.Duty, fence, term int64) jayowner.Claim {
+	return jayowner.Claim{Duty: duty, Fence: fence, Term: term, Incarnation: e.node.incarnation, Entry: e.node.settings.Entry}
+}
+
+// owns makes the entry believe some claims.
+func (e *testEntry) owns(claims ...jayowner.Claim) {
+	table := jayowner.NewTable()
+	for n, c := range claims {
+		r := c.Record()
+		r.Offset = int64(n)
+		_ = table.Apply(r)
+	}
+	e.node.owners.table.Store(&ownerView{Table: table, asOf: e.node.clock()})
+}
+
+var _ jayport.Store = (*storeWay)(nil)
+var _ jayport.Inventory = (*hostsWay)(nil)
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -24,15 +25,6 @@
 	topicFleet = "fleet"
 	waveKeys   = "wave/"
 	hostKeys   = "host/"
-	// recordActTime is how long an act waits at most for its record. Without
-	// it hosts would stay where they are whenever the store is away.
-	recordActTime = 150 * time.Millisecond
-	// staleAct is how long ago an act may have been decided when it is sent. An
-	// entry that was paused in between would end what was started on the host
-	// meanwhile: its pool keeps an emptied host closed for two seconds.
-	staleAct = time.Second
-	// clockSkew is by how much two entries' times of day may differ.
-	clockSkew = 2500 * time.Millisecond
 	// fleetTick is how often the fleet is looked at.
 	fleetTick = 50 * time.Millisecond
 	// demandEvery is how often each pool is asked what it needs.
@@ -54,6 +46,8 @@
 	cancel context.CancelFunc
 	inbox  *jayring.Ring[event]
 
+	guard jayfleet.Guard
+
 	// Only the duty's goroutine uses what follows.
 	fleet   *jayfleet.Fleet
 	journal *jayjournal.Journal
@@ -75,6 +69,11 @@
 		ctx:    ctx,
 		cancel: cancel,
 		inbox:  jayring.New[event](fleetInbox),
+		guard: jayfleet.Guard{
+			FencesChecked: n.settings.FencesChecked,
+			HolderTime:    n.settings.HolderTime,
+			CallTime:      inventoryTimeout,
+		},
 		asking: map[string]bool{},
 		askAt:  map[string]time.Duration{},
 		told:   map[string]string{},
@@ -129,12 +128,11 @@
 			return nil, false
 		}
 	}
-	held := c.heldHosts(time.Now(), d.node.started, d.node.settings.HolderTime)
+	held := c.heldHosts(d.guard, d.node.liveness, jayfleet.Takeover{Clock: d.node.clock(), Day: time.Now(), Started: d.node.started})
 	d.fleet = jayfleet.New(jayfleet.Settings{
 		MoveTime:        d.node.settings.MoveTime,
 		MaintenanceTime: d.node.settings.MaintenanceTime,
-		HeldUntil:       d.node.clock() + d.node.settings.HolderTime,
-		Held:            held,
+		HeldUntil:       held,
 	})
 	d.node.metrics.DutyChanged(string(d.claim.Duty), "takenOver")
 	d.logger.Info("fleet taken over", "term", d.claim.Term, "waves", len(c.waves), "heldHosts", len(held))
@@ -180,23 +178,28 @@
 // CaughtUp is called after the load.
 func (c *fleetCollector) CaughtUp(time.Duration) {}
 
-// heldHosts returns the hosts that a new owner must leave alone for a while,
-// since the former one acted on them a moment ago and may do so again. What was
-// acted on before this entry was started was acted on by an owner that this one
-// has not met: after the loss of all entries, with hundreds of hosts just
-// moved, no pool would get a host for the whole time.
-func (c *fleetCollector) heldHosts(now, started time.Time, holder time.Duration) map[string]bool {
-	since := now.Add(-holder - clockSkew)
-	if started.After(since) {
-		since = started
-	}
-	hosts := map[string]bool{}
+// actors knows of the entries that have acted.
+type actors interface {
+	// ended reports whether the process of an incarnation has ended for certain.
+	ended(incarnation string) bool
+	// clockOf returns the clock of an incarnation, if it is known.
+	clockOf(incarnation string) (peerClock, bool)
+}
+
+// heldHosts returns until when a new owner must leave hosts alone, since a former
+// one acted on them a moment ago and may do so again.
+func (c *fleetCollector) heldHosts(guard jayfleet.Guard, actors actors, t jayfleet.Takeover) map[string]time.Duration {
+	held := map[string]time.Duration{}
 	for host, act := range c.acts {
-		if act.UnixMillis >= since.UnixMilli() {
-			hosts[host] = true
+		recorded := jayfleet.RecordedAct{At: time.UnixMilli(act.UnixMillis), ActorEnded: actors.ended(act.Incarnation)}
+		if clock, known := actors.clockOf(act.Incarnation); known {
+			recorded.DecidedBy, recorded.ClockKnown = clock.by(micros(act.DecidedMicros)), true
+		}
+		if until := guard.HeldUntil(recorded, t); until > t.Clock {
+			held[host] = until
 		}
 	}
-	return hosts
+	return held
 }
 
 func (d *fleetDuty) step(recorded map[string]*jaywire.WaveProgress) {
@@ -219,8 +222,10 @@
 		since := waveSince(w.since, progress, now, time.Now())
 		d.fleet.Declared(w.Wave, since, progress.GetMaintained(), progress.GetDone())
 	}
-	for _, action := range d.fleet.Decide(now) {
-		d.perform(action)
+	if d.guard.MayDecide(d.journal.StuckFor()) {
+		for _, action := range d.fleet.Decide(now) {
+			d.perform(action)
+		}
 	}
 	for _, n := range d.fleet.Notes() {
 		d.logger.Info("host changed", "host", n.Host, "pool", n.Pool, "state", n.State.String(), "worker", n.Worker)
@@ -348,39 +353,69 @@
 
 // act records that a host is acted on, and does it.
 func (d *fleetDuty) act(host string, do func() error) {
-	value, err := proto.Marshal(&jaywire.HostAct{UnixMillis: time.Now().UnixMilli()})
+	decided := d.node.clock()
+	value, err := proto.Marshal(&jaywire.HostAct{
+		UnixMillis:    time.Now().UnixMilli(),
+		Incarnation:   d.node.incarnation,
+		DecidedMicros: decided.Microseconds(),
+	})
 	if err != nil {
 		d.logger.Error(err, "act cannot be written", "host", host)
+		go d.answered(host, jayfleet.ErrStale)
+		return
 	}
-	recorded := make(chan error, 1)
-	entry := jayjournal.NewEntry([]jayport.Record{{Key: hostKeys + host, Value: value}}, func(err error) { recorded <- err })
+	outcome := make(chan error, 1)
+	entry := jayjournal.NewEntry([]jayport.Record{{Key: hostKeys + host, Value: value}}, func(err error) { outcome <- err })
 	if err := d.journal.Add(entry); err != nil {
-		d.logger.Error(err, "act not recorded", "host", host)
+		outcome <- err
 	}
-	decided := d.node.clock()
 	go func() {
-		timer := time.NewTimer(recordActTime)
-		defer timer.Stop()
-		select {
-		case <-recorded:
-		case <-timer.C:
+		record, err := d.awaitRecord(outcome)
+		if err != nil {
+			d.logger.Info("act not recorded", "host", host, "error", err.Error())
 		}
-		switch {
-		case d.ctx.Err() != nil:
+		if d.ctx.Err() != nil {
 			// An owner that was replaced meanwhile acts no more.
-		case d.node.clock()-decided > staleAct:
+			return
+		}
+		if age := d.node.clock() - decided; !d.guard.MaySend(record, age) {
+			entry.Withdraw()
+			d.logger.Info("act not sent", "host", host, "age", age.String(), "recorded", record == jayfleet.Recorded)
 			d.answered(host, jayfleet.ErrStale)
-		default:
-			d.answered(host, do())
+			return
 		}
+		d.answered(host, do())
 	}()
 }
 
+// awaitRecord waits for the outcome of an act's record for as long as the act may
+// wait. The error says why it was not recorded.
+func (d *fleetDuty) awaitRecord(outcome <-chan error) (jayfleet.RecordState, error) {
+	timer := time.NewTimer(d.guard.Patience())
+	defer timer.Stop()
+	select {
+	case err := <-outcome:
+		if err != nil {
+			return jayfleet.NotRecorded, err
+		}
+		return jayfleet.Recorded, nil
+	case <-d.ctx.Done():
+		return jayfleet.NotRecorded, d.ctx.Err()
+	case <-timer.C:
+		return jayfleet.RecordPending, nil
+	}
+}
+
 func (d *fleetDuty) answered(host string, err error) {
 	d.post(func(now time.Duration) {
 		if err != nil {
 			d.logger.Info("act not accepted", "host", host, "error", err.Error())
 		}
+		var refused *jayport.HostError
+		if errors.As(err, &refused) && refused.Reason == jayport.HostFenced {
+			d.end("a host has seen a higher fence")
+			return
+		}
 		d.fleet.Answered(host, err, now)
 		d.listAt = min(d.listAt, now+hostsEvery/2)
 	})
--- a/jaynode/fleetduty_test.go
+++ b/jaynode/fleetduty_test.go
@@ -7,34 +7,42 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"jaythread/jayfleet"
 	"jaythread/jaywire"
 )
 
+// knownActors are entries of which some have ended and some clocks are known.
+type knownActors struct {
+	gone   map[string]bool
+	clocks map[string]peerClock
+}
+
+func (a knownActors) ended(incarnation string) bool { return a.gone[incarnation] }
+
+func (a knownActors) clockOf(incarnation string) (peerClock, bool) {
+	c, known := a.clocks[incarnation]
+	return c, known
+}
+
 func TestHeldHosts(t *testing.T) {
-	now := time.UnixMilli(1_000_000_000)
-	held := func(sinceAct, sinceStart time.Duration) bool {
-		c := newFleetCollector(logr.Discard())
-		c.acts["m1"] = &jaywire.HostAct{UnixMillis: now.Add(-sinceAct).UnixMilli()}
-		return c.heldHosts(now, now.Add(-sinceStart), 3*time.Second)["m1"]
+	is := is.New(t)
+	day := time.UnixMilli(1_000_000_000)
+	c := newFleetCollector(logr.Discard())
+	act := func(host, by string, decided time.Duration, day time.Time) {
+		c.acts[host] = &jaywire.HostAct{UnixMillis: day.UnixMilli(), Incarnation: by, DecidedMicros: decided.Microseconds()}
+	}
+	act("ended", "gone", time.Hour, day)
+	act("unknown", "stranger", time.Hour, day.Add(-time.Second))
+	act("old", "stranger", time.Hour, day.Add(-time.Hour))
+	act("known", "peer", 59*time.Second, day.Add(-time.Minute)) // its time of day is a minute behind
+	act("over", "peer", 55*time.Second, day)
+	peers := knownActors{
+		gone:   map[string]bool{"gone": true},
+		clocks: map[string]peerClock{"peer": {clock: 58 * time.Second, heardAt: 8 * time.Second}},
 	}
-	t.Run("what was just acted on is held", func(t *testing.T) {
-		is.New(t).True(held(time.Second, time.Minute))
-	})
-	t.Run("also if clocks differ", func(t *testing.T) {
-		is.New(t).True(held(5*time.Second, time.Minute))
-	})
-	t.Run("not for ever", func(t *testing.T) {
-		is.New(t).True(!held(6*time.Second, time.Minute))
-	})
-	t.Run("not what was acted on before this entry began", func(t *testing.T) {
-		// Symptom: after all entries lost power, a pool in its rush gets no
-		// host for three seconds.
-		// Sequence: an owner moves two hundred hosts; all entries are lost and
-		// come back a second later.
-		// Cause: the new owner kept off all hosts that were acted on in the
-		// last seconds, though their owner had ended with all others.
-		is.New(t).True(!held(2*time.Second, time.Second))
-	})
+	guard := jayfleet.Guard{HolderTime: 3 * time.Second}
+	held := c.heldHosts(guard, peers, jayfleet.Takeover{Clock: 10 * time.Second, Day: day, Started: day.Add(-time.Minute)})
+	is.Equal(held, map[string]time.Duration{"unknown": 13 * time.Second, "known": 12 * time.Second})
 }
 
 func TestWaveKeepsItsTimeThroughOwners(t *testing.T) {
--- a/jaynode/liveness.go
+++ b/jaynode/liveness.go
@@ -58,9 +58,11 @@
 	mu sync.Mutex
 	// suspicions are of the owners whose last ping failed.
 	suspicions map[string]*suspicion
-	// ended are incarnations that have ended for certain: another one answers
+	// replaced are incarnations that have ended for certain: another one answers
 	// at their address.
-	ended map[string]bool
+	replaced map[string]bool
+	// clocks are those of the entries that have answered a ping.
+	clocks map[string]peerClock
 	// heard is when each entry last answered a ping.
 	heard map[string]time.Duration
 	// tried is when each entry was last pinged.
@@ -86,7 +88,8 @@
 		node:       n,
 		logger:     n.logger.WithName("liveness"),
 		suspicions: map[string]*suspicion{},
-		ended:      map[string]bool{},
+		clocks:     map[string]peerClock{},
+		replaced:   map[string]bool{},
 		heard:      map[string]time.Duration{},
 		tried:      map[string]time.Duration{},
 		link:       jaypeer.NewClient(n.incarnation, pingTimeout, nil),
@@ -104,7 +107,7 @@
 func (l *liveness) hasEnded(incarnation string, now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.ended[incarnation] {
+	if l.replaced[incarnation] {
 		return true
 	}
 	s, suspected := l.suspicions[incarnation]
@@ -121,6 +124,13 @@
 	return now-s.since > isolatedPatience && l.hearsOthers(incarnation, now)
 }
 
+// ended reports whether the process of an incarnation has ended for certain.
+func (l *liveness) ended(incarnation string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.replaced[incarnation]
+}
+
 // suspects reports whether the last ping of an owner failed.
 func (l *liveness) suspects(incarnation string) bool {
 	l.mu.Lock()
@@ -134,7 +144,7 @@
 func (l *liveness) hearsOthers(but string, now time.Duration) bool {
 	pinged, answered := 0, 0
 	for incarnation, at := range l.tried {
-		if incarnation == but || l.ended[incarnation] || now-at > heardWithin {
+		if incarnation == but || l.replaced[incarnation] || now-at > heardWithin {
 			continue
 		}
 		pinged++
@@ -174,7 +184,7 @@
 	var others []*jaywire.EntryRecord
 	for range all {
 		l.turn++
-		if e := all[l.turn%len(all)]; !asked[e.Incarnation] && !l.ended[e.Incarnation] && len(others) < othersPinged {
+		if e := all[l.turn%len(all)]; !asked[e.Incarnation] && !l.replaced[e.Incarnation] && len(others) < othersPinged {
 			others = append(others, e)
 		}
 	}
@@ -191,7 +201,7 @@
 	case err == nil:
 		l.heard[e.Incarnation] = now
 	case errors.Is(err, jaypeer.ErrReplaced):
-		l.ended[e.Incarnation] = true
+		l.replaced[e.Incarnation] = true
 	}
 }
 
@@ -219,10 +229,32 @@
 
 func (l *liveness) ping(c jayowner.Claim) {
 	l.try(c.Incarnation)
-	_, err := l.link.Ask(c.Incarnation, c.PeerAddr, newPing())
+	response, err := l.link.Ask(c.Incarnation, c.PeerAddr, newPing())
+	if err == nil {
+		l.seeClock(c.Incarnation, micros(response.GetPong().GetClockMicros()))
+	}
 	l.pinged(c.Incarnation, err)
 }
 
+// seeClock notes what another entry's clock showed a moment ago.
+func (l *liveness) seeClock(incarnation string, clock time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.clocks[incarnation] = peerClock{clock: clock, heardAt: l.node.clock()}
+}
+
+// clockOf returns the clock of an entry that owned a duty.
+func (l *liveness) clockOf(incarnation string) (peerClock, bool) {
+	if incarnation == l.node.incarnation {
+		now := l.node.clock()
+		return peerClock{clock: now, heardAt: now}, true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, known := l.clocks[incarnation]
+	return c, known
+}
+
 // pinged takes in the outcome of a ping, or of any other question.
 func (l *liveness) pinged(incarnation string, err error) {
 	now := l.node.clock()
@@ -237,8 +269,8 @@
 		return
 	}
 	if errors.Is(err, jaypeer.ErrReplaced) {
-		if !l.ended[incarnation] {
-			l.ended[incarnation] = true
+		if !l.replaced[incarnation] {
+			l.replaced[incarnation] = true
 			l.logger.Info("owner was replaced", "owner", incarnation, "error", err.Error())
 		}
 		return
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -261,7 +261,7 @@
 	case *jaywire.PeerRequest_StoreCall:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_StoreResult{StoreResult: jayrelay.Serve(n.ports.Store, body.StoreCall)}}
 	case *jaywire.PeerRequest_Ping:
-		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Pong{Pong: &jaywire.Pong{Stopping: n.stopping.Load()}}}
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Pong{Pong: &jaywire.Pong{Stopping: n.stopping.Load(), ClockMicros: n.clock().Microseconds()}}}
 	default:
 		return &jaywire.PeerResponse{}
 	}
--- a/jaynode/peerclock.go
+++ b/jaynode/peerclock.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// peerClock relates the clock of a pool's owner to this entry's own.
+// peerClock relates the clock of another entry to this entry's own.
 type peerClock struct {
-	// fence is that of the owner whose clock it is.
+	// fence is that of the pool's owner whose clock it is.
 	fence int64
 	// clock is what it showed when an answer was written, heardAt this entry's
 	// clock when that answer was taken in.
@@ -20,3 +20,9 @@
 func (c peerClock) notAfter(at time.Duration) time.Duration {
 	return c.clock + at - c.heardAt
 }
+
+// by returns a time on this clock by which the other one showed a time. Times of
+// day would say it only up to the seconds by which they may be off.
+func (c peerClock) by(at time.Duration) time.Duration {
+	return c.heardAt + at - c.clock
+}
--- a/jaynode/peerclock_test.go
+++ b/jaynode/peerclock_test.go
@@ -22,4 +22,9 @@
 		is.True(told <= read+ahead)                      // never younger than it is
 		is.True(told >= read+ahead-300*time.Millisecond) // nor much older
 	}
+	for _, acted := range []time.Duration{9 * time.Second, 10100 * time.Millisecond, 12 * time.Second} {
+		by := c.by(acted + ahead)
+		is.True(by >= acted)                      // never before it was
+		is.True(by <= acted+300*time.Millisecond) // nor much later
+	}
 }
--- a/jaysoak/entry_test.go
+++ b/jaysoak/entry_test.go
@@ -32,9 +32,9 @@
 // stopBound is how long a graceful stop of these settings may take.
 const stopBound = 3 * time.Second
 
-func newProcess(t *testing.T, dir, binary, name, storeAddr, inventoryAddr string) *process {
+func newProcess(t *testing.T, dir, binary, name string, platform *jaystub.Platform) *process {
 	t.Helper()
-	store, err := newProxy(storeAddr)
+	store, err := newProxy(platform.StoreAddr)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -46,8 +46,9 @@
 		"entry": name, "dataCenter": "z", "callerAddr": p.caller, "peerAddr": freeAddr(t), "logFormat": "json",
 		"eventLoops": 1, "stopGrace": "300ms", "stopBound": stopBound.String(),
 		"jobService": map[string]any{
-			"storeAddr": store.addr(), "inventoryAddr": inventoryAddr, "readyAddr": freeAddr(t), "trustedNetwork": true,
+			"storeAddr": store.addr(), "inventoryAddr": platform.InventoryAddr, "readyAddr": freeAddr(t), "trustedNetwork": true,
 			"processors": 0.4, "moveTime": "200ms", "maintenanceTime": "200ms", "holderTime": "300ms",
+			"fencesChecked": !platform.UncheckedFences,
 		},
 	}
 	text, err := json.Marshal(settings)
--- a/jaysoak/soak_test.go
+++ b/jaysoak/soak_test.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := install(t, dir, binary)
+	s := install(t, dir, binary, seed%2 == 0)
 	c := newCallers(s)
 	var calls sync.WaitGroup
 	until, number := time.Now().Add(length), 0
@@ -154,12 +154,15 @@
 	t.Errorf("seed %d, logs in %s:\n%s", seed, dir, strings.Join(s.failures, "\n"))
 }
 
-func install(t *testing.T, dir, binary string) *soak {
+// install starts an installation. Its inventory checks fences or carries out
+// whatever it is told.
+func install(t *testing.T, dir, binary string, uncheckedFences bool) *soak {
 	t.Helper()
 	platform, err := jaystub.NewPlatform(rand.Float64)
 	if err != nil {
 		t.Fatal(err)
 	}
+	platform.UncheckedFences = uncheckedFences
 	s := &soak{t: t, platform: platform, workers: map[string]*proxy{}}
 	platform.Announce = func(machine, addr string) string {
 		p, err := newProxy(addr)
@@ -176,7 +179,7 @@
 		}
 	}
 	for n := range soakEntries {
-		p := newProcess(t, dir, binary, fmt.Sprint("e", n), platform.StoreAddr, platform.InventoryAddr)
+		p := newProcess(t, dir, binary, fmt.Sprint("e", n), platform)
 		if err := p.start(); err != nil {
 			t.Fatal(err)
 		}
