Entries of another writer name no worker; unreadable rows and records spoil no other

Cause: whatever could be decoded was taken for a worker, an entry that turned unreadable kept the one before it, one unreadable row made a whole report or list unreadable, one unreadable progress record kept a pool from being taken over, and stored jobs were not checked again.

--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -91,8 +91,10 @@
 	sorted   []*host
 	// since is when this owner first decided.
 	since time.Duration
-	// listedAt is when the present list of hosts was asked for.
+	// listedAt is when the present list of hosts was asked for, complete says that
+	// each of its rows could be read.
 	listedAt time.Duration
+	complete bool
 	standby  map[string]bool
 	working  map[string]bool
 	demands  map[string]Demand
@@ -181,9 +183,12 @@
 
 // Listed takes in the inventory, which was asked for at a time.
 func (f *Fleet) Listed(list []jayport.Host, asked time.Duration) {
-	f.listedAt = asked
+	f.listedAt, f.complete = asked, jayport.Complete(list)
 	present := make(map[string]bool, len(list))
 	for _, listed := range list {
+		if listed.Name == "" {
+			continue
+		}
 		present[listed.Name] = true
 		h, known := f.hosts[listed.Name]
 		if !known {
@@ -265,14 +270,14 @@
 }
 
 // Existing returns the workers of a pool by the inventory and when it was asked;
-// known is false before it was read.
+// known is false before it was read, and if not all of it could be.
 func (f *Fleet) Existing(pool string) (workers []string, asked time.Duration, known bool) {
 	for _, h := range f.sorted {
 		if h.Pool == pool && h.Worker != "" {
 			workers = append(workers, h.Worker)
 		}
 	}
-	return workers, f.listedAt, f.listedAt > 0
+	return workers, f.listedAt, f.listedAt > 0 && f.complete
 }
 
 // Decide returns what is to be done now.
--- a/jaynode/codec.go
+++ b/jaynode/codec.go
@@ -92,6 +92,10 @@
 	for _, s := range record.Steps {
 		job.Steps = append(job.Steps, decodeStep(s))
 	}
+	if err := job.Check(); err != nil {
+		// Whatever wrote it, this program did not.
+		return nil, fmt.Errorf("declaration of %s: %w", id, err)
+	}
 	return job, nil
 }
 
--- a/jaynode/reports.go
+++ b/jaynode/reports.go
@@ -19,14 +19,20 @@
 	asOf    time.Duration
 	changed func(pool string)
 	touched map[string]bool
+	// foreign are the keys whose entries name no worker; each is said once.
+	foreign map[string]bool
 }
 
+// maxForeign bounds the keys that are remembered.
+const maxForeign = 1000
+
 func newReports(n *Node) *reports {
 	return &reports{
 		formats: n.ports.Formats,
 		logger:  n.logger.WithName("reports"),
 		workers: map[string]jayport.Worker{},
 		touched: map[string]bool{},
+		foreign: map[string]bool{},
 		changed: n.workersChanged,
 	}
 }
@@ -50,17 +56,32 @@
 	}
 	if record.Value == nil {
 		delete(r.workers, record.Key)
+		delete(r.foreign, record.Key)
 		return
 	}
 	w, err := r.formats.Reported(record)
 	if err != nil {
-		r.logger.Error(err, "report unreadable", "worker", record.Key)
+		// Whoever wrote it, it names no worker to use. One that was in use is
+		// handled like one whose entry is gone: what runs there is still followed.
+		delete(r.workers, record.Key)
+		r.sayForeign(record.Key, err)
 		return
 	}
+	delete(r.foreign, record.Key)
 	r.workers[w.ID] = w
 	r.touched[w.Pool] = true
 }
 
+// sayForeign logs an entry that names no worker, once until it changes: it may be
+// written again every second.
+func (r *reports) sayForeign(key string, err error) {
+	if r.foreign[key] || len(r.foreign) >= maxForeign {
+		return
+	}
+	r.foreign[key] = true
+	r.logger.Info("entry names no worker", "entry", key, "error", err.Error())
+}
+
 // CaughtUp tells the pools whose workers have changed.
 func (r *reports) CaughtUp(asOf time.Duration) {
 	r.mu.Lock()
--- /dev/null
+++ b/jaynode/stored_test.go
@@ -0,0 +1,139 @@
+package jaynode
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"jaythread/jayclock"
+	"jaythread/jayowner"
+	"jaythread/jaypool"
+	"jaythread/jayport"
+	"jaythread/jaysched"
+	"jaythread/jayspec"
+	"jaythread/jaywire"
+)
+
+const testID = "5c0e7a21d94b36f8"
+
+// storedJob is a declaration as it stands in the store.
+func storedJob(t testing.TB) []byte {
+	t.Helper()
+	value, err := encodeJob(&jayspec.Job{
+		ID: testID, Queue: "q", Pool: "seats", Text: "text", Accepted: time.UnixMilli(1),
+		Steps: []jayspec.Step{
+			{Tasks: 2, Need: jaypool.Resources{ProcessorsMilli: 500, MemoryMegabytes: 100}, Estimate: time.Second},
+			{Tasks: 1, After: []int{0}, Need: jaypool.Resources{ProcessorsMilli: 500, MemoryMegabytes: 100}, Estimate: time.Second},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
+// FuzzStored reads a declaration and its progress as a new owner does, and the
+// other records of the program's own.
+func FuzzStored(f *testing.F) {
+	progress, err := proto.Marshal(&jaywire.JobProgress{Steps: []*jaywire.StepProgress{{Done: []byte{1}, Tasks: []*jaywire.TaskProgress{{Index: 1, FailedRuns: []int64{3}}}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(storedJob(f), progress)
+	f.Add([]byte{}, []byte{})
+	f.Add([]byte{0xff, 0xfe}, []byte{0xff})
+	f.Fuzz(func(t *testing.T, declared, progressed []byte) {
+		pool := jaysched.NewPool("seats", jaysched.Settings{Lease: time.Second})
+		record := &jaywire.JobProgress{}
+		if proto.Unmarshal(progressed, record) != nil {
+			record = nil
+		}
+		if job, err := decodeJob("seats", testID, declared); err == nil {
+			pool.Restore(job, record, time.Second)
+			pool.Decide(time.Second)
+			pool.Demand(time.Second)
+			pool.Flush()
+		}
+		pool.RestoreEnded("other", jaysched.OutcomeOf(record), time.Second)
+		pool.StateOf("other", time.Second)
+		_ = jayowner.NewTable().Apply(jayport.Record{Key: "fleet", Value: declared})
+		c := newFleetCollector(logr.Discard())
+		c.Apply(jayport.Record{Key: waveKeys + "1", Value: progressed})
+		c.Apply(jayport.Record{Key: hostKeys + "m1", Value: progressed})
+	})
+}
+
+func TestUnreadableProgressHoldsOneJobOnly(t *testing.T) {
+	// Symptom: no job of a pool runs any more after its owner was replaced.
+	// Sequence: the progress record of one job cannot be read; the new owner reads
+	// the records again and again.
+	// Cause: one unreadable record kept the pool from being taken over.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := jayclock.Since(time.Now().Add(-time.Hour))
+		store := newSharedStore()
+		e := newTestEntry(t, "e1", store, newSharedHosts(clock, nil), clock)
+		const other = "00000000000000ff"
+		for _, id := range []string{testID, other} {
+			_, err := store.append(jayport.Append{Partition: jayport.Partition{Topic: topicJobs}, Records: []jayport.Record{{Key: jobKey("seats", id), Value: storedJob(t)}}, AsOf: jayport.AnyOffset})
+			is.NoErr(err)
+		}
+		_, err := store.append(jayport.Append{Partition: jayport.Partition{Topic: topicProgress}, Records: []jayport.Record{{Key: jobKey("seats", testID), Value: []byte{0xff}}}, AsOf: jayport.AnyOffset})
+		is.NoErr(err)
+		duty := newPoolDuty(e.node, "seats", e.claim(jayowner.PoolDuty("seats"), 6, 1))
+		is.True(duty.takeOver())
+		duty.cancel()
+		is.Equal(duty.pool.Pending("q"), 1) // the other job waits to be started, this one is not
+		state, known := duty.pool.StateOf(testID, clock())
+		is.True(known)
+		is.Equal(state, jaysched.Queued)
+		e.node.duties.Wait()
+	})
+}
+
+// foreignFormats take an entry with the value "bad" for one that names no worker.
+type foreignFormats struct{ testFormats }
+
+// Reported reads an entry: its value is the worker's pool.
+func (foreignFormats) Reported(r jayport.Record) (jayport.Worker, error) {
+	if string(r.Value) == "bad" {
+		return jayport.Worker{}, errors.New("no worker")
+	}
+	return jayport.Worker{ID: r.Key, Pool: string(r.Value)}, nil
+}
+
+func TestEntryThatTurnsForeignIsTakenForGone(t *testing.T) {
+	// Symptom: runs are started on a worker whose entry says nothing any more.
+	// Sequence: the entry of a worker in use is overwritten with bytes that cannot
+	// be read.
+	// Cause: the entry before was kept.
+	is := is.New(t)
+	changed := map[string]int{}
+	n := New(Settings{Entry: "e1"}, Ports{Formats: foreignFormats{}}, logr.Discard())
+	r := n.reports
+	r.changed = func(pool string) { changed[pool]++ }
+	for _, key := range []string{"i-1", "i-2"} {
+		r.Apply(jayport.Record{Key: key, Value: []byte("seats")})
+	}
+	r.CaughtUp(time.Second)
+	r.Apply(jayport.Record{Key: "i-1", Value: []byte("bad")})
+	r.Apply(jayport.Record{Key: "i-3", Value: []byte("bad")})
+	r.CaughtUp(2 * time.Second)
+	workers, _ := r.of("seats")
+	is.Equal(len(workers), 1)
+	is.Equal(workers[0].ID, "i-2")
+	is.Equal(changed["seats"], 2)
+	r.Apply(jayport.Record{Key: "i-1", Value: []byte("seats")})
+	workers, _ = r.of("seats")
+	is.Equal(len(workers), 2)
+	is.True(!r.foreign["i-1"])
+	for n := range 2 * maxForeign {
+		r.Apply(jayport.Record{Key: string(rune(n + 1000)), Value: []byte("bad")})
+	}
+	is.True(len(r.foreign) <= maxForeign)
+}
--- a/jayport/inventory.go
+++ b/jayport/inventory.go
@@ -1,6 +1,7 @@
 package jayport
 
 import (
+	"slices"
 	"time"
 
 	"jaythread/jaypool"
@@ -41,6 +42,15 @@
 	Capacity   jaypool.Resources
 	// Worker is the ID of its present life, or empty.
 	Worker string
+	// Unreadable says that the inventory's row could not be read: at most the name
+	// is known.
+	Unreadable bool
+}
+
+// Complete reports whether all rows of a list could be read. What another list
+// does not name may stand in a row that could not.
+func Complete(hosts []Host) bool {
+	return !slices.ContainsFunc(hosts, func(h Host) bool { return h.Unreadable })
 }
 
 // Lease identifies the holder of the right to act on hosts.
--- a/jayport/workers.go
+++ b/jayport/workers.go
@@ -153,6 +153,9 @@
 	Clock  time.Duration
 	Active []ActiveRun
 	Ended  []EndedRun
+	// Partial says that some rows could not be read: a run that is in none of the
+	// others may be in one of these.
+	Partial bool
 }
 
 // MaxReportedEnds is how many ends a worker reports at once; with so many, it
--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -136,7 +136,8 @@
 	// ends. It also bounds how late a silent worker is noticed.
 	leaseWait = time.Second
 	// unrecordedPause is before a worker is asked again whose ends are not
-	// recorded yet: it would answer with the same ends at once.
+	// recorded yet, or that lists rows that cannot be read: it would answer with
+	// the same at once.
 	unrecordedPause = 100 * time.Millisecond
 	// silentPause is before a silent worker is asked again.
 	silentPause = 200 * time.Millisecond
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -139,11 +139,11 @@
 		seen[active.Run] = true
 		p.takeActive(w, active, now)
 	}
-	if len(report.Ended) < jayport.MaxReportedEnds {
+	if len(report.Ended) < jayport.MaxReportedEnds && !report.Partial {
 		p.dropMissing(w, seen, asked, now)
 	}
 	w.askAt = now
-	if w.processed > w.acknowledged {
+	if w.processed > w.acknowledged || report.Partial {
 		w.askAt = now + unrecordedPause
 	}
 }
--- a/jaysched/restore.go
+++ b/jaysched/restore.go
@@ -25,6 +25,14 @@
 	p.add(j)
 }
 
+// RestoreUnreadable adds a job whose recorded progress cannot be read. What runs of
+// it goes on, but nothing of it is started: a task that is done would run twice.
+func (p *Pool) RestoreUnreadable(spec *jayspec.Job, now time.Duration) {
+	if _, known := p.jobs[spec.ID]; !known {
+		p.jobs[spec.ID] = newJob(spec, now, p.dueAt)
+	}
+}
+
 // RestoreEnded adds a job that has ended, of which only the outcome is kept.
 func (p *Pool) RestoreEnded(id string, outcome Outcome, now time.Duration) {
 	p.jobs[id] = &job{spec: &jayspec.Job{ID: id}, outcome: outcome, recorded: outcome, endedAt: now}
@@ -32,7 +40,7 @@
 
 // OutcomeOf returns the outcome of a record.
 func OutcomeOf(progress *jaywire.JobProgress) Outcome {
-	if progress == nil {
+	if progress == nil || progress.Outcome < 0 || int(progress.Outcome) >= len(outcomeNames) {
 		return Open
 	}
 	return Outcome(progress.Outcome)
--- a/jaysched/takeover_test.go
+++ b/jaysched/takeover_test.go
@@ -207,3 +207,19 @@
 	}
 	is.Equal(resumed, 2)
 }
+
+func TestPartialReportEndsNoRun(t *testing.T) {
+	// Symptom: a task is started a second time while it runs.
+	// Sequence: a worker's report has a row that cannot be read: that of the task.
+	// Cause: a run that no readable row names was taken for one that has vanished.
+	is := is.New(t)
+	w := newWorld(t, 1)
+	declare(w, newSpec("j", 1))
+	is.Equal(w.starts("j.0.0.0"), 1)
+	for id := range w.workers {
+		w.now += time.Second
+		w.pool.Reported(id, jayport.Report{Clock: w.now, Partial: true}, w.now, w.now)
+	}
+	w.sent = append(w.sent, w.pool.Decide(w.now)...)
+	is.Equal(w.starts("j.0.0.0"), 1)
+}
--- a/jayspec/check.go
+++ b/jayspec/check.go
@@ -16,6 +16,11 @@
 	MaxTasks = 10_000
 	// MaxOccurrences bounds how often a job's steps run.
 	MaxOccurrences = 100_000
+	// MaxRuns bounds the tasks of all occurrences of a job.
+	MaxRuns = 1_000_000
+	// MaxNeed bounds what one task may need of anything, in the units of its
+	// field; sums over all tasks stay within 64 bits.
+	MaxNeed = 1 << 40
 	// idDigits is the length of a job's identity in hexadecimal digits.
 	idDigits = 16
 )
@@ -63,6 +68,8 @@
 	}
 	if tasks := j.Tasks(); tasks > MaxTasks {
 		return invalid("%d tasks, more than %d", tasks, MaxTasks)
+	} else if runs := tasks * max(1, j.Schedule.Occurrences); runs > MaxRuns {
+		return invalid("%d tasks in all occurrences, more than %d", runs, MaxRuns)
 	}
 	return nil
 }
@@ -92,5 +99,8 @@
 	if negative {
 		return invalid("step %d has a negative number", number)
 	}
+	if max(s.Need.ProcessorsMilli, s.Need.MemoryMegabytes, s.Need.Accelerators) > MaxNeed {
+		return invalid("step %d needs more than %d of something", number, MaxNeed)
+	}
 	return nil
 }
