--- a/jayjournal/journal.go
+++ b/jayjournal/journal.go
@@ -148,7 +148,7 @@
 
 // Fence sets the epoch in the partition, so that no append of an older epoch
 // is taken any more. Its error is a *jayport.FencedError or that of the
-// context.
+// context. An entry without records does the same later on.
 func (j *Journal) Fence(ctx context.Context) error {
 	return j.send(ctx, nil)
 }
@@ -234,6 +234,9 @@
 		switch {
 		case errors.As(err, &fenced):
 			return err
+		case errors.As(err, &sequence) && len(records) == 0:
+			// No producer with a higher epoch has come, which is all that was asked.
+			return nil
 		case errors.As(err, &sequence) && j.sequence == 0 && !mayHaveRun:
 			// The first append of an epoch starts where the store says.
 			j.sequence = sequence.Expected - 1
--- a/jayjournal/journal_test.go
+++ b/jayjournal/journal_test.go
@@ -26,6 +26,8 @@
 	order  []string
 	calls  int
 	epoch  int64
+	// numbered says that appends without records must be numbered as well.
+	numbered bool
 }
 
 // answer is one answer of the script; done says that the append takes effect
@@ -54,6 +56,9 @@
 	if len(s.script) > 0 {
 		next, s.script = s.script[0], s.script[1:]
 	}
+	if len(a.Records) == 0 && s.numbered && a.Producer.Sequence == 0 {
+		return jayport.Appended{}, &jayport.SequenceError{Expected: 7}
+	}
 	if a.Producer.Epoch < s.epoch {
 		return jayport.Appended{}, &jayport.FencedError{}
 	}
@@ -179,3 +184,28 @@
 		is.Equal(len(s.order), 0)
 	})
 }
+
+func TestEntryWithoutRecordsAsksWhetherTheProducerIsFencedOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStore()
+		s.numbered = true
+		j := start(t, s)
+		ask := func() error {
+			done := make(chan error, 1)
+			is.NoErr(j.Add(NewEntry(nil, func(err error) { done <- err })))
+			return <-done
+		}
+		_, added := add(t, j, "a")
+		is.NoErr(<-added)
+		is.NoErr(ask()) // a store that minds the number of such an append says the same
+		_, added = add(t, j, "b")
+		is.NoErr(<-added)
+		is.Equal(s.order, []string{"a", "b"})
+		s.mu.Lock()
+		s.numbered, s.epoch = false, 4
+		s.mu.Unlock()
+		var fenced *jayport.FencedError
+		is.True(errors.As(ask(), &fenced))
+	})
+}
--- a/jaynode/expire.go
+++ b/jaynode/expire.go
@@ -62,7 +62,8 @@
 	}
 }
 
-// add hands records to a journal; a journal that takes none answers at once.
+// add hands records to a journal; a journal that takes none answers at once. Without
+// records it finds out whether the producer was fenced off.
 func add(j *jayjournal.Journal, records []jayport.Record, done func(error)) {
 	if err := j.Add(jayjournal.NewEntry(records, done)); err != nil {
 		// Not at once: the caller is the goroutine that takes in the outcome.
--- a/jaynode/fakes_test.go
+++ b/jaynode/fakes_test.go
@@ -322,3 +322,77 @@
 
 var _ jayport.Store = (*storeWay)(nil)
 var _ jayport.Inventory = (*hostsWay)(nil)
+
+// fakeWorkers are workers that answer at once, unless they are silent.
+type fakeWorkers struct {
+	jayport.Workers
+	clock jayclock.Clock
+
+	mu     sync.Mutex
+	silent map[string]bool
+	starts []jayport.StartOrder
+	stops  []jayport.RunRef
+	renews int
+}
+
+func newFakeWorkers(clock jayclock.Clock, silent ...string) *fakeWorkers {
+	f := &fakeWorkers{clock: clock, silent: map[string]bool{}}
+	for _, id := range silent {
+		f.silent[id] = true
+	}
+	return f
+}
+
+func (f *fakeWorkers) answers(id string, timeout time.Duration) bool {
+	f.mu.Lock()
+	silent := f.silent[id]
+	f.mu.Unlock()
+	if silent {
+		time.Sleep(timeout)
+	}
+	return !silent
+}
+
+// Start takes a start.
+func (f *fakeWorkers) Start(to jayport.Life, o jayport.StartOrder, timeout time.Duration) (time.Duration, error) {
+	if !f.answers(to.ID, timeout) {
+		return 0, errCut
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.starts = append(f.starts, o)
+	return f.clock(), nil
+}
+
+// Stop takes a stop.
+func (f *fakeWorkers) Stop(to jayport.Life, run jayport.RunRef, _ int64, timeout time.Duration) (time.Duration, error) {
+	if !f.answers(to.ID, timeout) {
+		return 0, errCut
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops = append(f.stops, run)
+	return f.clock(), nil
+}
+
+// Renew reports nothing, after the time for which it may wait.
+func (f *fakeWorkers) Renew(to jayport.Life, o jayport.LeaseOrder, timeout time.Duration) (jayport.Report, error) {
+	if !f.answers(to.ID, timeout) {
+		return jayport.Report{}, errCut
+	}
+	f.mu.Lock()
+	f.renews++
+	f.mu.Unlock()
+	time.Sleep(o.Wait)
+	return jayport.Report{Clock: f.clock()}, nil
+}
+
+// Forget does nothing.
+func (f *fakeWorkers) Forget(jayport.Life) {}
+
+// started counts the starts and renewals so far.
+func (f *fakeWorkers) counts() (starts, renews int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.starts), f.renews
+}
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -91,6 +91,8 @@
 		jaysched.WithFence(claim.Fence, claim.Term),
 		jaysched.WithPolicies(n.policyOf),
 		jaysched.WithDueTimes(n.dueAt),
+		// The claim was read a moment ago; step says since when.
+		jaysched.WithReplaceableOwner(0, maxSilence),
 	}
 	if claim.Term > 1 {
 		options = append(options, jaysched.WithFormerOwner(n.clock()+formerHold))
@@ -165,6 +167,7 @@
 		handle(d.node.clock())
 	}
 	now := d.node.clock()
+	d.noteOwnership()
 	for _, action := range d.pool.Decide(now) {
 		d.perform(action)
 	}
@@ -174,6 +177,27 @@
 	d.logNotes()
 }
 
+// noteOwnership tells the pool up to when the claims are known, as long as they name
+// this owner.
+func (d *poolDuty) noteOwnership() {
+	view := d.node.owners.table.Load()
+	if view == nil {
+		return
+	}
+	if c, claimed := view.Claim(d.claim.Duty); claimed && c.Fence == d.claim.Fence {
+		d.pool.Owned(view.asOf)
+	}
+}
+
+// confirmOwner finds out whether this owner was replaced: a next one begins by
+// fencing this one's records off.
+func (d *poolDuty) confirmOwner() {
+	asked := d.node.clock()
+	add(d.journal, nil, func(err error) {
+		d.post(func(now time.Duration) { d.pool.OwnerConfirmed(asked, err, now) })
+	})
+}
+
 // post hands an event to the duty's goroutine. A full ring makes the sender
 // wait: an answer that is dropped would leave a run in doubt.
 func (d *poolDuty) post(e event) {
@@ -230,6 +254,8 @@
 		go d.askAdvice(a)
 	case jaysched.PaceRun:
 		go d.paceRun(a)
+	case jaysched.ConfirmOwner:
+		d.confirmOwner()
 	}
 }
 
@@ -328,10 +354,12 @@
 		return
 	}
 	d.flushing = true
+	asked := d.node.clock()
 	entry := jayjournal.NewEntry(records, func(err error) {
 		d.post(func(now time.Duration) {
 			d.flushing = false
 			if err == nil {
+				d.pool.Owned(asked)
 				d.pool.Flushed(batch, now)
 			}
 		})
--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -20,12 +20,21 @@
 
 // Decide returns what is to be done now.
 func (p *Pool) Decide(now time.Duration) []Action {
+	p.confirmOwner(now)
+	if p.ownership.lost(now) {
+		// Another owner may have waited for this one's leases to end.
+		return p.takeActions()
+	}
 	p.expireLeases(now)
 	p.resend(now)
 	p.vacate(now)
 	p.place(now)
 	p.paceFillers(now)
 	p.renewLeases(now)
+	return p.takeActions()
+}
+
+func (p *Pool) takeActions() []Action {
 	actions := p.actions
 	p.actions = nil
 	return actions
@@ -36,7 +45,7 @@
 func (p *Pool) expireLeases(now time.Duration) {
 	var left []*worker
 	for _, w := range p.sorted {
-		if w.contact == silent && now >= w.leaseBound {
+		if w.contact == silent && now >= w.leaseBound && p.ownership.since(w.leaseBound) {
 			w.contact = lapsed
 			p.note(Note{Kind: WorkerLapsed, Worker: w.ID, Since: w.heardAt}, now)
 			p.lose(w, now)
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -141,7 +141,7 @@
 func (p *Pool) allows(w *worker, t *task, now time.Duration) bool {
 	s := t.step
 	switch {
-	case !w.usable() || !w.free.Fits(needOf(s)):
+	case !w.usable() || !w.free.Fits(needOf(s)) || !p.ownership.since(w.joinedAt):
 		return false
 	case w.health.avoided(now) || w.health.onTrial() && len(w.runs) > 0:
 		return false
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -22,7 +22,7 @@
 }
 
 // Action is what the pool's owner is to do: StartRun, StopRun, PaceRun,
-// RenewLease, ForgetWorker or AskAdvice.
+// RenewLease, ForgetWorker, AskAdvice or ConfirmOwner.
 type Action interface {
 	isAction()
 }
@@ -95,6 +95,7 @@
 	// ended; until then tasks that it may have started wait for the workers
 	// that have not reported yet.
 	heldUntil time.Duration
+	ownership ownership
 	// surveyed says that every worker that exists is known, also one that the
 	// list of workers does not name.
 	surveyed bool
