jaythread account: where jobs' time and instances' seconds went

The fleet's owner logs what each pool has and needs twice a second; jobs are logged with the time that they have.

--- a/jaycli/app.go
+++ b/jaycli/app.go
@@ -72,6 +72,7 @@
 			applyCommand(),
 			statusCommand(),
 			auditCommand(),
+			accountCommand(),
 			traceCommand(),
 			waveCommand(),
 			planCommand(),
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -25,6 +25,8 @@
 	topicFleet = "fleet"
 	waveKeys   = "wave/"
 	hostKeys   = "host/"
+	// statesEvery is between two lines in the log on what the pools have.
+	statesEvery = 500 * time.Millisecond
 	// fleetTick is how often the fleet is looked at.
 	fleetTick = 50 * time.Millisecond
 	// demandEvery is how often each pool is asked what it needs.
@@ -58,6 +60,8 @@
 	told    map[string]string
 	// clocks are those of the pools' owners.
 	clocks map[string]peerClock
+	// statesAt is when the pools' states are logged next.
+	statesAt time.Duration
 }
 
 func newFleetDuty(n *Node, claim jayowner.Claim) *fleetDuty {
@@ -230,12 +234,26 @@
 	for _, n := range d.fleet.Notes() {
 		d.logger.Info("host changed", "host", n.Host, "pool", n.Pool, "state", n.State.String(), "worker", n.Worker)
 	}
+	d.logStates(now)
 	d.readHosts(now)
 	for _, pool := range working {
 		d.askDemand(pool, now)
 	}
 }
 
+// logStates logs from time to time what each pool has and needs.
+func (d *fleetDuty) logStates(now time.Duration) {
+	if now < d.statesAt {
+		return
+	}
+	d.statesAt = now + statesEvery
+	pools, off := d.fleet.States(now)
+	for _, s := range pools {
+		d.logger.Info("pool state", "pool", s.Pool, "need", s.Need, "keep", s.Keep, "on", s.On, "idle", s.Idle, "lasting", s.Lasting,
+			"coming", s.Coming, "leaving", s.Leaving, "usedMilli", s.UsedMilli, "roomMilli", s.RoomMilli, "off", off)
+	}
+}
+
 // waveSince is since when a wave's time runs. An entry that was started in the
 // middle of a wave learned of it late: if it went by that, a wave would begin its
 // time anew with each owner, and the last hosts would be maintained too late.
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -207,7 +207,7 @@
 	d.post(func(now time.Duration) {
 		d.known.Store(job.ID, true)
 		if d.pool.Declare(job, now) {
-			d.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "steps", job.Summary(), "how", how)
+			d.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "steps", job.Summary(), "within", d.pool.TimeFor(job.ID).String(), "how", how)
 		}
 	})
 }
@@ -253,7 +253,7 @@
 		return
 	}
 	pool.Restore(job, progress, now)
-	t.duty.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "steps", job.Summary(), "restored", true)
+	t.duty.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "steps", job.Summary(), "within", pool.TimeFor(job.ID).String(), "restored", true)
 }
 
 // finishLoad adds the ended jobs whose declarations were removed. From now on
