--- a/jaynode/entries.go
+++ b/jaynode/entries.go
@@ -76,6 +76,16 @@
 	return maps.Clone(e.byName)
 }
 
+// restarted reports whether a process was started under the name of an incarnation
+// after a time of day. An announcement may arrive seconds late, after that of the
+// next process; the one of a process that was started before says nothing.
+func (e *entries) restarted(incarnation string, after time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	present, known := e.byName[entryOf(incarnation)]
+	return known && present.Incarnation != incarnation && present.StartedUnixMillis > after.UnixMilli()
+}
+
 // addrOf returns the peer address of an incarnation, or an empty one.
 func (e *entries) addrOf(incarnation string) string {
 	e.mu.Lock()
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -184,8 +184,9 @@
 
 // actors knows of the entries that have acted.
 type actors interface {
-	// ended reports whether the process of an incarnation has ended for certain.
-	ended(incarnation string) bool
+	// ended reports whether the process of an incarnation that acted at a time of
+	// day has ended for certain.
+	ended(incarnation string, acted time.Time) bool
 	// clockOf returns the clock of an incarnation, if it is known.
 	clockOf(incarnation string) (peerClock, bool)
 }
@@ -195,7 +196,8 @@
 func (c *fleetCollector) heldHosts(guard jayfleet.Guard, actors actors, t jayfleet.Takeover) map[string]time.Duration {
 	held := map[string]time.Duration{}
 	for host, act := range c.acts {
-		recorded := jayfleet.RecordedAct{At: time.UnixMilli(act.UnixMillis), ActorEnded: actors.ended(act.Incarnation)}
+		at := time.UnixMilli(act.UnixMillis)
+		recorded := jayfleet.RecordedAct{At: at, ActorEnded: actors.ended(act.Incarnation, at)}
 		if clock, known := actors.clockOf(act.Incarnation); known {
 			recorded.DecidedBy, recorded.ClockKnown = clock.by(micros(act.DecidedMicros)), true
 		}
--- a/jaynode/fleetduty_test.go
+++ b/jaynode/fleetduty_test.go
@@ -6,8 +6,10 @@
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"jaythread/jayfleet"
+	"jaythread/jayport"
 	"jaythread/jaywire"
 )
 
@@ -17,7 +19,7 @@
 	clocks map[string]peerClock
 }
 
-func (a knownActors) ended(incarnation string) bool { return a.gone[incarnation] }
+func (a knownActors) ended(incarnation string, _ time.Time) bool { return a.gone[incarnation] }
 
 func (a knownActors) clockOf(incarnation string) (peerClock, bool) {
 	c, known := a.clocks[incarnation]
@@ -58,3 +60,27 @@
 	is.Equal(waveSince(now-20*time.Second, recorded, now, wall), now-20*time.Second)
 	is.Equal(waveSince(now-time.Second, nil, now, wall), now-time.Second)
 }
+
+func TestActorsThatWereRestartedHaveEnded(t *testing.T) {
+	// Symptom: after all entries lost power, a pool in its rush gets no host for
+	// three seconds.
+	// Sequence: an entry moves hosts, gives its duties up and is restarted; a moment
+	// later all entries are lost; the next owner of the fleet keeps off these hosts.
+	// Cause: only an actor that owned a duty last was known to have ended.
+	is := is.New(t)
+	n := New(Settings{Entry: "e1"}, Ports{Formats: testFormats{}}, logr.Discard())
+	acted := time.UnixMilli(1_000_000)
+	announce := func(incarnation string, started time.Time) {
+		value, err := proto.Marshal(&jaywire.EntryRecord{Incarnation: incarnation, StartedUnixMillis: started.UnixMilli()})
+		is.NoErr(err)
+		n.entries.Apply(jayport.Record{Key: "e2", Value: value})
+	}
+	is.True(!n.liveness.ended("e2-00000001", acted)) // nothing is known
+	announce("e2-00000001", acted.Add(-time.Minute))
+	is.True(!n.liveness.ended("e2-00000001", acted))
+	announce("e2-00000002", acted.Add(time.Second))
+	is.True(n.liveness.ended("e2-00000001", acted))
+	is.True(!n.liveness.ended("e2-00000002", acted))
+	announce("e2-00000000", acted.Add(-time.Hour)) // of a process before both, late
+	is.True(!n.liveness.ended("e2-00000002", acted))
+}
--- a/jaynode/liveness.go
+++ b/jaynode/liveness.go
@@ -124,11 +124,14 @@
 	return now-s.since > isolatedPatience && l.hearsOthers(incarnation, now)
 }
 
-// ended reports whether the process of an incarnation has ended for certain.
-func (l *liveness) ended(incarnation string) bool {
+// ended reports whether the process of an incarnation that acted at a time of day
+// has ended for certain: another one answers at its address, or was started under
+// its name since.
+func (l *liveness) ended(incarnation string, acted time.Time) bool {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.replaced[incarnation]
+	replaced := l.replaced[incarnation]
+	l.mu.Unlock()
+	return replaced || l.node.entries.restarted(incarnation, acted)
 }
 
 // suspects reports whether the last ping of an owner failed.
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -116,7 +116,7 @@
 		clock:       jayclock.Boot,
 		logger:      logger,
 		metrics:     jaymetric.NewJobs(),
-		incarnation: settings.Entry + "-" + uuid.NewString()[:8],
+		incarnation: newIncarnation(settings.Entry),
 		started:     time.Now(),
 		pools:       map[string]*poolDuty{},
 	}
@@ -140,6 +140,18 @@
 	return n
 }
 
+// incarnationDigits tell the processes apart that were started under one name.
+const incarnationDigits = 8
+
+func newIncarnation(entry string) string {
+	return entry + "-" + uuid.NewString()[:incarnationDigits]
+}
+
+// entryOf returns the name of the entry of an incarnation.
+func entryOf(incarnation string) string {
+	return incarnation[:max(0, len(incarnation)-incarnationDigits-1)]
+}
+
 // Start opens the peers' listener and starts the duties.
 func (n *Node) Start(ctx context.Context) error {
 	listener, err := net.Listen("tcp4", n.settings.PeerAddr)
