--- a/jaynode/stored_test.go
+++ b/jaynode/stored_test.go
@@ -137,3 +137,32 @@
 	}
 	is.True(len(r.foreign) <= maxForeign)
 }
+
+func TestJobThatIsRemovedDuringATakeoverIsNotRunAgain(t *testing.T) {
+	// Symptom: a job that was done two minutes ago runs again after a takeover.
+	// Sequence: the new owner reads the jobs; the former one removes the records of
+	// a job that ended long ago, first its declaration, then its progress; the new
+	// owner fences it off and reads the progress.
+	// Cause: a job without progress was taken for one that has not begun.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := jayclock.Since(time.Now().Add(-time.Hour))
+		store := newSharedStore()
+		e := newTestEntry(t, "e1", store, newSharedHosts(clock, nil), clock)
+		e.node.settings.RetainEnded = 2 * time.Minute
+		put := func(value []byte) {
+			_, err := store.append(jayport.Append{Partition: jayport.Partition{Topic: topicJobs}, Records: []jayport.Record{{Key: jobKey("seats", testID), Value: value}}, AsOf: jayport.AnyOffset})
+			is.NoErr(err)
+		}
+		put(storedJob(t)) // accepted long ago
+		duty := newPoolDuty(e.node, "seats", e.claim(jayowner.PoolDuty("seats"), 6, 2))
+		defer duty.cancel()
+		duty.loadJobs()
+		put(nil) // and its progress, which is not there any more
+		is.True(duty.jobs.mayBeRemoved(nil))
+		is.True(duty.takeOver())
+		is.Equal(duty.pool.Pending("q"), 0)
+		duty.cancel()
+		e.node.duties.Wait()
+	})
+}
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -1,8 +1,10 @@
 package jaynode
 
 import (
+	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,8 +37,13 @@
 // jobs that were handed in. It returns false if the duty ended meanwhile.
 func (d *poolDuty) takeOver() bool {
 	began := d.node.clock()
-	// Fencing comes first: what the former owner records afterwards would be
-	// missing from what is read here.
+	// Jobs are handed in to all entries, so they are read meanwhile: a slow store
+	// takes 0.4 s for each call.
+	var jobs sync.WaitGroup
+	jobs.Go(d.loadJobs)
+	defer jobs.Wait()
+	// Fencing comes before progress is read: what the former owner records
+	// afterwards would be missing from it.
 	if err := d.journal.Fence(d.ctx); err != nil {
 		d.logger.Info("not taken over", "error", err.Error())
 		return false
@@ -50,14 +57,14 @@
 		}
 		progress, err = d.readProgress()
 	}
-	d.jobs.progress = progress
-	for d.jobs.tail.Step(0) != nil {
-		sleep(d.ctx, announcePause)
-		if d.ctx.Err() != nil {
-			return false
-		}
+	jobs.Wait()
+	if d.jobs.mayBeRemoved(progress) {
+		d.loadJobs()
+	}
+	if d.ctx.Err() != nil {
+		return false
 	}
-	d.jobs.finishLoad()
+	d.jobs.finishLoad(progress)
 	d.list(d.node.clock())
 	d.node.duties.Go(d.survey)
 	d.node.metrics.DutyChanged(string(d.claim.Duty), "takenOver")
@@ -65,6 +72,13 @@
 	return true
 }
 
+// loadJobs reads the jobs that were handed in until it has, or the duty ends.
+func (d *poolDuty) loadJobs() {
+	for d.jobs.tail.Step(0) != nil && d.ctx.Err() == nil {
+		sleep(d.ctx, announcePause)
+	}
+}
+
 // surveyPause is between two looks at the inventory while workers do not
 // answer. Each look is paid for.
 const surveyPause = 500 * time.Millisecond
@@ -162,15 +176,15 @@
 type jobTail struct {
 	duty *poolDuty
 	tail *jaytail.Tail
-	// progress is set while the pool is loaded.
-	progress map[string]*jaywire.JobProgress
-	loading  bool
-	open     int
-	ended    int
+	// loaded are the jobs that were read before their progress was, by their IDs.
+	loaded  map[string]*jayspec.Job
+	loading bool
+	open    int
+	ended   int
 }
 
 func newJobTail(d *poolDuty) *jobTail {
-	t := &jobTail{duty: d, loading: true}
+	t := &jobTail{duty: d, loading: true, loaded: map[string]*jayspec.Job{}}
 	n := d.node
 	t.tail = jaytail.New(n.store, n.ports.Formats.Own(topicJobs, n.partitionOf(d.name)),
 		jaytail.Options{Prefix: d.name + "/", Wait: jobsWait, Pause: jobsPause}, t, n.clock, d.logger)
@@ -183,19 +197,22 @@
 // CaughtUp is called after each read.
 func (t *jobTail) CaughtUp(time.Duration) {}
 
-// Apply takes in a job. While the pool is loaded, this runs in its goroutine.
+// Apply takes in a job.
 func (t *jobTail) Apply(r jayport.Record) {
+	id := jobID(t.duty.name, r.Key)
 	if r.Value == nil {
+		if t.loading {
+			delete(t.loaded, id)
+		}
 		return
 	}
-	id := jobID(t.duty.name, r.Key)
 	job, err := decodeJob(t.duty.name, id, r.Value)
 	if err != nil {
 		t.duty.logger.Error(err, "job unreadable", "job", id, "offset", r.Offset)
 		return
 	}
 	if t.loading {
-		t.restore(job)
+		t.loaded[id] = job
 		return
 	}
 	t.duty.declare(job, "read")
@@ -238,9 +255,8 @@
 	return known
 }
 
-func (t *jobTail) restore(job *jayspec.Job) {
+func (t *jobTail) restore(job *jayspec.Job, progress *jaywire.JobProgress, recorded bool) {
 	pool, now := t.duty.pool, t.duty.node.clock()
-	progress, recorded := t.progress[job.ID]
 	t.duty.known.Store(job.ID, true)
 	if outcome := jaysched.OutcomeOf(progress); outcome != jaysched.Open {
 		pool.RestoreEnded(job.ID, outcome, now)
@@ -256,17 +272,38 @@
 	t.duty.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "steps", job.Summary(), "within", pool.TimeFor(job.ID).String(), "restored", true)
 }
 
-// finishLoad adds the ended jobs whose declarations were removed. From now on
-// the tail runs in a goroutine of its own.
-func (t *jobTail) finishLoad() {
+// mayBeRemoved reports whether the former owner may have removed the records of a
+// job that had ended while the jobs were read before their progress: its declaration
+// was read, and its progress was gone. Taken for one that has not begun, the job
+// would run a second time. What was removed shows when the jobs are read on.
+func (t *jobTail) mayBeRemoved(recorded map[string]*jaywire.JobProgress) bool {
+	retain := t.duty.node.settings.RetainEnded
+	if retain == 0 {
+		return false
+	}
+	for id, job := range t.loaded {
+		if _, known := recorded[id]; !known && time.Since(job.Accepted) > retain/2 {
+			return true
+		}
+	}
+	return false
+}
+
+// finishLoad adds the jobs that were read, and the ended ones whose declarations
+// were removed. From now on the tail runs in a goroutine of its own.
+func (t *jobTail) finishLoad(recorded map[string]*jaywire.JobProgress) {
 	now := t.duty.node.clock()
-	for id, progress := range t.progress {
+	for _, id := range slices.Sorted(maps.Keys(t.loaded)) {
+		progress, known := recorded[id]
+		t.restore(t.loaded[id], progress, known)
+	}
+	for id, progress := range recorded {
 		if outcome := jaysched.OutcomeOf(progress); outcome != jaysched.Open {
 			t.duty.pool.RestoreEnded(id, outcome, now)
 			t.duty.known.Store(id, true)
 			t.ended++
 		}
 	}
-	t.progress = nil
+	t.loaded = nil
 	t.loading = false
 }
