Done is shown unrecorded after 0.15 s

Cause: with a slow store each end waits 0.25 to 0.7 s for its record, of the 2 s that a quick job has. A record takes 20 ms while the store is well, so nothing changes then.

--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -238,7 +238,7 @@
 // showUnrecorded is after which time a job that is done is shown so, though its
 // end could not be recorded. It is far above what a record takes while the
 // store is well.
-const showUnrecorded = 500 * time.Millisecond
+const showUnrecorded = 150 * time.Millisecond
 
 // shown is the outcome that callers are told. One that is not recorded could be
 // taken back: an owner that is lost leaves the next one to start again what it
