--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -142,7 +142,8 @@
 //
 // The owner reads all jobs from the store as well. But a read can be held up
 // while appends go on: jobs that were accepted then began only when it had timed
-// out.
+// out. An owner that was replaced and does not know it is refused by the store: it
+// would begin a job that the next one does not know to have begun.
 func (i *intake) store(pool, id string, value []byte, timeout time.Duration) error {
 	if i.node.knows(pool, id) {
 		// A job that the owner knows is stored: this is a repeat of a request that
@@ -151,16 +152,19 @@
 		// append more makes it slower.
 		return nil
 	}
-	err := i.append(pool, id, value, timeout)
+	duty := i.node.ownedPool(pool)
+	if duty == nil || !duty.loaded.Load() {
+		return i.append(i.journals[i.node.partitionOf(pool)], pool, id, value, timeout)
+	}
+	err := i.append(duty.declarations, pool, id, value, timeout)
 	if err == nil {
-		i.node.declareStored(pool, id, value)
+		duty.declareStored(id, value)
 	}
 	return err
 }
 
-// append appends a job. Its errors are those of store.
-func (i *intake) append(pool, id string, value []byte, timeout time.Duration) error {
-	journal := i.journals[i.node.partitionOf(pool)]
+// append appends a job to a journal. Its errors are those of store.
+func (i *intake) append(journal *jayjournal.Journal, pool, id string, value []byte, timeout time.Duration) error {
 	if i.stuck(journal) {
 		return jayport.ErrNotDone
 	}
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -62,11 +62,14 @@
 	patience patience
 
 	// Only the duty's goroutine uses what follows.
-	pool     *jaysched.Pool
-	journal  *jayjournal.Journal
-	jobs     *jobTail
-	flushing bool
-	expireAt time.Duration
+	pool *jaysched.Pool
+	// journal records progress, declarations stores jobs. The store refuses both to
+	// an owner that was replaced.
+	journal      *jayjournal.Journal
+	declarations *jayjournal.Journal
+	jobs         *jobTail
+	flushing     bool
+	expireAt     time.Duration
 }
 
 // event is what a pool's goroutine takes in.
@@ -100,6 +103,8 @@
 	}, options...)
 	p := n.ports.Formats.Own(topicProgress, n.partitionOf(name))
 	d.journal = jayjournal.New(n.store, p, string(claim.Duty), claim.Fence, n.clock, d.logger, jayjournal.WithLatency(n.store.Latency))
+	handedIn := n.ports.Formats.Own(topicJobs, n.partitionOf(name))
+	d.declarations = jayjournal.New(n.store, handedIn, string(claim.Duty), claim.Fence, n.clock, d.logger, jayjournal.WithRefusals(), jayjournal.WithLatency(n.store.Latency))
 	d.jobs = newJobTail(d)
 	return d
 }
@@ -132,11 +137,13 @@
 	if !d.takeOver() {
 		return
 	}
-	d.node.duties.Go(func() {
-		if err := d.journal.Run(d.ctx); err != nil && d.ctx.Err() == nil {
-			d.end(err.Error())
-		}
-	})
+	for _, j := range []*jayjournal.Journal{d.journal, d.declarations} {
+		d.node.duties.Go(func() {
+			if err := j.Run(d.ctx); err != nil && d.ctx.Err() == nil {
+				d.end(err.Error())
+			}
+		})
+	}
 	tail := d.jobs.tail
 	d.node.duties.Go(func() { tail.Run(d.ctx) })
 	d.loaded.Store(true)
--- a/jaynode/stored_test.go
+++ b/jaynode/stored_test.go
@@ -138,31 +138,40 @@
 	is.True(len(r.foreign) <= maxForeign)
 }
 
-func TestJobThatIsRemovedDuringATakeoverIsNotRunAgain(t *testing.T) {
-	// Symptom: a job that was done two minutes ago runs again after a takeover.
-	// Sequence: the new owner reads the jobs; the former one removes the records of
-	// a job that ended long ago, first its declaration, then its progress; the new
-	// owner fences it off and reads the progress.
-	// Cause: a job without progress was taken for one that has not begun.
+func TestJobsAreReadAfterTheFormerOwnerIsFencedOff(t *testing.T) {
+	// Symptom: a task is started again after a run has ended as done.
+	// Sequence: an owner is replaced while the store is slow; the next one reads the
+	// jobs; the first one, which does not know it yet, stores one more job and begins
+	// it; the next one finds a job that looks new, after it has taken in the ends of
+	// its runs, which said nothing to it then.
+	// Cause: jobs were read before, or beside, what keeps the former owner from
+	// storing more.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		clock := jayclock.Since(time.Now().Add(-time.Hour))
-		store := newSharedStore()
-		e := newTestEntry(t, "e1", store, newSharedHosts(clock, nil), clock)
-		e.node.settings.RetainEnded = 2 * time.Minute
-		put := func(value []byte) {
-			_, err := store.append(jayport.Append{Partition: jayport.Partition{Topic: topicJobs}, Records: []jayport.Record{{Key: jobKey("seats", testID), Value: value}}, AsOf: jayport.AnyOffset})
-			is.NoErr(err)
+		store, hosts := newSharedStore(), newSharedHosts(clock, nil)
+		first, second := newTestEntry(t, "e1", store, hosts, clock), newTestEntry(t, "e2", store, hosts, clock)
+		former := newPoolDuty(first.node, "seats", first.claim(jayowner.PoolDuty("seats"), 1, 1))
+		is.True(former.takeOver())
+		first.node.duties.Go(func() { _ = former.declarations.Run(former.ctx) })
+		stored := func(id string) error {
+			return first.node.intake.append(former.declarations, "seats", id, storedJob(t), 3*time.Second)
 		}
-		put(storedJob(t)) // accepted long ago
-		duty := newPoolDuty(e.node, "seats", e.claim(jayowner.PoolDuty("seats"), 6, 2))
-		defer duty.cancel()
-		duty.loadJobs()
-		put(nil) // and its progress, which is not there any more
-		is.True(duty.jobs.mayBeRemoved(nil))
-		is.True(duty.takeOver())
-		is.Equal(duty.pool.Pending("q"), 0)
-		duty.cancel()
-		e.node.duties.Wait()
+		is.NoErr(stored(testID))
+		second.store.set(func(w *storeWay) { w.delay = 200 * time.Millisecond })
+		next := newPoolDuty(second.node, "seats", second.claim(jayowner.PoolDuty("seats"), 6, 2))
+		took := make(chan bool, 1)
+		go func() { took <- next.takeOver() }()
+		time.Sleep(100 * time.Millisecond)
+		is.NoErr(stored("00000000000000f1")) // before the fence takes effect
+		time.Sleep(200 * time.Millisecond)
+		is.True(errors.Is(stored("00000000000000f2"), jayport.ErrNotDone)) // after it
+		is.True(<-took)
+		is.Equal(next.pool.Pending("q"), 2)
+		next.cancel()
+		former.cancel()
+		first.node.duties.Wait()
+		second.node.duties.Wait()
+		time.Sleep(10 * time.Second)
 	})
 }
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -1,6 +1,7 @@
 package jaynode
 
 import (
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -37,17 +38,16 @@
 // jobs that were handed in. It returns false if the duty ended meanwhile.
 func (d *poolDuty) takeOver() bool {
 	began := d.node.clock()
-	// Jobs are handed in to all entries, so they are read meanwhile: a slow store
-	// takes 0.4 s for each call.
-	var jobs sync.WaitGroup
-	jobs.Go(d.loadJobs)
-	defer jobs.Wait()
-	// Fencing comes before progress is read: what the former owner records
-	// afterwards would be missing from it.
-	if err := d.journal.Fence(d.ctx); err != nil {
+	// Fencing comes first: what the former owner stores or records afterwards would
+	// be missing from what is read here, and it may have begun such a job.
+	if err := d.fence(); err != nil {
 		d.logger.Info("not taken over", "error", err.Error())
 		return false
 	}
+	// Side by side: a slow store takes 0.4 s for each call.
+	var jobs sync.WaitGroup
+	jobs.Go(d.loadJobs)
+	defer jobs.Wait()
 	progress, err := d.readProgress()
 	for err != nil {
 		d.logger.Info("progress not read yet", "error", err.Error())
@@ -58,9 +58,6 @@
 		progress, err = d.readProgress()
 	}
 	jobs.Wait()
-	if d.jobs.mayBeRemoved(progress) {
-		d.loadJobs()
-	}
 	if d.ctx.Err() != nil {
 		return false
 	}
@@ -72,6 +69,17 @@
 	return true
 }
 
+// fence fences the former owner off from what jobs are handed in and how far they
+// are, side by side.
+func (d *poolDuty) fence() error {
+	var declarations error
+	var both sync.WaitGroup
+	both.Go(func() { declarations = d.declarations.Fence(d.ctx) })
+	progress := d.journal.Fence(d.ctx)
+	both.Wait()
+	return errors.Join(progress, declarations)
+}
+
 // loadJobs reads the jobs that were handed in until it has, or the duty ends.
 func (d *poolDuty) loadJobs() {
 	for d.jobs.tail.Step(0) != nil && d.ctx.Err() == nil {
@@ -201,9 +209,6 @@
 func (t *jobTail) Apply(r jayport.Record) {
 	id := jobID(t.duty.name, r.Key)
 	if r.Value == nil {
-		if t.loading {
-			delete(t.loaded, id)
-		}
 		return
 	}
 	job, err := decodeJob(t.duty.name, id, r.Value)
@@ -215,33 +220,28 @@
 		t.loaded[id] = job
 		return
 	}
-	t.duty.declare(job, "read")
+	t.duty.declare(job, "read", t.duty.pool.DeclareFound)
 }
 
 // declare hands a job that is stored to the pool. A job that it knows already
 // stays as it is.
-func (d *poolDuty) declare(job *jayspec.Job, how string) {
+func (d *poolDuty) declare(job *jayspec.Job, how string, declare func(*jayspec.Job, time.Duration) bool) {
 	d.post(func(now time.Duration) {
 		d.known.Store(job.ID, true)
-		if d.pool.Declare(job, now) {
+		if declare(job, now) {
 			d.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "steps", job.Summary(), "within", d.pool.TimeFor(job.ID).String(), "how", how)
 		}
 	})
 }
 
-// declareStored hands a job that this entry has just stored to the duty of its
-// pool, if that is here.
-func (n *Node) declareStored(pool, id string, value []byte) {
-	duty := n.ownedPool(pool)
-	if duty == nil {
-		return
-	}
-	job, err := decodeJob(pool, id, value)
+// declareStored hands a job that was just stored by the duty of its pool to it.
+func (d *poolDuty) declareStored(id string, value []byte) {
+	job, err := decodeJob(d.name, id, value)
 	if err != nil {
-		duty.logger.Error(err, "job unreadable", "job", id)
+		d.logger.Error(err, "job unreadable", "job", id)
 		return
 	}
-	duty.declare(job, "stored")
+	d.declare(job, "stored", d.pool.Declare)
 }
 
 // knows reports whether this entry owns a pool and knows a job of it. What it
@@ -272,23 +272,6 @@
 	t.duty.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "steps", job.Summary(), "within", pool.TimeFor(job.ID).String(), "restored", true)
 }
 
-// mayBeRemoved reports whether the former owner may have removed the records of a
-// job that had ended while the jobs were read before their progress: its declaration
-// was read, and its progress was gone. Taken for one that has not begun, the job
-// would run a second time. What was removed shows when the jobs are read on.
-func (t *jobTail) mayBeRemoved(recorded map[string]*jaywire.JobProgress) bool {
-	retain := t.duty.node.settings.RetainEnded
-	if retain == 0 {
-		return false
-	}
-	for id, job := range t.loaded {
-		if _, known := recorded[id]; !known && time.Since(job.Accepted) > retain/2 {
-			return true
-		}
-	}
-	return false
-}
-
 // finishLoad adds the jobs that were read, and the ended ones whose declarations
 // were removed. From now on the tail runs in a goroutine of its own.
 func (t *jobTail) finishLoad(recorded map[string]*jaywire.JobProgress) {
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -49,6 +49,8 @@
 	spec *jayspec.Job
 	// since is when the job was handed in.
 	since time.Duration
+	// foundAt is when the job was found that others had stored, or zero.
+	foundAt time.Duration
 	// lasting says that the job runs until it is cancelled, advised that only
 	// the advisor knows where its steps may run.
 	lasting bool
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -12,6 +12,9 @@
 	p.noRoom = p.noRoom[:0]
 	p.crowded = false
 	for _, j := range p.open {
+		if !p.ownership.since(j.foundAt) {
+			continue
+		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				if s.waiting > 0 && s.ready(now) {
