A new owner minds runs of jobs that it does not know yet

Change: ends and runs of unknown jobs are kept until all jobs are known that were stored before they were seen; jobs that others stored are held back like those read in a takeover. While the store is slow an owner is sure for as long as a takeover takes.

--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -62,14 +62,11 @@
 	patience patience
 
 	// Only the duty's goroutine uses what follows.
-	pool *jaysched.Pool
-	// journal records progress, declarations stores jobs. The store refuses both to
-	// an owner that was replaced.
-	journal      *jayjournal.Journal
-	declarations *jayjournal.Journal
-	jobs         *jobTail
-	flushing     bool
-	expireAt     time.Duration
+	pool     *jaysched.Pool
+	journal  *jayjournal.Journal
+	jobs     *jobTail
+	flushing bool
+	expireAt time.Duration
 }
 
 // event is what a pool's goroutine takes in.
@@ -103,8 +100,6 @@
 	}, options...)
 	p := n.ports.Formats.Own(topicProgress, n.partitionOf(name))
 	d.journal = jayjournal.New(n.store, p, string(claim.Duty), claim.Fence, n.clock, d.logger, jayjournal.WithLatency(n.store.Latency))
-	handedIn := n.ports.Formats.Own(topicJobs, n.partitionOf(name))
-	d.declarations = jayjournal.New(n.store, handedIn, string(claim.Duty), claim.Fence, n.clock, d.logger, jayjournal.WithRefusals(), jayjournal.WithLatency(n.store.Latency))
 	d.jobs = newJobTail(d)
 	return d
 }
@@ -137,13 +132,11 @@
 	if !d.takeOver() {
 		return
 	}
-	for _, j := range []*jayjournal.Journal{d.journal, d.declarations} {
-		d.node.duties.Go(func() {
-			if err := j.Run(d.ctx); err != nil && d.ctx.Err() == nil {
-				d.end(err.Error())
-			}
-		})
-	}
+	d.node.duties.Go(func() {
+		if err := d.journal.Run(d.ctx); err != nil && d.ctx.Err() == nil {
+			d.end(err.Error())
+		}
+	})
 	tail := d.jobs.tail
 	d.node.duties.Go(func() { tail.Run(d.ctx) })
 	d.loaded.Store(true)
@@ -162,6 +155,8 @@
 
 // step takes in all waiting events and acts on what they lead to.
 func (d *poolDuty) step() {
+	// Jobs are posted before the time up to which they are known moves on.
+	jobsAsOf := d.jobs.tail.AsOf()
 	for {
 		handle, ok := d.inbox.Take()
 		if !ok {
@@ -171,6 +166,7 @@
 	}
 	now := d.node.clock()
 	d.noteOwnership()
+	d.pool.JobsKnown(jobsAsOf)
 	for _, action := range d.pool.Decide(now) {
 		d.perform(action)
 	}
@@ -188,8 +184,30 @@
 		return
 	}
 	if c, claimed := view.Claim(d.claim.Duty); claimed && c.Fence == d.claim.Fence {
-		d.pool.Owned(view.asOf)
+		d.pool.Owned(view.asOf + d.unclaimed())
+	}
+}
+
+const (
+	// slowStore is the latency from which the store is taken to be slow for all
+	// entries. A slow entry or link does not reach it.
+	slowStore = 150 * time.Millisecond
+	// takeoverCalls is how many calls to the store, one after the other, a next
+	// owner makes between its claim and its first order: it reads the claim, fences
+	// this owner off and reads how far the jobs are.
+	takeoverCalls = 3
+)
+
+// unclaimed is for how long after nobody had claimed the pool no other owner can
+// have given an order. While the store is slow a takeover takes as many calls; new
+// workers and jobs would wait 0.4 to 0.7 s for each word that the owner is still
+// the owner.
+func (d *poolDuty) unclaimed() time.Duration {
+	latency := d.node.store.Latency()
+	if latency < slowStore {
+		return 0
 	}
+	return (takeoverCalls - 1) * latency
 }
 
 // confirmOwner finds out whether this owner was replaced: a next one begins by
@@ -197,7 +215,7 @@
 func (d *poolDuty) confirmOwner() {
 	asked := d.node.clock()
 	add(d.journal, nil, func(err error) {
-		d.post(func(now time.Duration) { d.pool.OwnerConfirmed(asked, err, now) })
+		d.post(func(now time.Duration) { d.pool.OwnerConfirmed(asked+d.unclaimed(), err, now) })
 	})
 }
 
@@ -366,7 +384,7 @@
 		d.post(func(now time.Duration) {
 			d.flushing = false
 			if err == nil {
-				d.pool.Owned(asked)
+				d.pool.Owned(asked + d.unclaimed())
 				d.pool.Flushed(batch, now)
 			}
 		})
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -1,7 +1,6 @@
 package jaynode
 
 import (
-	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -38,9 +37,9 @@
 // jobs that were handed in. It returns false if the duty ended meanwhile.
 func (d *poolDuty) takeOver() bool {
 	began := d.node.clock()
-	// Fencing comes first: what the former owner stores or records afterwards would
-	// be missing from what is read here, and it may have begun such a job.
-	if err := d.fence(); err != nil {
+	// Fencing comes first: what the former owner records afterwards would be
+	// missing from what is read here.
+	if err := d.journal.Fence(d.ctx); err != nil {
 		d.logger.Info("not taken over", "error", err.Error())
 		return false
 	}
@@ -69,17 +68,6 @@
 	return true
 }
 
-// fence fences the former owner off from what jobs are handed in and how far they
-// are, side by side.
-func (d *poolDuty) fence() error {
-	var declarations error
-	var both sync.WaitGroup
-	both.Go(func() { declarations = d.declarations.Fence(d.ctx) })
-	progress := d.journal.Fence(d.ctx)
-	both.Wait()
-	return errors.Join(progress, declarations)
-}
-
 // loadJobs reads the jobs that were handed in until it has, or the duty ends.
 func (d *poolDuty) loadJobs() {
 	for d.jobs.tail.Step(0) != nil && d.ctx.Err() == nil {
@@ -234,14 +222,19 @@
 	})
 }
 
-// declareStored hands a job that was just stored by the duty of its pool to it.
-func (d *poolDuty) declareStored(id string, value []byte) {
-	job, err := decodeJob(d.name, id, value)
+// declareStored hands a job that this entry has just stored to the duty of its
+// pool, if that is here.
+func (n *Node) declareStored(pool, id string, value []byte) {
+	duty := n.ownedPool(pool)
+	if duty == nil {
+		return
+	}
+	job, err := decodeJob(pool, id, value)
 	if err != nil {
-		d.logger.Error(err, "job unreadable", "job", id)
+		duty.logger.Error(err, "job unreadable", "job", id)
 		return
 	}
-	d.declare(job, "stored", d.pool.Declare)
+	duty.declare(job, "stored", duty.pool.Declare)
 }
 
 // knows reports whether this entry owns a pool and knows a job of it. What it
--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -149,8 +149,8 @@
 	leaseWait = time.Second
 	busyWait  = 400 * time.Millisecond
 	// unrecordedPause is before a worker is asked again whose ends are not
-	// recorded yet, or that lists rows that cannot be read: it would answer with
-	// the same at once.
+	// recorded yet, or that lists what cannot be read or is not known: it would
+	// answer with the same at once.
 	unrecordedPause = 100 * time.Millisecond
 	// silentPause is before a silent worker is asked again.
 	silentPause = 200 * time.Millisecond
@@ -163,7 +163,7 @@
 // it would answer at once anyway, or if the one before is missing.
 func (w *worker) mayWait() time.Duration {
 	switch {
-	case w.processed != w.acknowledged || w.missed > 0:
+	case w.processed != w.acknowledged || w.missed > 0 || len(w.strangers) > 0:
 		return 0
 	case slices.ContainsFunc(w.inOrder, func(r *run) bool { return !r.task.step.decl.LongRunning }):
 		return busyWait
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -135,7 +135,11 @@
 	w.asking = false
 	w.missed = 0
 	w.seeClock(report.Clock, now)
+	clear(w.strangers)
 	for _, end := range report.Ended {
+		if end.Number > w.processed && p.mayBecomeKnown(w, end.Run, now) {
+			break
+		}
 		if end.Number > w.processed {
 			p.takeEnd(w, end, now)
 			w.processed = end.Number
@@ -144,13 +148,15 @@
 	seen := make(map[jayport.RunRef]bool, len(report.Active))
 	for _, active := range report.Active {
 		seen[active.Run] = true
-		p.takeActive(w, active, now)
+		if !p.mayBecomeKnown(w, active.Run, now) {
+			p.takeActive(w, active, now)
+		}
 	}
 	if len(report.Ended) < jayport.MaxReportedEnds && !report.Partial {
 		p.dropMissing(w, seen, asked, now)
 	}
 	w.askAt = now
-	if w.processed > w.acknowledged || report.Partial {
+	if w.processed > w.acknowledged || report.Partial || len(w.strangers) > 0 {
 		w.askAt = now + unrecordedPause
 	}
 }
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -49,8 +49,9 @@
 	spec *jayspec.Job
 	// since is when the job was handed in.
 	since time.Duration
-	// foundAt is when the job was found that others had stored, or zero.
-	foundAt time.Duration
+	// found says that others stored the job, so that a former owner may have begun
+	// it.
+	found bool
 	// lasting says that the job runs until it is cancelled, advised that only
 	// the advisor knows where its steps may run.
 	lasting bool
--- a/jaysched/ownership.go
+++ b/jaysched/ownership.go
@@ -16,14 +16,13 @@
 // refuse its orders once they have seen the next owner's fence, but two conclusions
 // that it draws are wrong. The lease that it granted to a silent worker is over,
 // but the next owner has renewed it: the run goes on, and the task is started a
-// second time. A worker that has just joined has seen no fence at all. And a job
-// that others stored after the next owner has read the jobs looks new to both. One
+// second time. And a worker that has just joined has seen no fence at all. One
 // notices it by a task that two entries started within some seconds.
 //
-// Why this prevents it: a lease counts as over, and a worker or such a job as usable,
-// only if nobody had replaced the owner at a time after the lease ended, or the worker
-// or job was found. Asking takes one append without records, 10 ms, beside the
-// worker's first report.
+// Why this prevents it: a lease counts as over, and a worker as usable, only if
+// nobody had replaced the owner at a time after the lease ended or the worker was
+// found. Asking takes one append without records, 10 ms, beside the worker's first
+// report.
 type ownership struct {
 	// required says that the owner may be replaced at all.
 	required bool
@@ -31,10 +30,8 @@
 	at time.Duration
 	// validFor is for how long after that the owner acts at all.
 	validFor time.Duration
-	// foundAt is when the latest job was found that others had stored.
-	foundAt time.Duration
-	asking  bool
-	askAt   time.Duration
+	asking   bool
+	askAt    time.Duration
 }
 
 // WithReplaceableOwner makes the pool act only while its owner may be known not to
@@ -78,10 +75,10 @@
 	p.actions = append(p.actions, ConfirmOwner{})
 }
 
-// needsOwner reports whether a worker or job that was found, or a lease that should
-// be over, waits for word that the owner was not replaced.
+// needsOwner reports whether a worker that was found, or a lease that should be
+// over, waits for word that the owner was not replaced.
 func (p *Pool) needsOwner(now time.Duration) bool {
-	if p.ownership.lost(now) || !p.ownership.since(p.ownership.foundAt) {
+	if p.ownership.lost(now) {
 		return true
 	}
 	for _, w := range p.sorted {
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -12,7 +12,7 @@
 	p.noRoom = p.noRoom[:0]
 	p.crowded = false
 	for _, j := range p.open {
-		if !p.ownership.since(j.foundAt) {
+		if j.found && p.runsElsewhere(j) {
 			continue
 		}
 		for _, o := range j.occurrences {
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -96,6 +96,7 @@
 	// that have not reported yet.
 	heldUntil time.Duration
 	ownership ownership
+	strangers strangers
 	// surveyed says that every worker that exists is known, also one that the
 	// list of workers does not name.
 	surveyed bool
@@ -221,8 +222,8 @@
 	return j.spec.Policy
 }
 
-// Declare adds a job that was stored by this owner, which the store would have
-// refused an owner that was replaced. A job that is known already stays as it is.
+// Declare adds a job that this owner has stored. A job that is known already stays
+// as it is.
 func (p *Pool) Declare(spec *jayspec.Job, now time.Duration) (added bool) {
 	if _, known := p.jobs[spec.ID]; known {
 		return false
@@ -232,17 +233,6 @@
 	return true
 }
 
-// DeclareFound adds a job that others have stored. It begins once nobody had
-// replaced the owner after it was found: the next owner may know the job as well.
-func (p *Pool) DeclareFound(spec *jayspec.Job, now time.Duration) (added bool) {
-	if !p.Declare(spec, now) {
-		return false
-	}
-	p.jobs[spec.ID].foundAt = now
-	p.ownership.foundAt = now
-	return true
-}
-
 // add takes a job in and returns how long it takes on its own.
 func (p *Pool) add(j *job) (chain time.Duration) {
 	p.jobs[j.spec.ID] = j
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -62,6 +62,8 @@
 	askAt  time.Duration
 	// listed says that the latest list of workers names it.
 	listed bool
+	// strangers are jobs that its latest report named and that were not known.
+	strangers map[string]bool
 	// closed workers get no new run; urgent ones have theirs stopped, and those
 	// that migrate have theirs moved where that loses little.
 	closed  bool
