Jobs wait for a store that is away while they can still be done in time

Cause: an outage of two to four seconds in a rush lost what came early in it: each job was refused at once, its caller came again four times within 2.5 s, whatever it was told. Change: a job waits for as long as its declared sizes leave it time, at most 45 % of its caller's time, unless the outage has lasted for 5 s; then it is refused, with a Retry-After as long as the outage has lasted. What the store turns away is tried again every 100 ms meanwhile.

--- /dev/null
+++ b/jaynode/hope.go
@@ -0,0 +1,48 @@
+package jaynode
+
+import (
+	"time"
+
+	"jaythread/jayspec"
+)
+
+const (
+	// hopeShare is the share of a caller's time, in percent, for which a job may wait
+	// for a store that takes none: a caller that is turned away after that can still
+	// come again.
+	hopeShare = 45
+	// hopefulFor is how long an outage may have lasted before jobs are refused at
+	// once: one that has lasted for so long seldom ends within the time that a job
+	// could wait.
+	hopefulFor = 5 * time.Second
+	// retryLeast and retryMost bound what a caller is told to wait while the store
+	// takes no jobs.
+	retryLeast = time.Second
+	retryMost  = 5 * time.Second
+)
+
+// hopeOf is for how long a job may wait for a store that takes none: as long as it
+// can still be done in time, by the sizes that it declares.
+//
+// The load that it answers: a rush in an outage of some seconds. Callers come again
+// four times within 2.5 s, whatever they are told; what came early was lost, though
+// it could have been stored, and done in time, when the store was back.
+func hopeOf(job *jayspec.Job, deadline time.Duration) time.Duration {
+	chain := job.LongestChain(func(n int) time.Duration { return job.Steps[n].Estimate })
+	slack := time.Duration((job.Policy.Stretch-1)*float64(chain)) + job.Policy.Objective
+	return max(0, min(slack, deadline*hopeShare/100))
+}
+
+// hopeIn is what is left of a job's hope in an outage that has lasted for a time.
+func hopeIn(outage, hope time.Duration) time.Duration {
+	if outage > hopefulFor {
+		return 0
+	}
+	return hope
+}
+
+// retryAfter is what a caller is told to wait: an outage should last about as long
+// again as it has lasted.
+func retryAfter(outage time.Duration) time.Duration {
+	return min(max(retryLeast, outage), retryMost)
+}
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -27,9 +27,6 @@
 )
 
 const (
-	// storeRetry is what a caller is told to wait while the store does not
-	// take appends: most outages last some seconds.
-	storeRetry = 2 * time.Second
 	// stuckAfter is how long an append may wait for its answer before new jobs
 	// are refused at once.
 	stuckAfter = 600 * time.Millisecond
@@ -88,17 +85,17 @@
 	if err != nil {
 		return jayverdict.NewNotRun(statusBadRequest, err.Error(), 0)
 	}
-	until := i.node.clock() + deadline
-	final, outcome := i.storeAtOwner(job.Pool, job.ID, value, deadline)
+	until, hope := i.node.clock()+deadline, hopeOf(job, deadline)
+	final, outcome := i.storeAtOwner(job.Pool, job.ID, value, deadline, hope)
 	if final || i.node.clock() >= until || i.storeAway() {
-		return submitError(outcome)
+		return i.submitError(outcome)
 	}
-	own := i.store(job.Pool, job.ID, value, until-i.node.clock())
+	own := i.store(job.Pool, job.ID, value, until-i.node.clock(), hope)
 	if errors.Is(outcome, jayport.ErrNoAnswer) && own != nil {
 		// The owner may have stored it, whatever became of the second try.
-		return submitError(outcome)
+		return i.submitError(outcome)
 	}
-	return submitError(own)
+	return i.submitError(own)
 }
 
 // storeAtOwner asks the owner of a pool to store a job. Its errors are
@@ -108,13 +105,13 @@
 // owner that turns a job away while it has word from the store does so because
 // the store is slow: appends of all entries beside the owner's would have the
 // partition, which takes them one by one, turn all of them away.
-func (i *intake) storeAtOwner(pool, id string, value []byte, deadline time.Duration) (final bool, err error) {
+func (i *intake) storeAtOwner(pool, id string, value []byte, deadline, hope time.Duration) (final bool, err error) {
 	c, owned := i.node.owners.of(jayowner.PoolDuty(pool))
 	if !owned {
 		return false, jayport.ErrNotDone
 	}
 	if c.Incarnation == i.node.incarnation {
-		return true, i.store(pool, id, value, deadline)
+		return true, i.store(pool, id, value, deadline, hope)
 	}
 	if i.node.liveness.suspects(c.Incarnation) {
 		// An owner that does not answer pings would keep the caller waiting until
@@ -123,7 +120,7 @@
 	}
 	// Some time is left for an append of this entry's own.
 	patience := min(deadline*ownerShare/100, storeJobTimeout)
-	request := &jaywire.StoreJob{Pool: pool, Job: id, Declaration: value, TimeoutMillis: patience.Milliseconds()}
+	request := &jaywire.StoreJob{Pool: pool, Job: id, Declaration: value, TimeoutMillis: patience.Milliseconds(), HopeMillis: hope.Milliseconds()}
 	response, err := i.link.Ask(c.Incarnation, c.PeerAddr, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_StoreJob{StoreJob: request}})
 	i.node.liveness.pinged(c.Incarnation, err)
 	switch {
@@ -137,13 +134,14 @@
 	return err == nil || !stored.GetStoreAway(), err
 }
 
-// store appends a job and hands it to the pool's duty, if it is here. Its errors
-// are jayport.ErrNotDone and jayport.ErrNoAnswer.
+// store appends a job and hands it to the pool's duty, if it is here. It waits for
+// as long as its hope lasts while the store takes no jobs. Its errors are
+// jayport.ErrNotDone and jayport.ErrNoAnswer.
 //
 // The owner reads all jobs from the store as well. But a read can be held up
 // while appends go on: jobs that were accepted then began only when it had timed
 // out.
-func (i *intake) store(pool, id string, value []byte, timeout time.Duration) error {
+func (i *intake) store(pool, id string, value []byte, timeout, hope time.Duration) error {
 	if i.node.knows(pool, id) {
 		// A job that the owner knows is stored: this is a repeat of a request that
 		// was accepted, or whose answer was lost. While the store takes no append,
@@ -151,17 +149,34 @@
 		// append more makes it slower.
 		return nil
 	}
-	err := i.append(pool, id, value, timeout)
-	if err == nil {
-		i.node.declareStored(pool, id, value)
+	began := i.node.clock()
+	hopeUntil := began + hopeIn(i.outage(pool), hope)
+	for {
+		err := i.append(pool, id, value, timeout-(i.node.clock()-began), hopeUntil)
+		if err == nil {
+			i.node.declareStored(pool, id, value)
+		}
+		if !errors.Is(err, jayport.ErrNotDone) || i.node.clock()+turnedAwayPause >= hopeUntil {
+			return err
+		}
+		time.Sleep(turnedAwayPause)
 	}
-	return err
 }
 
-// append appends a job. Its errors are those of store.
-func (i *intake) append(pool, id string, value []byte, timeout time.Duration) error {
+// turnedAwayPause is before a job is appended again that the store has turned away.
+const turnedAwayPause = 100 * time.Millisecond
+
+// outage is for how long the store has taken no jobs of a pool, as far as this entry
+// knows.
+func (i *intake) outage(pool string) time.Duration {
+	return max(i.journals[i.node.partitionOf(pool)].StuckFor(), i.node.store.LostFor())
+}
+
+// append appends a job. Behind an append that is stuck it waits until its hope ends.
+// Its errors are those of store.
+func (i *intake) append(pool, id string, value []byte, timeout, hopeUntil time.Duration) error {
 	journal := i.journals[i.node.partitionOf(pool)]
-	if i.stuck(journal) {
+	if i.stuck(journal) && i.node.clock() >= hopeUntil {
 		return jayport.ErrNotDone
 	}
 	answered := make(chan error, 1)
@@ -181,8 +196,9 @@
 			}
 			return jayport.ErrNoAnswer
 		case <-look.C:
-			// A job behind an append that is stuck is refused, not kept waiting.
-			if i.stuck(journal) && entry.Withdraw() {
+			// A job behind an append that is stuck is refused once it cannot be done
+			// in time any more, not kept waiting.
+			if i.stuck(journal) && i.node.clock() >= hopeUntil && entry.Withdraw() {
 				return jayport.ErrNotDone
 			}
 		case <-timer.C:
@@ -221,7 +237,7 @@
 
 // storeFor stores a job for a peer.
 func (i *intake) storeFor(ask *jaywire.StoreJob) *jaywire.JobStored {
-	err := i.store(ask.Pool, ask.Job, ask.Declaration, millis(ask.TimeoutMillis))
+	err := i.store(ask.Pool, ask.Job, ask.Declaration, millis(ask.TimeoutMillis), millis(ask.HopeMillis))
 	return &jaywire.JobStored{Outcome: jayrelay.OutcomeOf(err), StoreAway: i.storeAway()}
 }
 
@@ -233,12 +249,12 @@
 	ownerShare = 70
 )
 
-func submitError(err error) error {
+func (i *intake) submitError(err error) error {
 	switch {
 	case err == nil:
 		return nil
 	case errors.Is(err, jayport.ErrNotDone), errors.Is(err, jayport.ErrMalformed):
-		return jayverdict.NewNotRun(statusUnavailable, "the store does not take the job", storeRetry)
+		return jayverdict.NewNotRun(statusUnavailable, "the store does not take the job", retryAfter(i.node.store.LostFor()))
 	default:
 		return jayverdict.NewMayHaveRun(statusTimeout, "the job may be stored", err)
 	}
--- a/jaynode/intake_test.go
+++ b/jaynode/intake_test.go
@@ -39,7 +39,7 @@
 	n.owners.table.Store(&ownerView{Table: claims})
 	n.liveness.pinged("e2-x", jaypeer.ErrGone)
 	began := time.Now()
-	final, outcome := n.intake.storeAtOwner("seats", "j", nil, 3*time.Second)
+	final, outcome := n.intake.storeAtOwner("seats", "j", nil, 3*time.Second, time.Second)
 	is.True(errors.Is(outcome, jayport.ErrNotDone))
 	is.True(!final) // the entry stores the job itself
 	is.True(time.Since(began) < 100*time.Millisecond)
--- a/jayrelay/relay.go
+++ b/jayrelay/relay.go
@@ -79,6 +79,16 @@
 	return s.failures < distrustAfter
 }
 
+// LostFor returns for how long the store has not served this entry itself, or zero.
+func (s *Store) LostFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failures < distrustAfter {
+		return 0
+	}
+	return s.clock() - s.lostAt
+}
+
 // Append adds records. An append without a producer is not repeated through a
 // peer once it may have taken effect.
 func (s *Store) Append(a jayport.Append, timeout time.Duration) (jayport.Appended, error) {
