Foresight and patience of the fleet follow the move time

Cause: how far demand is foreseen, and how long idle hosts stay on, were right for moves of 1.5 s only.

--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// idleBeforeStandby is for how long a host that is not needed must have been
-	// idle before it is turned off: a move each way costs as much as this time.
-	idleBeforeStandby = 1200 * time.Millisecond
+	// idleShare is for which share of the time of a move a host that is not needed
+	// must have been idle before it is turned off: a rush that begins meanwhile would
+	// wait for a move each way.
+	idleShare = 0.8
 	// surplusBeforeStandby is the same for hosts beyond what the pool may need
 	// by chance, while many hosts are off: after a rush none of them is needed
 	// again. It is a little more than a worker waits between two tasks of one job.
@@ -24,10 +25,10 @@
 	// newOwner is after a takeover until when no host goes off at once: after a
 	// loss of all entries the pools learn only then what has been handed in.
 	newOwner = 3 * time.Second
-	// soonEmpty is how soon a busy host must become empty to be taken for a
-	// pool that needs it more, and reclaimPatience how long it may take in fact.
-	soonEmpty       = 800 * time.Millisecond
-	reclaimPatience = 1500 * time.Millisecond
+	// soonEmptyShare is how soon, in moves, a busy host must become empty to be taken
+	// for a pool that needs it more, and reclaimShare how long it may take in fact.
+	soonEmptyShare = 0.55
+	reclaimShare   = 1.0
 )
 
 // standing is a pool and what it has and needs.
@@ -147,7 +148,7 @@
 			continue
 		}
 		told := f.demands[h.Pool].At > h.vacatingSince
-		waits := h.patient && now-h.vacatingSince < reclaimPatience
+		waits := h.patient && now-h.vacatingSince < f.moves(reclaimShare)
 		switch {
 		case f.empty(h, now) && told:
 			f.begin(h, moving{to: h.moveTo}, "vacated", now)
@@ -166,7 +167,7 @@
 	for _, s := range standings {
 		for _, h := range slices.Clone(s.idle) {
 			l, _ := f.load(h)
-			if s.have <= s.need || l.Idle < s.idleBefore(ample) {
+			if s.have <= s.need || l.Idle < f.idleBefore(s, ample) {
 				break
 			}
 			s.drop(h)
@@ -178,11 +179,16 @@
 
 // idleBefore is for how long a host must have been idle before it is turned off;
 // ample says that many are off already.
-func (s *standing) idleBefore(ample bool) time.Duration {
+func (f *Fleet) idleBefore(s *standing, ample bool) time.Duration {
 	if ample && s.have > s.keep {
 		return surplusBeforeStandby
 	}
-	return idleBeforeStandby
+	return f.moves(idleShare)
+}
+
+// moves is how long a share of a move takes.
+func (f *Fleet) moves(share float64) time.Duration {
+	return time.Duration(share * float64(f.settings.MoveTime))
 }
 
 func (f *Fleet) standbyPool() string {
@@ -230,7 +236,7 @@
 		switch {
 		case l.Runs == 0:
 			s.idle = append(s.idle, h)
-		case l.EmptyIn >= 0 && l.EmptyIn <= soonEmpty:
+		case l.EmptyIn >= 0 && l.EmptyIn <= f.moves(soonEmptyShare):
 			s.busy = append(s.busy, h)
 		}
 	}
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -96,6 +96,7 @@
 	d.pool = jaysched.NewPool(name, jaysched.Settings{
 		Lease:     min(leaseTime, n.settings.MaxLease),
 		Stop:      n.settings.StopTime,
+		MoveTime:  n.settings.MoveTime,
 		FarFactor: n.settings.FarFactor,
 	}, options...)
 	p := n.ports.Formats.Own(topicProgress, n.partitionOf(name))
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -47,12 +47,13 @@
 // Demand returns what the pool needs now.
 func (p *Pool) Demand(now time.Duration) Demand {
 	u := p.use(now)
+	lead := p.settings.MoveTime + reportWay
 	spread := int64(math.Sqrt(u.variance))
 	// In the middle of a rush, use goes up and down by chance; each time it went
 	// up, a third more hosts than needed came. So only what exceeds chance counts,
 	// and what waits, which would not if there were enough hosts.
-	growth := max(p.waitingTrend.growth(u.waiting, now), p.trend.growth(u.milli, now)-spread)
-	need := max(u.milli+growth, p.offered.ahead(u.milli, now))
+	growth := max(p.waitingTrend.growth(u.waiting, lead, now), p.trend.growth(u.milli, lead, now)-spread)
+	need := max(u.milli+growth, p.offered.ahead(u.milli, lead, now))
 	d := Demand{NeedMilli: need, SpareMilli: spread}
 	for _, w := range p.sorted {
 		if w.contact == connected && w.listed && !w.Draining {
--- a/jaysched/forecast.go
+++ b/jaysched/forecast.go
@@ -14,9 +14,9 @@
 	trendWindow = 800 * time.Millisecond
 	// trendSamples is how many samples a slope needs.
 	trendSamples = 3
-	// moveLead is how long a host takes from the decision to its first run: the
-	// move, and the way of its report.
-	moveLead = 1700 * time.Millisecond
+	// reportWay is how long a host that has come takes until it can be used: the way
+	// of its report.
+	reportWay = 200 * time.Millisecond
 )
 
 // trend foresees by how much a quantity will have grown.
@@ -32,10 +32,10 @@
 // growth notes a quantity and returns by how much it grows until a host that is
 // moved now has come, if it goes on as it did. What falls is not foreseen: a
 // host that leaves too early is dearer than one that stays a moment too long.
-func (t *trend) growth(milli int64, now time.Duration) int64 {
+func (t *trend) growth(milli int64, lead, now time.Duration) int64 {
 	t.samples = slices.DeleteFunc(t.samples, func(s sample) bool { return s.at < now-trendWindow })
 	t.samples = append(t.samples, sample{at: now, milli: milli})
-	return int64(max(0, t.slope()*moveLead.Seconds()))
+	return int64(max(0, t.slope()*lead.Seconds()))
 }
 
 // slope is the growth in thousandths of a core a second, by least squares.
@@ -116,12 +116,12 @@
 // ahead is what a pool that uses so much now will use when a host that is moved
 // now has come: of the jobs that are there some will have ended by then, and
 // others will have come at the present rate.
-func (o *offered) ahead(milli int64, now time.Duration) int64 {
+func (o *offered) ahead(milli int64, lead, now time.Duration) int64 {
 	rate, chain := o.rate(now)
 	if chain <= 0 {
 		return 0
 	}
-	left := math.Exp(-moveLead.Seconds() / chain.Seconds())
+	left := math.Exp(-lead.Seconds() / chain.Seconds())
 	return int64(float64(milli)*left + rate*(1-left))
 }
 
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -17,6 +17,8 @@
 	Lease time.Duration
 	// Stop is how long a worker takes at most to stop a run.
 	Stop time.Duration
+	// MoveTime is how long a host takes from pool to pool.
+	MoveTime time.Duration
 	// FarFactor is how much longer a task takes away from its data or rack.
 	FarFactor float64
 }
--- a/jaysched/pool_test.go
+++ b/jaysched/pool_test.go
@@ -40,7 +40,7 @@
 
 func newWorld(t *testing.T, workers int, options ...Option) *world {
 	w := &world{t: t, workers: map[string]*fakeWorker{}, now: time.Minute, lose: func(Action) bool { return false }}
-	w.pool = NewPool("seats", Settings{Lease: 4 * time.Second, Stop: 200 * time.Millisecond, FarFactor: 1.5}, options...)
+	w.pool = NewPool("seats", Settings{Lease: 4 * time.Second, Stop: 200 * time.Millisecond, MoveTime: 1500 * time.Millisecond, FarFactor: 1.5}, options...)
 	for n := range workers {
 		w.addWorker(fmt.Sprint("w", n))
 	}
--- a/jaysched/rush_bench_test.go
+++ b/jaysched/rush_bench_test.go
@@ -44,7 +44,7 @@
 
 func newRush(workers int) *rush {
 	r := &rush{
-		pool:   NewPool("seats", Settings{Lease: 4 * time.Second, Stop: 200 * time.Millisecond, FarFactor: 1.5}),
+		pool:   NewPool("seats", Settings{Lease: 4 * time.Second, Stop: 200 * time.Millisecond, MoveTime: 1500 * time.Millisecond, FarFactor: 1.5}),
 		now:    time.Minute,
 		active: map[string]map[jayport.RunRef]jayport.ActiveRun{},
 		number: map[string]int64{},
