Free addresses in one place, below the ports of outgoing connections; a late answer's test opens its connection first

TestLateAnswer failed once: with a timeout of 20 ms from the dial on, a request on a busy machine can time out before it is sent, and has then not run, truly. Change: jayaddress; the test opens its connection first and waits 250 ms: as strict about the late answer, which it is for.

--- a/jayaccount/account.go
+++ b/jayaccount/account.go
@@ -187,8 +187,6 @@
 	}
 }
 
-const milli = 1000
-
 func poolRows(byPool map[string][]poolState) []PoolRow {
 	var rows []PoolRow
 	for _, pool := range slices.Sorted(maps.Keys(byPool)) {
--- a/platform/jaystub/platform_test.go
+++ b/jayaddress/address_test.go
@@ -1,6 +1,7 @@
-package jaystub
+package jayaddress
 
 import (
+	"fmt"
 	"net"
 	"strconv"
 	"testing"
@@ -8,7 +9,7 @@
 	"github.com/matryer/is"
 )
 
-func TestFreeAddrIsNotHandedOutTwice(t *testing.T) {
+func TestAddressIsNotHandedOutTwice(t *testing.T) {
 	// Symptom: in a soak run, accepted jobs are unknown to all entries.
 	// Sequence: the address for one entry's callers and that at which another one
 	// tells that it is ready are the same port; the first cannot listen and ends,
@@ -17,7 +18,7 @@
 	is := is.New(t)
 	seen := map[string]bool{}
 	for range 2_000 {
-		addr, err := FreeAddr()
+		addr, err := Free()
 		is.NoErr(err)
 		if seen[addr] {
 			t.Fatalf("%s twice after %d", addr, len(seen))
@@ -26,14 +27,15 @@
 	}
 }
 
-func TestFreeAddrIsNoPortOfOutgoingConnections(t *testing.T) {
-	// Symptom: an entry of a test cannot listen: its address is in use.
+func TestNoPortOfOutgoingConnectionsIsHandedOut(t *testing.T) {
+	// Symptom: an entry of a test, or of the demo, cannot listen: its address is in
+	// use.
 	// Sequence: a port is found free; before the entry listens there, the kernel
 	// gives it to a connection that another process opens.
 	// Cause: the port was one of those that the kernel hands out itself, from 32768
 	// on where nothing else is set.
 	is := is.New(t)
-	addr, err := FreeAddr()
+	addr, err := Free()
 	is.NoErr(err)
 	_, port, err := net.SplitHostPort(addr)
 	is.NoErr(err)
@@ -41,3 +43,15 @@
 	is.NoErr(err)
 	is.True(number < 32768)
 }
+
+func ExampleListen() {
+	listener, err := Listen()
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer func() { _ = listener.Close() }()
+	host, _, _ := net.SplitHostPort(listener.Addr().String())
+	fmt.Println(host)
+	// Output: 127.0.0.1
+}
--- a/jaydemo/demo.go
+++ b/jaydemo/demo.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 
+	"jaythread/jayaddress"
 	"jaythread/jayapi"
 	"jaythread/jayentry"
 	"jaythread/jayoptions"
@@ -101,7 +102,7 @@
 		return err
 	}
 	var err error
-	d.listener, err = net.Listen("tcp", "127.0.0.1:0")
+	d.listener, err = jayaddress.Listen()
 	if err != nil {
 		return fmt.Errorf("listen for the platform: %w", err)
 	}
@@ -110,16 +111,6 @@
 	return nil
 }
 
-// freeAddr returns a loopback address that was free a moment ago.
-func freeAddr() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
 func (d *demo) startEntry(n int) error {
 	o := jayoptions.New()
 	centers := d.options.Profile.DataCenters
@@ -130,7 +121,7 @@
 	o.StopGrace = jayoptions.Duration(stopGrace)
 	o.PlanEvery = jayoptions.Duration(50 * time.Millisecond)
 	for _, addr := range []*string{&o.CallerAddr, &o.OperatorAddr, &o.PeerAddr} {
-		free, err := freeAddr()
+		free, err := jayaddress.Free()
 		if err != nil {
 			return err
 		}
--- a/jaynode/fakes_test.go
+++ b/jaynode/fakes_test.go
@@ -186,8 +186,6 @@
 	hosts map[string]jayport.Host
 	acts  []sentAct
 	clock jayclock.Clock
-	// lives counts the workers.
-	lives int
 }
 
 func newSharedHosts(clock jayclock.Clock, pools map[string]int) *sharedHosts {
--- a/jaysoak/entry_test.go
+++ b/jaysoak/entry_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"jaythread/jayaddress"
 	"jaythread/platform/jaystub"
 )
 
@@ -63,7 +64,7 @@
 
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	addr, err := jaystub.FreeAddr()
+	addr, err := jayaddress.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/jaystandin/worker.go
+++ b/jaystandin/worker.go
@@ -1,7 +1,6 @@
 package jaystandin
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"strings"
@@ -11,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"jaythread/jayaddress"
 	"jaythread/jayplatform"
 	"jaythread/jayverdict"
 )
@@ -74,15 +74,17 @@
 	w.faults = f
 }
 
+func (w *Worker) listen() (net.Listener, error) {
+	if w.spec.Addr == "" {
+		return jayaddress.Listen()
+	}
+	return net.Listen("tcp4", w.spec.Addr)
+}
+
 // start opens the worker's listener. The first start takes a free port; a
 // later one takes the same again.
 func (w *Worker) start() error {
-	addr := w.spec.Addr
-	if addr == "" {
-		addr = "127.0.0.1:0"
-	}
-	config := net.ListenConfig{}
-	listener, err := config.Listen(context.Background(), "tcp4", addr)
+	listener, err := w.listen()
 	if err != nil {
 		return fmt.Errorf("worker %s: %w", w.spec.ID, err)
 	}
--- a/jayupstream/client_test.go
+++ b/jayupstream/client_test.go
@@ -214,7 +214,12 @@
 	is := is.New(t)
 	u, c := newUpstream(t), newClient()
 	var late *request
-	got := u.call(c, "/slow", Attempt{Timeout: 20 * time.Millisecond}, func(r *request) { late = r })
+	// The connection is opened first, and the timeout is long enough for a machine
+	// under load to write on it: a request that timed out before it was sent has not
+	// run, which is no matter of this test.
+	got := u.call(c, "/first", Attempt{}, func(r *request) { r.write(ok) })
+	is.NoErr(got.err)
+	got = u.call(c, "/slow", Attempt{Timeout: 250 * time.Millisecond}, func(r *request) { late = r })
 	is.Equal(jayverdict.Of(got.err), jayverdict.MayHaveRun)
 	late.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
 	got = u.call(c, "/next", Attempt{}, func(r *request) { r.write(ok) })
