--- a/jaynode/liveness.go
+++ b/jaynode/liveness.go
@@ -19,23 +19,23 @@
 
 const (
 	// pingPause is between two signs of life asked of each owner.
-	pingPause = 200 * time.Millisecond
+	pingPause = 150 * time.Millisecond
 	// pingTimeout bounds one of them. An entry answers within some
 	// milliseconds, a slowed one within some tens.
 	pingTimeout = 350 * time.Millisecond
 	// beatPause is between two signs of life that an owner writes to the store.
-	beatPause = 300 * time.Millisecond
+	beatPause = 200 * time.Millisecond
 	// beatLatencies is the same in appends, for a store that is slow.
 	beatLatencies = 3
 	// suspectPause is between two looks at the beats while an owner is
 	// suspected.
-	suspectPause = 100 * time.Millisecond
+	suspectPause = 60 * time.Millisecond
 	// refusedPatience is how long an owner whose port is closed may be without
 	// a beat before it counts as ended: a little more than one beat.
-	refusedPatience = 450 * time.Millisecond
+	refusedPatience = 320 * time.Millisecond
 	// silentPatience is the same for an owner that does not answer: three
 	// beats, since it may only be slow.
-	silentPatience = 900 * time.Millisecond
+	silentPatience = 650 * time.Millisecond
 	// isolatedPatience is how long an owner may be silent here that still
 	// writes its beats. If this entry reaches others, it is the owner that is
 	// cut off, and callers cannot ask it.
