Jobs that wait to be stored are demand

Cause: in an outage in a rush jobs wait to be stored; hosts were called only when they were, and came a move later. Change: the owner counts a job as offered work when it is handed in, once.

--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -150,6 +150,7 @@
 		return nil
 	}
 	began := i.node.clock()
+	i.node.expect(pool, id, value)
 	hopeUntil := began + hopeIn(i.outage(pool), hope)
 	for {
 		err := i.append(pool, id, value, timeout-(i.node.clock()-began), hopeUntil)
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -222,6 +222,17 @@
 	})
 }
 
+// expect tells the duty of a pool, if it is here, of a job that is about to be stored.
+func (n *Node) expect(pool, id string, value []byte) {
+	duty := n.ownedPool(pool)
+	if duty == nil || !duty.loaded.Load() {
+		return
+	}
+	if job, err := decodeJob(pool, id, value); err == nil {
+		duty.post(func(now time.Duration) { duty.pool.Expect(job, now) })
+	}
+}
+
 // declareStored hands a job that this entry has just stored to the duty of its
 // pool, if that is here.
 func (n *Node) declareStored(pool, id string, value []byte) {
--- a/jaysched/forecast.go
+++ b/jaysched/forecast.go
@@ -1,6 +1,7 @@
 package jaysched
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -125,6 +126,31 @@
 	return int64(float64(milli)*left + rate*(1-left))
 }
 
+// expectedFor is for how long a job is remembered that was handed in and is not
+// stored: its caller has come again by then, or gives up.
+const expectedFor = 5 * time.Second
+
+// Expect takes in a job that was handed in and is about to be stored.
+//
+// The load that it answers: a rush in an outage of the store. Its jobs wait to be
+// stored and are all there when the store is back; hosts that are called only then
+// come a move later.
+func (p *Pool) Expect(spec *jayspec.Job, now time.Duration) {
+	maps.DeleteFunc(p.expected, func(_ string, at time.Duration) bool { return at+expectedFor < now })
+	_, known := p.jobs[spec.ID]
+	_, expected := p.expected[spec.ID]
+	if known || expected {
+		return
+	}
+	p.expected[spec.ID] = now
+	p.offer(spec, p.chainOf(spec), now)
+}
+
+// chainOf is how long a job should take on its own.
+func (p *Pool) chainOf(spec *jayspec.Job) time.Duration {
+	return spec.LongestChain(func(n int) time.Duration { return p.times.of(spec.Queue, spec.Steps[n].Estimate) })
+}
+
 // offer notes the work of a job that came. Jobs that last or have set times are
 // no part of a rush.
 func (p *Pool) offer(spec *jayspec.Job, chain, now time.Duration) {
--- a/jaysched/forecast_test.go
+++ b/jaysched/forecast_test.go
@@ -65,3 +65,40 @@
 	w.run()
 	is.True(!w.pool.Crowded())
 }
+
+func TestJobsThatWaitToBeStoredAreExpected(t *testing.T) {
+	// Symptom: after an outage of the store in a rush, jobs wait for a move more.
+	// Sequence: the jobs of the rush wait to be stored; they are stored together when
+	// the store is back; only then does the pool ask for hosts.
+	// Cause: what waited to be stored was no demand.
+	is := is.New(t)
+	w := newWorld(t, 1)
+	before := w.pool.Demand(w.now).NeedMilli
+	var specs []*jayspec.Job
+	for n := range 40 {
+		spec := newSpec(fmt.Sprint("j", n), 4)
+		specs = append(specs, spec)
+		w.now += 20 * time.Millisecond
+		w.pool.Expect(spec, w.now)
+		w.pool.Expect(spec, w.now) // its caller comes again
+	}
+	expected := w.pool.Demand(w.now).NeedMilli
+	is.True(expected > 4*before)
+	work := 0.0
+	for _, a := range w.pool.offered.arrivals {
+		work += a.work
+	}
+	for _, spec := range specs {
+		w.pool.Declare(spec, w.now)
+	}
+	after := 0.0
+	for _, a := range w.pool.offered.arrivals {
+		after += a.work
+	}
+	is.Equal(work, after) // each counts once
+	is.Equal(len(w.pool.expected), 0)
+	w.pool.Expect(newSpec("never", 1), w.now)
+	w.now += 2 * expectedFor
+	w.pool.Expect(newSpec("later", 1), w.now)
+	is.Equal(len(w.pool.expected), 1)
+}
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -111,6 +111,8 @@
 	trend        trend
 	waitingTrend trend
 	offered      offered
+	// expected are jobs that are about to be stored, and since when.
+	expected map[string]time.Duration
 	// vacatingUntil is when the orders to vacate workers expire.
 	vacatingUntil time.Duration
 	actions       []Action
@@ -155,6 +157,7 @@
 		workers:  map[string]*worker{},
 		missing:  map[string]bool{},
 		gone:     map[string]time.Duration{},
+		expected: map[string]time.Duration{},
 		times:    newDurations(),
 	}
 	for _, option := range options {
@@ -231,7 +234,11 @@
 		return false
 	}
 	j := newJob(spec, now, p.dueAt)
-	p.offer(spec, p.add(j), now)
+	chain := p.add(j)
+	if _, expected := p.expected[spec.ID]; !expected {
+		p.offer(spec, chain, now)
+	}
+	delete(p.expected, spec.ID)
 	return true
 }
 
@@ -240,7 +247,7 @@
 	p.jobs[j.spec.ID] = j
 	policy := p.policy(j)
 	j.advised, j.priority = policy.Advised, policy.Priority
-	chain = j.spec.LongestChain(func(n int) time.Duration { return p.times.of(j.spec.Queue, j.spec.Steps[n].Estimate) })
+	chain = p.chainOf(j.spec)
 	j.target = j.since + time.Duration(policy.Stretch*float64(chain)) + policy.Objective
 	p.enqueue(j)
 	return chain
