--- /dev/null
+++ b/jaynode/fleetrecords.go
@@ -0,0 +1,78 @@
+package jaynode
+
+import (
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+
+	"jaythread/jayfleet"
+	"jaythread/jayport"
+	"jaythread/jaywire"
+)
+
+// fleetCollector collects what was recorded of waves and hosts.
+type fleetCollector struct {
+	waves  map[string]*jaywire.WaveProgress
+	acts   map[string]*jaywire.HostAct
+	logger logr.Logger
+}
+
+func newFleetCollector(logger logr.Logger) *fleetCollector {
+	return &fleetCollector{waves: map[string]*jaywire.WaveProgress{}, acts: map[string]*jaywire.HostAct{}, logger: logger}
+}
+
+// Reset begins a load.
+func (c *fleetCollector) Reset() {
+	clear(c.waves)
+	clear(c.acts)
+}
+
+// Apply takes in a record.
+func (c *fleetCollector) Apply(r jayport.Record) {
+	if r.Value == nil {
+		return
+	}
+	wave, act := &jaywire.WaveProgress{}, &jaywire.HostAct{}
+	var err error
+	if name, ok := strings.CutPrefix(r.Key, waveKeys); ok {
+		err = proto.Unmarshal(r.Value, wave)
+		c.waves[name] = wave
+	} else if name, ok := strings.CutPrefix(r.Key, hostKeys); ok {
+		err = proto.Unmarshal(r.Value, act)
+		c.acts[name] = act
+	}
+	if err != nil {
+		c.logger.Error(err, "fleet's record unreadable", "key", r.Key)
+	}
+}
+
+// CaughtUp is called after the load.
+func (c *fleetCollector) CaughtUp(time.Duration) {}
+
+// actors knows of the entries that have acted.
+type actors interface {
+	// ended reports whether the process of an incarnation that acted at a time of
+	// day has ended for certain.
+	ended(incarnation string, acted time.Time) bool
+	// clockOf returns the clock of an incarnation, if it is known.
+	clockOf(incarnation string) (peerClock, bool)
+}
+
+// heldHosts returns until when a new owner must leave hosts alone, since a former
+// one acted on them a moment ago and may do so again.
+func (c *fleetCollector) heldHosts(guard jayfleet.Guard, actors actors, t jayfleet.Takeover) map[string]time.Duration {
+	held := map[string]time.Duration{}
+	for host, act := range c.acts {
+		at := time.UnixMilli(act.UnixMillis)
+		recorded := jayfleet.RecordedAct{At: at, ActorEnded: actors.ended(act.Incarnation, at)}
+		if clock, known := actors.clockOf(act.Incarnation); known {
+			recorded.DecidedBy, recorded.ClockKnown = clock.by(micros(act.DecidedMicros)), true
+		}
+		if until := guard.HeldUntil(recorded, t); until > t.Clock {
+			held[host] = until
+		}
+	}
+	return held
+}
--- a/jaysoak/soak_test.go
+++ b/jaysoak/soak_test.go
@@ -223,11 +223,24 @@
 		func() { s.configure(version) },
 		func() { s.platform.DeclareWave(version, []string{machine}, 10*time.Second, 1) },
 		s.everyone,
+		func() { s.platform.Store.Put("keyed.servers", fmt.Sprint("foreign-", version), foreign(r)) },
 	}
 	kind := kinds[r.IntN(len(kinds))]
 	s.faults.Go(kind)
 }
 
+// foreign is an entry among those of the workers that another writer left.
+func foreign(r *rand.Rand) any {
+	entries := []any{
+		7, "ready", []string{}, map[string]any{"service": "seats"},
+		map[string]any{"service": 1, "addr": true, "state": "ready"},
+		map[string]any{"service": "seats", "addr": "127.0.0.1:1", "zone": "z", "state": "resting", "labels": []string{"a"}, "capacity": map[string]any{"cpu": 8000, "memMb": 8000}},
+		map[string]any{"service": "seats", "addr": "nowhere", "zone": "z", "state": "ready", "labels": []string{"a"}, "capacity": map[string]any{"cpu": 8000, "memMb": 8000}},
+		map[string]any{"service": "seats", "addr": "127.0.0.1:1", "zone": "z", "state": "ready", "labels": []string{"a"}, "capacity": map[string]any{"cpu": 1e300, "memMb": -1}},
+	}
+	return entries[r.IntN(len(entries))]
+}
+
 // everyone kills all entries at once.
 func (s *soak) everyone() {
 	var all sync.WaitGroup
