A woken owner tells and starts nothing before it knows that it is still the owner

What an owner knows was told whatever its age. Change: a duty notices a pause of 0.5 s before each event; in doubt it starts nothing and tells nothing until the store has confirmed it.

--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -121,8 +122,7 @@
 	// Some time is left for an append of this entry's own.
 	patience := min(deadline*ownerShare/100, storeJobTimeout)
 	request := &jaywire.StoreJob{Pool: pool, Job: id, Declaration: value, TimeoutMillis: patience.Milliseconds(), HopeMillis: hope.Milliseconds()}
-	response, err := i.link.Ask(c.Incarnation, c.PeerAddr, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_StoreJob{StoreJob: request}})
-	i.node.liveness.pinged(c.Incarnation, err)
+	response, err := i.askOwner(c, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_StoreJob{StoreJob: request}})
 	switch {
 	case errors.Is(err, jaypeer.ErrGone):
 		return false, jayport.ErrNotDone
@@ -134,6 +134,42 @@
 	return err == nil || !stored.GetStoreAway(), err
 }
 
+// errSuspected is reported for a question to an owner that does not answer pings any
+// more.
+var errSuspected = fmt.Errorf("%w: the owner is suspected", jayport.ErrNoAnswer)
+
+// suspectLook is between two looks whether an owner that is asked is suspected.
+const suspectLook = 20 * time.Millisecond
+
+// askOwner asks an owner, until it is suspected. What it may have done then is done
+// again, since a job stored twice is one job; waiting until the question times out
+// would leave no time for that: 62 callers got no answer when an owner lost power in
+// a rush.
+func (i *intake) askOwner(c jayowner.Claim, request *jaywire.PeerRequest) (*jaywire.PeerResponse, error) {
+	type outcome struct {
+		response *jaywire.PeerResponse
+		err      error
+	}
+	answered := make(chan outcome, 1)
+	go func() {
+		response, err := i.link.Ask(c.Incarnation, c.PeerAddr, request)
+		i.node.liveness.pinged(c.Incarnation, err)
+		answered <- outcome{response, err}
+	}()
+	look := time.NewTicker(suspectLook)
+	defer look.Stop()
+	for {
+		select {
+		case o := <-answered:
+			return o.response, o.err
+		case <-look.C:
+			if i.node.liveness.suspects(c.Incarnation) {
+				return nil, errSuspected
+			}
+		}
+	}
+}
+
 // store appends a job and hands it to the pool's duty, if it is here. It waits for
 // as long as its hope lasts while the store takes no jobs. Its errors are
 // jayport.ErrNotDone and jayport.ErrNoAnswer.
--- a/jaynode/intake_test.go
+++ b/jaynode/intake_test.go
@@ -44,3 +44,29 @@
 	is.True(!final) // the entry stores the job itself
 	is.True(time.Since(began) < 100*time.Millisecond)
 }
+
+func TestOwnerThatFallsSilentIsNotWaitedFor(t *testing.T) {
+	// Symptom: 62 callers wait for two seconds and get no answer.
+	// Sequence: their jobs are handed on to the owner of the pool, whose machine
+	// loses power at that moment; the next owner is known 1.5 s later.
+	// Cause: a question to an owner was waited for until it timed out, though pings
+	// had failed meanwhile, and no time was left to store the job without it.
+	is := is.New(t)
+	silent, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	n := New(Settings{Entry: "e1", PeerAddr: "127.0.0.1:1"}, Ports{Formats: onePartition{}}, logr.Discard())
+	claim := jayowner.Claim{Duty: jayowner.PoolDuty("seats"), Incarnation: "e2-x", PeerAddr: silent.Addr().String(), Term: 1}
+	claims := jayowner.NewTable()
+	is.NoErr(claims.Apply(claim.Record()))
+	n.owners.table.Store(&ownerView{Table: claims})
+	began := time.Now()
+	go func() {
+		time.Sleep(100 * time.Millisecond)
+		n.liveness.pinged("e2-x", jaypeer.ErrGone)
+	}()
+	final, outcome := n.intake.storeAtOwner("seats", "j", nil, 3*time.Second, time.Second)
+	is.True(errors.Is(outcome, jayport.ErrNoAnswer))
+	is.True(!final) // the entry stores the job itself
+	is.True(time.Since(began) < time.Second)
+}
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -67,6 +67,8 @@
 	jobs     *jobTail
 	flushing bool
 	expireAt time.Duration
+	// steppedAt is when the duty last looked at its events.
+	steppedAt time.Duration
 }
 
 // event is what a pool's goroutine takes in.
@@ -163,9 +165,12 @@
 		if !ok {
 			break
 		}
-		handle(d.node.clock())
+		now := d.node.clock()
+		d.noticePause(now)
+		handle(now)
 	}
 	now := d.node.clock()
+	d.noticePause(now)
 	d.noteOwnership()
 	d.pool.JobsKnown(jobsAsOf)
 	for _, action := range d.pool.Decide(now) {
--- a/jaynode/poolduty_test.go
+++ b/jaynode/poolduty_test.go
@@ -168,3 +168,26 @@
 		w.entry.store.set(func(s *storeWay) { s.refuse = false })
 	})
 }
+
+func TestPauseIsNoticedBeforeQuestionsAreAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newPoolWorld(t, 1, "w0", "w1")
+		w.hearFor(time.Second)
+		w.entry.node.pools["seats"] = w.duty
+		w.entry.store.set(func(s *storeWay) { s.refuse = true })
+		is.True(w.entry.node.askOwned("seats", testID).Owned)
+		pause := make(chan struct{})
+		w.duty.post(func(time.Duration) { <-pause }) // the entry stands still
+		time.Sleep(3 * time.Second)
+		answered := make(chan bool, 1)
+		go func() { answered <- w.entry.node.askOwned("seats", testID).Owned }()
+		time.Sleep(time.Millisecond)
+		close(pause)
+		is.True(!<-answered) // asked while the duty stood still
+		is.True(!w.entry.node.askOwned("seats", testID).Owned)
+		w.entry.store.set(func(s *storeWay) { s.refuse = false })
+		w.hearFor(time.Second)
+		is.True(w.entry.node.askOwned("seats", testID).Owned)
+	})
+}
--- a/jaynode/poolownership.go
+++ b/jaynode/poolownership.go
@@ -16,6 +16,20 @@
 	}
 }
 
+// pauseNoticed is after how long without a step the duty was paused, and not merely
+// slow: it steps every 50 ms.
+const pauseNoticed = 500 * time.Millisecond
+
+// noticePause tells the pool if the entry was paused since it was last called. It
+// comes before each event: the next one may be a question.
+func (d *poolDuty) noticePause(now time.Duration) {
+	if d.steppedAt > 0 && now-d.steppedAt > pauseNoticed {
+		d.logger.Info("woken from a pause", "lasted", (now - d.steppedAt).String())
+		d.pool.Doubt(now)
+	}
+	d.steppedAt = now
+}
+
 const (
 	// slowStore is the latency from which the store is taken to be slow for all
 	// entries. A slow entry or link does not reach it.
--- a/jaynode/questions.go
+++ b/jaynode/questions.go
@@ -122,7 +122,16 @@
 
 // askOwned answers for the state of a job of a pool that this entry owns.
 func (n *Node) askOwned(pool, id string) *jaywire.JobAnswer {
-	return n.answerOwned(pool, func(p *jaysched.Pool, now time.Duration) (jaysched.State, bool) { return p.StateOf(id, now) })
+	settled := true
+	answer := n.answerOwned(pool, func(p *jaysched.Pool, now time.Duration) (jaysched.State, bool) {
+		settled = p.Settled(id, now)
+		return p.StateOf(id, now)
+	})
+	if !settled {
+		// The caller's entry asks again in a moment.
+		return &jaywire.JobAnswer{}
+	}
+	return answer
 }
 
 // recordedPause is between two looks whether a cancellation is recorded.
@@ -156,12 +165,14 @@
 	if duty == nil || !duty.loaded.Load() {
 		return answer
 	}
+	doubted := false
 	asked := duty.ask(func() {
+		doubted = duty.pool.InDoubt()
 		state, known := question(duty.pool, n.clock())
 		answer.Known = known
 		answer.State = jaywire.JobState(state) + jaywire.JobState_JOB_STATE_QUEUED
 	}, askTimeout)
-	if !asked {
+	if !asked || doubted {
 		return &jaywire.JobAnswer{}
 	}
 	// A job that is not known may have been handed in a moment ago.
--- a/jaysched/ownership.go
+++ b/jaysched/ownership.go
@@ -30,8 +30,11 @@
 	at time.Duration
 	// validFor is for how long after that the owner acts at all.
 	validFor time.Duration
-	asking   bool
-	askAt    time.Duration
+	// doubtedAt is when the owner woke from a pause, in which it may have been
+	// replaced.
+	doubtedAt time.Duration
+	asking    bool
+	askAt     time.Duration
 }
 
 // WithReplaceableOwner makes the pool act only while its owner may be known not to
@@ -46,6 +49,18 @@
 	p.ownership.at = max(p.ownership.at, at)
 }
 
+// Doubt takes in that the owner was paused until now: until it knows that nobody has
+// replaced it meanwhile, nothing is started, and what it knows of jobs is not told. A
+// job that the next owner had ended was shown as running again.
+func (p *Pool) Doubt(now time.Duration) {
+	p.ownership.doubtedAt = now
+}
+
+// InDoubt reports whether the owner may have been replaced in a pause.
+func (p *Pool) InDoubt() bool {
+	return !p.ownership.since(p.ownership.doubtedAt)
+}
+
 // OwnerConfirmed takes in the answer to ConfirmOwner, which was asked at a time.
 func (p *Pool) OwnerConfirmed(asked time.Duration, err error, now time.Duration) {
 	p.ownership.asking = false
@@ -78,7 +93,7 @@
 // needsOwner reports whether a worker that was found, or a lease that should be
 // over, waits for word that the owner was not replaced.
 func (p *Pool) needsOwner(now time.Duration) bool {
-	if p.ownership.lost(now) {
+	if p.ownership.lost(now) || p.InDoubt() {
 		return true
 	}
 	for _, w := range p.sorted {
--- a/jaysched/ownership_test.go
+++ b/jaysched/ownership_test.go
@@ -99,3 +99,24 @@
 	w.run()
 	is.Equal(w.starts("j.0.0.0"), 1)
 }
+
+func TestWokenOwnerWaitsForWord(t *testing.T) {
+	// Symptom: a job that was shown as done is shown as running.
+	// Sequence: the machine of a pool's owner is paused for three seconds; the next
+	// owner ends a job and its caller is told; the first one wakes, and is asked
+	// before it learns of the claim.
+	// Cause: what it knew of the job was told, however long ago it was known.
+	is := is.New(t)
+	w := ownedUntil(t, 1)
+	declare(w, newSpec("j", 1))
+	w.now += 3 * time.Second
+	w.pool.Doubt(w.now)
+	is.True(w.pool.InDoubt())
+	declare(w, newSpec("k", 1))
+	is.Equal(w.starts("k.0.0.0"), 0)
+	is.Equal(confirms(w), 1)
+	w.pool.OwnerConfirmed(w.now, nil, w.now)
+	is.True(!w.pool.InDoubt())
+	w.run()
+	is.Equal(w.starts("k.0.0.0"), 1)
+}
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -11,6 +11,9 @@
 	held := p.holdsBack(now)
 	p.noRoom = p.noRoom[:0]
 	p.crowded = false
+	if p.InDoubt() {
+		return
+	}
 	for _, j := range p.open {
 		if j.found && p.runsElsewhere(j) {
 			continue
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -97,6 +97,8 @@
 	// ended; until then tasks that it may have started wait for the workers
 	// that have not reported yet.
 	heldUntil time.Duration
+	// startedAt is when this owner first restored a job.
+	startedAt time.Duration
 	ownership ownership
 	strangers strangers
 	// surveyed says that every worker that exists is known, also one that the
--- a/jaysched/restore.go
+++ b/jaysched/restore.go
@@ -22,9 +22,31 @@
 		}
 	}
 	j.eachTask(func(t *task) { t.unseen = !t.done })
+	if p.startedAt == 0 {
+		p.startedAt = now
+	}
 	p.add(j)
 }
 
+// settleTime is for how long after a takeover the state of a job is not told because
+// some worker has not reported. A worker reports within some milliseconds; one that
+// is lost does not.
+const settleTime = 2 * time.Second
+
+// Settled reports whether the state of a job can be told. A former owner may have
+// told its caller that the job is done before that stood in the store; the ends of its
+// tasks stand with the workers then, and until they have reported the job looks as if
+// it still ran.
+func (p *Pool) Settled(id string, now time.Duration) bool {
+	j, known := p.jobs[id]
+	if !known || j.outcome != Open || now >= p.startedAt+settleTime || !p.holdsBack(now) {
+		return true
+	}
+	unseen := false
+	j.eachTask(func(t *task) { unseen = unseen || t.unseen && !t.done })
+	return !unseen
+}
+
 // RestoreUnreadable adds a job whose recorded progress cannot be read. What runs of
 // it goes on, but nothing of it is started: a task that is done would run twice.
 func (p *Pool) RestoreUnreadable(spec *jayspec.Job, now time.Duration) {
--- a/jaysched/takeover_test.go
+++ b/jaysched/takeover_test.go
@@ -223,3 +223,38 @@
 	w.sent = append(w.sent, w.pool.Decide(w.now)...)
 	is.Equal(w.starts("j.0.0.0"), 1)
 }
+
+func TestStateIsNotToldBeforeTheWorkersHaveReported(t *testing.T) {
+	// Symptom: a job that was shown as done is shown as running.
+	// Sequence: the store is away; a job is done, and is shown so after a moment; its
+	// owner is lost; the next one is asked before the workers have told it of the
+	// ends.
+	// Cause: what was read from the store was taken for all that is known.
+	is := is.New(t)
+	first := newWorld(t, 2)
+	spec := newSpec("j", 1, func(s *jayspec.Step) { s.MaxPerInstance = 1 })
+	declare(first, spec)
+	first.finish("j", 0, jayport.EndedDone)
+	first.now += 2 * showUnrecorded
+	wantState(t, first, "j", StateDone)
+	next := takeOver(t, first, spec)
+	next.workers["w1"].silent = true
+	next.run()
+	survey(next)
+	is.True(!next.pool.Settled("j", next.now))
+	next.workers["w1"].silent = false
+	next.now += silentPause
+	next.run()
+	is.True(next.pool.Settled("j", next.now))
+	next.record()
+	wantState(t, next, "j", StateDone)
+	t.Run("a worker that is lost holds the answer up for a while only", func(t *testing.T) {
+		is := is.New(t)
+		third := takeOver(t, first, spec)
+		third.workers["w1"].silent = true
+		third.run()
+		is.True(!third.pool.Settled("j", third.now))
+		is.True(third.pool.Settled("j", third.now+settleTime))
+		is.True(third.pool.Settled("unknown", third.now))
+	})
+}
--- a/jaysoak/soak_test.go
+++ b/jaysoak/soak_test.go
@@ -35,6 +35,8 @@
 	42,
 	// Two processes of the installation had one port.
 	166744,
+	// A woken owner told the state of jobs that the next one had ended.
+	693828,
 }
 
 // soak is one run: an installation, its faults and its callers.
