Appends are sent again beside the first sending; missing answers say nothing of the latency

Change: an append without an answer after 120 ms (or four times the present latency) is sent again beside the first sending, whose answer still counts; only answers say how long the store takes. Tests: TestLostAnswersHoldAppendsUpShortly, TestAnswerToTheFirstSendingCounts, TestMissingAnswersSayNothingOfTheLatency. The scripted store of the tests slept with its lock held; it does not now.

--- a/jayjournal/journal.go
+++ b/jayjournal/journal.go
@@ -22,16 +22,6 @@
 	maxBatchBytes = 1 << 20
 	// maxBatchRecords bounds the records of one append.
 	maxBatchRecords = 1000
-	// firstTimeout is how long the first sending of an append waits for its
-	// answer. An append that is not held up is answered within 20 ms, one of a
-	// store that has become slow within 300 to 600 ms; sent again before, it
-	// would take the partition's time once more.
-	firstTimeout = 400 * time.Millisecond
-	// latencyMargin times the store's present latency is the least timeout: a
-	// store that is slow would otherwise get each append several times.
-	latencyMargin = 4
-	// longestTimeout bounds the doubling of that time.
-	longestTimeout = 2400 * time.Millisecond
 	// refusedPause is before an append is sent again that was turned away.
 	refusedPause = 100 * time.Millisecond
 )
@@ -83,7 +73,6 @@
 	// stuckSince is since when an append has been waiting for its answer, or
 	// zero.
 	stuckSince atomic.Int64
-	timeout    time.Duration
 	latency    func() time.Duration
 	onAppend   func(took time.Duration, records int)
 }
@@ -118,7 +107,6 @@
 		clock:     clock,
 		logger:    logger,
 		queue:     jayring.New[*Entry](maxQueued),
-		timeout:   firstTimeout,
 		latency:   func() time.Duration { return 0 },
 		onAppend:  func(time.Duration, int) {},
 	}
@@ -150,7 +138,7 @@
 // is taken any more. Its error is a *jayport.FencedError or that of the
 // context. An entry without records does the same later on.
 func (j *Journal) Fence(ctx context.Context) error {
-	return j.send(ctx, nil)
+	return j.deliver(ctx, nil)
 }
 
 // Run appends what is queued until the context ends or another producer takes
@@ -170,7 +158,7 @@
 		for _, e := range batch {
 			records = append(records, e.Records...)
 		}
-		err := j.send(ctx, records)
+		err := j.deliver(ctx, records)
 		for _, e := range batch {
 			e.Done(err)
 		}
@@ -201,80 +189,6 @@
 	return batch
 }
 
-// send appends records and repeats the same append until its outcome is
-// known. It does not return ErrNoAnswer.
-func (j *Journal) send(ctx context.Context, records []jayport.Record) error {
-	started := j.clock()
-	defer j.stuckSince.Store(0)
-	a := jayport.Append{
-		Partition: j.partition,
-		Records:   records,
-		Producer:  &jayport.Producer{Name: j.producer, Epoch: j.epoch, Sequence: j.sequence + 1},
-		AsOf:      jayport.AnyOffset,
-	}
-	if len(records) == 0 {
-		a.Producer.Sequence = 0
-	}
-	mayHaveRun := false
-	timeout := min(max(j.timeout, latencyMargin*j.latency()), longestTimeout)
-	for {
-		j.stuckSince.CompareAndSwap(0, int64(started))
-		_, err := j.store.Append(a, timeout)
-		if err == nil {
-			if len(records) > 0 {
-				j.sequence++
-			}
-			took := j.clock() - started
-			j.learn(timeout, mayHaveRun)
-			j.onAppend(took, len(records))
-			return nil
-		}
-		var fenced *jayport.FencedError
-		var sequence *jayport.SequenceError
-		switch {
-		case errors.As(err, &fenced):
-			return err
-		case errors.As(err, &sequence) && len(records) == 0:
-			// No producer with a higher epoch has come, which is all that was asked.
-			return nil
-		case errors.As(err, &sequence) && j.sequence == 0 && !mayHaveRun:
-			// The first append of an epoch starts where the store says.
-			j.sequence = sequence.Expected - 1
-			a.Producer.Sequence = sequence.Expected
-		case errors.As(err, &sequence):
-			// Nobody else uses this name and epoch, so that only a fault of
-			// the store's or of this program's can lead here.
-			j.logger.Error(err, "sequence is broken", "partition", j.partition.String(), "sequence", a.Producer.Sequence)
-			return &jayport.FencedError{}
-		case errors.Is(err, jayport.ErrNotDone):
-			if j.refuse && !mayHaveRun {
-				return err
-			}
-			pause(ctx, refusedPause)
-		case errors.Is(err, jayport.ErrMalformed):
-			j.logger.Error(err, "append refused", "partition", j.partition.String(), "records", len(records))
-			return err
-		default:
-			mayHaveRun = true
-			timeout = min(2*timeout, longestTimeout)
-			j.logger.V(1).Info("append not answered", "partition", j.partition.String(), "error", err.Error())
-		}
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-	}
-}
-
-// learn sets the time that the next append may take: a store that is slow
-// would otherwise get every append twice.
-func (j *Journal) learn(timeout time.Duration, lost bool) {
-	if lost {
-		j.timeout = min(timeout, longestTimeout)
-		return
-	}
-	j.timeout = max(firstTimeout, j.timeout/2)
-}
-
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/jayjournal/journal_test.go
+++ b/jayjournal/journal_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,8 +48,17 @@
 	return &scriptedStore{script: script, taken: map[int64][]jayport.Record{}}
 }
 
-// Append takes an append unless the script says otherwise.
+// Append takes an append unless the script says otherwise. A lost answer keeps its
+// caller waiting, nobody else.
 func (s *scriptedStore) Append(a jayport.Append, timeout time.Duration) (jayport.Appended, error) {
+	err := s.take(a)
+	if errors.Is(err, jayport.ErrNoAnswer) {
+		time.Sleep(timeout)
+	}
+	return jayport.Appended{}, err
+}
+
+func (s *scriptedStore) take(a jayport.Append) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -57,10 +67,10 @@
 		next, s.script = s.script[0], s.script[1:]
 	}
 	if len(a.Records) == 0 && s.numbered && a.Producer.Sequence == 0 {
-		return jayport.Appended{}, &jayport.SequenceError{Expected: 7}
+		return &jayport.SequenceError{Expected: 7}
 	}
 	if a.Producer.Epoch < s.epoch {
-		return jayport.Appended{}, &jayport.FencedError{}
+		return &jayport.FencedError{}
 	}
 	if next.done && len(a.Records) > 0 {
 		if _, repeated := s.taken[a.Producer.Sequence]; !repeated {
@@ -70,10 +80,7 @@
 			}
 		}
 	}
-	if errors.Is(next.err, jayport.ErrNoAnswer) {
-		time.Sleep(timeout)
-	}
-	return jayport.Appended{}, next.err
+	return next.err
 }
 
 // start runs a journal over a store on the fake clock.
@@ -81,7 +88,11 @@
 	t.Helper()
 	j := New(s, jayport.Partition{Topic: "jobs"}, "entry", 1, jayclock.Since(time.Now().Add(-time.Hour)), logr.Discard(), options...)
 	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
+	t.Cleanup(func() {
+		cancel()
+		// Sendings that are under way end by their own timeouts.
+		time.Sleep(longestTimeout)
+	})
 	go func() { _ = j.Run(ctx) }()
 	return j
 }
@@ -209,3 +220,66 @@
 		is.True(errors.As(ask(), &fenced))
 	})
 }
+
+// Symptom: in a rush jobs wait for a second and more, and are refused, though the
+// store answers within 15 ms.
+// Sequence: the store loses a third of its answers; each lost one is waited for, the
+// next append waits for longer still.
+// Cause: a missing answer was taken to say that the store is slow.
+func TestLostAnswersHoldAppendsUpShortly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStore(lostDone, answer{done: true}, lostDone, lostDone, answer{done: true}, lostNotDone)
+		j := start(t, s)
+		began := time.Now()
+		for n := range 4 {
+			_, done := add(t, j, fmt.Sprint(n))
+			is.NoErr(<-done)
+		}
+		// Four lost answers: three after the first wait, one after the second.
+		is.Equal(time.Since(began), 5*repeatAfter)
+		is.Equal(s.order, []string{"0", "1", "2", "3"})
+	})
+}
+
+// Symptom: a slow store gets each append several times and becomes slower still.
+// Sequence: an append takes 300 ms; it is sent again before its answer can come, and
+// the answer to the first sending is thrown away.
+// Cause: only the answer to the newest sending counted.
+func TestAnswerToTheFirstSendingCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &slowStore{takes: 300 * time.Millisecond}
+		latency := time.Duration(0)
+		j := New(s, jayport.Partition{Topic: "jobs"}, "entry", 1, jayclock.Since(time.Now().Add(-time.Hour)), logr.Discard(),
+			WithLatency(func() time.Duration { return latency }))
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = j.Run(ctx) }()
+		began := time.Now()
+		_, done := add(t, j, "a")
+		is.NoErr(<-done)
+		is.Equal(time.Since(began), s.takes)
+		is.Equal(s.calls.Load(), int32(2))
+		// Once it is known how slow the store is, each append is sent once.
+		latency = s.takes
+		_, done = add(t, j, "b")
+		is.NoErr(<-done)
+		is.Equal(s.calls.Load(), int32(3))
+		cancel()
+		time.Sleep(longestTimeout)
+	})
+}
+
+// slowStore takes an append after a while.
+type slowStore struct {
+	jayport.Store
+	takes time.Duration
+	calls atomic.Int32
+}
+
+// Append adds records.
+func (s *slowStore) Append(jayport.Append, time.Duration) (jayport.Appended, error) {
+	s.calls.Add(1)
+	time.Sleep(s.takes)
+	return jayport.Appended{}, nil
+}
--- a/jayrelay/relay.go
+++ b/jayrelay/relay.go
@@ -28,8 +28,6 @@
 	// hungMargin is by how much a call must be older than the first question
 	// that is answered again, to count as lost.
 	hungMargin = 400 * time.Millisecond
-	// longestLoss bounds what a call without an answer says of the latency.
-	longestLoss = 400 * time.Millisecond
 	// maxRelayWait bounds the wait of a read that a peer carries, so that a
 	// peer that falls silent is noticed.
 	maxRelayWait = 500 * time.Millisecond
@@ -268,9 +266,12 @@
 	latencyFall = 8
 )
 
+// noteLatency takes in how long an append took. One without an answer says nothing:
+// if the store is slow, its repeat is answered, and says it; if the store has lost the
+// answer, a longer timeout would keep the callers waiting for what does not come.
 func (s *Store) noteLatency(took time.Duration, err error) {
 	if errors.Is(err, jayport.ErrNoAnswer) {
-		took = min(took, longestLoss)
+		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/jayrelay/relay_test.go
+++ b/jayrelay/relay_test.go
@@ -288,3 +288,23 @@
 		time.Sleep(20 * time.Second)
 	})
 }
+
+// Symptom: each append of a store that loses answers is waited for longer than the one
+// before, though it answers within 15 ms.
+// Sequence: an answer is lost; its call ends after 400 ms.
+// Cause: the time that was waited in vain was taken for the store's latency.
+func TestMissingAnswersSayNothingOfTheLatency(t *testing.T) {
+	is := is.New(t)
+	now := time.Minute
+	direct := &fakeStore{}
+	s := New(direct, fakePeers{}, func() time.Duration { now += 20 * time.Millisecond; return now }, logr.Discard())
+	for range 20 {
+		_, err := s.Append(numbered(), time.Second)
+		is.NoErr(err)
+	}
+	before := s.Latency()
+	direct.set(errSilent)
+	_, err := s.Append(numbered(), time.Second)
+	is.True(errors.Is(err, jayport.ErrNoAnswer))
+	is.Equal(s.Latency(), before)
+}
