--- a/jayaccount/account.go
+++ b/jayaccount/account.go
@@ -85,6 +85,8 @@
 	Queues  []QueueRow
 	Pools   []PoolRow
 	Seconds []SecondRow
+	// Best is what could have been in time at best.
+	Best Best
 }
 
 // step is between two looks at what a waiting task waited for.
@@ -100,7 +102,7 @@
 	for _, s := range l.states {
 		byPool[s.Pool] = append(byPool[s.Pool], s)
 	}
-	return Account{Queues: l.queueRows(byPool), Pools: poolRows(byPool), Seconds: l.secondRows()}
+	return Account{Queues: l.queueRows(byPool), Pools: poolRows(byPool), Seconds: l.secondRows(), Best: l.best()}
 }
 
 func (l *Ledger) queueRows(byPool map[string][]poolState) []QueueRow {
@@ -285,5 +287,6 @@
 	for _, r := range a.Seconds {
 		fmt.Fprintf(w, "%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t\n", r.Second, r.Jobs, r.Late, r.Need, r.On, r.Off)
 	}
+	fmt.Fprintf(w, "\njobs with a time: %d; in time: %d; in time at best, if every instance served every pool: %d\n", a.Best.Jobs, a.Best.InTime, a.Best.Possible)
 	return w.Flush()
 }
--- /dev/null
+++ b/jayaccount/plot.go
@@ -0,0 +1,61 @@
+package jayaccount
+
+import (
+	"fmt"
+	"io"
+
+	svg "github.com/ajstarks/svgo"
+)
+
+// The plot's measures, in pixels: a second's width, the height above the axis, the
+// margins, and a grid line's distance in hosts or jobs.
+const (
+	plotSecond = 14
+	plotHeight = 360
+	plotMargin = 50
+	plotGrid   = 10
+)
+
+const (
+	styleText  = "font-family:sans-serif;font-size:12px"
+	styleGrid  = "stroke:#dddddd"
+	styleLate  = "fill:#d62728;fill-opacity:0.5"
+	styleNeed  = "fill:none;stroke:#1f77b4;stroke-width:2"
+	styleOn    = "fill:none;stroke:#2ca02c;stroke-width:2"
+	styleOff   = "fill:none;stroke:#7f7f7f;stroke-dasharray:4"
+	stylePaper = "fill:white"
+)
+
+// WritePlot draws demand, instances on and off, and late jobs by second, as SVG.
+func (a Account) WritePlot(out io.Writer) {
+	most := float64(plotGrid)
+	for _, r := range a.Seconds {
+		most = max(most, r.Need, r.On, r.Off, float64(r.Late))
+	}
+	y := func(v float64) int { return plotMargin + plotHeight - int(v/most*plotHeight) }
+	x := func(n int) int { return plotMargin + n*plotSecond }
+	width := x(len(a.Seconds)) + plotMargin
+	canvas := svg.New(out)
+	canvas.Start(width, plotHeight+2*plotMargin)
+	canvas.Rect(0, 0, width, plotHeight+2*plotMargin, stylePaper)
+	for v := 0; v <= int(most); v += plotGrid {
+		canvas.Line(plotMargin, y(float64(v)), width-plotMargin, y(float64(v)), styleGrid)
+		canvas.Text(plotMargin/4, y(float64(v)), fmt.Sprint(v), styleText)
+	}
+	var xs, need, on, off []int
+	for n, r := range a.Seconds {
+		if n%plotGrid == 0 {
+			canvas.Text(x(n), y(0)+plotMargin/2, fmt.Sprint(r.Second, " s"), styleText)
+		}
+		canvas.Rect(x(n), y(float64(r.Late)), plotSecond, y(0)-y(float64(r.Late)), styleLate)
+		xs = append(xs, x(n))
+		need = append(need, y(r.Need))
+		on = append(on, y(r.On))
+		off = append(off, y(r.Off))
+	}
+	canvas.Polyline(xs, need, styleNeed)
+	canvas.Polyline(xs, on, styleOn)
+	canvas.Polyline(xs, off, styleOff)
+	canvas.Text(plotMargin, plotMargin/2, "instances needed (blue), on (green), off (dashed); jobs handed in that second and done late (red)", styleText)
+	canvas.End()
+}
--- a/jayaccount/read.go
+++ b/jayaccount/read.go
@@ -27,6 +27,8 @@
 	Within  string    `json:"within"`
 	Waited  string    `json:"waited"`
 
+	CoreSeconds float64 `json:"coreSeconds"`
+
 	Need      int   `json:"need"`
 	On        int   `json:"on"`
 	Idle      int   `json:"idle"`
@@ -54,6 +56,8 @@
 	ended    time.Time
 	recorded time.Time
 	within   time.Duration
+	// work is its declared work in core-seconds.
+	work     float64
 	outcome  string
 	refusals int
 	// waits are the times for which a task that could run had no worker.
@@ -116,7 +120,7 @@
 	case "job declared":
 		j := l.job(read.Job, read)
 		if j.declared.IsZero() {
-			j.declared, j.within = read.Time, durationOf(read.Within)
+			j.declared, j.within, j.work = read.Time, durationOf(read.Within), read.CoreSeconds
 		}
 	case "run started":
 		id, _, _ := strings.Cut(read.Task, ".")
--- a/jaycli/account.go
+++ b/jaycli/account.go
@@ -15,8 +15,11 @@
 		Name:        "account",
 		Usage:       "show from the logs of all entries where jobs' time and instances' seconds went",
 		ArgsUsage:   "[LOG...]",
-		Description: "Reads the logs named, or standard input.\nExample: jaythread account entry-1.log entry-2.log",
-		Action:      account,
+		Description: "Reads the logs named, or standard input.\nExample: jaythread account --plot day.svg entry-1.log entry-2.log",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "plot", Usage: "also draw demand, instances and late jobs by second into `FILE`, as SVG"},
+		},
+		Action: account,
 	})
 }
 
@@ -38,5 +41,21 @@
 			return fmt.Errorf("%s: %w", name, err)
 		}
 	}
-	return ledger.Account().Write(c.Root().Writer)
+	sums := ledger.Account()
+	if name := c.String("plot"); name != "" {
+		if err := plotInto(name, sums); err != nil {
+			return err
+		}
+	}
+	return sums.Write(c.Root().Writer)
+}
+
+// plotInto draws the account into a file.
+func plotInto(name string, sums jayaccount.Account) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	sums.WritePlot(file)
+	return file.Close()
 }
