An owner is missed from its last sign of life; tests for refusals, claims, liveness, renumbered appends

Cause: an owner that loses power is suspected when a ping has timed out, 0.35 to 0.5 s later; only then its beats were looked at, and the newest counted as one of that moment. Its pool and the fleet had no owner for 1.15 s. Change: a beat holds its writer's clock; with what pings say of that clock, the patience counts from the last beat or answer. While the store was away nothing is counted. Tests: TestLostOwnerIsMissed, TestOwnerThatGivesSignsOfLifeIsKept. Besides, for mutations that no test saw: TestRefusalsAreTrue (two ways to a false "has not run"), TestVacantDutiesAreClaimedOnce, TestTable (a late release), TestRefusedNumberOfAnEarlierSendingIsPassedOver, TestJournal (turned away after a lost answer).

--- a/jayjournal/journal_test.go
+++ b/jayjournal/journal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -125,6 +126,7 @@
 		// append is lost; the repeated append is turned away. Cause: the
 		// refusal was taken to speak for both.
 		{"lost, then turned away", []answer{lostDone, turnedAway}, []Option{WithRefusals()}, nil, []string{"a"}},
+		{"lost, then turned away until it is given up, and after", append([]answer{lostDone}, slices.Repeat([]answer{turnedAway}, 12)...), []Option{WithRefusals()}, nil, []string{"a"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -283,3 +285,45 @@
 	time.Sleep(s.takes)
 	return jayport.Appended{}, nil
 }
+
+// Symptom: a new owner ends with "sequence is broken" and its pool waits for the next.
+// Sequence: the first append of an epoch is sent twice, since the store is slow; the
+// store expects another number and says so to both; the second refusal comes after the
+// number was taken over from the first.
+// Cause: a refusal was not held against the number that had been sent.
+func TestRefusedNumberOfAnEarlierSendingIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &renumberingStore{expects: 7, takes: 200 * time.Millisecond}
+		j := New(s, jayport.Partition{Topic: "jobs"}, "entry", 1, jayclock.Since(time.Now().Add(-time.Hour)), logr.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = j.Run(ctx) }()
+		_, done := add(t, j, "a")
+		is.NoErr(<-done)
+		is.Equal(s.refused.Load(), int32(2))
+		_, done = add(t, j, "b")
+		is.NoErr(<-done) // numbered on from there
+		cancel()
+		time.Sleep(longestTimeout)
+	})
+}
+
+// renumberingStore expects a number that the producer does not know.
+type renumberingStore struct {
+	jayport.Store
+	expects int64
+	takes   time.Duration
+	refused atomic.Int32
+	taken   atomic.Int64
+}
+
+// Append takes an append with the number expected, and its repeats.
+func (s *renumberingStore) Append(a jayport.Append, _ time.Duration) (jayport.Appended, error) {
+	time.Sleep(s.takes)
+	if a.Producer.Sequence < s.expects || a.Producer.Sequence > s.expects+s.taken.Load() {
+		s.refused.Add(1)
+		return jayport.Appended{}, &jayport.SequenceError{Expected: s.expects}
+	}
+	s.taken.Store(max(s.taken.Load(), a.Producer.Sequence-s.expects+1))
+	return jayport.Appended{}, nil
+}
--- a/jaynode/claims.go
+++ b/jaynode/claims.go
@@ -58,18 +58,22 @@
 	if len(records) == 0 {
 		return
 	}
-	// The condition makes sure that no claim was made since this entry looked;
-	// a claim whose answer is lost shows in the tail like any other.
+	o.append(view, records...)
+	o.awaitRead(ctx, view.next)
+}
+
+// append appends claims unless some claim was made since this entry looked. One whose
+// answer is lost shows in the tail like any other.
+func (o *owners) append(view *ownerView, claims ...jayport.Record) {
 	_, err := o.node.store.Append(jayport.Append{
 		Partition: o.node.ports.Formats.Own(topicOwners, 0),
-		Records:   records,
+		Records:   claims,
 		AsOf:      view.next,
 	}, claimTimeout)
 	var stale *jayport.StaleError
 	if err != nil && !errors.As(err, &stale) {
 		o.logger.Info("claim failed", "error", err.Error())
 	}
-	o.awaitRead(ctx, view.next)
 }
 
 // claimsOf returns the claims that this entry should make now.
--- a/jaynode/intake_test.go
+++ b/jaynode/intake_test.go
@@ -1,17 +1,21 @@
 package jaynode
 
 import (
+	"context"
 	"errors"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"jaythread/jayclock"
 	"jaythread/jayowner"
 	"jaythread/jaypeer"
 	"jaythread/jayport"
+	"jaythread/jayverdict"
 )
 
 // onePartition is what an intake asks of the formats.
@@ -70,3 +74,46 @@
 	is.True(!final) // the entry stores the job itself
 	is.True(time.Since(began) < time.Second)
 }
+
+// verdictOf returns what a refusal says of whether the job may run.
+func verdictOf(t *testing.T, err error) jayverdict.Verdict {
+	t.Helper()
+	var refusal *jayverdict.Error
+	is.New(t).True(errors.As(err, &refusal))
+	return refusal.Verdict
+}
+
+func TestRefusalsAreTrue(t *testing.T) {
+	// Symptom: a caller is told that its job was not accepted, and the job runs.
+	synctest.Test(t, func(t *testing.T) {
+		// Sequence: the store takes the job and its answers are lost until the caller's
+		// time is over.
+		// Cause: an append that is under way was taken for one that was withdrawn.
+		deaf := func(w *storeWay, on bool) { w.deaf = on }
+		_, err := handIn(t, time.Second, 0, 10*time.Second, deaf)
+		is.New(t).Equal(verdictOf(t, err), jayverdict.MayHaveRun)
+	})
+	t.Run("owner without an answer, own append turned away", func(t *testing.T) {
+		// Sequence: the owner of the pool is asked to store the job and falls silent; the
+		// entry's own append is turned away.
+		// Cause: the second outcome was told, the first forgotten.
+		is := is.New(t)
+		silent, err := net.Listen("tcp4", "127.0.0.1:0")
+		is.NoErr(err)
+		defer func() { _ = silent.Close() }()
+		clock := jayclock.Boot
+		e := newTestEntry(t, "e1", newSharedStore(), newSharedHosts(clock, nil), clock)
+		e.store.set(func(w *storeWay) { w.refuse = true })
+		claims := jayowner.NewTable()
+		is.NoErr(claims.Apply(jayowner.Claim{Duty: jayowner.PoolDuty("seats"), Incarnation: "e2-x", PeerAddr: silent.Addr().String(), Term: 1}.Record()))
+		e.node.owners.table.Store(&ownerView{Table: claims, asOf: clock()})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		e.node.intake.start(ctx)
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			e.node.liveness.pinged("e2-x", jaypeer.ErrGone)
+		}()
+		is.Equal(verdictOf(t, e.node.Submit(jobOf(testID, time.Millisecond), 2*time.Second)), jayverdict.MayHaveRun)
+	})
+}
--- a/jaynode/liveness.go
+++ b/jaynode/liveness.go
@@ -76,11 +76,14 @@
 	since time.Duration
 	// refused says that its port is closed.
 	refused bool
-	// offset is that of its newest beat, quietSince since when it has not
-	// changed; both are known after the first look.
+	// offset is that of its newest beat, quietSince since when it has given no sign of
+	// life; both are known after the first look.
 	offset     int64
 	looked     bool
 	quietSince time.Duration
+	// excused says that the store did not answer meanwhile, so that beats may be
+	// missing that it would have written.
+	excused bool
 }
 
 func newLiveness(n *Node) *liveness {
@@ -289,13 +292,11 @@
 
 // beat writes signs of life while this entry owns a duty.
 func (l *liveness) beat(ctx context.Context) {
-	count := uint64(0)
 	for ctx.Err() == nil {
 		if l.node.ownsSomething() {
-			count++
 			_, err := l.node.store.Append(jayport.Append{
 				Partition: l.node.beatsOf(l.node.incarnation),
-				Records:   []jayport.Record{{Key: l.node.incarnation, Value: strconv.AppendUint(nil, count, 10)}},
+				Records:   []jayport.Record{{Key: l.node.incarnation, Value: beatAt(l.node.clock())}},
 				AsOf:      jayport.AnyOffset,
 			}, storeTimeout)
 			if err != nil {
@@ -306,6 +307,17 @@
 	}
 }
 
+// beatAt is the value of a beat: the writer's own clock, in microseconds.
+func beatAt(clock time.Duration) []byte {
+	return strconv.AppendInt(nil, clock.Microseconds(), 10)
+}
+
+// writtenAt reads a beat.
+func writtenAt(beat []byte) (clock time.Duration, known bool) {
+	n, err := strconv.ParseInt(string(beat), 10, 64)
+	return micros(n), err == nil
+}
+
 // beatsOf returns the partition of an incarnation's beats. They are spread, so
 // that a slow store takes them side by side.
 func (n *Node) beatsOf(incarnation string) jayport.Partition {
@@ -324,13 +336,13 @@
 // the store does not answer, nobody's beat counts as missing.
 func (l *liveness) look() {
 	for _, incarnation := range l.suspected() {
-		offset, err := l.newestBeat(incarnation)
+		beat, err := l.newestBeat(incarnation)
 		if err != nil {
 			l.logger.V(1).Info("beats not read", "error", err.Error())
 			l.excuse()
 			return
 		}
-		l.noteBeat(incarnation, offset)
+		l.noteBeat(incarnation, beat)
 	}
 }
 
@@ -344,19 +356,19 @@
 	return suspects
 }
 
-// newestBeat returns the offset of the newest beat of an incarnation, or -1.
-func (l *liveness) newestBeat(incarnation string) (int64, error) {
+// newestBeat returns the newest beat of an incarnation; one that wrote none has offset -1.
+func (l *liveness) newestBeat(incarnation string) (jayport.Record, error) {
 	after := keyBefore(incarnation)
 	latest, err := l.node.store.Latest(l.node.beatsOf(incarnation), after, storeTimeout)
 	if err != nil {
-		return 0, err
+		return jayport.Record{}, err
 	}
 	for _, r := range latest.Records {
 		if r.Key == incarnation {
-			return r.Offset, nil
+			return r, nil
 		}
 	}
-	return -1, nil
+	return jayport.Record{Offset: -1}, nil
 }
 
 // keyBefore returns a key just before another one.
@@ -365,14 +377,32 @@
 	return key[:last] + string([]byte{key[last] - 1, '~'})
 }
 
-func (l *liveness) noteBeat(incarnation string, offset int64) {
+// noteBeat takes in the newest beat of a suspect.
+func (l *liveness) noteBeat(incarnation string, beat jayport.Record) {
 	now := l.node.clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, suspected := l.suspicions[incarnation]
-	if suspected && (!s.looked || offset != s.offset) {
-		s.looked, s.offset, s.quietSince = true, offset, now
+	if !suspected || s.looked && beat.Offset == s.offset {
+		return
+	}
+	s.looked, s.offset = true, beat.Offset
+	s.quietSince = l.lastSign(s, incarnation, beat, now)
+}
+
+// lastSign is when a suspect gave its last sign of life, for all that is known: its
+// newest beat says by its own clock when it was written, and its answers to pings how
+// that clock relates to this one. Counted from the first look at the beats, an owner
+// that lost power was missed 0.4 s later: it is suspected only when a ping has timed
+// out. While the store is away no beat can be written.
+func (l *liveness) lastSign(s *suspicion, incarnation string, beat jayport.Record, now time.Duration) time.Duration {
+	written, readable := writtenAt(beat.Value)
+	clock, known := l.clocks[incarnation]
+	if s.excused || !readable || !known {
+		return now
 	}
+	sign := max(clock.by(written), l.heard[incarnation], l.node.store.RegainedAt())
+	return min(sign, now)
 }
 
 // excuse restarts the patience with all suspects.
@@ -380,6 +410,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range l.suspicions {
-		s.looked = false
+		s.looked, s.excused = false, true
 	}
 }
--- /dev/null
+++ b/jaynode/liveness_test.go
@@ -0,0 +1,137 @@
+package jaynode
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaythread/jayclock"
+	"jaythread/jaypeer"
+	"jaythread/jayport"
+)
+
+// watched is an owner as another entry sees it.
+type watched struct {
+	t        *testing.T
+	observer *testEntry
+	store    *sharedStore
+	clock    jayclock.Clock
+	// ahead is by how much the owner's clock is ahead of the observer's.
+	ahead time.Duration
+}
+
+const watchedOwner = "e2-00000000"
+
+func newWatched(t *testing.T) *watched {
+	t.Helper()
+	clock := jayclock.Since(time.Now().Add(-time.Hour))
+	store := newSharedStore()
+	return &watched{t: t, observer: newTestEntry(t, "e1", store, newSharedHosts(clock, nil), clock), store: store, clock: clock, ahead: 7 * time.Hour}
+}
+
+// beat writes a sign of life of the owner.
+func (w *watched) beat() {
+	_, err := w.store.append(jayport.Append{
+		Partition: w.observer.node.beatsOf(watchedOwner),
+		Records:   []jayport.Record{{Key: watchedOwner, Value: beatAt(w.clock() + w.ahead)}},
+		AsOf:      jayport.AnyOffset,
+	})
+	is.New(w.t).NoErr(err)
+}
+
+// pong answers a ping of the observer.
+func (w *watched) pong() {
+	w.observer.node.liveness.seeClock(watchedOwner, w.clock()+w.ahead)
+	w.observer.node.liveness.pinged(watchedOwner, nil)
+}
+
+// missedAfter fails all pings from now on and returns after how long the owner counts
+// as ended, or within if it does not.
+func (w *watched) missedAfter(err error, within time.Duration, each func()) time.Duration {
+	l, began := w.observer.node.liveness, w.clock()
+	l.pinged(watchedOwner, err)
+	for w.clock()-began < within {
+		l.look()
+		if l.hasEnded(watchedOwner, w.clock()) {
+			return w.clock() - began
+		}
+		each()
+		time.Sleep(10 * time.Millisecond)
+	}
+	return within
+}
+
+func nothing() {}
+
+func TestLostOwnerIsMissed(t *testing.T) {
+	silent, refused := jayport.ErrNoAnswer, jaypeer.ErrGone
+	synctest.Test(t, func(t *testing.T) {
+		// Symptom: a pool has no owner for 1.2 s after its owner's machine lost power.
+		// Sequence: a ping times out after 0.35 s; only then the beats are looked at, and
+		// the newest is taken for one of that moment.
+		// Cause: a beat did not say when it was written.
+		w := newWatched(t)
+		w.beat()
+		w.pong()
+		time.Sleep(350 * time.Millisecond)
+		is.New(t).Equal(w.missedAfter(silent, time.Minute, nothing), silentPatience-350*time.Millisecond+10*time.Millisecond)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		// One whose port is closed is missed sooner.
+		w := newWatched(t)
+		w.beat()
+		w.pong()
+		is.New(t).Equal(w.missedAfter(refused, time.Minute, nothing), refusedPatience+10*time.Millisecond)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		// Its clock is not known: counted from the first look.
+		w := newWatched(t)
+		w.beat()
+		time.Sleep(time.Second)
+		is.New(t).Equal(w.missedAfter(silent, time.Minute, nothing), silentPatience+10*time.Millisecond)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		// It has answered since its last beat: it was alive then.
+		w := newWatched(t)
+		w.beat()
+		time.Sleep(500 * time.Millisecond)
+		w.pong()
+		is.New(t).Equal(w.missedAfter(silent, time.Minute, nothing), silentPatience+10*time.Millisecond)
+	})
+}
+
+func TestOwnerThatGivesSignsOfLifeIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// Symptom: an entry that is cut off from its peers takes all duties.
+		// Sequence: its pings time out; the owners write their beats as ever.
+		// Cause: an owner that cannot be reached was taken for lost.
+		w := newWatched(t)
+		w.pong()
+		last := w.clock()
+		beats := func() {
+			if w.clock()-last >= beatPause {
+				last = w.clock()
+				w.beat()
+			}
+		}
+		w.beat()
+		is.New(t).Equal(w.missedAfter(jayport.ErrNoAnswer, 10*time.Second, beats), 10*time.Second)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		// Symptom: as the store comes back, every owner that a ping has missed is
+		// replaced.
+		// Sequence: the store is away for two seconds; nobody can write beats; the store
+		// is back, and the newest beats are two seconds old.
+		// Cause: beats were missed that could not be written.
+		w := newWatched(t)
+		w.beat()
+		w.pong()
+		w.observer.store.set(func(s *storeWay) { s.refuse = true })
+		is := is.New(t)
+		is.Equal(w.missedAfter(jayport.ErrNoAnswer, 2*time.Second, nothing), 2*time.Second)
+		w.observer.store.set(func(s *storeWay) { s.refuse = false })
+		is.True(w.missedAfter(jayport.ErrNoAnswer, time.Minute, nothing) > silentPatience)
+	})
+}
--- a/jayowner/owner_test.go
+++ b/jayowner/owner_test.go
@@ -36,6 +36,11 @@
 	is.NoErr(table.Apply(at(Claim{Duty: Fleet, Incarnation: "a", Term: 1, Released: true}, 4)))
 	c, _ = table.Claim(Fleet)
 	is.Equal(c.Incarnation, "b") // a release that comes late
+	is.NoErr(table.Apply(at(Claim{Duty: Fleet, Incarnation: "c", Term: 3}, 5)))
+	is.NoErr(table.Apply(at(Claim{Duty: Fleet, Incarnation: "b", Term: 2, Released: true}, 6)))
+	c, _ = table.Claim(Fleet)
+	is.Equal(c.Incarnation, "c")
+	is.True(!c.Released) // what the former owner gives up is not the next one's
 	is.True(table.Apply(jayport.Record{Key: "fleet", Value: []byte{0xff}, Offset: 9}) != nil)
 	clone := table.Clone()
 	table.Reset()
