--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -50,9 +50,8 @@
 	lead := p.settings.MoveTime + reportWay
 	spread := int64(math.Sqrt(u.variance))
 	// In the middle of a rush, use goes up and down by chance; each time it went
-	// up, a third more hosts than needed came. So only what exceeds chance counts,
-	// and what waits, which would not if there were enough hosts.
-	growth := max(p.waitingTrend.growth(u.waiting, lead, now), p.trend.growth(u.milli, lead, now)-spread)
+	// up, a third more hosts than needed came. So only what exceeds chance counts.
+	growth := max(0, p.trend.growth(u.milli, lead, now)-spread)
 	need := max(u.milli+growth, p.offered.ahead(u.milli, lead, now))
 	d := Demand{NeedMilli: need, SpareMilli: spread}
 	for _, w := range p.sorted {
@@ -67,8 +66,6 @@
 // core.
 type use struct {
 	milli int64
-	// waiting is the part of the tasks that do not run.
-	waiting int64
 	// variance is by how much the sum differs from one moment to another because
 	// jobs come one by one: that of a sum of so many independent jobs.
 	variance float64
@@ -77,9 +74,8 @@
 func (p *Pool) use(now time.Duration) use {
 	var total use
 	for _, j := range p.open {
-		milli, waiting := j.use(now)
+		milli := j.use(now)
 		total.milli += milli
-		total.waiting += waiting
 		if !j.lasting {
 			total.variance += float64(milli) * float64(milli)
 		}
@@ -87,19 +83,17 @@
 	return total
 }
 
-// use is what a job's tasks that run or could run now take, and the part of
-// those that do not run.
-func (j *job) use(now time.Duration) (milli, waiting int64) {
+// use is what a job's tasks that run or could run now take.
+func (j *job) use(now time.Duration) int64 {
+	milli := int64(0)
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if s.ready(now) {
-				need := needOf(s).ProcessorsMilli
-				milli += int64(s.open) * need
-				waiting += int64(s.waiting) * need
+				milli += int64(s.open) * needOf(s).ProcessorsMilli
 			}
 		}
 	}
-	return milli, waiting
+	return milli
 }
 
 func (p *Pool) load(w *worker, now time.Duration) Load {
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -110,9 +110,8 @@
 	// are not believed.
 	gone map[string]time.Duration
 	// trend and offered foresee the pool's use.
-	trend        trend
-	waitingTrend trend
-	offered      offered
+	trend   trend
+	offered offered
 	// expected are jobs that are about to be stored, and since when.
 	expected map[string]time.Duration
 	// vacatingUntil is when the orders to vacate workers expire.
