--- a/jayaccount/plot.go
+++ b/jayaccount/plot.go
@@ -39,8 +39,9 @@
 	canvas.Start(width, plotHeight+2*plotMargin)
 	canvas.Rect(0, 0, width, plotHeight+2*plotMargin, stylePaper)
 	for v := 0; v <= int(most); v += plotGrid {
-		canvas.Line(plotMargin, y(float64(v)), width-plotMargin, y(float64(v)), styleGrid)
-		canvas.Text(plotMargin/4, y(float64(v)), fmt.Sprint(v), styleText)
+		height := y(float64(v))
+		canvas.Line(plotMargin, height, width-plotMargin, height, styleGrid)
+		canvas.Text(plotMargin/4, height, fmt.Sprint(v), styleText)
 	}
 	var xs, need, on, off []int
 	for n, r := range a.Seconds {
--- a/jayjournal/delivery.go
+++ b/jayjournal/delivery.go
@@ -40,7 +40,7 @@
 // (12 days on three sites).
 type delivery struct {
 	journal *Journal
-	append  jayport.Append
+	call    jayport.Append
 	answers chan outcome
 	// underWay counts the sendings that were not answered yet.
 	underWay int
@@ -55,7 +55,7 @@
 func (j *Journal) deliver(ctx context.Context, records []jayport.Record) error {
 	d := &delivery{
 		journal: j,
-		append: jayport.Append{
+		call: jayport.Append{
 			Partition: j.partition,
 			Records:   records,
 			Producer:  &jayport.Producer{Name: j.producer, Epoch: j.epoch, Sequence: j.sequence + 1},
@@ -64,7 +64,7 @@
 		answers: make(chan outcome, maxSendings),
 	}
 	if len(records) == 0 {
-		d.append.Producer.Sequence = 0
+		d.call.Producer.Sequence = 0
 	}
 	started := j.clock()
 	j.stuckSince.Store(int64(started))
@@ -93,9 +93,9 @@
 			}
 			wait *= 2
 			timer.Reset(wait)
-		case a := <-d.answers:
+		case o := <-d.answers:
 			d.underWay--
-			if known, err := d.take(ctx, a); known {
+			if known, err := d.take(ctx, o); known {
 				return err
 			}
 		}
@@ -104,45 +104,45 @@
 
 // send sends the append once more. Its answer is waited for longer each time.
 func (d *delivery) send() {
-	a, producer := d.append, *d.append.Producer
-	a.Producer = &producer
+	call, producer := d.call, *d.call.Producer
+	call.Producer = &producer
 	timeout := max(shortestTimeout, latencyMargin*d.journal.latency())
 	timeout = min(timeout<<min(d.sendings, maxSendings), longestTimeout)
 	d.sendings++
 	d.underWay++
 	go func() {
-		_, err := d.journal.store.Append(a, timeout)
+		_, err := d.journal.store.Append(call, timeout)
 		d.answers <- outcome{sequence: producer.Sequence, err: err}
 	}()
 }
 
 // take takes in an answer; known is true if it tells the outcome.
-func (d *delivery) take(ctx context.Context, a outcome) (known bool, err error) {
+func (d *delivery) take(ctx context.Context, o outcome) (known bool, err error) {
 	j := d.journal
 	var fenced *jayport.FencedError
 	var sequence *jayport.SequenceError
 	switch {
-	case a.err == nil:
-		if len(d.append.Records) > 0 {
-			j.sequence = a.sequence
+	case o.err == nil:
+		if len(d.call.Records) > 0 {
+			j.sequence = o.sequence
 		}
 		return true, nil
-	case errors.As(a.err, &fenced):
-		return true, a.err
-	case errors.As(a.err, &sequence):
-		return d.renumber(a.sequence, sequence)
-	case errors.Is(a.err, jayport.ErrNotDone):
+	case errors.As(o.err, &fenced):
+		return true, o.err
+	case errors.As(o.err, &sequence):
+		return d.renumber(o.sequence, sequence)
+	case errors.Is(o.err, jayport.ErrNotDone):
 		if j.refuse && !d.mayHaveRun && d.underWay == 0 {
-			return true, a.err
+			return true, o.err
 		}
 		pause(ctx, refusedPause)
 		return false, nil
-	case errors.Is(a.err, jayport.ErrMalformed):
-		j.logger.Error(a.err, "append refused", "partition", j.partition.String(), "records", len(d.append.Records))
-		return true, a.err
+	case errors.Is(o.err, jayport.ErrMalformed):
+		j.logger.Error(o.err, "append refused", "partition", j.partition.String(), "records", len(d.call.Records))
+		return true, o.err
 	default:
 		d.mayHaveRun = true
-		j.logger.V(1).Info("append not answered", "partition", j.partition.String(), "error", a.err.Error())
+		j.logger.V(1).Info("append not answered", "partition", j.partition.String(), "error", o.err.Error())
 		return false, nil
 	}
 }
@@ -152,16 +152,16 @@
 func (d *delivery) renumber(sent int64, refused *jayport.SequenceError) (known bool, err error) {
 	j := d.journal
 	switch {
-	case len(d.append.Records) == 0:
+	case len(d.call.Records) == 0:
 		// No producer with a higher epoch has come, which is all that was asked.
 		return true, nil
-	case sent != d.append.Producer.Sequence:
+	case sent != d.call.Producer.Sequence:
 		// An earlier sending, with the number that was taken back since.
 		return false, nil
 	case j.sequence == 0 && !d.mayHaveRun:
 		// The first append of an epoch starts where the store says.
 		j.sequence = refused.Expected - 1
-		d.append.Producer.Sequence = refused.Expected
+		d.call.Producer.Sequence = refused.Expected
 		return false, nil
 	default:
 		// Nobody else uses this name and epoch, so that only a fault of
--- a/jaynode/fakes_test.go
+++ b/jaynode/fakes_test.go
@@ -106,8 +106,9 @@
 	mu sync.Mutex
 	// cut keeps calls from arriving, deaf answers from coming back.
 	cut, deaf bool
-	// refuse turns all calls away.
-	refuse bool
+	// refuse turns all calls away, refuseTopic the appends to one topic.
+	refuse      bool
+	refuseTopic string
 	// delay is before an append takes effect, lag before its answer comes.
 	delay, lag time.Duration
 	appends    int
@@ -151,7 +152,14 @@
 
 // Append adds records.
 func (w *storeWay) Append(a jayport.Append, timeout time.Duration) (jayport.Appended, error) {
-	w.set(func(w *storeWay) { w.appends++ })
+	var refused bool
+	w.set(func(w *storeWay) {
+		w.appends++
+		refused = w.refuseTopic == a.Partition.Topic
+	})
+	if refused {
+		return jayport.Appended{}, fmt.Errorf("%w: test", jayport.ErrNotDone)
+	}
 	return call(w, timeout, func() (jayport.Appended, error) { return w.store.append(a) })
 }
 
