--- a/jayrelay/relay_test.go
+++ b/jayrelay/relay_test.go
@@ -159,11 +159,27 @@
 		is.True(errors.Is(err, jayport.ErrNoAnswer))
 		is.Equal(peer.counted(), 0)
 	})
+	t.Run("an append without a number is not sent through a second peer", func(t *testing.T) {
+		is := is.New(t)
+		silent, other := &fakeStore{err: errSilent}, &fakeStore{}
+		s := newStore(&fakeStore{err: errAway}, fakePeers{"p1": silent, "p2": other})
+		_, err := s.Append(jayport.Append{AsOf: 3}, time.Second)
+		is.True(errors.Is(err, jayport.ErrNoAnswer))
+		is.Equal(silent.counted(), 1)
+		is.Equal(other.counted(), 0)
+	})
 	t.Run("a lost answer on one path outweighs a refusal on the other", func(t *testing.T) {
 		is := is.New(t)
 		s := newStore(&fakeStore{err: errSilent}, fakePeers{"p1": {err: errAway}})
 		_, err := s.Append(numbered(), time.Second)
 		is.True(errors.Is(err, jayport.ErrNoAnswer))
+		peer := &fakeStore{err: errAway}
+		s = newStore(&fakeStore{err: errSilent}, fakePeers{"p1": peer})
+		for range distrustAfter {
+			_, err = s.Append(numbered(), time.Second)
+			is.True(errors.Is(err, jayport.ErrNoAnswer))
+		}
+		is.Equal(peer.counted(), 1)
 		s = newStore(&fakeStore{err: errAway}, fakePeers{"p1": {err: errAway}})
 		_, err = s.Append(numbered(), time.Second)
 		is.True(errors.Is(err, jayport.ErrNotDone))
