TestRefusalsAreTrue: the job that the store takes is handed in alone

Its job was handed in at the same moment as another one; where that came first, the store's deaf append was the other's, and the job was withdrawn unsent and refused truly. The test asked for "may have run".

--- a/jaynode/intake_test.go
+++ b/jaynode/intake_test.go
@@ -83,15 +83,49 @@
 	return refusal.Verdict
 }
 
+// handInToDeafStore hands a job in while the store takes appends and none of its answers
+// comes back, some time after another job unless that is zero. It returns what the
+// caller was told, and whether the store has the job in the end.
+func handInToDeafStore(t *testing.T, after time.Duration) (stored bool, err error) {
+	t.Helper()
+	clock := jayclock.Since(time.Now().Add(-time.Hour))
+	e := newTestEntry(t, "e1", newSharedStore(), newSharedHosts(clock, nil), clock)
+	e.owns()
+	ctx, cancel := context.WithCancel(context.Background())
+	e.node.intake.start(ctx)
+	e.store.set(func(w *storeWay) { w.deaf = true })
+	if after > 0 {
+		go func() { _ = e.node.Submit(jobOf("00000000000000aa", time.Millisecond), 500*time.Millisecond) }()
+		time.Sleep(after)
+	}
+	err = e.node.Submit(jobOf(testID, time.Second), 2*time.Second)
+	e.store.set(func(w *storeWay) { w.deaf = false })
+	time.Sleep(20 * time.Second) // what is under way comes to its end
+	cancel()
+	e.node.duties.Wait()
+	for _, r := range e.store.store.latest(jayport.Partition{Topic: topicJobs}, "").Records {
+		stored = stored || r.Key == jobKey("seats", testID)
+	}
+	return stored, err
+}
+
 func TestRefusalsAreTrue(t *testing.T) {
 	// Symptom: a caller is told that its job was not accepted, and the job runs.
 	synctest.Test(t, func(t *testing.T) {
 		// Sequence: the store takes the job and its answers are lost until the caller's
 		// time is over.
 		// Cause: an append that is under way was taken for one that was withdrawn.
-		deaf := func(w *storeWay, on bool) { w.deaf = on }
-		_, err := handIn(t, time.Second, 0, 10*time.Second, deaf)
-		is.New(t).Equal(verdictOf(t, err), jayverdict.MayHaveRun)
+		is := is.New(t)
+		stored, err := handInToDeafStore(t, 0)
+		is.Equal(verdictOf(t, err), jayverdict.MayHaveRun)
+		is.True(stored)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		// Behind an append without an answer a job is not sent, and is refused truly.
+		is := is.New(t)
+		stored, err := handInToDeafStore(t, 50*time.Millisecond)
+		is.Equal(verdictOf(t, err), jayverdict.NotRun)
+		is.True(!stored)
 	})
 	t.Run("owner without an answer, own append turned away", func(t *testing.T) {
 		// Sequence: the owner of the pool is asked to store the job and falls silent; the
