Tasks that last and may not share a worker are counted as workers, not as cores

Ruled out: the processor (the same without its time). Change: the demand of a pool has a number of workers at least, from its steps that last and bound their tasks on a worker.

--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -259,8 +259,8 @@
 	if counted > 0 {
 		each = capacity / counted
 	}
-	s.need = hostsFor(d.NeedMilli, each)
-	s.keep = hostsFor(d.NeedMilli+d.SpareMilli, each)
+	s.need = max(hostsFor(d.NeedMilli, each), d.HostsAtLeast)
+	s.keep = max(hostsFor(d.NeedMilli+d.SpareMilli, each), d.HostsAtLeast)
 	return s
 }
 
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -78,6 +78,8 @@
 	// by chance, in thousandths of a core.
 	NeedMilli  int64
 	SpareMilli int64
+	// HostsAtLeast is how many hosts it needs whatever their size.
+	HostsAtLeast int
 	// Loads are by the workers' IDs.
 	Loads map[string]Load
 	// At is when it was said.
--- a/jayfleet/fleet_test.go
+++ b/jayfleet/fleet_test.go
@@ -23,6 +23,8 @@
 	names  []string
 	wanted map[string]int64
 	spare  map[string]int64
+	// atLeast is how many hosts a pool needs whatever their size.
+	atLeast map[string]int
 	// idle is for how long hosts without runs are said to be idle.
 	idle time.Duration
 	// runs counts the runs on each worker, longRuns those that last.
@@ -48,7 +50,7 @@
 
 func newWorld(t *testing.T, pools map[string]int) *world {
 	w := &world{
-		t: t, now: time.Minute, hosts: map[string]*jayport.Host{}, wanted: map[string]int64{}, spare: map[string]int64{}, idle: 10 * time.Second, runs: map[string]int{},
+		t: t, now: time.Minute, hosts: map[string]*jayport.Host{}, wanted: map[string]int64{}, spare: map[string]int64{}, atLeast: map[string]int{}, idle: 10 * time.Second, runs: map[string]int{},
 		longRuns: map[string]int{}, back: map[string]comeback{}, answer: func(Action) error { return nil },
 	}
 	w.fleet = New(Settings{MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second})
@@ -122,7 +124,7 @@
 // soon as nothing runs there.
 func (w *world) tellDemands() {
 	for _, pool := range []string{"fees", "seats"} {
-		d := Demand{NeedMilli: w.wanted[pool], SpareMilli: w.spare[pool], Loads: map[string]Load{}, At: w.now}
+		d := Demand{NeedMilli: w.wanted[pool], SpareMilli: w.spare[pool], HostsAtLeast: w.atLeast[pool], Loads: map[string]Load{}, At: w.now}
 		vacating := w.fleet.Vacating(pool)
 		for _, h := range w.hosts {
 			if h.Pool != pool || h.State != jayport.HostUp {
@@ -359,6 +361,24 @@
 		w.steps(3 * time.Second)
 		is.True(w.in("seats") > 2)
 	})
+	t.Run("hosts that are emptied are replaced for tasks that may not share one", func(t *testing.T) {
+		// Symptom: a task that lasts and has failed waits for ten seconds, in a pool that
+		// is nearly idle.
+		// Sequence: a step runs one task on each host; a wave closes half of them, which
+		// cannot be emptied, since no host is open on which the step runs no task yet.
+		// Cause: hosts were counted by the cores that are needed, a third of them.
+		is := is.New(t)
+		w := newWorld(t, map[string]int{"seats": 12, "standby": 12})
+		for _, name := range w.names[:12] {
+			w.runs[w.hosts[name].Worker], w.longRuns[w.hosts[name].Worker] = 1, 1
+		}
+		w.wanted["seats"], w.atLeast["seats"] = 3*hostMilli, 12
+		w.fleet.Declared(wave(w.names[:6], 30*time.Second, 9), w.now, nil, false)
+		w.steps(4 * time.Second)
+		closed := len(w.fleet.Vacating("seats"))
+		is.True(closed > 0)
+		is.True(w.in("seats")-closed >= 12)
+	})
 	t.Run("a wave leaves hosts to a rush", func(t *testing.T) {
 		// Symptom: jobs wait in a rush while a fifth of the fleet is maintained.
 		// Sequence: a wave is declared; a pool's rush begins a moment later.
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -275,7 +275,13 @@
 }
 
 func demandOf(report *jaywire.DemandReport, at time.Duration) jayfleet.Demand {
-	demand := jayfleet.Demand{NeedMilli: report.NeedMilli, SpareMilli: report.SpareMilli, Loads: make(map[string]jayfleet.Load, len(report.Workers)), At: at}
+	demand := jayfleet.Demand{
+		NeedMilli:    report.NeedMilli,
+		SpareMilli:   report.SpareMilli,
+		HostsAtLeast: int(report.WorkersAtLeast),
+		Loads:        make(map[string]jayfleet.Load, len(report.Workers)),
+		At:           at,
+	}
 	for _, w := range report.Workers {
 		demand.Loads[w.Worker] = jayfleet.Load{
 			UsedMilli: w.UsedMilli,
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -31,7 +31,9 @@
 	// SpareMilli is what more it may need by chance.
 	NeedMilli  int64
 	SpareMilli int64
-	Loads      []Load
+	// WorkersAtLeast is how many workers it needs whatever their size.
+	WorkersAtLeast int
+	Loads          []Load
 }
 
 // Vacate is a worker that is to get no new run. Urgent ones have their runs
@@ -53,7 +55,7 @@
 	// up, a third more hosts than needed came. So only what exceeds chance counts.
 	growth := max(0, p.trend.growth(u.milli, lead, now)-spread)
 	need := max(u.milli+growth, p.offered.ahead(u.milli, lead, now))
-	d := Demand{NeedMilli: need, SpareMilli: spread}
+	d := Demand{NeedMilli: need, SpareMilli: spread, WorkersAtLeast: p.workersAtLeast(now)}
 	for _, w := range p.sorted {
 		if w.contact == connected && w.listed && !w.Draining {
 			d.Loads = append(d.Loads, p.load(w, now))
@@ -62,6 +64,30 @@
 	return d
 }
 
+// workersAtLeast is how many workers the steps need of which each worker may run few
+// tasks.
+//
+// What goes wrong: a step of 25 tasks that last, one on each worker, needs 25 workers
+// and the cores of nine. While a wave has half of the pool's hosts closed, none is
+// called in their place, a task that fails finds no worker for ten seconds, and no
+// task can leave the closed hosts.
+func (p *Pool) workersAtLeast(now time.Duration) int {
+	most := 0
+	for _, j := range p.open {
+		if !j.lasting {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if each := s.decl.MaxPerInstance; each > 0 && s.ready(now) {
+					most = max(most, (s.open+each-1)/each)
+				}
+			}
+		}
+	}
+	return most
+}
+
 // use is what the tasks that run or could run now take, in thousandths of a
 // core.
 type use struct {
