--- a/jaycatalog/catalog.go
+++ b/jaycatalog/catalog.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"jaythread/jayorg"
 	"jaythread/jayrule"
 	"jaythread/jayspec"
 )
@@ -36,6 +37,8 @@
 	// Timeout limits the time to respond to a request about the queue; zero means
 	// no limit.
 	Timeout time.Duration
+	// Public states that callers need no key.
+	Public bool
 }
 
 // Limits holds the limits on requests and connections of callers.
@@ -52,12 +55,23 @@
 	Limits   Limits
 	Pools    map[string]Pool
 	Queues   map[string]Queue
-	rules    jayrule.List
+	// Organisations are those whose callers may use the queues that are not public. Nil
+	// means that no queue needs a key.
+	Organisations *jayorg.Directory
+	rules         jayrule.List
+}
+
+// Option configures a new catalog.
+type Option func(*Catalog)
+
+// WithOrganisations declares the organisations.
+func WithOrganisations(organisations []jayorg.Organisation) Option {
+	return func(c *Catalog) { c.Organisations = jayorg.NewDirectory(organisations) }
 }
 
 // New returns a catalog. Its rules are ordered by decreasing length of the path
 // prefix, so that the first match is the longest one.
-func New(revision int64, limits Limits, pools []Pool, queues []Queue) *Catalog {
+func New(revision int64, limits Limits, pools []Pool, queues []Queue, options ...Option) *Catalog {
 	c := &Catalog{
 		Revision: revision,
 		Limits:   limits,
@@ -80,6 +94,9 @@
 			Then:  jayrule.Then{Route: q.Pool},
 		})
 	}
+	for _, option := range options {
+		option(c)
+	}
 	return c
 }
 
--- a/jaycli/serve_jobs.go
+++ b/jaycli/serve_jobs.go
@@ -76,6 +76,7 @@
 		HolderTime:      time.Duration(s.HolderTime),
 		FencesChecked:   s.FencesChecked,
 		RetainEnded:     time.Duration(s.RetainEnded),
+		RevocationTime:  time.Duration(s.RevocationTime),
 	}, jaynode.Ports{
 		Store:     platform.NewStore(s.StoreAddr),
 		Workers:   platform.NewWorkers(),
--- /dev/null
+++ b/jaynode/admit.go
@@ -0,0 +1,104 @@
+package jaynode
+
+import (
+	"fmt"
+	"time"
+
+	"jaythread/jaycatalog"
+	"jaythread/jayspec"
+	"jaythread/jayverdict"
+)
+
+const (
+	// clockTolerance is the share of the revocation time that is left for the difference in
+	// speed between this entry's clock and the store's.
+	clockTolerance = 50
+	// declarationsRetryAfter is the delay after which a caller is asked to retry while this
+	// entry cannot read the declarations. The retry reaches any entry.
+	declarationsRetryAfter = time.Second
+)
+
+// Admit decides whether a caller's request is served. Its error is a *jayverdict.Error.
+//
+// A request that the declarations known here would reject for its key or its path is
+// rejected only after they have been confirmed as the newest ones: the key or the queue may
+// have been added a moment ago. A request with a key is accepted only if the declarations
+// were confirmed less than the revocation time before it arrived. The rule counts from the
+// moment at which the caller sent the request, which is not later, so that the answer may
+// take any time. A pause of this process counts, since it delays the arrival.
+func (n *Node) Admit(call jaycatalog.Call) (jaycatalog.Admission, error) {
+	arrived := n.clock()
+	asOf := n.declarations.asOf()
+	catalog := n.Catalog()
+	if catalog == nil {
+		return jaycatalog.Admission{}, jayverdict.NewNotRun(statusUnavailable, "no configuration yet", declarationsRetryAfter)
+	}
+	admission, decision := catalog.Admit(call)
+	if n.needsConfirmation(admission, decision, arrived-asOf) {
+		if !n.declarations.confirmer.await(arrived) {
+			return admission, n.unconfirmed(admission, decision, arrived)
+		}
+		admission, decision = n.Catalog().Admit(call)
+	}
+	if decision == jaycatalog.Admitted {
+		return admission, nil
+	}
+	n.logRejected(admission, decision.String())
+	return admission, rejection(decision)
+}
+
+// needsConfirmation reports whether a decision on a request may be made only by the newest
+// declarations. The age is that of the declarations when the request arrived.
+func (n *Node) needsConfirmation(admission jaycatalog.Admission, decision jaycatalog.Decision, age time.Duration) bool {
+	switch decision {
+	case jaycatalog.UnknownQueue, jaycatalog.UnknownKey:
+		return age > 0
+	case jaycatalog.Admitted:
+		return admission.Organisation != "" && n.keysOutdated(age)
+	default:
+		return false
+	}
+}
+
+// keysOutdated reports whether a key may have been removed longer ago than the revocation
+// time although the declarations of the given age still contain it.
+func (n *Node) keysOutdated(age time.Duration) bool {
+	limit := n.settings.RevocationTime
+	return limit > 0 && age > limit-limit/clockTolerance
+}
+
+// unconfirmed returns the rejection of a request that only the newest declarations could
+// decide on. While the store cannot be read, a path without a queue counts as unknown as it
+// does for callers without a key.
+func (n *Node) unconfirmed(admission jaycatalog.Admission, decision jaycatalog.Decision, arrived time.Duration) error {
+	if decision == jaycatalog.UnknownQueue {
+		n.logRejected(admission, decision.String())
+		return rejection(decision)
+	}
+	age := arrived - n.declarations.asOf()
+	n.logRejected(admission, fmt.Sprintf("declarations of %s ago are not confirmed", age))
+	return jayverdict.NewNotRun(statusUnavailable, "the key cannot be checked now", declarationsRetryAfter)
+}
+
+func rejection(decision jaycatalog.Decision) *jayverdict.Error {
+	switch decision {
+	case jaycatalog.UnknownQueue:
+		return jayverdict.NewNotRun(statusNotFound, "no such queue", 0)
+	case jaycatalog.KeyMissing:
+		return jayverdict.NewNotRun(statusUnauthorized, "the queue needs an API key", 0)
+	default:
+		return jayverdict.NewNotRun(statusUnauthorized, "the API key is unknown", 0)
+	}
+}
+
+// logRejected logs a rejected request with the job that it names, but never its key.
+func (n *Node) logRejected(admission jaycatalog.Admission, reason string) {
+	values := []any{"reason", reason}
+	if admission.Queue.Name != "" {
+		values = append(values, "queue", admission.Queue.Name)
+	}
+	if jayspec.ValidID(admission.Rest) {
+		values = append(values, "job", admission.Rest)
+	}
+	n.intake.logger.Info("call rejected", values...)
+}
--- a/jaynode/codec.go
+++ b/jaynode/codec.go
@@ -15,6 +15,7 @@
 func encodeJob(j *jayspec.Job) ([]byte, error) {
 	record := &jaywire.JobDeclaration{
 		Queue:              j.Queue,
+		Organisation:       j.Organisation,
 		Spec:               j.Text,
 		Occurrences:        uint32(j.Schedule.Occurrences),
 		AcceptedUnixMillis: j.Accepted.UnixMilli(),
@@ -69,9 +70,11 @@
 		return nil, fmt.Errorf("decode declaration of job %s: %w", id, err)
 	}
 	job := &jayspec.Job{
-		ID:       id,
-		Queue:    record.Queue,
-		Pool:     pool,
+		ID:           id,
+		Queue:        record.Queue,
+		Pool:         pool,
+		Organisation: record.Organisation,
+
 		Text:     record.Spec,
 		Accepted: time.UnixMilli(record.AcceptedUnixMillis),
 		Schedule: jayspec.Schedule{
--- a/jaynode/declarations.go
+++ b/jaynode/declarations.go
@@ -9,6 +9,7 @@
 
 	"jaythread/jaycatalog"
 	"jaythread/jayport"
+	"jaythread/jaytail"
 )
 
 // declarations holds the configuration and the waves that operators have declared. It is
@@ -17,6 +18,9 @@
 	formats jayport.Formats
 	logger  logr.Logger
 	catalog atomic.Pointer[jaycatalog.Catalog]
+	// tail follows the declarations; confirmer reads them once more on request.
+	tail      *jaytail.Tail
+	confirmer *confirmer
 
 	mu    sync.Mutex
 	waves map[string]declaredWave
@@ -30,7 +34,17 @@
 }
 
 func newDeclarations(n *Node) *declarations {
-	return &declarations{formats: n.ports.Formats, logger: n.logger.WithName("catalog"), waves: map[string]declaredWave{}, now: n.clock}
+	d := &declarations{formats: n.ports.Formats, logger: n.logger.WithName("catalog"), waves: map[string]declaredWave{}, now: n.clock}
+	d.tail = n.newTail(n.ports.Formats.Declarations(), jaytail.Options{Wait: declarationsWait}, d)
+	d.confirmer = newConfirmer(n.newTail(n.ports.Formats.Declarations(), jaytail.Options{}, d))
+	return d
+}
+
+// asOf returns a time by which every declaration in the store is known here: the time at
+// which the latest complete read was sent. Reads that a peer relays are no exception, since
+// the peer reads the store only after it was asked.
+func (d *declarations) asOf() time.Duration {
+	return max(d.tail.AsOf(), d.confirmer.tail.AsOf())
 }
 
 // Reset is called before a reload. The catalog in force is kept until a newer one is
@@ -56,11 +70,14 @@
 // adopt replaces the catalog in force if the given one is newer: when records have
 // expired, an older record may be read again.
 func (d *declarations) adopt(c *jaycatalog.Catalog) {
+	// Two tails apply records.
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if present := d.catalog.Load(); present != nil && present.Revision >= c.Revision {
 		return
 	}
 	d.catalog.Store(c)
-	d.logger.Info("catalog in force", "revision", c.Revision, "queues", len(c.Queues), "pools", len(c.Pools))
+	d.logger.Info("catalog in force", "revision", c.Revision, "queues", len(c.Queues), "pools", len(c.Pools), "organisations", c.Organisations.Size())
 }
 
 func (d *declarations) addWave(w jayport.Wave) {
--- a/jaynode/fakes_test.go
+++ b/jaynode/fakes_test.go
@@ -286,6 +286,11 @@
 	return jayport.Partition{Topic: topic, Number: number}
 }
 
+// Declarations returns the partition of the operators' declarations.
+func (testFormats) Declarations() jayport.Partition {
+	return jayport.Partition{Topic: "declarations"}
+}
+
 // WaveStatus returns the record of a wave's status.
 func (testFormats) WaveStatus(wave string, done bool) (jayport.Partition, jayport.Record) {
 	return jayport.Partition{Topic: "status"}, jayport.Record{Key: wave, Value: []byte(fmt.Sprint(done))}
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 
 	"jaythread/jayjournal"
 	"jaythread/jaymember"
@@ -21,11 +22,13 @@
 
 // HTTP status codes of the intake's own errors.
 const (
-	statusBadRequest  = 400
-	statusNotFound    = 404
-	statusTooMany     = 429
-	statusUnavailable = 503
-	statusTimeout     = 504
+	statusBadRequest   = 400
+	statusUnauthorized = 401
+	statusNotFound     = 404
+	statusConflict     = 409
+	statusTooMany      = 429
+	statusUnavailable  = 503
+	statusTimeout      = 504
 )
 
 const (
@@ -68,10 +71,10 @@
 	n.countAnswer("submit", started, err)
 	took := n.clock() - started
 	if err != nil {
-		n.intake.logger.Info("job not accepted", "job", job.ID, "queue", job.Queue, "pool", job.Pool, "took", took.String(), "error", err.Error())
+		n.intake.logger.Info("job not accepted", "job", job.ID, "queue", job.Queue, "pool", job.Pool, "organisation", job.Organisation, "took", took.String(), "error", err.Error())
 		return err
 	}
-	n.intake.logger.Info("job accepted", "job", job.ID, "queue", job.Queue, "pool", job.Pool, "took", took.String())
+	n.intake.logger.Info("job accepted", "job", job.ID, "queue", job.Queue, "pool", job.Pool, "organisation", job.Organisation, "took", took.String())
 	return nil
 }
 
@@ -89,11 +92,11 @@
 		return jayverdict.NewNotRun(statusBadRequest, err.Error(), 0)
 	}
 	until, outageWait := i.node.clock()+deadline, outageWaitOf(job, deadline)
-	final, outcome := i.storeAtOwner(job.Pool, job.ID, value, deadline, outageWait)
+	final, outcome := i.storeAtOwner(job, value, deadline, outageWait)
 	if final || i.node.clock() >= until || i.storeUnreachable() {
 		return i.submitError(outcome)
 	}
-	own := i.store(job.Pool, job.ID, value, until-i.node.clock(), outageWait)
+	own := i.store(job.Pool, job.ID, job.Organisation, value, until-i.node.clock(), outageWait)
 	if errors.Is(outcome, jayport.ErrNoAnswer) && own != nil {
 		// The owner may have stored the job, although this entry's own append failed.
 		return i.submitError(outcome)
@@ -101,20 +104,20 @@
 	return i.submitError(own)
 }
 
-// storeAtOwner asks the owner of a pool to store a job. Its errors are jayport.ErrRejected
-// and jayport.ErrNoAnswer.
+// storeAtOwner asks the owner of a job's pool to store the job. Its errors are
+// jayport.ErrRejected, jayport.ErrNoAnswer and errTaken.
 //
 // The outcome is final if this entry should not append the job itself. An owner that can
 // reach the store and still rejects a job does so because the store is slow. If all
 // entries then appended as well, the partition, which processes appends one by one, would
 // reject the appends of all of them.
-func (i *intake) storeAtOwner(pool, id string, value []byte, deadline, outageWait time.Duration) (final bool, err error) {
-	c, owned := i.node.members.Owners.OwnerOf(jayowner.PoolDuty(pool))
+func (i *intake) storeAtOwner(job *jayspec.Job, value []byte, deadline, outageWait time.Duration) (final bool, err error) {
+	c, owned := i.node.members.Owners.OwnerOf(jayowner.PoolDuty(job.Pool))
 	if !owned {
 		return false, jayport.ErrRejected
 	}
 	if c.Incarnation == i.node.incarnation {
-		return true, i.store(pool, id, value, deadline, outageWait)
+		return true, i.store(job.Pool, job.ID, job.Organisation, value, deadline, outageWait)
 	}
 	if i.node.members.Liveness.Suspects(c.Incarnation) {
 		// A request to an owner that does not answer pings would block the caller until
@@ -123,7 +126,7 @@
 	}
 	// The rest of the deadline is left for an append by this entry.
 	timeout := min(deadline*ownerShare/100, storeJobTimeout)
-	request := &jaywire.StoreJob{Pool: pool, Job: id, Declaration: value, TimeoutMillis: timeout.Milliseconds(), OutageWaitMillis: outageWait.Milliseconds()}
+	request := &jaywire.StoreJob{Pool: job.Pool, Job: job.ID, Declaration: value, TimeoutMillis: timeout.Milliseconds(), OutageWaitMillis: outageWait.Milliseconds()}
 	response, err := i.askOwner(c, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_StoreJob{StoreJob: request}})
 	switch {
 	case errors.Is(err, jaypeer.ErrGone):
@@ -132,10 +135,16 @@
 		return false, jayport.ErrNoAnswer
 	}
 	stored := response.GetJobStored()
+	if stored.GetTaken() {
+		return true, errTaken
+	}
 	err = jayrelay.DecodeError(&jaywire.StoreResult{Outcome: stored.GetOutcome()})
 	return err == nil || !stored.GetStoreAway(), err
 }
 
+// errTaken is returned for a job whose ID belongs to a job of another organisation.
+var errTaken = errors.New("a job of another organisation has the ID")
+
 // errOwnerSuspected is returned for a request to an owner that no longer answers pings.
 var errOwnerSuspected = fmt.Errorf("%w: the owner of the pool does not answer pings", jayport.ErrNoAnswer)
 
@@ -174,12 +183,15 @@
 
 // store appends a job and passes it to the pool's duty, if this entry owns the pool.
 // While the store accepts no jobs, it retries for as long as the job may wait. Its errors
-// are jayport.ErrRejected and jayport.ErrNoAnswer.
+// are jayport.ErrRejected, jayport.ErrNoAnswer and errTaken.
 //
 // The owner also reads all jobs from the store, but a read can be blocked while appends
 // go on. Jobs that were accepted would then start only after that read had timed out.
-func (i *intake) store(pool, id string, value []byte, timeout, outageWait time.Duration) error {
-	if i.node.isStored(pool, id) {
+func (i *intake) store(pool, id, organisation string, value []byte, timeout, outageWait time.Duration) error {
+	if stored, holder := i.node.isStored(pool, id); stored {
+		if holder != "" && holder != organisation {
+			return errTaken
+		}
 		// The store already has the job: the caller repeats a request that was accepted,
 		// or whose answer was lost. Rejecting it while the store accepts no appends would
 		// claim that the job never runs, and another append would make a slow store
@@ -276,8 +288,12 @@
 
 // storeFor stores a job on behalf of a peer.
 func (i *intake) storeFor(ask *jaywire.StoreJob) *jaywire.JobStored {
-	err := i.store(ask.Pool, ask.Job, ask.Declaration, millis(ask.TimeoutMillis), millis(ask.OutageWaitMillis))
-	return &jaywire.JobStored{Outcome: jayrelay.OutcomeOf(err), StoreAway: i.storeUnreachable()}
+	declaration := &jaywire.JobDeclaration{}
+	if err := proto.Unmarshal(ask.Declaration, declaration); err != nil {
+		return &jaywire.JobStored{Outcome: jaywire.StoreOutcome_STORE_OUTCOME_MALFORMED}
+	}
+	err := i.store(ask.Pool, ask.Job, declaration.Organisation, ask.Declaration, millis(ask.TimeoutMillis), millis(ask.OutageWaitMillis))
+	return &jaywire.JobStored{Outcome: jayrelay.OutcomeOf(err), StoreAway: i.storeUnreachable(), Taken: errors.Is(err, errTaken)}
 }
 
 const (
@@ -293,6 +309,8 @@
 	switch {
 	case err == nil:
 		return nil
+	case errors.Is(err, errTaken):
+		return jayverdict.NewNotRun(statusConflict, "the job ID is taken", 0)
 	case errors.Is(err, jayport.ErrRejected), errors.Is(err, jayport.ErrMalformed):
 		return jayverdict.NewNotRun(statusUnavailable, "the store does not take the job", retryAfter(i.node.store.LostFor()))
 	default:
--- a/jaynode/intake_test.go
+++ b/jaynode/intake_test.go
@@ -16,11 +16,12 @@
 	"jaythread/jayowner"
 	"jaythread/jaypeer"
 	"jaythread/jayport"
+	"jaythread/jayspec"
 	"jaythread/jayverdict"
 )
 
 // onePartition has one partition for each topic; an intake needs no other formats.
-type onePartition struct{ jayport.Formats }
+type onePartition struct{ testFormats }
 
 func (onePartition) OwnPartitions() int { return 1 }
 
@@ -43,7 +44,7 @@
 	n.members.Owners.Publish(&jaymember.View{Table: claims})
 	n.members.Liveness.RecordOutcome("e2-x", jaypeer.ErrGone)
 	began := time.Now()
-	final, outcome := n.intake.storeAtOwner("seats", "j", nil, 3*time.Second, time.Second)
+	final, outcome := n.intake.storeAtOwner(&jayspec.Job{Pool: "seats", ID: "j"}, nil, 3*time.Second, time.Second)
 	is.True(errors.Is(outcome, jayport.ErrRejected))
 	is.True(!final) // the entry stores the job itself
 	is.True(time.Since(began) < 100*time.Millisecond)
@@ -68,7 +69,7 @@
 		time.Sleep(100 * time.Millisecond)
 		n.members.Liveness.RecordOutcome("e2-x", jaypeer.ErrGone)
 	}()
-	final, outcome := n.intake.storeAtOwner("seats", "j", nil, 3*time.Second, time.Second)
+	final, outcome := n.intake.storeAtOwner(&jayspec.Job{Pool: "seats", ID: "j"}, nil, 3*time.Second, time.Second)
 	is.True(errors.Is(outcome, jayport.ErrNoAnswer))
 	is.True(!final) // the entry stores the job itself
 	is.True(time.Since(began) < time.Second)
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -134,7 +134,8 @@
 	ctx, n.cancel = context.WithCancel(ctx)
 	n.logger.Info("started", "incarnation", n.incarnation)
 	n.duties.Go(func() { n.peerServer.Serve(listener, nil) })
-	n.follow(ctx, n.ports.Formats.Declarations(), jaytail.Options{Wait: declarationsWait}, n.declarations)
+	n.duties.Go(func() { n.declarations.tail.Run(ctx) })
+	n.duties.Go(func() { n.declarations.confirmer.run(ctx) })
 	n.follow(ctx, n.ports.Formats.Heartbeats(), jaytail.Options{Pause: heartbeatsReadDelay, Needed: n.ownsAnyDuty, Urgent: n.lacksRoom}, n.heartbeats)
 	n.members.Start(ctx)
 	n.intake.start(ctx)
@@ -227,9 +228,9 @@
 func (n *Node) handlePeer(request *jaywire.PeerRequest) *jaywire.PeerResponse {
 	switch body := request.Body.(type) {
 	case *jaywire.PeerRequest_AskJob:
-		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Job{Job: n.askOwned(body.AskJob.Pool, body.AskJob.Job)}}
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Job{Job: n.askOwned(body.AskJob)}}
 	case *jaywire.PeerRequest_CancelJob:
-		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Job{Job: n.cancelOwned(body.CancelJob.Pool, body.CancelJob.Job)}}
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Job{Job: n.cancelOwned(body.CancelJob)}}
 	case *jaywire.PeerRequest_AskPending:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Pending{Pending: n.pendingOwned(body.AskPending.Pool, body.AskPending.Queue)}}
 	case *jaywire.PeerRequest_StoreJob:
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -44,7 +44,8 @@
 	name string
 	// loaded is set once the jobs and their progress have been read.
 	loaded atomic.Bool
-	// storedJobs is the set of IDs of the jobs that are in the store.
+	// storedJobs maps the IDs of the jobs that are in the store to the names of their
+	// organisations.
 	storedJobs sync.Map
 	// lacksRoom is set while tasks wait for free capacity.
 	lacksRoom atomic.Bool
--- a/jaynode/poolduty_test.go
+++ b/jaynode/poolduty_test.go
@@ -11,6 +11,7 @@
 	"jaythread/jayowner"
 	"jaythread/jaypool"
 	"jaythread/jayport"
+	"jaythread/jaywire"
 )
 
 // poolFixture is the owner of a pool with two workers and one submitted job.
@@ -173,18 +174,18 @@
 		w.refreshClaimsFor(time.Second)
 		w.entry.node.pools["seats"] = w.duty
 		w.entry.store.set(func(s *faultyStore) { s.refuse = true })
-		is.True(w.entry.node.askOwned("seats", testID).Owned)
+		is.True(w.entry.node.askOwned(&jaywire.AskJob{Pool: "seats", Job: testID}).Owned)
 		pause := make(chan struct{})
 		w.duty.post(func(time.Duration) { <-pause }) // pauses the duty's goroutine
 		time.Sleep(3 * time.Second)
 		answered := make(chan bool, 1)
-		go func() { answered <- w.entry.node.askOwned("seats", testID).Owned }()
+		go func() { answered <- w.entry.node.askOwned(&jaywire.AskJob{Pool: "seats", Job: testID}).Owned }()
 		time.Sleep(time.Millisecond)
 		close(pause)
 		is.True(!<-answered) // asked during the pause
-		is.True(!w.entry.node.askOwned("seats", testID).Owned)
+		is.True(!w.entry.node.askOwned(&jaywire.AskJob{Pool: "seats", Job: testID}).Owned)
 		w.entry.store.set(func(s *faultyStore) { s.refuse = false })
 		w.refreshClaimsFor(time.Second)
-		is.True(w.entry.node.askOwned("seats", testID).Owned)
+		is.True(w.entry.node.askOwned(&jaywire.AskJob{Pool: "seats", Job: testID}).Owned)
 	})
 }
--- a/jaynode/queries.go
+++ b/jaynode/queries.go
@@ -20,9 +20,9 @@
 	queryRetryDelay = 30 * time.Millisecond
 )
 
-// JobState returns the state of a job; known is false if the job does not exist. Its
-// error is a *jayverdict.Error.
-func (n *Node) JobState(queue jaycatalog.Queue, id string, deadline time.Duration) (state jaysched.State, known bool, err error) {
+// JobState returns the state of a job; known is false if the job does not exist or belongs
+// to another organisation than the caller. Its error is a *jayverdict.Error.
+func (n *Node) JobState(queue jaycatalog.Queue, organisation, id string, deadline time.Duration) (state jaysched.State, known bool, err error) {
 	began := n.clock()
 	defer func() {
 		n.countAnswer("state", began, err)
@@ -31,20 +31,20 @@
 		}
 	}()
 	return n.askOwner(queue.Pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskJob{
-		AskJob: &jaywire.AskJob{Pool: queue.Pool, Job: id},
+		AskJob: &jaywire.AskJob{Pool: queue.Pool, Job: id, Organisation: &organisation},
 	}})
 }
 
-// CancelJob cancels a job; known is false if the job does not exist. Its error is a
-// *jayverdict.Error.
-func (n *Node) CancelJob(queue jaycatalog.Queue, id string, deadline time.Duration) (known bool, err error) {
+// CancelJob cancels a job; known is false if the job does not exist or belongs to another
+// organisation than the caller. Its error is a *jayverdict.Error.
+func (n *Node) CancelJob(queue jaycatalog.Queue, organisation, id string, deadline time.Duration) (known bool, err error) {
 	began := n.clock()
 	defer func() {
 		n.countAnswer("cancel", began, err)
 		n.intake.logAnswer("cancellation", id, known, n.clock()-began, err)
 	}()
 	_, known, err = n.askOwner(queue.Pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_CancelJob{
-		CancelJob: &jaywire.CancelJob{Pool: queue.Pool, Job: id},
+		CancelJob: &jaywire.CancelJob{Pool: queue.Pool, Job: id, Organisation: &organisation},
 	}})
 	return known, err
 }
@@ -121,11 +121,14 @@
 const askTimeout = 300 * time.Millisecond
 
 // askOwned answers a query for the state of a job if this entry owns its pool.
-func (n *Node) askOwned(pool, id string) *jaywire.JobAnswer {
+func (n *Node) askOwned(ask *jaywire.AskJob) *jaywire.JobAnswer {
 	stateKnown := true
-	answer := n.answerOwned(pool, func(p *jaysched.Pool, now time.Duration) (jaysched.State, bool) {
-		stateKnown = p.StateKnown(id, now)
-		return p.StateOf(id, now)
+	answer := n.answerOwned(ask.Pool, func(p *jaysched.Pool, now time.Duration) (jaysched.State, bool) {
+		if !visible(p, ask.Organisation, ask.Job) {
+			return jaysched.Queued, false
+		}
+		stateKnown = p.StateKnown(ask.Job, now)
+		return p.StateOf(ask.Job, now)
 	})
 	if !stateKnown {
 		// The entry that asked retries after queryRetryDelay.
@@ -134,6 +137,12 @@
 	return answer
 }
 
+// visible reports whether a caller may know of a job. The organisation is nil in a request
+// of an entry of an earlier version, for which all jobs are visible.
+func visible(p *jaysched.Pool, organisation *string, job string) bool {
+	return organisation == nil || p.VisibleTo(*organisation, job)
+}
+
 // recordedPollInterval is the time between two checks whether a cancellation has been
 // recorded.
 const recordedPollInterval = 5 * time.Millisecond
@@ -141,13 +150,13 @@
 // cancelOwned cancels a job if this entry owns its pool. It answers only after the end of
 // the job has been recorded: if this owner failed before that, the next one would start
 // the job's tasks again.
-func (n *Node) cancelOwned(pool, id string) *jaywire.JobAnswer {
+func (n *Node) cancelOwned(ask *jaywire.CancelJob) *jaywire.JobAnswer {
 	until := n.clock() + askTimeout
 	for {
 		recorded := false
-		answer := n.answerOwned(pool, func(p *jaysched.Pool, now time.Duration) (jaysched.State, bool) {
-			known := p.Cancel(id, now)
-			recorded = p.Recorded(id)
+		answer := n.answerOwned(ask.Pool, func(p *jaysched.Pool, now time.Duration) (jaysched.State, bool) {
+			known := visible(p, ask.Organisation, ask.Job) && p.Cancel(ask.Job, now)
+			recorded = p.Recorded(ask.Job)
 			return jaysched.StateCanceled, known
 		})
 		if !answer.Owned || !answer.Known || recorded {
--- a/jaynode/queries_test.go
+++ b/jaynode/queries_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"jaythread/jaywire"
 )
 
 func TestStaleOwnerDoesNotReportUnknownJobs(t *testing.T) {
@@ -17,13 +19,13 @@
 		w := newPoolFixture(t, 1)
 		w.entry.node.pools["seats"] = w.duty
 		w.refreshClaimsFor(time.Second)
-		answer := w.entry.node.askOwned("seats", "00000000000000ff")
+		answer := w.entry.node.askOwned(&jaywire.AskJob{Pool: "seats", Job: "00000000000000ff"})
 		is.True(answer.Owned && !answer.Known)
 		w.entry.store.set(func(s *faultyStore) { s.unreachable = true })
 		time.Sleep(3 * time.Second)
-		answer = w.entry.node.askOwned("seats", "00000000000000ff")
+		answer = w.entry.node.askOwned(&jaywire.AskJob{Pool: "seats", Job: "00000000000000ff"})
 		is.True(!answer.Owned)
-		answer = w.entry.node.askOwned("seats", testID)
+		answer = w.entry.node.askOwned(&jaywire.AskJob{Pool: "seats", Job: testID})
 		is.True(answer.Owned && answer.Known) // a known job needs no fresh data
 		w.entry.store.set(func(s *faultyStore) { s.unreachable = false })
 	})
--- a/jaynode/settings.go
+++ b/jaynode/settings.go
@@ -30,4 +30,7 @@
 	// RetainEnded is how long the state of an ended job remains available. Zero keeps it
 	// forever.
 	RetainEnded time.Duration
+	// RevocationTime is how long after the removal of an API key calls with it may still be
+	// accepted. Zero means that there is no limit.
+	RevocationTime time.Duration
 }
--- a/jaynode/stored_test.go
+++ b/jaynode/stored_test.go
@@ -59,7 +59,7 @@
 			pool.Demand(time.Second)
 			pool.TakeBatch()
 		}
-		pool.RestoreEnded("other", jaysched.OutcomeOf(record), time.Second)
+		pool.RestoreEnded("other", "", jaysched.OutcomeOf(record), time.Second)
 		pool.StateOf("other", time.Second)
 		_ = jayowner.NewTable().Apply(jayport.Record{Key: "fleet", Value: declared})
 		c := newFleetCollector(logr.Discard())
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -215,7 +215,7 @@
 // unchanged.
 func (d *poolDuty) declare(job *jayspec.Job, how string, declare func(*jayspec.Job, time.Duration) bool) {
 	d.post(func(now time.Duration) {
-		d.storedJobs.Store(job.ID, true)
+		d.storedJobs.Store(job.ID, job.Organisation)
 		if declare(job, now) {
 			d.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "steps", job.Summary(), "coreSeconds", job.Work(), "within", d.pool.AllowedTime(job.ID).String(), "how", how)
 		}
@@ -250,21 +250,24 @@
 }
 
 // isStored reports whether this entry owns a pool and has read a job of the pool from the
-// store or has stored it.
-func (n *Node) isStored(pool, id string) bool {
+// store or has stored it, and the job's organisation.
+func (n *Node) isStored(pool, id string) (stored bool, organisation string) {
 	duty := n.ownedPool(pool)
 	if duty == nil || !duty.loaded.Load() {
-		return false
+		return false, ""
+	}
+	holder, known := duty.storedJobs.Load(id)
+	if !known {
+		return false, ""
 	}
-	_, known := duty.storedJobs.Load(id)
-	return known
+	return true, holder.(string)
 }
 
 func (t *jobTail) restore(job *jayspec.Job, progress *jaywire.JobProgress, recorded bool) {
 	pool, now := t.duty.pool, t.duty.node.clock()
-	t.duty.storedJobs.Store(job.ID, true)
+	t.duty.storedJobs.Store(job.ID, job.Organisation)
 	if outcome := jaysched.OutcomeOf(progress); outcome != jaysched.Open {
-		pool.RestoreEnded(job.ID, outcome, now)
+		pool.RestoreEnded(job.ID, job.Organisation, outcome, now)
 		return
 	}
 	t.open++
@@ -287,8 +290,8 @@
 	}
 	for id, progress := range recorded {
 		if outcome := jaysched.OutcomeOf(progress); outcome != jaysched.Open {
-			t.duty.pool.RestoreEnded(id, outcome, now)
-			t.duty.storedJobs.Store(id, true)
+			t.duty.pool.RestoreEnded(id, progress.Organisation, outcome, now)
+			t.duty.storedJobs.Store(id, progress.Organisation)
 			t.ended++
 		}
 	}
--- a/jayoptions/jobs.go
+++ b/jayoptions/jobs.go
@@ -59,6 +59,10 @@
 	SilenceTime Duration `json:"silenceTime"`
 	// RetainEnded is how long the state of an ended job remains available.
 	RetainEnded Duration `json:"retainEnded"`
+	// RevocationTime is how long after the removal of an API key calls with it may
+	// still be accepted. An entry that has not read the declarations for that long
+	// rejects calls with keys. Zero means that there is no limit.
+	RevocationTime Duration `json:"revocationTime"`
 }
 
 // newJobService returns the default settings, which match the current deployments.
@@ -111,6 +115,7 @@
 	checkDuration(d, "/jobService/noticeTime", j.NoticeTime, 0, time.Hour)
 	checkDuration(d, "/jobService/silenceTime", j.SilenceTime, 100*time.Millisecond, time.Hour)
 	checkDuration(d, "/jobService/retainEnded", j.RetainEnded, time.Second, 24*time.Hour)
+	checkDuration(d, "/jobService/revocationTime", j.RevocationTime, 0, 24*time.Hour)
 }
 
 func checkNumber(d *jaydocument.Document, pointer string, value, low, high float64) {
--- a/jaysched/cancel_test.go
+++ b/jaysched/cancel_test.go
@@ -99,7 +99,7 @@
 	// its owner is lost before the stop, and the next owner has read only that the job has
 	// ended, or has not read the job at all. Runs without an open job were not stopped.
 	for name, restore := range map[string]func(*Pool, time.Duration){
-		"its end is recorded":      func(p *Pool, now time.Duration) { p.RestoreEnded("j", Canceled, now) },
+		"its end is recorded":      func(p *Pool, now time.Duration) { p.RestoreEnded("j", "", Canceled, now) },
 		"its records were removed": func(*Pool, time.Duration) {},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/jaysched/model_test.go
+++ b/jaysched/model_test.go
@@ -327,7 +327,7 @@
 	m.pool = NewPool("seats", m.settings(), WithFence(m.term, m.term), WithFormerOwner(m.now+modelLease+modelLease/10))
 	for _, spec := range m.specs {
 		if outcome := OutcomeOf(m.stored[spec.ID]); outcome != Open {
-			m.pool.RestoreEnded(spec.ID, outcome, m.now)
+			m.pool.RestoreEnded(spec.ID, "", outcome, m.now)
 		} else {
 			m.pool.Restore(spec, m.stored[spec.ID], m.now)
 		}
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -208,6 +208,14 @@
 	return j.state(now), true
 }
 
+// VisibleTo reports whether the callers of an organisation may know of a job. A job without an
+// organisation is known to all: its queue needs no key, or it was submitted before there were
+// organisations.
+func (p *Pool) VisibleTo(organisation, id string) bool {
+	j, known := p.jobs[id]
+	return known && (j.spec.Organisation == "" || j.spec.Organisation == organisation)
+}
+
 // Recorded reports whether a job has ended and its end is recorded in the store.
 func (p *Pool) Recorded(id string) bool {
 	j, known := p.jobs[id]
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -91,6 +91,7 @@
 func (j *job) progress() *jaywire.JobProgress {
 	record := &jaywire.JobProgress{Outcome: jaywire.JobOutcome(j.outcome), Started: j.started}
 	if j.outcome != Open {
+		record.Organisation = j.spec.Organisation
 		return record
 	}
 	for _, o := range j.occurrences {
--- a/jaysched/restore.go
+++ b/jaysched/restore.go
@@ -56,9 +56,10 @@
 	}
 }
 
-// RestoreEnded adds a job that has ended, of which only the outcome is kept.
-func (p *Pool) RestoreEnded(id string, outcome Outcome, now time.Duration) {
-	p.jobs[id] = &job{spec: &jayspec.Job{ID: id}, outcome: outcome, recorded: outcome, endedAt: now}
+// RestoreEnded adds a job that has ended, of which only its organisation and its outcome are
+// kept.
+func (p *Pool) RestoreEnded(id, organisation string, outcome Outcome, now time.Duration) {
+	p.jobs[id] = &job{spec: &jayspec.Job{ID: id, Organisation: organisation}, outcome: outcome, recorded: outcome, endedAt: now}
 }
 
 // OutcomeOf returns the outcome of a record.
--- a/jaysched/takeover_test.go
+++ b/jaysched/takeover_test.go
@@ -174,7 +174,7 @@
 		first := newHarness(t, 1)
 		declare(first, newSpec("j", 1))
 		next := takeOver(t, first)
-		next.pool.RestoreEnded("j", Canceled, next.now)
+		next.pool.RestoreEnded("j", "", Canceled, next.now)
 		next.run()
 		is.Equal(len(next.running()), 0)
 		wantState(t, next, "j", StateCanceled)
--- a/jayspec/job.go
+++ b/jayspec/job.go
@@ -18,6 +18,9 @@
 	// is submitted and does not change if the queue is assigned to another pool
 	// later.
 	Pool string
+	// Organisation is the name of the organisation whose caller submitted the job; it is
+	// empty for a queue that needs no key.
+	Organisation string
 	// Text is passed unchanged to each run.
 	Text     string
 	Steps    []Step
