--- a/jaycli/serve_jobs.go
+++ b/jaycli/serve_jobs.go
@@ -77,6 +77,7 @@
 		FencesChecked:   s.FencesChecked,
 		RetainEnded:     time.Duration(s.RetainEnded),
 		RevocationTime:  time.Duration(s.RevocationTime),
+		DeclarationTime: time.Duration(s.DeclarationTime),
 	}, jaynode.Ports{
 		Store:     platform.NewStore(s.StoreAddr),
 		Workers:   platform.NewWorkers(),
--- a/jaynode/demand.go
+++ b/jaynode/demand.go
@@ -48,6 +48,11 @@
 		}
 		duty.pool.SetVacating(vacate, now)
 		writeDemand(report, duty.pool.Demand(now))
+		if ask.Quota != nil {
+			message := decodeQuotaMessage(ask.Fence, ask.Quota)
+			duty.pool.ApplyQuotaMessage(message)
+			report.Quota = encodeQuotaReport(duty.pool.QuotaReport(message.All, now))
+		}
 		report.ClockMicros = now.Microseconds()
 	}, askTimeout)
 	if !asked {
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -9,6 +9,7 @@
 	"jaythread/jayfleet"
 	"jaythread/jaymember"
 	"jaythread/jayowner"
+	"jaythread/jayquota"
 	"jaythread/jaytail"
 	"jaythread/jaywire"
 )
@@ -40,6 +41,7 @@
 
 	// The fields below are used only by the duty's goroutine.
 	fleet           *jayfleet.Fleet
+	lender          *jayquota.Lender
 	readingHosts    bool
 	nextHostsReadAt time.Duration
 	askingDemand    map[string]bool
@@ -59,6 +61,7 @@
 			OwnerChangeDelay: n.settings.HolderTime,
 			CallTime:         inventoryTimeout,
 		},
+		lender:       jayquota.NewLender(claim.Fence, jayquota.ByDemand{}),
 		askingDemand: map[string]bool{},
 		nextDemandAt: map[string]time.Duration{},
 		sentOrders:   map[string]string{},
@@ -133,6 +136,7 @@
 	}
 	d.logStates(now)
 	d.readHosts(now)
+	d.lendQuotas(working)
 	for _, pool := range working {
 		d.askDemand(pool, now)
 	}
@@ -198,7 +202,7 @@
 	}
 	d.askingDemand[pool] = true
 	d.sentOrders[pool] = names
-	ask := &jaywire.AskDemand{Pool: pool, Fence: d.claim.Fence, Vacate: orders}
+	ask := &jaywire.AskDemand{Pool: pool, Fence: d.claim.Fence, Vacate: orders, Quota: encodeQuotaMessage(d.lender.Message(pool))}
 	existing, asked, read := d.fleet.Existing(pool)
 	if clock, known := d.clocks[pool]; known && read {
 		ask.Surveyed, ask.Existing = true, existing
@@ -211,6 +215,7 @@
 			d.nextDemandAt[pool] = at + demandInterval
 			if err == nil && report.GetOwned() {
 				d.fleet.SetDemand(pool, demandOf(report, now))
+				d.receiveQuotas(pool, report)
 				d.clocks[pool] = jaymember.PeerClock{Fence: report.Fence, Clock: micros(report.ClockMicros), HeardAt: at}
 			}
 		})
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -135,6 +135,7 @@
 	d.updateOwnership()
 	d.pool.JobsKnown(jobsAsOf)
 	d.pool.SetStarts(d.latency.Starts())
+	d.pool.SetQuotas(d.node.quotas())
 	for _, action := range d.pool.Decide(now) {
 		d.perform(action)
 	}
--- /dev/null
+++ b/jaynode/quota.go
@@ -0,0 +1,90 @@
+package jaynode
+
+import (
+	"jaythread/jaypool"
+	"jaythread/jayquota"
+	"jaythread/jaysched"
+	"jaythread/jaywire"
+)
+
+// quotas returns the organisations' quotas by the declarations known here.
+func (n *Node) quotas() jaysched.Quotas {
+	age := n.clock() - n.declarations.asOf()
+	catalog := n.Catalog()
+	if catalog == nil {
+		return jaysched.Quotas{}
+	}
+	limit := n.settings.DeclarationTime
+	return jaysched.Quotas{
+		Revision: catalog.Revision,
+		Of:       catalog.Organisations.Quotas(),
+		Current:  limit == 0 || age <= limit-limit/clockTolerance,
+	}
+}
+
+// lendQuotas decides on the limits that the fleet's owner lends to the pools.
+func (d *fleetDuty) lendQuotas(working []string) {
+	declared := d.node.quotas()
+	d.lender.SetPools(working)
+	d.lender.SetQuotas(declared.Revision, declared.Of)
+	d.lender.Decide()
+}
+
+// receiveQuotas handles the part of a pool's report on the organisations' quotas.
+func (d *fleetDuty) receiveQuotas(pool string, report *jaywire.DemandReport) {
+	if report.Quota == nil {
+		d.lender.Ignore(pool, report.Fence)
+		return
+	}
+	d.lender.Receive(pool, decodeQuotaReport(report.Fence, report.Quota))
+}
+
+func encodeQuotaMessage(m jayquota.Message) *jaywire.QuotaMessage {
+	wire := &jaywire.QuotaMessage{Number: m.Number.Message, Revision: m.Revision, All: m.All}
+	for _, l := range m.Limits {
+		wire.Limits = append(wire.Limits, &jaywire.QuotaLimit{Organisation: l.Organisation, Limit: encodeAmount(l.Limit), Quota: encodeAmount(l.Quota)})
+	}
+	return wire
+}
+
+func decodeQuotaMessage(fence int64, wire *jaywire.QuotaMessage) jayquota.Message {
+	m := jayquota.Message{Number: jayquota.Number{Fence: fence, Message: wire.Number}, Revision: wire.Revision, All: wire.All}
+	for _, l := range wire.Limits {
+		m.Limits = append(m.Limits, jayquota.Limit{Organisation: l.Organisation, Limit: decodeAmount(l.Limit), Quota: decodeAmount(l.Quota)})
+	}
+	return m
+}
+
+func encodeQuotaReport(r jayquota.Report) *jaywire.QuotaReport {
+	wire := &jaywire.QuotaReport{AppliedFence: r.Applied.Fence, Applied: r.Applied.Message, All: r.All}
+	for _, u := range r.Uses {
+		wire.Uses = append(wire.Uses, &jaywire.QuotaUse{
+			Organisation: u.Organisation, Used: encodeAmount(u.Used), Wanted: encodeAmount(u.Wanted),
+			Largest: encodeAmount(u.Largest), Limit: encodeAmount(u.Limit),
+		})
+	}
+	return wire
+}
+
+func decodeQuotaReport(ownerFence int64, wire *jaywire.QuotaReport) jayquota.Report {
+	r := jayquota.Report{OwnerFence: ownerFence, Applied: jayquota.Number{Fence: wire.AppliedFence, Message: wire.Applied}, All: wire.All}
+	for _, u := range wire.Uses {
+		r.Uses = append(r.Uses, jayquota.Use{
+			Organisation: u.Organisation, Used: decodeAmount(u.Used), Wanted: decodeAmount(u.Wanted),
+			Largest: decodeAmount(u.Largest), Limit: decodeAmount(u.Limit),
+		})
+	}
+	return r
+}
+
+// encodeAmount encodes an amount; that of nothing is nil.
+func encodeAmount(r jaypool.Resources) *jaywire.QuotaAmount {
+	if r == (jaypool.Resources{}) {
+		return nil
+	}
+	return &jaywire.QuotaAmount{ProcessorsMilli: r.ProcessorsMilli, MemoryMegabytes: r.MemoryMegabytes, Accelerators: r.Accelerators}
+}
+
+func decodeAmount(wire *jaywire.QuotaAmount) jaypool.Resources {
+	return jaypool.Resources{ProcessorsMilli: wire.GetProcessorsMilli(), MemoryMegabytes: wire.GetMemoryMegabytes(), Accelerators: wire.GetAccelerators()}
+}
--- a/jaynode/settings.go
+++ b/jaynode/settings.go
@@ -33,4 +33,7 @@
 	// RevocationTime is how long after the removal of an API key calls with it may still be
 	// accepted. Zero means that there is no limit.
 	RevocationTime time.Duration
+	// DeclarationTime is how long after a change of the declarations the former ones may still
+	// be applied to the start of tasks. Zero means that there is no limit.
+	DeclarationTime time.Duration
 }
--- a/jayoptions/jobs.go
+++ b/jayoptions/jobs.go
@@ -63,6 +63,11 @@
 	// still be accepted. An entry that has not read the declarations for that long
 	// rejects calls with keys. Zero means that there is no limit.
 	RevocationTime Duration `json:"revocationTime"`
+	// DeclarationTime is how long after a change of the declarations the former ones
+	// may still be applied to the start of tasks. An entry that has not read the
+	// declarations for that long starts no tasks of organisations with a quota. Zero
+	// means that there is no limit.
+	DeclarationTime Duration `json:"declarationTime"`
 }
 
 // newJobService returns the default settings, which match the current deployments.
@@ -115,6 +120,7 @@
 	checkDuration(d, "/jobService/noticeTime", j.NoticeTime, 0, time.Hour)
 	checkDuration(d, "/jobService/silenceTime", j.SilenceTime, 100*time.Millisecond, time.Hour)
 	checkDuration(d, "/jobService/retainEnded", j.RetainEnded, time.Second, 24*time.Hour)
+	checkDuration(d, "/jobService/declarationTime", j.DeclarationTime, 0, 24*time.Hour)
 	checkDuration(d, "/jobService/revocationTime", j.RevocationTime, 0, 24*time.Hour)
 }
 
--- a/jayorg/organisation.go
+++ b/jayorg/organisation.go
@@ -37,12 +37,13 @@
 	byKey  map[Digest]*Organisation
 	byName map[string]*Organisation
 	sorted []*Organisation
+	quotas map[string]jaypool.Resources
 }
 
 // NewDirectory returns a directory of organisations. A key that several organisations
 // declare identifies none of them: a caller must not be mistaken for another one.
 func NewDirectory(organisations []Organisation) *Directory {
-	d := &Directory{byKey: map[Digest]*Organisation{}, byName: make(map[string]*Organisation, len(organisations))}
+	d := &Directory{byKey: map[Digest]*Organisation{}, byName: make(map[string]*Organisation, len(organisations)), quotas: map[string]jaypool.Resources{}}
 	shared := map[Digest]bool{}
 	for n := range organisations {
 		o := &organisations[n]
@@ -60,6 +61,11 @@
 	for key := range shared {
 		delete(d.byKey, key)
 	}
+	for _, o := range d.sorted {
+		if o.Quota != (jaypool.Resources{}) {
+			d.quotas[o.Name] = o.Quota
+		}
+	}
 	slices.SortFunc(d.sorted, func(a, b *Organisation) int { return strings.Compare(a.Name, b.Name) })
 	return d
 }
@@ -76,6 +82,15 @@
 	return o, known
 }
 
+// Quotas returns the quotas of the organisations that have one, which must not be changed. A
+// nil directory has none.
+func (d *Directory) Quotas() map[string]jaypool.Resources {
+	if d == nil {
+		return nil
+	}
+	return d.quotas
+}
+
 // Size returns the number of organisations; that of a nil directory is zero.
 func (d *Directory) Size() int {
 	if d == nil {
--- /dev/null
+++ b/jayquota/division.go
@@ -0,0 +1,104 @@
+package jayquota
+
+// Part is one pool's part in an organisation's quota.
+type Part struct {
+	Used   vector
+	Wanted vector
+	Limit  vector
+}
+
+// Division divides an organisation's quota among the pools. The targets of all pools
+// together do not exceed the quota, unless more is in use.
+type Division interface {
+	Divide(quota vector, parts []Part) []vector
+}
+
+// ByDemand gives each pool what it uses, then divides what it wants fairly, then spreads
+// the rest evenly, so that a pool can start tasks before it has asked for anything.
+type ByDemand struct{}
+
+// Divide implements Division.
+func (ByDemand) Divide(quota vector, parts []Part) []vector {
+	targets := make([]vector, len(parts))
+	for r, of := range quota {
+		if of == 0 {
+			continue
+		}
+		free := of
+		for _, p := range parts {
+			free -= p.Used[r]
+		}
+		free = max(0, free)
+		wanted := make([]int64, len(parts))
+		for n, p := range parts {
+			wanted[n] = p.Wanted[r]
+		}
+		granted := fairShares(free, wanted)
+		for n := range parts {
+			free -= granted[n]
+		}
+		for n, p := range parts {
+			targets[n][r] = p.Used[r] + granted[n] + free/int64(len(parts))
+		}
+	}
+	keepSteadyLimits(quota, parts, targets)
+	return targets
+}
+
+// fairShares divides an amount so that nobody gets more than wanted, and nobody whose want
+// is not met gets less than another one.
+func fairShares(amount int64, wanted []int64) []int64 {
+	shares := make([]int64, len(wanted))
+	for open := len(wanted); open > 0 && amount > 0; {
+		each := max(1, amount/int64(open))
+		open = 0
+		for n, want := range wanted {
+			more := min(each, want-shares[n], amount)
+			shares[n] += more
+			amount -= more
+			if shares[n] < want {
+				open++
+			}
+		}
+	}
+	return shares
+}
+
+// keepSteadyLimits replaces the targets by the present limits if these serve as well: every
+// pool has room for what it wants and at least half of what it would have left. Otherwise
+// each start and each end would change the limits of all pools.
+func keepSteadyLimits(quota vector, parts []Part, targets []vector) {
+	for r, of := range quota {
+		if of == 0 {
+			continue
+		}
+		sum := int64(0)
+		for n, p := range parts {
+			sum += p.Limit[r]
+			left, target := p.Limit[r]-p.Used[r]-p.Wanted[r], targets[n][r]-p.Used[r]-p.Wanted[r]
+			if left < 0 || left < target/2 {
+				return
+			}
+		}
+		if sum > of {
+			return
+		}
+	}
+	for n, p := range parts {
+		targets[n] = p.Limit
+	}
+}
+
+// Even gives each pool the same share at all times, whether the pool uses it or not.
+type Even struct{}
+
+// Divide implements Division.
+func (Even) Divide(quota vector, parts []Part) []vector {
+	targets := make([]vector, len(parts))
+	for n := range parts {
+		for r, of := range quota {
+			targets[n][r] = of / int64(len(parts))
+		}
+	}
+	return targets
+}
--- /dev/null
+++ b/jayquota/holder.go
@@ -0,0 +1,90 @@
+package jayquota
+
+import (
+	"maps"
+	"slices"
+
+	"jaythread/jaypool"
+)
+
+// Holder holds the limits of one pool. It is not safe for concurrent use.
+type Holder struct {
+	applied  Number
+	revision int64
+	limits   map[string]Limit
+}
+
+// NewHolder returns a holder without limits.
+func NewHolder() *Holder {
+	return &Holder{limits: map[string]Limit{}}
+}
+
+// Apply applies a lender's message, unless a newer one was applied.
+func (h *Holder) Apply(m Message) {
+	if m.Number.Before(h.applied) {
+		return
+	}
+	h.applied, h.revision = m.Number, m.Revision
+	for _, l := range m.Limits {
+		h.limits[l.Organisation] = l
+	}
+}
+
+// Allows reports whether a task of an organisation may start beside what the pool uses, if
+// the organisation has the given quota by the given revision of the declarations. A limit
+// that the lender has decided by an earlier revision with a higher quota does not count: only
+// the lender knows what all pools use together.
+func (h *Holder) Allows(organisation string, revision int64, quota, used, need jaypool.Resources) bool {
+	if !Limited(quota) {
+		return true
+	}
+	outdated := h.revision < revision
+	limit := h.limits[organisation]
+	most, basis := vectorOf(limit.Limit), vectorOf(limit.Quota)
+	after := vectorOf(used.Add(need))
+	for n, of := range vectorOf(quota) {
+		if of == 0 {
+			continue
+		}
+		if after[n] > most[n] || outdated && (basis[n] == 0 || basis[n] > of) {
+			return false
+		}
+	}
+	return true
+}
+
+// Left returns how much more of an organisation's quota the pool may use, and whether that
+// is limited at all.
+func (h *Holder) Left(organisation string, quota, used jaypool.Resources) (left jaypool.Resources, limited bool) {
+	if !Limited(quota) {
+		return left, false
+	}
+	most := vectorOf(h.limits[organisation].Limit)
+	for n, u := range vectorOf(used) {
+		most[n] = max(0, most[n]-u)
+	}
+	return most.resources(), true
+}
+
+// Report returns the report on the pool's uses, which replace the limits in it.
+func (h *Holder) Report(ownerFence int64, all bool, uses map[string]Use) Report {
+	r := Report{OwnerFence: ownerFence, Applied: h.applied, All: all}
+	names := slices.Collect(maps.Keys(uses))
+	if all {
+		for name := range h.limits {
+			if _, used := uses[name]; !used {
+				names = append(names, name)
+			}
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		u := uses[name]
+		u.Organisation = name
+		if all {
+			u.Limit = h.limits[name].Limit
+		}
+		r.Uses = append(r.Uses, u)
+	}
+	return r
+}
--- /dev/null
+++ b/jayquota/model_test.go
@@ -0,0 +1,302 @@
+package jayquota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"jaythread/jaypool"
+)
+
+// mutation is a fault in the protocol that the model must find.
+type mutation uint8
+
+const (
+	sound mutation = iota
+	// forgottenUse: the owner of a pool does not tell what the former one may have started.
+	forgottenUse
+	// hastyLender: a new lender does not wait for the owners of all pools.
+	hastyLender
+	// lentTwice: a lower limit counts before the pool's owner has confirmed it.
+	lentTwice
+	// olderMessages: owners apply messages that are older than the latest one.
+	olderMessages
+	// outdatedQuota: owners use limits that were decided by a quota that is lowered.
+	outdatedQuota
+)
+
+// model is a system with two pools and one organisation whose messages may be delayed,
+// repeated and lost. Several owners of a pool and several lenders may act at the same time,
+// each of which takes itself for the only one.
+type model struct {
+	division Division
+	// quotas are the quotas by revision. An actor may know any revision from oldest on.
+	quotas  []int64
+	oldest  int
+	lenders []*modelLender
+	// owners are the owners of each pool; workers are the pool's workers.
+	owners   map[string][]*modelOwner
+	workers  map[string][]*modelWorker
+	flights  []func()
+	mutation mutation
+	random   *rand.Rand
+	started  int
+	// violation is the first violation of the quota.
+	violation string
+}
+
+type modelLender struct {
+	*Lender
+	revision int
+}
+
+type modelOwner struct {
+	holder   *Holder
+	fence    int64
+	revision int
+	// reached are the workers that have answered this owner.
+	reached map[*modelWorker]bool
+	// starts are the starts that this owner has ordered and that are not answered.
+	starts map[*modelWorker][]modelRun
+}
+
+// modelRun is one run of a task.
+type modelRun struct {
+	number int
+	need   int64
+}
+
+// modelWorker runs tasks and refuses owners with a lower fence than it has seen.
+type modelWorker struct {
+	fence    int64
+	capacity int64
+	running  []modelRun
+}
+
+func (w *modelWorker) used() int64 {
+	sum := int64(0)
+	for _, run := range w.running {
+		sum += run.need
+	}
+	return sum
+}
+
+func processors(milli int64) jaypool.Resources {
+	return jaypool.Resources{ProcessorsMilli: milli}
+}
+
+const (
+	modelCapacity = 60
+	modelLargest  = 25
+)
+
+func newModel(division Division, mutation mutation, seed uint64) *model {
+	m := &model{division: division, mutation: mutation, random: rand.New(rand.NewPCG(seed, 0)), quotas: []int64{100}, owners: map[string][]*modelOwner{}, workers: map[string][]*modelWorker{}}
+	for _, pool := range []string{"a", "b"} {
+		for range 2 {
+			m.workers[pool] = append(m.workers[pool], &modelWorker{capacity: modelCapacity})
+		}
+		m.replaceOwner(pool)
+	}
+	m.replaceLender()
+	return m
+}
+
+func (m *model) replaceLender() {
+	l := &modelLender{Lender: NewLender(int64(len(m.lenders)+1), m.division), revision: len(m.quotas) - 1}
+	l.SetPools([]string{"a", "b"})
+	m.lenders = append(m.lenders, l)
+}
+
+func (m *model) replaceOwner(pool string) {
+	m.owners[pool] = append(m.owners[pool], &modelOwner{
+		holder: NewHolder(), fence: int64(len(m.owners[pool]) + 1), revision: len(m.quotas) - 1,
+		reached: map[*modelWorker]bool{}, starts: map[*modelWorker][]modelRun{},
+	})
+}
+
+// used returns the most that may be running, as an owner knows it.
+func (m *model) used(pool string, o *modelOwner) int64 {
+	sum := int64(0)
+	for _, w := range m.workers[pool] {
+		for _, run := range o.starts[w] {
+			sum += run.need
+		}
+		switch {
+		case o.reached[w]:
+			sum += w.used()
+		case o.fence > 1 && m.mutation != forgottenUse:
+			sum += w.capacity
+		}
+	}
+	return sum
+}
+
+// total returns what is running in both pools.
+func (m *model) total() int64 {
+	sum := int64(0)
+	for _, workers := range m.workers {
+		for _, w := range workers {
+			sum += w.used()
+		}
+	}
+	return sum
+}
+
+// exchange sends a lender's message to an owner, and its report back, each at any time, any
+// number of times or never.
+func (m *model) exchange(l *modelLender, pool string, o *modelOwner, wanted int64) {
+	l.SetQuotas(int64(l.revision), map[string]jaypool.Resources{"org": processors(m.quotas[l.revision])})
+	if m.mutation == hastyLender {
+		for _, a := range l.pools {
+			a.known = true
+		}
+	}
+	l.Decide()
+	if m.mutation == lentTwice {
+		for _, a := range l.pools {
+			for _, s := range a.shares {
+				s.lent = s.limit
+			}
+		}
+	}
+	message := l.Message(pool)
+	m.flights = append(m.flights, func() {
+		if m.mutation == olderMessages {
+			o.holder.applied = Number{}
+		}
+		o.holder.Apply(message)
+		report := o.holder.Report(o.fence, message.All, map[string]Use{"org": {
+			Used: processors(m.used(pool, o)), Wanted: processors(wanted), Largest: processors(min(wanted, modelLargest)),
+		}})
+		m.flights = append(m.flights, func() { l.Receive(pool, report) })
+	})
+}
+
+// start lets an owner order the start of a task, which the worker carries out at any time.
+func (m *model) start(pool string, o *modelOwner, w *modelWorker, need int64) {
+	revision := int64(o.revision)
+	if m.mutation == outdatedQuota {
+		revision = 0
+	}
+	if o.revision < m.oldest || !o.reached[w] ||
+		!o.holder.Allows("org", revision, processors(m.quotas[o.revision]), processors(m.used(pool, o)), processors(need)) {
+		return
+	}
+	m.started++
+	run, oldest := modelRun{number: m.started, need: need}, m.oldest
+	o.starts[w] = append(o.starts[w], run)
+	m.flights = append(m.flights, func() {
+		at := slices.Index(o.starts[w], run)
+		if at < 0 {
+			return
+		}
+		o.starts[w] = slices.Delete(o.starts[w], at, at+1)
+		if o.fence < w.fence || w.used()+need > w.capacity {
+			return
+		}
+		w.running = append(w.running, run)
+		// Any quota counts that was in force when the start was ordered, or later.
+		if quota := slices.Max(m.quotas[oldest:]); m.total() > quota+modelLargest && m.violation == "" {
+			m.violation = fmt.Sprintf("%d are running with a quota of %d and tasks of at most %d", m.total(), quota, modelLargest)
+		}
+	})
+}
+
+func pick[T any](m *model, list []T) T {
+	return list[m.random.IntN(len(list))]
+}
+
+func (m *model) step() {
+	pool := pick(m, []string{"a", "b"})
+	owner, worker, lender := pick(m, m.owners[pool]), pick(m, m.workers[pool]), pick(m, m.lenders)
+	switch event := m.random.IntN(100); {
+	case event < 20:
+		m.exchange(lender, pool, owner, m.random.Int64N(200))
+	case event < 45:
+		m.start(pool, owner, worker, 1+m.random.Int64N(modelLargest))
+	case event < 80:
+		m.deliver()
+	case event < 88:
+		if owner.fence >= worker.fence {
+			worker.fence = owner.fence
+			owner.reached[worker] = true
+		}
+	case event < 93:
+		if len(worker.running) > 0 {
+			worker.running = worker.running[1:]
+		}
+	case event < 95:
+		m.replaceOwner(pool)
+	case event < 96:
+		m.replaceLender()
+	case event < 98:
+		// Actors learn of a new quota one by one; those that have not learned of it in time
+		// start nothing.
+		m.quotas = append(m.quotas, pick(m, []int64{40, 70, 100, 150}))
+	case event < 99:
+		m.oldest += m.random.IntN(len(m.quotas) - m.oldest)
+	default:
+		owner.revision, lender.revision = len(m.quotas)-1, len(m.quotas)-1
+	}
+}
+
+// deliver delivers one of the messages, repeats it or loses it.
+func (m *model) deliver() {
+	if len(m.flights) == 0 {
+		return
+	}
+	at := m.random.IntN(len(m.flights))
+	arrive, fate := m.flights[at], m.random.IntN(10)
+	if fate != 0 {
+		m.flights = slices.Delete(m.flights, at, at+1)
+	}
+	if fate != 1 {
+		arrive()
+	}
+}
+
+// history plays a random history and returns the first violation, or nothing.
+func history(division Division, mutation mutation, seed uint64) string {
+	m := newModel(division, mutation, seed)
+	for range 400 {
+		m.step()
+	}
+	return m.violation
+}
+
+// TestQuotaIsKept checks random histories of lenders, owners and workers that are replaced,
+// pause and repeat themselves: at no time do tasks run beyond the quota and one task more.
+func TestQuotaIsKept(t *testing.T) {
+	for name, division := range map[string]Division{"by demand": ByDemand{}, "even": Even{}} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3000) {
+				if violation := history(division, sound, seed); violation != "" {
+					t.Fatalf("seed %d: %s", seed, violation)
+				}
+			}
+		})
+	}
+}
+
+// TestModelFindsFaults checks that the model can fail: it finds each mutation.
+func TestModelFindsFaults(t *testing.T) {
+	for name, mutation := range map[string]mutation{
+		"use of a former owner is forgotten":    forgottenUse,
+		"a new lender does not wait":            hastyLender,
+		"a limit counts before it is confirmed": lentTwice,
+		"older messages are applied":            olderMessages,
+		"limits of a higher quota are used":     outdatedQuota,
+	} {
+		t.Run(name, func(t *testing.T) {
+			found := false
+			for seed := uint64(0); seed < 20_000 && !found; seed++ {
+				found = history(ByDemand{}, mutation, seed) != ""
+			}
+			is.New(t).True(found)
+		})
+	}
+}
--- /dev/null
+++ b/jayquota/quota.go
@@ -0,0 +1,104 @@
+// Package jayquota keeps each organisation's quota over all pools, whose owners differ. It
+// has no side effects.
+//
+// A lender, which is the owner of the fleet, lends each pool a limit of each organisation's
+// quota. A pool starts a task only within its limit, without asking anybody. The lender
+// moves what pools do not use to those that want it.
+//
+// No clock is involved. The lender counts against a quota, for each pool, the larger one of
+// what it has lent and what it was told to be in use; it counts a lower limit only once the
+// pool's owner has confirmed it. Messages may be lost, repeated and late:
+//
+//   - Each message of a lender has the fence of its ownership and a number; a pool ignores
+//     those that are older than the latest one it has applied.
+//   - A new lender raises no limit before the owner of every pool has told it, under its
+//     fence, all limits and all use. From then on these owners ignore the former lender.
+//   - A new owner of a pool has no limits. It tells as in use also what the former owner may
+//     have started, or may still start, on workers that have not answered the new one.
+//     Workers that have answered it refuse the former owner.
+package jayquota
+
+import "jaythread/jaypool"
+
+// resources is the number of resources that a quota may limit.
+const resources = 3
+
+// vector holds one amount for each resource.
+type vector [resources]int64
+
+func vectorOf(r jaypool.Resources) vector {
+	return vector{r.ProcessorsMilli, r.MemoryMegabytes, r.Accelerators}
+}
+
+func (v vector) resources() jaypool.Resources {
+	return jaypool.Resources{ProcessorsMilli: v[0], MemoryMegabytes: v[1], Accelerators: v[2]}
+}
+
+func (v vector) max(other vector) vector {
+	for n := range v {
+		v[n] = max(v[n], other[n])
+	}
+	return v
+}
+
+// Limited reports whether a quota limits any resource.
+func Limited(quota jaypool.Resources) bool {
+	return quota != jaypool.Resources{}
+}
+
+// Number orders the messages of lenders: by the fence of the lender's ownership, then by
+// the message.
+type Number struct {
+	Fence   int64
+	Message int64
+}
+
+// Before reports whether a message is older than another one.
+func (n Number) Before(other Number) bool {
+	return n.Fence < other.Fence || n.Fence == other.Fence && n.Message < other.Message
+}
+
+// Limit is what a pool may use of the quota of one organisation.
+type Limit struct {
+	Organisation string
+	Limit        jaypool.Resources
+	// Quota is the quota by which the lender has decided on the limit.
+	Quota jaypool.Resources
+}
+
+// Message tells the owner of a pool its limits.
+type Message struct {
+	Number Number
+	// Revision is that of the declarations by which the lender has decided.
+	Revision int64
+	// All asks for a report with the limits of all organisations.
+	All bool
+	// Limits replace those of the same organisations.
+	Limits []Limit
+}
+
+// Use is what a pool uses and wants of the quota of one organisation.
+type Use struct {
+	Organisation string
+	// Used is the most that may be running, including what a former owner of the pool may
+	// have started.
+	Used jaypool.Resources
+	// Wanted is what the waiting tasks need that could run now, and Largest what the
+	// largest of them needs.
+	Wanted  jaypool.Resources
+	Largest jaypool.Resources
+	// Limit is the limit in force. It is set only in a report with all limits.
+	Limit jaypool.Resources
+}
+
+// Report is the answer of a pool's owner to a message. An organisation that it does not
+// name uses and wants nothing.
+type Report struct {
+	// OwnerFence is the fence of the owner of the pool.
+	OwnerFence int64
+	// Applied is the number of the latest message that the owner has applied.
+	Applied Number
+	// All states that the report has the limits of all organisations.
+	All  bool
+	Uses []Use
+}
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -152,7 +152,9 @@
 }
 
 func (p *Pool) dropRun(r *run, now time.Duration) {
-	r.worker.remove(r, now)
+	if r.worker.remove(r, now) {
+		p.quotas.countRun(r, -1)
+	}
 	r.task.removeRun(r)
 	r.task.droppedAt = now
 }
@@ -281,6 +283,7 @@
 	}
 	r := &run{task: t, worker: w, number: active.Run.Number, phase: running, need: needOf(t.step), orderedAt: now, confirmedAt: now, speed: active.Speed, isolation: t.isolation()}
 	w.add(r)
+	p.quotas.countRun(r, 1)
 	t.addRun(r)
 	t.lastRun = max(t.lastRun, r.number)
 	t.step.gangRun = max(t.step.gangRun, r.number)
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -11,6 +11,8 @@
 	formerRuns := p.formerRunsPossible(now)
 	p.noRoom = p.noRoom[:0]
 	p.lackedRoom = false
+	p.quotas.withheld = false
+	p.updatePossibleUse(now)
 	p.clearReservations()
 	if p.OwnerUnconfirmed() {
 		return
@@ -71,6 +73,9 @@
 		if !t.waiting() || now < t.notBefore || formerRuns && t.mayRunUnreported {
 			continue
 		}
+		if !p.quotaAllows(s, 1) {
+			return
+		}
 		if !p.placeTask(t, now) {
 			return
 		}
@@ -135,6 +140,9 @@
 			return
 		}
 	}
+	if !p.quotaAllows(s, len(s.tasks)) {
+		return
+	}
 	number := p.nextRun(s.gangRun)
 	for _, t := range s.tasks {
 		w := p.chooseWorker(t, now)
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -135,6 +135,7 @@
 	// expire.
 	vacating      map[string]Vacate
 	vacatingUntil time.Duration
+	quotas        quotas
 	actions       []Action
 	events        []Event
 	durations     *durations
@@ -179,6 +180,7 @@
 		endedWorkers: map[string]endedIncarnations{},
 		expected:     map[string]time.Duration{},
 
+		quotas:     newQuotas(),
 		durations:  newDurations(),
 		startsLeft: math.MaxInt,
 	}
--- /dev/null
+++ b/jaysched/quota.go
@@ -0,0 +1,167 @@
+package jaysched
+
+import (
+	"time"
+
+	"jaythread/jaypool"
+	"jaythread/jayquota"
+)
+
+// Quotas are the organisations' quotas by the declarations that the owner knows.
+type Quotas struct {
+	Revision int64
+	Of       map[string]jaypool.Resources
+	// Current says that no later declarations can be in force alone: while they may be, tasks
+	// of organisations are not started.
+	Current bool
+}
+
+// quotas is what a pool knows of the organisations' quotas and of their use.
+type quotas struct {
+	declared Quotas
+	limits   *jayquota.Holder
+	// used is what the runs of each organisation's tasks need together.
+	used map[string]jaypool.Resources
+	// possible is what runs of a former owner that no worker has reported may need together.
+	possible map[string]jaypool.Resources
+	// withheld says that a quota kept a task from starting in the latest decision.
+	withheld bool
+}
+
+func newQuotas() quotas {
+	return quotas{limits: jayquota.NewHolder(), used: map[string]jaypool.Resources{}}
+}
+
+// usedBy returns the most that an organisation's tasks may be using in the pool.
+func (q *quotas) usedBy(organisation string) jaypool.Resources {
+	return q.used[organisation].Add(q.possible[organisation])
+}
+
+// countRun adds a run to what its organisation uses, or removes it.
+func (q *quotas) countRun(r *run, sign int64) {
+	organisation := r.task.step.job.spec.Organisation
+	if organisation == "" {
+		return
+	}
+	used := q.used[organisation].Add(r.task.step.decl.Need.Times(sign))
+	if used == (jaypool.Resources{}) {
+		delete(q.used, organisation)
+		return
+	}
+	q.used[organisation] = used
+}
+
+// SetQuotas sets the quotas that are in force.
+func (p *Pool) SetQuotas(declared Quotas) {
+	p.quotas.declared = declared
+}
+
+// ApplyQuotaMessage applies the limits that the fleet's owner has lent to the pool.
+func (p *Pool) ApplyQuotaMessage(m jayquota.Message) {
+	p.quotas.limits.Apply(m)
+}
+
+// quotaAllows reports whether the quota of a step's organisation lets some of its tasks start.
+func (p *Pool) quotaAllows(s *step, tasks int) bool {
+	q, organisation := &p.quotas, s.job.spec.Organisation
+	if organisation == "" || len(q.declared.Of) == 0 {
+		return true
+	}
+	need := s.decl.Need.Times(int64(tasks))
+	allowed := q.declared.Current &&
+		q.limits.Allows(organisation, q.declared.Revision, q.declared.Of[organisation], q.usedBy(organisation), need)
+	q.withheld = q.withheld || !allowed
+	return allowed
+}
+
+// QuotaReport returns what the pool uses and wants of the organisations' quotas.
+func (p *Pool) QuotaReport(all bool, now time.Duration) jayquota.Report {
+	p.updatePossibleUse(now)
+	uses := map[string]jayquota.Use{}
+	for organisation := range p.quotas.declared.Of {
+		if used := p.quotas.usedBy(organisation); used != (jaypool.Resources{}) {
+			uses[organisation] = jayquota.Use{Used: used}
+		}
+	}
+	for _, j := range p.open {
+		organisation := j.spec.Organisation
+		if j.waiting == 0 || !jayquota.Limited(p.quotas.declared.Of[organisation]) {
+			continue
+		}
+		use := uses[organisation]
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.waiting > 0 && s.ready(now) {
+					use.Wanted = use.Wanted.Add(s.decl.Need.Times(int64(s.waiting)))
+					use.Largest = use.Largest.Max(s.togetherNeed())
+				}
+			}
+		}
+		uses[organisation] = use
+	}
+	return p.quotas.limits.Report(p.fence, all, uses)
+}
+
+// togetherNeed returns what those tasks of a step need that can only start together.
+func (s *step) togetherNeed() jaypool.Resources {
+	if s.decl.Gang {
+		return s.decl.Need.Times(int64(s.decl.Tasks))
+	}
+	return s.decl.Need
+}
+
+// updatePossibleUse determines what runs of a former owner may need that no worker has reported
+// yet: no more than the tasks that it may have started, and no more than the workers can run that
+// have not answered this owner.
+func (p *Pool) updatePossibleUse(now time.Duration) {
+	p.quotas.possible = nil
+	if !p.formerRunsPossible(now) {
+		return
+	}
+	possible := map[string]jaypool.Resources{}
+	for _, j := range p.open {
+		if organisation := j.spec.Organisation; organisation != "" && j.inherited {
+			possible[organisation] = possible[organisation].Add(j.unreportedNeed())
+		}
+	}
+	if room, bounded := p.unansweredRoom(); bounded {
+		for organisation, need := range possible {
+			possible[organisation] = lesser(need, room)
+		}
+	}
+	p.quotas.possible = possible
+}
+
+// unreportedNeed returns what the tasks of a job need together that a former owner may have
+// started.
+func (j *job) unreportedNeed() jaypool.Resources {
+	var total jaypool.Resources
+	j.eachTask(func(t *task) {
+		if t.mayRunUnreported && !t.done && len(t.runs) == 0 {
+			total = total.Add(t.step.decl.Need)
+		}
+	})
+	return total
+}
+
+// unansweredRoom returns the capacity of the workers that have not answered this owner; it is
+// not bounded while some workers may be unknown.
+func (p *Pool) unansweredRoom() (room jaypool.Resources, bounded bool) {
+	if !p.inventoryRead || len(p.unlisted) > 0 {
+		return room, false
+	}
+	for _, w := range p.sorted {
+		if w.contact == unconfirmed {
+			room = room.Add(w.Capacity)
+		}
+	}
+	return room, true
+}
+
+func lesser(a, b jaypool.Resources) jaypool.Resources {
+	return jaypool.Resources{
+		ProcessorsMilli: min(a.ProcessorsMilli, b.ProcessorsMilli),
+		MemoryMegabytes: min(a.MemoryMegabytes, b.MemoryMegabytes),
+		Accelerators:    min(a.Accelerators, b.Accelerators),
+	}
+}
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -208,10 +208,10 @@
 	r.task.step.placed[w]++
 }
 
-// remove releases the room of a run.
-func (w *worker) remove(r *run, now time.Duration) {
+// remove releases the room of a run. It returns false if the worker has no such run.
+func (w *worker) remove(r *run, now time.Duration) bool {
 	if w.runs[r.ref()] != r {
-		return
+		return false
 	}
 	delete(w.runs, r.ref())
 	at, _ := slices.BinarySearchFunc(w.inOrder, r, compareRuns)
@@ -233,6 +233,7 @@
 	if r.task.step.placed[w]--; r.task.step.placed[w] == 0 {
 		delete(r.task.step.placed, w)
 	}
+	return true
 }
 
 // leaseUntil returns the time on the worker's clock at which a lease granted now should end,
