--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -75,6 +75,10 @@
 		// The claim was read a moment ago; updateOwnership records when.
 		jaysched.WithReplaceableOwner(0, ownershipTimeout),
 	}
+	if view := n.members.Owners.View(); view != nil {
+		fleet, _ := view.Claim(jayowner.Fleet)
+		options = append(options, jaysched.WithLender(fleet.Fence))
+	}
 	if claim.Term > 1 {
 		options = append(options, jaysched.WithFormerOwner(n.clock()+formerLeaseWait))
 	}
--- a/jaynode/quota.go
+++ b/jaynode/quota.go
@@ -1,6 +1,7 @@
 package jaynode
 
 import (
+	"jaythread/jayowner"
 	"jaythread/jaypool"
 	"jaythread/jayquota"
 	"jaythread/jaysched"
@@ -24,8 +25,17 @@
 
 // lendQuotas decides on the limits that the fleet's owner lends to the pools.
 func (d *fleetDuty) lendQuotas(working []string) {
+	view := d.node.members.Owners.View()
+	if view == nil {
+		return
+	}
+	owners := make(map[string]int64, len(working))
+	for _, pool := range working {
+		c, _ := view.Claim(jayowner.PoolDuty(pool))
+		owners[pool] = c.Fence
+	}
 	declared := d.node.quotas()
-	d.lender.SetPools(working)
+	d.lender.SetPools(owners)
 	d.lender.SetQuotas(declared.Revision, declared.Of)
 	d.lender.Decide()
 }
@@ -40,17 +50,17 @@
 }
 
 func encodeQuotaMessage(m jayquota.Message) *jaywire.QuotaMessage {
-	wire := &jaywire.QuotaMessage{Number: m.Number.Message, Revision: m.Revision, All: m.All}
+	wire := &jaywire.QuotaMessage{Number: m.Number.Message, All: m.All}
 	for _, l := range m.Limits {
-		wire.Limits = append(wire.Limits, &jaywire.QuotaLimit{Organisation: l.Organisation, Limit: encodeAmount(l.Limit), Quota: encodeAmount(l.Quota)})
+		wire.Limits = append(wire.Limits, &jaywire.QuotaLimit{Organisation: l.Organisation, Limit: encodeAmount(l.Limit), Quota: encodeAmount(l.Quota), Revision: l.Revision})
 	}
 	return wire
 }
 
 func decodeQuotaMessage(fence int64, wire *jaywire.QuotaMessage) jayquota.Message {
-	m := jayquota.Message{Number: jayquota.Number{Fence: fence, Message: wire.Number}, Revision: wire.Revision, All: wire.All}
+	m := jayquota.Message{Number: jayquota.Number{Fence: fence, Message: wire.Number}, All: wire.All}
 	for _, l := range wire.Limits {
-		m.Limits = append(m.Limits, jayquota.Limit{Organisation: l.Organisation, Limit: decodeAmount(l.Limit), Quota: decodeAmount(l.Quota)})
+		m.Limits = append(m.Limits, jayquota.Limit{Organisation: l.Organisation, Limit: decodeAmount(l.Limit), Quota: decodeAmount(l.Quota), Revision: l.Revision})
 	}
 	return m
 }
--- a/jayquota/division.go
+++ b/jayquota/division.go
@@ -4,9 +4,25 @@
 type Part struct {
 	Used   vector
 	Wanted vector
-	Limit  vector
+	// Largest is what the largest waiting task needs.
+	Largest vector
+	Limit   vector
+	// Turn is the pool's turn among those whose share is too small for a task.
+	Turn Turn
 }
 
+// Turn orders pools of which only one can start a task.
+type Turn int8
+
+const (
+	// Chosen pools have been given the quota and have not used it yet.
+	Chosen Turn = iota
+	// Waiting pools have not been chosen.
+	Waiting
+	// Served pools were the latest to use the quota.
+	Served
+)
+
 // Division divides an organisation's quota among the pools. The targets of all pools
 // together do not exceed the quota, unless more is in use.
 type Division interface {
@@ -34,6 +50,7 @@
 			wanted[n] = p.Wanted[r]
 		}
 		granted := fairShares(free, wanted)
+		poolSmallShares(r, parts, granted)
 		for n := range parts {
 			free -= granted[n]
 		}
@@ -64,6 +81,25 @@
 	return shares
 }
 
+// poolSmallShares gives the shares that are too small for a task to one pool alone: otherwise
+// several pools might keep shares of which none can be used.
+func poolSmallShares(r int, parts []Part, granted []int64) {
+	first, sum := -1, int64(0)
+	for n, p := range parts {
+		if p.Wanted[r] == 0 || granted[n] >= p.Largest[r] {
+			continue
+		}
+		if first < 0 || p.Turn < parts[first].Turn {
+			first = n
+		}
+		sum += granted[n]
+		granted[n] = 0
+	}
+	if first >= 0 {
+		granted[first] = sum
+	}
+}
+
 // keepSteadyLimits replaces the targets by the present limits if these serve as well: every
 // pool has room for what it wants and at least half of what it would have left. Otherwise
 // each start and each end would change the limits of all pools.
--- a/jayquota/holder.go
+++ b/jayquota/holder.go
@@ -9,14 +9,13 @@
 
 // Holder holds the limits of one pool. It is not safe for concurrent use.
 type Holder struct {
-	applied  Number
-	revision int64
-	limits   map[string]Limit
+	applied Number
+	limits  map[string]Limit
 }
 
-// NewHolder returns a holder without limits.
-func NewHolder() *Holder {
-	return &Holder{limits: map[string]Limit{}}
+// NewHolder returns a holder without limits, which ignores lenders with a lower fence.
+func NewHolder(lenderFence int64) *Holder {
+	return &Holder{applied: Number{Fence: lenderFence}, limits: map[string]Limit{}}
 }
 
 // Apply applies a lender's message, unless a newer one was applied.
@@ -24,7 +23,7 @@
 	if m.Number.Before(h.applied) {
 		return
 	}
-	h.applied, h.revision = m.Number, m.Revision
+	h.applied = m.Number
 	for _, l := range m.Limits {
 		h.limits[l.Organisation] = l
 	}
@@ -38,8 +37,8 @@
 	if !Limited(quota) {
 		return true
 	}
-	outdated := h.revision < revision
 	limit := h.limits[organisation]
+	outdated := limit.Revision < revision
 	most, basis := vectorOf(limit.Limit), vectorOf(limit.Quota)
 	after := vectorOf(used.Add(need))
 	for n, of := range vectorOf(quota) {
--- a/jayquota/lender.go
+++ b/jayquota/lender.go
@@ -15,11 +15,21 @@
 	pools    map[string]*account
 	revision int64
 	quotas   map[string]jaypool.Resources
+	// chosen is the latest pool that may exceed the quota by a task, by organisation.
+	chosen map[string]chosen
+}
+
+// chosen is a pool that may exceed a quota, with what it used when it was chosen.
+type chosen struct {
+	pool string
+	used vector
+	// served says that what the pool uses has changed since.
+	served bool
 }
 
 // account is what a lender knows of one pool.
 type account struct {
-	// ownerFence is the fence of the pool's owner that has reported last.
+	// ownerFence is the fence of the newest owner of the pool that is known.
 	ownerFence int64
 	// known says that this owner has reported all its limits to this lender.
 	known bool
@@ -31,7 +41,9 @@
 // share is what a lender knows of one pool's part in one organisation's quota.
 type share struct {
 	limit vector
-	quota jaypool.Resources
+	// quota is the quota by which the limit was decided, of that revision.
+	quota    jaypool.Resources
+	revision int64
 	// lent is the largest limit that may be in force at the pool.
 	lent vector
 	// changed is the number of the first message after the latest change of the limit or its
@@ -59,18 +71,31 @@
 // NewLender returns a lender that knows nothing of the pools yet. The fence is that of its
 // ownership of the fleet.
 func NewLender(fence int64, division Division) *Lender {
-	return &Lender{fence: fence, division: division, pools: map[string]*account{}, quotas: map[string]jaypool.Resources{}}
+	return &Lender{fence: fence, division: division, pools: map[string]*account{}, quotas: map[string]jaypool.Resources{}, chosen: map[string]chosen{}}
 }
 
-// SetPools sets the pools that may run tasks. A pool that is not named any more is kept
-// while tasks may run there.
-func (l *Lender) SetPools(pools []string) {
-	for _, pool := range pools {
-		if l.pools[pool] == nil {
-			l.pools[pool] = &account{shares: map[string]*share{}}
+// SetPools sets the pools that may run tasks, with the fences of their newest owners that are
+// known here. A pool that is not named any more is kept while tasks may run there.
+func (l *Lender) SetPools(owners map[string]int64) {
+	for pool, fence := range owners {
+		a := l.pools[pool]
+		if a == nil {
+			a = newAccount(fence)
+			l.pools[pool] = a
+		}
+		if fence > a.ownerFence {
+			*a = *newAccount(fence)
 		}
 	}
-	maps.DeleteFunc(l.pools, func(pool string, a *account) bool { return !slices.Contains(pools, pool) && !a.inUse() })
+	maps.DeleteFunc(l.pools, func(pool string, a *account) bool {
+		_, named := owners[pool]
+		return !named && !a.inUse()
+	})
+}
+
+// newAccount returns the account of a pool whose owner has reported nothing yet.
+func newAccount(ownerFence int64) *account {
+	return &account{ownerFence: ownerFence, shares: map[string]*share{}}
 }
 
 func (a *account) inUse() bool {
@@ -95,7 +120,7 @@
 	}
 	if r.OwnerFence > a.ownerFence {
 		// Another owner has no limits but those that it tells.
-		*a = account{ownerFence: r.OwnerFence, shares: map[string]*share{}}
+		*a = *newAccount(r.OwnerFence)
 	}
 	if r.Applied.Fence != l.fence || r.Applied.Message <= a.confirmed || !a.known && !r.All {
 		// The owner may still apply a message of the former lender, the report is older
@@ -126,7 +151,8 @@
 // others need not wait for it.
 func (l *Lender) Ignore(pool string, ownerFence int64) {
 	if a := l.pools[pool]; a != nil && ownerFence >= a.ownerFence {
-		*a = account{ownerFence: ownerFence, known: true, shares: map[string]*share{}}
+		*a = *newAccount(ownerFence)
+		a.known = true
 	}
 }
 
@@ -150,9 +176,10 @@
 	names := slices.Sorted(maps.Keys(l.pools))
 	for _, pool := range names {
 		s := l.pools[pool].share(organisation)
-		parts = append(parts, Part{Used: s.used, Wanted: s.wanted, Limit: s.limit})
+		parts = append(parts, Part{Used: s.used, Wanted: s.wanted, Largest: s.largest, Limit: s.limit, Turn: l.turn(organisation, pool, s)})
 	}
 	targets := l.division.Divide(total, parts)
+	capTargets(total, parts, targets)
 	free := total
 	for n, pool := range names {
 		s := l.pools[pool].share(organisation)
@@ -160,6 +187,10 @@
 		for r := range lower {
 			lower[r] = min(lower[r], targets[n][r])
 		}
+		if parts[n].Turn == Chosen && s.wanted != (vector{}) && s.quota == quota && !exceeded(total, parts) {
+			// The task that may exceed the quota has not been started yet.
+			lower = lower.max(s.limit.min(s.used.add(s.largest)))
+		}
 		l.setLimit(s, lower, quota)
 		for r, of := range s.committed() {
 			free[r] -= of
@@ -168,44 +199,102 @@
 	for n, pool := range names {
 		s := l.pools[pool].share(organisation)
 		before := s.committed()
-		l.setLimit(s, s.raised(targets[n], free, total), quota)
+		limit, exceeds := s.raised(targets[n], free, total)
+		l.setLimit(s, limit, quota)
+		if exceeds {
+			l.chosen[organisation] = chosen{pool: pool, used: s.used}
+		}
 		for r, of := range s.committed() {
 			free[r] -= of - before[r]
 		}
 	}
 }
 
-// raised returns a limit that is raised towards a target by what is free of the quota. If
-// less is free than the largest waiting task needs, the task may exceed the quota, as one
+// exceeded reports whether more is in use than the quota.
+func exceeded(quota vector, parts []Part) bool {
+	var used vector
+	for _, p := range parts {
+		used = used.add(p.Used)
+	}
+	for r, of := range quota {
+		if of > 0 && used[r] > of {
+			return true
+		}
+	}
+	return false
+}
+
+// capTargets lowers targets that could not all be used beside what is in use already. While
+// more is in use than the quota, no pool may start a task, not even in place of one that has
+// ended.
+func capTargets(quota vector, parts []Part, targets []vector) {
+	stop := exceeded(quota, parts)
+	for r, of := range quota {
+		sum := int64(0)
+		for n, p := range parts {
+			sum += max(targets[n][r], p.Used[r])
+		}
+		for n, p := range parts {
+			switch {
+			case stop:
+				targets[n][r] = 0
+			case of > 0 && sum > of:
+				targets[n][r] = min(targets[n][r], p.Used[r])
+			}
+		}
+	}
+}
+
+// turn returns a pool's turn among those whose share of a quota is too small for a task.
+func (l *Lender) turn(organisation, pool string, s *share) Turn {
+	c := l.chosen[organisation]
+	if c.pool != pool {
+		return Waiting
+	}
+	c.served = c.served || c.used != s.used
+	l.chosen[organisation] = c
+	if c.served {
+		return Served
+	}
+	return Chosen
+}
+
+// raised returns a limit that is raised towards a target by what is free of the quota. While
+// more is committed than the quota, no limit is raised, not even to what is in use: what is
+// in use ends, and the limit would remain.
+//
+// If less is free than the largest waiting task needs, the task may exceed the quota, as one
 // task may: the smallest quota must not keep a task from ever running.
-func (s *share) raised(target, free, quota vector) vector {
-	limit, exceeds := s.limit, false
+func (s *share) raised(target, free, quota vector) (limit vector, exceeds bool) {
+	limit = s.limit
 	for r := range limit {
-		limit[r] = max(limit[r], min(target[r], s.committed()[r]+max(0, free[r])))
+		if free[r] >= 0 {
+			limit[r] = max(limit[r], min(target[r], s.committed()[r]+free[r]))
+		}
 		short := quota[r] > 0 && s.used[r]+s.largest[r] > limit[r]
-		if short && free[r] <= 0 {
-			return limit
+		if short && (free[r] <= 0 || target[r] <= s.used[r]) {
+			return limit, false
 		}
 		exceeds = exceeds || short
 	}
 	if exceeds {
-		limit = limit.max(vectorOf(s.used.resources().Add(s.largest.resources())))
+		limit = limit.max(s.used.add(s.largest))
 	}
-	return limit
+	return limit, exceeds
 }
 
 func (l *Lender) setLimit(s *share, limit vector, quota jaypool.Resources) {
 	if s.limit == limit && s.quota == quota {
 		return
 	}
-	s.limit, s.quota, s.changed = limit, quota, l.message+1
+	s.limit, s.quota, s.revision, s.changed = limit, quota, l.revision, l.message+1
 	s.lent = s.lent.max(limit)
 }
 
 // Message returns the message to a pool's owner: the limits that it has not confirmed.
 func (l *Lender) Message(pool string) Message {
 	l.message++
-	m := Message{Number: Number{Fence: l.fence, Message: l.message}, Revision: l.revision}
+	m := Message{Number: Number{Fence: l.fence, Message: l.message}}
 	a := l.pools[pool]
 	if a == nil {
 		return m
@@ -216,7 +305,7 @@
 	}
 	for _, organisation := range slices.Sorted(maps.Keys(a.shares)) {
 		if s := a.shares[organisation]; s.changed > a.confirmed {
-			m.Limits = append(m.Limits, Limit{Organisation: organisation, Limit: s.limit.resources(), Quota: s.quota})
+			m.Limits = append(m.Limits, Limit{Organisation: organisation, Limit: s.limit.resources(), Quota: s.quota, Revision: s.revision})
 		}
 	}
 	return m
--- /dev/null
+++ b/jayquota/lender_test.go
@@ -0,0 +1,118 @@
+package jayquota
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"jaythread/jaypool"
+)
+
+// exchange is a lender with the holders of two pools, whose messages all arrive at once.
+type exchange struct {
+	lender  *Lender
+	holders map[string]*Holder
+	uses    map[string]Use
+	quota   int64
+}
+
+func newExchange(division Division, quota int64) *exchange {
+	e := &exchange{lender: NewLender(1, division), holders: map[string]*Holder{}, uses: map[string]Use{}, quota: quota}
+	for _, pool := range []string{"a", "b"} {
+		e.holders[pool] = NewHolder(0)
+	}
+	e.lender.SetPools(map[string]int64{"a": 1, "b": 1})
+	return e
+}
+
+// rounds exchanges messages and reports a number of times.
+func (e *exchange) rounds(n int) {
+	for range n {
+		e.lender.SetQuotas(1, map[string]jaypool.Resources{"org": processors(e.quota)})
+		e.lender.Decide()
+		for _, pool := range []string{"a", "b"} {
+			m := e.lender.Message(pool)
+			e.holders[pool].Apply(m)
+			e.lender.Receive(pool, e.holders[pool].Report(1, m.All, map[string]Use{"org": e.uses[pool]}))
+		}
+	}
+}
+
+// left returns what a pool may still use.
+func (e *exchange) left(pool string) int64 {
+	left, _ := e.holders[pool].Left("org", processors(e.quota), e.uses[pool].Used)
+	return left.ProcessorsMilli
+}
+
+func (e *exchange) allows(pool string, need int64) bool {
+	return e.holders[pool].Allows("org", 1, processors(e.quota), e.uses[pool].Used, processors(need))
+}
+
+func TestLimitsFollowDemand(t *testing.T) {
+	t.Run("an idle quota is spread, so that tasks start without asking", func(t *testing.T) {
+		is := is.New(t)
+		e := newExchange(ByDemand{}, 100)
+		e.rounds(3)
+		is.Equal(e.left("a"), int64(50))
+		is.Equal(e.left("b"), int64(50))
+	})
+	t.Run("what one pool wants comes from the other's idle part", func(t *testing.T) {
+		is := is.New(t)
+		e := newExchange(ByDemand{}, 100)
+		e.rounds(3)
+		e.uses["a"] = Use{Wanted: processors(90), Largest: processors(10)}
+		e.rounds(3)
+		is.True(e.left("a") >= 90)
+	})
+	t.Run("two pools that want more than there is share it", func(t *testing.T) {
+		is := is.New(t)
+		e := newExchange(ByDemand{}, 100)
+		e.uses["a"] = Use{Used: processors(60), Wanted: processors(500), Largest: processors(10)}
+		e.uses["b"] = Use{Wanted: processors(500), Largest: processors(10)}
+		e.rounds(5)
+		is.Equal(e.left("a"), int64(20))
+		is.Equal(e.left("b"), int64(20))
+	})
+	t.Run("even shares keep idle quota from the other pool", func(t *testing.T) {
+		is := is.New(t)
+		e := newExchange(Even{}, 100)
+		e.uses["a"] = Use{Wanted: processors(90), Largest: processors(10)}
+		e.rounds(5)
+		is.Equal(e.left("a"), int64(50))
+	})
+}
+
+func TestOneTaskMayExceedTheQuota(t *testing.T) {
+	is := is.New(t)
+	e := newExchange(ByDemand{}, 100)
+	e.uses["a"] = Use{Wanted: processors(300), Largest: processors(300)}
+	e.uses["b"] = Use{Wanted: processors(300), Largest: processors(300)}
+	e.rounds(5)
+	is.True(e.allows("a", 300))
+	is.True(!e.allows("b", 300)) // only one of them at a time
+	e.uses["a"] = Use{Used: processors(300), Wanted: processors(300), Largest: processors(300)}
+	e.rounds(5)
+	is.True(!e.allows("a", 300))
+	e.uses["a"] = Use{Wanted: processors(300), Largest: processors(300)}
+	e.rounds(5)
+	is.True(e.allows("b", 300)) // the other one's turn
+	is.True(!e.allows("a", 300))
+}
+
+func TestLoweredQuota(t *testing.T) {
+	is := is.New(t)
+	e := newExchange(ByDemand{}, 100)
+	e.rounds(3)
+	is.True(e.allows("a", 20))
+	e.quota = 40
+	// The lender knows the former revision only; the pool's owner knows the new one.
+	is.True(!e.holders["a"].Allows("org", 2, processors(40), processors(0), processors(1)))
+	e.uses["a"] = Use{Used: processors(30), Wanted: processors(30), Largest: processors(10)}
+	e.uses["b"] = Use{Used: processors(30), Wanted: processors(30), Largest: processors(10)}
+	e.rounds(5)
+	is.True(!e.allows("a", 1))
+	is.True(!e.allows("b", 1))
+	e.uses["b"] = Use{Wanted: processors(30), Largest: processors(10)}
+	e.rounds(5)
+	is.True(e.allows("a", 10) != e.allows("b", 10)) // what is left is enough for one task
+}
--- a/jayquota/model_test.go
+++ b/jayquota/model_test.go
@@ -24,6 +24,8 @@
 	lentTwice
 	// olderMessages: owners apply messages that are older than the latest one.
 	olderMessages
+	// replacedOwners: a new lender believes owners that were replaced before.
+	replacedOwners
 	// outdatedQuota: owners use limits that were decided by a quota that is lowered.
 	outdatedQuota
 )
@@ -44,6 +46,8 @@
 	mutation mutation
 	random   *rand.Rand
 	started  int
+	// claims counts the claims of all duties: it gives the fences.
+	claims int64
 	// violation is the first violation of the quota.
 	violation string
 }
@@ -56,6 +60,7 @@
 type modelOwner struct {
 	holder   *Holder
 	fence    int64
+	first    bool
 	revision int
 	// reached are the workers that have answered this owner.
 	reached map[*modelWorker]bool
@@ -89,7 +94,7 @@
 }
 
 const (
-	modelCapacity = 60
+	modelCapacity = 150
 	modelLargest  = 25
 )
 
@@ -106,14 +111,27 @@
 }
 
 func (m *model) replaceLender() {
-	l := &modelLender{Lender: NewLender(int64(len(m.lenders)+1), m.division), revision: len(m.quotas) - 1}
-	l.SetPools([]string{"a", "b"})
+	m.claims++
+	l := &modelLender{Lender: NewLender(m.claims, m.division), revision: len(m.quotas) - 1}
+	owners := map[string]int64{}
+	for pool, all := range m.owners {
+		owners[pool] = all[len(all)-1].fence
+		if m.mutation == replacedOwners {
+			owners[pool] = 0
+		}
+	}
+	l.SetPools(owners)
 	m.lenders = append(m.lenders, l)
 }
 
 func (m *model) replaceOwner(pool string) {
+	m.claims++
+	lender := int64(0)
+	if len(m.lenders) > 0 {
+		lender = m.lenders[len(m.lenders)-1].fence
+	}
 	m.owners[pool] = append(m.owners[pool], &modelOwner{
-		holder: NewHolder(), fence: int64(len(m.owners[pool]) + 1), revision: len(m.quotas) - 1,
+		holder: NewHolder(lender), fence: m.claims, first: len(m.owners[pool]) == 0, revision: len(m.quotas) - 1,
 		reached: map[*modelWorker]bool{}, starts: map[*modelWorker][]modelRun{},
 	})
 }
@@ -128,7 +146,7 @@
 		switch {
 		case o.reached[w]:
 			sum += w.used()
-		case o.fence > 1 && m.mutation != forgottenUse:
+		case !o.first && m.mutation != forgottenUse:
 			sum += w.capacity
 		}
 	}
@@ -206,6 +224,15 @@
 	})
 }
 
+// arriveLatest delivers the latest message at once.
+func (m *model) arriveLatest() {
+	if last := len(m.flights) - 1; last >= 0 {
+		arrive := m.flights[last]
+		m.flights = m.flights[:last]
+		arrive()
+	}
+}
+
 func pick[T any](m *model, list []T) T {
 	return list[m.random.IntN(len(list))]
 }
@@ -216,8 +243,16 @@
 	switch event := m.random.IntN(100); {
 	case event < 20:
 		m.exchange(lender, pool, owner, m.random.Int64N(200))
-	case event < 45:
+	case event < 35:
 		m.start(pool, owner, worker, 1+m.random.Int64N(modelLargest))
+	case event < 45:
+		// An owner may start many tasks before anything else happens.
+		for range 8 {
+			m.start(pool, owner, worker, 1+m.random.Int64N(modelLargest))
+			if m.random.IntN(8) > 0 {
+				m.arriveLatest()
+			}
+		}
 	case event < 80:
 		m.deliver()
 	case event < 88:
@@ -226,9 +261,7 @@
 			owner.reached[worker] = true
 		}
 	case event < 93:
-		if len(worker.running) > 0 {
-			worker.running = worker.running[1:]
-		}
+		worker.running = worker.running[m.random.IntN(len(worker.running)+1):]
 	case event < 95:
 		m.replaceOwner(pool)
 	case event < 96:
@@ -289,6 +322,7 @@
 		"a new lender does not wait":            hastyLender,
 		"a limit counts before it is confirmed": lentTwice,
 		"older messages are applied":            olderMessages,
+		"a replaced owner is believed":          replacedOwners,
 		"limits of a higher quota are used":     outdatedQuota,
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/jayquota/quota.go
+++ b/jayquota/quota.go
@@ -10,12 +10,17 @@
 // pool's owner has confirmed it. Messages may be lost, repeated and late:
 //
 //   - Each message of a lender has the fence of its ownership and a number; a pool ignores
-//     those that are older than the latest one it has applied.
+//     those that are older than the latest one it has applied, and those of lenders that were
+//     replaced before its owner claimed it.
 //   - A new lender raises no limit before the owner of every pool has told it, under its
-//     fence, all limits and all use. From then on these owners ignore the former lender.
+//     fence, all limits and all use. From then on these owners ignore the former lender. It
+//     ignores owners that were replaced before it became the lender.
 //   - A new owner of a pool has no limits. It tells as in use also what the former owner may
 //     have started, or may still start, on workers that have not answered the new one.
 //     Workers that have answered it refuse the former owner.
+//
+// So the fences of lenders and owners must come from one sequence, and whoever claims a duty
+// must know all claims before its own.
 package jayquota
 
 import "jaythread/jaypool"
@@ -41,6 +46,20 @@
 	return v
 }
 
+func (v vector) min(other vector) vector {
+	for n := range v {
+		v[n] = min(v[n], other[n])
+	}
+	return v
+}
+
+func (v vector) add(other vector) vector {
+	for n := range v {
+		v[n] += other[n]
+	}
+	return v
+}
+
 // Limited reports whether a quota limits any resource.
 func Limited(quota jaypool.Resources) bool {
 	return quota != jaypool.Resources{}
@@ -62,15 +81,15 @@
 type Limit struct {
 	Organisation string
 	Limit        jaypool.Resources
-	// Quota is the quota by which the lender has decided on the limit.
-	Quota jaypool.Resources
+	// Quota is the quota by which the lender has decided on the limit, and Revision that of
+	// the declarations that it is from.
+	Quota    jaypool.Resources
+	Revision int64
 }
 
 // Message tells the owner of a pool its limits.
 type Message struct {
 	Number Number
-	// Revision is that of the declarations by which the lender has decided.
-	Revision int64
 	// All asks for a report with the limits of all organisations.
 	All bool
 	// Limits replace those of the same organisations.
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -28,8 +28,14 @@
 	withheld bool
 }
 
+// WithLender sets the fence of the newest owner of the fleet when the pool was claimed: earlier
+// ones lend nothing any more.
+func WithLender(fence int64) Option {
+	return func(p *Pool) { p.quotas.limits = jayquota.NewHolder(fence) }
+}
+
 func newQuotas() quotas {
-	return quotas{limits: jayquota.NewHolder(), used: map[string]jaypool.Resources{}}
+	return quotas{limits: jayquota.NewHolder(0), used: map[string]jaypool.Resources{}}
 }
 
 // usedBy returns the most that an organisation's tasks may be using in the pool.
