--- a/jaysoak/callers_test.go
+++ b/jaysoak/callers_test.go
@@ -26,6 +26,8 @@
 type job struct {
 	id   string
 	path string
+	// organisation is the number of the organisation that submits the job.
+	organisation int
 	// accepted is when the job was accepted, or zero.
 	accepted time.Time
 	// refused is true if every attempt to submit the job was rejected as not run.
@@ -55,7 +57,17 @@
 
 // call sends a request to an entry. It returns the status and the body of the response, or
 // zero if there is no complete response.
-func (c *callers) call(p *process, method, path string, body []byte) (int, string) {
+func (c *callers) call(p *process, j *job, method string, body []byte) (int, string) {
+	key := c.soak.organisations.key(j.organisation)
+	status, text := c.callWith(key, p, method, j.path, body)
+	if status == http.StatusUnauthorized && c.soak.organisations.revokedFor(key) == 0 {
+		c.soak.fail("key", p.name+" refuses the declared key "+key)
+	}
+	return status, text
+}
+
+// callWith is call with an API key, or without one if it is empty.
+func (c *callers) callWith(key string, p *process, method, path string, body []byte) (int, string) {
 	request, err := http.NewRequest(method, "http://"+p.caller+path, bytes.NewReader(body))
 	if err != nil {
 		c.soak.fail("soak", err.Error())
@@ -63,6 +75,9 @@
 	}
 	request.Host = "a.example"
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
 	response, err := c.client.Do(request)
 	if err != nil {
 		return 0, ""
@@ -110,19 +125,22 @@
 
 // runJob submits a job, may cancel it, and then checks its state several times.
 func (c *callers) runJob(number int, r *rand.Rand) {
-	j := &job{id: fmt.Sprintf("%016x", number), refused: true}
+	j := &job{id: fmt.Sprintf("%016x", number), organisation: number % len(organisationNames), refused: true}
 	j.path = []string{"/seats/", "/fees/"}[r.IntN(2)] + j.id
 	c.mu.Lock()
 	c.jobs = append(c.jobs, j)
 	c.mu.Unlock()
 	text := c.jobBody(j, r)
+	if c.soak.scenario.organised() {
+		c.soak.platform.Checker.Submitted(j.id, organisationNames[j.organisation])
+	}
 	for range submitAttempts {
-		status, _ := c.call(c.soak.anyEntry(r), "POST", j.path, text)
+		status, _ := c.call(c.soak.anyEntry(r), j, http.MethodPost, text)
 		if status == http.StatusOK {
 			j.accepted, j.refused = time.Now(), false
 			break
 		}
-		if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+		if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests && status != http.StatusUnauthorized {
 			j.refused = false
 		}
 		time.Sleep(retryPause)
@@ -131,7 +149,7 @@
 		return
 	}
 	if r.IntN(8) == 0 {
-		status, _ := c.call(c.soak.anyEntry(r), "DELETE", j.path, nil)
+		status, _ := c.call(c.soak.anyEntry(r), j, http.MethodDelete, nil)
 		j.cancelled = true
 		if status == http.StatusGone && time.Since(j.accepted) > visibilityDelay {
 			c.soak.fail("lost", j.id+" is unknown when it is cancelled")
@@ -140,6 +158,9 @@
 	for range 4 {
 		time.Sleep(time.Duration(100+r.IntN(500)) * time.Millisecond)
 		c.checkState(j, c.soak.anyEntry(r))
+		if c.soak.scenario.organised() {
+			c.probe(j, r)
+		}
 	}
 }
 
@@ -147,7 +168,7 @@
 // runs of its tasks. It reports whether the job has ended.
 func (c *callers) checkState(j *job, p *process) bool {
 	asked := time.Now()
-	status, text := c.call(p, "GET", j.path, nil)
+	status, text := c.call(p, j, http.MethodGet, nil)
 	if status == http.StatusGone && asked.Sub(j.accepted) > visibilityDelay {
 		c.soak.fail("lost", j.id+" was accepted and is unknown to "+p.name)
 	}
--- a/jaysoak/process_test.go
+++ b/jaysoak/process_test.go
@@ -55,7 +55,7 @@
 		"jobService": map[string]any{
 			"storeAddr": store.addr(), "inventoryAddr": platform.InventoryAddr, "readyAddr": freeAddr(t), "trustedNetwork": true,
 			"processors": 0.4, "moveTime": "200ms", "maintenanceTime": "200ms", "holderTime": "300ms",
-			"fencesChecked": !platform.UncheckedFences,
+			"fencesChecked": !platform.UncheckedFences, "revocationTime": revocationTime.String(), "declarationTime": declarationTime.String(),
 		},
 	}
 	text, err := json.Marshal(settings)
--- a/jaysoak/soak_test.go
+++ b/jaysoak/soak_test.go
@@ -44,13 +44,19 @@
 	// firstFaultKinds is the number of kinds without crashes of workers that restart under
 	// the same ID and without changes of capacity. No job crashes its workers then.
 	firstFaultKinds = 16
+	// crashFaultKinds is the number of kinds without changes of keys and quotas. Callers have
+	// no keys then.
+	crashFaultKinds = 18
 	// allFaultKinds is the number of all kinds of faults.
-	allFaultKinds = 18
+	allFaultKinds = 20
 )
 
 // crashing reports whether some jobs crash their workers.
 func (s scenario) crashing() bool { return s.faultKinds > firstFaultKinds }
 
+// organised reports whether callers belong to organisations with keys and quotas.
+func (s scenario) organised() bool { return s.faultKinds > crashFaultKinds }
+
 // regressions are scenarios that failed once, each with the cause of the failure. They run
 // every time.
 var regressions = []scenario{
@@ -63,12 +69,12 @@
 	{693828, firstFaultKinds},
 	// A task that crashes its workers was started once more than allowed: one of the worker
 	// losses that it had caused was forgotten when the pool's owner was lost.
-	{511346, allFaultKinds},
+	{511346, crashFaultKinds},
 	// A fault of the simulated platform: a crashed worker started one more run.
-	{233363, allFaultKinds},
+	{233363, crashFaultKinds},
 	// A job was given up for crashes that another job had caused: the workers of both were
 	// the last ones of their rack, and both were started together again.
-	{144303, allFaultKinds},
+	{144303, crashFaultKinds},
 }
 
 // soak is the run of one scenario: an installation with its faults and the violations found.
@@ -78,6 +84,7 @@
 	platform      *jaystub.Platform
 	entries       []*process
 	workerProxies proxyMap
+	organisations organisations
 
 	mu       sync.Mutex
 	failures []string
@@ -247,6 +254,9 @@
 		s.workerProxies.set(machine, p)
 		return p.addr()
 	}
+	if played.organised() {
+		s.organisations.declare(s)
+	}
 	s.configure(1)
 	for n := range soakMachines {
 		if _, err := platform.AddMachine(fmt.Sprint("m", n), []string{"seats", "fees"}[n%2], soakCapacity); err != nil {
@@ -271,6 +281,14 @@
 }
 
 func (s *soak) configure(version int) {
+	s.organisations.configuring.Lock()
+	defer s.organisations.configuring.Unlock()
+	s.write(version)
+}
+
+// write writes the configuration. The caller holds organisations.configuring, so that versions
+// are stored in their order.
+func (s *soak) write(version int) {
 	s.platform.Configure(version, [3]string{"a.example", "/seats/", "seats"}, [3]string{"a.example", "/fees/", "fees"})
 }
 
@@ -279,9 +297,9 @@
 	entry, pause := s.anyEntry(r), time.Duration(200+r.IntN(1500))*time.Millisecond
 	machine := fmt.Sprint("m", r.IntN(soakMachines))
 	link := linkFault(1 + r.IntN(int(linkFaultCount)-1))
-	version := int(time.Now().UnixMilli())
+	version := nextVersion()
 	var foreignEntry any
-	room := soakCapacity
+	room, organisation, quota := soakCapacity, 0, soakQuota
 	kinds := []func(){
 		func() { s.checkError(entry.restart(syscall.SIGKILL, pause)) },
 		func() { s.checkError(entry.restart(syscall.SIGTERM, pause)) },
@@ -295,7 +313,7 @@
 		func() { s.storeFault(jaystub.Faults{LoseAnswers: 0.3}, pause) },
 		func() { s.platform.Store.Forget() },
 		func() { s.platform.Restart(s.platform.Machine(machine)) },
-		func() { s.configure(version) },
+		func() { s.configure(nextVersion()) },
 		func() { s.platform.DeclareWave(version, []string{machine}, 10*time.Second, 1) },
 		s.restartAllEntries,
 		func() { s.platform.Store.Put("keyed.servers", fmt.Sprint("foreign-", version), foreignEntry) },
@@ -305,6 +323,12 @@
 			time.Sleep(4 * pause)
 			s.platform.Resize(machine, soakCapacity)
 		},
+		func() {
+			s.organisations.setQuota(s, organisation, quota)
+			time.Sleep(4 * pause)
+			s.organisations.setQuota(s, organisation, soakQuota)
+		},
+		func() { s.organisations.replaceKey(s, organisation) },
 	}
 	kind := r.IntN(s.scenario.faultKinds)
 	// The random values are drawn here and not in the fault's goroutine: the random source
@@ -312,8 +336,10 @@
 	switch kind {
 	case firstFaultKinds - 1:
 		foreignEntry = randomForeignEntry(r)
-	case allFaultKinds - 1:
+	case crashFaultKinds - 1:
 		room = r.IntN(soakCapacity)
+	case crashFaultKinds, allFaultKinds - 1:
+		organisation, quota = r.IntN(len(organisationNames)), 1+r.IntN(soakQuota)
 	}
 	s.faults.Go(kinds[kind])
 }
