--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -325,6 +325,9 @@
 		if event.Worker != "" {
 			values = append(values, "worker", event.Worker)
 		}
+		if event.Organisation != "" {
+			values = append(values, "organisation", event.Organisation)
+		}
 		if event.Run.Number > 0 {
 			values = append(values, "task", event.Run.Task.String(), "run", event.Run.Number)
 		}
--- a/jayquota/holder.go
+++ b/jayquota/holder.go
@@ -1,6 +1,7 @@
 package jayquota
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 
@@ -52,6 +53,15 @@
 	return true
 }
 
+// Describe describes the limit of an organisation for the log.
+func (h *Holder) Describe(organisation string) string {
+	l, known := h.limits[organisation]
+	if !known {
+		return "nothing is lent yet"
+	}
+	return fmt.Sprintf("lent %+v by a quota of %+v of revision %d", l.Limit, l.Quota, l.Revision)
+}
+
 // Left returns how much more of an organisation's quota the pool may use, and whether that
 // is limited at all.
 func (h *Holder) Left(organisation string, quota, used jaypool.Resources) (left jaypool.Resources, limited bool) {
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -44,6 +44,10 @@
 	WorkerLapsed    EventKind = "worker lapsed"
 	WorkerAvoided   EventKind = "worker avoided"
 	WorkerTrusted   EventKind = "worker trusted"
+	// QuotaReached is an organisation whose tasks wait for its quota, QuotaFree one whose tasks
+	// do not wait for it any more.
+	QuotaReached EventKind = "quota reached"
+	QuotaFree    EventKind = "quota free"
 )
 
 // Event reports a decision, or a change of the pool's state, with its cause.
@@ -52,8 +56,10 @@
 	At     time.Duration
 	Job    string
 	Worker string
-	Run    jayport.RunRef
-	Detail string
+	// Organisation is set for QuotaReached and QuotaFree.
+	Organisation string
+	Run          jayport.RunRef
+	Detail       string
 	// Since is the age of the information that the decision was based on. For WorkerSilent,
 	// WorkerAnswers and WorkerLapsed it is the time of the worker's last answer.
 	Since time.Duration
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -11,8 +11,8 @@
 	formerRuns := p.formerRunsPossible(now)
 	p.noRoom = p.noRoom[:0]
 	p.lackedRoom = false
-	p.quotas.withheld = false
 	p.updatePossibleUse(now)
+	defer p.recordReachedQuotas(now)
 	p.clearReservations()
 	if p.OwnerUnconfirmed() {
 		return
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -1,6 +1,9 @@
 package jaysched
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"jaythread/jaypool"
@@ -24,8 +27,10 @@
 	used map[string]jaypool.Resources
 	// possible is what runs of a former owner that no worker has reported may need together.
 	possible map[string]jaypool.Resources
-	// withheld says that a quota kept a task from starting in the latest decision.
-	withheld bool
+	// reached maps the organisations whose quota kept a task from starting in the present
+	// decision to the reason, reachedSince those of earlier decisions to the time of the first.
+	reached      map[string]string
+	reachedSince map[string]time.Duration
 }
 
 // WithLender sets the fence of the newest owner of the fleet when the pool was claimed: earlier
@@ -35,7 +40,7 @@
 }
 
 func newQuotas() quotas {
-	return quotas{limits: jayquota.NewHolder(0), used: map[string]jaypool.Resources{}}
+	return quotas{limits: jayquota.NewHolder(0), used: map[string]jaypool.Resources{}, reached: map[string]string{}, reachedSince: map[string]time.Duration{}}
 }
 
 // usedBy returns the most that an organisation's tasks may be using in the pool.
@@ -74,10 +79,37 @@
 		return true
 	}
 	need := s.decl.Need.Times(int64(tasks))
-	allowed := q.declared.Current &&
-		q.limits.Allows(organisation, q.declared.Revision, q.declared.Of[organisation], q.usedBy(organisation), need)
-	q.withheld = q.withheld || !allowed
-	return allowed
+	quota, used := q.declared.Of[organisation], q.usedBy(organisation)
+	switch {
+	case !q.declared.Current:
+		q.reached[organisation] = "the declarations may be outdated"
+	case !q.limits.Allows(organisation, q.declared.Revision, quota, used, need):
+		if _, known := q.reached[organisation]; !known {
+			q.reached[organisation] = fmt.Sprintf("used here %+v, needed %+v, %s, quota %+v", used, need, q.limits.Describe(organisation), quota)
+		}
+	default:
+		return true
+	}
+	return false
+}
+
+// recordReachedQuotas records the quotas that keep tasks from starting since this decision, and
+// those that do not any more.
+func (p *Pool) recordReachedQuotas(now time.Duration) {
+	q := &p.quotas
+	for _, organisation := range slices.Sorted(maps.Keys(q.reached)) {
+		if _, before := q.reachedSince[organisation]; !before {
+			q.reachedSince[organisation] = now
+			p.recordEvent(Event{Kind: QuotaReached, Organisation: organisation, Detail: q.reached[organisation]}, now)
+		}
+	}
+	for _, organisation := range slices.Sorted(maps.Keys(q.reachedSince)) {
+		if _, still := q.reached[organisation]; !still {
+			p.recordEvent(Event{Kind: QuotaFree, Organisation: organisation, Waited: now - q.reachedSince[organisation]}, now)
+			delete(q.reachedSince, organisation)
+		}
+	}
+	clear(q.reached)
 }
 
 // QuotaReport returns what the pool uses and wants of the organisations' quotas.
