--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -188,7 +188,8 @@
 }
 
 // askDemand asks a pool's owner for the pool's demand and sends it the orders to vacate
-// workers: once per demandInterval, and at once if the workers to vacate have changed.
+// workers: once per demandInterval, and at once if the workers to vacate or the limits of the
+// organisations' quotas have changed.
 func (d *fleetDuty) askDemand(pool string, now time.Duration) {
 	vacating := d.fleet.Vacating(pool)
 	orders := make([]*jaywire.VacateOrder, 0, len(vacating))
@@ -197,7 +198,7 @@
 	}
 	slices.SortFunc(orders, func(a, b *jaywire.VacateOrder) int { return strings.Compare(a.Worker, b.Worker) })
 	names := vacateOrdersKey(orders)
-	if d.askingDemand[pool] || now < d.nextDemandAt[pool] && names == d.sentOrders[pool] {
+	if d.askingDemand[pool] || now < d.nextDemandAt[pool] && names == d.sentOrders[pool] && !d.lender.Pending(pool) {
 		return
 	}
 	d.askingDemand[pool] = true
--- a/jayquota/lender.go
+++ b/jayquota/lender.go
@@ -291,6 +291,24 @@
 	s.lent = s.lent.max(limit)
 }
 
+// Pending reports whether a pool's owner has not reported yet, or has limits to confirm: a
+// message should then be sent without delay.
+func (l *Lender) Pending(pool string) bool {
+	a := l.pools[pool]
+	if a == nil || len(l.quotas) == 0 {
+		return false
+	}
+	if !a.known {
+		return true
+	}
+	for _, s := range a.shares {
+		if s.changed > a.confirmed {
+			return true
+		}
+	}
+	return false
+}
+
 // Message returns the message to a pool's owner: the limits that it has not confirmed.
 func (l *Lender) Message(pool string) Message {
 	l.message++
