--- a/jaysoak/organisations_test.go
+++ b/jaysoak/organisations_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"jaythread/platform/jaystub"
@@ -85,6 +86,25 @@
 	o.keys[organisation] = key
 }
 
+// replaceKeyBehind replaces a key while an entry is suspended, longer than the key may still be
+// accepted, and asks the entry with the removed key when it resumes: it knows the key only.
+func (s *soak) replaceKeyBehind(p *process, organisation int, pause time.Duration) {
+	former := s.organisations.key(organisation)
+	p.signal(syscall.SIGSTOP)
+	s.organisations.replaceKey(s, organisation)
+	time.Sleep(revocationTime + pause/10)
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		status, _ := newCallers(s).callWith(former, p, http.MethodGet, "/seats/", nil)
+		if status == http.StatusOK {
+			s.fail("key", fmt.Sprintf("%s accepts the key %q, removed %v ago", p.name, former, s.organisations.revokedFor(former)))
+		}
+	})
+	time.Sleep(pause / 10)
+	p.signal(syscall.SIGCONT)
+	calls.Wait()
+}
+
 // key returns the key of an organisation, or nothing in a scenario without organisations.
 func (o *organisations) key(organisation int) string {
 	o.mu.Lock()
--- a/jaysoak/soak_test.go
+++ b/jaysoak/soak_test.go
@@ -328,7 +328,7 @@
 			time.Sleep(4 * pause)
 			s.organisations.setQuota(s, organisation, soakQuota)
 		},
-		func() { s.organisations.replaceKey(s, organisation) },
+		func() { s.replaceKeyBehind(entry, organisation, pause) },
 	}
 	kind := r.IntN(s.scenario.faultKinds)
 	// The random values are drawn here and not in the fault's goroutine: the random source
