--- a/jayquota/lender.go
+++ b/jayquota/lender.go
@@ -52,6 +52,7 @@
 	used    vector
 	wanted  vector
 	largest vector
+	task    vector
 }
 
 // committed returns what counts against the quota for a pool.
@@ -128,11 +129,11 @@
 		return
 	}
 	for _, s := range a.shares {
-		s.used, s.wanted, s.largest = vector{}, vector{}, vector{}
+		s.used, s.wanted, s.largest, s.task = vector{}, vector{}, vector{}, vector{}
 	}
 	for _, u := range r.Uses {
 		s := a.share(u.Organisation)
-		s.used, s.wanted, s.largest = vectorOf(u.Used), vectorOf(u.Wanted), vectorOf(u.Largest)
+		s.used, s.wanted, s.largest, s.task = vectorOf(u.Used), vectorOf(u.Wanted), vectorOf(u.Largest), vectorOf(u.Task)
 		if !a.known {
 			s.limit = vectorOf(u.Limit)
 			s.lent = s.limit
@@ -271,8 +272,9 @@
 		if free[r] >= 0 {
 			limit[r] = max(limit[r], min(target[r], s.committed()[r]+free[r]))
 		}
-		short := quota[r] > 0 && s.used[r]+s.largest[r] > limit[r]
-		if short && (free[r] <= 0 || target[r] <= s.used[r]) {
+		over := s.used[r] + s.largest[r] - limit[r]
+		short := quota[r] > 0 && over > 0
+		if short && (free[r] <= 0 || target[r] <= s.used[r] || over > s.task[r]) {
 			return limit, false
 		}
 		exceeds = exceeds || short
--- a/jayquota/lender_test.go
+++ b/jayquota/lender_test.go
@@ -60,15 +60,15 @@
 		is := is.New(t)
 		e := newExchange(ByDemand{}, 100)
 		e.rounds(3)
-		e.uses["a"] = Use{Wanted: processors(90), Largest: processors(10)}
+		e.uses["a"] = Use{Wanted: processors(90), Largest: processors(10), Task: processors(10)}
 		e.rounds(3)
 		is.True(e.left("a") >= 90)
 	})
 	t.Run("two pools that want more than there is share it", func(t *testing.T) {
 		is := is.New(t)
 		e := newExchange(ByDemand{}, 100)
-		e.uses["a"] = Use{Used: processors(60), Wanted: processors(500), Largest: processors(10)}
-		e.uses["b"] = Use{Wanted: processors(500), Largest: processors(10)}
+		e.uses["a"] = Use{Used: processors(60), Wanted: processors(500), Largest: processors(10), Task: processors(10)}
+		e.uses["b"] = Use{Wanted: processors(500), Largest: processors(10), Task: processors(10)}
 		e.rounds(5)
 		is.Equal(e.left("a"), int64(20))
 		is.Equal(e.left("b"), int64(20))
@@ -76,7 +76,7 @@
 	t.Run("even shares keep idle quota from the other pool", func(t *testing.T) {
 		is := is.New(t)
 		e := newExchange(Even{}, 100)
-		e.uses["a"] = Use{Wanted: processors(90), Largest: processors(10)}
+		e.uses["a"] = Use{Wanted: processors(90), Largest: processors(10), Task: processors(10)}
 		e.rounds(5)
 		is.Equal(e.left("a"), int64(50))
 	})
@@ -85,20 +85,38 @@
 func TestOneTaskMayExceedTheQuota(t *testing.T) {
 	is := is.New(t)
 	e := newExchange(ByDemand{}, 100)
-	e.uses["a"] = Use{Wanted: processors(300), Largest: processors(300)}
-	e.uses["b"] = Use{Wanted: processors(300), Largest: processors(300)}
+	e.uses["a"] = Use{Wanted: processors(300), Largest: processors(300), Task: processors(300)}
+	e.uses["b"] = Use{Wanted: processors(300), Largest: processors(300), Task: processors(300)}
 	e.rounds(5)
 	is.True(e.allows("a", 300))
 	is.True(!e.allows("b", 300)) // only one of them at a time
-	e.uses["a"] = Use{Used: processors(300), Wanted: processors(300), Largest: processors(300)}
+	e.uses["a"] = Use{Used: processors(300), Wanted: processors(300), Largest: processors(300), Task: processors(300)}
 	e.rounds(5)
 	is.True(!e.allows("a", 300))
-	e.uses["a"] = Use{Wanted: processors(300), Largest: processors(300)}
+	e.uses["a"] = Use{Wanted: processors(300), Largest: processors(300), Task: processors(300)}
 	e.rounds(5)
 	is.True(e.allows("b", 300)) // the other one's turn
 	is.True(!e.allows("a", 300))
 }
 
+func TestTasksThatStartTogetherMayExceedTheQuotaByOneTask(t *testing.T) {
+	for name, c := range map[string]struct {
+		tasks   int64
+		allowed bool
+	}{
+		"they fit":                 {tasks: 3, allowed: true},
+		"they exceed it by a part": {tasks: 4, allowed: true},
+		"they exceed it by more":   {tasks: 5, allowed: false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newExchange(ByDemand{}, 100)
+			e.uses["a"] = Use{Wanted: processors(30 * c.tasks), Largest: processors(30 * c.tasks), Task: processors(30)}
+			e.rounds(5)
+			is.New(t).Equal(e.allows("a", 30*c.tasks), c.allowed)
+		})
+	}
+}
+
 func TestLoweredQuota(t *testing.T) {
 	is := is.New(t)
 	e := newExchange(ByDemand{}, 100)
@@ -107,12 +125,12 @@
 	e.quota = 40
 	// The lender knows the former revision only; the pool's owner knows the new one.
 	is.True(!e.holders["a"].Allows("org", 2, processors(40), processors(0), processors(1)))
-	e.uses["a"] = Use{Used: processors(30), Wanted: processors(30), Largest: processors(10)}
-	e.uses["b"] = Use{Used: processors(30), Wanted: processors(30), Largest: processors(10)}
+	e.uses["a"] = Use{Used: processors(30), Wanted: processors(30), Largest: processors(10), Task: processors(10)}
+	e.uses["b"] = Use{Used: processors(30), Wanted: processors(30), Largest: processors(10), Task: processors(10)}
 	e.rounds(5)
 	is.True(!e.allows("a", 1))
 	is.True(!e.allows("b", 1))
-	e.uses["b"] = Use{Wanted: processors(30), Largest: processors(10)}
+	e.uses["b"] = Use{Wanted: processors(30), Largest: processors(10), Task: processors(10)}
 	e.rounds(5)
 	is.True(e.allows("a", 10) != e.allows("b", 10)) // what is left is enough for one task
 }
--- a/jayquota/model_test.go
+++ b/jayquota/model_test.go
@@ -188,7 +188,7 @@
 		}
 		o.holder.Apply(message)
 		report := o.holder.Report(o.fence, message.All, map[string]Use{"org": {
-			Used: processors(m.used(pool, o)), Wanted: processors(wanted), Largest: processors(min(wanted, modelLargest)),
+			Used: processors(m.used(pool, o)), Wanted: processors(wanted), Largest: processors(min(wanted, modelLargest)), Task: processors(min(wanted, modelLargest)),
 		}})
 		m.flights = append(m.flights, func() { l.Receive(pool, report) })
 	})
--- a/jayquota/quota.go
+++ b/jayquota/quota.go
@@ -65,6 +65,17 @@
 	return quota != jaypool.Resources{}
 }
 
+// Exceeds reports whether an amount is more than a quota allows.
+func Exceeds(quota, amount jaypool.Resources) bool {
+	used := vectorOf(amount)
+	for n, of := range vectorOf(quota) {
+		if of > 0 && used[n] > of {
+			return true
+		}
+	}
+	return false
+}
+
 // Number orders the messages of lenders: by the fence of the lender's ownership, then by
 // the message.
 type Number struct {
@@ -102,10 +113,11 @@
 	// Used is the most that may be running, including what a former owner of the pool may
 	// have started.
 	Used jaypool.Resources
-	// Wanted is what the waiting tasks need that could run now, and Largest what the
-	// largest of them needs.
+	// Wanted is what the waiting tasks need that could run now. Largest is the most that
+	// those need together which can only start together, and Task the most that one needs.
 	Wanted  jaypool.Resources
 	Largest jaypool.Resources
+	Task    jaypool.Resources
 	// Limit is the limit in force. It is set only in a report with all limits.
 	Limit jaypool.Resources
 }
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -13,6 +13,7 @@
 	p.lackedRoom = false
 	p.updatePossibleUse(now)
 	defer p.recordReachedQuotas(now)
+	defer p.failUnfitJobs(now)
 	p.clearReservations()
 	if p.OwnerUnconfirmed() {
 		return
@@ -140,6 +141,10 @@
 			return
 		}
 	}
+	if p.unfitForQuota(s) {
+		p.quotas.unfit = append(p.quotas.unfit, s)
+		return
+	}
 	if !p.quotaAllows(s, len(s.tasks)) {
 		return
 	}
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -31,6 +31,8 @@
 	// decision to the reason, reachedSince those of earlier decisions to the time of the first.
 	reached      map[string]string
 	reachedSince map[string]time.Duration
+	// unfit are the steps that were found in the present decision to be too large for a quota.
+	unfit []*step
 }
 
 // WithLender sets the fence of the newest owner of the fleet when the pool was claimed: earlier
@@ -132,6 +134,7 @@
 				if s.waiting > 0 && s.ready(now) {
 					use.Wanted = use.Wanted.Add(s.decl.Need.Times(int64(s.waiting)))
 					use.Largest = use.Largest.Max(s.togetherNeed())
+					use.Task = use.Task.Max(s.decl.Need)
 				}
 			}
 		}
@@ -148,6 +151,31 @@
 	return s.decl.Need
 }
 
+// unfitForQuota reports whether a gang is larger than its organisation's quota can ever let start:
+// its members start together, and only one task may exceed the quota.
+func (p *Pool) unfitForQuota(s *step) bool {
+	q, organisation := &p.quotas, s.job.spec.Organisation
+	others := s.decl.Need.Times(int64(s.decl.Tasks - 1))
+	return organisation != "" && q.declared.Current && jayquota.Exceeds(q.declared.Of[organisation], others)
+}
+
+// failUnfitJobs ends the jobs of steps that can never start. It is called after the open jobs were
+// placed, since it removes jobs from them.
+func (p *Pool) failUnfitJobs(now time.Duration) {
+	for _, s := range p.quotas.unfit {
+		organisation := s.job.spec.Organisation
+		if s.job.outcome != Open {
+			continue
+		}
+		p.end(s.job, Failed, now)
+		p.recordEvent(Event{
+			Kind: JobEnded, Job: s.job.spec.ID, Organisation: organisation, Waited: now - s.job.submittedAt,
+			Detail: fmt.Sprintf("failed: step %d is a gang of %d tasks of %+v, the quota of its organisation is %+v", s.id.Step, s.decl.Tasks, s.decl.Need, p.quotas.declared.Of[organisation]),
+		}, now)
+	}
+	p.quotas.unfit = p.quotas.unfit[:0]
+}
+
 // updatePossibleUse determines what runs of a former owner may need that no worker has reported
 // yet: no more than the tasks that it may have started, and no more than the workers can run that
 // have not answered this owner.
--- /dev/null
+++ b/jaysched/quota_test.go
@@ -0,0 +1,115 @@
+package jaysched
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaythread/jaypool"
+	"jaythread/jayquota"
+	"jaythread/jayspec"
+)
+
+// acmeQuotas returns a quota of the organisation acme in thousandths of a core.
+func acmeQuotas(milli int64) Quotas {
+	return Quotas{Revision: 1, Of: map[string]jaypool.Resources{"acme": {ProcessorsMilli: milli}}, Current: true}
+}
+
+// lend applies a limit of acme's quota.
+func lend(w *harness, message, milli, quota int64) {
+	w.pool.ApplyQuotaMessage(jayquota.Message{
+		Number: jayquota.Number{Fence: 1, Message: message},
+		Limits: []jayquota.Limit{{Organisation: "acme", Limit: jaypool.Resources{ProcessorsMilli: milli}, Quota: jaypool.Resources{ProcessorsMilli: quota}, Revision: 1}},
+	})
+	w.run()
+}
+
+// ofAcme returns a job of acme with one step of tasks of a thousand.
+func ofAcme(id string, tasks int, change ...func(*jayspec.Step)) *jayspec.Job {
+	job := newSpec(id, 1, append(change, func(s *jayspec.Step) { s.Tasks = tasks })...)
+	job.Organisation = "acme"
+	return job
+}
+
+func acmeUse(w *harness) jayquota.Use {
+	report := w.pool.QuotaReport(false, w.now)
+	at := slices.IndexFunc(report.Uses, func(u jayquota.Use) bool { return u.Organisation == "acme" })
+	if at < 0 {
+		return jayquota.Use{}
+	}
+	return report.Uses[at]
+}
+
+func TestTasksWaitForTheirQuota(t *testing.T) {
+	w := newHarness(t, 4)
+	w.pool.SetQuotas(acmeQuotas(8000))
+	t.Run("nothing starts before a limit is lent", func(t *testing.T) {
+		is := is.New(t)
+		declare(w, ofAcme("j", 6))
+		is.Equal(len(w.running()), 0)
+		is.Equal(acmeUse(w).Wanted.ProcessorsMilli, int64(6000))
+	})
+	t.Run("tasks start up to the limit, those without organisation always", func(t *testing.T) {
+		is := is.New(t)
+		lend(w, 1, 4000, 8000)
+		is.Equal(len(w.running()), 4)
+		declare(w, newSpec("public", 1))
+		is.Equal(len(w.running()), 6)
+		use := acmeUse(w)
+		is.Equal(use.Used.ProcessorsMilli, int64(4000))
+		is.Equal(use.Wanted.ProcessorsMilli, int64(2000))
+	})
+	t.Run("the end of a task makes room for another one", func(t *testing.T) {
+		is := is.New(t)
+		w.pool.Cancel("j", w.now)
+		w.run()
+		w.reports()
+		is.Equal(acmeUse(w).Used, jaypool.Resources{})
+	})
+	t.Run("outdated declarations start nothing", func(t *testing.T) {
+		is := is.New(t)
+		outdated := acmeQuotas(8000)
+		outdated.Current = false
+		w.pool.SetQuotas(outdated)
+		before := len(w.running())
+		declare(w, ofAcme("k", 2))
+		is.Equal(len(w.running()), before)
+	})
+}
+
+func TestQuotaReportAfterATakeover(t *testing.T) {
+	// Guards against a quota that is exceeded after a takeover: the next owner told as used
+	// only what it had seen running, while workers that had not answered it yet ran more.
+	is := is.New(t)
+	w := newHarness(t, 2, WithFormerOwner(time.Hour))
+	w.pool.SetQuotas(acmeQuotas(8000))
+	w.pool.Restore(ofAcme("j", 6), nil, w.now)
+	is.Equal(acmeUse(w).Used.ProcessorsMilli, int64(6000)) // no inventory yet: any worker may have any task
+	w.pool.InventoryRead([]string{"w0", "w1"}, w.now, w.now)
+	w.run()
+	is.Equal(acmeUse(w).Used, jaypool.Resources{}) // both workers have answered
+}
+
+func TestGangLargerThanItsQuotaFails(t *testing.T) {
+	gang := func(s *jayspec.Step) { s.Gang = true }
+	cases := map[string]struct {
+		tasks int
+		want  State
+	}{
+		"it fits":                    {3, Running},
+		"it exceeds it by one task":  {4, Running},
+		"it exceeds it by two tasks": {5, StateFailed},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newHarness(t, 4)
+			w.pool.SetQuotas(acmeQuotas(3000))
+			lend(w, 1, int64(c.tasks)*1000, 3000)
+			declare(w, ofAcme("j", c.tasks, gang))
+			w.record()
+			wantState(t, w, "j", c.want)
+		})
+	}
+}
--- a/jaysoak/organisations_test.go
+++ b/jaysoak/organisations_test.go
@@ -12,9 +12,8 @@
 )
 
 const (
-	// soakQuota is the quota of each organisation as a number of tasks. Both pools together
-	// have room for more than twice as many.
-	soakQuota = 24
+	// soakQuota is the quota of each organisation as a number of tasks, which its jobs reach.
+	soakQuota = 5
 	// revocationTime and declarationTime are in the settings of the processes.
 	revocationTime  = 3 * time.Second
 	declarationTime = 3 * time.Second
