--- a/jaymetric/jobs.go
+++ b/jaymetric/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -24,6 +25,37 @@
 	jobDuration       *prometheus.HistogramVec
 	commands          *prometheus.CounterVec
 	dutyChanges       *prometheus.CounterVec
+	rejected          *prometheus.CounterVec
+	quotaWait         *prometheus.CounterVec
+	organisations     boundedLabels
+}
+
+// maxOrganisations limits the number of organisations with metrics of their own.
+const maxOrganisations = 100
+
+// otherLabel is the label value of everything beyond such a limit.
+const otherLabel = "other"
+
+// boundedLabels limits the number of values of a label: the first ones keep their own.
+type boundedLabels struct {
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+func (b *boundedLabels) value(name string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.seen[name] {
+		return name
+	}
+	if len(b.seen) >= maxOrganisations {
+		return otherLabel
+	}
+	if b.seen == nil {
+		b.seen = map[string]bool{}
+	}
+	b.seen[name] = true
+	return name
 }
 
 // NewJobMetrics returns the metrics of one entry in new registries.
@@ -40,8 +72,10 @@
 		jobDuration:       newHistogramVec("jaythread_job_duration_seconds", "Time from a job's submission to its end.", "pool"),
 		commands:          newCounterVec("jaythread_host_commands_total", "Moves and maintenances of instances by outcome.", "command", "outcome"),
 		dutyChanges:       newCounterVec("jaythread_duty_changes_total", "Duties taken over and ended by this entry.", "duty", "change"),
+		rejected:          newCounterVec("jaythread_calls_rejected_total", "Calls that were rejected for their path or key, by reason.", "reason"),
+		quotaWait:         newCounterVec("jaythread_quota_wait_seconds_total", "Time for which tasks waited for their organisation's quota, by pool and organisation.", "pool", "organisation"),
 	}
-	m.Registry.MustRegister(m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges)
+	m.Registry.MustRegister(m.rejected, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges)
 	m.Runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -99,6 +133,16 @@
 	m.dutyChanges.WithLabelValues(duty, change).Inc()
 }
 
+// CallRejected counts a call that was rejected for its path or key.
+func (m *JobMetrics) CallRejected(reason string) {
+	m.rejected.WithLabelValues(reason).Inc()
+}
+
+// QuotaWaited records for how long tasks of an organisation have waited for its quota.
+func (m *JobMetrics) QuotaWaited(pool, organisation string, waited time.Duration) {
+	m.quotaWait.WithLabelValues(pool, m.organisations.value(organisation)).Add(waited.Seconds())
+}
+
 // Gauge registers a gauge whose value is read at each scrape.
 func (m *JobMetrics) Gauge(name, help string, read func() float64) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
--- a/jaynode/admit.go
+++ b/jaynode/admit.go
@@ -1,7 +1,6 @@
 package jaynode
 
 import (
-	"fmt"
 	"time"
 
 	"jaythread/jaycatalog"
@@ -43,7 +42,7 @@
 	if decision == jaycatalog.Admitted {
 		return admission, nil
 	}
-	n.logRejected(admission, decision.String())
+	n.logRejected(admission, decision.String(), 0)
 	return admission, rejection(decision)
 }
 
@@ -72,11 +71,10 @@
 // does for callers without a key.
 func (n *Node) unconfirmed(admission jaycatalog.Admission, decision jaycatalog.Decision, arrived time.Duration) error {
 	if decision == jaycatalog.UnknownQueue {
-		n.logRejected(admission, decision.String())
+		n.logRejected(admission, decision.String(), 0)
 		return rejection(decision)
 	}
-	age := arrived - n.declarations.asOf()
-	n.logRejected(admission, fmt.Sprintf("declarations of %s ago are not confirmed", age))
+	n.logRejected(admission, "declarations not confirmed", arrived-n.declarations.asOf())
 	return jayverdict.NewNotRun(statusUnavailable, "the key cannot be checked now", declarationsRetryAfter)
 }
 
@@ -91,9 +89,14 @@
 	}
 }
 
-// logRejected logs a rejected request with the job that it names, but never its key.
-func (n *Node) logRejected(admission jaycatalog.Admission, reason string) {
+// logRejected logs a rejected request with the job that it names, but never its key. The age
+// is that of the declarations if they are the reason, or else zero.
+func (n *Node) logRejected(admission jaycatalog.Admission, reason string, age time.Duration) {
+	n.metrics.CallRejected(reason)
 	values := []any{"reason", reason}
+	if age > 0 {
+		values = append(values, "declarationsAge", age.String())
+	}
 	if admission.Queue.Name != "" {
 		values = append(values, "queue", admission.Queue.Name)
 	}
--- a/jaynode/meters.go
+++ b/jaynode/meters.go
@@ -142,6 +142,8 @@
 		m.TaskStarted(d.name, event.Waited)
 	case jaysched.JobEnded:
 		m.JobEnded(d.name, event.Waited)
+	case jaysched.QuotaFree:
+		m.QuotaWaited(d.name, event.Organisation, event.Waited)
 	}
 }
 
@@ -156,6 +158,9 @@
 		}
 		return float64(duties)
 	})
+	n.metrics.Gauge("jaythread_declarations_age_seconds", "Age of this entry's view of the operators' declarations.", func() float64 {
+		return (n.clock() - n.declarations.asOf()).Seconds()
+	})
 	n.metrics.Gauge("jaythread_claims_age_seconds", "Age of this entry's view of who owns what.", func() float64 {
 		view := n.members.Owners.View()
 		if view == nil {
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -217,7 +217,7 @@
 	d.post(func(now time.Duration) {
 		d.storedJobs.Store(job.ID, job.Organisation)
 		if declare(job, now) {
-			d.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "steps", job.Summary(), "coreSeconds", job.Work(), "within", d.pool.AllowedTime(job.ID).String(), "how", how)
+			d.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "organisation", job.Organisation, "steps", job.Summary(), "coreSeconds", job.Work(), "within", d.pool.AllowedTime(job.ID).String(), "how", how)
 		}
 	})
 }
@@ -277,7 +277,7 @@
 		return
 	}
 	pool.Restore(job, progress, now)
-	t.duty.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "steps", job.Summary(), "coreSeconds", job.Work(), "within", pool.AllowedTime(job.ID).String(), "restored", true)
+	t.duty.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "organisation", job.Organisation, "steps", job.Summary(), "coreSeconds", job.Work(), "within", pool.AllowedTime(job.ID).String(), "restored", true)
 }
 
 // finishLoad restores the jobs that were read, and the ended jobs whose declarations have
