--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -125,6 +125,7 @@
 	// AsOf is read before the inbox is emptied: the tail posts the jobs that it has read
 	// before it advances AsOf, so that all jobs up to AsOf are processed below.
 	jobsAsOf := d.jobs.tail.AsOf()
+	d.pool.SetQuotas(d.node.quotas())
 	for {
 		handle, ok := d.inbox.Take()
 		if !ok {
@@ -139,7 +140,6 @@
 	d.updateOwnership()
 	d.pool.JobsKnown(jobsAsOf)
 	d.pool.SetStarts(d.latency.Starts())
-	d.pool.SetQuotas(d.node.quotas())
 	for _, action := range d.pool.Decide(now) {
 		d.perform(action)
 	}
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -114,14 +114,17 @@
 	clear(q.reached)
 }
 
-// QuotaReport returns what the pool uses and wants of the organisations' quotas.
+// QuotaReport returns what the pool uses and wants of the organisations' quotas. The use of
+// organisations without a quota is reported too: the fleet's owner may know of one that is not
+// known here yet.
 func (p *Pool) QuotaReport(all bool, now time.Duration) jayquota.Report {
 	p.updatePossibleUse(now)
 	uses := map[string]jayquota.Use{}
-	for organisation := range p.quotas.declared.Of {
-		if used := p.quotas.usedBy(organisation); used != (jaypool.Resources{}) {
-			uses[organisation] = jayquota.Use{Used: used}
-		}
+	for organisation := range p.quotas.used {
+		uses[organisation] = jayquota.Use{Used: p.quotas.usedBy(organisation)}
+	}
+	for organisation := range p.quotas.possible {
+		uses[organisation] = jayquota.Use{Used: p.quotas.usedBy(organisation)}
 	}
 	for _, j := range p.open {
 		organisation := j.spec.Organisation
--- a/jaysched/quota_test.go
+++ b/jaysched/quota_test.go
@@ -92,6 +92,16 @@
 	is.Equal(acmeUse(w).Used, jaypool.Resources{}) // both workers have answered
 }
 
+func TestQuotaReportBeforeQuotasAreKnown(t *testing.T) {
+	// Guards against a quota that is exceeded after a takeover: the fleet's owner asked a new
+	// owner before that had looked at the quotas, and was told that nothing is in use. The same
+	// would happen when a quota is declared for an organisation whose tasks run already.
+	is := is.New(t)
+	w := newHarness(t, 4)
+	declare(w, ofAcme("j", 3))
+	is.Equal(acmeUse(w).Used.ProcessorsMilli, int64(3000))
+}
+
 func TestGangLargerThanItsQuotaFails(t *testing.T) {
 	gang := func(s *jayspec.Step) { s.Gang = true }
 	cases := map[string]struct {
--- a/jaysoak/organisations_test.go
+++ b/jaysoak/organisations_test.go
@@ -71,6 +71,18 @@
 	s.write(nextVersion())
 }
 
+// quotaFault lowers a quota for some time. Meanwhile an entry is lost and a worker does not
+// answer, so that the next owner does not know what runs there.
+func (s *soak) quotaFault(p *process, machine string, organisation, quota int, pause time.Duration) {
+	var faults sync.WaitGroup
+	faults.Go(func() { s.workerFault(machine, linkSilent, 2*time.Second+pause) })
+	faults.Go(func() { s.checkError(p.restart(syscall.SIGKILL, pause)) })
+	time.Sleep(pause)
+	s.organisations.setQuota(s, organisation, quota)
+	faults.Wait()
+	s.organisations.setQuota(s, organisation, soakQuota)
+}
+
 // replaceKey declares another key of an organisation in place of the present one.
 func (o *organisations) replaceKey(s *soak, organisation int) {
 	o.configuring.Lock()
--- a/jaysoak/soak_test.go
+++ b/jaysoak/soak_test.go
@@ -323,11 +323,7 @@
 			time.Sleep(4 * pause)
 			s.platform.Resize(machine, soakCapacity)
 		},
-		func() {
-			s.organisations.setQuota(s, organisation, quota)
-			time.Sleep(4 * pause)
-			s.organisations.setQuota(s, organisation, soakQuota)
-		},
+		func() { s.quotaFault(entry, machine, organisation, quota, pause) },
 		func() { s.replaceKeyBehind(entry, organisation, pause) },
 	}
 	kind := r.IntN(s.scenario.faultKinds)
