--- a/jaysoak/soak_test.go
+++ b/jaysoak/soak_test.go
@@ -75,6 +75,9 @@
 	// A job was given up for crashes that another job had caused: the workers of both were
 	// the last ones of their rack, and both were started together again.
 	{144303, crashFaultKinds},
+	// A new owner of a pool was asked for what organisations use before it had looked at their
+	// quotas, and told that nothing is in use.
+	{4, allFaultKinds},
 }
 
 // soak is the run of one scenario: an installation with its faults and the violations found.
