--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -40,7 +40,8 @@
 	guard jayfleet.Guard
 
 	// The fields below are used only by the duty's goroutine.
-	fleet           *jayfleet.Fleet
+	fleet *jayfleet.Fleet
+	// lender decides what each pool may use of the organisations' quotas.
 	lender          *jayquota.Lender
 	readingHosts    bool
 	nextHostsReadAt time.Duration
--- a/jaynode/quota.go
+++ b/jaynode/quota.go
@@ -23,7 +23,7 @@
 	}
 }
 
-// lendQuotas decides on the limits that the fleet's owner lends to the pools.
+// lendQuotas decides what each pool may use of the organisations' quotas.
 func (d *fleetDuty) lendQuotas(working []string) {
 	view := d.node.members.Owners.View()
 	if view == nil {
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -14,8 +14,8 @@
 type Quotas struct {
 	Revision int64
 	Of       map[string]jaypool.Resources
-	// Current says that no later declarations can be in force alone: while they may be, tasks
-	// of organisations are not started.
+	// Current says that the declarations are recent enough to be applied. Otherwise no tasks of
+	// organisations are started, since a lower quota may be in force.
 	Current bool
 }
 
