--- a/jaysched/record_test.go
+++ b/jaysched/record_test.go
@@ -114,3 +114,25 @@
 	w.pass(time.Second)
 	is.True(w.starts("j.0.0.0") > starts)
 }
+
+func TestJobShownAsDoneStaysDone(t *testing.T) {
+	// Guards against a job that is shown as done and later as queued, and runs again: its owner
+	// could not record the end, and both the owner and the worker that kept the end were lost.
+	is := is.New(t)
+	w := newHarness(t, 1)
+	spec := newSpec("j", 1)
+	declare(w, spec)
+	for ref := range w.workers["w0"].active {
+		w.workers["w0"].end(ref, jayport.EndedDone)
+	}
+	w.storeUnavailable = true
+	w.pass(time.Millisecond)
+	w.reports()
+	w.pass(2 * showUnrecordedAfter)
+	wantState(t, w, "j", StateDone)
+	next := newHarness(t, 1, WithFence(2, 2))
+	next.pool.Restore(spec, nil, next.now)
+	state, known := next.pool.StateOf("j", next.now)
+	is.True(known)
+	is.Equal(state, StateDone)
+}
