--- a/jaynode/queries_test.go
+++ b/jaynode/queries_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 
+	"jaythread/jaypool"
+	"jaythread/jayspec"
 	"jaythread/jaywire"
 )
 
@@ -30,3 +32,32 @@
 		w.entry.store.set(func(s *faultyStore) { s.unreachable = false })
 	})
 }
+
+func TestOrganisationsDuringAnUpgrade(t *testing.T) {
+	// Guards against accepted jobs that seem not to exist while entries of an earlier version
+	// run: they store jobs and ask for them without an organisation.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newPoolFixture(t, 1)
+		w.entry.node.pools["seats"] = w.duty
+		w.refreshClaimsFor(time.Second)
+		acme, zeta := "acme", "zeta"
+		known := func(job string, organisation *string) bool {
+			answer := w.entry.node.askOwned(&jaywire.AskJob{Pool: "seats", Job: job, Organisation: organisation})
+			is.True(answer.Owned)
+			return answer.Known
+		}
+		is.True(known(testID, &acme)) // stored without an organisation
+		const acmeJob = "00000000000000a1"
+		value, err := encodeJob(&jayspec.Job{
+			ID: acmeJob, Queue: "list", Organisation: acme,
+			Steps: []jayspec.Step{{Tasks: 1, Need: jaypool.Resources{ProcessorsMilli: 100, MemoryMegabytes: 100}, Estimate: time.Second}},
+		})
+		is.NoErr(err)
+		w.entry.node.declareStored("seats", acmeJob, value)
+		w.refreshClaimsFor(time.Second)
+		is.True(known(acmeJob, &acme))
+		is.True(!known(acmeJob, &zeta))
+		is.True(known(acmeJob, nil)) // asked by an entry of an earlier version
+	})
+}
