--- a/jaynode/admit.go
+++ b/jaynode/admit.go
@@ -19,9 +19,9 @@
 
 // Admit decides whether a caller's request is served. Its error is a *jayverdict.Error.
 //
-// A request that the declarations known here would reject for its key or its path is
-// rejected only after they have been confirmed as the newest ones: the key or the queue may
-// have been added a moment ago. A request with a key is accepted only if the declarations
+// A request that the declarations known here would reject for its key is rejected only after
+// they have been confirmed as the newest ones: the key may have been added a moment ago. A
+// request with a key is accepted only if the declarations
 // were confirmed less than the revocation time before it arrived. The rule counts from the
 // moment at which the caller sent the request, which is not later, so that the answer may
 // take any time. A pause of this process counts, since it delays the arrival.
@@ -35,7 +35,7 @@
 	admission, decision := catalog.Admit(call)
 	if n.needsConfirmation(admission, decision, arrived-asOf) {
 		if !n.declarations.confirmer.await(arrived) {
-			return admission, n.unconfirmed(admission, decision, arrived)
+			return admission, n.unconfirmed(admission, arrived)
 		}
 		admission, decision = n.Catalog().Admit(call)
 	}
@@ -50,7 +50,7 @@
 // declarations. The age is that of the declarations when the request arrived.
 func (n *Node) needsConfirmation(admission jaycatalog.Admission, decision jaycatalog.Decision, age time.Duration) bool {
 	switch decision {
-	case jaycatalog.UnknownQueue, jaycatalog.UnknownKey:
+	case jaycatalog.UnknownKey:
 		return age > 0
 	case jaycatalog.Admitted:
 		return admission.Organisation != "" && n.keysOutdated(age)
@@ -67,13 +67,8 @@
 }
 
 // unconfirmed returns the rejection of a request that only the newest declarations could
-// decide on. While the store cannot be read, a path without a queue counts as unknown as it
-// does for callers without a key.
-func (n *Node) unconfirmed(admission jaycatalog.Admission, decision jaycatalog.Decision, arrived time.Duration) error {
-	if decision == jaycatalog.UnknownQueue {
-		n.logRejected(admission, decision.String(), 0)
-		return rejection(decision)
-	}
+// decide on.
+func (n *Node) unconfirmed(admission jaycatalog.Admission, arrived time.Duration) error {
 	n.logRejected(admission, "declarations not confirmed", arrived-n.declarations.asOf())
 	return jayverdict.NewNotRun(statusUnavailable, "the key cannot be checked now", declarationsRetryAfter)
 }
--- a/jayquota/lender.go
+++ b/jayquota/lender.go
@@ -99,6 +99,7 @@
 	return &account{ownerFence: ownerFence, shares: map[string]*share{}}
 }
 
+// inUse reports whether tasks may run in the pool.
 func (a *account) inUse() bool {
 	for _, s := range a.shares {
 		if s.committed() != (vector{}) {
@@ -285,6 +286,8 @@
 	return limit, exceeds
 }
 
+// setLimit changes a limit. The former one counts as lent until the pool's owner has confirmed
+// the change.
 func (l *Lender) setLimit(s *share, limit vector, quota jaypool.Resources) {
 	if s.limit == limit && s.quota == quota {
 		return
