Log by which declarations, and how old, a call was decided

An entry that is behind cannot be recognised in its log: an accepted call and a rejected path did not say by which revision they were decided. Rejected calls name the revision and its age; a call that is admitted by declarations older than a read takes is logged; a histogram has the age of every decision.

--- a/jaymetric/jobs.go
+++ b/jaymetric/jobs.go
@@ -26,6 +26,7 @@
 	commands          *prometheus.CounterVec
 	dutyChanges       *prometheus.CounterVec
 	rejected          *prometheus.CounterVec
+	decisionAge       prometheus.Histogram
 	quotaWait         *prometheus.CounterVec
 	organisations     boundedLabels
 }
@@ -73,9 +74,14 @@
 		commands:          newCounterVec("jaythread_host_commands_total", "Moves and maintenances of instances by outcome.", "command", "outcome"),
 		dutyChanges:       newCounterVec("jaythread_duty_changes_total", "Duties taken over and ended by this entry.", "duty", "change"),
 		rejected:          newCounterVec("jaythread_calls_rejected_total", "Calls that were rejected for their path or key, by reason.", "reason"),
-		quotaWait:         newCounterVec("jaythread_quota_wait_seconds_total", "Time for which tasks waited for their organisation's quota, by pool and organisation.", "pool", "organisation"),
+		decisionAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "jaythread_call_declarations_age_seconds",
+			Help:    "Age of the operators' declarations that a call was decided by, when it arrived.",
+			Buckets: []float64{0.1, 0.5, 1, 1.5, 2, 3, 5, 10, 30},
+		}),
+		quotaWait: newCounterVec("jaythread_quota_wait_seconds_total", "Time for which tasks waited for their organisation's quota, by pool and organisation.", "pool", "organisation"),
 	}
-	m.Registry.MustRegister(m.rejected, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges)
+	m.Registry.MustRegister(m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges)
 	m.Runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -138,6 +144,11 @@
 	m.rejected.WithLabelValues(reason).Inc()
 }
 
+// CallDecided records the age of the declarations that a call was decided by.
+func (m *JobMetrics) CallDecided(age time.Duration) {
+	m.decisionAge.Observe(age.Seconds())
+}
+
 // QuotaWaited records for how long tasks of an organisation have waited for its quota.
 func (m *JobMetrics) QuotaWaited(pool, organisation string, waited time.Duration) {
 	m.quotaWait.WithLabelValues(pool, m.organisations.value(organisation)).Add(waited.Seconds())
--- a/jaynode/admit.go
+++ b/jaynode/admit.go
@@ -15,6 +15,9 @@
 	// declarationsRetryAfter is the delay after which a caller is asked to retry while this
 	// entry cannot read the declarations. The retry reaches any entry.
 	declarationsRetryAfter = time.Second
+	// usualDeclarationsAge is the age that the declarations do not exceed while this entry
+	// reads them: a read waits for declarationsWait and then for its response.
+	usualDeclarationsAge = declarationsWait + 500*time.Millisecond
 )
 
 // Admit decides whether a caller's request is served. Its error is a *jayverdict.Error.
@@ -39,13 +42,24 @@
 		}
 		admission, decision = n.Catalog().Admit(call)
 	}
+	n.recordDecisionAge(admission, decision, arrived)
 	if decision == jaycatalog.Admitted {
 		return admission, nil
 	}
-	n.logRejected(admission, decision.String(), 0)
+	n.logRejected(admission, decision.String(), arrived)
 	return admission, rejection(decision)
 }
 
+// recordDecisionAge records how old the declarations were, when a call arrived, that it was
+// decided by.
+func (n *Node) recordDecisionAge(admission jaycatalog.Admission, decision jaycatalog.Decision, arrived time.Duration) {
+	age := max(0, arrived-n.declarations.asOf())
+	n.metrics.CallDecided(age)
+	if age > usualDeclarationsAge && decision == jaycatalog.Admitted {
+		n.intake.logger.Info("call admitted by old declarations", "revision", n.Catalog().Revision, "declarationsAge", age.String(), "queue", admission.Queue.Name)
+	}
+}
+
 // needsConfirmation reports whether a decision on a request may be made only by the newest
 // declarations. The age is that of the declarations when the request arrived.
 func (n *Node) needsConfirmation(admission jaycatalog.Admission, decision jaycatalog.Decision, age time.Duration) bool {
@@ -69,7 +83,7 @@
 // unconfirmed returns the rejection of a request that only the newest declarations could
 // decide on.
 func (n *Node) unconfirmed(admission jaycatalog.Admission, arrived time.Duration) error {
-	n.logRejected(admission, "declarations not confirmed", arrived-n.declarations.asOf())
+	n.logRejected(admission, "declarations not confirmed", arrived)
 	return jayverdict.NewNotRun(statusUnavailable, "the key cannot be checked now", declarationsRetryAfter)
 }
 
@@ -84,14 +98,12 @@
 	}
 }
 
-// logRejected logs a rejected request with the job that it names, but never its key. The age
-// is that of the declarations if they are the reason, or else zero.
-func (n *Node) logRejected(admission jaycatalog.Admission, reason string, age time.Duration) {
+// logRejected logs a rejected request with the job that it names, but never its key, and with
+// the revision of the declarations and their age when the request arrived.
+func (n *Node) logRejected(admission jaycatalog.Admission, reason string, arrived time.Duration) {
 	n.metrics.CallRejected(reason)
-	values := []any{"reason", reason}
-	if age > 0 {
-		values = append(values, "declarationsAge", age.String())
-	}
+	age := max(0, arrived-n.declarations.asOf())
+	values := []any{"reason", reason, "revision", n.Catalog().Revision, "declarationsAge", age.String()}
 	if admission.Queue.Name != "" {
 		values = append(values, "queue", admission.Queue.Name)
 	}
