Red tests: late declarations at a large installation

- TestOutdatedDeclarationsDecideNoCall: an entry whose reads of the declarations are rejected, and whose other calls are served, answers by the old ones 3 s after a change.

TestEntryThatIsCutOffServesByItsDeclarations passes: it keeps what callers have today while the store is down. Members.follow is taken out of Start for the test; nothing else changes outside tests.

--- a/jaymember/members.go
+++ b/jaymember/members.go
@@ -90,6 +90,13 @@
 // Start follows entries and claims, announces this entry, monitors the owners and claims
 // vacant duties until the context ends.
 func (m *Members) Start(ctx context.Context) {
+	m.follow(ctx)
+	m.Liveness.start(ctx)
+	m.Go(func() { m.Owners.claim(ctx) })
+}
+
+// follow follows entries and claims and announces this entry.
+func (m *Members) follow(ctx context.Context) {
 	// The handler of the claims asks the tail for its offset, so tail must be set before
 	// the tail runs.
 	m.Owners.tail = m.newTail(topicOwners, ClaimsWait, m.Owners)
@@ -97,8 +104,6 @@
 	entries := m.newTail(topicEntries, entriesWait, m.Entries)
 	m.Go(func() { entries.Run(ctx) })
 	m.Go(func() { m.Entries.announce(ctx) })
-	m.Liveness.start(ctx)
-	m.Go(func() { m.Owners.claim(ctx) })
 }
 
 func (m *Members) newTail(topic string, wait time.Duration, handler jaytail.Handler) *jaytail.Tail {
--- /dev/null
+++ b/jaynode/admit_test.go
@@ -0,0 +1,139 @@
+package jaynode
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"jaythread/jaycatalog"
+	"jaythread/jayclock"
+	"jaythread/jayport"
+	"jaythread/jaytail"
+	"jaythread/jayverdict"
+)
+
+// queueFormats decodes a declaration that lists the prefixes of its queues, separated by
+// blanks. Its revision is its offset plus one.
+type queueFormats struct{ testFormats }
+
+// DecodeDeclaration decodes a declaration.
+func (queueFormats) DecodeDeclaration(r jayport.Record) (jayport.Declared, error) {
+	var queues []jaycatalog.Queue
+	for prefix := range strings.FieldsSeq(string(r.Value)) {
+		queues = append(queues, jaycatalog.Queue{Name: prefix, Host: "h", Prefix: prefix, Pool: "seats"})
+	}
+	return jayport.CatalogDeclared{Catalog: jaycatalog.New(r.Offset+1, jaycatalog.Limits{}, []jaycatalog.Pool{{Name: "seats"}}, queues)}, nil
+}
+
+// ignoreRecords is a handler that ignores all records.
+type ignoreRecords struct{}
+
+// Reset does nothing.
+func (ignoreRecords) Reset() {}
+
+// Apply does nothing.
+func (ignoreRecords) Apply(jayport.Record) {}
+
+// CaughtUp does nothing.
+func (ignoreRecords) CaughtUp(time.Duration) {}
+
+// admission is an entry that decides on calls, with the store that it reads.
+type admission struct {
+	t     *testing.T
+	node  *Node
+	store *faultyStore
+}
+
+const testDeclarationTime = 3 * time.Second
+
+// newAdmission returns an entry that follows the declarations and the claims. The first
+// declaration has the queue /old/.
+func newAdmission(ctx context.Context, t *testing.T) *admission {
+	t.Helper()
+	clock := jayclock.Since(time.Now().Add(-time.Hour))
+	a := &admission{t: t, store: &faultyStore{store: newSharedStore()}}
+	a.declare("/old/")
+	a.node = New(Settings{Entry: "e1", PeerAddr: "127.0.0.1:1", DeclarationTime: testDeclarationTime},
+		Ports{Store: a.store, Formats: queueFormats{}}, logr.Discard(), WithClock(clock))
+	d := a.node.declarations
+	a.node.duties.Go(func() { d.tail.Run(ctx) })
+	a.node.duties.Go(func() { d.confirmer.run(ctx) })
+	claims := a.node.newTail(testFormats{}.Own("owners", 0), jaytail.Options{Wait: declarationsWait}, ignoreRecords{})
+	a.node.duties.Go(func() { claims.Run(ctx) })
+	time.Sleep(time.Second)
+	return a
+}
+
+func (a *admission) declare(queues string) {
+	a.t.Helper()
+	record := jayport.Record{Key: "config", Value: []byte(queues)}
+	_, err := a.store.store.append(jayport.Append{Partition: testFormats{}.Declarations(), Records: []jayport.Record{record}, AsOf: jayport.AnyOffset})
+	is.New(a.t).NoErr(err)
+}
+
+// status returns the status of a rejected call, or 200 if it is admitted.
+func (a *admission) status(path string) int {
+	a.t.Helper()
+	_, err := a.node.Admit(jaycatalog.Call{Host: "h", Path: path})
+	if err == nil {
+		return 200
+	}
+	var refusal *jayverdict.Error
+	is.New(a.t).True(errors.As(err, &refusal))
+	is.New(a.t).Equal(refusal.Verdict, jayverdict.NotRun)
+	return refusal.Status
+}
+
+func TestOutdatedDeclarationsDecideNoCall(t *testing.T) {
+	// Guards against a dropped queue that is still served, and an added one that is unknown, at
+	// an entry that cannot read the declarations from a store that serves it otherwise.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			time.Sleep(20 * time.Second) // lets pending calls return
+		}()
+		a := newAdmission(ctx, t)
+		is.Equal(a.status("/old/"), 200)
+		is.Equal(a.status("/new/"), 404)
+		a.store.set(func(w *faultyStore) { w.refuseReads = testFormats{}.Declarations().Topic })
+		a.declare("/new/")
+		time.Sleep(testDeclarationTime)
+		is.Equal(a.status("/old/"), 503)
+		is.Equal(a.status("/new/"), 503)
+		a.store.set(func(w *faultyStore) { w.refuseReads = "" })
+		time.Sleep(time.Second)
+		is.Equal(a.status("/old/"), 404)
+		is.Equal(a.status("/new/"), 200)
+	})
+}
+
+func TestEntryThatIsCutOffServesByItsDeclarations(t *testing.T) {
+	// Guards against callers who are rejected by each entry while the store is down: nothing
+	// can be declared meanwhile.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			time.Sleep(20 * time.Second) // lets pending calls return
+		}()
+		a := newAdmission(ctx, t)
+		a.store.set(func(w *faultyStore) { w.unreachable = true })
+		time.Sleep(2 * testDeclarationTime)
+		is.Equal(a.status("/old/"), 200)
+		is.Equal(a.status("/new/"), 404)
+		a.declare("/new/")
+		a.store.set(func(w *faultyStore) { w.unreachable = false })
+		time.Sleep(time.Second)
+		is.Equal(a.status("/old/"), 404)
+		is.Equal(a.status("/new/"), 200)
+	})
+}
--- a/jaynode/fakes_test.go
+++ b/jaynode/fakes_test.go
@@ -111,6 +111,8 @@
 	// refuse rejects all calls, refuseTopic only the appends to one topic.
 	refuse      bool
 	refuseTopic string
+	// refuseReads rejects the reads of one topic.
+	refuseReads string
 	// requestDelay passes before a call takes effect, answerDelay before its answer
 	// arrives.
 	requestDelay, answerDelay time.Duration
@@ -168,6 +170,11 @@
 
 // Read returns records from an offset on. If there are none, it waits.
 func (w *faultyStore) Read(p jayport.Partition, from int64, wait, timeout time.Duration) (jayport.Page, error) {
+	var refused bool
+	w.set(func(w *faultyStore) { refused = w.refuseReads == p.Topic })
+	if refused {
+		return jayport.Page{}, fmt.Errorf("%w: test", jayport.ErrRejected)
+	}
 	return call(w, timeout, func() (jayport.Page, error) {
 		page := w.store.read(p, from)
 		if len(page.Records) == 0 && wait > 0 {
