A call is not decided by outdated declarations of a store that limits reads

Cause: a decision on a key was bounded by the age of the declarations, a decision on a path was not: a dropped queue was served and an added one unknown at any age. Class: a decision by state whose age is not checked.

The bound now holds for every call: if the declarations were read more than declarationTime, less 2 %, before it arrived, and the store has rejected calls of this entry for their rate since, the call waits for a read that all waiting calls share, or is rejected as not run with Retry-After 1 s. Such a store accepts changes, and other entries know them, so that the retry is served.

While the store or its partition of the declarations is down or out of reach, calls go on by what is known, as before: nothing can be declared there, and no other entry knows more. Status 429 is told from the other rejections by jayport.ErrRateExceeded.

TestCallsAreServedWhileTheDeclarationsAreDown holds the other side.

--- a/jaynode/admit.go
+++ b/jaynode/admit.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// clockTolerance is the share of the revocation time that is left for the difference in
-	// speed between this entry's clock and the store's.
+	// clockTolerance is the divisor that gives the part of a time limit that is left for the
+	// difference in speed between this entry's clock and the store's.
 	clockTolerance = 50
 	// declarationsRetryAfter is the delay after which a caller is asked to retry while this
 	// entry cannot read the declarations. The retry reaches any entry.
@@ -22,12 +22,14 @@
 
 // Admit decides whether a caller's request is served. Its error is a *jayverdict.Error.
 //
-// A request that the declarations known here would reject for its key is rejected only after
-// they have been confirmed as the newest ones: the key may have been added a moment ago. A
-// request with a key is accepted only if the declarations
-// were confirmed less than the revocation time before it arrived. The rule counts from the
-// moment at which the caller sent the request, which is not later, so that the answer may
-// take any time. A pause of this process counts, since it delays the arrival.
+// A request is decided by the declarations known here if they were confirmed less than
+// DeclarationTime before it arrived, and less than RevocationTime if it has a key. Otherwise
+// they are confirmed first, or the request is rejected as not run. Both times count from the
+// moment at which the caller sent the request, which is not later, so that the answer may take
+// any time. A pause of this process counts, since it delays the arrival.
+//
+// While the declarations cannot be read since the store is down or out of reach, the entry
+// goes on by those that it has, except for keys.
 func (n *Node) Admit(call jaycatalog.Call) (jaycatalog.Admission, error) {
 	arrived := n.clock()
 	asOf := n.declarations.asOf()
@@ -36,7 +38,7 @@
 		return jaycatalog.Admission{}, jayverdict.NewNotRun(statusUnavailable, "no configuration yet", declarationsRetryAfter)
 	}
 	admission, decision := catalog.Admit(call)
-	if n.needsConfirmation(admission, decision, arrived-asOf) {
+	if n.needsConfirmation(admission, decision, arrived, asOf) {
 		if !n.declarations.confirmer.await(arrived) {
 			return admission, n.unconfirmed(admission, arrived)
 		}
@@ -61,30 +63,40 @@
 }
 
 // needsConfirmation reports whether a decision on a request may be made only by the newest
-// declarations. The age is that of the declarations when the request arrived.
-func (n *Node) needsConfirmation(admission jaycatalog.Admission, decision jaycatalog.Decision, age time.Duration) bool {
-	switch decision {
-	case jaycatalog.UnknownKey:
+// declarations. asOf is the time up to which they were known when the request arrived.
+//
+// An unknown key may have been added a moment ago, so that its rejection is confirmed at any
+// age.
+func (n *Node) needsConfirmation(admission jaycatalog.Admission, decision jaycatalog.Decision, arrived, asOf time.Duration) bool {
+	age := arrived - asOf
+	switch {
+	case decision == jaycatalog.UnknownKey:
 		return age > 0
-	case jaycatalog.Admitted:
-		return admission.Organisation != "" && n.keysOutdated(age)
+	case decision == jaycatalog.Admitted && admission.Organisation != "" && outdated(age, n.settings.RevocationTime):
+		return true
 	default:
-		return false
+		return outdated(age, n.settings.DeclarationTime) && n.storeLimitsRate(arrived)
 	}
 }
 
-// keysOutdated reports whether a key may have been removed longer ago than the revocation
-// time although the declarations of the given age still contain it.
-func (n *Node) keysOutdated(age time.Duration) bool {
-	limit := n.settings.RevocationTime
+// outdated reports whether declarations of an age may lack a change that was made longer ago
+// than a limit. Zero is no limit.
+func outdated(age, limit time.Duration) bool {
 	return limit > 0 && age > limit-limit/clockTolerance
 }
 
+// storeLimitsRate reports whether the store has rejected calls of this entry for their rate
+// within DeclarationTime. It accepts changes meanwhile, which this entry may not know.
+func (n *Node) storeLimitsRate(now time.Duration) bool {
+	exceeded := n.store.RateExceededAt()
+	return exceeded > 0 && now-exceeded <= n.settings.DeclarationTime
+}
+
 // unconfirmed returns the rejection of a request that only the newest declarations could
 // decide on.
 func (n *Node) unconfirmed(admission jaycatalog.Admission, arrived time.Duration) error {
 	n.logRejected(admission, "declarations not confirmed", arrived)
-	return jayverdict.NewNotRun(statusUnavailable, "the key cannot be checked now", declarationsRetryAfter)
+	return jayverdict.NewNotRun(statusUnavailable, "the request cannot be checked against the newest configuration now", declarationsRetryAfter)
 }
 
 func rejection(decision jaycatalog.Decision) *jayverdict.Error {
--- a/jaynode/admit_test.go
+++ b/jaynode/admit_test.go
@@ -90,9 +90,18 @@
 	return refusal.Status
 }
 
+// refuseDeclarations makes the store reject the reads of the declarations, or serve them
+// again if the error is nil.
+func (a *admission) refuseDeclarations(by error) {
+	a.store.set(func(w *faultyStore) {
+		w.refuseReads, w.refuseReadsBy = testFormats{}.Declarations().Topic, by
+	})
+	time.Sleep(2 * declarationsWait) // lets the pending read return
+}
+
 func TestOutdatedDeclarationsDecideNoCall(t *testing.T) {
 	// Guards against a dropped queue that is still served, and an added one that is unknown, at
-	// an entry that cannot read the declarations from a store that serves it otherwise.
+	// an entry whose reads of the declarations are rejected for their rate.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -103,37 +112,52 @@
 		a := newAdmission(ctx, t)
 		is.Equal(a.status("/old/"), 200)
 		is.Equal(a.status("/new/"), 404)
-		a.store.set(func(w *faultyStore) { w.refuseReads = testFormats{}.Declarations().Topic })
+		a.refuseDeclarations(jayport.ErrRateExceeded)
 		a.declare("/new/")
 		time.Sleep(testDeclarationTime)
 		is.Equal(a.status("/old/"), 503)
 		is.Equal(a.status("/new/"), 503)
-		a.store.set(func(w *faultyStore) { w.refuseReads = "" })
-		time.Sleep(time.Second)
+		a.refuseDeclarations(nil)
 		is.Equal(a.status("/old/"), 404)
 		is.Equal(a.status("/new/"), 200)
 	})
 }
 
-func TestEntryThatIsCutOffServesByItsDeclarations(t *testing.T) {
-	// Guards against callers who are rejected by each entry while the store is down: nothing
-	// can be declared meanwhile.
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(context.Background())
-		defer func() {
-			cancel()
-			time.Sleep(20 * time.Second) // lets pending calls return
-		}()
-		a := newAdmission(ctx, t)
-		a.store.set(func(w *faultyStore) { w.unreachable = true })
-		time.Sleep(2 * testDeclarationTime)
-		is.Equal(a.status("/old/"), 200)
-		is.Equal(a.status("/new/"), 404)
-		a.declare("/new/")
-		a.store.set(func(w *faultyStore) { w.unreachable = false })
-		time.Sleep(time.Second)
-		is.Equal(a.status("/old/"), 404)
-		is.Equal(a.status("/new/"), 200)
-	})
+func TestCallsAreServedWhileTheDeclarationsAreDown(t *testing.T) {
+	// Guards against callers who are rejected by each entry while the store, or its partition
+	// of the declarations, is down: nothing can be declared meanwhile.
+	outages := map[string]func(*admission, bool){
+		"store": func(a *admission, down bool) {
+			a.store.set(func(w *faultyStore) { w.unreachable = down })
+		},
+		"partition": func(a *admission, down bool) {
+			if down {
+				a.refuseDeclarations(jayport.ErrRejected)
+				return
+			}
+			a.refuseDeclarations(nil)
+		},
+	}
+	for name, setDown := range outages {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer func() {
+					cancel()
+					time.Sleep(20 * time.Second) // lets pending calls return
+				}()
+				a := newAdmission(ctx, t)
+				setDown(a, true)
+				time.Sleep(2 * testDeclarationTime)
+				is.Equal(a.status("/old/"), 200)
+				is.Equal(a.status("/new/"), 404)
+				a.declare("/new/")
+				setDown(a, false)
+				time.Sleep(time.Second)
+				is.Equal(a.status("/old/"), 404)
+				is.Equal(a.status("/new/"), 200)
+			})
+		})
+	}
 }
--- a/jaynode/fakes_test.go
+++ b/jaynode/fakes_test.go
@@ -111,8 +111,9 @@
 	// refuse rejects all calls, refuseTopic only the appends to one topic.
 	refuse      bool
 	refuseTopic string
-	// refuseReads rejects the reads of one topic.
-	refuseReads string
+	// refuseReads rejects the reads of one topic with refuseReadsBy.
+	refuseReads   string
+	refuseReadsBy error
 	// requestDelay passes before a call takes effect, answerDelay before its answer
 	// arrives.
 	requestDelay, answerDelay time.Duration
@@ -168,12 +169,19 @@
 	return call(w, timeout, func() (jayport.Appended, error) { return w.store.append(a) })
 }
 
+func (w *faultyStore) readError(p jayport.Partition) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.refuseReads == p.Topic {
+		return w.refuseReadsBy
+	}
+	return nil
+}
+
 // Read returns records from an offset on. If there are none, it waits.
 func (w *faultyStore) Read(p jayport.Partition, from int64, wait, timeout time.Duration) (jayport.Page, error) {
-	var refused bool
-	w.set(func(w *faultyStore) { refused = w.refuseReads == p.Topic })
-	if refused {
-		return jayport.Page{}, fmt.Errorf("%w: test", jayport.ErrRejected)
+	if err := w.readError(p); err != nil {
+		return jayport.Page{}, err
 	}
 	return call(w, timeout, func() (jayport.Page, error) {
 		page := w.store.read(p, from)
@@ -187,6 +195,9 @@
 
 // Latest returns the newest record of each key.
 func (w *faultyStore) Latest(p jayport.Partition, after string, timeout time.Duration) (jayport.Latest, error) {
+	if err := w.readError(p); err != nil {
+		return jayport.Latest{}, err
+	}
 	return call(w, timeout, func() (jayport.Latest, error) { return w.store.latest(p, after), nil })
 }
 
--- a/jaynode/settings.go
+++ b/jaynode/settings.go
@@ -34,6 +34,6 @@
 	// accepted. Zero means that there is no limit.
 	RevocationTime time.Duration
 	// DeclarationTime is how long after a change of the declarations the former ones may still
-	// be applied to the start of tasks. Zero means that there is no limit.
+	// be applied to requests and to the start of tasks. Zero means that there is no limit.
 	DeclarationTime time.Duration
 }
--- a/jayoptions/jobs.go
+++ b/jayoptions/jobs.go
@@ -64,8 +64,9 @@
 	// rejects calls with keys. Zero means that there is no limit.
 	RevocationTime Duration `json:"revocationTime"`
 	// DeclarationTime is how long after a change of the declarations the former ones
-	// may still be applied to the start of tasks. An entry that has not read the
-	// declarations for that long starts no tasks of organisations with a quota. Zero
+	// may still be applied to callers' requests and to the start of tasks. An entry that
+	// has not read the declarations for that long starts no tasks of organisations with
+	// a quota, and rejects requests while the store limits the rate of its reads. Zero
 	// means that there is no limit.
 	DeclarationTime Duration `json:"declarationTime"`
 }
--- a/jayport/store.go
+++ b/jayport/store.go
@@ -14,6 +14,8 @@
 	ErrNoAnswer = errors.New("no answer")
 	// ErrRejected means that the request was rejected and had no effect.
 	ErrRejected = errors.New("rejected")
+	// ErrRateExceeded is the ErrRejected of a request beyond the rate that the platform serves.
+	ErrRateExceeded = fmt.Errorf("%w: too many requests", ErrRejected)
 	// ErrMalformed means that the request was refused as invalid.
 	ErrMalformed = errors.New("refused as malformed")
 )
--- a/jayrelay/regain.go
+++ b/jayrelay/regain.go
@@ -37,11 +37,12 @@
 func (s *Store) probe() {
 	sent := s.clock()
 	_, err := s.direct.Read(probePartition, 0, 0, probeTimeout)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordRate(err)
 	if pathFailed(err) {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.failures < failureThreshold {
 		return
 	}
--- a/jayrelay/relay.go
+++ b/jayrelay/relay.go
@@ -53,6 +53,8 @@
 	mu       sync.Mutex
 	failures int
 	lostAt   time.Duration
+	// rateExceededAt is when the store last rejected a call for its rate, or zero.
+	rateExceededAt time.Duration
 	// latency is a moving average of the duration of direct appends.
 	latency time.Duration
 	// relayPeer is the peer that relayed the last call successfully, and nextPeer
@@ -89,6 +91,21 @@
 	return s.clock() - s.lostAt
 }
 
+// RateExceededAt returns the clock's time at which the store last rejected a direct call
+// for its rate, or zero. Such a store is available: it serves the calls of others.
+func (s *Store) RateExceededAt() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rateExceededAt
+}
+
+// recordRate records a call that was rejected for its rate. The caller holds the lock.
+func (s *Store) recordRate(err error) {
+	if errors.Is(err, jayport.ErrRateExceeded) {
+		s.rateExceededAt = s.clock()
+	}
+}
+
 // Append adds records. An append without a producer is not retried through a peer
 // once it may have taken effect.
 func (s *Store) Append(a jayport.Append, timeout time.Duration) (jayport.Appended, error) {
@@ -224,6 +241,7 @@
 func (s *Store) recordDirectResult(err error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recordRate(err)
 	if pathFailed(err) {
 		s.failures++
 		if s.failures == failureThreshold {
