The store is probed after every loss

Seen in the test of many entries: one of 304 stayed without a direct way to the store for good after the store served all calls again, and made each call through a peer. Cause: the goroutine that probes saw that the store was back and left its loop; before it cleared the mark that a probe runs, two calls failed, and the new loss started no probes since the mark was still set. Class: a state that is tested and changed in two steps, with the lock released between them. Both are one step now.

Flags that say that a goroutine runs were looked for by name in the other packages (grep probing, running, flushing): none of the others is set by one goroutine and cleared by another under a lock of its own.

--- a/jayrelay/regain.go
+++ b/jayrelay/regain.go
@@ -21,18 +21,24 @@
 	go func() {
 		tick := time.NewTicker(probeInterval)
 		defer tick.Stop()
-		for !s.Direct() {
+		for s.continueProbing() {
 			// Probes may overlap: a store that does not respond holds each one
 			// until its timeout.
 			go s.probe()
 			<-tick.C
 		}
-		s.mu.Lock()
-		s.probing = false
-		s.mu.Unlock()
 	}()
 }
 
+// continueProbing reports whether the store is still lost. Otherwise the probing has ended,
+// and the next loss starts it again.
+func (s *Store) continueProbing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.probing = s.failures >= failureThreshold
+	return s.probing
+}
+
 // probe sends one probe. If it succeeds, direct calls are resumed.
 func (s *Store) probe() {
 	sent := s.clock()
--- a/jayrelay/relay_test.go
+++ b/jayrelay/relay_test.go
@@ -321,3 +321,28 @@
 	is.True(errors.Is(err, jayport.ErrNoAnswer))
 	is.Equal(s.Latency(), before)
 }
+
+func TestStoreIsProbedAfterEveryLoss(t *testing.T) {
+	// Guards against an entry that calls the store through peers for ever: it lost the store
+	// again in the moment in which the probes of the outage before ended.
+	synctest.Test(t, func(t *testing.T) {
+		direct := &fakeStore{}
+		s := newStore(direct, fakePeers{})
+		lose := func() {
+			direct.set(errRejected)
+			for range failureThreshold {
+				_, _ = s.Append(numbered(), time.Second)
+			}
+			direct.set(nil)
+		}
+		for round := range 20000 {
+			lose()
+			time.Sleep(probeInterval)
+			lose()
+			time.Sleep(4 * probeInterval)
+			if !s.Direct() {
+				t.Fatalf("round %d: the store is not probed any more", round)
+			}
+		}
+	})
+}
