All entries together stay within the store's rate

Cause: each entry's calls were sized for one entry. A record ends the waiting reads of all entries, so that n announcements cause n x n reads; a rejected call (429) was sent to two peers, which call the same store; after two of them the entry counted the store as lost, read through peers twice a second for each partition and probed the store every 150 ms, 2,027 probes a second of 304 entries. Class: a load that grows with the square of the entries, and a reaction to overload that adds load.

Change: jaypace gives the least time between two calls of one entry so that all entries use a share of the rate. It paces reads of records that follow each other (claims, announcements, declarations), retries of reads that were rejected for their rate, probes, relays after peers were rejected too, reads of the heartbeats of suspected owners, and confirmations for callers. A call that was rejected for its rate is not relayed until calls have been rejected for that time. An announcement without an answer is not repeated once it has been read. Times vary, so that entries do not go on at the same moment. The rate comes from the platform's settings (storeReadRate); without it nothing is paced.

Appends are made by owners only, but for announcements and claims.

--- a/jaycli/serve_jobs.go
+++ b/jaycli/serve_jobs.go
@@ -68,6 +68,7 @@
 		PeerAddr:        options.PeerAddr,
 		ProcessorsMilli: int64(s.Processors * 1000),
 		LinkMegabits:    int64(s.LinkMegabits),
+		StoreReadRate:   s.StoreReadRate,
 		MaxLease:        time.Duration(s.MaxLease),
 		StopTime:        time.Duration(s.StopTime),
 		FarFactor:       s.FarFactor,
--- a/jaymember/entries.go
+++ b/jaymember/entries.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"jaythread/jayclock"
+	"jaythread/jaypace"
 	"jaythread/jayport"
 	"jaythread/jaywire"
 )
@@ -70,6 +71,19 @@
 	return list
 }
 
+// Count returns the number of entries that have announced themselves, including those that
+// have ended.
+func (e *Entries) Count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.byName)
+}
+
+// announced reports whether the announcement of an incarnation has been read.
+func (e *Entries) announced(incarnation string) bool {
+	return e.AddrOf(incarnation) != ""
+}
+
 // names returns the newest announcement by entry name, including entries that have ended
 // since.
 func (e *Entries) names() map[string]*jaywire.EntryRecord {
@@ -100,10 +114,15 @@
 	return ""
 }
 
-// announceRetryDelay is the delay before a failed announcement is repeated.
-const announceRetryDelay = 300 * time.Millisecond
+const (
+	// announceRetryDelay is the delay before a failed announcement is repeated for the
+	// first time. It is doubled each time, up to maxAnnounceDelay.
+	announceRetryDelay = 300 * time.Millisecond
+	maxAnnounceDelay   = 2400 * time.Millisecond
+)
 
-// announce announces this entry to the others and retries until the store accepts it.
+// announce announces this entry to the others and retries until the store accepts it, or
+// until the announcement is read: one without an answer may still be stored.
 func (e *Entries) announce(ctx context.Context) {
 	value, err := proto.Marshal(&jaywire.EntryRecord{
 		Incarnation:       e.members.Incarnation,
@@ -117,7 +136,7 @@
 		e.logger.Error(err, "announcement cannot be encoded")
 		return
 	}
-	for ctx.Err() == nil {
+	for delay := announceRetryDelay; ctx.Err() == nil && !e.announced(e.members.Incarnation); delay = min(2*delay, maxAnnounceDelay) {
 		_, err := e.members.Store.Append(jayport.Append{
 			Partition: e.members.Formats.Own(topicEntries, 0),
 			Records:   []jayport.Record{{Key: e.members.Entry, Value: value}},
@@ -127,6 +146,6 @@
 			return
 		}
 		e.logger.Info("announcing this entry failed; retrying", "error", err.Error())
-		jayclock.Sleep(ctx, announceRetryDelay)
+		jayclock.Sleep(ctx, jaypace.Jitter(delay))
 	}
 }
--- a/jaymember/fakes_test.go
+++ b/jaymember/fakes_test.go
@@ -11,6 +11,7 @@
 
 	"jaythread/jayclock"
 	"jaythread/jayowner"
+	"jaythread/jaypace"
 	"jaythread/jayport"
 	"jaythread/jayrelay"
 	"jaythread/jaywire"
@@ -110,6 +111,7 @@
 		Store:       jayrelay.New(store, noPeers{}, clock, logr.Discard()),
 		Formats:     testFormats{},
 		Logger:      logr.Discard(),
+		Pace:        jaypace.New(0, nil),
 		Partition:   func(string) int { return 0 },
 		Duties:      func() []jayowner.Duty { return []jayowner.Duty{jayowner.Fleet} },
 	})
--- a/jaymember/heartbeat.go
+++ b/jaymember/heartbeat.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jaythread/jayclock"
+	"jaythread/jaypace"
 	"jaythread/jayport"
 )
 
@@ -59,7 +60,7 @@
 func (l *Liveness) pollHeartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
 		l.checkHeartbeats()
-		jayclock.Sleep(ctx, heartbeatPollInterval)
+		jayclock.Sleep(ctx, max(heartbeatPollInterval, jaypace.Jitter(l.members.Pace.Interval(heartbeatsShare))))
 	}
 }
 
--- a/jaymember/members.go
+++ b/jaymember/members.go
@@ -11,6 +11,7 @@
 
 	"jaythread/jayclock"
 	"jaythread/jayowner"
+	"jaythread/jaypace"
 	"jaythread/jayport"
 	"jaythread/jayrelay"
 	"jaythread/jaytail"
@@ -34,6 +35,12 @@
 	// entriesWait is the same wait for the announcements. A new entry is known at once,
 	// so that duties are spread over all entries from the start.
 	entriesWait = 3 * time.Second
+	// claimsShare, entriesShare and heartbeatsShare are the shares of the store's rate that
+	// all entries may use to read claims, announcements and heartbeats that follow each
+	// other. Each record ends the waiting reads of all entries.
+	claimsShare     = 0.25
+	entriesShare    = 0.125
+	heartbeatsShare = 0.25
 )
 
 // Options configures a membership.
@@ -53,6 +60,8 @@
 	Store   *jayrelay.Store
 	Formats jayport.Formats
 	Logger  logr.Logger
+	// Pace limits the reads of all entries to the store's rate.
+	Pace *jaypace.Pace
 
 	// Partition returns the number of the partition that holds the records of a key.
 	Partition func(key string) int
@@ -99,16 +108,17 @@
 func (m *Members) follow(ctx context.Context) {
 	// The handler of the claims asks the tail for its offset, so tail must be set before
 	// the tail runs.
-	m.Owners.tail = m.newTail(topicOwners, ClaimsWait, m.Owners)
+	m.Owners.tail = m.newTail(topicOwners, ClaimsWait, claimsShare, m.Owners)
 	m.Go(func() { m.Owners.tail.Run(ctx) })
-	entries := m.newTail(topicEntries, entriesWait, m.Entries)
+	entries := m.newTail(topicEntries, entriesWait, entriesShare, m.Entries)
 	m.Go(func() { entries.Run(ctx) })
 	m.Go(func() { m.Entries.announce(ctx) })
 }
 
-func (m *Members) newTail(topic string, wait time.Duration, handler jaytail.Handler) *jaytail.Tail {
+func (m *Members) newTail(topic string, wait time.Duration, share float64, handler jaytail.Handler) *jaytail.Tail {
 	p := m.Formats.Own(topic, 0)
-	return jaytail.New(m.Store, p, jaytail.Options{Wait: wait}, handler, m.Clock, m.Logger.WithName(p.Topic))
+	options := jaytail.Options{Wait: wait, Interval: func() time.Duration { return m.Pace.Interval(share) }}
+	return jaytail.New(m.Store, p, options, handler, m.Clock, m.Logger.WithName(p.Topic))
 }
 
 // Close closes the connections to other entries.
--- a/jaymember/rate_test.go
+++ b/jaymember/rate_test.go
@@ -15,6 +15,7 @@
 
 	"jaythread/jayclock"
 	"jaythread/jayowner"
+	"jaythread/jaypace"
 	"jaythread/jayport"
 	"jaythread/jayrelay"
 	"jaythread/jaywire"
@@ -59,7 +60,7 @@
 	}
 	if !limiter.Allow() {
 		s.rejected++
-		return fmt.Errorf("%w: too many calls", jayport.ErrRejected)
+		return jayport.ErrRateExceeded
 	}
 	return nil
 }
@@ -183,9 +184,12 @@
 	clock := jayclock.Since(time.Now().Add(-time.Hour))
 	for n := range count {
 		name := "e" + strconv.Itoa(n)
-		members := New(Options{
+		var members *Members
+		pace := jaypace.New(readsPerSecond, func() int { return members.Entries.Count() })
+		members = New(Options{
+			Pace:  pace,
 			Entry: name, Incarnation: NewIncarnation(name), PeerAddr: "127.0.0.1:1", Clock: clock, Formats: testFormats{}, Logger: logr.Discard(),
-			Store:        jayrelay.New(store, relayPeers{store}, clock, logr.Discard()),
+			Store:        jayrelay.New(store, relayPeers{store}, clock, logr.Discard(), jayrelay.WithPace(pace)),
 			Partition:    func(string) int { return 0 },
 			Duties:       func() []jayowner.Duty { return nil },
 			OnClaimsRead: func() {},
@@ -195,7 +199,7 @@
 		go func() {
 			time.Sleep(300 * time.Millisecond * time.Duration(n) / time.Duration(count))
 			members.follow(ctx)
-			members.newTail("declarations", ClaimsWait, ignore{}).Run(ctx)
+			members.newTail("declarations", ClaimsWait, claimsShare, ignore{}).Run(ctx)
 		}()
 	}
 	return m
@@ -251,8 +255,10 @@
 		time.Sleep(time.Second)
 		for term := range int64(5) {
 			took := m.claim(t, term+1, 10*time.Second)
-			t.Log("known to all after", took, "rejected", store.takeRejected(), "entries without the store", m.lost())
+			rejected := store.takeRejected()
+			t.Log("known to all after", took, "rejected", rejected, "entries without the store", m.lost())
 			is.True(took < inForce)
+			is.Equal(rejected, 0)
 			time.Sleep(time.Second)
 		}
 		store.setDown(true)
--- a/jaynode/admit.go
+++ b/jaynode/admit.go
@@ -16,8 +16,9 @@
 	// entry cannot read the declarations. The retry reaches any entry.
 	declarationsRetryAfter = time.Second
 	// usualDeclarationsAge is the age that the declarations do not exceed while this entry
-	// reads them: a read waits for declarationsWait and then for its response.
-	usualDeclarationsAge = declarationsWait + 500*time.Millisecond
+	// reads them. They are known as of the time at which a read was sent, until the next read
+	// has its response; each of the two waits for declarationsWait.
+	usualDeclarationsAge = 2*declarationsWait + 500*time.Millisecond
 )
 
 // Admit decides whether a caller's request is served. Its error is a *jayverdict.Error.
--- a/jaynode/confirm.go
+++ b/jaynode/confirm.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jaythread/jayclock"
+	"jaythread/jaypace"
 	"jaythread/jaytail"
 )
 
@@ -21,6 +22,7 @@
 // it.
 type confirmer struct {
 	tail      *jaytail.Tail
+	pace      *jaypace.Pace
 	requested chan struct{}
 
 	mu sync.Mutex
@@ -30,8 +32,8 @@
 	failing bool
 }
 
-func newConfirmer(tail *jaytail.Tail) *confirmer {
-	return &confirmer{tail: tail, requested: make(chan struct{}, 1), read: make(chan struct{})}
+func newConfirmer(tail *jaytail.Tail, pace *jaypace.Pace) *confirmer {
+	return &confirmer{tail: tail, pace: pace, requested: make(chan struct{}, 1), read: make(chan struct{})}
 }
 
 // run performs the requested reads until the context ends.
@@ -48,7 +50,7 @@
 		close(c.read)
 		c.read = make(chan struct{})
 		c.mu.Unlock()
-		jayclock.Sleep(ctx, confirmInterval)
+		jayclock.Sleep(ctx, max(confirmInterval, jaypace.Jitter(c.pace.Interval(confirmShare))))
 	}
 }
 
--- a/jaynode/declarations.go
+++ b/jaynode/declarations.go
@@ -35,8 +35,9 @@
 
 func newDeclarations(n *Node) *declarations {
 	d := &declarations{formats: n.ports.Formats, logger: n.logger.WithName("catalog"), waves: map[string]declaredWave{}, now: n.clock}
-	d.tail = n.newTail(n.ports.Formats.Declarations(), jaytail.Options{Wait: declarationsWait}, d)
-	d.confirmer = newConfirmer(n.newTail(n.ports.Formats.Declarations(), jaytail.Options{}, d))
+	interval := func() time.Duration { return n.pace.Interval(declarationsShare) }
+	d.tail = n.newTail(n.ports.Formats.Declarations(), jaytail.Options{Wait: declarationsWait, Interval: interval}, d)
+	d.confirmer = newConfirmer(n.newTail(n.ports.Formats.Declarations(), jaytail.Options{}, d), n.pace)
 	return d
 }
 
--- a/jaynode/members.go
+++ b/jaynode/members.go
@@ -20,6 +20,7 @@
 		Store:           n.store,
 		Formats:         n.ports.Formats,
 		Logger:          n.logger,
+		Pace:            n.pace,
 		Partition:       n.partitionOf,
 		Duties:          n.dueDuties,
 		OwnsAnyDuty:     n.ownsAnyDuty,
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -13,6 +13,7 @@
 	"jaythread/jayclock"
 	"jaythread/jaymember"
 	"jaythread/jaymetric"
+	"jaythread/jaypace"
 	"jaythread/jaypeer"
 	"jaythread/jayport"
 	"jaythread/jayrelay"
@@ -44,8 +45,10 @@
 	settings Settings
 	ports    Ports
 	// store calls the platform's store, through peers if it cannot be reached directly.
-	store       *jayrelay.Store
-	relayPeers  *relayPeers
+	store      *jayrelay.Store
+	relayPeers *relayPeers
+	// pace limits the reads of all entries to the store's rate.
+	pace        *jaypace.Pace
 	clock       jayclock.Clock
 	logger      logr.Logger
 	metrics     *jaymetric.JobMetrics
@@ -90,6 +93,11 @@
 	// record. A record ends the wait at once; a connection that no longer answers is
 	// noticed only when the wait is over.
 	declarationsWait = time.Second
+	// declarationsShare and confirmShare are the shares of the store's rate that all entries
+	// may use to read changes of the declarations that follow each other, and to confirm
+	// them on behalf of callers.
+	declarationsShare = 0.25
+	confirmShare      = 0.25
 	// heartbeatsReadDelay is the delay between two reads of the workers' heartbeats. A
 	// draining worker still gets tasks until its heartbeat is read.
 	heartbeatsReadDelay = 300 * time.Millisecond
@@ -114,7 +122,8 @@
 	n.logger = n.logger.WithValues("entry", settings.Entry)
 	n.ports = metered(n.ports, n.metrics, n.clock)
 	n.relayPeers = &relayPeers{node: n, link: jaypeer.NewClient(n.incarnation, relayTimeout, nil)}
-	n.store = jayrelay.New(n.ports.Store, n.relayPeers, n.clock, n.logger.WithName("store"))
+	n.pace = jaypace.New(settings.StoreReadRate, func() int { return n.members.Entries.Count() })
+	n.store = jayrelay.New(n.ports.Store, n.relayPeers, n.clock, n.logger.WithName("store"), jayrelay.WithPace(n.pace))
 	n.peers = jaypeer.NewClient(n.incarnation, peerTimeout, nil)
 	n.peerServer = jaypeer.NewServer(n.incarnation, peerTimeout, n.handlePeer)
 	n.declarations = newDeclarations(n)
--- a/jaynode/settings.go
+++ b/jaynode/settings.go
@@ -10,6 +10,9 @@
 	// ProcessorsMilli and LinkMegabits are the entry's share of its host.
 	ProcessorsMilli int64
 	LinkMegabits    int64
+	// StoreReadRate is the number of reads per second that the store serves all entries
+	// together. Zero means that there is no limit.
+	StoreReadRate float64
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
 	// StopTime is the maximum time that a worker takes to stop a run.
--- a/jayoptions/jobs.go
+++ b/jayoptions/jobs.go
@@ -28,6 +28,9 @@
 	// first to the entries with the most resources.
 	Processors   float64 `json:"processors"`
 	LinkMegabits float64 `json:"linkMegabits"`
+	// StoreReadRate is the number of reads per second that the store serves all entries
+	// together. Entries that are many read less often. Zero means that there is no limit.
+	StoreReadRate float64 `json:"storeReadRate"`
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease Duration `json:"maxLease"`
 	// StopTime is the longest time that a worker takes to stop a run.
@@ -111,6 +114,7 @@
 	}
 	checkNumber(d, "/jobService/processors", j.Processors, 0.01, 1024)
 	checkNumber(d, "/jobService/linkMegabits", j.LinkMegabits, 0.1, 1e6)
+	checkNumber(d, "/jobService/storeReadRate", j.StoreReadRate, 0, 1e9)
 	checkNumber(d, "/jobService/farFactor", j.FarFactor, 1, 1000)
 	checkDuration(d, "/jobService/maxLease", j.MaxLease, 500*time.Millisecond, time.Hour)
 	checkDuration(d, "/jobService/stopTime", j.StopTime, 0, time.Minute)
--- a/jayrelay/regain.go
+++ b/jayrelay/regain.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jaythread/jaypace"
 	"jaythread/jayport"
 )
 
@@ -19,13 +20,11 @@
 	}
 	s.probing = true
 	go func() {
-		tick := time.NewTicker(probeInterval)
-		defer tick.Stop()
 		for s.continueProbing() {
 			// Probes may overlap: a store that does not respond holds each one
 			// until its timeout.
 			go s.probe()
-			<-tick.C
+			time.Sleep(max(probeInterval, jaypace.Jitter(s.pace.Interval(probeShare))))
 		}
 	}()
 }
@@ -35,7 +34,7 @@
 func (s *Store) continueProbing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.probing = s.failures >= failureThreshold
+	s.probing = s.lost
 	return s.probing
 }
 
@@ -49,10 +48,10 @@
 	if pathFailed(err) {
 		return
 	}
-	if s.failures < failureThreshold {
+	if !s.lost {
 		return
 	}
-	s.failures = 0
+	s.failures, s.lost, s.relayAfter = 0, false, 0
 	s.regainedAt = sent
 	close(s.regained)
 	s.regained = make(chan struct{})
--- a/jayrelay/relay.go
+++ b/jayrelay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"jaythread/jayclock"
+	"jaythread/jaypace"
 	"jaythread/jayport"
 	"jaythread/jaywire"
 )
@@ -32,6 +33,10 @@
 	maxRelayWait = 500 * time.Millisecond
 	// maxPeersPerCall limits the number of peers that are tried for one call.
 	maxPeersPerCall = 2
+	// probeShare and relayShare are the shares of the store's rate that the probes of all
+	// entries, and the calls that they relay without success, may use.
+	probeShare = 0.25
+	relayShare = 0.125
 )
 
 // Peers provides access to the entries that can relay calls.
@@ -49,10 +54,18 @@
 	peers  Peers
 	clock  jayclock.Clock
 	logger logr.Logger
+	pace   *jaypace.Pace
 
-	mu       sync.Mutex
-	failures int
-	lostAt   time.Duration
+	mu sync.Mutex
+	// failures is the number of consecutive failures of direct calls, failingSince the
+	// time of the first one, and lost is set while calls go to peers only.
+	failures     int
+	failingSince time.Duration
+	lost         bool
+	lostAt       time.Duration
+	// relayAfter is the time before which no call is relayed, since the store has
+	// rejected relayed calls too.
+	relayAfter time.Duration
 	// rateExceededAt is when the store last rejected a call for its rate, or zero.
 	rateExceededAt time.Duration
 	// latency is a moving average of the duration of direct appends.
@@ -68,16 +81,29 @@
 	probing    bool
 }
 
+// Option configures a new store.
+type Option func(*Store)
+
+// WithPace limits the calls that are made because others have failed, so that those of all
+// entries stay within the store's rate.
+func WithPace(pace *jaypace.Pace) Option {
+	return func(s *Store) { s.pace = pace }
+}
+
 // New returns a store that falls back to peers when direct calls fail.
-func New(direct jayport.Store, peers Peers, clock jayclock.Clock, logger logr.Logger) *Store {
-	return &Store{direct: direct, peers: peers, clock: clock, logger: logger, regained: make(chan struct{})}
+func New(direct jayport.Store, peers Peers, clock jayclock.Clock, logger logr.Logger, options ...Option) *Store {
+	s := &Store{direct: direct, peers: peers, clock: clock, logger: logger, pace: jaypace.New(0, nil), regained: make(chan struct{})}
+	for _, option := range options {
+		option(s)
+	}
+	return s
 }
 
 // Direct reports whether calls go directly to the store.
 func (s *Store) Direct() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.failures < failureThreshold
+	return !s.lost
 }
 
 // LostFor returns the duration of the current outage of the direct connection, or
@@ -85,7 +111,7 @@
 func (s *Store) LostFor() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.failures < failureThreshold {
+	if !s.lost {
 		return 0
 	}
 	return s.clock() - s.lostAt
@@ -203,8 +229,16 @@
 		if errors.Is(err, jayport.ErrNoAnswer) && (!idempotent || s.Direct()) {
 			return none, err
 		}
+		if errors.Is(err, jayport.ErrRateExceeded) && s.Direct() {
+			// Relaying the call would make more calls of too many.
+			return none, err
+		}
+	}
+	var peers []string
+	if !s.relaysSuspended() {
+		peers = s.relayPeers()
 	}
-	for _, peer := range s.relayPeers() {
+	for _, peer := range peers {
 		got, relayedErr := relayed(peer)
 		if !pathFailed(relayedErr) {
 			s.recordRelayPeer(peer)
@@ -215,12 +249,29 @@
 			return none, err
 		}
 	}
+	if len(peers) > 0 {
+		s.suspendRelays()
+	}
 	if err == nil {
 		err = jayport.ErrRejected
 	}
 	return none, err
 }
 
+func (s *Store) relaysSuspended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.clock() < s.relayAfter
+}
+
+// suspendRelays stops relaying for a while, since the store has not served the calls of
+// peers either.
+func (s *Store) suspendRelays() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.relayAfter = s.clock() + jaypace.Jitter(s.pace.Interval(relayShare))
+}
+
 // lessCertain returns the error of two that leaves the outcome less certain: a call
 // that was rejected on one path may have taken effect on the other.
 func lessCertain(a, b error) error {
@@ -243,21 +294,31 @@
 	defer s.mu.Unlock()
 	s.recordRate(err)
 	if pathFailed(err) {
+		if s.failures == 0 {
+			s.failingSince = s.clock()
+		}
 		s.failures++
-		if s.failures == failureThreshold {
-			s.lostAt = s.clock()
+		if !s.lost && s.failures >= failureThreshold && !s.withinRateTolerance(err) {
+			s.lost, s.lostAt = true, s.clock()
 			s.logger.Info("store lost", "error", err.Error())
 			s.probeUntilRegained()
 		}
 		return false
 	}
-	if s.failures >= failureThreshold {
+	if s.lost {
 		s.logger.Info("store regained", "lostFor", (s.clock() - s.lostAt).String())
 	}
-	s.failures = 0
+	s.failures, s.lost = 0, false
 	return true
 }
 
+// withinRateTolerance reports whether a call was rejected for its rate and calls have not been
+// rejected for long: the entries then make too many calls for a moment, and this entry is not
+// the only one that the store rejects. The caller holds the lock.
+func (s *Store) withinRateTolerance(err error) bool {
+	return errors.Is(err, jayport.ErrRateExceeded) && s.clock()-s.failingSince < s.pace.Interval(probeShare)
+}
+
 // relayPeers returns the peers to try in order: first the one that relayed the last
 // call, then others in rotation.
 func (s *Store) relayPeers() []string {
--- a/jaytail/tail.go
+++ b/jaytail/tail.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"jaythread/jayclock"
+	"jaythread/jaypace"
 	"jaythread/jayport"
 )
 
@@ -41,6 +42,9 @@
 	// counts as false.
 	Pause  time.Duration
 	Urgent func() bool
+	// Interval returns the least time between two reads on average, also after one that was
+	// rejected for its rate. A nil Interval counts as zero.
+	Interval func() time.Duration
 	// Needed returns whether the records are needed at present. While it returns
 	// false nothing is read, since each read is billed. A nil Needed counts as
 	// true.
@@ -106,27 +110,48 @@
 
 // Run follows the partition until the context ends.
 func (t *Tail) Run(ctx context.Context) {
+	delayed := time.Duration(0)
 	for ctx.Err() == nil {
 		if t.options.Needed != nil && !t.options.Needed() {
 			jayclock.Sleep(ctx, neededPollInterval)
 			continue
 		}
-		wait := t.options.Wait
+		// A read that was delayed waits for less, so that AsOf is not older for it.
+		wait := max(0, t.options.Wait-delayed)
 		if t.lostSince != 0 {
 			// After an outage the missed records, or the information that there
 			// are none, are needed at once.
 			wait = 0
 		}
+		started := t.clock()
 		if err := t.Step(wait); err != nil {
 			t.markLost(err)
-			jayclock.Sleep(ctx, errorRetryDelay)
+			jayclock.Sleep(ctx, t.retryDelay(err, started))
 			continue
 		}
 		t.markRegained()
-		jayclock.Sleep(ctx, t.pause())
+		delayed = max(0, t.intervalAfter(started))
+		jayclock.Sleep(ctx, max(t.pause(), delayed))
 	}
 }
 
+// retryDelay returns the delay before a failed read is repeated.
+func (t *Tail) retryDelay(err error, started time.Duration) time.Duration {
+	if errors.Is(err, jayport.ErrRateExceeded) {
+		return max(errorRetryDelay, t.intervalAfter(started))
+	}
+	return errorRetryDelay
+}
+
+// intervalAfter returns what is left of Options.Interval since a read was started. The
+// interval varies, so that the tails of many entries do not read at the same moment.
+func (t *Tail) intervalAfter(started time.Duration) time.Duration {
+	if t.options.Interval == nil {
+		return 0
+	}
+	return jaypace.Jitter(t.options.Interval()) - (t.clock() - started)
+}
+
 // urgentDivisor is the divisor of Options.Pause while Options.Urgent returns true.
 const urgentDivisor = 3
 
--- a/jaytail/tail_test.go
+++ b/jaytail/tail_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -89,6 +90,54 @@
 	return page, nil
 }
 
+// waitingStore is a memoryStore whose reads wait for a record and are counted.
+type waitingStore struct {
+	mu sync.Mutex
+	*memoryStore
+	reads int
+}
+
+func (w *waitingStore) put(key, value string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.memoryStore.put(key, value)
+}
+
+// takeReads returns the number of reads since its last call.
+func (w *waitingStore) takeReads() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	reads := w.reads
+	w.reads = 0
+	return reads
+}
+
+// Latest returns a page of the newest records.
+func (w *waitingStore) Latest(p jayport.Partition, after string, timeout time.Duration) (jayport.Latest, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.memoryStore.Latest(p, after, timeout)
+}
+
+func (w *waitingStore) read(p jayport.Partition, from int64) (jayport.Page, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.memoryStore.Read(p, from, 0, 0)
+}
+
+// Read returns the records from an offset on.
+func (w *waitingStore) Read(p jayport.Partition, from int64, wait, _ time.Duration) (jayport.Page, error) {
+	w.mu.Lock()
+	w.reads++
+	w.mu.Unlock()
+	for began := time.Now(); ; time.Sleep(time.Millisecond) {
+		page, err := w.read(p, from)
+		if err != nil || len(page.Records) > 0 || time.Since(began) >= wait {
+			return page, err
+		}
+	}
+}
+
 // recordingHandler is a handler that keeps the newest value of each key.
 type recordingHandler struct {
 	values map[string]string
@@ -278,6 +327,40 @@
 		m.fail = jayport.ErrRejected
 		is.New(t).Equal(reads(t, m, Options{}), 10)
 	})
+	t.Run("pauses for the interval after a read that was rejected for its rate", func(t *testing.T) {
+		is := is.New(t)
+		m := newMemoryStore()
+		m.fail = jayport.ErrRateExceeded
+		count := reads(t, m, Options{Interval: func() time.Duration { return 500 * time.Millisecond }})
+		is.True(count >= 2 && count <= 8) // each pause is 250 to 750 ms
+	})
+	t.Run("reads at the interval while records follow each other", func(t *testing.T) {
+		// Each record of one entry ends the waiting reads of all: without an interval, the
+		// reads grow with the square of the entries.
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			store := &waitingStore{memoryStore: newMemoryStore()}
+			clock := jayclock.Since(time.Now().Add(-time.Hour))
+			options := Options{Wait: time.Second, Interval: func() time.Duration { return 500 * time.Millisecond }}
+			tail := New(store, jayport.Partition{Topic: "t"}, options, &recordingHandler{}, clock, logr.Discard())
+			ctx, cancel := context.WithCancel(t.Context())
+			defer func() {
+				cancel()
+				time.Sleep(2 * options.Wait) // lets the pending read return
+			}()
+			go tail.Run(ctx)
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				store.put("k", "x")
+			}
+			reads := store.takeReads()
+			is.True(reads >= 13 && reads <= 40) // 250 to 750 ms apart
+			time.Sleep(9 * time.Second)
+			reads = store.takeReads()
+			is.True(reads >= 9 && reads <= 11) // each waits for a second
+			is.True(clock()-tail.AsOf() <= 2*options.Wait)
+		})
+	})
 	t.Run("polls Needed every 20 ms", func(t *testing.T) {
 		looks := 0
 		needed := func() bool { looks++; return false }
