--- a/jayrelay/relay_test.go
+++ b/jayrelay/relay_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"jaythread/jaypace"
 	"jaythread/jayport"
 	"jaythread/jaywire"
 )
@@ -187,6 +188,55 @@
 	})
 }
 
+func TestRejectionsForTheRateAreNotMultiplied(t *testing.T) {
+	// Guards against entries that answer a store which limits their rate with more calls.
+	newPaced := func(direct, peer *fakeStore) *Store {
+		began := time.Now()
+		pace := jaypace.New(2000, func() int { return 300 })
+		return New(direct, fakePeers{"p1": peer}, func() time.Duration { return time.Since(began) }, logr.Discard(), WithPace(pace))
+	}
+	t.Run("a call is relayed only after calls were rejected for some time", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			direct, peer := &fakeStore{err: jayport.ErrRateExceeded}, &fakeStore{}
+			s := newPaced(direct, peer)
+			for range 5 {
+				_, err := s.Append(numbered(), time.Second)
+				is.True(errors.Is(err, jayport.ErrRateExceeded))
+				time.Sleep(100 * time.Millisecond)
+			}
+			is.Equal(peer.counted(), 0)
+			is.True(s.RateExceededAt() > 0)
+			// The store rejects this entry alone.
+			time.Sleep(200 * time.Millisecond)
+			_, err := s.Append(numbered(), time.Second)
+			is.NoErr(err)
+			is.Equal(peer.counted(), 1)
+			direct.set(nil)
+			time.Sleep(2 * time.Second)
+			is.True(s.Direct())
+		})
+	})
+	t.Run("nothing is relayed for a while after the peers were rejected too", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			direct, peer := &fakeStore{err: errRejected}, &fakeStore{err: errRejected}
+			s := newPaced(direct, peer)
+			for range 10 {
+				_, err := s.Append(numbered(), time.Second)
+				is.True(errors.Is(err, jayport.ErrRejected))
+			}
+			is.Equal(peer.counted(), 1)
+			time.Sleep(2 * time.Second)
+			_, _ = s.Append(numbered(), time.Second)
+			is.Equal(peer.counted(), 2)
+			direct.set(nil)
+			time.Sleep(2 * time.Second)
+			is.True(s.Direct())
+		})
+	})
+}
+
 func TestErrorEncoding(t *testing.T) {
 	for _, want := range []error{
 		jayport.ErrNoAnswer, jayport.ErrRejected, jayport.ErrMalformed,
