A job that is shown as done outlives its owner and its worker

Callers saw (soak, once): a job was shown as done, then as queued, and ran again. While the store takes no records, a job that is done is shown after 0.15 s; its end is then known to its owner and kept by a worker. Both were lost before the end was recorded, and the next owner knew nothing of it. Class: an answer that depends on two holders which one event can take.

An entry that is told of an unrecorded end keeps it before it answers its caller; an owner that is asked itself first has a peer keep it, and goes on showing the job as running if none does. A new owner asks all entries for what they keep of its pool, beside its reads of the store, for 350 ms at most, and ends these jobs without starting anything; their ends are recorded as usual. From then on an entry keeps nothing for owners with a lower fence, so that a replaced owner which does not know it shows nothing that its successor does not learn of. It is a word of what was shown, in memory and bounded (10,000 jobs a pool), not a store.

What remains: an end is lost if the witness is lost with owner and worker, or does not answer the next owner within 350 ms.

--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -61,6 +61,7 @@
 	heartbeats   *workerHeartbeats
 	members      *jaymember.Members
 	intake       *intake
+	witnesses    *witnesses
 	peers        *jaypeer.Client
 	peerServer   *jaypeer.Server
 
@@ -130,6 +131,7 @@
 	n.heartbeats = newWorkerHeartbeats(n)
 	n.members = newMembers(n)
 	n.intake = newIntake(n)
+	n.witnesses = newWitnesses(n)
 	n.registerGauges()
 	return n
 }
@@ -248,6 +250,12 @@
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Demand{Demand: n.demandOwned(body.AskDemand)}}
 	case *jaywire.PeerRequest_StoreCall:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_StoreResult{StoreResult: jayrelay.Serve(n.ports.Store, body.StoreCall)}}
+	case *jaywire.PeerRequest_WitnessJob:
+		kept := n.witnesses.keep(body.WitnessJob.Pool, body.WitnessJob.Job, body.WitnessJob.Fence)
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_JobWitnessed{JobWitnessed: &jaywire.JobWitnessed{Kept: kept}}}
+	case *jaywire.PeerRequest_AskWitnessed:
+		jobs := n.witnesses.collect(body.AskWitnessed.Pool, body.AskWitnessed.Fence)
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_WitnessedJobs{WitnessedJobs: &jaywire.WitnessedJobs{Jobs: jobs}}}
 	case *jaywire.PeerRequest_Ping:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Pong{Pong: &jaywire.Pong{Stopping: n.stopping.Load(), ClockMicros: n.clock().Microseconds()}}}
 	default:
--- a/jaynode/queries.go
+++ b/jaynode/queries.go
@@ -31,8 +31,30 @@
 		}
 	}()
 	return n.askOwner(queue.Pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskJob{
-		AskJob: &jaywire.AskJob{Pool: queue.Pool, Job: id, Organisation: &organisation},
-	}})
+		AskJob: &jaywire.AskJob{Pool: queue.Pool, Job: id, Organisation: &organisation, Witness: true},
+	}}, func(c jayowner.Claim, answer *jaywire.JobAnswer) bool {
+		if !answer.GetUnrecorded() || n.witness(c, queue.Pool, id, answer.GetFence()) {
+			return true
+		}
+		// Without a witness, this owner shows the job as done only once that is recorded.
+		answer.State = jaywire.JobState_JOB_STATE_RUNNING
+		return c.Incarnation == n.incarnation
+	})
+}
+
+// witness makes this entry the witness of a job that the owner of a pool shows as done before
+// that is recorded. If this entry is the owner, a peer becomes the witness.
+func (n *Node) witness(c jayowner.Claim, pool, id string, fence int64) bool {
+	if c.Incarnation != n.incarnation {
+		return n.witnesses.keep(pool, id, fence)
+	}
+	if !n.placeWitness(pool, id, fence) {
+		return false
+	}
+	if duty := n.ownedPool(pool); duty != nil {
+		duty.post(func(time.Duration) { duty.pool.Witnessed(id) })
+	}
+	return true
 }
 
 // CancelJob cancels a job; known is false if the job does not exist or belongs to another
@@ -45,7 +67,7 @@
 	}()
 	_, known, err = n.askOwner(queue.Pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_CancelJob{
 		CancelJob: &jaywire.CancelJob{Pool: queue.Pool, Job: id, Organisation: &organisation},
-	}})
+	}}, func(jayowner.Claim, *jaywire.JobAnswer) bool { return true })
 	return known, err
 }
 
@@ -68,7 +90,7 @@
 	}}
 	var pending int
 	began := n.clock()
-	err := n.askUntilAnswered(queue.Pool, deadline, request, func(r *jaywire.PeerResponse) bool {
+	err := n.askUntilAnswered(queue.Pool, deadline, request, func(_ jayowner.Claim, r *jaywire.PeerResponse) bool {
 		answer := r.GetPending()
 		pending = int(answer.GetPending())
 		return answer.GetOwned()
@@ -77,24 +99,27 @@
 	return pending, err
 }
 
-func (n *Node) askOwner(pool string, deadline time.Duration, request *jaywire.PeerRequest) (state jaysched.State, known bool, err error) {
-	err = n.askUntilAnswered(pool, deadline, request, func(r *jaywire.PeerResponse) bool {
+// askOwner asks the owner of a pool about a job until it answers. An answer counts only if
+// accept, which is given the owner's claim, accepts it.
+func (n *Node) askOwner(pool string, deadline time.Duration, request *jaywire.PeerRequest, accept func(jayowner.Claim, *jaywire.JobAnswer) bool) (state jaysched.State, known bool, err error) {
+	err = n.askUntilAnswered(pool, deadline, request, func(c jayowner.Claim, r *jaywire.PeerResponse) bool {
 		answer := r.GetJob()
+		accepted := answer.GetOwned() && accept(c, answer)
 		known = answer.GetKnown()
 		state = stateOf(answer.GetState())
-		return answer.GetOwned()
+		return accepted
 	})
 	return state, known, err
 }
 
 // askUntilAnswered repeats a query until the owner of the pool answers or the deadline
 // has passed. The queries are idempotent.
-func (n *Node) askUntilAnswered(pool string, deadline time.Duration, request *jaywire.PeerRequest, owned func(*jaywire.PeerResponse) bool) error {
+func (n *Node) askUntilAnswered(pool string, deadline time.Duration, request *jaywire.PeerRequest, answered func(jayowner.Claim, *jaywire.PeerResponse) bool) error {
 	until := n.clock() + deadline
 	for {
 		if c, ok := n.members.Owners.OwnerOf(jayowner.PoolDuty(pool)); ok {
 			response, err := n.askIncarnation(c, request)
-			if err == nil && owned(response) {
+			if err == nil && answered(c, response) {
 				return nil
 			}
 		}
@@ -122,18 +147,26 @@
 
 // askOwned answers a query for the state of a job if this entry owns its pool.
 func (n *Node) askOwned(ask *jaywire.AskJob) *jaywire.JobAnswer {
-	stateKnown := true
+	stateKnown, unrecorded := true, false
 	answer := n.answerOwned(ask.Pool, func(p *jaysched.Pool, now time.Duration) (jaysched.State, bool) {
 		if !visible(p, ask.Organisation, ask.Job) {
 			return jaysched.Queued, false
 		}
 		stateKnown = p.StateKnown(ask.Job, now)
+		unrecorded = p.NeedsWitness(ask.Job, now)
+		if unrecorded && !ask.Witness {
+			return jaysched.Running, true
+		}
 		return p.StateOf(ask.Job, now)
 	})
 	if !stateKnown {
 		// The entry that asked retries after queryRetryDelay.
 		return &jaywire.JobAnswer{}
 	}
+	answer.Unrecorded = unrecorded && ask.Witness
+	if duty := n.ownedPool(ask.Pool); duty != nil {
+		answer.Fence = duty.claim.Fence
+	}
 	return answer
 }
 
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -46,7 +46,9 @@
 	}
 	// Both are read in parallel, since each call takes long if the store is slow.
 	var jobs sync.WaitGroup
+	var shown map[string]bool
 	jobs.Go(d.loadJobs)
+	jobs.Go(func() { shown = d.node.collectWitnessed(d.name, d.claim.Fence) })
 	defer jobs.Wait()
 	progress := d.loadProgress()
 	jobs.Wait()
@@ -54,6 +56,10 @@
 		return false
 	}
 	d.jobs.finishLoad(progress)
+	for _, id := range slices.Sorted(maps.Keys(shown)) {
+		d.logger.Info("job was shown as done by a former owner", "job", id)
+		d.pool.RestoreShown(id, d.node.clock())
+	}
 	d.updateWorkers(d.node.clock())
 	d.node.duties.Go(d.pollInventory)
 	d.node.metrics.DutyChanged(string(d.claim.Duty), "takenOver")
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -73,6 +73,8 @@
 	// recorded is the outcome recorded in the store. Callers are shown no other outcome, since
 	// the loss of the owner would revoke it.
 	recorded Outcome
+	// witnessed says that another entry keeps that the job is shown as done.
+	witnessed bool
 	// removing says that the records of the ended job are being removed.
 	removing bool
 	started  bool
@@ -281,9 +283,10 @@
 // not know to have ended. While the store is unavailable that would delay every answer until
 // the store is available again, so a job that is done is shown as done after a short time: the
 // workers keep its ends too, the next owner asks them, and a worker with unrecorded ends is not
-// moved to another pool.
+// moved to another pool. An entry is its witness, which the next owner asks as well: the worker
+// may be lost with the owner.
 func (j *job) shownOutcome(now time.Duration) Outcome {
-	if j.recorded == Open && j.outcome == Done && now-j.endedAt > showUnrecordedAfter {
+	if j.recorded == Open && j.outcome == Done && (j.witnessed || now-j.endedAt > showUnrecordedAfter) {
 		return Done
 	}
 	return j.recorded
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -210,6 +210,20 @@
 	return j.state(now), true
 }
 
+// NeedsWitness reports whether the outcome that is shown of a job would be lost with this owner
+// and a worker.
+func (p *Pool) NeedsWitness(id string, now time.Duration) bool {
+	j, known := p.jobs[id]
+	return known && j.recorded == Open && !j.witnessed && j.shownOutcome(now) != Open
+}
+
+// Witnessed records that another entry keeps that a job is shown as done.
+func (p *Pool) Witnessed(id string) {
+	if j, known := p.jobs[id]; known {
+		j.witnessed = true
+	}
+}
+
 // VisibleTo reports whether the callers of an organisation may know of a job. A job without an
 // organisation is known to all: its queue needs no key, or it was submitted before there were
 // organisations.
--- a/jaysched/record_test.go
+++ b/jaysched/record_test.go
@@ -128,11 +128,23 @@
 	w.storeUnavailable = true
 	w.pass(time.Millisecond)
 	w.reports()
+	is.True(!w.pool.NeedsWitness("j", w.now)) // not shown yet
 	w.pass(2 * showUnrecordedAfter)
 	wantState(t, w, "j", StateDone)
+	is.True(w.pool.NeedsWitness("j", w.now))
+	w.pool.Witnessed("j")
+	is.True(!w.pool.NeedsWitness("j", w.now))
 	next := newHarness(t, 1, WithFence(2, 2))
 	next.pool.Restore(spec, nil, next.now)
+	next.pool.RestoreShown("j", next.now)
 	state, known := next.pool.StateOf("j", next.now)
 	is.True(known)
 	is.Equal(state, StateDone)
+	is.True(next.pool.StateKnown("j", next.now))
+	next.run()
+	next.pass(time.Second)
+	is.Equal(next.starts("j.0.0.0"), 0)
+	next.record()
+	wantState(t, next, "j", StateDone)
+	is.Equal(next.pool.jobs["j"].recorded, Done)
 }
--- a/jaysched/restore.go
+++ b/jaysched/restore.go
@@ -48,6 +48,18 @@
 	return !unreported
 }
 
+// RestoreShown ends a restored job that a former owner has shown as done, by the word of a
+// witness. Its end is recorded like any other.
+func (p *Pool) RestoreShown(id string, now time.Duration) {
+	j, known := p.jobs[id]
+	if !known || j.outcome != Open {
+		return
+	}
+	j.witnessed = true
+	p.end(j, Done, now)
+	p.recordEvent(Event{Kind: JobEnded, Job: id, Detail: Done.String(), Waited: now - j.submittedAt}, now)
+}
+
 // RestoreUnreadable adds a job whose recorded progress cannot be read. Its runs continue, but
 // none of its tasks is started: a task that is done would run twice.
 func (p *Pool) RestoreUnreadable(spec *jayspec.Job, now time.Duration) {
