Witnesses: the register is a package of its own, and a pool's first owner asks nobody

jaynode is too large already; jaywitness has what an entry keeps, without input or output. The first owner of a pool (term 1) has no predecessor that could have shown anything: with 300 entries it would ask 299 at the start for nothing.

--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -19,6 +19,7 @@
 	"jaythread/jayrelay"
 	"jaythread/jaytail"
 	"jaythread/jaywire"
+	"jaythread/jaywitness"
 )
 
 // Topics of the job service in the platform's store.
@@ -61,7 +62,7 @@
 	heartbeats   *workerHeartbeats
 	members      *jaymember.Members
 	intake       *intake
-	witnesses    *witnesses
+	witnesses    *jaywitness.Register
 	peers        *jaypeer.Client
 	peerServer   *jaypeer.Server
 
@@ -131,7 +132,7 @@
 	n.heartbeats = newWorkerHeartbeats(n)
 	n.members = newMembers(n)
 	n.intake = newIntake(n)
-	n.witnesses = newWitnesses(n)
+	n.witnesses = jaywitness.New(n.clock, settings.RetainEnded)
 	n.registerGauges()
 	return n
 }
@@ -251,10 +252,10 @@
 	case *jaywire.PeerRequest_StoreCall:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_StoreResult{StoreResult: jayrelay.Serve(n.ports.Store, body.StoreCall)}}
 	case *jaywire.PeerRequest_WitnessJob:
-		kept := n.witnesses.keep(body.WitnessJob.Pool, body.WitnessJob.Job, body.WitnessJob.Fence)
+		kept := n.witnesses.Keep(body.WitnessJob.Pool, body.WitnessJob.Job, body.WitnessJob.Fence)
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_JobWitnessed{JobWitnessed: &jaywire.JobWitnessed{Kept: kept}}}
 	case *jaywire.PeerRequest_AskWitnessed:
-		jobs := n.witnesses.collect(body.AskWitnessed.Pool, body.AskWitnessed.Fence)
+		jobs := n.witnesses.Collect(body.AskWitnessed.Pool, body.AskWitnessed.Fence)
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_WitnessedJobs{WitnessedJobs: &jaywire.WitnessedJobs{Jobs: jobs}}}
 	case *jaywire.PeerRequest_Ping:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Pong{Pong: &jaywire.Pong{Stopping: n.stopping.Load(), ClockMicros: n.clock().Microseconds()}}}
--- a/jaynode/queries.go
+++ b/jaynode/queries.go
@@ -42,21 +42,6 @@
 	})
 }
 
-// witness makes this entry the witness of a job that the owner of a pool shows as done before
-// that is recorded. If this entry is the owner, a peer becomes the witness.
-func (n *Node) witness(c jayowner.Claim, pool, id string, fence int64) bool {
-	if c.Incarnation != n.incarnation {
-		return n.witnesses.keep(pool, id, fence)
-	}
-	if !n.placeWitness(pool, id, fence) {
-		return false
-	}
-	if duty := n.ownedPool(pool); duty != nil {
-		duty.post(func(time.Duration) { duty.pool.Witnessed(id) })
-	}
-	return true
-}
-
 // CancelJob cancels a job; known is false if the job does not exist or belongs to another
 // organisation than the caller. Its error is a *jayverdict.Error.
 func (n *Node) CancelJob(queue jaycatalog.Queue, organisation, id string, deadline time.Duration) (known bool, err error) {
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -48,7 +48,9 @@
 	var jobs sync.WaitGroup
 	var shown map[string]bool
 	jobs.Go(d.loadJobs)
-	jobs.Go(func() { shown = d.node.collectWitnessed(d.name, d.claim.Fence) })
+	if d.claim.Term > 1 {
+		jobs.Go(func() { shown = d.node.collectWitnessed(d.name, d.claim.Fence) })
+	}
 	defer jobs.Wait()
 	progress := d.loadProgress()
 	jobs.Wait()
