Test: an unrecorded end is told to entries that keep it only

TestUnrecordedEndIsToldToWitnessesOnly: an entry of an earlier version, which keeps no ends, is told of a job that is done only once that is recorded.

--- a/jaynode/witness_test.go
+++ b/jaynode/witness_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
 	"jaythread/jayclock"
+	"jaythread/jayport"
 	"jaythread/jaywire"
 	"jaythread/jaywitness"
 )
@@ -22,3 +25,44 @@
 	is.Equal(answer.GetWitnessedJobs().GetJobs(), []string{"a"})
 	is.True(!keep(2))
 }
+
+func TestUnrecordedEndIsToldToWitnessesOnly(t *testing.T) {
+	// Guards against a job that an entry of an earlier version shows as done, and that runs
+	// again: such an entry keeps no ends.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newPoolFixture(t, 1)
+		w.entry.node.pools["seats"] = w.duty
+		w.refreshClaimsFor(time.Second)
+		w.entry.store.set(func(s *faultyStore) { s.refuseTopic = topicProgress })
+		ended := map[string][]jayport.EndedRun{}
+		for range 2 { // steps
+			w.workers.mu.Lock()
+			for id, active := range w.workers.active {
+				for run := range active {
+					ended[id] = append(ended[id], jayport.EndedRun{Number: int64(len(ended[id]) + 1), Run: run, Ending: jayport.EndedDone})
+				}
+				report := jayport.Report{Clock: w.clock(), Ended: ended[id]}
+				w.duty.post(func(now time.Duration) { w.duty.pool.Reported(jayport.WorkerRef{ID: id}, report, now, now) })
+				clear(active)
+			}
+			w.workers.mu.Unlock()
+			w.refreshClaimsFor(500 * time.Millisecond)
+		}
+		ask := func(witness bool) *jaywire.JobAnswer {
+			return w.entry.node.askOwned(&jaywire.AskJob{Pool: "seats", Job: testID, Witness: witness})
+		}
+		answer := ask(true)
+		is.Equal(answer.State, jaywire.JobState_JOB_STATE_DONE)
+		is.True(answer.Unrecorded)
+		is.Equal(answer.Fence, w.claim.Fence)
+		answer = ask(false)
+		is.Equal(answer.State, jaywire.JobState_JOB_STATE_RUNNING)
+		is.True(!answer.Unrecorded)
+		w.entry.store.set(func(s *faultyStore) { s.refuseTopic = "" })
+		w.refreshClaimsFor(time.Second)
+		answer = ask(false)
+		is.Equal(answer.State, jaywire.JobState_JOB_STATE_DONE)
+		is.True(!answer.Unrecorded)
+	})
+}
