--- a/jaynode/admit_test.go
+++ b/jaynode/admit_test.go
@@ -54,8 +54,9 @@
 
 // newAdmission returns an entry that follows the declarations and the claims. The first
 // declaration has the queue /old/.
-func newAdmission(ctx context.Context, t *testing.T) *admission {
+func newAdmission(t *testing.T) *admission {
 	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
 	clock := jayclock.Since(time.Now().Add(-time.Hour))
 	a := &admission{t: t, store: &faultyStore{store: newSharedStore()}}
 	a.declare("/old/")
@@ -66,6 +67,10 @@
 	a.node.duties.Go(func() { d.confirmer.run(ctx) })
 	claims := a.node.newTail(testFormats{}.Own("owners", 0), jaytail.Options{Wait: declarationsWait}, ignoreRecords{})
 	a.node.duties.Go(func() { claims.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		time.Sleep(20 * time.Second) // lets pending calls return
+	})
 	time.Sleep(time.Second)
 	return a
 }
@@ -104,12 +109,7 @@
 	// an entry whose reads of the declarations are rejected for their rate.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		ctx, cancel := context.WithCancel(context.Background())
-		defer func() {
-			cancel()
-			time.Sleep(20 * time.Second) // lets pending calls return
-		}()
-		a := newAdmission(ctx, t)
+		a := newAdmission(t)
 		is.Equal(a.status("/old/"), 200)
 		is.Equal(a.status("/new/"), 404)
 		a.refuseDeclarations(jayport.ErrRateExceeded)
@@ -142,12 +142,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				ctx, cancel := context.WithCancel(context.Background())
-				defer func() {
-					cancel()
-					time.Sleep(20 * time.Second) // lets pending calls return
-				}()
-				a := newAdmission(ctx, t)
+				a := newAdmission(t)
 				setDown(a, true)
 				time.Sleep(2 * testDeclarationTime)
 				is.Equal(a.status("/old/"), 200)
