Log why a service task waits

Nothing told why a service task has no run while it has none: a task that was given up, one that is kept apart from others, and one whose owner does not place at all looked alike.

A long-running task that has waited for 2 s is reported once a second, with what keeps the pool from starting it, or with the number of workers by obstacle; the event is counted by pool like all others. place.go's conditions return the obstacle, in the order in which they were tested before.

--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -22,7 +22,9 @@
 	RunStopped   EventKind = "run stopped"
 	RunThrottled EventKind = "run throttled"
 	StartRefused EventKind = "start refused"
-	EndIgnored   EventKind = "end ignored"
+	// TaskWaits is a long-running task that has waited for long.
+	TaskWaits  EventKind = "task waits"
+	EndIgnored EventKind = "end ignored"
 	// WorkerReturned is a worker that was restarted under its ID.
 	WorkerReturned EventKind = "worker returned"
 	// WorkerResized is a worker whose capacity has changed, TaskTooLarge a task that no worker is
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -196,29 +196,53 @@
 
 // allows reports whether a task may start on a worker now.
 func (p *Pool) allows(w *worker, t *task, now time.Duration) bool {
-	reserved := w.reservedFor != nil && w.reservedFor != t
-	return !reserved && w.free.Fits(t.need()) && p.allowsIgnoringRoom(w, t, now) && !w.isolationForbids(t)
+	return p.obstacleTo(w, t, now) == noObstacle
+}
+
+// obstacleTo returns what keeps a task from starting on a worker now.
+func (p *Pool) obstacleTo(w *worker, t *task, now time.Duration) obstacle {
+	switch {
+	case w.reservedFor != nil && w.reservedFor != t:
+		return reserved
+	case !w.free.Fits(t.need()):
+		return lacksRoom
+	}
+	if o := p.obstacleBesidesRoom(w, t, now); o != noObstacle {
+		return o
+	}
+	if w.isolationForbids(t) {
+		return isolated
+	}
+	return noObstacle
 }
 
 // allowsIgnoringRoom reports whether a task may start on a worker, apart from the worker's free
 // room.
 func (p *Pool) allowsIgnoringRoom(w *worker, t *task, now time.Duration) bool {
+	return p.obstacleBesidesRoom(w, t, now) == noObstacle
+}
+
+// obstacleBesidesRoom returns what keeps a task from starting on a worker, apart from the worker's
+// free room and other tasks.
+func (p *Pool) obstacleBesidesRoom(w *worker, t *task, now time.Duration) obstacle {
 	s := t.step
 	switch {
-	case !w.usable() || !p.ownership.confirmedSince(w.joinedAt):
-		return false
+	case !w.usable():
+		return notUsable
+	case !p.ownership.confirmedSince(w.joinedAt):
+		return notConfirmed
 	case w.unaccountedRuns > 0 || now < w.fullUntil || w.health.avoided(now) || w.health.onTrial() && len(w.runs) > 0:
-		return false
+		return unhealthy
 	case s.decl.RequiredLabel != "" && !slices.Contains(w.Labels, s.decl.RequiredLabel):
-		return false
+		return wrongLabel
 	case s.decl.MaxPerInstance > 0 && s.placed[w] >= s.decl.MaxPerInstance:
-		return false
+		return limitReached
 	case s.job.advised:
-		_, ok := s.ticketFor(w.ID, now)
-		return ok
-	default:
-		return true
+		if _, ok := s.ticketFor(w.ID, now); !ok {
+			return notAdvised
+		}
 	}
+	return noObstacle
 }
 
 // better reports whether worker a suits a task better than worker b. The criteria, in this
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -100,6 +100,8 @@
 	startsLeft int
 	// deadlineReviewAt is when the deadline status of the jobs is reviewed next.
 	deadlineReviewAt time.Duration
+	// waitsReportedAt is when the waits of long-running tasks were last reported.
+	waitsReportedAt time.Duration
 	// lastRoomAt is the latest time at which no task lacked room.
 	lastRoomAt time.Duration
 	// batchRecordedAt is the latest time at which a batch was recorded.
--- /dev/null
+++ b/jaysched/waiting.go
@@ -0,0 +1,125 @@
+package jaysched
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"jaythread/jayport"
+)
+
+const (
+	// waitReportAfter is how long a long-running task waits before its wait is reported, and
+	// waitReportInterval is the time between two such reports.
+	waitReportAfter    = 2 * time.Second
+	waitReportInterval = time.Second
+)
+
+// obstacle is what keeps a task from starting on a worker.
+type obstacle uint8
+
+const (
+	noObstacle obstacle = iota
+	// notUsable workers are unlisted, draining, closed, or do not answer.
+	notUsable
+	// notConfirmed workers joined after the owner's latest confirmation.
+	notConfirmed
+	// unhealthy workers are avoided, or have runs that the pool does not account for.
+	unhealthy
+	wrongLabel
+	// limitReached workers have as many tasks of the step as may share one.
+	limitReached
+	notAdvised
+	lacksRoom
+	// reserved workers are reserved for another task.
+	reserved
+	// isolated workers have a suspect, or a run that the task, a suspect, must not join.
+	isolated
+)
+
+var obstacleNames = [...]string{"none", "notUsable", "notConfirmed", "unhealthy", "wrongLabel", "limitReached", "notAdvised", "lacksRoom", "reserved", "isolated"}
+
+// String returns the obstacle in camel case.
+func (o obstacle) String() string {
+	return obstacleNames[o]
+}
+
+// reportWaits records an event for each long-running task that has waited for long, with what
+// keeps it from starting.
+func (p *Pool) reportWaits(now time.Duration) {
+	if now < p.waitsReportedAt+waitReportInterval {
+		return
+	}
+	p.waitsReportedAt = now
+	for _, j := range p.open {
+		if !j.longRunning {
+			return // the other jobs follow
+		}
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.decl.LongRunning && s.waiting > 0 && s.ready(now) {
+					p.reportWaitsOf(s, now)
+				}
+			}
+		}
+	}
+}
+
+func (p *Pool) reportWaitsOf(s *step, now time.Duration) {
+	for _, t := range s.tasks {
+		waited := now - t.waitingSince()
+		if t.waiting() && waited >= waitReportAfter {
+			run := jayport.RunRef{Task: t.id(), Number: p.nextRun(t.lastRun)}
+			p.recordEvent(Event{Kind: TaskWaits, Run: run, Detail: p.waitReason(t, now), Waited: waited}, now)
+		}
+	}
+}
+
+// waitReason returns why a task waits: what keeps the pool from starting it anywhere, or else the
+// number of workers by obstacle.
+func (p *Pool) waitReason(t *task, now time.Duration) string {
+	switch {
+	case p.OwnerUnconfirmed():
+		return "the owner is not confirmed"
+	case t.step.job.foundInStore && p.hasUnprocessedRuns(t.step.job):
+		return "a worker's report precedes the job"
+	case t.mayRunUnreported && p.formerRunsPossible(now):
+		return "a former owner may have started it: " + p.formerRunsReason()
+	case now < t.notBefore:
+		return "its last run has just ended"
+	case !p.quotaAllows(t.step, 1):
+		return "the quota of its organisation"
+	}
+	counts := map[obstacle]int{}
+	for _, w := range p.sorted {
+		counts[p.obstacleTo(w, t, now)]++
+	}
+	var texts []string
+	for o := range obstacleNames {
+		if n := counts[obstacle(o)]; n > 0 {
+			texts = append(texts, fmt.Sprintf("%v %d", obstacle(o), n))
+		}
+	}
+	return cmp.Or(strings.Join(texts, ", "), "no workers")
+}
+
+// formerRunsReason names the workers that may have runs of a former owner.
+func (p *Pool) formerRunsReason() string {
+	if !p.inventoryRead {
+		return "the inventory is not read"
+	}
+	var unconfirmedIDs []string
+	for _, w := range p.sorted {
+		if w.contact == unconfirmed {
+			unconfirmedIDs = append(unconfirmedIDs, w.ID)
+		}
+	}
+	unlisted := make([]string, 0, len(p.unlisted))
+	for id := range p.unlisted {
+		unlisted = append(unlisted, id)
+	}
+	slices.Sort(unlisted)
+	return fmt.Sprintf("no report of %v, not listed %v", unconfirmedIDs, unlisted)
+}
