A worker's trial ends with a service task as well

Cause: a worker on which runs of two steps have failed is avoided for a second and is then on trial: it gets one run at a time until one is done. A run of a service is never done, and runs that the worker had before the failures counted as the one run. So a worker with a service task that lives on got nothing any more, and one whose trial run is a service task neither.

Class: a state that ends with an event which may never come.

Change: the trial is the run that was started during it; runs from before do not count. A service task that has run for a second (trialTime) is a success.

--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -136,6 +136,9 @@
 	t.lastRun = number
 	t.addRun(r)
 	w.add(r)
+	if w.health.onTrial() {
+		w.health.trial = r
+	}
 	p.quotas.countRun(r, 1)
 	p.recordEvent(Event{Kind: RunStarted, Worker: w.ID, Run: r.ref(), Since: now - w.lastAnswerAt, Waited: now - t.step.readyAt}, now)
 	p.sendStart(r, now)
--- a/jaysched/ends.go
+++ b/jaysched/ends.go
@@ -43,7 +43,7 @@
 // taskDone handles a successful end of a run of a task. The end of one member of a gang ends
 // the whole gang.
 func (p *Pool) taskDone(t *task, r *run, w *worker, now time.Duration) {
-	w.health.recordSuccess()
+	p.succeeded(w, now)
 	if t.done || t.step.decl.LongRunning || t.step.job.outcome != Open {
 		return
 	}
@@ -101,7 +101,7 @@
 
 // taskFailed handles a failed run, whether the task or the worker was at fault.
 func (p *Pool) taskFailed(t *task, w *worker, number int64, now time.Duration) {
-	w.health.recordFailure(t.step.id, now)
+	p.failed(w, t.step.id, now)
 	if t.done || t.step.job.outcome != Open {
 		return
 	}
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -202,6 +202,7 @@
 	clear(w.unknownJobs)
 	p.processEnds(w, report.Ended, now)
 	seen := p.processActiveRuns(w, report.Active, now)
+	p.reviewTrial(w, now)
 	if len(report.Ended) < jayport.MaxReportedEnds && !report.Partial {
 		p.dropMissing(w, seen, asked, now)
 	}
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -231,7 +231,7 @@
 		return notUsable
 	case !p.ownership.confirmedSince(w.joinedAt):
 		return notConfirmed
-	case w.unaccountedRuns > 0 || now < w.fullUntil || w.health.avoided(now) || w.health.onTrial() && len(w.runs) > 0:
+	case w.unaccountedRuns > 0 || now < w.fullUntil || w.health.avoided(now) || w.health.awaitsTrial():
 		return unhealthy
 	case s.decl.RequiredLabel != "" && !slices.Contains(w.Labels, s.decl.RequiredLabel):
 		return wrongLabel
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -214,6 +214,9 @@
 		return false
 	}
 	delete(w.runs, r.ref())
+	if w.health.trial == r {
+		w.health.trial = nil
+	}
 	at, _ := slices.BinarySearchFunc(w.inOrder, r, compareRuns)
 	w.inOrder = slices.Delete(w.inOrder, at, at+1)
 	w.free = w.free.Add(r.need)
