A service task is not parked without evidence

Cause: five losses, four for an inherited job, were a proof against a service task whatever their probability. It is started as often as its workers are lost, so that in a series of losses it collects five of them for certain.

Class: a verdict for good on a count that rises without evidence. Jobs that are not services keep the number: after three crashes a task may start twice more.

Change: a service task needs both, the number and a proof. Products of probabilities fall with each loss, chance or not; Fisher's method says how likely the product is by chance. Without the proof the task starts after 1, 2, then 4 s, so that one that does crash its workers takes one of them at a time, until it is proven.

Evidence: the case "when half of the workers of a pool are lost again and again" of TestOtherTasksAreNotGivenUp had 0 of 8 tasks running without the change.

--- a/jaysched/crash.go
+++ b/jaysched/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -22,9 +23,15 @@
 	// minProvenRacks is the number of racks in which the task must have lost workers: a single
 	// host, or a single rack, may fail repeatedly by itself.
 	minProvenRacks = 2
-	// maxCrashes is the number of losses after which a task is given up in any case; one fewer
-	// if a former owner may have been lost together with the first of them.
+	// maxCrashes is the number of losses after which a task is given up in any case, a service task
+	// only if it is proven; one fewer if a former owner may have been lost together with the first
+	// of them.
 	maxCrashes = 5
+	// minCrashDelay and maxCrashDelay limit the delay before a service task starts that has lost
+	// maxCrashes workers or more. It doubles with each further loss.
+	minCrashDelay          = time.Second
+	maxCrashDelay          = 4 * time.Second
+	maxCrashDelayDoublings = 2
 )
 
 // crash is the loss of a worker that a run of a task may have caused.
@@ -99,13 +106,26 @@
 	p.markChanged(t.step.job)
 	p.recordNow = true
 	p.recordEvent(Event{Kind: CrashAttributed, Worker: c.worker, Run: r.ref(), Detail: fmt.Sprintf("%v, %d in all", c, len(t.crashes)), Waited: now - r.orderedAt}, now)
-	if !t.parked && t.crashesWorkers(p.oneRack()) {
+	switch {
+	case t.parked:
+	case t.crashesWorkers(p.oneRack()):
 		p.giveUpTask(t, now)
+	case t.step.decl.LongRunning:
+		t.delayAfterCrashes(now)
 	}
 }
 
-// crashesWorkers reports whether a task is proven to crash its workers. A service task starts
-// so often in its lifetime that only the number of losses is a proof.
+// delayAfterCrashes delays the next start of a service task that has lost many workers without
+// being proven to crash them.
+func (t *task) delayAfterCrashes(now time.Duration) {
+	if over := len(t.crashes) - maxCrashes; over >= 0 {
+		t.notBefore = now + min(minCrashDelay<<min(over, maxCrashDelayDoublings), maxCrashDelay)
+	}
+}
+
+// crashesWorkers reports whether a task is proven to crash its workers, or has lost as many of
+// them as a task may. For a service task the number is no proof: it is started as often as its
+// workers are lost, whatever they are lost of. It needs both, the number and the probability.
 //
 // In a pool of one rack, workers are counted in place of racks: several IDs may belong to one
 // host.
@@ -114,8 +134,8 @@
 	if t.step.job.inherited {
 		most--
 	}
-	if len(t.crashes) >= most {
-		return true
+	if enough := len(t.crashes) >= most; enough != t.step.decl.LongRunning {
+		return enough
 	}
 	probability := certainProbability
 	places := map[string]bool{}
@@ -129,7 +149,26 @@
 			places[c.rack] = true
 		}
 	}
-	return !t.step.decl.LongRunning && probability <= provenProbability && len(places) >= minProvenRacks
+	if t.step.decl.LongRunning {
+		probability = combinedProbability(probability, len(t.crashes))
+	}
+	return probability <= provenProbability && len(places) >= minProvenRacks
+}
+
+// combinedProbability returns how likely the product of the probabilities of independent losses is
+// as small as the given one by chance: it decreases with each of them (Fisher's method).
+func combinedProbability(product float64, losses int) float64 {
+	if product <= 0 {
+		return 0
+	}
+	sum, term := 0.0, 1.0
+	for n := range losses {
+		if n > 0 {
+			term *= -math.Log(product) / float64(n)
+		}
+		sum += term
+	}
+	return min(certainProbability, product*sum)
 }
 
 // giveUpTask stops restarting a task that crashes its workers. The losses of these workers no
@@ -158,11 +197,15 @@
 }
 
 // giveUpCrashing gives up the tasks of a restored job that a former owner has proven to crash
-// their workers.
+// their workers, and delays those that may do so.
 func (p *Pool) giveUpCrashing(j *job, now time.Duration) {
 	j.eachTask(func(t *task) {
-		if j.outcome == Open && !t.done && t.crashesWorkers(false) {
+		switch {
+		case j.outcome != Open || t.done:
+		case t.crashesWorkers(false):
 			p.giveUpTask(t, now)
+		case t.step.decl.LongRunning:
+			t.delayAfterCrashes(now)
 		}
 	})
 }
--- a/jaysched/crash_test.go
+++ b/jaysched/crash_test.go
@@ -106,6 +106,15 @@
 	givenUp("as a member of a gang", newSpec("j", 1, func(s *jayspec.Step) { s.Gang = true }), 0, "j.0.0.1")
 	givenUp("as a best-effort task", newSpec("j", 1, single, func(s *jayspec.Step) { s.Fills = true }), 0, "j.0.0.0")
 	givenUp("in a later step", newSpec("j", 1, single), 0, "j.0.0.0")
+	t.Run("as a task of a service, some time after its start", func(t *testing.T) {
+		is := is.New(t)
+		w := newHarness(t, 12)
+		declare(w, newSpec("j", 1, longRunning))
+		w.crashLoop(2*startRiskTime, "j.0.0.1")
+		w.record()
+		is.True(w.pool.jobs["j"].occurrences[0].steps[0].tasks[1].parked)
+		is.True(w.starts("j.0.0.1") <= 2*maxCrashes)
+	})
 	t.Run("as one of the tasks of a service", func(t *testing.T) {
 		is := is.New(t)
 		w := newHarness(t, 6)
--- a/jaysched/loss_test.go
+++ b/jaysched/loss_test.go
@@ -74,3 +74,16 @@
 		is.True(!lossesOf(&jayspec.Step{LongRunning: true}).crashesWorkers(false))
 	})
 }
+
+func TestCombinedProbability(t *testing.T) {
+	combines := func(product float64, losses int, want float64) {
+		t.Run(fmt.Sprintf("%v of %d losses", product, losses), func(t *testing.T) {
+			is.New(t).True(math.Abs(combinedProbability(product, losses)-want) < 1e-4)
+		})
+	}
+	combines(0.05, 1, 0.05)
+	combines(0.05, 2, 0.05*(1-math.Log(0.05)))
+	combines(math.Pow(0.5, 12), 12, 0.8638) // as likely by chance
+	combines(0, 5, 0)
+	combines(1, 5, 1)
+}
--- a/jaysched/suspect_test.go
+++ b/jaysched/suspect_test.go
@@ -82,6 +82,26 @@
 		}
 		is.Equal(len(w.running()), 6)
 	})
+	t.Run("when half of the workers of a pool are lost again and again", func(t *testing.T) {
+		is := is.New(t)
+		w := newHarness(t, 12)
+		for n, id := range sortedKeys(w.workers) {
+			w.workers[id].info.Rack = fmt.Sprint("r", n%4)
+		}
+		w = relist(w)
+		declare(w, newSpec("j", 1, longRunning, func(s *jayspec.Step) { s.Tasks, s.MaxPerInstance = 8, 1 }))
+		for n := range 3 * maxCrashes {
+			for k, id := range sortedKeys(w.workers) {
+				if (k+n)%2 == 0 {
+					w.crashWorker(id)
+				}
+			}
+			w.run()
+			w.reportFor(1500 * time.Millisecond)
+		}
+		w.reportFor(maxCrashDelay + time.Second)
+		is.Equal(len(w.running()), 8)
+	})
 	t.Run("when a rack loses power", func(t *testing.T) {
 		is := is.New(t)
 		w := newHarness(t, 6)
