A failing worker is avoided for at most 4 s

A service task whose only workers with room are avoided may wait for up to 8 s after the last failure, though a service task is to run again within 7 s (4 calm seconds, then 3).

The time that a worker is avoided doubles up to 4 s.

--- a/jaysched/health.go
+++ b/jaysched/health.go
@@ -15,7 +15,7 @@
 	// minAvoidTime and maxAvoidTime limit for how long a worker is avoided. The time doubles
 	// each time a run of yet another step fails before a run succeeds.
 	minAvoidTime = time.Second
-	maxAvoidTime = 8 * time.Second
+	maxAvoidTime = 4 * time.Second
 	// unhealthyAvoidTime is how long a worker is avoided after it has refused a start as
 	// unhealthy.
 	unhealthyAvoidTime = 500 * time.Millisecond
--- a/jaysched/health_test.go
+++ b/jaysched/health_test.go
@@ -22,6 +22,28 @@
 // onePerWorker gives a step one long-running task for each of two workers.
 func onePerWorker(s *jayspec.Step) { s.Tasks, s.MaxPerInstance, s.LongRunning = 2, 1, true }
 
+// serviceRestartTime is how long a service task may wait for a worker that has room once nothing
+// fails any more.
+const serviceRestartTime = 7 * time.Second
+
+// Guards against a service task that waits for a worker for as long as it is avoided after many
+// failures.
+func TestServiceTaskStartsSoonAfterTheLastFailure(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 1)
+	for n := range 6 {
+		declare(w, newSpec(string(rune('a'+n)), 1, single, longRunning))
+		for failed := w.workers["w0"].next; w.workers["w0"].next == failed; {
+			w.failAll()
+			w.reportFor(startRiskTime)
+		}
+		w.pool.Cancel(string(rune('a'+n)), w.now)
+	}
+	declare(w, newSpec("last", 1, single, longRunning))
+	w.reportFor(serviceRestartTime)
+	is.True(len(w.running()) > 0)
+}
+
 // Guards against a service task that never runs again: its workers are on trial, and the trial
 // run, a service task, never ends as done.
 func TestServiceTasksEndATrial(t *testing.T) {
