A job found in the store does not wait for a worker whose lease has ended

What callers see: a job that another owner stored does not begin, for as long as a worker that had reported a run of it stays listed and silent.

Cause: the pool waits for the next report of each worker whose latest one has runs of the job, also of one that does not answer any more. Class: a state that ends only with an event which may never come.

Change: lapsed workers do not count, as for runs of known jobs.

Evidence: TestFoundJobDoesNotWaitForLapsedWorker, 0 starts instead of 1 without the change.

--- a/jaysched/unknownjobs.go
+++ b/jaysched/unknownjobs.go
@@ -76,11 +76,11 @@
 }
 
 // hasUnprocessedRuns reports whether the latest report of some worker has runs of a job that
-// was not known at that time: the worker's next report shows their outcome. Once there is none,
-// foundInStore is cleared.
+// was not known at that time: the worker's next report shows their outcome. The runs of a lapsed
+// worker have ended with its lease. Once there is none, foundInStore is cleared.
 func (p *Pool) hasUnprocessedRuns(j *job) bool {
 	for _, w := range p.sorted {
-		if w.unknownJobs[j.spec.ID] {
+		if w.contact != lapsed && w.unknownJobs[j.spec.ID] {
 			return true
 		}
 	}
--- a/jaysched/unknownjobs_test.go
+++ b/jaysched/unknownjobs_test.go
@@ -91,3 +91,21 @@
 	w.run()
 	is.Equal(w.starts("j.0.0.0"), 1)
 }
+
+func TestFoundJobDoesNotWaitForLapsedWorker(t *testing.T) {
+	// Guards against a job that is not begun for as long as a worker does not answer that had
+	// reported a run of it, although the lease of that run has ended.
+	is := is.New(t)
+	w, job := newTakeoverOfUnknownJob(t)
+	for _, f := range w.workers {
+		f.silent = true
+	}
+	w.addWorker("w9")
+	w.list()
+	w.run()
+	is.True(w.pool.DeclareFound(newSpec(job, 1), w.now))
+	for range 20 {
+		w.pass(time.Second)
+	}
+	is.Equal(w.starts("j.0.0.0"), 1)
+}
