A run whose end is not processed yet has not vanished

What callers see: a task that has ended as done starts again.

Cause: ends are processed in order, up to one whose job may still become known. A run behind it, listed as ended and not as active any more, was taken for one that the worker has lost.

Change: the runs of ends that a report lists and that are not processed yet count as listed, as dropMissing's comment says.

Evidence: TestEndBehindThatOfAnUnknownJobIsNotMissing, 2 starts instead of 1 without the change.

--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -202,6 +202,11 @@
 	clear(w.unknownJobs)
 	p.processEnds(w, report.Ended, now)
 	seen := p.processActiveRuns(w, report.Active, now)
+	for _, end := range report.Ended {
+		if end.Number > w.processed {
+			seen[end.Run] = true // listed, though its end is processed later
+		}
+	}
 	p.reviewTrial(w, now)
 	if len(report.Ended) < jayport.MaxReportedEnds && !report.Partial {
 		p.dropMissing(w, seen, asked, now)
--- a/jaysched/unknownjobs_test.go
+++ b/jaysched/unknownjobs_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"jaythread/jayport"
+	"jaythread/jayspec"
 )
 
 // newTakeoverOfUnknownJob returns the harness of a new owner that does not know a job which the
@@ -109,3 +110,23 @@
 	}
 	is.Equal(w.starts("j.0.0.0"), 1)
 }
+
+func TestEndBehindThatOfAnUnknownJobIsNotMissing(t *testing.T) {
+	// Guards against a task that is started again after a run has ended as done: its end was in
+	// the worker's list behind that of a job that was not known yet, and was not processed, so
+	// that the run counted as one that had vanished.
+	is := is.New(t)
+	w := newHarness(t, 1)
+	declare(w, newSpec("j", 1, func(s *jayspec.Step) { s.Tasks = 1 }))
+	w.pool.JobsKnown(w.now)
+	w.now += time.Millisecond
+	f := w.workers["w0"]
+	f.end(jayport.RunRef{Task: jayport.TaskID{Job: "unknown"}, Number: 1}, jayport.EndedDone)
+	w.finish("j", 0, jayport.EndedDone)
+	w.pass(100 * time.Millisecond)
+	is.Equal(w.starts("j.0.0.0"), 1)
+	w.pool.JobsKnown(w.now)
+	w.reports()
+	w.record()
+	wantState(t, w, "j", StateDone)
+}
