--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -304,14 +304,18 @@
 	entry := jayjournal.NewEntry(records, func(err error) {
 		d.post(func(now time.Duration) {
 			d.flushing = false
-			if err == nil {
-				d.pool.SetConfirmedAt(asked + d.minTakeoverTime())
-				d.pool.BatchRecorded(batch, now)
+			if err != nil {
+				d.pool.BatchRejected(batch)
+				return
 			}
+			d.pool.SetConfirmedAt(asked + d.minTakeoverTime())
+			d.pool.BatchRecorded(batch, now)
 		})
 	})
 	if err := d.journal.Add(entry); err != nil {
 		d.logger.Error(err, "progress not recorded")
+		d.flushing = false
+		d.pool.BatchRejected(batch)
 	}
 }
 
--- a/jaynode/poolduty_test.go
+++ b/jaynode/poolduty_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"jaythread/jayclock"
+	"jaythread/jayjournal"
 	"jaythread/jayowner"
 	"jaythread/jaypool"
 	"jaythread/jayport"
@@ -189,3 +190,25 @@
 		is.True(w.entry.node.askOwned(&jaywire.AskJob{Pool: "seats", Job: testID}).Owned)
 	})
 }
+
+func TestProgressIsRecordedAfterJournalWasFull(t *testing.T) {
+	// Guards against an owner that records nothing any more: its journal was full once, and it
+	// believed that the refused batch was on its way.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newPoolFixture(t, 1)
+		w.refreshClaimsFor(time.Second)
+		w.entry.store.set(func(s *faultyStore) { s.refuse = true })
+		entry := func() *jayjournal.Entry { return jayjournal.NewEntry(nil, func(error) {}) }
+		for w.duty.journal.Add(entry()) == nil {
+			time.Sleep(time.Microsecond) // the journal takes the first entries
+		}
+		recorded := false
+		is.True(w.duty.ask(func() { w.duty.pool.Cancel(testID, w.clock()) }, time.Second))
+		time.Sleep(time.Second)
+		w.entry.store.set(func(s *faultyStore) { s.refuse = false })
+		w.refreshClaimsFor(2 * time.Second)
+		is.True(w.duty.ask(func() { recorded = w.duty.pool.Recorded(testID) }, time.Second))
+		is.True(recorded)
+	})
+}
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -87,6 +87,15 @@
 	}
 }
 
+// BatchRejected handles a batch that is not recorded: its progress is to be recorded again.
+func (p *Pool) BatchRejected(b *Batch) {
+	for _, id := range slices.Sorted(maps.Keys(b.Progress)) {
+		if j, known := p.jobs[id]; known {
+			p.markChanged(j)
+		}
+	}
+}
+
 // progress returns the stored form of a job's progress.
 func (j *job) progress() *jaywire.JobProgress {
 	record := &jaywire.JobProgress{Outcome: jaywire.JobOutcome(j.outcome), Started: j.started}
