A restarted duty waits for the runs of its former self

What callers see: a task runs twice at a time.

Cause: a duty that ends by itself is started again under the same claim. Only claims with a term above 1 counted as having a former owner, so that the first owner's second duty did not wait for the workers' reports.

Change: a claim under which the pool's duty was started before has a former owner too.

--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -66,9 +66,11 @@
 	peers        *jaypeer.Client
 	peerServer   *jaypeer.Server
 
-	mu    sync.Mutex
-	pools map[string]*poolDuty
-	fleet *fleetDuty
+	// startedClaims is the set of the claims under which a pool's duty was started.
+	startedClaims sync.Map
+	mu            sync.Mutex
+	pools         map[string]*poolDuty
+	fleet         *fleetDuty
 
 	stopping atomic.Bool
 	cancel   context.CancelFunc
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -61,6 +61,12 @@
 	lastActiveAt time.Duration
 }
 
+// startedClaim is a claim under which a pool's duty was started.
+type startedClaim struct {
+	pool  string
+	fence int64
+}
+
 func newPoolDuty(n *Node, name string, claim jayowner.Claim) *poolDuty {
 	p := n.ports.Formats.Own(topicProgress, n.partitionOf(name))
 	d := &poolDuty{
@@ -79,7 +85,8 @@
 		fleet, _ := view.Claim(jayowner.Fleet)
 		options = append(options, jaysched.WithLender(fleet.Fence))
 	}
-	if claim.Term > 1 {
+	// A duty that ended by itself is started again under the same claim.
+	if _, restarted := n.startedClaims.LoadOrStore(startedClaim{pool: name, fence: claim.Fence}, true); restarted || claim.Term > 1 {
 		options = append(options, jaysched.WithFormerOwner(n.clock()+formerLeaseWait))
 	}
 	d.pool = jaysched.NewPool(name, jaysched.Settings{
