An advised step asks about the workers that it may use

What callers see: a task of a queue with an advisor waits beside workers with room, without a bound.

Cause: each usable worker with a ticket and free room counted as room for a task, also one that has a task of the step already, is avoided or is on trial; and no full worker was asked about, so that a service task had no ticket for a worker to reserve.

Change: only workers on which the step's tasks may start count; for tasks that may reserve a worker the room beside service tasks counts.

Evidence: TestAdvisedStepAsksAboutWorkersThatItMayUse, three subtests, fails without the change.

--- a/jaysched/advice.go
+++ b/jaysched/advice.go
@@ -55,15 +55,21 @@
 }
 
 // requestAdvice asks about workers if those that may run the step lack room for all waiting
-// tasks. It asks only about a few, those with the most free room.
+// tasks. It asks only about a few, those with the most free room. For tasks that may reserve a
+// worker, what long-running tasks leave of it counts as its room.
 func (p *Pool) requestAdvice(s *step, now time.Duration) {
 	if s.advice.asking || now < s.advice.askAt {
 		return
 	}
+	reserves := slices.ContainsFunc(s.tasks, func(t *task) bool { return t.waiting() && p.mayReserve(t, now) })
 	missing := s.waiting
 	var unknown []*worker
 	for _, w := range p.sorted {
-		if !w.usable() || s.advice.refused[w.ID] || !w.free.Fits(needOf(s)) {
+		room := w.free
+		if reserves {
+			room = w.roomBesideLongRuns()
+		}
+		if s.advice.refused[w.ID] || !room.Fits(needOf(s)) || p.obstacleBesidesAdvice(w, s, now) != noObstacle {
 			continue
 		}
 		if _, ok := s.ticketFor(w.ID, now); ok {
--- a/jaysched/advice_test.go
+++ b/jaysched/advice_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"jaythread/jayport"
+	"jaythread/jayspec"
 )
 
 // newAdvisedHarness returns a harness with a job of two tasks in a queue with an advisor.
@@ -113,3 +114,51 @@
 		}
 	})
 }
+
+func TestAdvisedStepAsksAboutWorkersThatItMayUse(t *testing.T) {
+	// Guards against a task with room that waits without a bound: the only workers with a
+	// ticket were ones that could not take it, and no other was asked about.
+	start := func(t *testing.T, change func(*jayspec.Step)) *harness {
+		t.Helper()
+		w := newHarness(t, 6)
+		spec := newSpec("j", 1, change)
+		spec.Policy.Advised = true
+		declare(w, spec)
+		return w
+	}
+	t.Run("beside one task of the step for each worker", func(t *testing.T) {
+		is := is.New(t)
+		w := start(t, func(s *jayspec.Step) { s.MaxPerInstance = 1 })
+		w.advise(time.Hour, "w0", "w1")
+		is.Equal(len(w.running()), 2)
+		w.pool.Ended(refOf("w1"), "test", w.now)
+		delete(w.workers, "w1")
+		w.run()
+		w.advise(time.Hour, "w4")
+		is.Equal(len(w.running()), 2)
+	})
+	t.Run("beside workers that failed their last runs", func(t *testing.T) {
+		is := is.New(t)
+		w := start(t, func(*jayspec.Step) {})
+		for n := range avoidAfter {
+			w.pool.workers["w0"].health.recordFailure(jayport.StepID{Step: n}, w.now)
+			w.pool.workers["w1"].health.recordFailure(jayport.StepID{Step: n}, w.now)
+		}
+		w.advise(time.Hour, "w0", "w1")
+		is.Equal(len(w.running()), 0)
+		w.advise(time.Hour, "w4", "w5")
+		is.Equal(len(w.running()), 2)
+	})
+	t.Run("in a pool that short tasks fill", func(t *testing.T) {
+		is := is.New(t)
+		w := newHarness(t, 1)
+		declare(w, newSpec("short", 1, func(s *jayspec.Step) { s.Need.ProcessorsMilli = 2000 }))
+		is.Equal(len(w.running()), 2)
+		spec := newSpec("j", 1, longRunning)
+		spec.Policy.Advised = true
+		declare(w, spec)
+		w.pass(w.pool.settings.MoveTime + reportDelay)
+		w.advise(time.Hour, "w0")
+		is.True(w.pool.workers["w0"].reservedFor != nil)
+	})
+}
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -225,7 +225,18 @@
 // obstacleBesidesRoom returns what keeps a task from starting on a worker, apart from the worker's
 // free room and other tasks.
 func (p *Pool) obstacleBesidesRoom(w *worker, t *task, now time.Duration) obstacle {
-	s := t.step
+	if o := p.obstacleBesidesAdvice(w, t.step, now); o != noObstacle || !t.step.job.advised {
+		return o
+	}
+	if _, ok := t.step.ticketFor(w.ID, now); !ok {
+		return notAdvised
+	}
+	return noObstacle
+}
+
+// obstacleBesidesAdvice returns what keeps the tasks of a step from starting on a worker, apart
+// from the worker's free room, other tasks, and the advisor's answer.
+func (p *Pool) obstacleBesidesAdvice(w *worker, s *step, now time.Duration) obstacle {
 	switch {
 	case !w.usable():
 		return notUsable
@@ -237,12 +248,9 @@
 		return wrongLabel
 	case s.decl.MaxPerInstance > 0 && s.placed[w] >= s.decl.MaxPerInstance:
 		return limitReached
-	case s.job.advised:
-		if _, ok := s.ticketFor(w.ID, now); !ok {
-			return notAdvised
-		}
+	default:
+		return noObstacle
 	}
-	return noObstacle
 }
 
 // better reports whether worker a suits a task better than worker b. The criteria, in this
--- a/jaysched/reserve.go
+++ b/jaysched/reserve.go
@@ -13,7 +13,7 @@
 // never free at once, since short tasks fill each gap, and the task would wait for as long as
 // the burst lasts.
 func (p *Pool) reserve(t *task, now time.Duration) (reserved bool) {
-	if !t.step.decl.LongRunning || now-t.waitingSince() < p.settings.MoveTime+reportDelay {
+	if !p.mayReserve(t, now) {
 		return false
 	}
 	var best *worker
@@ -33,6 +33,11 @@
 	return true
 }
 
+// mayReserve reports whether a task has waited so long that it may reserve a worker.
+func (p *Pool) mayReserve(t *task, now time.Duration) bool {
+	return t.step.decl.LongRunning && now-t.waitingSince() >= p.settings.MoveTime+reportDelay
+}
+
 // timeToFree returns the expected remaining time of the runs of a worker that end by
 // themselves.
 func (p *Pool) timeToFree(w *worker, now time.Duration) time.Duration {
