Tasks that may reserve a worker are not passed over

What callers see: a service task, or one that is isolated after a loss, waits for as long as a burst lasts.

Cause: once a step had found no room, each later step that needs no less was skipped, and within a step all tasks after the first, also those for which a worker would be reserved.

Change: only tasks without that right are skipped.

Evidence: TestLongRunningTasksReserveAtTheSameTime (1 reservation instead of 2) and TestSuspectReservesBehindWaitingTasks (0 instead of 1) fail without the change.

--- a/jaysched/crash.go
+++ b/jaysched/crash.go
@@ -102,7 +102,7 @@
 	if slices.ContainsFunc(t.crashes, func(known crash) bool { return known.run == c.run }) {
 		return
 	}
-	t.crashes = append(t.crashes, c)
+	t.addCrash(c)
 	p.markChanged(t.step.job)
 	p.recordNow = true
 	p.recordEvent(Event{Kind: CrashAttributed, Worker: c.worker, Run: r.ref(), Detail: fmt.Sprintf("%v, %d in all", c, len(t.crashes)), Waited: now - r.orderedAt}, now)
@@ -115,6 +115,12 @@
 	}
 }
 
+// addCrash records a loss that the task may have caused.
+func (t *task) addCrash(c crash) {
+	t.crashes = append(t.crashes, c)
+	t.step.suspected = true
+}
+
 // delayAfterCrashes delays the next start of a service task that has lost many workers without
 // being proven to crash them.
 func (t *task) delayAfterCrashes(now time.Duration) {
@@ -223,10 +229,10 @@
 // about to start counts as one more loss until a worker reports the run.
 func (t *task) restoreCrashes(record *jaywire.TaskProgress) {
 	for _, r := range record.Crashes {
-		t.crashes = append(t.crashes, crash{run: r.Run, worker: r.Worker, rack: r.Rack, atStart: r.AtStart, probability: r.Probability, rackLost: r.RackLost})
+		t.addCrash(crash{run: r.Run, worker: r.Worker, rack: r.Rack, atStart: r.AtStart, probability: r.Probability, rackLost: r.RackLost})
 	}
 	known := slices.ContainsFunc(t.crashes, func(c crash) bool { return c.run == record.TrialRun })
 	if record.TrialRun > 0 && !known {
-		t.crashes = append(t.crashes, crash{run: record.TrialRun, atStart: true, probability: certainProbability, unconfirmed: true})
+		t.addCrash(crash{run: record.TrialRun, atStart: true, probability: certainProbability, unconfirmed: true})
 	}
 }
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -63,23 +63,22 @@
 		p.placeGang(s, formerRuns, now)
 		return
 	}
-	if p.smallerNeedUnmet(s) {
-		p.lackedRoom = true
-		return
-	}
+	noRoom := p.smallerNeedUnmet(s)
+	p.lackedRoom = p.lackedRoom || noRoom
 	for _, t := range s.tasks {
-		if p.startsLeft <= 0 {
+		if p.startsLeft <= 0 || noRoom && !s.suspected && !s.decl.LongRunning {
 			return
 		}
 		if !t.waiting() || now < t.notBefore || formerRuns && t.mayRunUnreported {
 			continue
 		}
-		if !p.quotaAllows(s, 1) {
-			return
+		if noRoom && !p.mayReserve(t, now) {
+			continue
 		}
-		if !p.placeTask(t, now) {
+		if !p.quotaAllows(s, 1) {
 			return
 		}
+		noRoom = !p.placeTask(t, now) || noRoom
 	}
 }
 
--- a/jaysched/reserve.go
+++ b/jaysched/reserve.go
@@ -13,7 +13,7 @@
 // never free at once, since short tasks fill each gap, and the task would wait for as long as
 // the burst lasts.
 func (p *Pool) reserve(t *task, now time.Duration) (reserved bool) {
-	if !p.mayReserve(t, now) {
+	if !p.hasWaitedLong(t, now) {
 		return false
 	}
 	var best *worker
@@ -33,8 +33,15 @@
 	return true
 }
 
-// mayReserve reports whether a task has waited so long that it may reserve a worker.
+// mayReserve reports whether a worker is reserved for a task that finds no room: for a suspect,
+// and for a long-running task that has waited long enough.
 func (p *Pool) mayReserve(t *task, now time.Duration) bool {
+	return t.isolation() > watched || p.hasWaitedLong(t, now)
+}
+
+// hasWaitedLong reports whether a long-running task has found no room for longer than a host
+// takes to arrive.
+func (p *Pool) hasWaitedLong(t *task, now time.Duration) bool {
 	return t.step.decl.LongRunning && now-t.waitingSince() >= p.settings.MoveTime+reportDelay
 }
 
--- /dev/null
+++ b/jaysched/reserve_test.go
@@ -0,0 +1,60 @@
+package jaysched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaythread/jaypool"
+	"jaythread/jayspec"
+)
+
+// newFullHarness returns a harness with two workers that short tasks fill.
+func newFullHarness(t *testing.T) *harness {
+	t.Helper()
+	w := newHarness(t, 2)
+	declare(w, newSpec("short", 1, func(s *jayspec.Step) { s.Tasks, s.Need.ProcessorsMilli = 4, 2000 }))
+	is.New(t).Equal(len(w.running()), 4)
+	return w
+}
+
+// reservations counts the workers that are reserved.
+func (w *harness) reservations() int {
+	count := 0
+	for _, worker := range w.pool.workers {
+		if worker.reservedFor != nil {
+			count++
+		}
+	}
+	return count
+}
+
+func large(s *jayspec.Step) {
+	s.Tasks, s.Need = 1, jaypool.Resources{ProcessorsMilli: 4000, MemoryMegabytes: 100}
+}
+
+func TestLongRunningTasksReserveAtTheSameTime(t *testing.T) {
+	// Guards against long-running tasks that wait for each other's reservation: while one task
+	// lacked room, no worker was reserved for any other that needs as much.
+	w := newFullHarness(t)
+	declare(w, newSpec("a", 1, longRunning, large))
+	declare(w, newSpec("b", 1, longRunning, large))
+	w.pass(w.pool.settings.MoveTime + reportDelay)
+	is.New(t).Equal(w.reservations(), 2)
+}
+
+func TestSuspectReservesBehindWaitingTasks(t *testing.T) {
+	// Guards against a suspect that waits for as long as a burst lasts: no worker was reserved
+	// for it while a task before it in the queue lacked room.
+	w := newFullHarness(t)
+	declare(w, newSpec("a", 1, large))
+	suspect := newSpec("suspect", 1, large)
+	suspect.Policy.Objective = time.Hour
+	declare(w, suspect)
+	for run := range int64(isolatedAfter) {
+		w.pool.jobs["suspect"].occurrences[0].steps[0].tasks[0].addCrash(crash{run: run})
+	}
+	w.run()
+	is.New(t).Equal(w.reservations(), 1)
+}
