A refused start does not begin a task's wait anew

What callers see: a service task waits without a bound in a full pool whose workers refuse it now and then.

Cause: a refused start removes its run, which sets the time since when the task has none, and a worker is reserved only after a wait of 2 s.

Change: a refused start leaves that time.

Evidence: TestRefusedTaskReservesInTime fails without the change.

--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -372,7 +372,9 @@
 	if reason == jayport.RefusedNoTicket {
 		delete(r.task.step.advice.tickets, r.worker.ID)
 	}
+	waitingSince := r.task.droppedAt
 	p.dropRun(r, now)
+	r.task.droppedAt = waitingSince
 }
 
 // refusedRetryDelay is the delay before a refused task is started again: the worker's actual
--- a/jaysched/reserve_test.go
+++ b/jaysched/reserve_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"jaythread/jaypool"
+	"jaythread/jayport"
 	"jaythread/jayspec"
 )
 
@@ -58,3 +59,18 @@
 	w.run()
 	is.New(t).Equal(w.reservations(), 1)
 }
+
+func TestRefusedTaskReservesInTime(t *testing.T) {
+	// Guards against a long-running task that waits without a bound in a full pool: each refused
+	// start began the wait anew after which a worker is reserved for it.
+	is := is.New(t)
+	w := newHarness(t, 1)
+	w.lose = func(Action) bool { return true }
+	declare(w, newSpec("a", 1, longRunning, large))
+	w.now += w.pool.settings.MoveTime + reportDelay
+	run := jayport.RunRef{Task: jayport.TaskID{Job: "a"}, Number: 1}
+	w.pool.StartAnswered(refOf("w0"), run, w.now, &jayport.RefusedError{Reason: jayport.RefusedNoRoom}, w.now)
+	refused := w.pool.jobs["a"].occurrences[0].steps[0].tasks[0]
+	is.True(refused.waiting())
+	is.True(w.pool.reserve(refused, w.now+maxFullTime))
+}
