The next runs of a gang's suspects are recorded together

What callers see: a gang of which several members are suspected starts a second later for each of them while nothing can be recorded.

Cause: placeGang asked for the record of one member at a time.

Change: it asks for all of them in one decision.

--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -168,10 +168,12 @@
 		p.lackedRoom = true
 		return
 	}
+	admitted := true
 	for _, t := range s.tasks {
-		if !p.admitTrial(t, number, now) {
-			return
-		}
+		admitted = p.admitTrial(t, number, now) && admitted
+	}
+	if !admitted {
+		return
 	}
 	s.gangRun = number
 	for n, t := range s.tasks {
--- a/jaysched/reserve_test.go
+++ b/jaysched/reserve_test.go
@@ -74,3 +74,20 @@
 	is.True(refused.waiting())
 	is.True(w.pool.reserve(refused, w.now+maxFullTime))
 }
+
+func TestGangOfSuspectsIsRecordedTogether(t *testing.T) {
+	// Guards against a gang that waits for a second for each of its members while the store is
+	// unavailable: the next run of each suspect was recorded after that of the one before.
+	is := is.New(t)
+	w := newHarness(t, 2)
+	w.storeUnavailable = true
+	spec := newSpec("gang", 1, func(s *jayspec.Step) { s.Gang, s.Tasks = true, 4 })
+	w.pool.Declare(spec, w.now)
+	for _, suspect := range w.pool.jobs["gang"].occurrences[0].steps[0].tasks {
+		suspect.addCrash(crash{run: 1, atStart: true})
+	}
+	w.run()
+	is.Equal(len(w.running()), 0)
+	w.pass(trialRecordTimeout)
+	is.Equal(len(w.running()), 4)
+}
