Service tasks are not kept off workers that failed runs

Cause: avoidance protects the attempts of short tasks. A service task has none to use up, and no end that could show that the worker is well.

Change: avoidance and trials are for short runs. A worker whose trial run failed is avoided again, also for a step that had failed there.

The obstacle "unhealthy" of "task waits" is split in unaccounted, refusing and avoided.

--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -136,7 +136,7 @@
 	t.lastRun = number
 	t.addRun(r)
 	w.add(r)
-	if w.health.onTrial() {
+	if w.health.onTrial() && !t.step.decl.LongRunning {
 		w.health.trial = r
 	}
 	p.quotas.countRun(r, 1)
--- a/jaysched/ends.go
+++ b/jaysched/ends.go
@@ -8,15 +8,32 @@
 	"jaythread/jayport"
 )
 
-// failureRetryDelay is the delay before a failed task starts again. It is short, since the task
-// prefers a worker on which it has not failed.
-const failureRetryDelay = 10 * time.Millisecond
+const (
+	// failureRetryDelay is the delay before a failed task starts again. It is short, since the
+	// task prefers a worker on which it has not failed.
+	failureRetryDelay = 10 * time.Millisecond
+	// maxFailureRetryDelay limits the delay of a long-running task, which doubles with each run
+	// that fails before it has run for as long.
+	maxFailureRetryDelay = time.Second
+)
+
+// failureDelay returns the delay before the task starts again after a run that failed. The number of
+// a long-running task's failures has no limit.
+func (t *task) failureDelay(ran time.Duration) time.Duration {
+	if !t.step.decl.LongRunning || ran >= maxFailureRetryDelay {
+		t.retryDelay = 0
+	}
+	t.retryDelay = min(max(2*t.retryDelay, failureRetryDelay), maxFailureRetryDelay)
+	return t.retryDelay
+}
 
 // processEnd handles the end of a run from a worker's list.
 func (p *Pool) processEnd(w *worker, end jayport.EndedRun, now time.Duration) {
 	t := p.taskOf(end.Run.Task)
 	r, present := w.runs[end.Run]
+	wasTrial, ran := present && w.health.trial == r, time.Duration(0)
 	if present {
+		ran = now - r.orderedAt
 		w.fullUntil = 0
 		p.dropRun(r, now)
 		p.recordEvent(Event{Kind: RunEnded, Worker: w.ID, Run: end.Run, Detail: end.Ending.String(), Waited: now - r.confirmedAt}, now)
@@ -35,7 +52,8 @@
 		w.lastDone = end.Number
 		p.taskDone(t, r, w, now)
 	case jayport.EndedFailed:
-		p.taskFailed(t, w, end.Run.Number, now)
+		p.failed(w, t.step.id, wasTrial, now)
+		p.taskFailed(t, w, end.Run.Number, ran, now)
 	case jayport.EndedStopped, jayport.EndedLapsed, jayport.EndedBroken, jayport.EndedAlone, jayport.EndedUnknown:
 	}
 }
@@ -99,13 +117,13 @@
 	p.recordEvent(Event{Kind: JobEnded, Job: s.job.spec.ID, Detail: Done.String(), Waited: now - s.job.submittedAt}, now)
 }
 
-// taskFailed handles a failed run, whether the task or the worker was at fault.
-func (p *Pool) taskFailed(t *task, w *worker, number int64, now time.Duration) {
-	p.failed(w, t.step.id, now)
+// taskFailed handles a run that failed after it had run for some time, whether the task or the
+// worker was at fault.
+func (p *Pool) taskFailed(t *task, w *worker, number int64, ran, now time.Duration) {
 	if t.done || t.step.job.outcome != Open {
 		return
 	}
-	t.notBefore = now + failureRetryDelay
+	t.notBefore = now + t.failureDelay(ran)
 	if !slices.Contains(t.failedOn, w.ID) {
 		t.failedOn = append(t.failedOn, w.ID)
 	}
--- a/jaysched/health.go
+++ b/jaysched/health.go
@@ -15,24 +15,26 @@
 	// minAvoidTime and maxAvoidTime limit for how long a worker is avoided. The time doubles
 	// each time a run of yet another step fails before a run succeeds.
 	minAvoidTime = time.Second
-	maxAvoidTime = 4 * time.Second
+	maxAvoidTime = 8 * time.Second
 	// unhealthyAvoidTime is how long a worker is avoided after it has refused a start as
 	// unhealthy.
 	unhealthyAvoidTime = 500 * time.Millisecond
-	// trialTime is how long a long-running task must have run on a worker on trial to count as a
-	// success: it has no other end that is one.
-	trialTime = time.Second
 )
 
 // health is the health of a worker as its own runs show it. A worker that fails every run still
 // reports itself as healthy; it would use up one attempt of task after task.
+//
+// Long-running tasks have no attempts to use up, and no end that shows that the worker is healthy
+// again: they may start on an avoided worker and are no trial. They are delayed by themselves.
 type health struct {
 	// failedSteps holds the steps of the failures since the last success.
 	failedSteps []jayport.StepID
 	avoidUntil  time.Duration
 	avoidFor    time.Duration
-	// trial is the run that was started while the worker was on trial, or nil. Runs that the
-	// worker had before do not prevent a trial: they may be long-running.
+	// refusesUntil is until when no run at all is started, since the worker has refused one as
+	// unhealthy.
+	refusesUntil time.Duration
+	// trial is the run that was started while the worker was on trial, or nil.
 	trial *run
 }
 
@@ -43,12 +45,14 @@
 	return wasOnTrial
 }
 
-// recordFailure records a failed run, and reports whether the worker is avoided for it.
-func (h *health) recordFailure(step jayport.StepID, now time.Duration) (avoided bool) {
-	if slices.Contains(h.failedSteps, step) {
+// recordFailure records a failed run, and reports whether the worker is avoided for it: if runs of
+// enough steps have failed, or if it was the trial.
+func (h *health) recordFailure(step jayport.StepID, wasTrial bool, now time.Duration) (avoided bool) {
+	if !slices.Contains(h.failedSteps, step) {
+		h.failedSteps = append(h.failedSteps, step)
+	} else if !wasTrial {
 		return false
 	}
-	h.failedSteps = append(h.failedSteps, step)
 	if len(h.failedSteps) < avoidAfter {
 		return false
 	}
@@ -59,11 +63,16 @@
 
 func (h *health) recordRefusal(reason jayport.Reason, now time.Duration) {
 	if reason == jayport.RefusedUnhealthy {
-		h.avoidUntil = max(h.avoidUntil, now+unhealthyAvoidTime)
+		h.refusesUntil = now + unhealthyAvoidTime
 	}
 }
 
-// avoided reports whether no run should be started on the worker now.
+// refuses reports whether the worker is expected to refuse a start now.
+func (h *health) refuses(now time.Duration) bool {
+	return now < h.refusesUntil
+}
+
+// avoided reports whether no run that is not long-running should be started on the worker now.
 func (h *health) avoided(now time.Duration) bool {
 	return now < h.avoidUntil
 }
@@ -74,8 +83,8 @@
 	return len(h.failedSteps) >= avoidAfter
 }
 
-// awaitsTrial reports whether the worker gets no new run before the one on trial has ended or
-// succeeded.
+// awaitsTrial reports whether the worker gets no new run, but long-running ones, before the one on
+// trial has ended.
 func (h *health) awaitsTrial() bool {
 	return h.onTrial() && h.trial != nil
 }
@@ -88,16 +97,8 @@
 }
 
 // failed records a failed run on a worker.
-func (p *Pool) failed(w *worker, step jayport.StepID, now time.Duration) {
-	if w.health.recordFailure(step, now) {
+func (p *Pool) failed(w *worker, step jayport.StepID, wasTrial bool, now time.Duration) {
+	if w.health.recordFailure(step, wasTrial, now) {
 		p.recordEvent(Event{Kind: WorkerAvoided, Worker: w.ID, Detail: fmt.Sprintf("for %v, runs of %d steps failed", w.health.avoidFor, len(w.health.failedSteps))}, now)
 	}
 }
-
-// reviewTrial ends a worker's trial if a long-running task has run there for long enough.
-func (p *Pool) reviewTrial(w *worker, now time.Duration) {
-	r := w.health.trial
-	if r != nil && r.task.step.decl.LongRunning && r.phase == running && now-r.confirmedAt >= trialTime {
-		p.succeeded(w, now)
-	}
-}
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -158,8 +158,9 @@
 	parked bool
 	// droppedAt is when the task lost its latest run.
 	droppedAt time.Duration
-	// notBefore delays the next start after a failure.
-	notBefore time.Duration
+	// notBefore delays the next start after a failure, by retryDelay after the latest one.
+	notBefore  time.Duration
+	retryDelay time.Duration
 }
 
 func (t *task) id() jayport.TaskID {
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -207,7 +207,6 @@
 			seen[end.Run] = true // listed, though its end is processed later
 		}
 	}
-	p.reviewTrial(w, now)
 	if len(report.Ended) < jayport.MaxReportedEnds && !report.Partial {
 		p.dropMissing(w, seen, asked, now)
 	}
--- a/jaysched/packing.go
+++ b/jaysched/packing.go
@@ -20,7 +20,7 @@
 		// Tasks that wait may already run somewhere.
 		return p.longRunWorkers()
 	}
-	k := p.newPacking(now)
+	k := p.newPacking()
 	for _, t := range p.unplacedTasks(now) {
 		k.place(t)
 	}
@@ -100,22 +100,15 @@
 	worker *worker
 	room   jaypool.Resources
 	used   bool
-	// avoided workers have no room for new runs.
-	avoided bool
-	placed  map[*step]int
+	placed map[*step]int
 }
 
-func (p *Pool) newPacking(now time.Duration) *packing {
+func (p *Pool) newPacking() *packing {
 	k := &packing{size: p.maxCapacity}
 	for _, w := range p.sorted {
-		if !w.usable() {
-			continue
-		}
-		b := &bin{worker: w, used: w.longRuns > 0, avoided: w.health.avoided(now)}
-		if !b.avoided {
-			b.room = w.roomBesideLongRuns()
+		if w.usable() {
+			k.bins = append(k.bins, &bin{worker: w, room: w.roomBesideLongRuns(), used: w.longRuns > 0})
 		}
-		k.bins = append(k.bins, b)
 	}
 	return k
 }
@@ -134,24 +127,15 @@
 	k.bins = append(k.bins, b)
 }
 
-// workers counts the workers with long-running tasks and the additional ones. Where additional ones
-// are needed, the avoided ones count as well: they are part of the pool and of no use.
+// workers counts the workers with long-running tasks and the additional ones.
 func (k *packing) workers() int {
-	used, avoided, additional := 0, 0, 0
+	count := 0
 	for _, b := range k.bins {
-		switch {
-		case b.worker == nil:
-			additional++
-		case b.used:
-			used++
-		case b.avoided:
-			avoided++
+		if b.used {
+			count++
 		}
 	}
-	if additional > 0 {
-		used += avoided
-	}
-	return used + additional
+	return count
 }
 
 func (b *bin) fits(t *task) bool {
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -243,8 +243,12 @@
 		return notUsable
 	case !p.ownership.confirmedSince(w.joinedAt):
 		return notConfirmed
-	case w.unaccountedRuns > 0 || now < w.fullUntil || w.health.avoided(now) || w.health.awaitsTrial():
-		return unhealthy
+	case w.unaccountedRuns > 0:
+		return unaccounted
+	case now < w.fullUntil || w.health.refuses(now):
+		return refusing
+	case !s.decl.LongRunning && (w.health.avoided(now) || w.health.awaitsTrial()):
+		return avoided
 	case s.decl.RequiredLabel != "" && !slices.Contains(w.Labels, s.decl.RequiredLabel):
 		return wrongLabel
 	case s.decl.MaxPerInstance > 0 && s.placed[w] >= s.decl.MaxPerInstance:
--- a/jaysched/waiting.go
+++ b/jaysched/waiting.go
@@ -26,8 +26,12 @@
 	notUsable
 	// notConfirmed workers joined after the owner's latest confirmation.
 	notConfirmed
-	// unhealthy workers are avoided, or have runs that the pool does not account for.
-	unhealthy
+	// unaccounted workers have runs that the pool does not account for.
+	unaccounted
+	// refusing workers have just refused a start.
+	refusing
+	// avoided workers have failed runs; long-running tasks may start there.
+	avoided
 	wrongLabel
 	// limitReached workers have as many tasks of the step as may share one.
 	limitReached
@@ -39,7 +43,7 @@
 	isolated
 )
 
-var obstacleNames = [...]string{"none", "notUsable", "notConfirmed", "unhealthy", "wrongLabel", "limitReached", "notAdvised", "lacksRoom", "reserved", "isolated"}
+var obstacleNames = [...]string{"none", "notUsable", "notConfirmed", "unaccounted", "refusing", "avoided", "wrongLabel", "limitReached", "notAdvised", "lacksRoom", "reserved", "isolated"}
 
 // String returns the obstacle in camel case.
 func (o obstacle) String() string {
