--- a/jaysched/advice_test.go
+++ b/jaysched/advice_test.go
@@ -162,3 +162,18 @@
 		is.True(w.pool.workers["w0"].reservedFor != nil)
 	})
 }
+
+// Guards against an advised task that waits although other workers have room: those with a ticket
+// are avoided, and no others are asked about.
+func TestOthersAreAskedAboutWhileWorkersWithATicketAreAvoided(t *testing.T) {
+	is := is.New(t)
+	w := newAdvisedHarness(t)
+	first, _ := w.lastAsked()
+	for _, id := range first.Workers {
+		w.pool.workers[id].health.avoidUntil = w.now + maxAvoidTime
+	}
+	w.advise(maxAvoidTime, first.Workers...)
+	w.reportFor(maxAvoidTime / 2)
+	_, count := w.lastAsked()
+	is.True(count > 1)
+}
