The report of waits does not disturb that of quotas

Cause: the reason of a wait asks the quota, which keeps what it finds for the log, after that log was written: "quota reached" could be logged a decision late, or "quota free" be late by one (review, by reading).

Change: waits are reported within the decision, before quotas are.

The tests of a trial check its log lines.

--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -31,7 +31,6 @@
 	p.vacate(now)
 	p.reviewDeadlines(now)
 	p.place(now)
-	p.reportWaits(now)
 	p.throttleBestEffort(now)
 	p.renewLeases(now)
 	return p.takeActions()
--- a/jaysched/health_test.go
+++ b/jaysched/health_test.go
@@ -1,6 +1,7 @@
 package jaysched
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -86,7 +87,9 @@
 	declare(w, newSpec("b", 1, single))
 	w.failAll()
 	w.reports()
-	is.New(t).True(w.pool.workers["w0"].health.onTrial())
+	is := is.New(t)
+	is.True(w.pool.workers["w0"].health.onTrial())
+	is.True(slices.ContainsFunc(w.pool.TakeEvents(), func(e Event) bool { return e.Kind == WorkerAvoided && e.Worker == "w0" }))
 	return w
 }
 
@@ -105,6 +108,7 @@
 		w.run()
 		is.Equal(w.starts("b.0.0.0"), 2)
 		is.True(!w.pool.workers["w0"].health.onTrial())
+		is.True(slices.ContainsFunc(w.pool.TakeEvents(), func(e Event) bool { return e.Kind == WorkerTrusted && e.Worker == "w0" }))
 	})
 	trial("is followed by another one, later, if the run fails", func(t *testing.T, w *harness) {
 		is := is.New(t)
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -14,6 +14,7 @@
 	p.updatePossibleUse(now)
 	defer p.recordReachedQuotas(now)
 	defer p.failUnfitJobs(now)
+	defer p.reportWaits(now) // may reach quotas
 	p.clearReservations()
 	if p.OwnerUnconfirmed() {
 		return
