A worker that left the list is used again once it is listed again

What callers see: a worker that was cut off until its lease and its heartbeat had expired gets no run any more when it is back, for as long as it reports the same incarnation; its room is not used by service tasks either.

Cause: leaving the list counted as the end of the incarnation, whose heartbeats are ignored as long as they are listed.

Change: giveUpWorker removes a worker with its runs and attributes its loss; only Ended, which is called with evidence of the end, records the incarnation.

--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -63,7 +63,8 @@
 		}
 	}
 	for _, w := range left {
-		p.Ended(w.workerRef(), "left the list", now)
+		// Its heartbeat has expired, so that a later one shows that it was only cut off.
+		p.giveUpWorker(w, "left the list", now)
 	}
 }
 
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -127,6 +127,13 @@
 	if !known {
 		return
 	}
+	p.giveUpWorker(w, why, now)
+	p.endedWorkers[w.ID] = p.endedWorkers[w.ID].with(w.Incarnation, now)
+}
+
+// giveUpWorker removes a worker with its runs and attributes its loss. Unless its incarnation is
+// known to have ended it may be listed again, and then joins again.
+func (p *Pool) giveUpWorker(w *worker, why string, now time.Duration) {
 	suspects, atStart := w.suspects()
 	if w.contact == lapsed {
 		suspects, atStart = w.lapsedSuspects, w.lapsedSuspectsAtStart
@@ -137,7 +144,6 @@
 	p.recordEvent(Event{Kind: WorkerLeft, Worker: w.ID, Detail: why}, now)
 	p.loseRuns(w, why, now)
 	p.remove(w)
-	p.endedWorkers[w.ID] = p.endedWorkers[w.ID].with(w.Incarnation, now)
 	p.forgetAdvice(w)
 	p.actions = append(p.actions, ForgetWorker{To: w.workerRef()})
 	p.attribute(w, suspects, atStart, now)
