Service tasks that wait long are isolated from suspects only at their start

Cause: a service task was kept off every worker with a run of another job that had lost two workers and was younger than 10 s, and one that had lost two itself off every worker with any younger run. After a series of losses up to all workers have such a run, and the demand counts their room.

Change: a service task that has waited for longer than a host takes to arrive, and finds no worker, is isolated only as strictly as isolatedStart (0.25 s). Workers that isolate it fully are still preferred; short tasks stay isolated.

--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -87,6 +87,9 @@
 // its step find no worker either.
 func (p *Pool) placeTask(t *task, now time.Duration) (tryNext bool) {
 	w := p.chooseWorker(t, now)
+	if w == nil && p.hasWaitedLong(t, now) {
+		w = p.chooseIsolated(t, isolatedStart, now)
+	}
 	if w == nil {
 		return p.noWorkerFound(t, now)
 	}
@@ -184,9 +187,15 @@
 
 // chooseWorker returns the worker for a task, or nil if none has room.
 func (p *Pool) chooseWorker(t *task, now time.Duration) *worker {
+	return p.chooseIsolated(t, isolatedRun, now)
+}
+
+// chooseIsolated returns the worker for a task, or nil if none has room. No task is isolated more
+// strictly than strictest.
+func (p *Pool) chooseIsolated(t *task, strictest isolation, now time.Duration) *worker {
 	var best *worker
 	for _, w := range p.sorted {
-		if !p.allows(w, t, now) {
+		if p.obstacleTo(w, t, strictest, now) != noObstacle {
 			continue
 		}
 		if best == nil || p.better(t, w, best, now) {
@@ -198,11 +207,12 @@
 
 // allows reports whether a task may start on a worker now.
 func (p *Pool) allows(w *worker, t *task, now time.Duration) bool {
-	return p.obstacleTo(w, t, now) == noObstacle
+	return p.obstacleTo(w, t, isolatedRun, now) == noObstacle
 }
 
-// obstacleTo returns what keeps a task from starting on a worker now.
-func (p *Pool) obstacleTo(w *worker, t *task, now time.Duration) obstacle {
+// obstacleTo returns what keeps a task from starting on a worker now, if no task is isolated more
+// strictly than strictest.
+func (p *Pool) obstacleTo(w *worker, t *task, strictest isolation, now time.Duration) obstacle {
 	switch {
 	case w.reservedFor != nil && w.reservedFor != t:
 		return reserved
@@ -212,7 +222,7 @@
 	if o := p.obstacleBesidesRoom(w, t, now); o != noObstacle {
 		return o
 	}
-	if w.isolationForbids(t) {
+	if w.isolationForbids(t, strictest) {
 		return isolated
 	}
 	return noObstacle
--- a/jaysched/reserve.go
+++ b/jaysched/reserve.go
@@ -39,8 +39,10 @@
 	return t.isolation() > watched || p.hasWaitedLong(t, now)
 }
 
-// hasWaitedLong reports whether a long-running task has found no room for longer than a host
-// takes to arrive.
+// hasWaitedLong reports whether a long-running task has waited for longer than a host takes to
+// arrive. Such a task is separated from suspects, and as a suspect from others, only as strictly as
+// isolatedStart: each worker may have a run that is to be isolated for crashRiskTime, while the
+// service lacks a task.
 func (p *Pool) hasWaitedLong(t *task, now time.Duration) bool {
 	return t.step.decl.LongRunning && now-t.waitingSince() >= p.settings.MoveTime+reportDelay
 }
--- a/jaysched/suspect.go
+++ b/jaysched/suspect.go
@@ -148,8 +148,8 @@
 }
 
 // isolationForbids reports whether a task must not start on a worker because it, or a run on
-// the worker, is suspected.
-func (w *worker) isolationForbids(t *task) bool {
+// the worker, is suspected. No task is isolated more strictly than strictest.
+func (w *worker) isolationForbids(t *task, strictest isolation) bool {
 	own := t.isolation()
 	if own <= watched && w.suspected == 0 {
 		return false
@@ -158,7 +158,7 @@
 		if r.task.step.job == t.step.job {
 			return false
 		}
-		switch max(own, r.isolation) {
+		switch min(max(own, r.isolation), strictest) {
 		case isolatedRun:
 			return !r.pastCrashRisk()
 		case isolatedStart:
--- a/jaysched/waiting.go
+++ b/jaysched/waiting.go
@@ -98,7 +98,7 @@
 	}
 	counts := map[obstacle]int{}
 	for _, w := range p.sorted {
-		counts[p.obstacleTo(w, t, now)]++
+		counts[p.obstacleTo(w, t, isolatedStart, now)]++
 	}
 	var texts []string
 	for o := range obstacleNames {
