Quotas: a lowered quota waits for what was lent by the former one

Cause: when a quota was lowered, the lender stated the lower quota as the basis of each limit at once. Holder.Allows takes a limit with that basis as decided with knowledge of what all pools use together. But the lender knew only what the other pools had confirmed: what they had started by the former quota after their latest report was unknown. A pool that got its limit early then started beside it. Class: a statement (basis of a limit) that depends on confirmations of all pools was sent to one pool before the others had confirmed.

Change: while the sum of what is committed to the pools (the larger one of lent and used) is above the quota, the limits are lowered but keep the former quota as their basis. Owners that know of the lower quota start nothing by them; owners that do not yet know of it may, within the lowered limits. Once the confirmed sum fits, the basis changes. It costs one more exchange after a quota was lowered, and only if more than the lower quota was lent.

Tests of jaysched and jaynode pass.

--- a/jayquota/lender.go
+++ b/jayquota/lender.go
@@ -182,6 +182,7 @@
 	}
 	targets := l.division.Divide(total, parts)
 	capTargets(total, parts, targets)
+	fits := l.fits(organisation, total)
 	free := total
 	for n, pool := range names {
 		s := l.pools[pool].share(organisation)
@@ -193,7 +194,7 @@
 			// The task that may exceed the quota has not been started yet.
 			lower = lower.max(s.limit.min(s.used.add(s.largest)))
 		}
-		l.setLimit(s, lower, quota)
+		l.setLimit(s, lower, quota, fits)
 		for r, of := range s.committed() {
 			free[r] -= of
 		}
@@ -202,7 +203,7 @@
 		s := l.pools[pool].share(organisation)
 		before := s.committed()
 		limit, exceeds := s.raised(targets[n], free, total)
-		l.setLimit(s, limit, quota)
+		l.setLimit(s, limit, quota, fits)
 		if exceeds {
 			l.chosen[organisation] = chosen{pool: pool, used: s.used}
 		}
@@ -226,6 +227,21 @@
 	return false
 }
 
+// fits reports whether what is committed to all pools is within a quota. It is not when the quota
+// was lowered, until the pools have confirmed lower limits.
+func (l *Lender) fits(organisation string, quota vector) bool {
+	var committed vector
+	for _, a := range l.pools {
+		committed = committed.add(a.share(organisation).committed())
+	}
+	for r, of := range quota {
+		if of > 0 && committed[r] > of {
+			return false
+		}
+	}
+	return true
+}
+
 // capTargets lowers targets that could not all be used beside what is in use already. While
 // more is in use than the quota, no pool may start a task, not even in place of one that has
 // ended.
@@ -287,12 +303,17 @@
 }
 
 // setLimit changes a limit. The former one counts as lent until the pool's owner has confirmed
-// the change.
-func (l *Lender) setLimit(s *share, limit vector, quota jaypool.Resources) {
+// the change. While what is committed does not fit the quota, the limit remains one of the former
+// quota, by which the owners that know of the lower quota start nothing.
+func (l *Lender) setLimit(s *share, limit vector, quota jaypool.Resources, fits bool) {
+	revision := l.revision
+	if !fits {
+		quota, revision = s.quota, s.revision
+	}
 	if s.limit == limit && s.quota == quota {
 		return
 	}
-	s.limit, s.quota, s.revision, s.changed = limit, quota, l.revision, l.message+1
+	s.limit, s.quota, s.revision, s.changed = limit, quota, revision, l.message+1
 	s.lent = s.lent.max(limit)
 }
 
--- a/jayquota/quota.go
+++ b/jayquota/quota.go
@@ -15,6 +15,8 @@
 //   - A new lender raises no limit before the owner of every pool has told it, under its
 //     fence, all limits and all use. From then on these owners ignore the former lender. It
 //     ignores owners that were replaced before it became the lender.
+//   - When a quota is lowered, limits belong to the former quota until what is committed to all
+//     pools fits the lower one: until then no owner that knows of the lower quota starts a task.
 //   - A new owner of a pool has no limits. It tells as in use also what the former owner may
 //     have started, or may still start, on workers that have not answered the new one.
 //     Workers that have answered it refuse the former owner.
