Quotas: tests of the two guards of Lender.Receive

Cause: the conditions r.Applied.Fence != l.fence and s.changed <= a.confirmed could be removed without a failing test. Both matter: without them a lender lends to another pool what a pool's owner may still use. Change: TestLowerLimitCountsOnceItsMessageIsConfirmed, a case for each and one for a report that does confirm. Measured: each case fails without its guard (95 instead of 50 lent to pool b), all pass with both (go test ./jayquota).

--- a/jayquota/lender_test.go
+++ b/jayquota/lender_test.go
@@ -175,3 +175,50 @@
 		})
 	}
 }
+
+// TestLowerLimitCountsOnceItsMessageIsConfirmed guards against a pool's limit that counts as
+// lowered while the pool's owner may still use the former one: what is free by that would be
+// lent to another pool.
+func TestLowerLimitCountsOnceItsMessageIsConfirmed(t *testing.T) {
+	// 50 are lent to each pool; pool b wants more, pool a has not received its lower limit.
+	lowered := func() (e *exchange, earlier Message) {
+		e = newExchange(ByDemand{}, 100)
+		e.rounds(3)
+		earlier = e.lender.Message("a")
+		e.uses["b"] = Use{Wanted: processors(90), Largest: processors(10), Task: processors(10)}
+		e.ask("b")
+		e.decide()
+		return e, earlier
+	}
+	t.Run("a report on a message before the change does not confirm it", func(t *testing.T) {
+		is := is.New(t)
+		e, earlier := lowered()
+		e.holders["a"].Apply(earlier)
+		e.lender.Receive("a", e.report("a", false))
+		e.decide()
+		e.ask("b")
+		is.Equal(e.left("a"), int64(50))
+		is.Equal(e.left("b"), int64(50))
+	})
+	t.Run("a report on another lender's message does not confirm it", func(t *testing.T) {
+		is := is.New(t)
+		e, _ := lowered()
+		other := NewLender(2, ByDemand{})
+		other.message = 1000
+		e.holders["a"].Apply(other.Message("a"))
+		e.lender.Receive("a", e.report("a", false))
+		e.decide()
+		e.ask("b")
+		is.Equal(e.left("a"), int64(50))
+		is.Equal(e.left("b"), int64(50))
+	})
+	t.Run("a report on its message confirms it", func(t *testing.T) {
+		is := is.New(t)
+		e, _ := lowered()
+		e.ask("a")
+		e.decide()
+		e.ask("b")
+		is.True(e.left("a") <= 10)
+		is.True(e.left("b") >= 90)
+	})
+}
