Quotas: a test of a late message to a pool's former owner

Cause: a message with limits says for which lender and number it is, not for which owner of the pool. One that was sent to a former owner and reaches the new one late lends it what the lender counts as free, since the former owner has confirmed a lower limit in the meantime. Change: TestNewOwnerIgnoresLimitsOfTheFormerOwner. Measured: it fails on this commit, as expected: 50 instead of 0 (go test ./jayquota).

--- a/jayquota/lender_test.go
+++ b/jayquota/lender_test.go
@@ -222,3 +222,22 @@
 		is.True(e.left("b") >= 90)
 	})
 }
+
+// TestNewOwnerIgnoresLimitsOfTheFormerOwner guards against a message to a former owner of a pool
+// that reaches the new one late: the lender counts a lower limit that the former owner has
+// confirmed since.
+func TestNewOwnerIgnoresLimitsOfTheFormerOwner(t *testing.T) {
+	is := is.New(t)
+	e := newExchange(ByDemand{}, 100)
+	e.rounds(1)
+	e.decide()
+	late := e.lender.Message("a")
+	e.rounds(2)
+	is.Equal(e.left("a"), int64(50))
+	e.uses["b"] = Use{Wanted: processors(90), Largest: processors(10), Task: processors(10)}
+	e.rounds(3)
+	is.True(e.left("b") >= 90)
+	e.holders["a"] = NewHolder(1)
+	e.holders["a"].Apply(late)
+	is.Equal(e.left("a"), int64(0))
+}
