Quotas: limits are for one owner of a pool only

A confirmation is by one owner, but a message could be applied by the next one. Class: what is sent to one holder of a duty must not be used by another one.

Change: messages with limits carry the fence of the pool's owner that they are for (QuotaMessage.ownerFence, field 4); an owner with another fence does not apply them. Its report tells its own fence, and the lender then asks it for all its limits, as before. Messages that ask for all limits are for any owner, so that a takeover takes as many exchanges as before. Lenders of an earlier version state no fence (0); their messages are applied as before, and owners of an earlier version ignore the field.

Measured: TestNewOwnerIgnoresLimitsOfTheFormerOwner passes, as do new tests in jaysched and jaynode; tests of jayquota, jaysched, jaynode and the style test pass.

--- a/jaynode/codec_test.go
+++ b/jaynode/codec_test.go
@@ -6,9 +6,24 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"jaythread/jaypool"
+	"jaythread/jayquota"
 	"jaythread/jaywire"
 )
 
+func TestQuotaMessageIsDecodedAsItWasEncoded(t *testing.T) {
+	is := is.New(t)
+	m := jayquota.Message{
+		Number: jayquota.Number{Fence: 5, Message: 6}, OwnerFence: 4, All: true,
+		Limits: []jayquota.Limit{{Organisation: "acme", Limit: jaypool.Resources{ProcessorsMilli: 1}, Quota: jaypool.Resources{ProcessorsMilli: 2}, Revision: 3}},
+	}
+	encoded, err := proto.Marshal(encodeQuotaMessage(m))
+	is.NoErr(err)
+	wire := &jaywire.QuotaMessage{}
+	is.NoErr(proto.Unmarshal(encoded, wire))
+	is.Equal(decodeQuotaMessage(5, wire), m)
+}
+
 func TestDecodeJobRejectsInvalidDeclarations(t *testing.T) {
 	// Guards against a crash of every owner that takes a pool over. Stored records were
 	// trusted to be written by this program; one that declares billions of tasks, or a
--- a/jaynode/quota.go
+++ b/jaynode/quota.go
@@ -50,7 +50,7 @@
 }
 
 func encodeQuotaMessage(m jayquota.Message) *jaywire.QuotaMessage {
-	wire := &jaywire.QuotaMessage{Number: m.Number.Message, All: m.All}
+	wire := &jaywire.QuotaMessage{Number: m.Number.Message, OwnerFence: m.OwnerFence, All: m.All}
 	for _, l := range m.Limits {
 		wire.Limits = append(wire.Limits, &jaywire.QuotaLimit{Organisation: l.Organisation, Limit: encodeAmount(l.Limit), Quota: encodeAmount(l.Quota), Revision: l.Revision})
 	}
@@ -58,7 +58,7 @@
 }
 
 func decodeQuotaMessage(fence int64, wire *jaywire.QuotaMessage) jayquota.Message {
-	m := jayquota.Message{Number: jayquota.Number{Fence: fence, Message: wire.Number}, All: wire.All}
+	m := jayquota.Message{Number: jayquota.Number{Fence: fence, Message: wire.Number}, OwnerFence: wire.OwnerFence, All: wire.All}
 	for _, l := range wire.Limits {
 		m.Limits = append(m.Limits, jayquota.Limit{Organisation: l.Organisation, Limit: decodeAmount(l.Limit), Quota: decodeAmount(l.Quota), Revision: l.Revision})
 	}
--- a/jayquota/holder.go
+++ b/jayquota/holder.go
@@ -19,9 +19,10 @@
 	return &Holder{applied: Number{Fence: lenderFence}, limits: map[string]Limit{}}
 }
 
-// Apply applies a lender's message, unless a newer one was applied.
-func (h *Holder) Apply(m Message) {
-	if m.Number.Before(h.applied) {
+// Apply applies a lender's message, unless a newer one was applied or it is for an owner of the
+// pool with another fence.
+func (h *Holder) Apply(ownerFence int64, m Message) {
+	if m.Number.Before(h.applied) || m.OwnerFence != 0 && m.OwnerFence != ownerFence {
 		return
 	}
 	h.applied = m.Number
--- a/jayquota/lender.go
+++ b/jayquota/lender.go
@@ -347,6 +347,7 @@
 	if !a.known {
 		return m
 	}
+	m.OwnerFence = a.ownerFence
 	for _, organisation := range slices.Sorted(maps.Keys(a.shares)) {
 		if s := a.shares[organisation]; s.changed > a.confirmed {
 			m.Limits = append(m.Limits, Limit{Organisation: organisation, Limit: s.limit.resources(), Quota: s.quota, Revision: s.revision})
--- a/jayquota/lender_test.go
+++ b/jayquota/lender_test.go
@@ -45,7 +45,7 @@
 // ask sends a message to one pool and the report on it back.
 func (e *exchange) ask(pool string) {
 	m := e.lender.Message(pool)
-	e.holders[pool].Apply(m)
+	e.holders[pool].Apply(1, m)
 	e.lender.Receive(pool, e.report(pool, m.All))
 }
 
@@ -193,7 +193,7 @@
 	t.Run("a report on a message before the change does not confirm it", func(t *testing.T) {
 		is := is.New(t)
 		e, earlier := lowered()
-		e.holders["a"].Apply(earlier)
+		e.holders["a"].Apply(1, earlier)
 		e.lender.Receive("a", e.report("a", false))
 		e.decide()
 		e.ask("b")
@@ -205,7 +205,7 @@
 		e, _ := lowered()
 		other := NewLender(2, ByDemand{})
 		other.message = 1000
-		e.holders["a"].Apply(other.Message("a"))
+		e.holders["a"].Apply(1, other.Message("a"))
 		e.lender.Receive("a", e.report("a", false))
 		e.decide()
 		e.ask("b")
@@ -238,6 +238,6 @@
 	e.rounds(3)
 	is.True(e.left("b") >= 90)
 	e.holders["a"] = NewHolder(1)
-	e.holders["a"].Apply(late)
+	e.holders["a"].Apply(2, late)
 	is.Equal(e.left("a"), int64(0))
 }
--- a/jayquota/model_test.go
+++ b/jayquota/model_test.go
@@ -186,7 +186,7 @@
 		if m.mutation == olderMessages {
 			o.holder.applied = Number{}
 		}
-		o.holder.Apply(message)
+		o.holder.Apply(o.fence, message)
 		report := o.holder.Report(o.fence, message.All, map[string]Use{"org": {
 			Used: processors(m.used(pool, o)), Wanted: processors(wanted), Largest: processors(min(wanted, modelLargest)), Task: processors(min(wanted, modelLargest)),
 		}})
--- a/jayquota/quota.go
+++ b/jayquota/quota.go
@@ -10,8 +10,8 @@
 // pool's owner has confirmed it. Messages may be lost, repeated and late:
 //
 //   - Each message of a lender has the fence of its ownership and a number; a pool ignores
-//     those that are older than the latest one it has applied, and those of lenders that were
-//     replaced before its owner claimed it.
+//     those that are older than the latest one it has applied, those of lenders that were
+//     replaced before its owner claimed it, and those for another owner.
 //   - A new lender raises no limit before the owner of every pool has told it, under its
 //     fence, all limits and all use. From then on these owners ignore the former lender. It
 //     ignores owners that were replaced before it became the lender.
@@ -103,6 +103,9 @@
 // Message tells the owner of a pool its limits.
 type Message struct {
 	Number Number
+	// OwnerFence is the fence of the owner that the limits are for. Lenders of an earlier version
+	// do not state it.
+	OwnerFence int64
 	// All asks for a report with the limits of all organisations.
 	All bool
 	// Limits replace those of the same organisations.
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -71,7 +71,7 @@
 
 // ApplyQuotaMessage applies the limits that the fleet's owner has lent to the pool.
 func (p *Pool) ApplyQuotaMessage(m jayquota.Message) {
-	p.quotas.limits.Apply(m)
+	p.quotas.limits.Apply(p.fence, m)
 }
 
 // quotaAllows reports whether the quota of a step's organisation lets some of its tasks start.
--- a/jaysched/quota_test.go
+++ b/jaysched/quota_test.go
@@ -42,6 +42,26 @@
 	return report.Uses[at]
 }
 
+// TestLimitsOfAnotherOwnerAreNotUsed guards against limits that are lent to another owner of
+// the pool, whose message came late.
+func TestLimitsOfAnotherOwnerAreNotUsed(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 4)
+	w.pool.SetQuotas(acmeQuotas(8000))
+	declare(w, ofAcme("j", 6))
+	m := jayquota.Message{
+		Number: jayquota.Number{Fence: 1, Message: 1}, OwnerFence: w.pool.Fence() + 1,
+		Limits: []jayquota.Limit{{Organisation: "acme", Limit: jaypool.Resources{ProcessorsMilli: 4000}, Quota: jaypool.Resources{ProcessorsMilli: 8000}, Revision: 1}},
+	}
+	w.pool.ApplyQuotaMessage(m)
+	w.run()
+	is.Equal(len(w.running()), 0)
+	m.OwnerFence = w.pool.Fence()
+	w.pool.ApplyQuotaMessage(m)
+	w.run()
+	is.Equal(len(w.running()), 4)
+}
+
 func TestTasksWaitForTheirQuota(t *testing.T) {
 	w := newHarness(t, 4)
 	w.pool.SetQuotas(acmeQuotas(8000))
