Quotas: directed histories, and a variable that plays more

The random histories stay as they are, so that seeds of issues remain valid. Four mutations are added: a lowered quota that does not wait, limits of another owner, and the two guards of Lender.Receive. TestModelFindsFaults has 2,000 seeds for each mutation (before: 20,000) and prints the seed. JAYTHREAD_QUOTA_SEEDS sets how many seeds TestQuotaIsKept plays.

No fuzz target: the histories are drawn from a seed, so coverage could not guide it.

--- a/jayquota/model_test.go
+++ b/jayquota/model_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
@@ -28,6 +30,14 @@
 	replacedOwners
 	// outdatedQuota: owners use limits that were decided by a quota that is lowered.
 	outdatedQuota
+	// hastyQuota: limits are stated to be by a lowered quota before all pools have confirmed it.
+	hastyQuota
+	// anyOwner: owners apply messages to other owners of their pool.
+	anyOwner
+	// anyLender: a report on another lender's message confirms a limit.
+	anyLender
+	// anyMessage: a report on a message before a change confirms the change.
+	anyMessage
 )
 
 // model is a system with two pools and one organisation whose messages may be delayed,
@@ -181,7 +191,19 @@
 			}
 		}
 	}
+	if m.mutation == hastyQuota {
+		for _, a := range l.pools {
+			for _, s := range a.shares {
+				if quota := processors(m.quotas[l.revision]); s.quota != quota {
+					s.quota, s.revision, s.changed = quota, l.Lender.revision, l.message+1
+				}
+			}
+		}
+	}
 	message := l.Message(pool)
+	if m.mutation == anyOwner {
+		message.OwnerFence = 0
+	}
 	m.flights = append(m.flights, func() {
 		if m.mutation == olderMessages {
 			o.holder.applied = Number{}
@@ -190,10 +212,23 @@
 		report := o.holder.Report(o.fence, message.All, map[string]Use{"org": {
 			Used: processors(m.used(pool, o)), Wanted: processors(wanted), Largest: processors(min(wanted, modelLargest)), Task: processors(min(wanted, modelLargest)),
 		}})
-		m.flights = append(m.flights, func() { l.Receive(pool, report) })
+		m.flights = append(m.flights, func() { m.receive(l, pool, report) })
 	})
 }
 
+// receive lets a lender handle a report.
+func (m *model) receive(l *modelLender, pool string, report Report) {
+	switch m.mutation {
+	case anyLender:
+		report.Applied.Fence = l.fence
+	case anyMessage:
+		for _, s := range l.pools[pool].shares {
+			s.changed = min(s.changed, report.Applied.Message)
+		}
+	}
+	l.Receive(pool, report)
+}
+
 // start lets an owner order the start of a task, which the worker carries out at any time.
 func (m *model) start(pool string, o *modelOwner, w *modelWorker, need int64) {
 	revision := int64(o.revision)
@@ -269,7 +304,7 @@
 	case event < 98:
 		// Actors learn of a new quota one by one; those that have not learned of it in time
 		// start nothing.
-		m.quotas = append(m.quotas, pick(m, []int64{40, 70, 100, 150}))
+		m.changeQuota()
 	case event < 99:
 		m.oldest += m.random.IntN(len(m.quotas) - m.oldest)
 	default:
@@ -277,6 +312,10 @@
 	}
 }
 
+func (m *model) changeQuota() {
+	m.quotas = append(m.quotas, pick(m, []int64{40, 70, 100, 150}))
+}
+
 // deliver delivers one of the messages, repeats it or loses it.
 func (m *model) deliver() {
 	if len(m.flights) == 0 {
@@ -304,17 +343,41 @@
 // divisions are the ways to divide a quota that are tested.
 var divisions = map[string]Division{"by demand": ByDemand{}, "even": Even{}}
 
-// TestQuotaIsKept checks random histories of lenders, owners and workers that are replaced,
-// pause and repeat themselves: at no time do tasks run beyond the quota and one task more.
+// histories are the ways to play a history, with the number of seeds that are played by default.
+// A directed history takes several times as long as a random one.
+var histories = map[string]struct {
+	play  func(Division, mutation, uint64) string
+	seeds uint64
+}{
+	"random":   {play: history, seeds: 3000},
+	"directed": {play: directedHistory, seeds: 500},
+}
+
+// seedsVariable sets the number of seeds that TestQuotaIsKept plays of each kind.
+const seedsVariable = "JAYTHREAD_QUOTA_SEEDS"
+
+// TestQuotaIsKept checks histories of lenders, owners and workers that are replaced, pause and
+// repeat themselves: at no time do tasks run beyond the quota and one task more.
 func TestQuotaIsKept(t *testing.T) {
 	for name, division := range divisions {
-		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(3000) {
-				if violation := history(division, sound, seed); violation != "" {
-					t.Fatalf("seed %d: %s", seed, violation)
+		for kind, h := range histories {
+			t.Run(fmt.Sprintf("%s, %s histories", name, kind), func(t *testing.T) {
+				t.Parallel()
+				seeds, violations := h.seeds, 0
+				if value := os.Getenv(seedsVariable); value != "" {
+					var err error
+					seeds, err = strconv.ParseUint(value, 10, 64)
+					is.New(t).NoErr(err)
 				}
-			}
-		})
+				for seed := range seeds {
+					if violation := h.play(division, sound, seed); violation != "" {
+						t.Errorf("seed %d: %s", seed, violation)
+						violations++
+					}
+				}
+				t.Logf("%d seeds, %d violations", seeds, violations)
+			})
+		}
 	}
 }
 
@@ -333,22 +396,31 @@
 	}
 }
 
+// mutationSeeds is the number of seeds within which each mutation must be found.
+const mutationSeeds = 2000
+
 // TestModelFindsFaults checks that the model can fail: it finds each mutation.
 func TestModelFindsFaults(t *testing.T) {
 	for name, mutation := range map[string]mutation{
-		"use of a former owner is forgotten":    forgottenUse,
-		"a new lender does not wait":            hastyLender,
-		"a limit counts before it is confirmed": lentTwice,
-		"older messages are applied":            olderMessages,
-		"a replaced owner is believed":          replacedOwners,
-		"limits of a higher quota are used":     outdatedQuota,
+		"use of a former owner is forgotten":             forgottenUse,
+		"a new lender does not wait":                     hastyLender,
+		"a limit counts before it is confirmed":          lentTwice,
+		"older messages are applied":                     olderMessages,
+		"a replaced owner is believed":                   replacedOwners,
+		"limits of a higher quota are used":              outdatedQuota,
+		"a lowered quota does not wait":                  hastyQuota,
+		"limits of another owner are used":               anyOwner,
+		"a report on another lender's message counts":    anyLender,
+		"a report on a message before the change counts": anyMessage,
 	} {
 		t.Run(name, func(t *testing.T) {
-			found := false
-			for seed := uint64(0); seed < 20_000 && !found; seed++ {
-				found = history(ByDemand{}, mutation, seed) != ""
+			for seed := range uint64(mutationSeeds) {
+				if directedHistory(ByDemand{}, mutation, seed) != "" {
+					t.Logf("found by seed %d", seed)
+					return
+				}
 			}
-			is.New(t).True(found)
+			t.Errorf("not found by %d seeds", mutationSeeds)
 		})
 	}
 }
