Quotas, known red: a first quota does not wait for use without a quota

Cause: the lender bounds what a pool may use by what it has lent. An organisation without a quota starts tasks without a limit, so that nothing is lent, and what was started after the latest report is unknown. If the organisation gets its first quota, a pool that is told first starts by it. It is the class of the lowered quota (a quota of nothing is the highest); the fix for that does not cover it, since the sum of what is committed looks small. A fix needs the owners' word that they know of a quota, in the report (a field on the wire) or by one more exchange after each takeover of the fleet; the latter delays starts after a takeover and is to be measured on the site first.

--- a/jayquota/lender_test.go
+++ b/jayquota/lender_test.go
@@ -241,3 +241,18 @@
 	e.holders["a"].Apply(2, late)
 	is.Equal(e.left("a"), int64(0))
 }
+
+// TestNewQuotaWaitsForUseWithoutQuota guards against starts by an organisation's first quota while
+// another pool uses what it started without a quota and has not reported.
+func TestNewQuotaWaitsForUseWithoutQuota(t *testing.T) {
+	is := is.New(t)
+	e := newExchange(ByDemand{}, 0)
+	e.rounds(3)
+	e.uses["a"] = Use{Used: processors(75)} // started after the report
+	e.quota, e.revision = 40, 2
+	for range 3 {
+		e.decide()
+		e.ask("b")
+	}
+	is.True(!e.allows("b", 15)) // pool a has not been heard since there is a quota
+}
