Quotas: a test of a quota that is raised and lowered again

The trace: - The lender lends 50 to pool a by the quota of 100; a's owner confirms. - The quota becomes 150. The lender lends 100 to pool b. The message that a's limit is now by 150 does not reach a's owner. - b's owner starts 99 by its 100. - The quota becomes 100 again. a's owner learns of it. Its limit is by an earlier revision, but by a quota that is not higher, so it counts: a starts up to 50. Change: the seed, and TestRaisedQuotaWaitsForOtherPools with these steps.

--- a/jayquota/lender_test.go
+++ b/jayquota/lender_test.go
@@ -242,6 +242,31 @@
 	is.Equal(e.left("a"), int64(0))
 }
 
+// TestRaisedQuotaWaitsForOtherPools guards against a limit that is still by the former quota, while
+// more than that is lent by the raised quota: it counts again once the quota is lowered to the
+// former one. It is the history of seed 49936 without the steps that do not matter.
+func TestRaisedQuotaWaitsForOtherPools(t *testing.T) {
+	is := is.New(t)
+	e := newExchange(ByDemand{}, 100)
+	e.rounds(3)
+	e.quota, e.revision = 150, 2
+	e.uses["b"] = Use{Wanted: processors(100), Largest: processors(10), Task: processors(10)}
+	for range 3 {
+		e.decide()
+		e.ask("b")
+	}
+	is.True(e.left("b") <= 50) // the limit of pool a may still be by the former quota
+	e.uses["b"] = Use{Used: processors(e.left("b"))}
+	e.quota, e.revision = 100, 3
+	is.True(e.allows("a", 50))
+	e.quota, e.revision = 150, 4
+	e.uses["b"] = Use{Wanted: processors(100), Largest: processors(10), Task: processors(10)}
+	e.rounds(4)
+	is.True(e.left("b") >= 100)
+	e.quota, e.revision = 100, 5
+	is.True(!e.allows("a", 1))
+}
+
 // TestNewQuotaWaitsForUseWithoutQuota guards against starts by an organisation's first quota while
 // another pool uses what it started without a quota and has not reported.
 func TestNewQuotaWaitsForUseWithoutQuota(t *testing.T) {
--- a/jayquota/model_test.go
+++ b/jayquota/model_test.go
@@ -385,7 +385,7 @@
 // have confirmed the lower limits. These seeds of TestQuotaIsKept showed them.
 func TestQuotaIsKeptWhenLowered(t *testing.T) {
 	for name, seeds := range map[string][]uint64{
-		"by demand": {14192, 31295, 45356, 46091},
+		"by demand": {14192, 31295, 45356, 46091, 49936},
 		"even":      {15523, 31160, 36938, 39002, 46091, 46565},
 	} {
 		for _, seed := range seeds {
