Quotas: a raised quota waits for limits that belong to the former one

Cause: a limit counts for the owner of a pool until it learns of a quota lower than the one by which the limit was decided (its basis). The lender lent up to a raised quota at once, while other pools' limits still had the former, lower basis. Class: that of the lowered quota: what a limit states of all pools (their use together is at most its basis) was not kept for limits already in force.

Change: the lender keeps for each pool the lowest basis of a limit that may be in force there, and lends no more in all than the lowest of these. So a raised quota is lent once all pools have confirmed its basis: one exchange more.

--- a/jaynode/codec_test.go
+++ b/jaynode/codec_test.go
@@ -24,6 +24,23 @@
 	is.Equal(decodeQuotaMessage(5, wire), m)
 }
 
+func TestQuotaReportIsDecodedAsItWasEncoded(t *testing.T) {
+	is := is.New(t)
+	r := jayquota.Report{
+		OwnerFence: 4, Applied: jayquota.Number{Fence: 5, Message: 6}, All: true,
+		Uses: []jayquota.Use{{
+			Organisation: "acme", Used: jaypool.Resources{ProcessorsMilli: 1}, Wanted: jaypool.Resources{ProcessorsMilli: 2},
+			Largest: jaypool.Resources{ProcessorsMilli: 3}, Task: jaypool.Resources{ProcessorsMilli: 4},
+			Limit: jaypool.Resources{ProcessorsMilli: 5}, Quota: jaypool.Resources{ProcessorsMilli: 6},
+		}},
+	}
+	encoded, err := proto.Marshal(encodeQuotaReport(r))
+	is.NoErr(err)
+	wire := &jaywire.QuotaReport{}
+	is.NoErr(proto.Unmarshal(encoded, wire))
+	is.Equal(decodeQuotaReport(4, wire), r)
+}
+
 func TestDecodeJobRejectsInvalidDeclarations(t *testing.T) {
 	// Guards against a crash of every owner that takes a pool over. Stored records were
 	// trusted to be written by this program; one that declares billions of tasks, or a
--- a/jaynode/quota.go
+++ b/jaynode/quota.go
@@ -70,7 +70,7 @@
 	for _, u := range r.Uses {
 		wire.Uses = append(wire.Uses, &jaywire.QuotaUse{
 			Organisation: u.Organisation, Used: encodeAmount(u.Used), Wanted: encodeAmount(u.Wanted),
-			Largest: encodeAmount(u.Largest), Task: encodeAmount(u.Task), Limit: encodeAmount(u.Limit),
+			Largest: encodeAmount(u.Largest), Task: encodeAmount(u.Task), Limit: encodeAmount(u.Limit), Quota: encodeAmount(u.Quota),
 		})
 	}
 	return wire
@@ -81,7 +81,7 @@
 	for _, u := range wire.Uses {
 		r.Uses = append(r.Uses, jayquota.Use{
 			Organisation: u.Organisation, Used: decodeAmount(u.Used), Wanted: decodeAmount(u.Wanted),
-			Largest: decodeAmount(u.Largest), Task: decodeAmount(u.Task), Limit: decodeAmount(u.Limit),
+			Largest: decodeAmount(u.Largest), Task: decodeAmount(u.Task), Limit: decodeAmount(u.Limit), Quota: decodeAmount(u.Quota),
 		})
 	}
 	return r
--- a/jayquota/directed_test.go
+++ b/jayquota/directed_test.go
@@ -37,7 +37,9 @@
 		m.askFormerLendersOwner(pool, other)
 	case move < 69:
 		m.overtakeMessage(pool, other)
-	case move < 80:
+	case move < 72:
+		m.raiseQuotaAndLowerIt(pool, other)
+	case move < 82:
 		m.step()
 	default:
 		m.deliver()
@@ -75,6 +77,33 @@
 	m.startMany(other, others)
 }
 
+// raiseQuotaAndLowerIt raises the quota for a time, of which a pool's owner does not learn. At times
+// the lender is replaced meanwhile.
+func (m *model) raiseQuotaAndLowerIt(pool, other string) {
+	lender, owner, others := m.latestLender(), m.latestOwner(pool), m.latestOwner(other)
+	m.quotas = append(m.quotas, 70)
+	former := len(m.quotas) - 1
+	owner.revision, others.revision, lender.revision = former, former, former
+	for range 3 {
+		m.ask(lender, pool, owner, 0)
+		m.ask(lender, other, others, 0)
+	}
+	if m.random.IntN(2) == 0 {
+		m.replaceLender()
+		lender = m.latestLender()
+		m.ask(lender, pool, owner, 0)
+	}
+	m.quotas = append(m.quotas, 150)
+	others.revision, lender.revision = former+1, former+1
+	for range 3 {
+		m.ask(lender, other, others, 200)
+	}
+	m.startMany(other, others)
+	m.quotas = append(m.quotas, 70)
+	owner.revision, m.oldest = former+2, former+2
+	m.startMany(pool, owner)
+}
+
 // replaceOwnerBeforeMessage replaces the owner of a pool while a limit for the former one is on
 // its way. It reaches the new owner once the former one has confirmed a lower limit.
 func (m *model) replaceOwnerBeforeMessage(pool, other string) {
--- a/jayquota/holder.go
+++ b/jayquota/holder.go
@@ -92,7 +92,7 @@
 		u := uses[name]
 		u.Organisation = name
 		if all {
-			u.Limit = h.limits[name].Limit
+			u.Limit, u.Quota = h.limits[name].Limit, h.limits[name].Quota
 		}
 		r.Uses = append(r.Uses, u)
 	}
--- a/jayquota/lender.go
+++ b/jayquota/lender.go
@@ -44,8 +44,10 @@
 	// quota is the quota by which the limit was decided, of that revision.
 	quota    jaypool.Resources
 	revision int64
-	// lent is the largest limit that may be in force at the pool.
-	lent vector
+	// lent is the largest limit that may be in force at the pool, and basis the lowest quota by
+	// which one that may be in force there was decided.
+	lent  vector
+	basis vector
 	// changed is the number of the first message after the latest change of the limit or its
 	// quota.
 	changed int64
@@ -136,15 +138,14 @@
 		s := a.share(u.Organisation)
 		s.used, s.wanted, s.largest, s.task = vectorOf(u.Used), vectorOf(u.Wanted), vectorOf(u.Largest), vectorOf(u.Task)
 		if !a.known {
-			s.limit = vectorOf(u.Limit)
-			s.lent = s.limit
+			s.limit, s.quota = vectorOf(u.Limit), u.Quota
 		}
 	}
 	a.known = true
 	a.confirmed = r.Applied.Message
 	for _, s := range a.shares {
 		if s.changed <= a.confirmed {
-			s.lent = s.limit
+			s.lent, s.basis = s.limit, vectorOf(s.quota)
 		}
 	}
 }
@@ -183,7 +184,7 @@
 	targets := l.division.Divide(total, parts)
 	capTargets(total, parts, targets)
 	fits := l.fits(organisation, total)
-	free := total
+	free := l.lowestBasis(organisation, total)
 	for n, pool := range names {
 		s := l.pools[pool].share(organisation)
 		lower := s.limit
@@ -242,6 +243,26 @@
 	return true
 }
 
+// lowestBasis returns the lowest one of a quota and those by which limits were decided that may
+// be in force. More is not lent: a limit is used as long as the quota is not lower than its basis,
+// and so must not let the pools use more than that together.
+func (l *Lender) lowestBasis(organisation string, quota vector) vector {
+	for _, a := range l.pools {
+		quota = lowerQuota(quota, a.share(organisation).basis)
+	}
+	return quota
+}
+
+// lowerQuota returns the lower one of two quotas. A quota of 0 limits nothing.
+func lowerQuota(a, b vector) vector {
+	for r := range a {
+		if a[r] == 0 || b[r] > 0 && b[r] < a[r] {
+			a[r] = b[r]
+		}
+	}
+	return a
+}
+
 // capTargets lowers targets that could not all be used beside what is in use already. While
 // more is in use than the quota, no pool may start a task, not even in place of one that has
 // ended.
@@ -314,7 +335,7 @@
 		return
 	}
 	s.limit, s.quota, s.revision, s.changed = limit, quota, revision, l.message+1
-	s.lent = s.lent.max(limit)
+	s.lent, s.basis = s.lent.max(limit), lowerQuota(s.basis, vectorOf(quota))
 }
 
 // Pending reports whether a pool's owner has not reported yet, or has limits to confirm: a
--- a/jayquota/model_test.go
+++ b/jayquota/model_test.go
@@ -32,6 +32,10 @@
 	outdatedQuota
 	// hastyQuota: limits are stated to be by a lowered quota before all pools have confirmed it.
 	hastyQuota
+	// hastyRaise: more is lent by a raised quota before all pools have limits that belong to it.
+	hastyRaise
+	// silentBasis: owners do not tell a new lender by which quotas their limits were decided.
+	silentBasis
 	// anyOwner: owners apply messages to other owners of their pool.
 	anyOwner
 	// anyLender: a report on another lender's message confirms a limit.
@@ -183,6 +187,13 @@
 			a.known = true
 		}
 	}
+	if m.mutation == hastyRaise {
+		for _, a := range l.pools {
+			for _, s := range a.shares {
+				s.basis = vector{}
+			}
+		}
+	}
 	l.Decide()
 	if m.mutation == lentTwice {
 		for _, a := range l.pools {
@@ -219,6 +230,10 @@
 // receive lets a lender handle a report.
 func (m *model) receive(l *modelLender, pool string, report Report) {
 	switch m.mutation {
+	case silentBasis:
+		for n := range report.Uses {
+			report.Uses[n].Quota = jaypool.Resources{}
+		}
 	case anyLender:
 		report.Applied.Fence = l.fence
 	case anyMessage:
@@ -409,6 +424,8 @@
 		"a replaced owner is believed":                   replacedOwners,
 		"limits of a higher quota are used":              outdatedQuota,
 		"a lowered quota does not wait":                  hastyQuota,
+		"a raised quota does not wait":                   hastyRaise,
+		"a new lender is not told the quotas of limits":  silentBasis,
 		"limits of another owner are used":               anyOwner,
 		"a report on another lender's message counts":    anyLender,
 		"a report on a message before the change counts": anyMessage,
--- a/jayquota/quota.go
+++ b/jayquota/quota.go
@@ -17,6 +17,8 @@
 //     ignores owners that were replaced before it became the lender.
 //   - When a quota is lowered, limits belong to the former quota until what is committed to all
 //     pools fits the lower one: until then no owner that knows of the lower quota starts a task.
+//     When it is raised, no more than the former quota is lent until all pools have confirmed
+//     limits that belong to the raised one.
 //   - A new owner of a pool has no limits. It tells as in use also what the former owner may
 //     have started, or may still start, on workers that have not answered the new one.
 //     Workers that have answered it refuse the former owner.
@@ -123,8 +125,10 @@
 	Wanted  jaypool.Resources
 	Largest jaypool.Resources
 	Task    jaypool.Resources
-	// Limit is the limit in force. It is set only in a report with all limits.
+	// Limit is the limit in force, and Quota the one by which it was decided. They are set only
+	// in a report with all limits.
 	Limit jaypool.Resources
+	Quota jaypool.Resources
 }
 
 // Report is the answer of a pool's owner to a message. An organisation that it does not
