--- a/jayquota/lender.go
+++ b/jayquota/lender.go
@@ -44,8 +44,10 @@
 	// quota is the quota by which the limit was decided, of that revision.
 	quota    jaypool.Resources
 	revision int64
-	// lent is the largest limit that may be in force at the pool.
-	lent vector
+	// lent is the largest limit that may be in force at the pool, and basis the lowest quota by
+	// which one that may be in force there was decided.
+	lent  vector
+	basis vector
 	// changed is the number of the first message after the latest change of the limit or its
 	// quota.
 	changed int64
@@ -136,15 +138,14 @@
 		s := a.share(u.Organisation)
 		s.used, s.wanted, s.largest, s.task = vectorOf(u.Used), vectorOf(u.Wanted), vectorOf(u.Largest), vectorOf(u.Task)
 		if !a.known {
-			s.limit = vectorOf(u.Limit)
-			s.lent = s.limit
+			s.limit, s.quota = vectorOf(u.Limit), u.Quota
 		}
 	}
 	a.known = true
 	a.confirmed = r.Applied.Message
 	for _, s := range a.shares {
 		if s.changed <= a.confirmed {
-			s.lent = s.limit
+			s.lent, s.basis = s.limit, vectorOf(s.quota)
 		}
 	}
 }
@@ -182,7 +183,8 @@
 	}
 	targets := l.division.Divide(total, parts)
 	capTargets(total, parts, targets)
-	free := total
+	fits := l.fits(organisation, total)
+	free := l.lowestBasis(organisation, total)
 	for n, pool := range names {
 		s := l.pools[pool].share(organisation)
 		lower := s.limit
@@ -193,7 +195,7 @@
 			// The task that may exceed the quota has not been started yet.
 			lower = lower.max(s.limit.min(s.used.add(s.largest)))
 		}
-		l.setLimit(s, lower, quota)
+		l.setLimit(s, lower, quota, fits)
 		for r, of := range s.committed() {
 			free[r] -= of
 		}
@@ -202,7 +204,7 @@
 		s := l.pools[pool].share(organisation)
 		before := s.committed()
 		limit, exceeds := s.raised(targets[n], free, total)
-		l.setLimit(s, limit, quota)
+		l.setLimit(s, limit, quota, fits)
 		if exceeds {
 			l.chosen[organisation] = chosen{pool: pool, used: s.used}
 		}
@@ -226,6 +228,41 @@
 	return false
 }
 
+// fits reports whether what is committed to all pools is within a quota. It is not when the quota
+// was lowered, until the pools have confirmed lower limits.
+func (l *Lender) fits(organisation string, quota vector) bool {
+	var committed vector
+	for _, a := range l.pools {
+		committed = committed.add(a.share(organisation).committed())
+	}
+	for r, of := range quota {
+		if of > 0 && committed[r] > of {
+			return false
+		}
+	}
+	return true
+}
+
+// lowestBasis returns the lowest one of a quota and those by which limits were decided that may
+// be in force. More is not lent: a limit is used as long as the quota is not lower than its basis,
+// and so must not let the pools use more than that together.
+func (l *Lender) lowestBasis(organisation string, quota vector) vector {
+	for _, a := range l.pools {
+		quota = lowerQuota(quota, a.share(organisation).basis)
+	}
+	return quota
+}
+
+// lowerQuota returns the lower one of two quotas. A quota of 0 limits nothing.
+func lowerQuota(a, b vector) vector {
+	for r := range a {
+		if a[r] == 0 || b[r] > 0 && b[r] < a[r] {
+			a[r] = b[r]
+		}
+	}
+	return a
+}
+
 // capTargets lowers targets that could not all be used beside what is in use already. While
 // more is in use than the quota, no pool may start a task, not even in place of one that has
 // ended.
@@ -287,13 +324,18 @@
 }
 
 // setLimit changes a limit. The former one counts as lent until the pool's owner has confirmed
-// the change.
-func (l *Lender) setLimit(s *share, limit vector, quota jaypool.Resources) {
+// the change. While what is committed does not fit the quota, the limit remains one of the former
+// quota, by which the owners that know of the lower quota start nothing.
+func (l *Lender) setLimit(s *share, limit vector, quota jaypool.Resources, fits bool) {
+	revision := l.revision
+	if !fits {
+		quota, revision = s.quota, s.revision
+	}
 	if s.limit == limit && s.quota == quota {
 		return
 	}
-	s.limit, s.quota, s.revision, s.changed = limit, quota, l.revision, l.message+1
-	s.lent = s.lent.max(limit)
+	s.limit, s.quota, s.revision, s.changed = limit, quota, revision, l.message+1
+	s.lent, s.basis = s.lent.max(limit), lowerQuota(s.basis, vectorOf(quota))
 }
 
 // Pending reports whether a pool's owner has not reported yet, or has limits to confirm: a
@@ -326,6 +368,7 @@
 	if !a.known {
 		return m
 	}
+	m.OwnerFence = a.ownerFence
 	for _, organisation := range slices.Sorted(maps.Keys(a.shares)) {
 		if s := a.shares[organisation]; s.changed > a.confirmed {
 			m.Limits = append(m.Limits, Limit{Organisation: organisation, Limit: s.limit.resources(), Quota: s.quota, Revision: s.revision})
--- a/jayquota/quota.go
+++ b/jayquota/quota.go
@@ -10,11 +10,15 @@
 // pool's owner has confirmed it. Messages may be lost, repeated and late:
 //
 //   - Each message of a lender has the fence of its ownership and a number; a pool ignores
-//     those that are older than the latest one it has applied, and those of lenders that were
-//     replaced before its owner claimed it.
+//     those that are older than the latest one it has applied, those of lenders that were
+//     replaced before its owner claimed it, and those for another owner.
 //   - A new lender raises no limit before the owner of every pool has told it, under its
 //     fence, all limits and all use. From then on these owners ignore the former lender. It
 //     ignores owners that were replaced before it became the lender.
+//   - When a quota is lowered, limits belong to the former quota until what is committed to all
+//     pools fits the lower one: until then no owner that knows of the lower quota starts a task.
+//     When it is raised, no more than the former quota is lent until all pools have confirmed
+//     limits that belong to the raised one.
 //   - A new owner of a pool has no limits. It tells as in use also what the former owner may
 //     have started, or may still start, on workers that have not answered the new one.
 //     Workers that have answered it refuse the former owner.
@@ -101,6 +105,9 @@
 // Message tells the owner of a pool its limits.
 type Message struct {
 	Number Number
+	// OwnerFence is the fence of the owner that the limits are for. Lenders of an earlier version
+	// do not state it.
+	OwnerFence int64
 	// All asks for a report with the limits of all organisations.
 	All bool
 	// Limits replace those of the same organisations.
@@ -118,8 +125,10 @@
 	Wanted  jaypool.Resources
 	Largest jaypool.Resources
 	Task    jaypool.Resources
-	// Limit is the limit in force. It is set only in a report with all limits.
+	// Limit is the limit in force, and Quota the one by which it was decided. They are set only
+	// in a report with all limits.
 	Limit jaypool.Resources
+	Quota jaypool.Resources
 }
 
 // Report is the answer of a pool's owner to a message. An organisation that it does not
