Commands of a former owner count towards a wave's limit

What callers see: more hosts of a wave in maintenance at once than it allows.

Cause: a new owner of the fleet sends nothing to hosts with recent commands of the former one, which may take effect later, but it did not count them, and began as many others as the wave allows.

Change: such a host that is not recorded as maintained counts as one that is down, until its command can have no effect any more.

--- a/jayfleet/waves.go
+++ b/jayfleet/waves.go
@@ -80,6 +80,11 @@
 			down++
 			continue
 		}
+		if !w.maintained[name] && f.held(h, now) {
+			// A former owner's command may be its maintenance.
+			down++
+			continue
+		}
 		if !w.maintained[name] {
 			left = append(left, h)
 		}
--- a/jayfleet/waves_test.go
+++ b/jayfleet/waves_test.go
@@ -23,6 +23,22 @@
 		is.Equal(len(w.fleet.waves["1"].maintained), 12)
 		is.True(w.maxDown <= 3)
 	})
+	t.Run("commands of a former owner count towards the limit", func(t *testing.T) {
+		// Guards against more hosts in maintenance than a wave allows: a new owner of the fleet
+		// holds the hosts with recent commands of the former one, which may be maintenance.
+		w := newWorld(t, map[string]int{"seats": 1, "standby": 4})
+		held := w.now + 1700*time.Millisecond
+		w.fleet.settings.HeldUntil = map[string]time.Duration{"m1": held, "m2": held}
+		w.fleet.AddWave(jayport.Wave{Name: "1", Hosts: []string{"m1", "m2", "m3", "m4"}, Within: 4 * time.Second, MaxAtOnce: 2}, w.now, nil, false)
+		w.steps(300 * time.Millisecond)
+		for _, name := range []string{"m1", "m2"} {
+			w.leave(name, jayport.HostMaintained, "standby", 2*time.Second)
+		}
+		w.steps(10 * time.Second)
+		is := is.New(t)
+		is.True(w.maxDown <= 2)
+		is.Equal(len(w.fleet.waves["1"].maintained), 4)
+	})
 	t.Run("hosts recorded as maintained are skipped", func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, map[string]int{"seats": 2})
