--- a/jayquota/lender_test.go
+++ b/jayquota/lender_test.go
@@ -281,3 +281,21 @@
 	}
 	is.True(!e.allows("b", 15)) // pool a has not been heard since there is a quota
 }
+
+// Guards against a task that never runs: another pool has the turn to exceed the quota and cannot
+// start its own task.
+func TestTurnToExceedTheQuotaPasses(t *testing.T) {
+	is := is.New(t)
+	e := newExchange(ByDemand{}, 100)
+	e.uses["a"] = Use{Wanted: processors(300), Largest: processors(300), Task: processors(300)}
+	e.uses["b"] = e.uses["a"]
+	e.rounds(5)
+	is.True(e.allows("a", 300))
+	for range 1000 {
+		e.rounds(1)
+		if e.allows("b", 300) {
+			return
+		}
+	}
+	is.Fail() // b is given no turn
+}
--- a/jaysched/packing_test.go
+++ b/jaysched/packing_test.go
@@ -109,3 +109,15 @@
 	is.True(w.pool.Demand(w.now).NeedMilli-2000-before >= 3100)
 	w.finish("b", 0, jayport.EndedDone)
 }
+
+// Guards against an advised service task that never runs: the advisor has refused all workers, whose
+// room counts, so no other one is demanded.
+func TestWorkersThatMustNotRunAStepHaveNoRoomForIt(t *testing.T) {
+	w := newHarness(t, 2)
+	spec := newSpec("j", 1, longRunning)
+	spec.Policy.Advised = true
+	declare(w, spec)
+	w.advise(3 * time.Second)
+	w.reports()
+	is.New(t).True(w.pool.Demand(w.now).WorkersAtLeast > 2)
+}
--- a/jaysched/takeover_test.go
+++ b/jaysched/takeover_test.go
@@ -252,3 +252,26 @@
 		is.True(third.pool.StateKnown("unknown", third.now))
 	})
 }
+
+// Guards against restored tasks that wait for up to 14 s, until all leases of the former owner must
+// have ended, since another instance of a growing pool is always about to join.
+func TestWorkersThatJoinAfterATakeoverHoldNoTasks(t *testing.T) {
+	is := is.New(t)
+	first := newHarness(t, 2)
+	spec := newSpec("j", 1)
+	declare(first, spec)
+	next := takeOver(t, first, spec)
+	next.workers["w0"].silent, next.workers["w1"].silent = true, true
+	next.run()
+	readInventory(next)
+	for _, f := range next.workers {
+		f.silent = false
+		clear(f.active)
+	}
+	next.pool.InventoryRead([]string{"w0", "w1", "joining"}, next.now, next.now)
+	next.addWorker("silent")
+	next.workers["silent"].silent = true
+	next.list()
+	next.pass(time.Second)
+	is.Equal(next.starts("j.0.0.0"), 1)
+}
