--- a/jayreplay/crash_test.go
+++ b/jayreplay/crash_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"jaythread/jaypool"
 	"jaythread/jayspec"
 )
 
@@ -100,3 +101,41 @@
 		})
 	}
 }
+
+// serviceRestartTime is how long a service task may be without a run, if it has room and no worker
+// fails any more.
+const serviceRestartTime = 7 * time.Second
+
+// Guards against a service task that does not run again although it has room: all workers of its
+// pool have failed short runs some time before.
+func TestServiceTasksRunAgainAfterFaultsOfWorkers(t *testing.T) {
+	is := is.New(t)
+	load := fourBursts(1, func(b *SequentialBursts, l *Load) {
+		b.QueueLoads = b.QueueLoads[:1]
+		l.Hosts, l.StandbyHosts = map[string]int{"pool-a": 20}, 10
+		l.Faults = []Outage{{At: warmUp + 2*time.Second, For: 10 * time.Second, Each: 1}}
+	})
+	need := jaypool.Resources{ProcessorsMilli: 8_000, MemoryMegabytes: 34_000}
+	for n, tasks := range []int{18, 12} {
+		service := longRunningJob(fmt.Sprint("service", n), "pool-a", warmUp-3*time.Second, tasks, need, 1)
+		service.FailsAt = map[[2]int]time.Duration{}
+		for index := range tasks {
+			service.FailsAt[[2]int{0, index}] = warmUp + 36*time.Second + time.Duration(index)*100*time.Millisecond
+		}
+		load.Arrivals = append([]Arrival{service}, load.Arrivals...)
+	}
+	s := newSimulation(load)
+	s.run()
+	for id, task := range s.tasks {
+		if !task.longRunning {
+			continue
+		}
+		if task.lostRunAt > 0 {
+			task.longestWait = max(task.longestWait, load.Until-task.lostRunAt)
+		}
+		if task.longestWait > serviceRestartTime {
+			t.Errorf("%s waited for %v", id, task.longestWait)
+		}
+	}
+	is.True(s.tasks[taskID("service0", 0, 0)].starts > 1)
+}
--- a/jayreplay/hosts.go
+++ b/jayreplay/hosts.go
@@ -168,6 +168,21 @@
 	}
 }
 
+// faulty reports whether a worker fails the runs that it starts now.
+func (s *simulation) faulty(w *worker) bool {
+	for n, h := range s.hosts {
+		if h.worker != w {
+			continue
+		}
+		for _, f := range s.load.Faults {
+			if n%f.Each == f.First%f.Each && s.clock.now >= f.At && s.clock.now < f.At+f.For {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // takeDown terminates the worker of a host and starts its next incarnation after the given
 // time.
 func (s *simulation) takeDown(h *host, downTime time.Duration) {
--- a/jayreplay/load.go
+++ b/jayreplay/load.go
@@ -21,6 +21,8 @@
 	RebootTime time.Duration
 	// Outages are losses of workers that are not caused by a task.
 	Outages []Outage
+	// Faults are times at which workers fail every run that they start.
+	Faults []Outage
 	// Link is the bandwidth of the network link of each pool's owner in bytes per second,
 	// for each direction. Zero means unlimited.
 	Link float64
@@ -32,11 +34,11 @@
 	Until time.Duration
 }
 
-// Outage is a loss of the workers on some of the hosts for a limited time.
+// Outage is a loss, or a fault, of the workers on some of the hosts for a limited time.
 type Outage struct {
-	// At is when the outage begins.
+	// At is when it begins.
 	At time.Duration
-	// For is how long the outage lasts.
+	// For is how long it lasts.
 	For time.Duration
 	// First and Each select the hosts: every Each-th host in the order of their names,
 	// where First, taken modulo Each, is the index of the first one.
@@ -53,6 +55,9 @@
 	Durations [][]time.Duration
 	// Crashes lists the tasks that crash every worker that starts them.
 	Crashes []Crash
+	// FailsAt is when the run of each task ends as failed, by step and index. A task without an
+	// entry does not fail by itself.
+	FailsAt map[[2]int]time.Duration
 }
 
 // Crash identifies a task that crashes its worker.
--- a/jayreplay/simulation.go
+++ b/jayreplay/simulation.go
@@ -45,8 +45,12 @@
 	checkpoint bool
 	// startedAt is when the first run of the task began.
 	startedAt time.Duration
-	// starts counts the runs of the task.
-	starts int
+	// starts counts the runs of the task, and lostRunAt is when it had its latest run, or zero
+	// while it has one.
+	starts    int
+	lostRunAt time.Duration
+	// longestWait is the longest time that the task was without a run between two runs.
+	longestWait time.Duration
 	// crashes is true if each run of the task crashes its worker.
 	crashes bool
 	// crashAfter is the time from the start of a run to the crash of its worker.
@@ -134,6 +138,9 @@
 		t.crashes, t.crashAfter = true, c.After
 		s.jobs[a.Job.ID].Crashes = true
 	}
+	for at, when := range a.FailsAt {
+		s.clock.after(when-s.clock.now, func() { s.failTask(taskID(a.Job.ID, at[0], at[1])) })
+	}
 	owner.pool.Expect(a.Job, s.clock.now)
 	s.clock.after(storeLatency, func() {
 		owner.pool.Declare(a.Job, s.clock.now)
@@ -151,6 +158,20 @@
 	return s.owners[at]
 }
 
+// failTask ends the present run of a task as failed.
+func (s *simulation) failTask(id jayport.TaskID) {
+	for _, h := range s.hosts {
+		if h.worker == nil {
+			continue
+		}
+		for _, run := range h.worker.activeRuns() {
+			if run.Task == id {
+				h.worker.end(h.worker.active[run], jayport.EndedFailed)
+			}
+		}
+	}
+}
+
 // saveCheckpoint records the progress of a stopped run if its task writes checkpoints,
 // and returns the checkpoint.
 func (s *simulation) saveCheckpoint(r *activeRun) string {
--- a/jayreplay/worker.go
+++ b/jayreplay/worker.go
@@ -14,6 +14,8 @@
 	stopTime = 100 * time.Millisecond
 	// restoreTime is how long a run needs to resume from a checkpoint.
 	restoreTime = 300 * time.Millisecond
+	// faultTime is how long a run lasts on a worker that fails every run.
+	faultTime = 30 * time.Millisecond
 )
 
 // worker is one incarnation of the worker on an instance.
@@ -66,10 +68,17 @@
 	r := &activeRun{order: order, need: task.need, startedAt: w.sim.clock.now, duration: takes}
 	w.active[order.Run] = r
 	w.free = w.free.Sub(task.need)
+	if task.lostRunAt > 0 {
+		task.longestWait = max(task.longestWait, w.sim.clock.now-task.lostRunAt)
+		task.lostRunAt = 0
+	}
 	task.starts++
 	if task.crashes {
 		w.sim.clock.after(task.crashAfter, func() { w.crash(r) })
 	}
+	if w.sim.faulty(w) {
+		w.sim.clock.after(faultTime, func() { w.end(r, jayport.EndedFailed) })
+	}
 	if !task.longRunning {
 		w.sim.clock.after(takes, func() { w.end(r, jayport.EndedDone) })
 	}
@@ -82,6 +91,7 @@
 		return
 	}
 	delete(w.active, r.order.Run)
+	w.sim.tasks[r.order.Run.Task].lostRunAt = w.sim.clock.now
 	w.free = w.free.Add(r.need)
 	w.endedCount++
 	end := jayport.EndedRun{Number: w.endedCount, Run: r.order.Run, Ending: how}
@@ -190,6 +200,9 @@
 // jayport.ErrNoAnswer.
 func (w *worker) terminate() {
 	w.terminated = true
+	for run := range w.active {
+		w.sim.tasks[run.Task].lostRunAt = w.sim.clock.now
+	}
 	clear(w.active)
 	w.sendResponse()
 }
