Failing test: notices of leaving upstreams never expire

With more entries than heartbeats in a tick, an entry learns of a notice late and passes it on after others have dropped it; these take it for a new one.

--- /dev/null
+++ b/jayentry/leaving_test.go
@@ -0,0 +1,72 @@
+package jayentry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"jaythread/jaypeer"
+	"jaythread/jaystandin"
+	"jaythread/jaywire"
+)
+
+// Guards against an upstream that gets no more requests: entries that learned of a notice later
+// pass it on after the others have dropped it, and these take it for a new one.
+func TestLeavingNoticeExpires(t *testing.T) {
+	const (
+		heartbeatEvery = 500 * time.Millisecond
+		// heartbeatDelay is how much longer a round of heartbeats takes, per entry.
+		heartbeatDelay = 3 * time.Millisecond
+	)
+	for _, entries := range []int{3, 6, 24} {
+		t.Run(fmt.Sprint(entries, " entries"), func(t *testing.T) {
+			is := is.New(t)
+			start := time.Now()
+			now := start
+			members := make([]*Membership, entries)
+			due := make([]time.Time, entries)
+			for n := range members {
+				id := fmt.Sprint("entry-", n)
+				members[n] = NewMembership(id, jaypeer.NewClient(id, time.Second, nil), NewStore(id, jaystandin.NewLogService(), 1000, logr.Discard()), heartbeatEvery, logr.Discard())
+				members[n].now = func() time.Time { return now }
+				due[n] = start.Add(heartbeatEvery * time.Duration(n) / time.Duration(entries))
+			}
+			noted := 0
+			note := func(m *Membership) func(string) {
+				return func(upstream string) {
+					if m.NoteLeaving(upstream) {
+						noted++
+					}
+				}
+			}
+			note(members[0])("fees-0")
+			next := make([]int, entries)
+			for ; now.Before(start.Add(2 * time.Minute)); now = now.Add(time.Millisecond) {
+				for n, from := range members {
+					if now.Before(due[n]) {
+						continue
+					}
+					due[n] = due[n].Add(heartbeatEvery + heartbeatDelay*time.Duration(1+n%3))
+					for range min(heartbeatsPerTick, entries-1) {
+						to := members[(n+1+next[n]%(entries-1))%entries]
+						next[n]++
+						if from.heardRecently(to.self) {
+							continue
+						}
+						ack := to.HandleHeartbeat(from.self, &jaywire.Heartbeat{Leaving: from.leavingList()}, 0, note(to))
+						for _, upstream := range ack.Leaving {
+							note(from)(upstream)
+						}
+					}
+				}
+			}
+			is.Equal(noted, entries)
+			for _, m := range members {
+				is.Equal(len(m.leavingList()), 0)
+			}
+		})
+	}
+}
