Failing test: a task that failed on all workers of a small pool waits

The workers on which a task has failed are never used again, and a job is parked after failures on three. In a pool with fewer the task is neither started nor parked. Only a release by hand or a quarantined worker ends that; no success does.

--- a/jayjob/placement_test.go
+++ b/jayjob/placement_test.go
@@ -204,3 +204,14 @@
 		})
 	}
 }
+
+// Guards against a task that waits for good without a word: it has failed on each worker of its pool,
+// which has fewer than MaxTaskFailures.
+func TestTaskThatFailedOnAllWorkersOfASmallPoolIsStartedOrParked(t *testing.T) {
+	is := is.New(t)
+	v := newView(Task{Job: "a", FailedOn: []string{"x0", "x1"}}).withJob("a", func(j *Job) { j.Pool = "small" })
+	for _, id := range []string{"x0", "x1"} {
+		v.Fleet.Restore(jaypool.Instance{ID: id, Pool: "small", Version: 1, Capacity: jaypool.Resources{ProcessorsMilli: 8000, MemoryMegabytes: 1000}})
+	}
+	is.True(len(Place(v)) > 0)
+}
