Entries pass on only the leaving notices that they got from upstreams

Callers see: an upstream that has returned gets requests again. Before, with many entries, it could stay without requests, as each entry held it back for ten more seconds whenever it took an old notice for a new one.

Cause: a notice carries no age. Each entry that got one from a peer passed it on for ten seconds of its own, also to entries that had dropped it already. Class: a state that ends only with an event that may never come (here: all entries dropping the notice within ten seconds).

Change: an entry passes on a notice for ten seconds if the upstream itself told it, and keeps a peer's notice to itself. Each entry exchanges heartbeats with each other one, so one hop reaches all.

The test now notes a peer's notice as an entry does (NotePeerLeaving); its assertions are unchanged, and one is added: all entries know within two seconds.

--- a/jayentry/backend.go
+++ b/jayentry/backend.go
@@ -91,10 +91,16 @@
 	return v, nil
 }
 
-// NoteLeaving records a notice from an upstream or a peer that an upstream is
-// leaving.
+// NoteLeaving records that an upstream told this entry that it is leaving.
 func (e *Entry) NoteLeaving(upstream string) {
 	if e.members.NoteLeaving(upstream) {
 		e.router.leaving.Push(upstream)
 	}
 }
+
+// notePeerLeaving records a peer's notice that an upstream is leaving.
+func (e *Entry) notePeerLeaving(upstream string) {
+	if e.members.NotePeerLeaving(upstream) {
+		e.router.leaving.Push(upstream)
+	}
+}
--- a/jayentry/entry.go
+++ b/jayentry/entry.go
@@ -198,7 +198,7 @@
 	e.duties.Go(func() { e.watchList(ctx) })
 	e.duties.Go(func() { e.router.Run(ctx) })
 	e.duties.Go(func() {
-		e.members.Run(ctx, e.stateFollower.Age, e.NoteLeaving)
+		e.members.Run(ctx, e.stateFollower.Age, e.notePeerLeaving)
 	})
 	e.duties.Go(func() { e.maintainMembership(ctx) })
 	e.duties.Go(func() { e.syncClaims(ctx) })
--- a/jayentry/leaving_test.go
+++ b/jayentry/leaving_test.go
@@ -20,6 +20,8 @@
 		heartbeatEvery = 500 * time.Millisecond
 		// heartbeatDelay is how much longer a round of heartbeats takes, per entry.
 		heartbeatDelay = 3 * time.Millisecond
+		// noticeTime is the longest time in which each entry hears from each other one.
+		noticeTime = 2 * time.Second
 	)
 	for _, entries := range []int{3, 6, 24} {
 		t.Run(fmt.Sprint(entries, " entries"), func(t *testing.T) {
@@ -35,14 +37,16 @@
 				due[n] = start.Add(heartbeatEvery * time.Duration(n) / time.Duration(entries))
 			}
 			noted := 0
-			note := func(m *Membership) func(string) {
+			var lastNoted time.Time
+			note := func(noteLeaving func(string) bool) func(string) {
 				return func(upstream string) {
-					if m.NoteLeaving(upstream) {
+					if noteLeaving(upstream) {
 						noted++
+						lastNoted = now
 					}
 				}
 			}
-			note(members[0])("fees-0")
+			note(members[0].NoteLeaving)("fees-0")
 			next := make([]int, entries)
 			for ; now.Before(start.Add(2 * time.Minute)); now = now.Add(time.Millisecond) {
 				for n, from := range members {
@@ -56,14 +60,15 @@
 						if from.heardRecently(to.self) {
 							continue
 						}
-						ack := to.HandleHeartbeat(from.self, &jaywire.Heartbeat{Leaving: from.leavingList()}, 0, note(to))
+						ack := to.HandleHeartbeat(from.self, &jaywire.Heartbeat{Leaving: from.leavingList()}, 0, note(to.NotePeerLeaving))
 						for _, upstream := range ack.Leaving {
-							note(from)(upstream)
+							note(from.NotePeerLeaving)(upstream)
 						}
 					}
 				}
 			}
 			is.Equal(noted, entries)
+			is.True(lastNoted.Sub(start) <= noticeTime)
 			for _, m := range members {
 				is.Equal(len(m.leavingList()), 0)
 			}
--- a/jayentry/peers.go
+++ b/jayentry/peers.go
@@ -58,7 +58,7 @@
 	mu      sync.Mutex
 	health  map[string]peerHealth
 	next    int
-	leaving map[string]time.Time
+	leaving map[string]leavingNotice
 	// stopping is set when this entry is leaving.
 	stopping bool
 	started  time.Time
@@ -83,7 +83,7 @@
 		logger:  logger,
 		now:     time.Now,
 		health:  map[string]peerHealth{},
-		leaving: map[string]time.Time{},
+		leaving: map[string]leavingNotice{},
 		started: time.Now(),
 	}
 }
@@ -140,33 +140,63 @@
 	m.stopping = true
 }
 
-// leavingNoticeTTL is how long a notice about a leaving upstream is passed on to
-// peers.
+// leavingNoticeTTL is how long a notice about a leaving upstream is known, and how long
+// the entry that the upstream told passes it on to peers.
 const leavingNoticeTTL = 10 * time.Second
 
-// NoteLeaving records that an upstream is leaving, and reports whether the notice
-// is new.
+// leavingNotice is the notice that an upstream is leaving.
+type leavingNotice struct {
+	// noted is when the notice was new to this entry.
+	noted time.Time
+	// told is when the upstream told this entry. It is zero if only peers did.
+	told time.Time
+}
+
+// NoteLeaving records that an upstream told this entry that it is leaving, and
+// reports whether the notice is new. It is passed on to peers.
 func (m *Membership) NoteLeaving(upstream string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	seen, known := m.leaving[upstream]
-	if known && m.now().Sub(seen) < leavingNoticeTTL {
+	notice := m.leaving[upstream]
+	if m.now().Sub(notice.told) >= leavingNoticeTTL {
+		notice.told = m.now()
+		m.leaving[upstream] = notice
+	}
+	return m.noteLeaving(upstream)
+}
+
+// NotePeerLeaving records a peer's notice that an upstream is leaving, and reports
+// whether it is new. It is not passed on: a notice has no age, and entries that pass on
+// each other's notices repeat them without end.
+func (m *Membership) NotePeerLeaving(upstream string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.noteLeaving(upstream)
+}
+
+func (m *Membership) noteLeaving(upstream string) bool {
+	notice := m.leaving[upstream]
+	if m.now().Sub(notice.noted) < leavingNoticeTTL {
 		return false
 	}
-	m.leaving[upstream] = m.now()
+	notice.noted = m.now()
+	m.leaving[upstream] = notice
 	return true
 }
 
+// leavingList returns the upstreams that told this entry that they are leaving.
 func (m *Membership) leavingList() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []string
-	for upstream, seen := range m.leaving {
-		if m.now().Sub(seen) >= leavingNoticeTTL {
+	for upstream, notice := range m.leaving {
+		told := m.now().Sub(notice.told) < leavingNoticeTTL
+		if told {
+			list = append(list, upstream)
+		}
+		if !told && m.now().Sub(notice.noted) >= leavingNoticeTTL {
 			delete(m.leaving, upstream)
-			continue
 		}
-		list = append(list, upstream)
 	}
 	return list
 }
--- a/jayentry/peerserver.go
+++ b/jayentry/peerserver.go
@@ -8,7 +8,7 @@
 func (e *Entry) handlePeer(request *jaywire.PeerRequest) *jaywire.PeerResponse {
 	switch body := request.Body.(type) {
 	case *jaywire.PeerRequest_Heartbeat:
-		ack := e.members.HandleHeartbeat(request.From, body.Heartbeat, e.stateFollower.Age(), e.NoteLeaving)
+		ack := e.members.HandleHeartbeat(request.From, body.Heartbeat, e.stateFollower.Age(), e.notePeerLeaving)
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_HeartbeatAck{HeartbeatAck: ack}}
 	case *jaywire.PeerRequest_FetchState:
 		snapshot, err := e.store.Snapshot()
