The end of an ejection gives the slots of the upstream to waiters

Callers see: a request that waits gets an upstream as soon as its ejection ends. Before, it was refused ("no slot in time") with a free upstream, if meanwhile no lease of the pool ended, no request came and no upstream changed.

Cause: the queue was dispatched at those events only. Class: a state that ends only with an event that may never come.

Change: an ejection starts a timer that dispatches the queue when it ends.

--- a/jayroute/pool.go
+++ b/jayroute/pool.go
@@ -224,11 +224,20 @@
 	now := p.now()
 	l.Upstream.recordResult(failed, now.Sub(l.began))
 	if l.Upstream.failures >= ejectAfter && p.mayEject(now) {
-		l.Upstream.eject(now)
+		duration := l.Upstream.eject(now)
+		time.AfterFunc(duration, p.endEjection)
 	}
 	p.dispatch()
 }
 
+// endEjection gives the slots of an upstream whose ejection has ended to waiters. They
+// would otherwise wait for the end of a lease or the next request.
+func (p *Pool) endEjection() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatch()
+}
+
 func (p *Pool) mayEject(now time.Time) bool {
 	ejected := 1
 	for _, u := range p.list {
--- a/jayroute/upstream.go
+++ b/jayroute/upstream.go
@@ -69,9 +69,11 @@
 	u.latency += time.Duration(latencyWeight * float64(took-u.latency))
 }
 
-func (u *Upstream) eject(now time.Time) {
+// eject excludes the upstream from the choice and returns for how long.
+func (u *Upstream) eject(now time.Time) time.Duration {
 	duration := min(firstEjection<<min(u.ejections, 10), maxEjection)
 	u.ejectedUntil = now.Add(duration)
 	u.ejections++
 	u.failures = 0
+	return duration
 }
