A task that failed on all workers of a small pool starts again or is parked

Callers see: a task of a pool with one or two workers starts again after a failure, and its job is parked with a reason after the third. Before, after a failure on each worker it was neither started nor parked, without a word, until an operator released the job or a worker was quarantined; no success ended that.

Cause: a task is never placed where it has failed, and is parked after failures on three workers; a pool with fewer satisfies neither. Class: a state that ends only with an event that may never come.

Change: if no other available worker of the pool can hold the task, it may start where it has failed, and each failure counts towards the three. While another one can hold it, also a full one, the task waits for it as before.

Two more subtests, which pass without it too, hold that a task waits for a full worker where it has not failed, and that the job is parked after the third failure.

--- a/jayjob/placement.go
+++ b/jayjob/placement.go
@@ -19,7 +19,7 @@
 	Instance string
 	// Fence is the offset of the placement. Workers reject lower fences.
 	Fence uint64
-	// FailedOn lists the workers on which the task has failed.
+	// FailedOn lists the workers on which the task has failed, one entry for each failure.
 	FailedOn []string
 	// Withdrawn reports that the configuration no longer declares the task.
 	Withdrawn bool
@@ -69,8 +69,9 @@
 func (Stop) isDecision()  {}
 func (Park) isDecision()  {}
 
-// MaxTaskFailures is the number of workers on which a task must have failed for its job to
-// be parked: the task is then expected to fail on any other worker as well.
+// MaxTaskFailures is the number of times that a task must have failed for its job to be
+// parked: the task is then expected to fail on any other worker as well. It fails twice on
+// one worker only if no other can hold it.
 const MaxTaskFailures = 3
 
 // View is the state that a placement round is based on.
@@ -211,8 +212,9 @@
 		}
 		return
 	}
-	target := r.bestInstance(j, t.FailedOn)
-	if target == nil && j.Displace && r.displaceFor(j, t.FailedOn) {
+	avoid := r.avoidedBy(t, j)
+	target := r.bestInstance(j, avoid)
+	if target == nil && j.Displace && r.displaceFor(j, avoid) {
 		// The capacity becomes available only when the displaced tasks have stopped.
 		return
 	}
@@ -226,6 +228,18 @@
 	r.decisions = append(r.decisions, Start{Task: t, Instance: target.ID})
 }
 
+// avoidedBy returns the workers on which the task must not be placed: those on which it
+// has failed, unless no other available one can hold it. Otherwise a task of a pool with
+// fewer than MaxTaskFailures workers would be neither started nor parked.
+func (r *round) avoidedBy(t Task, j Job) []string {
+	for _, i := range r.byPool[j.Pool] {
+		if allowed(j, i) && i.Capacity.Fits(j.Need) && !slices.Contains(t.FailedOn, i.ID) {
+			return t.FailedOn
+		}
+	}
+	return nil
+}
+
 func (r *round) park(job, why string) {
 	r.parked[job] = true
 	r.decisions = append(r.decisions, Park{Job: job, Why: why})
--- a/jayjob/placement_test.go
+++ b/jayjob/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -103,6 +104,22 @@
 		v := newView(Task{Job: "a", FailedOn: []string{"w0", "w1"}})
 		is.New(t).True(!strings.Contains("w0 w1", starts(Place(v))["a0"]))
 	})
+	t.Run("waits for capacity on a worker on which it has not failed", func(t *testing.T) {
+		v := newView(Task{Job: "a", FailedOn: []string{"w0", "w1"}})
+		for n := 2; n < 6; n++ {
+			v.Tasks = append(v.Tasks, Task{Job: "b", Replica: n, Instance: fmt.Sprint("w", n)})
+		}
+		v = v.withJob("b", func(j *Job) { j.Need.ProcessorsMilli = 8000 })
+		is.New(t).Equal(len(Place(v)), 0)
+	})
+	t.Run("starts again where it failed if no other worker can hold it", func(t *testing.T) {
+		v := newView(Task{Job: "a", FailedOn: []string{"w0", "w1"}}).withJob("a", func(j *Job) { j.DataCenters = []string{"dc0"} })
+		is := is.New(t)
+		is.Equal(starts(Place(v))["a0"], "w2")
+		i, _ := v.Fleet.Instance("w2")
+		i.Capacity.ProcessorsMilli = 500
+		is.True(slices.Contains([]string{"w0", "w1"}, starts(Place(v))["a0"]))
+	})
 	t.Run("a withdrawn task is cancelled", func(t *testing.T) {
 		is.New(t).Equal(stops(Place(newView(Task{Job: "a", Instance: "w1", Withdrawn: true}))), []string{"a0 cancelled"})
 	})
@@ -123,6 +140,7 @@
 	}{
 		{"larger than any instance", newView(Task{Job: "a"}).withJob("a", func(j *Job) { j.Need.MemoryMegabytes = 2000 }), "large enough"},
 		{"failed on several workers", newView(Task{Job: "a", FailedOn: []string{"w0", "w1", "w2"}}), "failed on"},
+		{"failed several times on the workers of a small pool", newView(Task{Job: "a", FailedOn: []string{"w0", "w1", "w0"}}), "failed on"},
 		{"larger than the quota", withQuota(newView(Task{Job: "a"}), 500), "whole quota"},
 	}
 	for _, c := range cases {
