The view is rebuilt when the hold of a leaving upstream ends

Cause: the hold is a time, but it is looked at only when the view is rebuilt: after a read of the log, a change of the list or another notice. Class: a state that ends only with an event that may never come.

Change: a notice starts a timer that causes a rebuild when its hold ends.

TestHeldUpstreamReturnsWithoutALog fails without the change (3 upstreams of 4, two seconds after the end of the hold) and passes with it.

--- a/jayentry/leaving_test.go
+++ b/jayentry/leaving_test.go
@@ -75,3 +75,22 @@
 		})
 	}
 }
+
+// Guards against an upstream without requests after its notice has expired: while the log cannot be
+// read, nothing rebuilds the view.
+func TestHeldUpstreamReturnsWithoutALog(t *testing.T) {
+	withCluster(t, 2, func(w *cluster) {
+		is := is.New(w.t)
+		w.log.SetFaults(jaystandin.LogFaults{Down: true})
+		time.Sleep(3 * time.Second)
+		w.nodes[0].entry.NoteLeaving("fees-0")
+		time.Sleep(2 * time.Second)
+		for _, n := range w.nodes {
+			is.Equal(n.entry.router.View().Pools["fees"].Size(), 3)
+		}
+		time.Sleep(leavingHoldTime + 2*time.Second)
+		for _, n := range w.nodes {
+			is.Equal(n.entry.router.View().Pools["fees"].Size(), 4)
+		}
+	})
+}
--- a/jayentry/router.go
+++ b/jayentry/router.go
@@ -36,6 +36,7 @@
 	view    atomic.Pointer[jayserve.View]
 	changes *jayring.Ring[[]jayplatform.Instance]
 	leaving *jayring.Ring[string]
+	// changed has an item when the view must be rebuilt; its value has no meaning here.
 	changed *jayring.Ring[uint64]
 
 	mu      sync.Mutex
@@ -169,6 +170,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.leavingSince[upstream] = time.Now()
+	// While the log cannot be read, nothing else causes a rebuild at the end.
+	time.AfterFunc(leavingHoldTime, func() { r.changed.Push(0) })
 	if pool, ok := r.pools[r.poolOf[upstream]]; ok {
 		pool.SetLeaving(upstream)
 	}
@@ -247,7 +250,7 @@
 		return false
 	}
 	since, leaving := r.leavingSince[w.ID]
-	return !leaving || time.Since(since) > leavingHoldTime
+	return !leaving || time.Since(since) >= leavingHoldTime
 }
 
 // memberIDs returns the members that share the slots. This entry is included even
