--- a/jaysched/crash.go
+++ b/jaysched/crash.go
@@ -140,8 +140,12 @@
 	if t.step.job.inherited {
 		most--
 	}
-	if enough := len(t.crashes) >= most; enough != t.step.decl.LongRunning {
-		return enough
+	service, enough := t.step.decl.LongRunning, len(t.crashes) >= most
+	switch {
+	case enough && !service:
+		return true
+	case !enough && service:
+		return false
 	}
 	probability := certainProbability
 	places := map[string]bool{}
@@ -155,7 +159,7 @@
 			places[c.rack] = true
 		}
 	}
-	if t.step.decl.LongRunning {
+	if service {
 		probability = combinedProbability(probability, len(t.crashes))
 	}
 	return probability <= provenProbability && len(places) >= minProvenRacks
