A wave's unknown phase is rejected

Fault: setWavePhase accepts any number as the phase of a wave. A wave with phase 5 is neither running nor paused nor ended; its pools stay in it.

Cause: only the unspecified phase is excluded; an enum of proto3 holds any number.

Class: an enum from outside that is compared with some of its values. advanceStep rejects unknown step phases already.

Change: a phase that the schema does not have gets ErrUnknown with its number, as in advanceStep. No program sends one; a record in the log that holds one would now be rejected on replay.

Test, before the change: TestUnknownWavePhaseIsRejected: not true: errors.Is(outcome.Err, ErrUnknown) All tests of jaystate pass with the race detector.

--- a/jaystate/fold_test.go
+++ b/jaystate/fold_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -403,3 +404,18 @@
 		}
 	})
 }
+
+// TestUnknownWavePhaseIsRejected guards against a wave that gets a phase that no code knows,
+// so that nobody carries it on and its pools stay in it.
+func TestUnknownWavePhaseIsRejected(t *testing.T) {
+	is := is.New(t)
+	s := newState(t)
+	for _, phase := range []jaywire.WavePhase{5, 99, -1} {
+		outcome := applyAll(t, s, setWave("w", 1, phase, false))[0]
+		is.True(errors.Is(outcome.Err, ErrUnknown))
+		is.True(strings.Contains(outcome.Err.Error(), fmt.Sprintf("phase %d", phase)))
+		w, _ := s.Wave("w")
+		is.Equal(w.Phase, jaywire.WavePhase_WAVE_PHASE_RUNNING)
+	}
+	is.NoErr(applyAll(t, s, setWave("w", 1, jaywire.WavePhase_WAVE_PHASE_PAUSED, false))[0].Err)
+}
--- a/jaystate/fold_wave.go
+++ b/jaystate/fold_wave.go
@@ -67,6 +67,9 @@
 		return fmt.Errorf("%w: wave %s", ErrNotFound, p.Wave)
 	}
 	e.Before = wavePhaseName(w.Phase)
+	if _, known := jaywire.WavePhase_name[int32(p.Phase)]; !known {
+		return fmt.Errorf("%w: wave phase %d", ErrUnknown, p.Phase)
+	}
 	if w.Version != c.Base {
 		return fmt.Errorf("%w: wave %s is at %d, the command was based on %d", jaypool.ErrStaleVersion, w.ID, w.Version, c.Base)
 	}
