A planner term that is too high is rejected for that reason

Fault: takePlannerLease says "term 7 is taken, by " for a term that skips the next one, with no entry or the wrong one. Operators read the text in the audit trail.

Cause: one text for both sides of term != next.

Class: one reason for two causes of a rejection.

Change: a term above the next is rejected with both numbers. The text for a term that is taken stays.

Test, before the change: TestPlannerTermRejectionsNameTheReason: not true: strings.Contains(err.Error(), reason) All tests of jaystate pass with the race detector.

--- a/jaystate/fold_configuration.go
+++ b/jaystate/fold_configuration.go
@@ -70,7 +70,9 @@
 // renewal takes a new term too. A former holder sees the higher term and stops
 // planning.
 func (s *State) takePlannerLease(t *jaywire.TakePlannerLease, e *jaywire.AuditEntry) error {
-	if t.Term != s.Planner.Term+1 {
+	if next := s.Planner.Term + 1; t.Term > next {
+		return fmt.Errorf("%w: term %d is too high; the next term is %d", ErrInvalidState, t.Term, next)
+	} else if t.Term < next {
 		return fmt.Errorf("%w: term %d is taken, by %s", ErrInvalidState, t.Term, s.Planner.Entry)
 	}
 	if t.Entry != s.Planner.Entry {
--- a/jaystate/fold_test.go
+++ b/jaystate/fold_test.go
@@ -419,3 +419,24 @@
 	}
 	is.NoErr(applyAll(t, s, setWave("w", 1, jaywire.WavePhase_WAVE_PHASE_PAUSED, false))[0].Err)
 }
+
+// TestPlannerTermRejectionsNameTheReason guards against a rejection that calls a term taken
+// by an entry although nobody has taken it, since terms before it are missing.
+func TestPlannerTermRejectionsNameTheReason(t *testing.T) {
+	s := New()
+	take := func(term uint64) error {
+		return applyAll(t, s, &jaywire.Command{Body: &jaywire.Command_TakePlannerLease{TakePlannerLease: &jaywire.TakePlannerLease{Entry: "a", Term: term}}})[0].Err
+	}
+	wantRejected := func(term uint64, reason string) {
+		t.Helper()
+		is := is.New(t)
+		err := take(term)
+		is.True(errors.Is(err, ErrInvalidState))
+		is.True(strings.Contains(err.Error(), reason))
+	}
+	wantRejected(7, "term 7 is too high; the next term is 1")
+	is.New(t).NoErr(take(1))
+	wantRejected(1, "term 1 is taken, by a")
+	wantRejected(3, "term 3 is too high; the next term is 2")
+	is.New(t).NoErr(take(2))
+}
