Backups beside configuration files are not read

Fault: a.json.bak, a.json~ or a.json5 in a directory of configuration files is merged into the configuration: a pool of the backup is declared again.

Cause: the pattern *.json* matches every name that contains ".json".

Class: a check of a file's extension by a pattern that is open at its end.

Change: only files whose extension is .json or .jsonc are read, as ReadPath's comment and its error for an empty directory say.

--- a/jayconfig/configuration_test.go
+++ b/jayconfig/configuration_test.go
@@ -69,6 +69,29 @@
 	is.True(strings.Contains(err.Error(), "3-rules.jsonc:2:"))
 }
 
+// TestReadDirIgnoresOtherFiles guards against backups and editors' copies that are merged into
+// the configuration since their names contain ".json".
+func TestReadDirIgnoresOtherFiles(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	write := func(name, text string) {
+		is.NoErr(os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600))
+	}
+	others := []string{"a.json.bak", "a.json~", "a.jsonc.orig", "a.json5", "a.jsonl", "a.txt", "json"}
+	for _, name := range others {
+		write(name, `{"pools": [{"name": "old", "instances": ["old-*"]}]}`)
+	}
+	_, _, err := ReadPath(dir)
+	is.True(err != nil) // there is no configuration file
+	write("a.json", `{"pools": [{"name": "seats", "instances": ["seats-*"]}]}`)
+	write("b.jsonc", `{"pools": [{"name": "fees", "instances": ["fees-*"]}]} // a comment`+"\n")
+	c, _, err := ReadPath(dir)
+	is.NoErr(err)
+	is.Equal(len(c.Pools), 2)
+	is.Equal(c.Pools[0].Name, "seats")
+	is.Equal(c.Pools[1].Name, "fees")
+}
+
 // FuzzConfiguration checks that no input makes the parser panic, and that an
 // accepted configuration has a time zone, pools and an action for each rule, on
 // which the rest of the system relies.
--- a/jayconfig/path.go
+++ b/jayconfig/path.go
@@ -101,6 +101,9 @@
 	if err != nil {
 		return nil, nil, oops.In("configuration").Wrap(err)
 	}
+	names = slices.DeleteFunc(names, func(name string) bool {
+		return filepath.Ext(name) != ".json" && filepath.Ext(name) != ".jsonc"
+	})
 	slices.Sort(names)
 	merged := &Configuration{}
 	var all sourceFiles
