A displacing task counts against its team's quota

Fault: a team whose quota has room for two more tasks displaces six tasks of other teams in one round; four of its own are not placed then, for the quota.

Cause: displaceFor reserves the instance's room for the displacing task, but not the team's quota, with which the next task of the round is compared.

Class: of two accounts for one task, one is not charged; allocate charges both.

Change: displaceFor charges the quota as well.

Test, before the change: TestDisplacementKeepsQuota: 6 != 2 (tasks stopped) All tests of jayjob pass with the race detector.

--- a/jayjob/placement.go
+++ b/jayjob/placement.go
@@ -307,6 +307,7 @@
 		r.stop(n, "displaced by "+j.Name)
 	}
 	r.free[best.ID] = r.free[best.ID].Sub(j.Need)
+	r.usedByTeam[j.Team] = r.usedByTeam[j.Team].Add(j.Need)
 	return true
 }
 
--- a/jayjob/placement_test.go
+++ b/jayjob/placement_test.go
@@ -233,3 +233,19 @@
 	}
 	is.True(len(Place(v)) > 0)
 }
+
+// TestDisplacementKeepsQuota guards against a team that displaces tasks of other teams beyond
+// its quota: each of its waiting tasks was compared with the quota without those for which
+// tasks were displaced in the same round, so that running tasks were stopped for nothing.
+func TestDisplacementKeepsQuota(t *testing.T) {
+	is := is.New(t)
+	v := newView()
+	whole := jaypool.Resources{ProcessorsMilli: 8000}
+	v = v.withJob("a", func(j *Job) { j.Need, j.Priority = whole, jayrule.Low })
+	v = v.withJob("b", func(j *Job) { j.Need, j.Priority, j.Team, j.Displace = whole, jayrule.Normal, "u", true })
+	v.Quotas["u"] = jaypool.Resources{ProcessorsMilli: 16000}
+	for n := range 6 {
+		v.Tasks = append(v.Tasks, Task{Job: "a", Replica: n, Instance: fmt.Sprint("w", n)}, Task{Job: "b", Replica: n})
+	}
+	is.Equal(len(stops(Place(v))), 2)
+}
