--- a/jayreplay/hosts.go
+++ b/jayreplay/hosts.go
@@ -170,6 +170,9 @@
 
 // faulty reports whether a worker fails the runs that it starts now.
 func (s *simulation) faulty(w *worker) bool {
+	if len(s.load.Faults) == 0 {
+		return false
+	}
 	for n, h := range s.hosts {
 		if h.worker != w {
 			continue
