Settings and messages for decisions under overload

Cause: under a load that the pools have too little room for, hosts follow demand too late, nothing knows a worker's speed, weights of organisations are used by nothing, and jobs that cannot be done are accepted.

Result: nothing uses the fields yet.

--- a/jaycli/serve_jobs.go
+++ b/jaycli/serve_jobs.go
@@ -79,6 +79,7 @@
 		RetainEnded:     time.Duration(s.RetainEnded),
 		RevocationTime:  time.Duration(s.RevocationTime),
 		DeclarationTime: time.Duration(s.DeclarationTime),
+		Overload:        jaynode.Overload(s.Overload),
 	}, jaynode.Ports{
 		Store:     platform.NewStore(s.StoreAddr),
 		Workers:   platform.NewWorkers(),
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -17,6 +17,9 @@
 	// HeldUntil is the time until which this owner sends no commands to a host, by host
 	// name. It lists hosts that previous owners have recently sent commands to.
 	HeldUntil map[string]time.Duration
+	// DivideHosts and PredictBursts select decisions under load; see jayoptions.Overload.
+	DivideHosts   bool
+	PredictBursts bool
 }
 
 // Action is a command for the fleet's owner to carry out: MoveHost, MaintainHost or
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -101,6 +101,8 @@
 		MoveTime:        d.node.settings.MoveTime,
 		MaintenanceTime: d.node.settings.MaintenanceTime,
 		HeldUntil:       held,
+		DivideHosts:     d.node.settings.Overload.DivideHosts,
+		PredictBursts:   d.node.settings.Overload.PredictBursts,
 	})
 	d.node.metrics.DutyChanged(string(d.claim.Duty), "takenOver")
 	d.logger.Info("fleet taken over", "term", d.claim.Term, "waves", len(c.waves), "heldHosts", len(held))
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -94,6 +94,11 @@
 		Stop:      n.settings.StopTime,
 		MoveTime:  n.settings.MoveTime,
 		FarFactor: n.settings.FarFactor,
+
+		WorkerSpeeds:   n.settings.Overload.WorkerSpeeds,
+		CopyShare:      n.settings.Overload.CopyShare,
+		FairShares:     n.settings.Overload.FairShares,
+		RejectHopeless: n.settings.Overload.RejectHopeless,
 	}, options...)
 	d.jobs = newJobTail(d)
 	return d
--- a/jaynode/settings.go
+++ b/jaynode/settings.go
@@ -39,4 +39,16 @@
 	// DeclarationTime is how long after a change of the declarations the former ones may still
 	// be applied to requests and to the start of tasks. Zero means that there is no limit.
 	DeclarationTime time.Duration
+	// Overload selects the decisions under a load that the pools have too little room for.
+	Overload Overload
+}
+
+// Overload selects decisions under load; see jayoptions.Overload.
+type Overload struct {
+	DivideHosts    bool
+	PredictBursts  bool
+	WorkerSpeeds   bool
+	CopyShare      float64
+	FairShares     bool
+	RejectHopeless bool
 }
--- a/jayoptions/jobs.go
+++ b/jayoptions/jobs.go
@@ -72,6 +72,8 @@
 	// a quota, and rejects requests while the store limits the rate of its reads. Zero
 	// means that there is no limit.
 	DeclarationTime Duration `json:"declarationTime"`
+	// Overload selects the decisions under a load that the pools have too little room for.
+	Overload Overload `json:"overload"`
 }
 
 // newJobService returns the default settings, which match the current deployments.
@@ -127,6 +129,7 @@
 	checkDuration(d, "/jobService/retainEnded", j.RetainEnded, time.Second, 24*time.Hour)
 	checkDuration(d, "/jobService/declarationTime", j.DeclarationTime, 0, 24*time.Hour)
 	checkDuration(d, "/jobService/revocationTime", j.RevocationTime, 0, 24*time.Hour)
+	j.Overload.check(d)
 }
 
 func checkNumber(d *jaydocument.Document, pointer string, value, low, high float64) {
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -23,6 +23,12 @@
 	// FarFactor is the factor by which a task takes longer on a worker outside the rack of its
 	// data or of its step. It has no effect: the scheduler does not use it.
 	FarFactor float64
+	// WorkerSpeeds, CopyShare, FairShares and RejectHopeless select decisions under load; see
+	// jayoptions.Overload.
+	WorkerSpeeds   bool
+	CopyShare      float64
+	FairShares     bool
+	RejectHopeless bool
 }
 
 // Action is an action that the pool's owner is to perform: StartRun, StopRun, ThrottleRun,
