Order and rejection when work exceeds capacity

Cause: under a load beyond the capacity all jobs become slightly late in turn until capacity has been insufficient for several moves, and jobs are accepted whose results come too late for their callers.

Change: with rejectHopeless, the owner of a pool derives from the capacity, the hosts on their way and the waiting work when jobs begin and end. Jobs that can be on time go first as soon as waiting work makes one late, in queues whose durations are predicted well. A job that would end of no use is rejected before it is stored, with a place in the order of return.

--- /dev/null
+++ b/jayfleet/arriving.go
@@ -0,0 +1,71 @@
+package jayfleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"jaythread/jayport"
+)
+
+const (
+	// joinDelay is how long it takes until a host that has moved can be used: the time for its
+	// first report.
+	joinDelay = 200 * time.Millisecond
+	// arrivingStep is the time within which arriving hosts are reported together.
+	arrivingStep = 100 * time.Millisecond
+)
+
+// Arriving is capacity that a pool gets after some time.
+type Arriving struct {
+	CapacityMilli int64
+	In            time.Duration
+}
+
+// Arriving returns the hosts that are on their way to a pool, the earliest first: those that are
+// moving, and those that other pools are emptying for it. Hosts that arrive within the same
+// arrivingStep are summed up.
+//
+// It serves this decision: a pool that lacks room rejects no job that these hosts can do in time.
+func (f *Fleet) Arriving(pool string, now time.Duration) []Arriving {
+	milli := map[time.Duration]int64{}
+	for _, h := range f.sorted {
+		in, arrives := f.arrivesIn(h, pool, now)
+		if arrives {
+			milli[in.Truncate(arrivingStep)] += h.Capacity.ProcessorsMilli
+		}
+	}
+	arriving := make([]Arriving, 0, len(milli))
+	for in, capacity := range milli {
+		arriving = append(arriving, Arriving{CapacityMilli: capacity, In: in})
+	}
+	slices.SortFunc(arriving, func(a, b Arriving) int { return cmp.Compare(a.In, b.In) })
+	return arriving
+}
+
+// arrivesIn returns when a host can be used by a pool that it is on its way to.
+func (f *Fleet) arrivesIn(h *host, pool string, now time.Duration) (in time.Duration, arrives bool) {
+	move := f.settings.MoveTime + joinDelay
+	if m, ok := h.command.(moving); ok {
+		if h.commandDone > 0 {
+			move -= now - h.commandDone
+		}
+		return max(0, move), m.to == pool
+	}
+	if h.command != nil {
+		return 0, false
+	}
+	if h.vacating == forMove && h.moveTo == pool {
+		return f.emptyIn(h, now) + move, true
+	}
+	return move, h.Pool == pool && h.State == jayport.HostMoving
+}
+
+// emptyIn returns how long a host that is being emptied is expected to be in use.
+func (f *Fleet) emptyIn(h *host, now time.Duration) time.Duration {
+	l, known := f.load(h)
+	if !known || l.EmptyIn < 0 {
+		return max(0, h.drainTime-(now-h.vacatingSince))
+	}
+	return l.EmptyIn
+}
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -105,7 +105,7 @@
 }
 
 // storeAtOwner asks the owner of a job's pool to store the job. Its errors are
-// jayport.ErrRejected, jayport.ErrNoAnswer and errTaken.
+// jayport.ErrRejected, jayport.ErrNoAnswer, errTaken and *hopelessError.
 //
 // The outcome is final if this entry should not append the job itself. An owner that can
 // reach the store and still rejects a job does so because the store is slow. If all
@@ -138,6 +138,9 @@
 	if stored.GetTaken() {
 		return true, errTaken
 	}
+	if stored.GetHopeless() {
+		return true, &hopelessError{retryAfter: millis(stored.GetRetryAfterMillis())}
+	}
 	err = jayrelay.DecodeError(&jaywire.StoreResult{Outcome: stored.GetOutcome()})
 	return err == nil || !stored.GetStoreAway(), err
 }
@@ -183,7 +186,7 @@
 
 // store appends a job and passes it to the pool's duty, if this entry owns the pool.
 // While the store accepts no jobs, it retries for as long as the job may wait. Its errors
-// are jayport.ErrRejected, jayport.ErrNoAnswer and errTaken.
+// are jayport.ErrRejected, jayport.ErrNoAnswer, errTaken and *hopelessError.
 //
 // The owner also reads all jobs from the store, but a read can be blocked while appends
 // go on. Jobs that were accepted would then start only after that read had timed out.
@@ -198,6 +201,9 @@
 		// slower.
 		return nil
 	}
+	if err := i.admit(pool, id, value); err != nil {
+		return err
+	}
 	began := i.node.clock()
 	i.node.expect(pool, id, value)
 	waitUntil := began + remainingWait(i.outage(pool), outageWait)
@@ -207,6 +213,7 @@
 			i.node.declareStored(pool, id, value)
 		}
 		if !errors.Is(err, jayport.ErrRejected) || i.node.clock()+rejectedRetryDelay >= waitUntil {
+			i.appendEnded(pool, id, err)
 			return err
 		}
 		time.Sleep(rejectedRetryDelay)
@@ -293,7 +300,9 @@
 		return &jaywire.JobStored{Outcome: jaywire.StoreOutcome_STORE_OUTCOME_MALFORMED}
 	}
 	err := i.store(ask.Pool, ask.Job, declaration.Organisation, ask.Declaration, millis(ask.TimeoutMillis), millis(ask.OutageWaitMillis))
-	return &jaywire.JobStored{Outcome: jayrelay.OutcomeOf(err), StoreAway: i.storeUnreachable(), Taken: errors.Is(err, errTaken)}
+	stored := &jaywire.JobStored{Outcome: jayrelay.OutcomeOf(err), StoreAway: i.storeUnreachable(), Taken: errors.Is(err, errTaken)}
+	writeHopeless(stored, err)
+	return stored
 }
 
 const (
@@ -306,6 +315,9 @@
 )
 
 func (i *intake) submitError(err error) error {
+	if verdict := hopelessVerdict(err); verdict != nil {
+		return verdict
+	}
 	switch {
 	case err == nil:
 		return nil
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -49,6 +49,8 @@
 	storedJobs sync.Map
 	// lacksRoom is set while tasks wait for free capacity.
 	lacksRoom atomic.Bool
+	// places is the number of rejected jobs that are to return.
+	places atomic.Int64
 	// latency measures how long the pool's workers take to answer.
 	latency *jaysched.Latency
 
@@ -156,6 +158,7 @@
 		d.perform(action)
 	}
 	d.lacksRoom.Store(d.pool.LacksRoom())
+	d.places.Store(int64(d.pool.Places()))
 	d.flush()
 	d.expire(now)
 	d.logEvents()
--- a/jayreplay/hosts.go
+++ b/jayreplay/hosts.go
@@ -105,12 +105,17 @@
 	for worker, how := range s.fleet.Vacating(o.name) {
 		orders = append(orders, jaysched.Vacate{Worker: worker, Urgent: how.Urgent, Migrate: how.Migrate})
 	}
+	var arriving []jaysched.Arriving
+	for _, a := range s.fleet.Arriving(o.name, asked) {
+		arriving = append(arriving, jaysched.Arriving(a))
+	}
 	existing, read, known := s.fleet.Existing(o.name)
 	s.clock.after(linkLatency, func() {
 		if known {
 			o.pool.InventoryRead(existing, read, s.clock.now)
 		}
 		o.pool.SetVacating(orders, s.clock.now)
+		o.pool.SetArriving(arriving, s.clock.now)
 		demand := fleetDemand(o.pool.Demand(s.clock.now), asked)
 		o.scheduleDecision()
 		s.clock.after(linkLatency, func() { s.fleet.SetDemand(o.name, demand) })
--- a/jayreplay/load.go
+++ b/jayreplay/load.go
@@ -26,6 +26,9 @@
 	// Link is the bandwidth of the network link of each pool's owner in bytes per second,
 	// for each direction. Zero means unlimited.
 	Link float64
+	// RejectHopeless lets the pools reject hopeless jobs. Their callers repeat the request after
+	// Retry-After in whole seconds, up to maxReturns times.
+	RejectHopeless bool
 	// Arrivals are the submitted jobs, ordered by time.
 	Arrivals []Arrival
 	// MeasureFrom is the time from which instance-seconds are counted.
--- a/jayreplay/owner.go
+++ b/jayreplay/owner.go
@@ -52,6 +52,8 @@
 			Stop:      200 * time.Millisecond,
 			MoveTime:  s.load.MoveTime,
 			FarFactor: 1.5,
+
+			RejectHopeless: s.load.RejectHopeless,
 		}),
 	}
 }
--- a/jayreplay/result.go
+++ b/jayreplay/result.go
@@ -18,6 +18,9 @@
 	Work float64
 	// Done is when the job was first shown as done, or zero.
 	Done time.Duration
+	// Rejections counts how often the job was rejected. Accepted is when it was accepted, or zero.
+	Rejections int
+	Accepted   time.Duration
 	// Failed is when the job was first shown as failed, or zero.
 	Failed time.Duration
 	// Crashes is true if some of the job's tasks crash their workers.
--- a/jayreplay/simulation.go
+++ b/jayreplay/simulation.go
@@ -141,6 +141,23 @@
 	for at, when := range a.FailsAt {
 		s.clock.after(when-s.clock.now, func() { s.failTask(taskID(a.Job.ID, at[0], at[1])) })
 	}
+	s.store(owner, a)
+}
+
+// maxReturns limits how often the caller of a rejected job repeats the request.
+const maxReturns = 4
+
+// store asks a pool's owner to store a job.
+func (s *simulation) store(owner *poolOwner, a *Arrival) {
+	admission := owner.pool.Admit(a.Job, s.clock.now)
+	if admission.Rejected {
+		j := s.jobs[a.Job.ID]
+		if j.Rejections++; j.Rejections <= maxReturns {
+			s.clock.after(admission.RetryAfter, func() { s.store(owner, a) })
+		}
+		return
+	}
+	s.jobs[a.Job.ID].Accepted = s.clock.now
 	owner.pool.Expect(a.Job, s.clock.now)
 	s.clock.after(storeLatency, func() {
 		owner.pool.Declare(a.Job, s.clock.now)
--- a/jaysched/deadline.go
+++ b/jaysched/deadline.go
@@ -37,19 +37,24 @@
 		return
 	}
 	p.deadlineReviewAt = now + reviewInterval
-	overloaded := p.overloaded(now)
+	overloaded, byOutlook := p.overloaded(now), p.reviewOutlook(now)
 	changed := false
 	for _, j := range p.open {
-		was := j.deadlineStatus
-		j.deadlineStatus = onTime
-		if overloaded {
-			j.deadlineStatus = p.deadlineStatusOf(j, now)
+		was, favour := j.deadlineStatus, j.favour
+		switch {
+		case byOutlook && p.servedByOutlook(j):
+			p.reviewByOutlook(j, now)
+		case overloaded:
+			j.deadlineStatus, j.favour = p.deadlineStatusOf(j, now), 0
+		default:
+			j.deadlineStatus, j.favour = onTime, 0
 		}
-		changed = changed || j.deadlineStatus != was
+		changed = changed || j.deadlineStatus != was || j.favour != favour
 	}
 	if changed {
 		slices.SortStableFunc(p.open, compareJobs)
 	}
+	p.sumWaiting(now)
 }
 
 // overloaded reports whether tasks have lacked room for long, and are too many to be done in
--- a/jaysched/durations.go
+++ b/jaysched/durations.go
@@ -17,6 +17,9 @@
 	// decay is the factor by which earlier observations lose weight with each new one, so that
 	// a queue whose tasks change is learned anew within some hundred tasks.
 	decay = 0.995
+	// maxDeviations limits a deviation from the prediction, as a multiple of the mean one, so that
+	// a few tasks that take many times as long as predicted hardly change the spread.
+	maxDeviations = 3
 )
 
 // durations predicts how long the tasks of each queue take. Declared estimates are inaccurate
@@ -29,6 +32,9 @@
 // fit is a weighted linear regression of log duration on log estimate.
 type fit struct {
 	weight, x, y, xx, xy float64
+	// deviations is the sum of the absolute differences between predicted and observed logarithm,
+	// and observed their number, both of which lose weight alike.
+	deviations, observed float64
 }
 
 func newDurations() *durations {
@@ -47,6 +53,12 @@
 		d.byQueue[queue] = f
 	}
 	x, y := logSeconds(s.decl.Estimate), logSeconds(took)
+	deviation := math.Abs(y - logSeconds(d.predict(queue, s.decl.Estimate)))
+	if f.observed >= minObservations {
+		deviation = min(deviation, maxDeviations*f.deviations/f.observed)
+	}
+	f.deviations = f.deviations*decay + deviation
+	f.observed = f.observed*decay + 1
 	f.weight = f.weight*decay + 1
 	f.x = f.x*decay + x
 	f.y = f.y*decay + y
@@ -57,7 +69,7 @@
 // predict returns the expected duration of a task with a declared estimate.
 func (d *durations) predict(queue string, estimate time.Duration) time.Duration {
 	f, known := d.byQueue[queue]
-	if !known || estimate <= 0 {
+	if !known || f.weight == 0 || estimate <= 0 {
 		return estimate
 	}
 	meanX, meanY := f.x/f.weight, f.y/f.weight
@@ -73,3 +85,13 @@
 func logSeconds(d time.Duration) float64 {
 	return math.Log(max(d, minDuration).Seconds())
 }
+
+// spread returns the standard deviation of the logarithm of a queue's durations around their
+// prediction, from the mean absolute deviation; known is false until enough of them were observed.
+func (d *durations) spread(queue string) (spread float64, known bool) {
+	f, observed := d.byQueue[queue]
+	if !observed || f.observed < minObservations {
+		return 1, false
+	}
+	return f.deviations / f.observed * math.Sqrt(math.Pi/2), true
+}
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -50,6 +50,10 @@
 	// do not wait for it any more.
 	QuotaReached EventKind = "quota reached"
 	QuotaFree    EventKind = "quota free"
+	// JobRejected is a job that cannot be done while its result is of use, JobReturned one that
+	// was rejected and is accepted at its place in the order of return.
+	JobRejected EventKind = "job rejected"
+	JobReturned EventKind = "job returned in turn"
 )
 
 // Event reports a decision, or a change of the pool's state, with its cause.
@@ -58,7 +62,7 @@
 	At     time.Duration
 	Job    string
 	Worker string
-	// Organisation is set for QuotaReached and QuotaFree.
+	// Organisation is set for QuotaReached, QuotaFree and JobRejected.
 	Organisation string
 	Run          jayport.RunRef
 	Detail       string
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -63,7 +63,11 @@
 	// target is when the job should be done.
 	target         time.Duration
 	deadlineStatus deadlineStatus
-	occurrences    []*occurrence
+	// chain is how long the job takes if it runs alone, favour by how much its target counts as
+	// earlier in the order.
+	chain, favour time.Duration
+	forecast      jobForecast
+	occurrences   []*occurrence
 	// openOccurrences counts the occurrences that have not ended.
 	openOccurrences int
 	// waiting counts the tasks of all steps that are not done and have no run.
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -147,6 +147,7 @@
 	actions       []Action
 	events        []Event
 	durations     *durations
+	outlook       *outlook
 }
 
 // Option configures a new pool.
@@ -190,6 +191,7 @@
 
 		quotas:     newQuotas(),
 		durations:  newDurations(),
+		outlook:    newOutlook(),
 		startsLeft: math.MaxInt,
 	}
 	for _, option := range options {
@@ -297,6 +299,7 @@
 		p.addArrival(spec, chain, now)
 	}
 	delete(p.expected, spec.ID)
+	p.outlook.places.Remove(spec.ID)
 	return true
 }
 
@@ -306,6 +309,7 @@
 	policy := p.policy(j)
 	j.advised, j.priority = policy.Advised, policy.Priority
 	chain = p.longestChain(j.spec)
+	j.chain = chain
 	j.target = j.submittedAt + time.Duration(policy.Stretch*float64(chain)) + policy.Objective
 	p.enqueue(j)
 	return chain
--- a/jaysched/queue.go
+++ b/jaysched/queue.go
@@ -30,6 +30,6 @@
 		compareBool(a.deadlineStatus == expired, b.deadlineStatus == expired),
 		cmp.Compare(a.priority, b.priority),
 		cmp.Compare(a.deadlineStatus, b.deadlineStatus),
-		cmp.Compare(a.target, b.target),
+		cmp.Compare(a.target-a.favour, b.target-b.favour),
 	)
 }
