Tests of rejections at the entry and of arriving hosts

Cause: the hooks of the entry and the hosts on their way had no tests.

Change: a hopeless job is answered with 429 and is not stored, a pool that does not answer rejects nothing, and the next owner starts without places. An owner that began under a shortage waits for a host move before it rejects.

--- /dev/null
+++ b/jaynode/rejection_test.go
@@ -0,0 +1,157 @@
+package jaynode
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaythread/jayclock"
+	"jaythread/jayowner"
+	"jaythread/jaypool"
+	"jaythread/jayport"
+	"jaythread/jaysched"
+	"jaythread/jayspec"
+	"jaythread/jayverdict"
+	"jaythread/jaywire"
+)
+
+// rejectingEntry is an entry that owns a pool whose goroutine processes events only while it
+// answers. The pool has one worker and waiting work for half a minute.
+type rejectingEntry struct {
+	*testEntry
+	duty *poolDuty
+}
+
+func newRejectingEntry(t *testing.T) *rejectingEntry {
+	t.Helper()
+	clock := jayclock.Since(time.Now().Add(-time.Hour))
+	e := newTestEntry(t, "e1", newSharedStore(), newSharedHosts(clock, nil), clock)
+	e.node.settings.Overload.RejectHopeless = true
+	claim := e.claim(jayowner.PoolDuty("seats"), 1, 1)
+	e.setClaims(claim)
+	r := &rejectingEntry{testEntry: e, duty: newPoolDuty(e.node, "seats", claim)}
+	r.duty.loaded.Store(true)
+	e.node.pools["seats"] = r.duty
+	r.duty.pool.Listed([]jayport.Worker{{ID: "w", Addr: "w", Pool: "seats", Capacity: jaypool.Resources{ProcessorsMilli: 1000, MemoryMegabytes: 9000}}}, clock())
+	r.declare("learned", 40, 10*time.Millisecond)
+	r.pass(4*time.Second, true)
+	for n := range 300 {
+		r.declare(fmt.Sprint("waiting", n), 1, time.Second)
+	}
+	r.pass(3*time.Second, false)
+	return r
+}
+
+func (r *rejectingEntry) declare(id string, tasks int, takes time.Duration) {
+	job := jobOf(id, takes)
+	job.Steps[0].Tasks = tasks
+	r.duty.pool.Declare(job, r.node.clock())
+}
+
+// pass lets time pass; the worker ends each run within a step, or none.
+func (r *rejectingEntry) pass(d time.Duration, ends bool) {
+	var active []jayport.ActiveRun
+	number, worker := int64(r.node.clock()), jayport.WorkerRef{ID: "w", Addr: "w"}
+	for until := r.node.clock() + d; r.node.clock() < until; time.Sleep(50 * time.Millisecond) {
+		now := r.node.clock()
+		r.duty.pool.SetConfirmedAt(now)
+		r.duty.pool.SetArriving(nil, now)
+		report := jayport.Report{Clock: now}
+		for _, action := range r.duty.pool.Decide(now) {
+			start, ok := action.(jaysched.StartRun)
+			switch {
+			case ok && !ends:
+				active = append(active, jayport.ActiveRun{Run: start.Order.Run, Speed: 100})
+			case ok:
+				number++
+				report.Ended = append(report.Ended, jayport.EndedRun{Number: number, Run: start.Order.Run, Ending: jayport.EndedDone})
+			}
+		}
+		report.Active = active
+		r.duty.pool.Reported(worker, report, now, now)
+	}
+}
+
+// answer processes the events of the pool's duty for a time.
+func answer(duty *poolDuty, d time.Duration) {
+	clock := duty.node.clock
+	for until := clock() + d; clock() < until; time.Sleep(time.Millisecond) {
+		for handle, ok := duty.inbox.Take(); ok; handle, ok = duty.inbox.Take() {
+			handle(clock())
+		}
+	}
+}
+
+// admit asks for the admission of a job; whether the pool answers is up to the test.
+func (r *rejectingEntry) admit(t *testing.T, job *jayspec.Job) (err error, took time.Duration) {
+	t.Helper()
+	value, encodeErr := encodeJob(job)
+	is.New(t).NoErr(encodeErr)
+	began := r.node.clock()
+	err = r.node.intake.admit("seats", job.ID, value)
+	return err, r.node.clock() - began
+}
+
+func TestHopelessJobIsNotStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRejectingEntry(t)
+		go answer(r.duty, time.Second)
+		job := jobOf(testID, time.Second)
+		value, err := encodeJob(job)
+		is.NoErr(err)
+		stored := r.node.intake.storeFor(&jaywire.StoreJob{Pool: "seats", Job: testID, Declaration: value, TimeoutMillis: 1000})
+		is.True(stored.Hopeless)
+		is.True(stored.RetryAfterMillis >= 1000)
+		is.Equal(stored.Outcome, jaywire.StoreOutcome_STORE_OUTCOME_NOT_DONE) // for an entry of an earlier version
+		is.Equal(len(r.store.store.latest(jayport.Partition{Topic: topicJobs}, "").Records), 0)
+
+		var refusal *jayverdict.Error
+		is.True(errors.As(r.node.intake.submit(job, time.Second), &refusal)) // this entry owns the pool
+		is.Equal(refusal.Status, statusTooMany)
+		is.Equal(refusal.Verdict, jayverdict.NotRun)
+		is.True(refusal.RetryAfter >= time.Second)
+		time.Sleep(time.Second)
+	})
+}
+
+func TestPoolThatDoesNotAnswerRejectsNothing(t *testing.T) {
+	// Guards against submissions that wait for a pool that is too busy to decide, and against a
+	// place for a job that is being stored.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRejectingEntry(t)
+		err, took := r.admit(t, jobOf(testID, time.Second))
+		is.NoErr(err)
+		is.True(took <= admitTimeout)
+		answer(r.duty, 100 * time.Millisecond)
+		is.Equal(r.duty.pool.Places(), 0)
+	})
+}
+
+func TestNextOwnerStartsWithoutPlaces(t *testing.T) {
+	// Guards against a rejection by an owner that has just taken over, whose view of the pool's jobs
+	// and workers is incomplete. The places were lost with the former owner.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRejectingEntry(t)
+		former := r.duty
+		go answer(r.duty, 200 * time.Millisecond)
+		err, _ := r.admit(t, jobOf(testID, time.Second))
+		is.True(err != nil)
+		is.Equal(former.pool.Places(), 1)
+		time.Sleep(time.Second)
+		r.duty = newPoolDuty(r.node, "seats", r.claim(jayowner.PoolDuty("seats"), 2, 2))
+		r.duty.loaded.Store(true)
+		r.node.pools["seats"] = r.duty
+		go answer(r.duty, 200 * time.Millisecond)
+		err, _ = r.admit(t, jobOf(testID, time.Second))
+		is.NoErr(err)
+		is.Equal(r.duty.pool.Places(), 0)
+		time.Sleep(time.Second)
+	})
+}
--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -482,7 +482,8 @@
 	p.recordEvent(Event{Kind: JobRejected, Job: spec.ID, Organisation: spec.Organisation, Detail: detail}, now)
 }
 
-// mayReject reports whether a job may be rejected at all. Until tasks have lacked room for the
+// mayReject reports whether a job may be rejected at all: the outlook is known, and no request in
+// flight is known that may store the job. Until tasks have lacked room for the
 // time in which the fleet moves a host, hosts may be on their way that are not known yet.
 func (p *Pool) mayReject(spec *jayspec.Job, now time.Duration) bool {
 	o := p.outlook
@@ -492,7 +493,7 @@
 	if o.beganAt == 0 || now-o.beganAt < newOwnerTime || !o.current(now) || p.OwnerUnconfirmed() || p.formerRunsPossible(now) {
 		return false
 	}
-	if o.supply.milli == 0 || now-p.lastRoomAt < p.settings.MoveTime+reportDelay {
+	if o.supply.milli == 0 || now-max(p.lastRoomAt, o.beganAt) < p.settings.MoveTime+reportDelay {
 		return false
 	}
 	_, expected := p.expected[spec.ID]
