Divide hosts among pools that all lack some

Cause: while two pools lack hosts, nothing moves until a pool has been short for three move times, and a busy host leaves only if it is empty soon. Nearly every host has a task that takes several times as long as the others.

Change: with divideHosts, the fleet's owner computes what each pool is entitled to by water-filling over the on-time need, and takes hosts at once for a pool with less than half of it. The pool that gives closes the chosen hosts, waits for ordinary runs, restarts overdue ones where that costs less work than the wait, and places new tasks on hosts that are busy anyway.

--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -61,6 +61,10 @@
 	// laterEmpty lists other hosts that become empty within shareDrainMoves, the earliest
 	// first.
 	laterEmpty []*host
+	// onTime is the number of hosts needed for jobs that can still be on time. entitled is the
+	// number of hosts that the pool is entitled to.
+	onTime   int
+	entitled int
 }
 
 // balance moves hosts to the pools that lack some, and moves hosts that no pool needs to
@@ -76,7 +80,9 @@
 		f.fill(b, &free, balances, now)
 		f.short = f.short || b.have+reserveHosts < b.need
 	}
-	f.share(balances, now)
+	if !f.divide(balances, len(free), now) {
+		f.share(balances, now)
+	}
 	f.releaseIdle(balances, f.enoughStandby(len(free), now), now)
 }
 
@@ -159,7 +165,7 @@
 // vacate asks the host's pool to empty it, so that no run is started there before it
 // moves.
 func (h *host) vacate(to string, drains bool, now time.Duration) {
-	h.vacating, h.moveTo, h.drains, h.vacatingSince = forMove, to, drains, now
+	h.vacating, h.moveTo, h.drains, h.vacatingSince, h.divided = forMove, to, drains, now, false
 }
 
 // finishMoves moves the hosts that their pools have emptied. A host that is still busy
@@ -173,7 +179,7 @@
 		waits := h.drains && now-h.vacatingSince < h.drainTime
 		switch {
 		case f.empty(h, now) && reported:
-			f.begin(h, moving{to: h.moveTo}, "vacated", now)
+			f.begin(h, moving{to: h.moveTo}, h.moveReason(), now)
 		case reported && !waits:
 			h.vacating = notVacating
 		}
@@ -273,6 +279,9 @@
 	}
 	b.need = max(hostsFor(d.NeedMilli, each), d.HostsAtLeast)
 	b.useful = max(hostsFor(d.NeedMilli-d.ExpiredMilli, each), d.HostsAtLeast)
+	if d.OnTimeMilli != nil {
+		b.onTime = min(b.useful, max(hostsFor(*d.OnTimeMilli, each), d.HostsAtLeast))
+	}
 	b.keep = max(hostsFor(d.NeedMilli+d.SpareMilli, each), d.HostsAtLeast)
 	return b
 }
--- /dev/null
+++ b/jayfleet/division.go
@@ -0,0 +1,267 @@
+package jayfleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// floorShare is the fraction of an equal share of all hosts that a pool with jobs keeps for
+	// its next jobs: a pool without any host learns nothing about its tasks, and its first jobs
+	// wait for a whole move.
+	floorShare = 0.1
+	// divideTolerance is the fraction of its entitlement by which a pool may deviate from it.
+	// Demand varies randomly by about as much from one report to the next.
+	divideTolerance = 0.1
+	// beginShare is the fraction of its entitlement below which a pool is given hosts. A given
+	// host serves nobody while it is emptied and moves, which is more than half of a short burst:
+	// pools with similar ratios of hosts to entitlement lose by an exchange.
+	beginShare = 0.5
+	// stayFactor is the multiple of the time in which a given host serves nobody, for which it
+	// is not given away again.
+	stayFactor = 2
+	// drainFactor is the multiple of its estimated time for which the pool may empty a host that
+	// is given to another pool.
+	drainFactor = 2
+)
+
+// Division is the part of a division of the hosts that concerns one pool, in hosts.
+type Division struct {
+	Pool string
+	// Entitled is what the pool is entitled to, Have what it has with the hosts on their way.
+	Entitled int
+	Have     int
+	// Need is what the pool can use soon, and OnTime the part of it for jobs that can still be
+	// done by their target.
+	Need   int
+	OnTime int
+	// Gives is the number of hosts that the pool is now asked to give.
+	Gives int
+}
+
+// Contracting reports whether other pools wait for hosts that the pool is to release.
+func (f *Fleet) Contracting(pool string) bool {
+	d, divided := f.division[pool]
+	return divided && d.Have > d.Entitled
+}
+
+// TakeDivisions returns and clears the divisions that moved hosts since the last call.
+func (f *Fleet) TakeDivisions() []Division {
+	divisions := f.divisions
+	f.divisions = nil
+	return divisions
+}
+
+// divide moves hosts from pools that have more hosts than they are entitled to, to those that
+// have fewer. It returns false if the hosts are not divided because this is not selected or a
+// pool's owner does not report what the division needs.
+//
+// It handles an overload of several pools at once. The pool whose burst came first has taken
+// nearly all hosts and can use them all, and the others wait for as long as its backlog lasts.
+// It acts at once, since most bursts last only a few moves.
+func (f *Fleet) divide(balances []*poolBalance, standby int, now time.Duration) bool {
+	unknown := func(b *poolBalance) bool { return f.demands[b.pool].OnTimeMilli == nil }
+	if !f.settings.DivideHosts || slices.ContainsFunc(balances, unknown) {
+		f.division = nil
+		return false
+	}
+	lacks := func(b *poolBalance) bool { return b.have+reserveHosts < b.need }
+	if standby > 0 || !slices.ContainsFunc(balances, lacks) {
+		f.division = nil
+		f.cancelDivided(balances)
+		return true
+	}
+	f.entitle(balances)
+	f.cancelDivided(balances)
+	f.division = make(map[string]Division, len(balances))
+	for _, b := range balances {
+		f.division[b.pool] = Division{Pool: b.pool, Entitled: b.entitled, Have: b.have, Need: b.need, OnTime: b.onTime}
+	}
+	gives := f.give(balances, now)
+	if len(gives) == 0 {
+		return true
+	}
+	for _, b := range balances {
+		d := f.division[b.pool]
+		d.Gives = gives[b.pool]
+		f.divisions = append(f.divisions, d)
+	}
+	return true
+}
+
+// give vacates hosts of pools above their entitlement for the pools below it, the one that is
+// furthest below first. It returns how many hosts each pool is asked to give.
+func (f *Fleet) give(balances []*poolBalance, now time.Duration) map[string]int {
+	gives := map[string]int{}
+	candidates := map[*poolBalance][]*host{}
+	order := slices.Clone(balances)
+	slices.SortStableFunc(order, func(a, b *poolBalance) int {
+		return cmp.Compare(a.have*max(1, b.entitled), b.have*max(1, a.entitled))
+	})
+	for _, to := range order {
+		if float64(to.have) >= beginShare*float64(to.entitled) {
+			continue
+		}
+		for to.have+to.margin() < to.entitled {
+			from, h := f.cheapest(balances, candidates, now)
+			if from == nil {
+				return gives
+			}
+			f.giveHost(h, from, to, now)
+			gives[from.pool]++
+		}
+	}
+	return gives
+}
+
+// margin returns the number of hosts by which a pool may deviate from its entitlement.
+func (b *poolBalance) margin() int {
+	return max(reserveHosts, int(divideTolerance*float64(b.entitled)))
+}
+
+// cheapest returns the pool that is furthest above its entitlement and has a host to give, and
+// the host whose release costs least there. Candidates holds the hosts of each pool that was
+// asked for before.
+func (f *Fleet) cheapest(balances []*poolBalance, candidates map[*poolBalance][]*host, now time.Duration) (*poolBalance, *host) {
+	var from *poolBalance
+	most := 0
+	for _, b := range balances {
+		above := b.have - b.entitled - b.margin()
+		if above <= most {
+			continue
+		}
+		if _, listed := candidates[b]; !listed {
+			candidates[b] = f.releasable(b, now)
+		}
+		if len(candidates[b]) > 0 {
+			from, most = b, above
+		}
+	}
+	if from == nil {
+		return nil, nil
+	}
+	h := candidates[from][0]
+	candidates[from] = candidates[from][1:]
+	return from, h
+}
+
+// releasable returns the hosts that a pool may give, the one whose release costs least first:
+// idle hosts, then the others by the capacity that is unused until they are empty and by the work
+// that is lost with their runs. A host that was just given to the pool stays there.
+func (f *Fleet) releasable(b *poolBalance, now time.Duration) []*host {
+	hosts := slices.Clone(b.idle)
+	for _, h := range slices.Concat(b.soonEmpty, b.laterEmpty) {
+		if now >= h.staysUntil {
+			hosts = append(hosts, h)
+		}
+	}
+	costs := make(map[*host]float64, len(hosts))
+	for _, h := range hosts {
+		if l, _ := f.load(h); l.Runs > 0 {
+			costs[h] = l.EmptyIn.Seconds()*float64(f.room(h)) + float64(l.RestartCost)
+		}
+	}
+	slices.SortStableFunc(hosts, func(a, b *host) int { return cmp.Compare(costs[a], costs[b]) })
+	return hosts
+}
+
+// giveHost vacates a host of one pool for another one.
+func (f *Fleet) giveHost(h *host, from, to *poolBalance, now time.Duration) {
+	l, _ := f.load(h)
+	from.drop(h)
+	from.have--
+	to.have++
+	h.vacate(to.pool, true, now)
+	h.divided = true
+	h.drainTime = max(f.moves(reclaimDrainMoves), drainFactor*l.EmptyIn)
+	h.staysUntil = now + stayFactor*(l.EmptyIn+f.settings.MoveTime)
+}
+
+// cancelDivided leaves hosts that are still being emptied in their pool if the pool that they
+// were to be given to has enough by now and their own pool lacks some.
+func (f *Fleet) cancelDivided(balances []*poolBalance) {
+	byPool := make(map[string]*poolBalance, len(balances))
+	for _, b := range balances {
+		byPool[b.pool] = b
+	}
+	for _, h := range f.sorted {
+		if !h.divided || h.vacating != forMove || h.command != nil {
+			continue
+		}
+		from, to := byPool[h.Pool], byPool[h.moveTo]
+		if from != nil && to != nil && from.have < from.need && to.have > to.need+to.margin() {
+			h.vacating = notVacating
+			from.have++
+			to.have--
+		}
+	}
+}
+
+// moveReason returns why a vacated host is moved.
+func (h *host) moveReason() string {
+	if h.divided {
+		return "divided"
+	}
+	return "vacated"
+}
+
+// entitle computes how many of all hosts each pool is entitled to: first a floor, then hosts for
+// jobs that can still be on time, then for late jobs whose results are of use, then for the
+// others. On-time jobs come first because a late result is worth a small part of one in time.
+func (f *Fleet) entitle(balances []*poolBalance) {
+	left := 0
+	for _, b := range balances {
+		left += b.have
+	}
+	equal := float64(left) / float64(max(1, len(balances)))
+	stages := []func(*poolBalance) int{
+		func(b *poolBalance) int {
+			return max(f.demands[b.pool].HostsAtLeast, min(b.useful, reserveHosts+int(floorShare*equal)))
+		},
+		func(b *poolBalance) int { return b.onTime },
+		func(b *poolBalance) int { return b.useful },
+		func(b *poolBalance) int { return b.need },
+	}
+	for _, want := range stages {
+		left -= raise(balances, want, left)
+	}
+}
+
+// raise raises the entitlements to what the pools want, or as far as the remaining hosts allow:
+// the lowest entitlements first, so that the smallest is as large as possible. It returns the
+// number of hosts that were used.
+func raise(balances []*poolBalance, want func(*poolBalance) int, left int) (used int) {
+	at := func(b *poolBalance, level int) int { return max(b.entitled, min(want(b), level)) }
+	cost := func(level int) int {
+		total := 0
+		for _, b := range balances {
+			total += at(b, level) - b.entitled
+		}
+		return total
+	}
+	highest := 0
+	for _, b := range balances {
+		highest = max(highest, want(b))
+	}
+	low, high := 0, highest
+	for low < high {
+		if middle := (low + high + 1) / 2; cost(middle) <= left {
+			low = middle
+		} else {
+			high = middle - 1
+		}
+	}
+	for _, b := range balances {
+		used += at(b, low) - b.entitled
+		b.entitled = at(b, low)
+	}
+	// The hosts that are too few for one more in each pool go to the first ones.
+	for _, b := range balances {
+		if used < left && want(b) > b.entitled && b.entitled == low {
+			b.entitled++
+			used++
+		}
+	}
+	return used
+}
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -69,6 +69,11 @@
 	// EmptyIn is the estimated time until the worker is empty if its runs are migrated; a
 	// negative value means never.
 	EmptyIn time.Duration
+	// RestartCost is the work, in thousandths of a core times seconds, that is lost if the
+	// worker is emptied within EmptyIn. Restartable reports whether EmptyIn is based on
+	// restarts.
+	RestartCost int64
+	Restartable bool
 }
 
 // Vacate specifies how a pool is to empty a worker.
@@ -77,6 +82,8 @@
 	// runs that can continue on another worker.
 	Urgent  bool
 	Migrate bool
+	// Restart allows stopping runs that start anew on another worker.
+	Restart bool
 }
 
 // Demand is the capacity that a pool's owner requests.
@@ -89,6 +96,9 @@
 	// ExpiredMilli is the part of NeedMilli that is for jobs whose results their callers
 	// can no longer use.
 	ExpiredMilli int64
+	// OnTimeMilli is the part of NeedMilli for jobs that can still be done by their target;
+	// nil means that it is not known.
+	OnTimeMilli *int64
 	// HostsAtLeast is the minimum number of hosts regardless of their size.
 	HostsAtLeast int
 	// Loads holds the load of each worker by worker ID.
@@ -115,6 +125,10 @@
 	waves    map[string]*wave
 	// shortSince is the time since which a pool has had less than its share, by pool.
 	shortSince map[string]time.Duration
+	// division is what each pool was last entitled to, by pool, while a pool lacks hosts.
+	// divisions are those that moved hosts and were not taken yet.
+	division  map[string]Division
+	divisions []Division
 	// short reports whether some pool has fewer hosts than it can use soon.
 	short       bool
 	actions     []Action
@@ -148,6 +162,10 @@
 	drainTime time.Duration
 	// vacatingSince is when the pool was first asked to empty the host.
 	vacatingSince time.Duration
+	// staysUntil is until when the host is not given away again by a division.
+	staysUntil time.Duration
+	// divided reports whether the host is vacated by a division.
+	divided bool
 }
 
 // command is an operation requested from the inventory.
@@ -285,7 +303,7 @@
 	workers := map[string]Vacate{}
 	for _, h := range f.sorted {
 		if h.Pool == pool && h.Worker != "" && (h.vacating != notVacating || h.command != nil) {
-			workers[h.Worker] = Vacate{Urgent: h.urgent, Migrate: h.drains}
+			workers[h.Worker] = Vacate{Urgent: h.urgent, Migrate: h.drains, Restart: h.divided && h.vacating == forMove}
 		}
 	}
 	return workers
--- a/jayfleet/state.go
+++ b/jayfleet/state.go
@@ -15,6 +15,9 @@
 	Need   int
 	Keep   int
 	Useful int
+	// Entitled is the number of hosts that the pool is entitled to while a pool lacks some, or
+	// zero.
+	Entitled int
 	// On is the number of the pool's hosts that are up. Of these, Idle run nothing, and
 	// LongRunning run only long-running tasks.
 	On          int
@@ -33,7 +36,7 @@
 // usable hosts on standby.
 func (f *Fleet) States(now time.Duration) (pools []PoolState, off int) {
 	for _, b := range f.balances(now) {
-		state := PoolState{Pool: b.pool, Need: b.need, Keep: b.keep, Useful: b.useful}
+		state := PoolState{Pool: b.pool, Need: b.need, Keep: b.keep, Useful: b.useful, Entitled: f.division[b.pool].Entitled}
 		for _, h := range f.sorted {
 			state.count(f, h)
 		}
--- a/jaynode/demand.go
+++ b/jaynode/demand.go
@@ -39,7 +39,7 @@
 	}
 	vacate := make([]jaysched.Vacate, 0, len(ask.Vacate))
 	for _, v := range ask.Vacate {
-		vacate = append(vacate, jaysched.Vacate{Worker: v.Worker, Urgent: v.Urgent, Migrate: v.Migrate})
+		vacate = append(vacate, jaysched.Vacate{Worker: v.Worker, Urgent: v.Urgent, Migrate: v.Migrate, Restart: v.Restart})
 	}
 	asked := duty.ask(func() {
 		now := n.clock()
@@ -47,6 +47,7 @@
 			duty.pool.InventoryRead(ask.Existing, micros(ask.SurveyedAtMicros), now)
 		}
 		duty.pool.SetVacating(vacate, now)
+		duty.pool.SetContracting(ask.Contracting, now)
 		writeDemand(report, duty.pool.Demand(now))
 		if ask.Quota != nil {
 			message := decodeQuotaMessage(ask.Fence, ask.Quota)
@@ -71,6 +72,7 @@
 	report.NeedMilli = d.NeedMilli
 	report.SpareMilli = d.SpareMilli
 	report.ExpiredMilli = d.ExpiredMilli
+	report.OnTimeMilli = &d.OnTimeMilli
 	report.WorkersAtLeast = uint32(d.WorkersAtLeast)
 	for _, l := range d.Loads {
 		emptyIn := l.EmptyIn.Milliseconds()
@@ -87,6 +89,8 @@
 
 			EmptyInMillis: emptyIn,
 			CapacityMilli: &l.CapacityMilli,
+			RestartCost:   l.RestartCost,
+			Restartable:   l.Restartable,
 		})
 	}
 }
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -137,6 +137,7 @@
 	for _, c := range d.fleet.TakeHostChanges() {
 		d.logger.Info("host changed", "host", c.Host, "pool", c.Pool, "state", c.State.String(), "worker", c.Worker)
 	}
+	d.logDivisions()
 	d.logStates(now)
 	d.readHosts(now)
 	d.lendQuotas(working)
@@ -153,11 +154,18 @@
 	d.nextStatesLogAt = now + stateLogInterval
 	pools, off := d.fleet.States(now)
 	for _, s := range pools {
-		d.logger.Info("pool state", "pool", s.Pool, "need", s.Need, "keep", s.Keep, "useful", s.Useful, "on", s.On, "idle", s.Idle, "longRunning", s.LongRunning,
+		d.logger.Info("pool state", "pool", s.Pool, "need", s.Need, "keep", s.Keep, "useful", s.Useful, "entitled", s.Entitled, "on", s.On, "idle", s.Idle, "longRunning", s.LongRunning,
 			"coming", s.Coming, "leaving", s.Leaving, "usedMilli", s.UsedMilli, "roomMilli", s.RoomMilli, "off", off)
 	}
 }
 
+// logDivisions logs each division of the hosts that moves some, by pool.
+func (d *fleetDuty) logDivisions() {
+	for _, v := range d.fleet.TakeDivisions() {
+		d.logger.Info("hosts divided", "pool", v.Pool, "entitled", v.Entitled, "hosts", v.Have, "need", v.Need, "onTime", v.OnTime, "gives", v.Gives)
+	}
+}
+
 // waveStartTime returns when a wave's time began, on this entry's clock: the earlier of
 // the recorded declaration and the time at which this entry learned of the wave. An entry
 // that was started during a wave learned of it late. Without the recorded time, each new
@@ -197,7 +205,7 @@
 	vacating := d.fleet.Vacating(pool)
 	orders := make([]*jaywire.VacateOrder, 0, len(vacating))
 	for worker, how := range vacating {
-		orders = append(orders, &jaywire.VacateOrder{Worker: worker, Urgent: how.Urgent, Migrate: how.Migrate})
+		orders = append(orders, &jaywire.VacateOrder{Worker: worker, Urgent: how.Urgent, Migrate: how.Migrate, Restart: how.Restart})
 	}
 	slices.SortFunc(orders, func(a, b *jaywire.VacateOrder) int { return strings.Compare(a.Worker, b.Worker) })
 	names := vacateOrdersKey(orders)
@@ -206,7 +214,7 @@
 	}
 	d.askingDemand[pool] = true
 	d.sentOrders[pool] = names
-	ask := &jaywire.AskDemand{Pool: pool, Fence: d.claim.Fence, Vacate: orders, Quota: encodeQuotaMessage(d.lender.Message(pool))}
+	ask := &jaywire.AskDemand{Pool: pool, Fence: d.claim.Fence, Vacate: orders, Quota: encodeQuotaMessage(d.lender.Message(pool)), Contracting: d.fleet.Contracting(pool)}
 	existing, asked, read := d.fleet.Existing(pool)
 	if clock, known := d.clocks[pool]; known && read {
 		ask.Surveyed, ask.Existing = true, existing
@@ -243,6 +251,7 @@
 		NeedMilli:    report.NeedMilli,
 		SpareMilli:   report.SpareMilli,
 		ExpiredMilli: report.ExpiredMilli,
+		OnTimeMilli:  report.OnTimeMilli,
 		HostsAtLeast: int(report.WorkersAtLeast),
 		Loads:        make(map[string]jayfleet.Load, len(report.Workers)),
 		At:           at,
@@ -256,6 +265,8 @@
 			Vacated:       w.Vacated,
 			Idle:          millis(w.IdleMillis),
 			EmptyIn:       millis(w.EmptyInMillis),
+			RestartCost:   w.RestartCost,
+			Restartable:   w.Restartable,
 		}
 	}
 	return demand
--- a/jayreplay/generate.go
+++ b/jayreplay/generate.go
@@ -26,6 +26,8 @@
 	Need jaypool.Resources
 	// MeanDuration is the mean run time of a task.
 	MeanDuration time.Duration
+	// LongShare is the share of the tasks that take longTaskFactor times as long as the others.
+	LongShare float64
 	// EstimateSpread is the error of the declared estimates, as the standard deviation of
 	// the logarithm of estimate over actual run time.
 	EstimateSpread float64
@@ -66,6 +68,8 @@
 	// taskSpread is the standard deviation of the logarithm of the run times of tasks
 	// of the same step.
 	taskSpread = 0.2
+	// longTaskFactor is the factor by which a long task takes longer than the others.
+	longTaskFactor = 7
 	// maxSteps is the largest number of steps of a job.
 	maxSteps = 4
 	// maxTasksPerStep is the largest number of tasks of a step.
@@ -137,7 +141,11 @@
 		decl.Estimate = seconds(mean * estimateFactor)
 		var durations []time.Duration
 		for range decl.Tasks {
-			durations = append(durations, seconds(logNormal(random, mean, taskSpread)))
+			takes := logNormal(random, mean, taskSpread)
+			if l.LongShare > 0 && random.Float64() < l.LongShare {
+				takes *= longTaskFactor
+			}
+			durations = append(durations, seconds(takes))
 		}
 		a.Job.Steps = append(a.Job.Steps, decl)
 		a.Durations = append(a.Durations, durations)
--- a/jayreplay/hosts.go
+++ b/jayreplay/hosts.go
@@ -103,14 +103,16 @@
 	asked := s.clock.now
 	var orders []jaysched.Vacate
 	for worker, how := range s.fleet.Vacating(o.name) {
-		orders = append(orders, jaysched.Vacate{Worker: worker, Urgent: how.Urgent, Migrate: how.Migrate})
+		orders = append(orders, jaysched.Vacate{Worker: worker, Urgent: how.Urgent, Migrate: how.Migrate, Restart: how.Restart})
 	}
 	existing, read, known := s.fleet.Existing(o.name)
+	contracting := s.fleet.Contracting(o.name)
 	s.clock.after(linkLatency, func() {
 		if known {
 			o.pool.InventoryRead(existing, read, s.clock.now)
 		}
 		o.pool.SetVacating(orders, s.clock.now)
+		o.pool.SetContracting(contracting, s.clock.now)
 		demand := fleetDemand(o.pool.Demand(s.clock.now), asked)
 		o.scheduleDecision()
 		s.clock.after(linkLatency, func() { s.fleet.SetDemand(o.name, demand) })
@@ -122,12 +124,13 @@
 		NeedMilli:    d.NeedMilli,
 		SpareMilli:   d.SpareMilli,
 		ExpiredMilli: d.ExpiredMilli,
+		OnTimeMilli:  &d.OnTimeMilli,
 		HostsAtLeast: d.WorkersAtLeast,
 		Loads:        make(map[string]jayfleet.Load, len(d.Loads)),
 		At:           at,
 	}
 	for _, l := range d.Loads {
-		load := jayfleet.Load{CapacityMilli: &l.CapacityMilli, UsedMilli: l.UsedMilli, Runs: l.Runs, LongRuns: l.LongRuns, Vacated: l.Vacated, Idle: l.Idle, EmptyIn: l.EmptyIn}
+		load := jayfleet.Load{CapacityMilli: &l.CapacityMilli, UsedMilli: l.UsedMilli, Runs: l.Runs, LongRuns: l.LongRuns, Vacated: l.Vacated, Idle: l.Idle, EmptyIn: l.EmptyIn, RestartCost: l.RestartCost, Restartable: l.Restartable}
 		if l.EmptyIn == jaysched.MaxDuration {
 			load.EmptyIn = -1
 		}
--- a/jayreplay/load.go
+++ b/jayreplay/load.go
@@ -17,6 +17,8 @@
 	Size jaypool.Resources
 	// MoveTime is how long the move of an instance to another pool takes.
 	MoveTime time.Duration
+	// DivideHosts divides the hosts among pools that all lack some.
+	DivideHosts bool
 	// RebootTime is how long an instance is unavailable after a crash of its worker.
 	RebootTime time.Duration
 	// Outages are losses of workers that are not caused by a task.
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -24,6 +24,10 @@
 	// EmptyIn is the expected time until the worker is empty if its runs are migrated, or
 	// MaxDuration.
 	EmptyIn time.Duration
+	// RestartCost is the work, in thousandths of a core times seconds, that is lost if the worker
+	// is emptied within EmptyIn; Restartable says that EmptyIn is based on restarts of its runs.
+	RestartCost int64
+	Restartable bool
 }
 
 // MaxDuration stands for a time that never comes, such as until a worker with a long-running
@@ -39,6 +43,8 @@
 	// ExpiredMilli is the part of the need that belongs to jobs whose results come too late for
 	// their callers.
 	ExpiredMilli int64
+	// OnTimeMilli is the part of the need that belongs to jobs that can be done by their target.
+	OnTimeMilli int64
 	// WorkersAtLeast is the minimum number of workers that the pool needs, whatever their size.
 	WorkersAtLeast int
 	Loads          []Load
@@ -52,6 +58,8 @@
 	// Migrate allows stopping runs that can continue elsewhere from their checkpoint without
 	// making their job late.
 	Migrate bool
+	// Restart allows stopping runs that start anew elsewhere; see restartRuns.
+	Restart bool
 }
 
 // Demand returns the pool's present demand.
@@ -63,7 +71,7 @@
 	// hosts than needed. Only growth beyond the random variation is counted.
 	growth := max(0, p.trend.growth(u.milli, lead, now)-spread)
 	need := max(u.milli+growth, p.offeredWork.forecast(u.milli, lead, now)) + p.blockedByMemory(u.shortTasks)
-	d := Demand{NeedMilli: need, SpareMilli: spread, ExpiredMilli: u.expired, WorkersAtLeast: p.workersAtLeast(now)}
+	d := Demand{NeedMilli: need, SpareMilli: spread, ExpiredMilli: u.expired, OnTimeMilli: p.onTimeMilli(need, now), WorkersAtLeast: p.workersAtLeast(now)}
 	for _, w := range p.sorted {
 		if w.contact == connected && w.listed && !w.Draining {
 			d.Loads = append(d.Loads, p.load(w, now))
@@ -130,6 +138,7 @@
 		l.Idle = now - w.idleSince
 		l.Vacated = w.closed
 	}
+	p.addRelease(&l, w, now)
 	return l
 }
 
@@ -170,17 +179,18 @@
 				p.stop(r, "vacating", now)
 			}
 		}
+		p.restartRuns(w, now)
 	}
 }
 
 // vacate closes a worker for new runs.
 func (w *worker) vacate(o Vacate) {
-	w.closed, w.urgent, w.migrate = true, o.Urgent, o.Migrate
+	w.closed, w.urgent, w.migrate, w.restart = true, o.Urgent, o.Migrate, o.Restart
 }
 
 // open allows new runs on a worker again.
 func (w *worker) open() {
-	w.closed, w.urgent, w.migrate = false, false, false
+	w.closed, w.urgent, w.migrate, w.restart = false, false, false, false
 }
 
 // shouldStop reports whether a run on a closed worker is to be stopped now.
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -11,15 +11,17 @@
 
 // The kinds of events. Each is a line in the log.
 const (
-	JobDeclared  EventKind = "job declared"
-	JobEnded     EventKind = "job ended"
-	JobRecorded  EventKind = "job recorded"
-	RunStarted   EventKind = "run started"
-	RunEnded     EventKind = "run ended"
-	RunAdopted   EventKind = "run adopted"
-	RunVanished  EventKind = "run vanished"
-	RunLost      EventKind = "run lost"
-	RunStopped   EventKind = "run stopped"
+	JobDeclared EventKind = "job declared"
+	JobEnded    EventKind = "job ended"
+	JobRecorded EventKind = "job recorded"
+	RunStarted  EventKind = "run started"
+	RunEnded    EventKind = "run ended"
+	RunAdopted  EventKind = "run adopted"
+	RunVanished EventKind = "run vanished"
+	RunLost     EventKind = "run lost"
+	RunStopped  EventKind = "run stopped"
+	// RunRestarted is a run that was stopped to release its worker and starts anew elsewhere.
+	RunRestarted EventKind = "run restarted"
 	RunThrottled EventKind = "run throttled"
 	StartRefused EventKind = "start refused"
 	// TaskWaits is a long-running task that has waited for long.
@@ -68,6 +70,8 @@
 	// Waited is how long the task or job had waited, or how long ago a run that has ended had
 	// begun.
 	Waited time.Duration
+	// LostMilli is the lost work of a RunRestarted, in thousandths of a core times seconds.
+	LostMilli float64
 }
 
 func (p *Pool) recordEvent(e Event, now time.Duration) {
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -156,6 +156,8 @@
 	trialStored int64
 	// parked says that the task, one of a service, is not started any more.
 	parked bool
+	// released says that a run of the task was restarted to release its worker.
+	released bool
 	// droppedAt is when the task lost its latest run.
 	droppedAt time.Duration
 	// notBefore delays the next start after a failure, by retryDelay after the latest one.
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -16,6 +16,7 @@
 	defer p.failUnfitJobs(now)
 	defer p.reportWaits(now) // may reach quotas
 	p.clearReservations()
+	p.updateBusyTimes(now)
 	if p.OwnerUnconfirmed() {
 		return
 	}
@@ -272,7 +273,8 @@
 // better reports whether worker a suits a task better than worker b. The criteria, in this
 // order: a worker on which the task did not fail; for a suspect, a worker where a crash does
 // the least harm; near the task's data; on the rack of a rack-local step; a healthy worker; and
-// the least free room, so that other workers stay empty.
+// the least free room, so that other workers stay empty. While the pool is contracting, workers
+// that are busy anyway precede those with less room.
 func (p *Pool) better(t *task, a, b *worker, now time.Duration) bool {
 	asSuspect := 0
 	if t.isolation() > watched {
@@ -284,6 +286,7 @@
 		compareBool(farFromData(t.step, a), farFromData(t.step, b)),
 		compareBool(offRack(t.step, a), offRack(t.step, b)),
 		compareBool(a.health.onTrial(), b.health.onTrial()),
+		p.compareBusy(t, a, b, now),
 		cmp.Compare(a.free.ProcessorsMilli, b.free.ProcessorsMilli),
 	) < 0
 }
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -143,6 +143,7 @@
 	// expire.
 	vacating      map[string]Vacate
 	vacatingUntil time.Duration
+	release       release
 	quotas        quotas
 	actions       []Action
 	events        []Event
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -83,6 +83,10 @@
 	closed  bool
 	urgent  bool
 	migrate bool
+	// restart allows restarting runs of a closed worker elsewhere, and busyUntil is until when the
+	// worker is expected to be busy, while the pool is contracting.
+	restart   bool
+	busyUntil time.Duration
 	// idleSince is since when the worker has had no runs.
 	idleSince time.Duration
 	// bestEffort counts the runs that use only spare processor time, and throttle limits their
