--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -251,6 +251,9 @@
 	b := &poolBalance{pool: pool}
 	capacity, counted := int64(0), int64(0)
 	for _, h := range f.sorted {
+		if h.Pool != pool && !f.serves(h, pool) {
+			continue
+		}
 		room := f.room(h)
 		if h.Pool == pool && room > 0 {
 			capacity += room
--- a/jayfleet/division.go
+++ b/jayfleet/division.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"jaythread/jayport"
 )
 
 const (
@@ -78,6 +80,9 @@
 	for _, b := range balances {
 		f.division[b.pool] = Division{Pool: b.pool, Entitled: b.entitled, Have: b.have, Need: b.need, OnTime: b.onTime}
 	}
+	if f.movesUnknown(now) {
+		return true
+	}
 	gives := f.give(balances, now)
 	if len(gives) == 0 {
 		return true
@@ -90,6 +95,15 @@
 	return true
 }
 
+// movesUnknown reports whether a host may be on its way to a pool that this owner does not know. A
+// host that a former owner moved is listed in its old pool until it has arrived; if it counted
+// there, as many hosts would be given once more.
+func (f *Fleet) movesUnknown(now time.Duration) bool {
+	return slices.ContainsFunc(f.sorted, func(h *host) bool {
+		return f.held(h, now) || h.State == jayport.HostMoving && h.command == nil
+	})
+}
+
 // give vacates hosts of pools above their entitlement for the pools below it, the one that is
 // furthest below first. It returns how many hosts each pool is asked to give.
 func (f *Fleet) give(balances []*poolBalance, now time.Duration) map[string]int {
--- a/jayfleet/world_test.go
+++ b/jayfleet/world_test.go
@@ -33,6 +33,9 @@
 	// expired is the part of a pool's demand that is for jobs whose results can no longer
 	// be used.
 	expired map[string]int64
+	// onTime is the part of a pool's demand for jobs that can be done by their target; nil is
+	// not reported.
+	onTime map[string]*int64
 	// drainTime is how long the runs of a busy host are expected to take, and do take once
 	// the host is closed; a negative value means forever. closedAt is when hosts were
 	// closed.
@@ -132,7 +135,7 @@
 // as soon as it runs nothing.
 func (w *world) reportDemands() {
 	for _, pool := range []string{"fees", "seats"} {
-		d := Demand{NeedMilli: w.wanted[pool], SpareMilli: w.spare[pool], ExpiredMilli: w.expired[pool], HostsAtLeast: w.atLeast[pool], Loads: map[string]Load{}, At: w.now}
+		d := Demand{NeedMilli: w.wanted[pool], SpareMilli: w.spare[pool], ExpiredMilli: w.expired[pool], OnTimeMilli: w.onTime[pool], HostsAtLeast: w.atLeast[pool], Loads: map[string]Load{}, At: w.now}
 		vacating := w.fleet.Vacating(pool)
 		for _, h := range w.hosts {
 			if h.Pool != pool || h.State != jayport.HostUp {
--- a/jaymetric/jobs.go
+++ b/jaymetric/jobs.go
@@ -25,6 +25,8 @@
 	jobDuration       *prometheus.HistogramVec
 	commands          *prometheus.CounterVec
 	dutyChanges       *prometheus.CounterVec
+	hostsGiven        *prometheus.CounterVec
+	workLost          *prometheus.CounterVec
 	rejected          *prometheus.CounterVec
 	decisionAge       prometheus.Histogram
 	quotaWait         *prometheus.CounterVec
@@ -72,6 +74,8 @@
 		taskWait:          newHistogramVec("jaythread_task_wait_seconds", "Time from when a task could start to its start.", "pool"),
 		jobDuration:       newHistogramVec("jaythread_job_duration_seconds", "Time from a job's submission to its end.", "pool"),
 		commands:          newCounterVec("jaythread_host_commands_total", "Moves and maintenances of instances by outcome.", "command", "outcome"),
+		hostsGiven:        newCounterVec("jaythread_hosts_given_total", "Instances that a pool was asked to give to another one and has emptied, by reason.", "pool", "reason"),
+		workLost:          newCounterVec("jaythread_lost_work_core_seconds_total", "Work of runs that were restarted to release their worker.", "pool"),
 		dutyChanges:       newCounterVec("jaythread_duty_changes_total", "Duties taken over and ended by this entry.", "duty", "change"),
 		rejected:          newCounterVec("jaythread_calls_rejected_total", "Calls that were rejected for their path or key, by reason.", "reason"),
 		decisionAge: prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -81,7 +85,7 @@
 		}),
 		quotaWait: newCounterVec("jaythread_quota_wait_seconds_total", "Time for which tasks waited for their organisation's quota, by pool and organisation.", "pool", "organisation"),
 	}
-	m.Registry.MustRegister(m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges)
+	m.Registry.MustRegister(m.hostsGiven, m.workLost, m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges)
 	m.Runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -134,6 +138,16 @@
 	m.commands.WithLabelValues(command, outcome).Inc()
 }
 
+// HostGiven counts an instance that a pool gives to another one.
+func (m *JobMetrics) HostGiven(pool, reason string) {
+	m.hostsGiven.WithLabelValues(pool, reason).Inc()
+}
+
+// WorkLost records the work of runs that were restarted to release their worker.
+func (m *JobMetrics) WorkLost(pool string, coreSeconds float64) {
+	m.workLost.WithLabelValues(pool).Add(coreSeconds)
+}
+
 // DutyChanged counts a duty that this entry took over or ended.
 func (m *JobMetrics) DutyChanged(duty, change string) {
 	m.dutyChanges.WithLabelValues(duty, change).Inc()
--- a/jaynode/fleetcommands.go
+++ b/jaynode/fleetcommands.go
@@ -18,6 +18,9 @@
 	switch a := action.(type) {
 	case jayfleet.MoveHost:
 		d.logger.Info("moving host", "host", a.Host, "from", a.From, "to", a.Pool, "why", a.Why)
+		if a.Why != "repeated" {
+			d.node.metrics.HostGiven(a.From, a.Why)
+		}
 		d.recordAndSend(a.Host, func() error { return d.node.ports.Inventory.Move(a.Host, a.Pool, lease, inventoryTimeout) })
 	case jayfleet.MaintainHost:
 		d.logger.Info("maintaining host", "host", a.Host, "wave", a.Wave)
--- a/jaynode/meters.go
+++ b/jaynode/meters.go
@@ -133,6 +133,8 @@
 	n.metrics.Answered(call, outcome, n.clock()-began)
 }
 
+const milliPerCore = 1000
+
 // countEvent counts an event of a pool.
 func (d *poolDuty) countEvent(event jaysched.Event) {
 	m := d.node.metrics
@@ -142,6 +144,8 @@
 		m.TaskStarted(d.name, event.Waited)
 	case jaysched.JobEnded:
 		m.JobEnded(d.name, event.Waited)
+	case jaysched.RunRestarted:
+		m.WorkLost(d.name, event.LostMilli/milliPerCore)
 	case jaysched.QuotaFree:
 		m.QuotaWaited(d.name, event.Organisation, event.Waited)
 	}
