--- a/jaysched/release_test.go
+++ b/jaysched/release_test.go
@@ -1,6 +1,7 @@
 package jaysched
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -77,3 +78,19 @@
 	is.Equal(next.starts("j.0.0.0"), 0) // the run that was restarted is adopted
 	is.Equal(len(next.running()), 1)
 }
+
+// BenchmarkRelease measures a demand with the workers' busy times, with the part off and on.
+func BenchmarkRelease(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		b.Run(fmt.Sprint(on), func(b *testing.B) {
+			r := newBurst(700)
+			r.fill(700 * 8)
+			for b.Loop() {
+				r.now += busyRefreshInterval
+				r.pool.SetContracting(on, r.now)
+				r.pool.updateBusyTimes(r.now)
+				r.pool.Demand(r.now)
+			}
+		})
+	}
+}
