--- /dev/null
+++ b/jayreplay/division_test.go
@@ -0,0 +1,32 @@
+package jayreplay
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// withDivision adds a few tasks that take much longer than the others, and selects whether
+// hosts are divided.
+func withDivision(divide bool) func(*SequentialBursts, *Load) {
+	return func(b *SequentialBursts, l *Load) {
+		l.DivideHosts = divide
+		for n := range b.QueueLoads {
+			b.QueueLoads[n].LongShare = 0.03
+		}
+	}
+}
+
+func TestPoolsThatAllLackHostsDivideThem(t *testing.T) {
+	// Guards against a pool that gets almost no hosts while its burst lasts: the load is doubled,
+	// the pools before it have a backlog and keep their hosts, and nearly every host has a task
+	// that takes long.
+	for seed := range uint64(2) {
+		is := is.New(t)
+		off, on := Play(fourBursts(seed, withRateFactor(2.2), withDivision(false))), Play(fourBursts(seed, withRateFactor(2.2), withDivision(true)))
+		for _, queue := range []string{"a", "b", "c", "d"} {
+			is.True(on.Of(queue).InTime() > 0.5) // a quarter of the last queue's jobs with the part off
+		}
+		is.True(on.InTime() > off.InTime())
+	}
+}
