--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -239,6 +239,8 @@
 type jobForecast struct {
 	takes time.Duration
 	work  float64
+	// mostlyDone says that more than half of the tasks are done.
+	mostlyDone bool
 }
 
 // forecastOf returns the forecast of a job that has a target. A run that has exceeded its
@@ -249,8 +251,11 @@
 	steps := j.occurrences[0].steps
 	o.left = append(o.left[:0], make([]time.Duration, len(steps))...)
 	var f jobForecast
+	open, all := 0, 0
 	for n := len(steps) - 1; n >= 0; n-- {
 		s := steps[n]
+		open += s.open
+		all += len(s.tasks)
 		if s.open == 0 {
 			continue
 		}
@@ -265,6 +270,7 @@
 		o.left[n] += takes
 		f.takes = max(f.takes, o.left[n])
 	}
+	f.mostlyDone = 2*open < all
 	return f
 }
 
@@ -292,7 +298,7 @@
 	f := j.forecast
 	margin := time.Duration(p.outlook.queues[j.spec.Queue].spread * float64(f.takes))
 	j.favour = 0
-	if j.mostlyDone() {
+	if f.mostlyDone {
 		j.favour = margin
 	}
 	ends := now + f.takes
@@ -313,16 +319,6 @@
 	}
 }
 
-// mostlyDone reports whether more than half of the tasks of a job are done.
-func (j *job) mostlyDone() bool {
-	open, all := 0, 0
-	for _, s := range j.occurrences[0].steps {
-		open += s.open
-		all += s.decl.Tasks
-	}
-	return 2*open < all
-}
-
 // waitingWork is the useful waiting work of the jobs of one priority, by their targets.
 type waitingWork struct {
 	byStatus [expired]cumulated
@@ -396,6 +392,9 @@
 
 // waitsForQuota reports whether a task of the job that could start now waits for a quota.
 func (p *Pool) waitsForQuota(j *job, now time.Duration) bool {
+	if len(p.quotas.declared.Of) == 0 {
+		return false
+	}
 	for _, s := range j.occurrences[0].steps {
 		if s.waiting > 0 && s.ready(now) {
 			return !p.quotaAllows(s, 1)
