Hosts in maintenance count as arriving; no decision on old sums

Cause: a pool could reject jobs that a host returning from maintenance does in time, and after a gap of the fleet's owner it decided by sums of before.

Change: maintained hosts count as arriving; a rejection needs a recent review; an admitted job is forgotten once it is declared.

--- a/jayfleet/arriving.go
+++ b/jayfleet/arriving.go
@@ -23,8 +23,8 @@
 }
 
 // Arriving returns the hosts that are on their way to a pool, the earliest first: those that are
-// moving, and those that other pools are emptying for it. Hosts that arrive within the same
-// arrivingStep are summed up.
+// moving, those that return from maintenance, and those that other pools are emptying for it. Hosts
+// that arrive within the same arrivingStep are summed up.
 //
 // It serves this decision: a pool that lacks room rejects no job that these hosts can do in time.
 func (f *Fleet) Arriving(pool string, now time.Duration) []Arriving {
@@ -52,8 +52,12 @@
 		}
 		return max(0, move), m.to == pool
 	}
-	if h.command != nil {
-		return 0, false
+	if _, ok := h.command.(maintaining); ok {
+		in = f.settings.MaintenanceTime + joinDelay
+		if h.commandDone > 0 {
+			in -= now - h.commandDone
+		}
+		return max(0, in), h.Pool == pool
 	}
 	if h.vacating == forMove && h.moveTo == pool {
 		return f.emptyIn(h, now) + move, true
--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -31,8 +32,9 @@
 	minObservations = 20
 	// unansweredTTL is how long a job whose append had no answer counts as possibly stored.
 	unansweredTTL = 30 * time.Second
-	// placesReviewInterval is the time between two searches for unused places.
-	placesReviewInterval = time.Second
+	// expiryInterval is the time between two searches for unused places and for jobs that do not
+	// count as possibly stored any more.
+	expiryInterval = time.Second
 )
 
 // Arriving is a host that a pool gets after some time.
@@ -48,7 +50,9 @@
 // targets alone, all jobs become slightly late, and jobs are accepted whose results come too late
 // for their callers.
 type outlook struct {
-	beganAt    time.Duration
+	beganAt time.Duration
+	// reviewedAt is when the waiting work was summed up.
+	reviewedAt time.Duration
 	arriving   []Arriving
 	arrivingAt time.Duration
 	supply     supply
@@ -67,9 +71,9 @@
 	// admitted are the jobs that were accepted and are not known to be stored.
 	admitted map[string]admittedJob
 	// recent are the admitted jobs that the waiting work does not contain yet.
-	recent         []admittedJob
-	places         *jayreturn.Queue
-	placesReviewAt time.Duration
+	recent   []admittedJob
+	places   *jayreturn.Queue
+	expireAt time.Duration
 	// left is used to compute the remaining time of a job.
 	left []time.Duration
 }
@@ -121,9 +125,10 @@
 	if o.beganAt == 0 {
 		o.beganAt = now
 	}
-	if now >= o.placesReviewAt {
-		o.placesReviewAt = now + placesReviewInterval
+	if now >= o.expireAt {
+		o.expireAt = now + expiryInterval
 		o.places.Expire(now)
+		maps.DeleteFunc(o.admitted, func(_ string, a admittedJob) bool { return now >= a.until })
 	}
 	if !o.current(now) {
 		o.byStatus, o.totals = false, nil
@@ -367,7 +372,7 @@
 			c.targets, c.work = c.targets[:0], c.work[:0]
 		}
 	}
-	o.waitingMilli = 0
+	o.waitingMilli, o.reviewedAt = 0, now
 	for _, j := range p.open {
 		if !j.hasTarget() || j.waiting == 0 || j.deadlineStatus == expired || p.waitsForQuota(j, now) {
 			continue
@@ -381,11 +386,7 @@
 		o.waitingMilli += j.forecast.work
 	}
 	o.recent = o.recent[:0]
-	for id, a := range o.admitted {
-		if _, stored := p.jobs[id]; stored || now >= a.until {
-			delete(o.admitted, id)
-			continue
-		}
+	for _, a := range o.admitted {
 		o.recent = append(o.recent, a)
 	}
 }
@@ -426,6 +427,7 @@
 	}
 	candidate, takes := p.candidate(spec, now)
 	if !p.mayReject(spec, now) {
+		o.places.Remove(spec.ID)
 		o.admitted[spec.ID] = candidate
 		return Admission{}
 	}
@@ -492,7 +494,7 @@
 	if o.beganAt == 0 || now-o.beganAt < newOwnerTime || !o.current(now) || p.OwnerUnconfirmed() || p.formerRunsPossible(now) {
 		return false
 	}
-	if o.supply.milli == 0 || now-max(p.lastRoomAt, o.beganAt) < p.settings.MoveTime+reportDelay {
+	if now-o.reviewedAt > outlookTTL || o.supply.milli == 0 || now-max(p.lastRoomAt, o.beganAt) < p.settings.MoveTime+reportDelay {
 		return false
 	}
 	_, expected := p.expected[spec.ID]
@@ -542,6 +544,12 @@
 	return onTimeWork, usefulWork
 }
 
+// stored handles a job that is known to be stored.
+func (o *outlook) stored(id string) {
+	o.places.Remove(id)
+	delete(o.admitted, id)
+}
+
 // AppendEnded handles the end of a request for an admitted job that did not store it.
 func (p *Pool) AppendEnded(id string) {
 	a, admitted := p.outlook.admitted[id]
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -299,7 +299,7 @@
 		p.addArrival(spec, chain, now)
 	}
 	delete(p.expected, spec.ID)
-	p.outlook.places.Remove(spec.ID)
+	p.outlook.stored(spec.ID)
 	return true
 }
 
