A queue without estimates does not end the owner

Cause: a queue all of whose open jobs predict a duration of zero had no outlook, and the review of its pool panicked with the part on.

Change: a queue has an outlook while it has open jobs.

Result: TestQueueWithoutEstimatesIsNotPredictable panicked before and passes.

--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -83,6 +83,7 @@
 
 // queueOutlook tells whether the deadline status of a queue's jobs can be predicted.
 type queueOutlook struct {
+	jobs         int
 	chain, slack time.Duration
 	spread       float64
 	predictable  bool
@@ -176,18 +177,19 @@
 func (p *Pool) reviewQueues(now time.Duration) {
 	o := p.outlook
 	for _, q := range o.queues {
-		q.chain, q.slack = 0, 0
+		q.jobs, q.chain, q.slack = 0, 0, 0
 	}
 	for _, j := range p.open {
 		if j.hasTarget() {
 			q := p.queueOutlook(j.spec.Queue)
 			j.forecast = p.forecastOf(j, q.spread, now)
+			q.jobs++
 			q.chain += j.chain
 			q.slack += j.target - j.submittedAt - j.chain
 		}
 	}
 	for name, q := range o.queues {
-		if q.chain == 0 {
+		if q.jobs == 0 {
 			delete(o.queues, name)
 			continue
 		}
--- a/jaysched/outlook_test.go
+++ b/jaysched/outlook_test.go
@@ -69,6 +69,16 @@
 	})
 }
 
+func TestQueueWithoutEstimatesIsNotPredictable(t *testing.T) {
+	// Guards against an owner that ends on a queue all of whose jobs declare no estimate.
+	w := newOutlookHarness(t, 6, 1, time.Second)
+	job := newSpec("none", 1, func(s *jayspec.Step) { s.Estimate = 0 })
+	job.Queue = "none"
+	declare(w, job)
+	w.passWithFleet(300 * time.Millisecond)
+	is.New(t).True(!w.pool.servedByOutlook(w.pool.jobs["none"]))
+}
+
 func TestDeadlineStatusHasHysteresis(t *testing.T) {
 	// Guards against a queue that is reordered at each review, and against a job that is given up
 	// for a task that is about to end.
