--- a/jayfleet/division.go
+++ b/jayfleet/division.go
@@ -242,40 +242,25 @@
 	}
 }
 
-// raise raises the entitlements to what the pools want, or as far as the remaining hosts allow:
-// the lowest entitlements first, so that the smallest is as large as possible. It returns the
-// number of hosts that were used.
+// raise raises the entitlements to what the pools want, or, if the remaining hosts are too few, in
+// proportion to what each pool lacks. It returns the number of hosts that were used.
 func raise(balances []*poolBalance, want func(*poolBalance) int, left int) (used int) {
-	at := func(b *poolBalance, level int) int { return max(b.entitled, min(want(b), level)) }
-	cost := func(level int) int {
-		total := 0
-		for _, b := range balances {
-			total += at(b, level) - b.entitled
-		}
-		return total
-	}
-	highest := 0
+	lacked := 0
 	for _, b := range balances {
-		highest = max(highest, want(b))
-	}
-	low, high := 0, highest
-	for low < high {
-		if middle := (low + high + 1) / 2; cost(middle) <= left {
-			low = middle
-		} else {
-			high = middle - 1
-		}
+		lacked += max(0, want(b)-b.entitled)
 	}
+	used = min(lacked, left)
+	// The rounded shares of the remaining hosts among the remaining pools add up to all hosts.
+	remaining := used
 	for _, b := range balances {
-		used += at(b, low) - b.entitled
-		b.entitled = at(b, low)
-	}
-	// The hosts that are too few for one more in each pool go to the first ones.
-	for _, b := range balances {
-		if used < left && want(b) > b.entitled && b.entitled == low {
-			b.entitled++
-			used++
+		lacks := max(0, want(b)-b.entitled)
+		if lacks == 0 {
+			continue
 		}
+		gets := lacks * remaining / lacked
+		b.entitled += gets
+		remaining -= gets
+		lacked -= lacks
 	}
 	return used
 }
