Keep a pool contracting while it empties hosts; stop restarts without the fleet

Cause: a pool that had closed enough hosts no longer counted as contracting, and its hosts were estimated without restarts. Restarts went on for 2 s after the fleet's owner was lost.

Change: a pool is contracting as long as it empties a host for a division.

--- a/jayfleet/division.go
+++ b/jayfleet/division.go
@@ -44,8 +44,12 @@
 
 // Contracting reports whether other pools wait for hosts that the pool is to release.
 func (f *Fleet) Contracting(pool string) bool {
-	d, divided := f.division[pool]
-	return divided && d.Have > d.Entitled
+	if d, divided := f.division[pool]; divided && d.Have > d.Entitled {
+		return true
+	}
+	return slices.ContainsFunc(f.sorted, func(h *host) bool {
+		return h.Pool == pool && h.divided && h.vacating == forMove
+	})
 }
 
 // TakeDivisions returns and clears the divisions that moved hosts since the last call.
--- a/jaysched/release.go
+++ b/jaysched/release.go
@@ -194,9 +194,9 @@
 }
 
 // restartRuns stops the runs on a closed worker that start anew elsewhere, if the order allows
-// it.
+// it and the fleet's owner was heard recently.
 func (p *Pool) restartRuns(w *worker, now time.Duration) {
-	if !w.closed || !w.restart || len(w.runs) == 0 {
+	if !w.closed || !w.restart || !p.contracting(now) || len(w.runs) == 0 {
 		return
 	}
 	plan := p.planRelease(w, now)
--- a/jaysched/release_test.go
+++ b/jaysched/release_test.go
@@ -40,6 +40,7 @@
 		is.True(vacated(w, "w0"))
 		w.pass(4 * time.Second)
 		w.pool.SetVacating([]Vacate{{Worker: "w1", Restart: true}}, w.now)
+		w.pool.SetContracting(true, w.now)
 		w.run()
 		is.Equal(w.starts("j.0.0.0"), 2)
 	})
