--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -27,12 +28,16 @@
 	spreadsInSlack = 3.5
 	// spreadsToLeave is the same for a queue that is predictable already.
 	spreadsToLeave = 2.7
+	// spreadsToReorder is by how many spreads of its prediction a job must be late for the order to
+	// change, so that a pool whose hosts are about to arrive keeps its order.
+	spreadsToReorder = 2.0
 	// minObservations is the number of observed durations from which a queue is known.
 	minObservations = 20
 	// unansweredTTL is how long a job whose append had no answer counts as possibly stored.
 	unansweredTTL = 30 * time.Second
-	// placesReviewInterval is the time between two searches for unused places.
-	placesReviewInterval = time.Second
+	// expiryInterval is the time between two searches for unused places and for jobs that do not
+	// count as possibly stored any more.
+	expiryInterval = time.Second
 )
 
 // Arriving is a host that a pool gets after some time.
@@ -48,7 +53,9 @@
 // targets alone, all jobs become slightly late, and jobs are accepted whose results come too late
 // for their callers.
 type outlook struct {
-	beganAt    time.Duration
+	beganAt time.Duration
+	// reviewedAt is when the waiting work was summed up.
+	reviewedAt time.Duration
 	arriving   []Arriving
 	arrivingAt time.Duration
 	supply     supply
@@ -67,15 +74,16 @@
 	// admitted are the jobs that were accepted and are not known to be stored.
 	admitted map[string]admittedJob
 	// recent are the admitted jobs that the waiting work does not contain yet.
-	recent         []admittedJob
-	places         *jayreturn.Queue
-	placesReviewAt time.Duration
+	recent   []admittedJob
+	places   *jayreturn.Queue
+	expireAt time.Duration
 	// left is used to compute the remaining time of a job.
 	left []time.Duration
 }
 
 // queueOutlook tells whether the deadline status of a queue's jobs can be predicted.
 type queueOutlook struct {
+	jobs         int
 	chain, slack time.Duration
 	spread       float64
 	predictable  bool
@@ -121,9 +129,10 @@
 	if o.beganAt == 0 {
 		o.beganAt = now
 	}
-	if now >= o.placesReviewAt {
-		o.placesReviewAt = now + placesReviewInterval
+	if now >= o.expireAt {
+		o.expireAt = now + expiryInterval
 		o.places.Expire(now)
+		maps.DeleteFunc(o.admitted, func(_ string, a admittedJob) bool { return now >= a.until })
 	}
 	if !o.current(now) {
 		o.byStatus, o.totals = false, nil
@@ -168,18 +177,19 @@
 func (p *Pool) reviewQueues(now time.Duration) {
 	o := p.outlook
 	for _, q := range o.queues {
-		q.chain, q.slack = 0, 0
+		q.jobs, q.chain, q.slack = 0, 0, 0
 	}
 	for _, j := range p.open {
 		if j.hasTarget() {
 			q := p.queueOutlook(j.spec.Queue)
 			j.forecast = p.forecastOf(j, q.spread, now)
+			q.jobs++
 			q.chain += j.chain
 			q.slack += j.target - j.submittedAt - j.chain
 		}
 	}
 	for name, q := range o.queues {
-		if q.chain == 0 {
+		if q.jobs == 0 {
 			delete(o.queues, name)
 			continue
 		}
@@ -222,7 +232,7 @@
 			continue
 		}
 		q, f := o.queues[j.spec.Queue], j.forecast
-		margin := time.Duration(q.spread * float64(f.takes))
+		margin := time.Duration(spreadsToReorder * q.spread * float64(f.takes))
 		if q.predictable && f.takes <= j.target-now && f.takes+o.supply.timeFor(ahead) > j.target-now+margin {
 			return true
 		}
@@ -239,6 +249,8 @@
 type jobForecast struct {
 	takes time.Duration
 	work  float64
+	// mostlyDone says that more than half of the tasks are done.
+	mostlyDone bool
 }
 
 // forecastOf returns the forecast of a job that has a target. A run that has exceeded its
@@ -249,8 +261,11 @@
 	steps := j.occurrences[0].steps
 	o.left = append(o.left[:0], make([]time.Duration, len(steps))...)
 	var f jobForecast
+	open, all := 0, 0
 	for n := len(steps) - 1; n >= 0; n-- {
 		s := steps[n]
+		open += s.open
+		all += len(s.tasks)
 		if s.open == 0 {
 			continue
 		}
@@ -265,6 +280,7 @@
 		o.left[n] += takes
 		f.takes = max(f.takes, o.left[n])
 	}
+	f.mostlyDone = 2*open < all
 	return f
 }
 
@@ -292,7 +308,7 @@
 	f := j.forecast
 	margin := time.Duration(p.outlook.queues[j.spec.Queue].spread * float64(f.takes))
 	j.favour = 0
-	if j.mostlyDone() {
+	if f.mostlyDone {
 		j.favour = margin
 	}
 	ends := now + f.takes
@@ -313,16 +329,6 @@
 	}
 }
 
-// mostlyDone reports whether more than half of the tasks of a job are done.
-func (j *job) mostlyDone() bool {
-	open, all := 0, 0
-	for _, s := range j.occurrences[0].steps {
-		open += s.open
-		all += s.decl.Tasks
-	}
-	return 2*open < all
-}
-
 // waitingWork is the useful waiting work of the jobs of one priority, by their targets.
 type waitingWork struct {
 	byStatus [expired]cumulated
@@ -371,7 +377,7 @@
 			c.targets, c.work = c.targets[:0], c.work[:0]
 		}
 	}
-	o.waitingMilli = 0
+	o.waitingMilli, o.reviewedAt = 0, now
 	for _, j := range p.open {
 		if !j.hasTarget() || j.waiting == 0 || j.deadlineStatus == expired || p.waitsForQuota(j, now) {
 			continue
@@ -385,17 +391,16 @@
 		o.waitingMilli += j.forecast.work
 	}
 	o.recent = o.recent[:0]
-	for id, a := range o.admitted {
-		if _, stored := p.jobs[id]; stored || now >= a.until {
-			delete(o.admitted, id)
-			continue
-		}
+	for _, a := range o.admitted {
 		o.recent = append(o.recent, a)
 	}
 }
 
 // waitsForQuota reports whether a task of the job that could start now waits for a quota.
 func (p *Pool) waitsForQuota(j *job, now time.Duration) bool {
+	if len(p.quotas.declared.Of) == 0 {
+		return false
+	}
 	for _, s := range j.occurrences[0].steps {
 		if s.waiting > 0 && s.ready(now) {
 			return !p.quotaAllows(s, 1)
@@ -427,6 +432,7 @@
 	}
 	candidate, takes := p.candidate(spec, now)
 	if !p.mayReject(spec, now) {
+		o.places.Remove(spec.ID)
 		o.admitted[spec.ID] = candidate
 		return Admission{}
 	}
@@ -493,7 +499,7 @@
 	if o.beganAt == 0 || now-o.beganAt < newOwnerTime || !o.current(now) || p.OwnerUnconfirmed() || p.formerRunsPossible(now) {
 		return false
 	}
-	if o.supply.milli == 0 || now-max(p.lastRoomAt, o.beganAt) < p.settings.MoveTime+reportDelay {
+	if now-o.reviewedAt > outlookTTL || o.supply.milli == 0 || now-max(p.lastRoomAt, o.beganAt) < p.settings.MoveTime+reportDelay {
 		return false
 	}
 	_, expected := p.expected[spec.ID]
@@ -543,6 +549,12 @@
 	return onTimeWork, usefulWork
 }
 
+// stored handles a job that is known to be stored.
+func (o *outlook) stored(id string) {
+	o.places.Remove(id)
+	delete(o.admitted, id)
+}
+
 // AppendEnded handles the end of a request for an admitted job that did not store it.
 func (p *Pool) AppendEnded(id string) {
 	a, admitted := p.outlook.admitted[id]
--- a/jaysched/outlook_test.go
+++ b/jaysched/outlook_test.go
@@ -69,6 +69,16 @@
 	})
 }
 
+func TestQueueWithoutEstimatesIsNotPredictable(t *testing.T) {
+	// Guards against an owner that ends on a queue all of whose jobs declare no estimate.
+	w := newOutlookHarness(t, 6, 1, time.Second)
+	job := newSpec("none", 1, func(s *jayspec.Step) { s.Estimate = 0 })
+	job.Queue = "none"
+	declare(w, job)
+	w.passWithFleet(300 * time.Millisecond)
+	is.New(t).True(!w.pool.servedByOutlook(w.pool.jobs["none"]))
+}
+
 func TestDeadlineStatusHasHysteresis(t *testing.T) {
 	// Guards against a queue that is reordered at each review, and against a job that is given up
 	// for a task that is about to end.
@@ -147,7 +157,7 @@
 	w.pool.outlook.waiting[0].byStatus[onTime].add(w.now, 4000*7.9)
 	is.True(retryAfter("newcomer") > 0) // the promised work counts
 	w.now += 4 * time.Second
-	w.pool.SetArriving(nil, w.now)
+	w.pool.outlook.arrivingAt, w.pool.outlook.reviewedAt = w.now, w.now
 	is.Equal(retryAfter("a"), time.Duration(0))
 	is.Equal(w.pool.Places(), 2)
 	// Guards against a place that outlives its job: another entry stored it meanwhile.
@@ -155,48 +165,40 @@
 	is.Equal(w.pool.Places(), 1)
 }
 
-// BenchmarkReview measures a review of 20,000 waiting jobs while the pool is overloaded, and a
-// decision on an arriving job.
+// BenchmarkReview measures a review of 20,000 waiting jobs while the pool is overloaded, with the
+// part off and on, and a decision on an arriving job.
 func BenchmarkReview(b *testing.B) {
-	newPool := func(on bool) *burst {
-		r := newBurst(200)
-		r.pool.settings.RejectHopeless = on
-		learn(r.pool, 1.2)
-		for n := range 20_000 {
-			j := newSpec(fmt.Sprintf("%016x", n), 2, tasks(8, 4000, 23000))
-			j.Policy.Objective += time.Duration(n) * time.Millisecond / 4
-			r.pool.Declare(j, r.now)
-		}
-		r.pool.lackedRoom = true
-		return r
-	}
-	for _, on := range []bool{false, true} {
-		b.Run(fmt.Sprint("review, part on ", on), func(b *testing.B) {
-			r := newPool(on)
-			r.now += 5 * time.Second
-			for b.Loop() {
+	job := newSpec("new", 2)
+	job.Policy.Objective = 10 * time.Second
+	for _, name := range []string{"off", "on", "admission"} {
+		b.Run(name, func(b *testing.B) {
+			r := newBurst(200)
+			r.pool.settings.RejectHopeless, r.pool.lackedRoom = name != "off", true
+			learn(r.pool, 1.2)
+			for n := range 20_000 {
+				j := newSpec(fmt.Sprintf("%016x", n), 2, tasks(8, 4000, 23000))
+				j.Policy.Objective += time.Duration(n) * time.Millisecond / 4
+				r.pool.Declare(j, r.now)
+			}
+			review := func() {
 				r.now += reviewInterval
 				r.pool.SetArriving([]Arriving{{CapacityMilli: 640_000, In: time.Second}}, r.now)
 				r.pool.reviewDeadlines(r.now)
 			}
+			for range 20 {
+				review()
+			}
+			for n := 0; b.Loop(); n++ {
+				if name != "admission" {
+					review()
+					continue
+				}
+				job.ID = fmt.Sprint(n)
+				if !r.pool.Admit(job, r.now).Rejected {
+					b.Fatal("accepted")
+				}
+				r.pool.TakeEvents()
+			}
 		})
 	}
-	b.Run("admission", func(b *testing.B) {
-		r := newPool(true)
-		for range 20 {
-			r.now += reviewInterval
-			r.pool.SetArriving(nil, r.now)
-			r.pool.reviewDeadlines(r.now)
-		}
-		job, rejected := newSpec("new", 2), 0
-		job.Policy.Objective = 10 * time.Second
-		for n := 0; b.Loop(); n++ {
-			job.ID = fmt.Sprint(n)
-			if r.pool.Admit(job, r.now).Rejected {
-				rejected++
-			}
-			r.pool.TakeEvents()
-		}
-		b.ReportMetric(float64(rejected)/float64(b.N), "rejected/op")
-	})
 }
