--- a/jayorg/organisation.go
+++ b/jayorg/organisation.go
@@ -34,16 +34,17 @@
 
 // Directory finds organisations by key and by name. It is immutable.
 type Directory struct {
-	byKey  map[Digest]*Organisation
-	byName map[string]*Organisation
-	sorted []*Organisation
-	quotas map[string]jaypool.Resources
+	byKey   map[Digest]*Organisation
+	byName  map[string]*Organisation
+	sorted  []*Organisation
+	quotas  map[string]jaypool.Resources
+	weights map[string]float64
 }
 
 // NewDirectory returns a directory of organisations. A key that several organisations
 // declare identifies none of them: a caller must not be mistaken for another one.
 func NewDirectory(organisations []Organisation) *Directory {
-	d := &Directory{byKey: map[Digest]*Organisation{}, byName: make(map[string]*Organisation, len(organisations)), quotas: map[string]jaypool.Resources{}}
+	d := &Directory{byKey: map[Digest]*Organisation{}, byName: make(map[string]*Organisation, len(organisations)), quotas: map[string]jaypool.Resources{}, weights: map[string]float64{}}
 	shared := map[Digest]bool{}
 	for n := range organisations {
 		o := &organisations[n]
@@ -62,6 +63,7 @@
 		delete(d.byKey, key)
 	}
 	for _, o := range d.sorted {
+		d.weights[o.Name] = o.Weight
 		if o.Quota != (jaypool.Resources{}) {
 			d.quotas[o.Name] = o.Quota
 		}
@@ -91,6 +93,15 @@
 	return d.quotas
 }
 
+// Weights returns the weights of all organisations, which must not be changed. A nil directory
+// has none.
+func (d *Directory) Weights() map[string]float64 {
+	if d == nil {
+		return nil
+	}
+	return d.weights
+}
+
 // Size returns the number of organisations; that of a nil directory is zero.
 func (d *Directory) Size() int {
 	if d == nil {
