Fair shares among organisations while a pool lacks room

Cause: an organisation at six times its usual load is served before a small one whose job arrived a moment later. Change: with fairShares, the owner of a pool decides every 100 ms which jobs are beyond their organisation's share, and serves them after the others of their priority. Shares are in force while tasks lack room and the waiting work exceeds the mean slack of its jobs. The fleet's owner passes on what organisations use elsewhere.

--- a/jaymetric/jobs.go
+++ b/jaymetric/jobs.go
@@ -28,6 +28,8 @@
 	rejected          *prometheus.CounterVec
 	decisionAge       prometheus.Histogram
 	quotaWait         *prometheus.CounterVec
+	beyondShare       *prometheus.CounterVec
+	share             *prometheus.GaugeVec
 	organisations     boundedLabels
 }
 
@@ -79,9 +81,13 @@
 			Help:    "Age of the operators' declarations that a call was decided by, when it arrived.",
 			Buckets: []float64{0.1, 0.5, 1, 1.5, 2, 3, 5, 10, 30},
 		}),
-		quotaWait: newCounterVec("jaythread_quota_wait_seconds_total", "Time for which tasks waited for their organisation's quota, by pool and organisation.", "pool", "organisation"),
+		quotaWait:   newCounterVec("jaythread_quota_wait_seconds_total", "Time for which tasks waited for their organisation's quota, by pool and organisation.", "pool", "organisation"),
+		beyondShare: newCounterVec("jaythread_beyond_share_seconds_total", "Time for which organisations had jobs beyond their share, by pool and organisation.", "pool", "organisation"),
+		share: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "jaythread_organisation_share_cores", Help: "Share of an organisation of the capacity of all pools, by the pool that lacks room.",
+		}, []string{"pool", "organisation"}),
 	}
-	m.Registry.MustRegister(m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges)
+	m.Registry.MustRegister(m.rejected, m.decisionAge, m.quotaWait, m.beyondShare, m.share, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges)
 	m.Runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -154,6 +160,19 @@
 	m.quotaWait.WithLabelValues(pool, m.organisations.value(organisation)).Add(waited.Seconds())
 }
 
+// WasBeyondShare records for how long an organisation had jobs beyond its share.
+func (m *JobMetrics) WasBeyondShare(pool, organisation string, lasted time.Duration) {
+	m.beyondShare.WithLabelValues(pool, m.organisations.value(organisation)).Add(lasted.Seconds())
+}
+
+// SetShares replaces the shares that are in force in a pool, in cores by organisation.
+func (m *JobMetrics) SetShares(pool string, cores map[string]float64) {
+	m.share.DeletePartialMatch(prometheus.Labels{"pool": pool})
+	for organisation, share := range cores {
+		m.share.WithLabelValues(pool, m.organisations.value(organisation)).Add(share)
+	}
+}
+
 // Gauge registers a gauge whose value is read at each scrape.
 func (m *JobMetrics) Gauge(name, help string, read func() float64) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
--- a/jaynode/demand.go
+++ b/jaynode/demand.go
@@ -53,6 +53,7 @@
 			duty.pool.ApplyQuotaMessage(message)
 			report.Quota = encodeQuotaReport(duty.pool.QuotaReport(message.All, now))
 		}
+		duty.exchangeUses(ask, report, now)
 		report.ClockMicros = now.Microseconds()
 	}, askTimeout)
 	if !asked {
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -10,6 +10,7 @@
 	"jaythread/jaymember"
 	"jaythread/jayowner"
 	"jaythread/jayquota"
+	"jaythread/jayshare"
 	"jaythread/jaytail"
 	"jaythread/jaywire"
 )
@@ -42,7 +43,9 @@
 	// The fields below are used only by the duty's goroutine.
 	fleet *jayfleet.Fleet
 	// lender decides what each pool may use of the organisations' quotas.
-	lender          *jayquota.Lender
+	lender *jayquota.Lender
+	// uses sums up what organisations use in the pools.
+	uses            *jayshare.Ledger
 	readingHosts    bool
 	nextHostsReadAt time.Duration
 	askingDemand    map[string]bool
@@ -63,6 +66,7 @@
 			CallTime:         inventoryTimeout,
 		},
 		lender:       jayquota.NewLender(claim.Fence, jayquota.ByDemand{}),
+		uses:         jayshare.NewLedger(),
 		askingDemand: map[string]bool{},
 		nextDemandAt: map[string]time.Duration{},
 		sentOrders:   map[string]string{},
@@ -206,7 +210,7 @@
 	}
 	d.askingDemand[pool] = true
 	d.sentOrders[pool] = names
-	ask := &jaywire.AskDemand{Pool: pool, Fence: d.claim.Fence, Vacate: orders, Quota: encodeQuotaMessage(d.lender.Message(pool))}
+	ask := &jaywire.AskDemand{Pool: pool, Fence: d.claim.Fence, Vacate: orders, Quota: encodeQuotaMessage(d.lender.Message(pool)), UsedElsewhere: d.usedElsewhere(pool, now)}
 	existing, asked, read := d.fleet.Existing(pool)
 	if clock, known := d.clocks[pool]; known && read {
 		ask.Surveyed, ask.Existing = true, existing
@@ -220,6 +224,7 @@
 			if err == nil && report.GetOwned() {
 				d.fleet.SetDemand(pool, demandOf(report, now))
 				d.receiveQuotas(pool, report)
+				d.receiveUses(pool, report, now)
 				d.clocks[pool] = jaymember.PeerClock{Fence: report.Fence, Clock: micros(report.ClockMicros), HeardAt: at}
 			}
 		})
--- a/jaynode/meters.go
+++ b/jaynode/meters.go
@@ -144,6 +144,8 @@
 		m.JobEnded(d.name, event.Waited)
 	case jaysched.QuotaFree:
 		m.QuotaWaited(d.name, event.Organisation, event.Waited)
+	case jaysched.WithinShare:
+		m.WasBeyondShare(d.name, event.Organisation, event.Waited)
 	}
 }
 
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -57,6 +57,8 @@
 	jobs         *jobTail
 	flushing     bool
 	nextExpireAt time.Duration
+	// nextSharesAt is when the organisations' shares are passed to the metrics next.
+	nextSharesAt time.Duration
 	// lastActiveAt is when the duty's goroutine last processed an event or began a step.
 	lastActiveAt time.Duration
 }
@@ -138,6 +140,7 @@
 	// before it advances AsOf, so that all jobs up to AsOf are processed below.
 	jobsAsOf := d.jobs.tail.AsOf()
 	d.pool.SetQuotas(d.node.quotas())
+	d.pool.SetWeights(d.node.weights())
 	for {
 		handle, ok := d.inbox.Take()
 		if !ok {
@@ -159,6 +162,7 @@
 	d.flush()
 	d.expire(now)
 	d.logEvents()
+	d.countShares(now)
 }
 
 // ask runs a function in the duty's goroutine and waits for it. It returns false if the
--- a/jayreplay/hosts.go
+++ b/jayreplay/hosts.go
@@ -106,14 +106,20 @@
 		orders = append(orders, jaysched.Vacate{Worker: worker, Urgent: how.Urgent, Migrate: how.Migrate})
 	}
 	existing, read, known := s.fleet.Existing(o.name)
+	elsewhere := s.uses.Elsewhere(o.name, asked)
 	s.clock.after(linkLatency, func() {
 		if known {
 			o.pool.InventoryRead(existing, read, s.clock.now)
 		}
 		o.pool.SetVacating(orders, s.clock.now)
+		o.pool.SetUsedElsewhere(1, elsewhere, s.clock.now)
+		uses := o.pool.OrganisationUses(s.clock.now)
 		demand := fleetDemand(o.pool.Demand(s.clock.now), asked)
 		o.scheduleDecision()
-		s.clock.after(linkLatency, func() { s.fleet.SetDemand(o.name, demand) })
+		s.clock.after(linkLatency, func() {
+			s.uses.Receive(o.name, uses, asked)
+			s.fleet.SetDemand(o.name, demand)
+		})
 	})
 }
 
--- a/jayreplay/load.go
+++ b/jayreplay/load.go
@@ -26,6 +26,9 @@
 	// Link is the bandwidth of the network link of each pool's owner in bytes per second,
 	// for each direction. Zero means unlimited.
 	Link float64
+	// FairShares serves organisations by their Weights while a pool lacks room.
+	FairShares bool
+	Weights    map[string]float64
 	// Arrivals are the submitted jobs, ordered by time.
 	Arrivals []Arrival
 	// MeasureFrom is the time from which instance-seconds are counted.
--- a/jayreplay/owner.go
+++ b/jayreplay/owner.go
@@ -40,7 +40,7 @@
 )
 
 func newPoolOwner(s *simulation, name string) *poolOwner {
-	return &poolOwner{
+	o := &poolOwner{
 		sim:      s,
 		name:     name,
 		workers:  map[string]*worker{},
@@ -52,8 +52,12 @@
 			Stop:      200 * time.Millisecond,
 			MoveTime:  s.load.MoveTime,
 			FarFactor: 1.5,
+
+			FairShares: s.load.FairShares,
 		}),
 	}
+	o.pool.SetWeights(s.load.Weights)
+	return o
 }
 
 func (o *poolOwner) start() {
--- a/jayreplay/result.go
+++ b/jayreplay/result.go
@@ -11,9 +11,10 @@
 
 // JobResult is the outcome of a job.
 type JobResult struct {
-	Queue     string
-	Submitted time.Duration
-	Objective time.Duration
+	Queue        string
+	Organisation string
+	Submitted    time.Duration
+	Objective    time.Duration
 	// Work is the work of the job in core-seconds.
 	Work float64
 	// Done is when the job was first shown as done, or zero.
@@ -94,6 +95,12 @@
 	return r
 }
 
+// OfOrganisations returns the result for the jobs of some organisations.
+func (r Result) OfOrganisations(names ...string) Result {
+	r.Jobs = slices.DeleteFunc(slices.Clone(r.Jobs), func(j JobResult) bool { return !slices.Contains(names, j.Organisation) })
+	return r
+}
+
 // Of returns the result for the jobs of a queue.
 func (r Result) Of(queue string) Result {
 	r.Jobs = slices.DeleteFunc(slices.Clone(r.Jobs), func(j JobResult) bool { return j.Queue != queue })
--- a/jayreplay/simulation.go
+++ b/jayreplay/simulation.go
@@ -9,6 +9,7 @@
 	"jaythread/jayfleet"
 	"jaythread/jaypool"
 	"jaythread/jayport"
+	"jaythread/jayshare"
 )
 
 // simulation is the state of the simulation of one load.
@@ -16,6 +17,7 @@
 	clock    clock
 	load     Load
 	fleet    *jayfleet.Fleet
+	uses     *jayshare.Ledger
 	owners   []*poolOwner
 	hosts    []*host
 	tasks    map[jayport.TaskID]*task
@@ -82,7 +84,7 @@
 }
 
 func newSimulation(load Load) *simulation {
-	s := &simulation{load: load, tasks: map[jayport.TaskID]*task{}, jobs: map[string]*JobResult{}}
+	s := &simulation{load: load, uses: jayshare.NewLedger(), tasks: map[jayport.TaskID]*task{}, jobs: map[string]*JobResult{}}
 	s.clock.now = 0
 	s.fleet = jayfleet.New(jayfleet.Settings{MoveTime: load.MoveTime, MaintenanceTime: maintenanceTime})
 	var working []string
@@ -118,7 +120,7 @@
 // the job is stored.
 func (s *simulation) submitJob(a *Arrival) {
 	owner := s.owner(a.Job.Pool)
-	s.jobs[a.Job.ID] = &JobResult{Queue: a.Job.Queue, Submitted: s.clock.now, Objective: a.objective(), Work: a.work()}
+	s.jobs[a.Job.ID] = &JobResult{Queue: a.Job.Queue, Organisation: a.Job.Organisation, Submitted: s.clock.now, Objective: a.objective(), Work: a.work()}
 	if !a.Job.LongRunning() {
 		s.jobOrder = append(s.jobOrder, a.Job.ID)
 	}
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -50,6 +50,10 @@
 	// do not wait for it any more.
 	QuotaReached EventKind = "quota reached"
 	QuotaFree    EventKind = "quota free"
+	// BeyondShare is an organisation with jobs beyond its share, WithinShare one without such jobs
+	// again.
+	BeyondShare EventKind = "organisation beyond its share"
+	WithinShare EventKind = "organisation within its share again"
 )
 
 // Event reports a decision, or a change of the pool's state, with its cause.
@@ -58,7 +62,7 @@
 	At     time.Duration
 	Job    string
 	Worker string
-	// Organisation is set for QuotaReached and QuotaFree.
+	// Organisation is set for QuotaReached, QuotaFree, BeyondShare and WithinShare.
 	Organisation string
 	Run          jayport.RunRef
 	Detail       string
--- /dev/null
+++ b/jaysched/fairness.go
@@ -0,0 +1,341 @@
+package jaysched
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"jaythread/jayshare"
+)
+
+// shortageEndsAfter is for how long there must have been no shortage until the shares are no
+// longer in force. A decision that its limit of starts cuts short notices no lack of room, and the
+// order of the queue must not change with each of them.
+const shortageEndsAfter = 5 * reviewInterval
+
+// fairness is what a pool knows of the organisations' shares.
+type fairness struct {
+	weights map[string]float64
+	// elsewhere is what organisations use and want in the other pools, as of heardAt, by the
+	// fleet's owner with the fence fleetFence.
+	elsewhere  []jayshare.Use
+	heardAt    time.Duration
+	fleetFence int64
+	// shortUntil is until when shares are in force if the shortage ends now.
+	shortUntil time.Duration
+	// participants are the organisations that use or want room, by name, while shares are in
+	// force; jobs without an organisation are one more. Otherwise it is nil.
+	participants map[string]*participant
+	// level is that of the latest division.
+	level float64
+	// rows are what the present review has found of each open job.
+	rows []fairnessRow
+}
+
+// participant is an organisation that takes part in the division. All amounts are thousandths of
+// a core.
+type participant struct {
+	// here is what it uses and wants in the pool, elsewhere the same in the other pools.
+	here, elsewhere jayshare.Use
+	demand          jayshare.Demand
+	// left is how much more its jobs may use within its share.
+	left int64
+	// beyondAt is the latest review that found a job beyond the share. beyondSince is that of
+	// the first one, while the participant is logged as beyond.
+	beyondAt    time.Duration
+	beyondSince time.Duration
+	logged      bool
+}
+
+// fairnessRow is what a review finds of one open job.
+type fairnessRow struct {
+	by    *participant
+	wants int64
+	begun bool
+}
+
+// OrganisationShare is the share of an organisation while its pool lacks room, in thousandths of
+// a core.
+type OrganisationShare struct {
+	Organisation string
+	ShareMilli   int64
+}
+
+// SetWeights sets the declared weights of the organisations. Others have the weight one.
+func (p *Pool) SetWeights(weights map[string]float64) {
+	p.fairness.weights = weights
+}
+
+// SetUsedElsewhere sets what organisations use and want in the other pools. Messages of replaced
+// owners of the fleet are ignored.
+func (p *Pool) SetUsedElsewhere(fence int64, uses []jayshare.Use, now time.Duration) {
+	f := &p.fairness
+	if fence < f.fleetFence {
+		return
+	}
+	f.elsewhere, f.heardAt, f.fleetFence = uses, now, fence
+}
+
+// OrganisationUses returns what each organisation uses and wants in the pool, in the order of
+// their names. Tasks of long-running jobs do not count: they are served first in any case, and
+// the room that they take is not divided.
+func (p *Pool) OrganisationUses(now time.Duration) []jayshare.Use {
+	if !p.settings.FairShares {
+		return nil
+	}
+	totals := map[string]jayshare.Use{}
+	for _, j := range p.open {
+		used, wanted := j.usedAndWanted(now)
+		if used == 0 && wanted == 0 {
+			continue
+		}
+		u := totals[j.spec.Organisation]
+		totals[j.spec.Organisation] = jayshare.Use{Organisation: j.spec.Organisation, UsedMilli: u.UsedMilli + used, WantedMilli: u.WantedMilli + wanted}
+	}
+	uses := make([]jayshare.Use, 0, len(totals))
+	for _, u := range totals {
+		uses = append(uses, u)
+	}
+	slices.SortFunc(uses, func(a, b jayshare.Use) int { return strings.Compare(a.Organisation, b.Organisation) })
+	return uses
+}
+
+// Shares returns the organisations' shares while they are in force, in the order of their names.
+func (p *Pool) Shares() []OrganisationShare {
+	shares := make([]OrganisationShare, 0, len(p.fairness.participants))
+	for organisation, by := range p.fairness.participants {
+		if by.demand.Milli > 0 {
+			shares = append(shares, OrganisationShare{Organisation: organisation, ShareMilli: by.demand.Share(p.fairness.level)})
+		}
+	}
+	slices.SortFunc(shares, func(a, b OrganisationShare) int { return strings.Compare(a.Organisation, b.Organisation) })
+	return shares
+}
+
+// usedAndWanted returns what the tasks of a job that run need together, and what those need that
+// wait and could run now, in thousandths of a core. Long-running jobs have neither, and the waiting
+// tasks of expired jobs do not count, since all others are served before them.
+func (j *job) usedAndWanted(now time.Duration) (used, wanted int64) {
+	if j.longRunning {
+		return 0, 0
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if !s.ready(now) {
+				continue
+			}
+			need := needOf(s).ProcessorsMilli
+			used += need * int64(s.open-s.waiting)
+			if j.deadlineStatus != expired {
+				wanted += need * int64(s.waiting)
+			}
+		}
+	}
+	return used, wanted
+}
+
+// reviewShares determines which jobs are beyond their organisation's share during a shortage.
+// It reports whether the order of the queue may have changed.
+//
+// It handles this load: some organisations send several times their usual work, more than the
+// workers can do. Ordered by their targets, the jobs of all organisations become late by the same
+// time. Jobs within the share of their organisation are served first, so that an organisation that
+// sends no more than its share is served as if the others did the same.
+func (p *Pool) reviewShares(now time.Duration) (changed bool) {
+	f := &p.fairness
+	if !p.settings.FairShares {
+		return false
+	}
+	if p.lackedRoom && p.exceedsSlack() {
+		f.shortUntil = now + shortageEndsAfter
+	}
+	if now >= f.shortUntil {
+		return p.endShares(now)
+	}
+	inForce := f.participants != nil
+	if p.countParticipants(now) < 2 && !inForce {
+		f.participants = nil
+		return false
+	}
+	p.divideCapacity()
+	for n, j := range p.open {
+		row := f.rows[n]
+		if row.wants == 0 {
+			continue
+		}
+		was := j.beyondShare
+		// A job that has begun within the share stays there: its own tasks, once they run, must
+		// not put it behind others.
+		j.beyondShare = row.by.left <= 0 && (was || !row.begun)
+		row.by.left -= row.wants
+		if j.beyondShare {
+			row.by.beyondAt = now
+		}
+		changed = changed || j.beyondShare != was
+	}
+	p.recordShareChanges(now)
+	return changed
+}
+
+// exceedsSlack reports whether the waiting work takes the pool's workers longer than its jobs can
+// wait on average. Until then the order by target has nearly all of them done in time, and any
+// other order makes some late without need.
+func (p *Pool) exceedsSlack() bool {
+	work, slack, count := 0.0, 0.0, 0.0
+	for _, j := range p.open {
+		if j.longRunning || j.spec.Schedule.Timed() || j.deadlineStatus == expired || j.waiting == 0 {
+			continue
+		}
+		work += p.waitingWork(j)
+		slack += j.slack.Seconds()
+		count++
+	}
+	return work*count > slack*float64(max(1, p.sharedRoom()))
+}
+
+// countParticipants sums up what each organisation uses and wants, and returns how many want room
+// in the pool.
+func (p *Pool) countParticipants(now time.Duration) (wanting int) {
+	f := &p.fairness
+	if f.participants == nil {
+		f.participants = map[string]*participant{}
+	}
+	for _, by := range f.participants {
+		by.here, by.elsewhere = jayshare.Use{}, jayshare.Use{}
+	}
+	if now-f.heardAt <= jayshare.MaxAge {
+		for _, u := range f.elsewhere {
+			f.participant(u.Organisation).elsewhere = u
+		}
+	}
+	f.rows = f.rows[:0]
+	for _, j := range p.open {
+		used, wanted := j.usedAndWanted(now)
+		row := fairnessRow{wants: wanted, begun: j.started || used > 0}
+		if used > 0 || wanted > 0 {
+			row.by = f.participant(j.spec.Organisation)
+			if row.by.here.WantedMilli == 0 && wanted > 0 {
+				wanting++
+			}
+			row.by.here.UsedMilli += used
+			row.by.here.WantedMilli += wanted
+		}
+		f.rows = append(f.rows, row)
+	}
+	return wanting
+}
+
+func (f *fairness) participant(organisation string) *participant {
+	by, known := f.participants[organisation]
+	if !known {
+		by = &participant{demand: jayshare.Demand{Weight: f.weights[organisation]}}
+		f.participants[organisation] = by
+	}
+	return by
+}
+
+// divideCapacity divides the capacity of all pools by what the participants use and want. Of the
+// other pools, only what is used there is known; room that nobody uses there cannot serve this
+// pool either before its hosts have moved.
+func (p *Pool) divideCapacity() {
+	f := &p.fairness
+	capacity := p.sharedRoom()
+	demands := make([]jayshare.Demand, 0, len(f.participants))
+	for organisation, by := range f.participants {
+		capacity += by.elsewhere.UsedMilli
+		used := by.here.UsedMilli + by.elsewhere.UsedMilli
+		by.demand.Milli = used + by.here.WantedMilli + by.elsewhere.WantedMilli
+		if quota := p.quotas.declared.Of[organisation].ProcessorsMilli; quota > 0 {
+			by.demand.Milli = max(used, min(by.demand.Milli, quota))
+		}
+		by.demand.Weight = f.weights[organisation]
+		demands = append(demands, by.demand)
+	}
+	f.level = jayshare.Level(capacity, demands)
+	for _, by := range f.participants {
+		by.left = by.demand.Entitlement(f.level) - by.here.UsedMilli - by.elsewhere.UsedMilli
+	}
+}
+
+// sharedRoom returns the pool's capacity without that of long-running tasks, in thousandths of a
+// core. Workers that start no tasks count as far as they are in use.
+func (p *Pool) sharedRoom() int64 {
+	room := int64(0)
+	for _, w := range p.sorted {
+		room += w.roomBesideLongRuns().ProcessorsMilli
+		if !w.usable() {
+			room -= w.free.ProcessorsMilli
+		}
+	}
+	return room
+}
+
+// beyondOnArrival reports whether a job that arrives between two reviews is beyond the share of
+// its organisation: otherwise an organisation far beyond its share would have all its jobs that
+// arrive before the next review served first.
+func (p *Pool) beyondOnArrival(j *job) bool {
+	f := &p.fairness
+	if f.participants == nil || j.longRunning {
+		return false
+	}
+	by, known := f.participants[j.spec.Organisation]
+	if !known {
+		by = f.participant(j.spec.Organisation)
+		by.left = by.demand.Entitlement(f.level)
+	}
+	beyond := by.left <= 0
+	for _, s := range j.occurrences[0].steps {
+		if s.openPredecessors == 0 {
+			by.left -= needOf(s).ProcessorsMilli * int64(s.waiting)
+		}
+	}
+	return beyond
+}
+
+// endShares returns to the order without shares.
+func (p *Pool) endShares(now time.Duration) (changed bool) {
+	if p.fairness.participants == nil {
+		return false
+	}
+	for _, j := range p.open {
+		changed = changed || j.beyondShare
+		j.beyondShare = false
+	}
+	p.recordShareChanges(now)
+	p.fairness.participants = nil
+	return changed
+}
+
+// recordShareChanges records which organisations have jobs beyond their share since this review,
+// and which had none for shortageEndsAfter: an organisation at its share has some now and then.
+func (p *Pool) recordShareChanges(now time.Duration) {
+	f := &p.fairness
+	for _, organisation := range sortedNames(f.participants) {
+		by := f.participants[organisation]
+		kind, since := BeyondShare, time.Duration(0)
+		switch {
+		case !by.logged && by.beyondAt == now:
+			by.logged, by.beyondSince = true, now
+		case by.logged && (now-by.beyondAt >= shortageEndsAfter || now >= f.shortUntil):
+			by.logged, kind, since = false, WithinShare, now-by.beyondSince
+		default:
+			continue
+		}
+		detail := fmt.Sprintf("used here %d, used elsewhere %d, wanted here %d, wanted elsewhere %d, share %d, in thousandths of a core",
+			by.here.UsedMilli, by.elsewhere.UsedMilli, by.here.WantedMilli, by.elsewhere.WantedMilli, by.demand.Share(f.level))
+		if organisation == "" {
+			detail = "jobs without an organisation, " + detail
+		}
+		p.recordEvent(Event{Kind: kind, Organisation: organisation, Waited: since, Detail: detail}, now)
+	}
+}
+
+func sortedNames(participants map[string]*participant) []string {
+	names := make([]string, 0, len(participants))
+	for name := range participants {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -60,10 +60,14 @@
 	advised     bool
 	// priority is that of the job's queue; zero is served first.
 	priority int
+	// slack is how long the job can wait altogether and still be done by its target.
+	slack time.Duration
 	// target is when the job should be done.
 	target         time.Duration
 	deadlineStatus deadlineStatus
-	occurrences    []*occurrence
+	// beyondShare says that other jobs use the share of the job's organisation.
+	beyondShare bool
+	occurrences []*occurrence
 	// openOccurrences counts the occurrences that have not ended.
 	openOccurrences int
 	// waiting counts the tasks of all steps that are not done and have no run.
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -144,6 +144,7 @@
 	vacating      map[string]Vacate
 	vacatingUntil time.Duration
 	quotas        quotas
+	fairness      fairness
 	actions       []Action
 	events        []Event
 	durations     *durations
@@ -307,6 +308,7 @@
 	j.advised, j.priority = policy.Advised, policy.Priority
 	chain = p.longestChain(j.spec)
 	j.target = j.submittedAt + time.Duration(policy.Stretch*float64(chain)) + policy.Objective
+	j.slack = j.target - j.submittedAt - chain
 	p.enqueue(j)
 	return chain
 }
--- a/jaysched/queue.go
+++ b/jaysched/queue.go
@@ -7,8 +7,8 @@
 
 // enqueue adds a job to the open jobs, which are kept in the order in which they are served:
 // long-running jobs first, since they serve others all the time, and expired jobs last,
-// otherwise by the priority of their queue, then by their deadline status, then by their
-// target.
+// otherwise by the priority of their queue, then those within their organisation's share before
+// others, then by their deadline status, then by their target.
 //
 // It handles this load: for some seconds a queue gets several times the work that its pool can
 // do. While the pool does not count as overloaded, every job counts as on time, and those with
@@ -17,6 +17,7 @@
 //
 // Because the queue is kept sorted, it need not be sorted for each decision.
 func (p *Pool) enqueue(j *job) {
+	j.beyondShare = p.beyondOnArrival(j)
 	at, _ := slices.BinarySearchFunc(p.open, j, func(other, j *job) int {
 		// Among equal jobs, the newest is the last.
 		return cmp.Or(compareJobs(other, j), -1)
@@ -29,6 +30,7 @@
 		compareBool(!a.longRunning, !b.longRunning),
 		compareBool(a.deadlineStatus == expired, b.deadlineStatus == expired),
 		cmp.Compare(a.priority, b.priority),
+		compareBool(a.beyondShare, b.beyondShare),
 		cmp.Compare(a.deadlineStatus, b.deadlineStatus),
 		cmp.Compare(a.target, b.target),
 	)
