--- a/jaysched/fairness.go
+++ b/jaysched/fairness.go
@@ -84,18 +84,20 @@
 	if !p.settings.FairShares {
 		return nil
 	}
-	totals := map[string]jayshare.Use{}
-	for _, j := range p.open {
-		used, wanted := j.usedAndWanted(now)
-		if used == 0 && wanted == 0 {
-			continue
+	f := &p.fairness
+	inForce := f.participants != nil
+	if !inForce {
+		p.countParticipants(now) // otherwise the latest review has counted them
+	}
+	uses := make([]jayshare.Use, 0, len(f.participants))
+	for organisation, by := range f.participants {
+		if u := by.here; u.UsedMilli > 0 || u.WantedMilli > 0 {
+			u.Organisation = organisation
+			uses = append(uses, u)
 		}
-		u := totals[j.spec.Organisation]
-		totals[j.spec.Organisation] = jayshare.Use{Organisation: j.spec.Organisation, UsedMilli: u.UsedMilli + used, WantedMilli: u.WantedMilli + wanted}
 	}
-	uses := make([]jayshare.Use, 0, len(totals))
-	for _, u := range totals {
-		uses = append(uses, u)
+	if !inForce {
+		f.participants = nil
 	}
 	slices.SortFunc(uses, func(a, b jayshare.Use) int { return strings.Compare(a.Organisation, b.Organisation) })
 	return uses
@@ -150,7 +152,8 @@
 	if p.lackedRoom && p.exceedsSlack() {
 		f.shortUntil = now + shortageEndsAfter
 	}
-	if now >= f.shortUntil {
+	if now >= f.shortUntil || p.sharedRoom() == 0 {
+		// A new owner knows no workers until they have reported.
 		return p.endShares(now)
 	}
 	inForce := f.participants != nil
@@ -174,7 +177,7 @@
 		}
 		changed = changed || j.beyondShare != was
 	}
-	p.recordShareChanges(now)
+	p.recordShareChanges(false, now)
 	return changed
 }
 
@@ -302,14 +305,15 @@
 		changed = changed || j.beyondShare
 		j.beyondShare = false
 	}
-	p.recordShareChanges(now)
+	p.recordShareChanges(true, now)
 	p.fairness.participants = nil
 	return changed
 }
 
 // recordShareChanges records which organisations have jobs beyond their share since this review,
-// and which had none for shortageEndsAfter: an organisation at its share has some now and then.
-func (p *Pool) recordShareChanges(now time.Duration) {
+// and which had none for shortageEndsAfter: an organisation at its share has some now and then. If the shares
+// are no longer in force, no organisation is beyond its share.
+func (p *Pool) recordShareChanges(ended bool, now time.Duration) {
 	f := &p.fairness
 	for _, organisation := range sortedNames(f.participants) {
 		by := f.participants[organisation]
@@ -317,7 +321,7 @@
 		switch {
 		case !by.logged && by.beyondAt == now:
 			by.logged, by.beyondSince = true, now
-		case by.logged && (now-by.beyondAt >= shortageEndsAfter || now >= f.shortUntil):
+		case by.logged && (now-by.beyondAt >= shortageEndsAfter || ended):
 			by.logged, kind, since = false, WithinShare, now-by.beyondSince
 		default:
 			continue
--- a/jayshare/division.go
+++ b/jayshare/division.go
@@ -47,10 +47,14 @@
 // not use is divided among these. The level is infinite if every demand is met.
 func Level(capacity int64, demands []Demand) float64 {
 	order := make([]int, len(demands))
-	weights := 0.0
+	weights, wanted := 0.0, 0.0
 	for n, d := range demands {
 		order[n] = n
 		weights += d.weight()
+		wanted += float64(d.Milli)
+	}
+	if wanted <= float64(capacity) {
+		return math.Inf(1)
 	}
 	slices.SortFunc(order, func(a, b int) int {
 		return cmp.Compare(float64(demands[a].Milli)/demands[a].weight(), float64(demands[b].Milli)/demands[b].weight())
