--- a/jaysched/fairness_test.go
+++ b/jaysched/fairness_test.go
@@ -62,9 +62,10 @@
 		w.submit("x20", "x")
 		is.New(t).Equal(w.beyond("x20"), []string{"x20"})
 	})
-	t.Run("nothing is sorted with capacity for all", func(t *testing.T) {
+	t.Run("nothing is sorted with capacity for all, whatever is used elsewhere", func(t *testing.T) {
 		is := is.New(t)
 		w := newHarness(t, 1)
+		w.pool.SetUsedElsewhere(2, []jayshare.Use{{Organisation: "x", UsedMilli: 90_000}}, w.now)
 		w.pool.settings.FairShares = true
 		w.submit("x", "x")
 		w.submit("y", "y")
