Fair shares: deadline status precedes the share

Cause: among jobs of one priority, late jobs within the share preceded jobs beyond it that could still be on time.

Change: the order is priority, deadline status, share, target.

--- a/jaysched/fairness_test.go
+++ b/jaysched/fairness_test.go
@@ -49,6 +49,16 @@
 		w.finish("x00", 0, jayport.EndedDone)
 		is.Equal(w.starts("y.0.0.0"), 1)
 	})
+	t.Run("a late job within the share waits for jobs that can be on time", func(t *testing.T) {
+		w := newShortage(t)
+		beyond, within := w.pool.jobs["x19"], w.pool.jobs["y"]
+		is := is.New(t)
+		is.Equal(compareJobs(within, beyond), -1)
+		within.deadlineStatus = late
+		is.Equal(compareJobs(within, beyond), 1)
+		beyond.deadlineStatus = late
+		is.Equal(compareJobs(within, beyond), -1)
+	})
 	t.Run("a job that runs stays within", func(t *testing.T) {
 		is := is.New(t)
 		w := newShortage(t)
--- a/jaysched/queue.go
+++ b/jaysched/queue.go
@@ -7,8 +7,10 @@
 
 // enqueue adds a job to the open jobs, which are kept in the order in which they are served:
 // long-running jobs first, since they serve others all the time, and expired jobs last,
-// otherwise by the priority of their queue, then those within their organisation's share before
-// others, then by their deadline status, then by their target.
+// otherwise by the priority of their queue, then by their deadline status, then those within their
+// organisation's share before others, then by their target. The deadline status precedes the share
+// because a late result is worth little to its caller: capacity that is spent on late jobs of one
+// organisation while others can still be on time is lost to all.
 //
 // It handles this load: for some seconds a queue gets several times the work that its pool can
 // do. While the pool does not count as overloaded, every job counts as on time, and those with
@@ -30,8 +32,8 @@
 		compareBool(!a.longRunning, !b.longRunning),
 		compareBool(a.deadlineStatus == expired, b.deadlineStatus == expired),
 		cmp.Compare(a.priority, b.priority),
-		compareBool(a.beyondShare, b.beyondShare),
 		cmp.Compare(a.deadlineStatus, b.deadlineStatus),
+		compareBool(a.beyondShare, b.beyondShare),
 		cmp.Compare(a.target, b.target),
 	)
 }
