Fair shares: an organisation with a tiny weight does not starve

Cause: an entitlement below a thousandth of a core rounds to zero, so that all jobs of its organisation were beyond the share and waited while others had work within theirs.

Change: an entitlement is at least one thousandth of a core, so that an organisation without use has its first job served.

--- a/jaysched/fairness.go
+++ b/jaysched/fairness.go
@@ -48,6 +48,13 @@
 	logged      bool
 }
 
+// entitlement returns the participant's entitlement at a level. It is never zero: one that uses
+// nothing has its first job served, however small its weight, or it would starve while others use
+// all of the capacity.
+func (by *participant) entitlement(level float64) int64 {
+	return max(1, by.demand.Entitlement(level))
+}
+
 // fairnessRow is what a review finds of one open job.
 type fairnessRow struct {
 	by    *participant
@@ -257,7 +264,7 @@
 	}
 	f.level = jayshare.Level(capacity, demands)
 	for _, by := range f.participants {
-		by.left = by.demand.Entitlement(f.level) - by.here.UsedMilli - by.elsewhere.UsedMilli
+		by.left = by.entitlement(f.level) - by.here.UsedMilli - by.elsewhere.UsedMilli
 	}
 }
 
@@ -285,7 +292,7 @@
 	by, known := f.participants[j.spec.Organisation]
 	if !known {
 		by = f.participant(j.spec.Organisation)
-		by.left = by.demand.Entitlement(f.level)
+		by.left = by.entitlement(f.level)
 	}
 	beyond := by.left <= 0
 	for _, s := range j.occurrences[0].steps {
--- a/jaysched/fairness_test.go
+++ b/jaysched/fairness_test.go
@@ -84,6 +84,19 @@
 	})
 }
 
+func TestTinyWeightDoesNotStarve(t *testing.T) {
+	// Guards against an organisation whose share rounds to zero: all its jobs would wait until no
+	// other organisation has work within its share.
+	is := is.New(t)
+	w := newShortage(t)
+	w.pool.SetWeights(map[string]float64{"y": 1e-9})
+	w.submit("y1", "y")
+	w.pass(reviewInterval)
+	is.Equal(w.beyond("y", "y1"), []string{"y1"})
+	w.finish("x00", 0, jayport.EndedDone)
+	is.Equal(w.starts("y.0.0.0"), 1)
+}
+
 func TestSharesWithoutFleetOwner(t *testing.T) {
 	// Guards against decisions by what a lost owner of the fleet said: y uses much elsewhere.
 	is := is.New(t)
