Fair shares: jobs that need no processors are never beyond the share

Cause: such a job that arrived while its organisation had no share left was placed behind others, and no review placed it again, since reviews skip jobs that want no processors.

Change: a job that wants no processors is within the share on arrival.

Measured: the subtest of TestFairShares fails before the change and passes after it.

--- a/jaysched/fairness.go
+++ b/jaysched/fairness.go
@@ -289,17 +289,22 @@
 	if f.participants == nil || j.longRunning {
 		return false
 	}
+	wants := int64(0)
+	for _, s := range j.occurrences[0].steps {
+		if s.openPredecessors == 0 {
+			wants += needOf(s).ProcessorsMilli * int64(s.waiting)
+		}
+	}
+	if wants == 0 {
+		return false // no review would place it again
+	}
 	by, known := f.participants[j.spec.Organisation]
 	if !known {
 		by = f.participant(j.spec.Organisation)
 		by.left = by.entitlement(f.level)
 	}
 	beyond := by.left <= 0
-	for _, s := range j.occurrences[0].steps {
-		if s.openPredecessors == 0 {
-			by.left -= needOf(s).ProcessorsMilli * int64(s.waiting)
-		}
-	}
+	by.left -= wants
 	return beyond
 }
 
@@ -318,8 +323,8 @@
 }
 
 // recordShareChanges records which organisations have jobs beyond their share since this review,
-// and which had none for shortageEndsAfter: an organisation at its share has some now and then. If the shares
-// are no longer in force, no organisation is beyond its share.
+// and which had none for shortageEndsAfter: an organisation at its share has some now and then. If
+// the shares are no longer in force, no organisation is beyond its share.
 func (p *Pool) recordShareChanges(ended bool, now time.Duration) {
 	f := &p.fairness
 	for _, organisation := range sortedNames(f.participants) {
--- a/jaysched/fairness_test.go
+++ b/jaysched/fairness_test.go
@@ -72,6 +72,14 @@
 		w.submit("x20", "x")
 		is.New(t).Equal(w.beyond("x20"), []string{"x20"})
 	})
+	t.Run("a job that needs no processors is within", func(t *testing.T) {
+		// Guards against a job that stays behind all others since no review considers it.
+		w := newShortage(t)
+		spec := newSpec("memory", 1, tasks(1, 0, 100))
+		spec.Organisation = "x"
+		declare(w, spec)
+		is.New(t).Equal(w.beyond("memory"), nil)
+	})
 	t.Run("nothing is sorted with capacity for all, whatever is used elsewhere", func(t *testing.T) {
 		is := is.New(t)
 		w := newHarness(t, 1)
