Fair shares: cheaper review of an overloaded pool

Cause: a review with 20,000 waiting jobs of 330 organisations took 16 ms of a core (7 with the part off); a fifth of a core has 20 ms between two reviews.

Change: an overloaded pool counts as short without a second sum over the waiting work, and the due time is read once for each occurrence. No room, not only exactly zero, ends the shares.

TestFairSharesServeSmallOrganisations gives the same figures as before.

--- a/jaysched/deadline.go
+++ b/jaysched/deadline.go
@@ -47,7 +47,7 @@
 		}
 		changed = changed || j.deadlineStatus != was
 	}
-	changed = p.reviewShares(now) || changed
+	changed = p.reviewShares(overloaded, now) || changed
 	if changed {
 		slices.SortStableFunc(p.open, compareJobs)
 	}
--- a/jaysched/fairness.go
+++ b/jaysched/fairness.go
@@ -130,8 +130,11 @@
 		return 0, 0
 	}
 	for _, o := range j.occurrences {
+		if now < o.due {
+			continue
+		}
 		for _, s := range o.steps {
-			if !s.ready(now) {
+			if s.openPredecessors > 0 || s.open == 0 {
 				continue
 			}
 			need := needOf(s).ProcessorsMilli
@@ -145,21 +148,22 @@
 }
 
 // reviewShares determines which jobs are beyond their organisation's share during a shortage.
-// It reports whether the order of the queue may have changed.
+// It reports whether the order of the queue may have changed. An overloaded pool has a shortage
+// in any case, which saves the calculation.
 //
 // It handles this load: some organisations send several times their usual work, more than the
 // workers can do. Ordered by their targets, the jobs of all organisations become late by the same
 // time. Jobs within the share of their organisation are served first, so that an organisation that
 // sends no more than its share is served as if the others did the same.
-func (p *Pool) reviewShares(now time.Duration) (changed bool) {
+func (p *Pool) reviewShares(overloaded bool, now time.Duration) (changed bool) {
 	f := &p.fairness
 	if !p.settings.FairShares {
 		return false
 	}
-	if p.lackedRoom && p.exceedsSlack() {
+	if p.lackedRoom && (overloaded || p.exceedsSlack()) {
 		f.shortUntil = now + shortageEndsAfter
 	}
-	if now >= f.shortUntil || p.sharedRoom() == 0 {
+	if now >= f.shortUntil || p.sharedRoom() <= 0 {
 		// A new owner knows no workers until they have reported.
 		return p.endShares(now)
 	}
--- a/jaysched/fairness_test.go
+++ b/jaysched/fairness_test.go
@@ -87,7 +87,7 @@
 		w.pool.settings.FairShares = true
 		w.submit("x", "x")
 		w.submit("y", "y")
-		is.True(!w.pool.reviewShares(w.now + time.Second))
+		is.True(!w.pool.reviewShares(false, w.now + time.Second))
 		is.True(w.pool.fairness.participants == nil)
 	})
 }
