Fair shares: an ended duty shows no shares

Cause: the gauge of the organisations' shares kept its last values after its pool had gone to another owner, beside those of the next one.

Change: the end of a pool's duty removes them.

Measured: TestEndedDutyShowsNoShares fails before the change and passes after it.

--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -124,6 +124,7 @@
 // run takes the pool over and runs its tasks until the duty ends.
 func (d *poolDuty) run() {
 	defer d.node.removePool(d)
+	defer d.node.metrics.SetShares(d.name, nil)
 	if !d.takeOver() {
 		return
 	}
--- a/jaynode/shares_test.go
+++ b/jaynode/shares_test.go
@@ -1,11 +1,16 @@
 package jaynode
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"jaythread/jaymetric"
 	"jaythread/jaypool"
 	"jaythread/jaysched"
 	"jaythread/jayshare"
@@ -32,3 +37,23 @@
 		}
 	}
 }
+
+func TestEndedDutyShowsNoShares(t *testing.T) {
+	// Guards against shares of a former owner that stay in its metrics beside those of the next one.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newPoolFixture(t, 1)
+		metrics := w.entry.node.metrics
+		shown := func() bool {
+			page := httptest.NewRecorder()
+			metrics.Handler().ServeHTTP(page, httptest.NewRequest(http.MethodGet, jaymetric.Path, nil))
+			return strings.Contains(page.Body.String(), "jaythread_organisation_share_cores{")
+		}
+		metrics.SetShares("seats", map[string]float64{"x": 1})
+		w.refreshClaimsFor(time.Second)
+		is.True(shown())
+		w.duty.cancel()
+		time.Sleep(time.Second)
+		is.True(!shown())
+	})
+}
