--- a/jaynode/meters.go
+++ b/jaynode/meters.go
@@ -148,6 +148,8 @@
 		m.WorkLost(d.name, event.LostMilli/milliPerCore)
 	case jaysched.QuotaFree:
 		m.QuotaWaited(d.name, event.Organisation, event.Waited)
+	case jaysched.WithinShare:
+		m.WasBeyondShare(d.name, event.Organisation, event.Waited)
 	}
 }
 
--- a/jayreplay/hosts.go
+++ b/jayreplay/hosts.go
@@ -111,6 +111,7 @@
 	}
 	existing, read, known := s.fleet.Existing(o.name)
 	contracting := s.fleet.Contracting(o.name)
+	elsewhere := s.uses.Elsewhere(o.name, asked)
 	s.clock.after(linkLatency, func() {
 		if known {
 			o.pool.InventoryRead(existing, read, s.clock.now)
@@ -118,9 +119,14 @@
 		o.pool.SetVacating(orders, s.clock.now)
 		o.pool.SetArriving(arriving, s.clock.now)
 		o.pool.SetContracting(contracting, s.clock.now)
+		o.pool.SetUsedElsewhere(1, elsewhere, s.clock.now)
+		uses := o.pool.OrganisationUses(s.clock.now)
 		demand := fleetDemand(o.pool.Demand(s.clock.now), asked)
 		o.scheduleDecision()
-		s.clock.after(linkLatency, func() { s.fleet.SetDemand(o.name, demand) })
+		s.clock.after(linkLatency, func() {
+			s.uses.Receive(o.name, uses, asked)
+			s.fleet.SetDemand(o.name, demand)
+		})
 	})
 }
 
--- a/jayreplay/load.go
+++ b/jayreplay/load.go
@@ -31,6 +31,9 @@
 	// RejectHopeless lets the pools reject hopeless jobs. Their callers repeat the request after
 	// Retry-After in whole seconds, up to maxReturns times.
 	RejectHopeless bool
+	// FairShares serves organisations by their Weights while a pool lacks room.
+	FairShares bool
+	Weights    map[string]float64
 	// Arrivals are the submitted jobs, ordered by time.
 	Arrivals []Arrival
 	// MeasureFrom is the time from which instance-seconds are counted.
--- a/jayreplay/owner.go
+++ b/jayreplay/owner.go
@@ -40,7 +40,7 @@
 )
 
 func newPoolOwner(s *simulation, name string) *poolOwner {
-	return &poolOwner{
+	o := &poolOwner{
 		sim:      s,
 		name:     name,
 		workers:  map[string]*worker{},
@@ -54,8 +54,11 @@
 			FarFactor: 1.5,
 
 			RejectHopeless: s.load.RejectHopeless,
+			FairShares:     s.load.FairShares,
 		}),
 	}
+	o.pool.SetWeights(s.load.Weights)
+	return o
 }
 
 func (o *poolOwner) start() {
--- a/jaysched/deadline.go
+++ b/jaysched/deadline.go
@@ -51,6 +51,7 @@
 		}
 		changed = changed || j.deadlineStatus != was || j.favour != favour
 	}
+	changed = p.reviewShares(overloaded, now) || changed
 	if changed {
 		slices.SortStableFunc(p.open, compareJobs)
 	}
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -56,6 +56,10 @@
 	// was rejected and is accepted at its place in the order of return.
 	JobRejected EventKind = "job rejected"
 	JobReturned EventKind = "job returned in turn"
+	// BeyondShare is an organisation with jobs beyond its share, WithinShare one without such jobs
+	// again.
+	BeyondShare EventKind = "organisation beyond its share"
+	WithinShare EventKind = "organisation within its share again"
 )
 
 // Event reports a decision, or a change of the pool's state, with its cause.
@@ -64,7 +68,7 @@
 	At     time.Duration
 	Job    string
 	Worker string
-	// Organisation is set for QuotaReached, QuotaFree and JobRejected.
+	// Organisation is set for QuotaReached, QuotaFree, JobRejected, BeyondShare and WithinShare.
 	Organisation string
 	Run          jayport.RunRef
 	Detail       string
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -145,6 +145,7 @@
 	vacatingUntil time.Duration
 	release       release
 	quotas        quotas
+	fairness      fairness
 	actions       []Action
 	events        []Event
 	durations     *durations
@@ -312,6 +313,7 @@
 	chain = p.longestChain(j.spec)
 	j.chain = chain
 	j.target = j.submittedAt + time.Duration(policy.Stretch*float64(chain)) + policy.Objective
+	j.slack = j.target - j.submittedAt - chain
 	p.enqueue(j)
 	return chain
 }
