Request hosts ahead of predicted bursts

With predictBursts, the fleet's owner raises the need of a pool by the confidence in its predicted burst, at most one move and one report ahead, after the pools that lack hosts now. Idle hosts that could not return from standby in time are kept. The replay can repeat its sequence of bursts.

--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -54,6 +54,10 @@
 	need   int
 	keep   int
 	useful int
+	// ahead is the number of hosts that the pool needs for a predicted burst, and kept the
+	// number that is not released to standby because of it.
+	ahead int
+	kept  int
 	// idle lists hosts that run nothing, the longest idle first. soonEmpty lists hosts
 	// that become empty within soonEmptyMoves, the earliest first.
 	idle      []*host
@@ -76,6 +80,7 @@
 		f.fill(b, &free, balances, now)
 		f.short = f.short || b.have+reserveHosts < b.need
 	}
+	f.fillAhead(balances, &free, now)
 	f.share(balances, now)
 	f.releaseIdle(balances, f.enoughStandby(len(free), now), now)
 }
@@ -100,7 +105,7 @@
 // reclaimable returns a host that the pool does not need, preferring idle ones, and
 // whether it must be drained first. It returns nil if there is none.
 func (b *poolBalance) reclaimable() (h *host, drains bool) {
-	if b.have <= b.need {
+	if b.have <= max(b.need, b.ahead) {
 		return nil, false
 	}
 	if len(b.idle) > 0 {
@@ -114,9 +119,14 @@
 
 // fill assigns hosts to a pool until it has as many as it needs or none is available.
 func (f *Fleet) fill(to *poolBalance, free *[]*host, balances []*poolBalance, now time.Duration) {
-	for to.have < to.need {
+	f.fillTo(to, to.need, "wanted", free, balances, now)
+}
+
+// fillTo assigns hosts to a pool until it has the given number or none is available.
+func (f *Fleet) fillTo(to *poolBalance, hosts int, why string, free *[]*host, balances []*poolBalance, now time.Duration) {
+	for to.have < hosts {
 		if len(*free) > 0 {
-			f.begin((*free)[0], moving{to: to.pool}, "wanted", now)
+			f.begin((*free)[0], moving{to: to.pool}, why, now)
 			*free = (*free)[1:]
 			to.have++
 			continue
@@ -189,7 +199,7 @@
 	for _, b := range balances {
 		for _, h := range slices.Clone(b.idle) {
 			l, _ := f.load(h)
-			if b.have <= b.need || l.Idle < f.minIdleTime(b, enoughStandby) {
+			if b.have <= max(b.need, b.kept) || l.Idle < f.minIdleTime(b, enoughStandby) {
 				break
 			}
 			b.drop(h)
@@ -274,6 +284,7 @@
 	b.need = max(hostsFor(d.NeedMilli, each), d.HostsAtLeast)
 	b.useful = max(hostsFor(d.NeedMilli-d.ExpiredMilli, each), d.HostsAtLeast)
 	b.keep = max(hostsFor(d.NeedMilli+d.SpareMilli, each), d.HostsAtLeast)
+	f.raise(b, each, now)
 	return b
 }
 
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"jaythread/jayburst"
 	"jaythread/jayport"
 )
 
@@ -20,6 +21,8 @@
 	// DivideHosts and PredictBursts select decisions under load; see jayoptions.Overload.
 	DivideHosts   bool
 	PredictBursts bool
+	// BurstPredictors are the predictors of bursts; nil means all.
+	BurstPredictors []jayburst.Predictor
 }
 
 // Action is a command for the fleet's owner to carry out: MoveHost, MaintainHost or
@@ -89,6 +92,9 @@
 	// ExpiredMilli is the part of NeedMilli that is for jobs whose results their callers
 	// can no longer use.
 	ExpiredMilli int64
+	// ArrivingMilli is the capacity that the arriving jobs would keep busy if they continued
+	// to arrive at the present rate.
+	ArrivingMilli int64
 	// HostsAtLeast is the minimum number of hosts regardless of their size.
 	HostsAtLeast int
 	// Loads holds the load of each worker by worker ID.
@@ -116,7 +122,9 @@
 	// shortSince is the time since which a pool has had less than its share, by pool.
 	shortSince map[string]time.Duration
 	// short reports whether some pool has fewer hosts than it can use soon.
-	short       bool
+	short bool
+	// bursts predicts the bursts of the pools; it is nil if they are not predicted.
+	bursts      *burstPredictor
 	actions     []Action
 	hostChanges []HostChange
 }
@@ -184,6 +192,7 @@
 		working:  map[string]bool{},
 		demands:  map[string]Demand{},
 		waves:    map[string]*wave{},
+		bursts:   newBurstPredictor(settings),
 
 		shortSince: map[string]time.Duration{},
 	}
@@ -255,6 +264,7 @@
 // SetDemand stores the latest demand of a pool.
 func (f *Fleet) SetDemand(pool string, d Demand) {
 	f.demands[pool] = d
+	f.observeBursts(pool, d)
 }
 
 // HandleAnswer applies the inventory's answer to the command on a host.
@@ -312,6 +322,7 @@
 	if f.listedAt > 0 {
 		f.resend(now)
 		f.finishMoves(now)
+		f.predictBursts(now)
 		f.balance(now)
 		f.runWaves(now)
 	}
--- a/jayfleet/world_test.go
+++ b/jayfleet/world_test.go
@@ -132,7 +132,7 @@
 // as soon as it runs nothing.
 func (w *world) reportDemands() {
 	for _, pool := range []string{"fees", "seats"} {
-		d := Demand{NeedMilli: w.wanted[pool], SpareMilli: w.spare[pool], ExpiredMilli: w.expired[pool], HostsAtLeast: w.atLeast[pool], Loads: map[string]Load{}, At: w.now}
+		d := Demand{NeedMilli: w.wanted[pool], SpareMilli: w.spare[pool], ExpiredMilli: w.expired[pool], ArrivingMilli: w.wanted[pool], HostsAtLeast: w.atLeast[pool], Loads: map[string]Load{}, At: w.now}
 		vacating := w.fleet.Vacating(pool)
 		for _, h := range w.hosts {
 			if h.Pool != pool || h.State != jayport.HostUp {
--- a/jaymetric/jobs.go
+++ b/jaymetric/jobs.go
@@ -28,6 +28,7 @@
 	rejected          *prometheus.CounterVec
 	decisionAge       prometheus.Histogram
 	quotaWait         *prometheus.CounterVec
+	burstPredictions  *prometheus.CounterVec
 	organisations     boundedLabels
 }
 
@@ -79,9 +80,10 @@
 			Help:    "Age of the operators' declarations that a call was decided by, when it arrived.",
 			Buckets: []float64{0.1, 0.5, 1, 1.5, 2, 3, 5, 10, 30},
 		}),
-		quotaWait: newCounterVec("jaythread_quota_wait_seconds_total", "Time for which tasks waited for their organisation's quota, by pool and organisation.", "pool", "organisation"),
+		quotaWait:        newCounterVec("jaythread_quota_wait_seconds_total", "Time for which tasks waited for their organisation's quota, by pool and organisation.", "pool", "organisation"),
+		burstPredictions: newCounterVec("jaythread_burst_predictions_total", "Predictions of bursts by outcome, and bursts that were not predicted.", "pool", "outcome"),
 	}
-	m.Registry.MustRegister(m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges)
+	m.Registry.MustRegister(m.burstPredictions, m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges)
 	m.Runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -154,6 +156,11 @@
 	m.quotaWait.WithLabelValues(pool, m.organisations.value(organisation)).Add(waited.Seconds())
 }
 
+// BurstPredicted counts a prediction of a burst, or what became of it.
+func (m *JobMetrics) BurstPredicted(pool, outcome string) {
+	m.burstPredictions.WithLabelValues(pool, outcome).Inc()
+}
+
 // Gauge registers a gauge whose value is read at each scrape.
 func (m *JobMetrics) Gauge(name, help string, read func() float64) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
--- a/jaynode/demand.go
+++ b/jaynode/demand.go
@@ -71,6 +71,7 @@
 	report.NeedMilli = d.NeedMilli
 	report.SpareMilli = d.SpareMilli
 	report.ExpiredMilli = d.ExpiredMilli
+	report.ArrivingMilli = d.ArrivingMilli
 	report.WorkersAtLeast = uint32(d.WorkersAtLeast)
 	for _, l := range d.Loads {
 		emptyIn := l.EmptyIn.Milliseconds()
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"jaythread/jayburst"
 	"jaythread/jayclock"
 	"jaythread/jayfleet"
 	"jaythread/jaymember"
@@ -137,6 +138,7 @@
 	for _, c := range d.fleet.TakeHostChanges() {
 		d.logger.Info("host changed", "host", c.Host, "pool", c.Pool, "state", c.State.String(), "worker", c.Worker)
 	}
+	d.logBursts()
 	d.logStates(now)
 	d.readHosts(now)
 	d.lendQuotas(working)
@@ -158,6 +160,24 @@
 	}
 }
 
+// logBursts logs and counts the predictions of bursts and what became of them.
+func (d *fleetDuty) logBursts() {
+	for _, e := range d.fleet.TakeBurstEvents() {
+		p := e.Prediction
+		d.node.metrics.BurstPredicted(p.Pool, e.Outcome.String())
+		switch e.Outcome {
+		case jayburst.Predicted:
+			d.logger.Info("burst predicted", "pool", p.Pool, "begin", p.Begin, "uncertainty", p.Uncertainty, "heightMilli", p.HeightMilli, "confidence", p.Confidence)
+		case jayburst.Came:
+			d.logger.Info("burst begins", "pool", p.Pool, "predicted", true, "error", e.Began-p.Begin, "confidence", p.Confidence, "at", e.Began)
+		case jayburst.Unpredicted:
+			d.logger.Info("burst begins", "pool", p.Pool, "predicted", false, "at", e.Began)
+		case jayburst.Missing, jayburst.Unobserved:
+			d.logger.Info("burst does not begin", "pool", p.Pool, "outcome", e.Outcome.String(), "begin", p.Begin, "confidence", p.Confidence)
+		}
+	}
+}
+
 // waveStartTime returns when a wave's time began, on this entry's clock: the earlier of
 // the recorded declaration and the time at which this entry learned of the wave. An entry
 // that was started during a wave learned of it late. Without the recorded time, each new
@@ -240,12 +260,13 @@
 
 func demandOf(report *jaywire.DemandReport, at time.Duration) jayfleet.Demand {
 	demand := jayfleet.Demand{
-		NeedMilli:    report.NeedMilli,
-		SpareMilli:   report.SpareMilli,
-		ExpiredMilli: report.ExpiredMilli,
-		HostsAtLeast: int(report.WorkersAtLeast),
-		Loads:        make(map[string]jayfleet.Load, len(report.Workers)),
-		At:           at,
+		NeedMilli:     report.NeedMilli,
+		SpareMilli:    report.SpareMilli,
+		ExpiredMilli:  report.ExpiredMilli,
+		ArrivingMilli: report.ArrivingMilli,
+		HostsAtLeast:  int(report.WorkersAtLeast),
+		Loads:         make(map[string]jayfleet.Load, len(report.Workers)),
+		At:            at,
 	}
 	for _, w := range report.Workers {
 		demand.Loads[w.Worker] = jayfleet.Load{
--- a/jayreplay/generate.go
+++ b/jayreplay/generate.go
@@ -49,6 +49,11 @@
 	Begin time.Duration
 	// For is how long jobs arrive.
 	For time.Duration
+	// Cycles is how often the sequence of bursts is repeated within For; zero means once.
+	Cycles int
+	// Jitter is the standard deviation of the time of each burst around its place in the
+	// sequence.
+	Jitter time.Duration
 	// Seed is the seed of the random numbers.
 	Seed uint64
 }
@@ -94,8 +99,8 @@
 // sequence of bursts. Arrivals are a Poisson process with a varying rate.
 func (s SequentialBursts) queueArrivals(queueLoad QueueLoad, position int, size jaypool.Resources) []Arrival {
 	random := rand.New(rand.NewPCG(s.Seed, uint64(position)))
-	each := s.For / time.Duration(len(s.QueueLoads))
-	center := time.Duration(position)*each + each/2
+	each := s.cycle() / time.Duration(len(s.QueueLoads))
+	centers := s.centers(time.Duration(position)*each+each/2, random)
 	most := queueLoad.Rate * (s.BaseShare + s.burstFactor())
 	var arrivals []Arrival
 	for at := time.Duration(0); ; {
@@ -103,6 +108,7 @@
 		if at >= s.For {
 			break
 		}
+		center := centers[min(int(at/s.cycle()), len(centers)-1)]
 		widths := (at - center).Seconds() / s.Width.Seconds()
 		rate := queueLoad.Rate * (s.BaseShare + s.burstFactor()*math.Exp(-4*math.Ln2*widths*widths))
 		if random.Float64()*most < rate {
@@ -113,10 +119,28 @@
 	return arrivals
 }
 
+// cycle returns the duration of one sequence of bursts.
+func (s SequentialBursts) cycle() time.Duration {
+	return s.For / time.Duration(max(1, s.Cycles))
+}
+
+// centers returns the times of a queue's bursts, of which the first one is given.
+func (s SequentialBursts) centers(first time.Duration, random *rand.Rand) []time.Duration {
+	centers := []time.Duration{first}
+	for n := 1; n < s.Cycles; n++ {
+		off := 0.0
+		if s.Jitter > 0 {
+			off = random.NormFloat64()
+		}
+		centers = append(centers, first+time.Duration(n)*s.cycle()+time.Duration(off*float64(s.Jitter)))
+	}
+	return centers
+}
+
 // burstFactor returns the maximum rate of a burst, as a multiple of the mean rate and
 // without the constant part.
 func (s SequentialBursts) burstFactor() float64 {
-	return (1 - s.BaseShare) * s.For.Seconds() / s.Width.Seconds() * math.Sqrt(4*math.Ln2/math.Pi)
+	return (1 - s.BaseShare) * s.cycle().Seconds() / s.Width.Seconds() * math.Sqrt(4*math.Ln2/math.Pi)
 }
 
 // job returns a random job of the queue.
--- a/jayreplay/hosts.go
+++ b/jayreplay/hosts.go
@@ -119,12 +119,13 @@
 
 func fleetDemand(d jaysched.Demand, at time.Duration) jayfleet.Demand {
 	demand := jayfleet.Demand{
-		NeedMilli:    d.NeedMilli,
-		SpareMilli:   d.SpareMilli,
-		ExpiredMilli: d.ExpiredMilli,
-		HostsAtLeast: d.WorkersAtLeast,
-		Loads:        make(map[string]jayfleet.Load, len(d.Loads)),
-		At:           at,
+		NeedMilli:     d.NeedMilli,
+		SpareMilli:    d.SpareMilli,
+		ExpiredMilli:  d.ExpiredMilli,
+		ArrivingMilli: d.ArrivingMilli,
+		HostsAtLeast:  d.WorkersAtLeast,
+		Loads:         make(map[string]jayfleet.Load, len(d.Loads)),
+		At:            at,
 	}
 	for _, l := range d.Loads {
 		load := jayfleet.Load{CapacityMilli: &l.CapacityMilli, UsedMilli: l.UsedMilli, Runs: l.Runs, LongRuns: l.LongRuns, Vacated: l.Vacated, Idle: l.Idle, EmptyIn: l.EmptyIn}
--- a/jayreplay/load.go
+++ b/jayreplay/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jaythread/jayburst"
 	"jaythread/jaypool"
 	"jaythread/jayspec"
 )
@@ -26,6 +27,10 @@
 	// Link is the bandwidth of the network link of each pool's owner in bytes per second,
 	// for each direction. Zero means unlimited.
 	Link float64
+	// PredictBursts moves hosts ahead of bursts that recur.
+	PredictBursts bool
+	// BurstPredictors are the predictors of bursts; nil means all.
+	BurstPredictors []jayburst.Predictor
 	// Arrivals are the submitted jobs, ordered by time.
 	Arrivals []Arrival
 	// MeasureFrom is the time from which instance-seconds are counted.
--- a/jayreplay/simulation.go
+++ b/jayreplay/simulation.go
@@ -84,7 +84,7 @@
 func newSimulation(load Load) *simulation {
 	s := &simulation{load: load, tasks: map[jayport.TaskID]*task{}, jobs: map[string]*JobResult{}}
 	s.clock.now = 0
-	s.fleet = jayfleet.New(jayfleet.Settings{MoveTime: load.MoveTime, MaintenanceTime: maintenanceTime})
+	s.fleet = jayfleet.New(jayfleet.Settings{MoveTime: load.MoveTime, MaintenanceTime: maintenanceTime, PredictBursts: load.PredictBursts, BurstPredictors: load.BurstPredictors})
 	var working []string
 	for pool := range load.Hosts {
 		working = append(working, pool)
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -39,6 +39,9 @@
 	// ExpiredMilli is the part of the need that belongs to jobs whose results come too late for
 	// their callers.
 	ExpiredMilli int64
+	// ArrivingMilli is how many thousandths of a core the arriving jobs would keep busy if they
+	// continued to arrive at the present rate.
+	ArrivingMilli int64
 	// WorkersAtLeast is the minimum number of workers that the pool needs, whatever their size.
 	WorkersAtLeast int
 	Loads          []Load
@@ -63,7 +66,8 @@
 	// hosts than needed. Only growth beyond the random variation is counted.
 	growth := max(0, p.trend.growth(u.milli, lead, now)-spread)
 	need := max(u.milli+growth, p.offeredWork.forecast(u.milli, lead, now)) + p.blockedByMemory(u.shortTasks)
-	d := Demand{NeedMilli: need, SpareMilli: spread, ExpiredMilli: u.expired, WorkersAtLeast: p.workersAtLeast(now)}
+	arriving, _ := p.offeredWork.rate(now)
+	d := Demand{NeedMilli: need, SpareMilli: spread, ExpiredMilli: u.expired, ArrivingMilli: int64(arriving), WorkersAtLeast: p.workersAtLeast(now)}
 	for _, w := range p.sorted {
 		if w.contact == connected && w.listed && !w.Draining {
 			d.Loads = append(d.Loads, p.load(w, now))
