--- a/jaynode/fleetduty_test.go
+++ b/jaynode/fleetduty_test.go
@@ -9,6 +9,7 @@
 
 	"jaythread/jayfleet"
 	"jaythread/jaymember"
+	"jaythread/jaysched"
 	"jaythread/jaywire"
 )
 
@@ -58,3 +59,10 @@
 	is.Equal(waveStartTime(now-20*time.Second, recorded, now, wall), now-20*time.Second)
 	is.Equal(waveStartTime(now-time.Second, nil, now, wall), now-time.Second)
 }
+
+func TestArrivingWorkIsReported(t *testing.T) {
+	is := is.New(t)
+	report := &jaywire.DemandReport{}
+	writeDemand(report, jaysched.Demand{ArrivingMilli: 7})
+	is.Equal(demandOf(report, 0).ArrivingMilli, int64(7))
+}
--- a/jayreplay/generate.go
+++ b/jayreplay/generate.go
@@ -39,6 +39,9 @@
 	QueueLoads []QueueLoad
 	// Width is the duration for which the rate of a burst is above half of its maximum.
 	Width time.Duration
+	// Square gives a burst its maximum rate during Width and none outside, instead of a rate
+	// that rises and falls gradually.
+	Square bool
 	// BaseShare is the constant part of the arrival rate, to which a burst is added, as a
 	// share of the mean rate.
 	BaseShare float64
@@ -110,7 +113,7 @@
 		}
 		center := centers[min(int(at/s.cycle()), len(centers)-1)]
 		widths := (at - center).Seconds() / s.Width.Seconds()
-		rate := queueLoad.Rate * (s.BaseShare + s.burstFactor()*math.Exp(-4*math.Ln2*widths*widths))
+		rate := queueLoad.Rate * (s.BaseShare + s.burstFactor()*s.shape(widths))
 		if random.Float64()*most < rate {
 			id := fmt.Sprintf("%s%04d", queueLoad.Queue, len(arrivals))
 			arrivals = append(arrivals, queueLoad.job(id, s.Begin+at, size, random))
@@ -137,9 +140,24 @@
 	return centers
 }
 
+// shape returns the rate of a burst as a share of its maximum, at a distance from its center
+// in multiples of its width.
+func (s SequentialBursts) shape(widths float64) float64 {
+	if !s.Square {
+		return math.Exp(-4 * math.Ln2 * widths * widths)
+	}
+	if math.Abs(widths) > 0.5 {
+		return 0
+	}
+	return 1
+}
+
 // burstFactor returns the maximum rate of a burst, as a multiple of the mean rate and
 // without the constant part.
 func (s SequentialBursts) burstFactor() float64 {
+	if s.Square {
+		return (1 - s.BaseShare) * s.cycle().Seconds() / s.Width.Seconds()
+	}
 	return (1 - s.BaseShare) * s.cycle().Seconds() / s.Width.Seconds() * math.Sqrt(4*math.Ln2/math.Pi)
 }
 
