--- a/jayburst/detector.go
+++ b/jayburst/detector.go
@@ -66,9 +66,11 @@
 	// sum and summed give the mean rate of the present burst.
 	sum    float64
 	summed int
-	// heights and durations are those of the recent bursts.
-	heights   []float64
-	durations []float64
+	// heights and durations are those of the recent bursts, and usualHeight is the median of
+	// the heights.
+	heights     []float64
+	durations   []float64
+	usualHeight float64
 }
 
 // observe adds a sample. Rates below minHeight are no burst.
@@ -140,6 +142,7 @@
 	d.inBurst, d.crossings = false, 0
 	if d.summed > 0 {
 		d.heights = remember(d.heights, d.sum/float64(d.summed))
+		d.usualHeight = median(d.heights)
 	}
 	if d.beganAt > 0 {
 		d.durations = remember(d.durations, (d.crossed - d.beganAt).Seconds())
@@ -155,11 +158,6 @@
 	d.variance = (1 - weight) * (d.variance + weight*off*off)
 }
 
-// height returns the usual height of the pool's bursts in thousandths of a core, or zero.
-func (d *detector) height() int64 {
-	return int64(median(d.heights))
-}
-
 // observed reports whether the pool has been sampled recently.
 func (d *detector) observed(now time.Duration) bool {
 	return d.samples > 0 && now-d.last.at <= maxGap
--- a/jayburst/forecast.go
+++ b/jayburst/forecast.go
@@ -21,6 +21,9 @@
 	// minConfidence is the confidence below which a prediction is not used: the hosts that
 	// are called for it would more probably be called in vain.
 	minConfidence = 0.5
+	// minHeightShare is the share of the highest usual burst of all pools below which there is
+	// no burst: in a quiet pool, a few large jobs at once look like a small one.
+	minHeightShare = 0.25
 	// settleTime is how long a predicted burst stays in the forecast once it has begun. Until
 	// then the measured rate of arriving work has reached the rate of the burst.
 	settleTime = time.Second
@@ -94,7 +97,7 @@
 	if f.minHeight <= 0 || d.samples > 0 && at <= d.last.at {
 		return
 	}
-	switch d.observe(sample{at: at, milli: float64(milli)}, float64(f.minHeight)) {
+	switch d.observe(sample{at: at, milli: float64(milli)}, f.lowestBurst()) {
 	case began:
 		f.began(pool, d.beganAt)
 	case foundInBurst:
@@ -105,6 +108,15 @@
 	}
 }
 
+// lowestBurst returns the rate of arriving work below which there is no burst.
+func (f *Forecast) lowestBurst() float64 {
+	highest := 0.0
+	for _, d := range f.detectors {
+		highest = max(highest, d.usualHeight)
+	}
+	return max(float64(f.minHeight), minHeightShare*highest)
+}
+
 // began records the begin of a burst.
 func (f *Forecast) began(pool string, at time.Duration) {
 	event := Event{Outcome: Unpredicted, Prediction: Prediction{Pool: pool}, Began: at}
@@ -169,7 +181,7 @@
 	for _, predictor := range f.settings.Predictors {
 		for _, p := range predictor.Predict(now, observed) {
 			d := f.detectors[p.Pool]
-			p.HeightMilli = d.height()
+			p.HeightMilli = int64(d.usualHeight)
 			usable := p.Confidence >= minConfidence && p.Uncertainty <= f.settings.MaxUncertainty && p.HeightMilli > 0 && !d.inBurst
 			near := p.Begin-f.settings.Horizon <= now && now <= p.overdue()
 			if usable && near && p.Confidence > best[p.Pool].Confidence {
--- a/jayfleet/predict.go
+++ b/jayfleet/predict.go
@@ -12,7 +12,7 @@
 	reportDelay = 200 * time.Millisecond
 	// minBurstShare is the share of the mean capacity of a pool below which arriving work is
 	// no burst: the pool's own hosts serve it.
-	minBurstShare = 0.5
+	minBurstShare = 0.2
 )
 
 // burstPredictor predicts the bursts of the pools.
