Forget the bursts of removed pools

A pool that the catalog no longer has stayed in the forecast: it was predicted and counted as unobserved once per period without end, its height stayed part of the limit for other pools, and the successor of its predecessor was not learned. The forecast now keeps only working pools. Measured: go test ./jayburst ./jayfleet pass; the new test sees the prediction of the pool before its removal and none after it.

--- a/jayburst/forecast.go
+++ b/jayburst/forecast.go
@@ -108,6 +108,20 @@
 	}
 }
 
+// Retain removes the pools that are not to be kept. Their predictions end without an outcome.
+func (f *Forecast) Retain(keep func(pool string) bool) {
+	for pool := range f.detectors {
+		if keep(pool) {
+			continue
+		}
+		delete(f.detectors, pool)
+		delete(f.expected, pool)
+		for _, p := range f.settings.Predictors {
+			p.Forget(pool)
+		}
+	}
+}
+
 // lowestBurst returns the rate of arriving work below which there is no burst.
 func (f *Forecast) lowestBurst() float64 {
 	highest := 0.0
--- a/jayburst/forecast_test.go
+++ b/jayburst/forecast_test.go
@@ -157,6 +157,29 @@
 	gap("nothing arrives for a second within a burst", 0, 0, 48*time.Second, nil, 15)
 }
 
+func TestRemovedPoolIsForgotten(t *testing.T) {
+	// Guards against predictions without end for a pool that the catalog no longer has.
+	is := is.New(t)
+	f := New(Settings{Horizon: time.Minute, MaxUncertainty: time.Minute, Predictors: both()})
+	f.SetMinHeight(height / 10)
+	for at := sampling; at < 42*time.Second; at += sampling {
+		for pool := range 2 {
+			f.Observe(fmt.Sprint("pool", pool), int64(height*(1+19*(int(at/spacing)%2^pool))/20), at)
+		}
+		f.Predict(at)
+	}
+	names := func() []string {
+		var names []string
+		for _, p := range f.Predict(42 * time.Second) {
+			names = append(names, p.Pool)
+		}
+		return names
+	}
+	is.True(slices.Contains(names(), "pool0"))
+	f.Retain(func(pool string) bool { return pool != "pool0" })
+	is.True(!slices.Contains(names(), "pool0"))
+}
+
 func BenchmarkForecast34Pools(b *testing.B) {
 	var names []string
 	for pool := range 34 {
--- a/jayburst/predictors.go
+++ b/jayburst/predictors.go
@@ -32,6 +32,8 @@
 	Began(pool string, at time.Duration)
 	// Lost records that a burst of a pool has begun at an unknown time.
 	Lost(pool string)
+	// Forget removes what was learned about a pool that exists no more.
+	Forget(pool string)
 	// Predict returns the predictions, without heights. It judges the predictions that are
 	// overdue; one for a pool that is not observed is neither true nor false.
 	Predict(now time.Duration, observed func(pool string) bool) []Prediction
@@ -95,6 +97,10 @@
 	}
 }
 
+func (p *periods) Forget(pool string) {
+	delete(p.pools, pool)
+}
+
 func (p *periods) Predict(now time.Duration, observed func(string) bool) []Prediction {
 	within, usable := p.uncertainty()
 	if !usable {
@@ -174,6 +180,16 @@
 	s.latest = ""
 }
 
+func (s *successions) Forget(pool string) {
+	delete(s.rules, pool)
+	for _, followers := range s.rules {
+		delete(followers, pool)
+	}
+	if s.latest == pool {
+		s.latest = ""
+	}
+}
+
 // follower returns the pool that most probably follows the given one, and its rule, or nil.
 func (s *successions) follower(pool string) (string, *rule) {
 	best := ""
--- a/jayfleet/predict.go
+++ b/jayfleet/predict.go
@@ -68,6 +68,7 @@
 	}
 	capacity := f.meanCapacity() * int64(len(f.sorted))
 	f.bursts.forecast.SetMinHeight(int64(minBurstShare * float64(capacity) / float64(max(1, len(f.working)))))
+	f.bursts.forecast.Retain(func(pool string) bool { return f.working[pool] })
 	f.bursts.predictions = map[string]jayburst.Prediction{}
 	for _, p := range f.bursts.forecast.Predict(now) {
 		f.bursts.predictions[p.Pool] = p
--- a/jayfleet/predict_test.go
+++ b/jayfleet/predict_test.go
@@ -35,6 +35,7 @@
 
 func (s scripted) Began(string, time.Duration) {}
 func (s scripted) Lost(string)                 {}
+func (s scripted) Forget(string)               {}
 func (s scripted) Predict(time.Duration, func(string) bool) []jayburst.Prediction {
 	return []jayburst.Prediction{s.prediction}
 }
