Do not learn the begin of a burst from a new owner's rate

A new owner of a pool sees its first jobs and reports a rate that rises from zero for up to two seconds. A burst that was under way seemed to begin during that time, which was judged as a wrong prediction and learned as an interval. A begin within the rate's window after a gap in the samples is now unknown.

--- a/jayburst/detector.go
+++ b/jayburst/detector.go
@@ -10,6 +10,9 @@
 	// maxGap is the longest time between two samples for which the begin of a burst between
 	// them is known. A pool whose owner changes reports nothing for longer.
 	maxGap = time.Second
+	// rateWindow is the longest time over which a pool's owner computes its rate. The rate of
+	// a new owner rises for that long, so that it says nothing about the begin of a burst.
+	rateWindow = 2 * time.Second
 	// minMeanWeight is the minimum weight of a sample in the mean, so that the mean covers
 	// the recent cycles of bursts only.
 	minMeanWeight = 0.005
@@ -50,7 +53,9 @@
 
 // detector detects the bursts of one pool.
 type detector struct {
-	last     sample
+	last sample
+	// resumed is when samples were reported again after the latest gap, or zero.
+	resumed  time.Duration
 	samples  int
 	mean     float64
 	variance float64
@@ -79,6 +84,9 @@
 	before := d.last
 	if gap {
 		d.crossings = 0
+		if d.samples > 0 {
+			d.resumed = s.at
+		}
 	}
 	d.last = s
 	d.addToMean(s)
@@ -95,7 +103,7 @@
 	}
 	if d.crossings == 0 {
 		d.crossed = crossing(before, s, limit)
-		if gap {
+		if gap || d.resumed > 0 && s.at-d.resumed < rateWindow {
 			d.crossed = 0
 		}
 	}
--- a/jayburst/forecast_test.go
+++ b/jayburst/forecast_test.go
@@ -157,6 +157,26 @@
 	gap("nothing arrives for a second within a burst", 0, 0, 48*time.Second, nil, 15)
 }
 
+func TestReplacedOwnerInBurstBeginsNothing(t *testing.T) {
+	// Guards against a begin learned from the rate of a new owner of a pool, which rises from
+	// zero while the owner sees its first jobs.
+	is := is.New(t)
+	d := detector{}
+	at := time.Duration(0)
+	observe := func(milli float64) change {
+		at += sampling
+		return d.observe(sample{at: at, milli: milli}, height/10)
+	}
+	for range 60 {
+		observe(50)
+	}
+	at += 2 * maxGap
+	for n := range 10 {
+		is.True(observe(float64(n)*height/10) != began)
+	}
+	is.True(d.inBurst)
+}
+
 func TestRemovedPoolIsForgotten(t *testing.T) {
 	// Guards against predictions without end for a pool that the catalog no longer has.
 	is := is.New(t)
