Log times of bursts relative to now; state the effect of failures

The log of bursts gave the monotonic clock of the entry in nanoseconds, which an operator cannot read. It now gives durations relative to the line.

--- a/jayburst/rule.go
+++ b/jayburst/rule.go
@@ -11,8 +11,8 @@
 	// changed order is learned within a few cycles.
 	retained = 0.8
 	// missWeight is the weight of a prediction that did not come true relative to one that did.
-	// One failure of a proven rule is enough to stop acting on it, one success to act on it
-	// again. In a random order, chance does not suffice.
+	// One failure stops acting on a rule that came true up to three times, the second failure
+	// in a row on any rule. In a random order, chance seldom suffices.
 	missWeight = 2
 	// minIntervals is the number of intervals from which regularity can be judged.
 	minIntervals = 3
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -138,7 +138,7 @@
 	for _, c := range d.fleet.TakeHostChanges() {
 		d.logger.Info("host changed", "host", c.Host, "pool", c.Pool, "state", c.State.String(), "worker", c.Worker)
 	}
-	d.logBursts()
+	d.logBursts(now)
 	d.logStates(now)
 	d.readHosts(now)
 	d.lendQuotas(working)
@@ -160,20 +160,21 @@
 	}
 }
 
-// logBursts logs and counts the predictions of bursts and what became of them.
-func (d *fleetDuty) logBursts() {
+// logBursts logs and counts the predictions of bursts and what became of them. Times are
+// relative to now: the clock of an entry means nothing to an operator.
+func (d *fleetDuty) logBursts(now time.Duration) {
 	for _, e := range d.fleet.TakeBurstEvents() {
 		p := e.Prediction
 		d.node.metrics.BurstPredicted(p.Pool, e.Outcome.String())
 		switch e.Outcome {
 		case jayburst.Predicted:
-			d.logger.Info("burst predicted", "pool", p.Pool, "begin", p.Begin, "uncertainty", p.Uncertainty, "heightMilli", p.HeightMilli, "confidence", p.Confidence)
+			d.logger.Info("burst predicted", "pool", p.Pool, "beginsIn", (p.Begin - now).String(), "uncertainty", p.Uncertainty.String(), "heightMilli", p.HeightMilli, "confidence", p.Confidence)
 		case jayburst.Came:
-			d.logger.Info("burst begins", "pool", p.Pool, "predicted", true, "error", e.Began-p.Begin, "confidence", p.Confidence, "at", e.Began)
+			d.logger.Info("burst begins", "pool", p.Pool, "predicted", true, "error", (e.Began - p.Begin).String(), "confidence", p.Confidence, "age", (now - e.Began).String())
 		case jayburst.Unpredicted:
-			d.logger.Info("burst begins", "pool", p.Pool, "predicted", false, "at", e.Began)
+			d.logger.Info("burst begins", "pool", p.Pool, "predicted", false, "age", (now - e.Began).String())
 		case jayburst.Missing, jayburst.Unobserved:
-			d.logger.Info("burst does not begin", "pool", p.Pool, "outcome", e.Outcome.String(), "begin", p.Begin, "confidence", p.Confidence)
+			d.logger.Info("burst does not begin", "pool", p.Pool, "outcome", e.Outcome.String(), "overdue", (now - p.Begin).String(), "confidence", p.Confidence)
 		}
 	}
 }
