--- a/jaymetric/jobs.go
+++ b/jaymetric/jobs.go
@@ -32,6 +32,7 @@
 	quotaWait         *prometheus.CounterVec
 	beyondShare       *prometheus.CounterVec
 	share             *prometheus.GaugeVec
+	burstPredictions  *prometheus.CounterVec
 	organisations     boundedLabels
 }
 
@@ -90,8 +91,9 @@
 		share: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "jaythread_organisation_share_cores", Help: "Share of an organisation of the capacity of all pools, by the pool that lacks room.",
 		}, []string{"pool", "organisation"}),
+		burstPredictions: newCounterVec("jaythread_burst_predictions_total", "Predictions of bursts by outcome, and bursts that were not predicted.", "pool", "outcome"),
 	}
-	m.Registry.MustRegister(m.hostsGiven, m.workLost, m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges, m.beyondShare, m.share)
+	m.Registry.MustRegister(m.burstPredictions, m.hostsGiven, m.workLost, m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges, m.beyondShare, m.share)
 	m.Runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -187,6 +189,11 @@
 	}
 }
 
+// BurstPredicted counts a prediction of a burst, or what became of it.
+func (m *JobMetrics) BurstPredicted(pool, outcome string) {
+	m.burstPredictions.WithLabelValues(pool, outcome).Inc()
+}
+
 // Gauge registers a gauge whose value is read at each scrape.
 func (m *JobMetrics) Gauge(name, help string, read func() float64) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
--- a/jaynode/demand.go
+++ b/jaynode/demand.go
@@ -75,6 +75,7 @@
 	report.SpareMilli = d.SpareMilli
 	report.ExpiredMilli = d.ExpiredMilli
 	report.OnTimeMilli = &d.OnTimeMilli
+	report.ArrivingMilli = d.ArrivingMilli
 	report.WorkersAtLeast = uint32(d.WorkersAtLeast)
 	for _, l := range d.Loads {
 		emptyIn := l.EmptyIn.Milliseconds()
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"jaythread/jayburst"
 	"jaythread/jayclock"
 	"jaythread/jayfleet"
 	"jaythread/jaymember"
@@ -142,6 +143,7 @@
 		d.logger.Info("host changed", "host", c.Host, "pool", c.Pool, "state", c.State.String(), "worker", c.Worker)
 	}
 	d.logDivisions()
+	d.logBursts(now)
 	d.logStates(now)
 	d.readHosts(now)
 	d.lendQuotas(working)
@@ -170,6 +172,25 @@
 	}
 }
 
+// logBursts logs and counts the predictions of bursts and what became of them. Times are
+// relative to now: the clock of an entry means nothing to an operator.
+func (d *fleetDuty) logBursts(now time.Duration) {
+	for _, e := range d.fleet.TakeBurstEvents() {
+		p := e.Prediction
+		d.node.metrics.BurstPredicted(p.Pool, e.Outcome.String())
+		switch e.Outcome {
+		case jayburst.Predicted:
+			d.logger.Info("burst predicted", "pool", p.Pool, "beginsIn", (p.Begin - now).String(), "uncertainty", p.Uncertainty.String(), "heightMilli", p.HeightMilli, "confidence", p.Confidence)
+		case jayburst.Came:
+			d.logger.Info("burst begins", "pool", p.Pool, "predicted", true, "error", (e.Began - p.Begin).String(), "confidence", p.Confidence, "age", (now - e.Began).String())
+		case jayburst.Unpredicted:
+			d.logger.Info("burst begins", "pool", p.Pool, "predicted", false, "age", (now - e.Began).String())
+		case jayburst.Missing, jayburst.Unobserved:
+			d.logger.Info("burst does not begin", "pool", p.Pool, "outcome", e.Outcome.String(), "overdue", (now - p.Begin).String(), "confidence", p.Confidence)
+		}
+	}
+}
+
 // waveStartTime returns when a wave's time began, on this entry's clock: the earlier of
 // the recorded declaration and the time at which this entry learned of the wave. An entry
 // that was started during a wave learned of it late. Without the recorded time, each new
@@ -254,13 +275,14 @@
 
 func demandOf(report *jaywire.DemandReport, at time.Duration) jayfleet.Demand {
 	demand := jayfleet.Demand{
-		NeedMilli:    report.NeedMilli,
-		SpareMilli:   report.SpareMilli,
-		ExpiredMilli: report.ExpiredMilli,
-		OnTimeMilli:  report.OnTimeMilli,
-		HostsAtLeast: int(report.WorkersAtLeast),
-		Loads:        make(map[string]jayfleet.Load, len(report.Workers)),
-		At:           at,
+		OnTimeMilli:   report.OnTimeMilli,
+		NeedMilli:     report.NeedMilli,
+		SpareMilli:    report.SpareMilli,
+		ExpiredMilli:  report.ExpiredMilli,
+		ArrivingMilli: report.ArrivingMilli,
+		HostsAtLeast:  int(report.WorkersAtLeast),
+		Loads:         make(map[string]jayfleet.Load, len(report.Workers)),
+		At:            at,
 	}
 	for _, w := range report.Workers {
 		demand.Loads[w.Worker] = jayfleet.Load{
--- a/jayreplay/load.go
+++ b/jayreplay/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jaythread/jayburst"
 	"jaythread/jaypool"
 	"jaythread/jayspec"
 )
@@ -34,6 +35,10 @@
 	// FairShares serves organisations by their Weights while a pool lacks room.
 	FairShares bool
 	Weights    map[string]float64
+	// PredictBursts moves hosts ahead of bursts that recur.
+	PredictBursts bool
+	// BurstPredictors are the predictors of bursts; nil means all.
+	BurstPredictors []jayburst.Predictor
 	// Arrivals are the submitted jobs, ordered by time.
 	Arrivals []Arrival
 	// MeasureFrom is the time from which instance-seconds are counted.
--- a/jayreplay/simulation.go
+++ b/jayreplay/simulation.go
@@ -86,7 +86,7 @@
 func newSimulation(load Load) *simulation {
 	s := &simulation{load: load, uses: jayshare.NewLedger(), tasks: map[jayport.TaskID]*task{}, jobs: map[string]*JobResult{}}
 	s.clock.now = 0
-	s.fleet = jayfleet.New(jayfleet.Settings{MoveTime: load.MoveTime, MaintenanceTime: maintenanceTime, DivideHosts: load.DivideHosts})
+	s.fleet = jayfleet.New(jayfleet.Settings{MoveTime: load.MoveTime, MaintenanceTime: maintenanceTime, DivideHosts: load.DivideHosts, PredictBursts: load.PredictBursts, BurstPredictors: load.BurstPredictors})
 	var working []string
 	for pool := range load.Hosts {
 		working = append(working, pool)
