Slow workers are recognised and avoided; stragglers get copies

Cause: no component knew how fast a worker is. A worker at 1/6.5 of its speed kept the tasks it had and got more, and no copy of a straggling task was ever started.

Change: the owner of a pool weighs the recent ends and the overdue runs of each worker against the predicted durations (workerSpeeds) and starts copies of straggling tasks of speculative steps within a share of the capacity (copyShare). Both are off by default.

--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -189,9 +189,12 @@
 	for _, b := range balances {
 		for _, h := range slices.Clone(b.idle) {
 			l, _ := f.load(h)
-			if b.have <= b.need || l.Idle < f.minIdleTime(b, enoughStandby) {
+			if b.have <= b.need {
 				break
 			}
+			if l.Idle < f.minIdleTime(b, enoughStandby) {
+				continue
+			}
 			b.drop(h)
 			b.have--
 			h.vacate(target, false, now)
@@ -277,14 +280,16 @@
 	return b
 }
 
-// sort orders the hosts that may be moved to another pool: idle ones by longest idle time,
-// others by shortest time until they are empty.
+// sort orders the hosts that may be moved to another pool: slow ones first, then idle ones by
+// longest idle time, others by shortest time until they are empty.
 func (b *poolBalance) sort(d Demand) {
 	slices.SortStableFunc(b.idle, func(a, b *host) int {
-		return cmp.Compare(d.Loads[b.Worker].Idle, d.Loads[a.Worker].Idle)
+		x, y := d.Loads[a.Worker], d.Loads[b.Worker]
+		return cmp.Or(compareSlow(x, y), cmp.Compare(y.Idle, x.Idle))
 	})
 	emptySooner := func(a, b *host) int {
-		return cmp.Compare(d.Loads[a.Worker].EmptyIn, d.Loads[b.Worker].EmptyIn)
+		x, y := d.Loads[a.Worker], d.Loads[b.Worker]
+		return cmp.Or(compareSlow(x, y), cmp.Compare(x.EmptyIn, y.EmptyIn))
 	}
 	slices.SortStableFunc(b.laterEmpty, emptySooner)
 	slices.SortStableFunc(b.soonEmpty, emptySooner)
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -69,6 +69,8 @@
 	// EmptyIn is the estimated time until the worker is empty if its runs are migrated; a
 	// negative value means never.
 	EmptyIn time.Duration
+	// SpeedPercent is the worker's speed as its own runs show it; zero is unknown.
+	SpeedPercent int
 }
 
 // Vacate specifies how a pool is to empty a worker.
@@ -362,12 +364,13 @@
 	return l, ok
 }
 
-// room returns the host's current capacity in thousandths of a core.
+// room returns the host's current capacity in thousandths of a core, at its speed.
 func (f *Fleet) room(h *host) int64 {
-	if l, known := f.load(h); known && l.CapacityMilli != nil {
-		return *l.CapacityMilli
+	l, known := f.load(h)
+	if known && l.CapacityMilli != nil {
+		return l.worth(*l.CapacityMilli)
 	}
-	return h.Capacity.ProcessorsMilli
+	return l.worth(h.Capacity.ProcessorsMilli)
 }
 
 // empty reports whether a command on the host would end no run: it is on standby, or its
--- a/jaynode/demand.go
+++ b/jaynode/demand.go
@@ -87,6 +87,7 @@
 
 			EmptyInMillis: emptyIn,
 			CapacityMilli: &l.CapacityMilli,
+			SpeedPercent:  uint32(l.SpeedPercent),
 		})
 	}
 }
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -256,6 +256,7 @@
 			Vacated:       w.Vacated,
 			Idle:          millis(w.IdleMillis),
 			EmptyIn:       millis(w.EmptyInMillis),
+			SpeedPercent:  int(w.SpeedPercent),
 		}
 	}
 	return demand
--- a/jayreplay/generate.go
+++ b/jayreplay/generate.go
@@ -31,6 +31,12 @@
 	EstimateSpread float64
 	// Checkpoint is true if the tasks write checkpoints.
 	Checkpoint bool
+	// Speculative is the share of the steps whose tasks may have copies.
+	Speculative float64
+	// LongTasks is the share of the tasks that take longer by LongFactor than the others of
+	// their step.
+	LongTasks  float64
+	LongFactor float64
 	Policy     jayspec.Policy
 }
 
@@ -137,8 +143,13 @@
 		decl.Estimate = seconds(mean * estimateFactor)
 		var durations []time.Duration
 		for range decl.Tasks {
-			durations = append(durations, seconds(logNormal(random, mean, taskSpread)))
+			took := logNormal(random, mean, taskSpread)
+			if l.LongTasks > 0 && random.Float64() < l.LongTasks {
+				took *= l.LongFactor
+			}
+			durations = append(durations, seconds(took))
 		}
+		decl.Speculative = l.Speculative > 0 && random.Float64() < l.Speculative
 		a.Job.Steps = append(a.Job.Steps, decl)
 		a.Durations = append(a.Durations, durations)
 	}
--- a/jayreplay/hosts.go
+++ b/jayreplay/hosts.go
@@ -127,7 +127,7 @@
 		At:           at,
 	}
 	for _, l := range d.Loads {
-		load := jayfleet.Load{CapacityMilli: &l.CapacityMilli, UsedMilli: l.UsedMilli, Runs: l.Runs, LongRuns: l.LongRuns, Vacated: l.Vacated, Idle: l.Idle, EmptyIn: l.EmptyIn}
+		load := jayfleet.Load{CapacityMilli: &l.CapacityMilli, UsedMilli: l.UsedMilli, Runs: l.Runs, LongRuns: l.LongRuns, Vacated: l.Vacated, Idle: l.Idle, EmptyIn: l.EmptyIn, SpeedPercent: l.SpeedPercent}
 		if l.EmptyIn == jaysched.MaxDuration {
 			load.EmptyIn = -1
 		}
--- a/jayreplay/load.go
+++ b/jayreplay/load.go
@@ -23,6 +23,11 @@
 	Outages []Outage
 	// Faults are times at which workers fail every run that they start.
 	Faults []Outage
+	// Slowdowns are times at which workers are slow.
+	Slowdowns []Slowdown
+	// WorkerSpeeds and CopyShare are settings of the pools; see jaysched.Settings.
+	WorkerSpeeds bool
+	CopyShare    float64
 	// Link is the bandwidth of the network link of each pool's owner in bytes per second,
 	// for each direction. Zero means unlimited.
 	Link float64
@@ -46,6 +51,15 @@
 	Each  int
 }
 
+// Slowdown is a time at which the workers on some of the hosts take longer for everything.
+type Slowdown struct {
+	Outage
+	// Pool is the pool whose workers are slow. A host is not slow in another pool.
+	Pool string
+	// Factor is by how much longer the workers take.
+	Factor float64
+}
+
 // Arrival is the submission of a job.
 type Arrival struct {
 	At  time.Duration
--- a/jayreplay/owner.go
+++ b/jayreplay/owner.go
@@ -52,6 +52,9 @@
 			Stop:      200 * time.Millisecond,
 			MoveTime:  s.load.MoveTime,
 			FarFactor: 1.5,
+
+			WorkerSpeeds: s.load.WorkerSpeeds,
+			CopyShare:    s.load.CopyShare,
 		}),
 	}
 }
--- a/jayreplay/simulation.go
+++ b/jayreplay/simulation.go
@@ -172,14 +172,14 @@
 	}
 }
 
-// saveCheckpoint records the progress of a stopped run if its task writes checkpoints,
+// saveCheckpoint records the work done in a stopped run if its task writes checkpoints,
 // and returns the checkpoint.
-func (s *simulation) saveCheckpoint(r *activeRun) string {
+func (s *simulation) saveCheckpoint(r *activeRun, done time.Duration) string {
 	t := s.tasks[r.order.Run.Task]
 	if !t.checkpoint {
 		return ""
 	}
-	t.savedTime = min(t.savedTime+s.clock.now-r.startedAt, t.duration)
+	t.savedTime = min(t.savedTime+done, t.duration)
 	return "saved"
 }
 
--- a/jayreplay/worker.go
+++ b/jayreplay/worker.go
@@ -80,7 +80,7 @@
 		w.sim.clock.after(faultTime, func() { w.end(r, jayport.EndedFailed) })
 	}
 	if !task.longRunning {
-		w.sim.clock.after(takes, func() { w.end(r, jayport.EndedDone) })
+		w.sim.clock.after(w.timeFor(takes), func() { w.end(r, jayport.EndedDone) })
 	}
 	return nil
 }
@@ -96,7 +96,7 @@
 	w.endedCount++
 	end := jayport.EndedRun{Number: w.endedCount, Run: r.order.Run, Ending: how}
 	if how == jayport.EndedStopped {
-		end.Checkpoint = w.sim.saveCheckpoint(r)
+		end.Checkpoint = w.sim.saveCheckpoint(r, w.workDone(r.startedAt))
 	}
 	w.ended = append(w.ended, end)
 	w.sendResponse()
--- /dev/null
+++ b/jaysched/copies.go
@@ -0,0 +1,116 @@
+package jaysched
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+const (
+	// copyInterval is the time between two searches for straggling tasks.
+	copyInterval = 100 * time.Millisecond
+	// copyRatio is the ratio of elapsed to predicted time from which a task is a straggler: a
+	// task that has taken twice as long as predicted is expected to take as long again.
+	copyRatio = 2
+	// maxRunsOfTask is the maximum number of runs of a task, the copy included.
+	maxRunsOfTask = 2
+)
+
+// startCopies starts copies of straggling tasks of speculative steps.
+//
+// It handles this load: a step waits for its last task, which lasts much longer than the others
+// by its worker or by chance. The copies use only capacity that no waiting task needs, within
+// a share of the pool's capacity, so that they delay no other job.
+func (p *Pool) startCopies(now time.Duration) {
+	if p.settings.CopyShare <= 0 || now < p.copiesAt || p.lackedRoom || p.startsLeft <= 0 || p.OwnerUnconfirmed() || p.formerRunsPossible(now) {
+		return
+	}
+	p.copiesAt = now + copyInterval
+	capacity, used := 0.0, 0.0
+	var stragglers []*run
+	for _, w := range p.sorted {
+		if w.usable() {
+			capacity += w.worth(w.Capacity.ProcessorsMilli)
+		}
+		for _, r := range w.inOrder {
+			if r.copied {
+				used += float64(r.need.ProcessorsMilli)
+			}
+			if p.straggles(r, now) {
+				stragglers = append(stragglers, r)
+			}
+		}
+	}
+	slices.SortStableFunc(stragglers, func(a, b *run) int { return cmp.Compare(a.task.step.job.target, b.task.step.job.target) })
+	for _, r := range stragglers {
+		need := float64(r.need.ProcessorsMilli)
+		if p.startsLeft <= 0 {
+			return
+		}
+		if used+need > p.settings.CopyShare*capacity || !p.quotaAllows(r.task.step, 1) {
+			continue
+		}
+		if w := p.fasterWorker(r, now); w != nil {
+			p.startCopy(r, w, now)
+			used += need
+		}
+	}
+}
+
+// straggles reports whether the task of a run should get a copy.
+func (p *Pool) straggles(r *run, now time.Duration) bool {
+	t := r.task
+	s := t.step
+	if !s.decl.Speculative || s.decl.Gang || s.decl.Fills || s.decl.LongRunning || s.suspected || s.job.advised {
+		return false
+	}
+	if r.phase != running || t.done || len(t.runs) >= maxRunsOfTask || r.worker.contact != connected || s.job.outcome != Open {
+		return false
+	}
+	known, learned := p.speeds.byQueue[s.job.spec.Queue]
+	if !learned || !known.learned() || s.decl.Estimate <= 0 {
+		return false
+	}
+	takes := p.durations.predict(s.job.spec.Queue, s.decl.Estimate)
+	ran := r.worker.pace.reportedAt - r.confirmedAt
+	if ran < copyRatio*takes && (!r.worker.pace.slow || p.remainingTime(r, now) < copyRatio*takes) {
+		return false
+	}
+	return now+takes <= s.job.submittedAt+maxLateFactor*(s.job.target-s.job.submittedAt)
+}
+
+// startCopy starts a copy of a straggling task on another worker.
+func (p *Pool) startCopy(r *run, w *worker, now time.Duration) {
+	t := r.task
+	number := p.nextRun(t.lastRun)
+	p.start(t, w, number, now)
+	copied := t.runs[len(t.runs)-1]
+	copied.copied = true
+	takes := p.durations.predict(t.step.job.spec.Queue, t.step.decl.Estimate)
+	detail := fmt.Sprintf("run %d on %s has taken %v of a predicted %v", r.number, r.worker.ID, (now - r.confirmedAt).Round(time.Millisecond), takes.Round(time.Millisecond))
+	p.recordEvent(Event{Kind: CopyStarted, Worker: w.ID, Run: copied.ref(), Detail: detail, Since: now - r.worker.pace.reportedAt}, now)
+}
+
+// adoptCopy marks the later run of a task with two runs, which a former owner started, as its
+// copy.
+func (t *task) adoptCopy() {
+	if len(t.runs) < maxRunsOfTask {
+		return
+	}
+	latest := slices.MaxFunc(t.runs, func(a, b *run) int { return cmp.Compare(a.number, b.number) })
+	latest.copied = true
+}
+
+// copyEnded records whether the copy of a task has ended first, before the other run is stopped.
+func (p *Pool) copyEnded(t *task, r *run, now time.Duration) {
+	if r != nil && r.copied {
+		p.recordEvent(Event{Kind: CopyWon, Worker: r.worker.ID, Run: r.ref(), Waited: now - r.confirmedAt}, now)
+		return
+	}
+	for _, other := range t.runs {
+		if other.copied {
+			p.recordEvent(Event{Kind: CopyLost, Worker: other.worker.ID, Run: other.ref(), Waited: now - other.confirmedAt}, now)
+		}
+	}
+}
--- a/jaysched/deadline.go
+++ b/jaysched/deadline.go
@@ -78,7 +78,7 @@
 	room := 0.0
 	for _, w := range p.sorted {
 		if w.usable() {
-			room += float64(w.roomBesideLongRuns().ProcessorsMilli)
+			room += w.worth(w.roomBesideLongRuns().ProcessorsMilli)
 		}
 	}
 	return count > 0 && work*count > allowed*max(1, room)
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -24,6 +24,8 @@
 	// EmptyIn is the expected time until the worker is empty if its runs are migrated, or
 	// MaxDuration.
 	EmptyIn time.Duration
+	// SpeedPercent is the worker's speed as its own runs show it; zero is unknown.
+	SpeedPercent int
 }
 
 // MaxDuration stands for a time that never comes, such as until a worker with a long-running
@@ -114,7 +116,7 @@
 }
 
 func (p *Pool) load(w *worker, now time.Duration) Load {
-	l := Load{Worker: w.ID, CapacityMilli: w.Capacity.ProcessorsMilli, UsedMilli: w.Capacity.ProcessorsMilli - w.free.ProcessorsMilli, Runs: len(w.runs)}
+	l := Load{Worker: w.ID, CapacityMilli: w.Capacity.ProcessorsMilli, UsedMilli: w.Capacity.ProcessorsMilli - w.free.ProcessorsMilli, Runs: len(w.runs), SpeedPercent: w.speedPercent()}
 	if w.lastDone > w.acknowledged {
 		l.Runs++
 	}
@@ -227,7 +229,7 @@
 // remainingTime returns the expected remaining time of a run. A run that has exceeded its
 // estimate is expected to take as long again as it has exceeded it.
 func (p *Pool) remainingTime(r *run, now time.Duration) time.Duration {
-	takes := p.durations.predict(r.task.step.job.spec.Queue, r.task.step.decl.Estimate)
+	takes := p.predictOn(r.worker, r.task.step)
 	ran := now - r.orderedAt
 	if ran < takes {
 		return takes - ran
--- a/jaysched/ends.go
+++ b/jaysched/ends.go
@@ -71,9 +71,10 @@
 		p.recordEvent(Event{Kind: EndIgnored, Worker: w.ID, Run: jayport.RunRef{Task: t.id()}, Detail: "superseded"}, now)
 		return
 	}
-	if r != nil {
+	if r != nil && p.runDone(r, now) {
 		p.durations.observe(t.step, now-r.confirmedAt)
 	}
+	p.copyEnded(t, r, now)
 	finished := []*task{t}
 	if t.step.decl.Gang {
 		finished = t.step.tasks
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -46,6 +46,15 @@
 	WorkerLapsed    EventKind = "worker lapsed"
 	WorkerAvoided   EventKind = "worker avoided"
 	WorkerTrusted   EventKind = "worker trusted"
+	// WorkerSlow is a worker whose runs take much longer than predicted, WorkerFastAgain one
+	// that is not treated as slow any more.
+	WorkerSlow      EventKind = "worker slow"
+	WorkerFastAgain EventKind = "worker fast again"
+	// CopyStarted is a second run of a straggling task. CopyWon is a copy that has ended first,
+	// CopyLost one that has not.
+	CopyStarted EventKind = "copy started"
+	CopyWon     EventKind = "copy won"
+	CopyLost    EventKind = "copy lost"
 	// QuotaReached is an organisation whose tasks wait for its quota, QuotaFree one whose tasks
 	// do not wait for it any more.
 	QuotaReached EventKind = "quota reached"
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -204,6 +204,7 @@
 	}
 	p.answered(w, now)
 	w.recordClock(report.Clock, now)
+	w.pace.reportedAt = now
 	p.clearSuspicions(w, now)
 	clear(w.unknownJobs)
 	p.processEnds(w, report.Ended, now)
@@ -296,6 +297,7 @@
 	w.add(r)
 	p.quotas.countRun(r, 1)
 	t.addRun(r)
+	t.adoptCopy()
 	t.lastRun = max(t.lastRun, r.number)
 	t.step.gangRun = max(t.step.gangRun, r.number)
 	t.mayRunUnreported = false
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -19,6 +19,7 @@
 	if p.OwnerUnconfirmed() {
 		return
 	}
+	p.placeProbes(formerRuns, now)
 	for _, j := range p.open {
 		if p.startsLeft <= 0 {
 			return
@@ -64,7 +65,7 @@
 		p.placeGang(s, formerRuns, now)
 		return
 	}
-	noRoom := p.smallerNeedUnmet(s)
+	noRoom := p.smallerNeedUnmet(s) && !p.slowWorkerSuits(s, now)
 	p.lackedRoom = p.lackedRoom || noRoom
 	for _, t := range s.tasks {
 		if p.startsLeft <= 0 || noRoom && !s.suspected && !s.decl.LongRunning {
@@ -264,6 +265,8 @@
 		return wrongLabel
 	case s.decl.MaxPerInstance > 0 && s.placed[w] >= s.decl.MaxPerInstance:
 		return limitReached
+	case p.tooSlowFor(w, s, now):
+		return tooSlow
 	default:
 		return noObstacle
 	}
@@ -271,8 +274,8 @@
 
 // better reports whether worker a suits a task better than worker b. The criteria, in this
 // order: a worker on which the task did not fail; for a suspect, a worker where a crash does
-// the least harm; near the task's data; on the rack of a rack-local step; a healthy worker; and
-// the least free room, so that other workers stay empty.
+// the least harm; near the task's data; on the rack of a rack-local step; a healthy worker; one
+// that is not slow; and the least free room, so that other workers stay empty.
 func (p *Pool) better(t *task, a, b *worker, now time.Duration) bool {
 	asSuspect := 0
 	if t.isolation() > watched {
@@ -284,6 +287,7 @@
 		compareBool(farFromData(t.step, a), farFromData(t.step, b)),
 		compareBool(offRack(t.step, a), offRack(t.step, b)),
 		compareBool(a.health.onTrial(), b.health.onTrial()),
+		compareBool(a.pace.slow, b.pace.slow),
 		cmp.Compare(a.free.ProcessorsMilli, b.free.ProcessorsMilli),
 	) < 0
 }
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -147,6 +147,9 @@
 	actions       []Action
 	events        []Event
 	durations     *durations
+	speeds        speeds
+	// copiesAt is when straggling tasks are next searched for.
+	copiesAt time.Duration
 }
 
 // Option configures a new pool.
@@ -190,6 +193,7 @@
 
 		quotas:     newQuotas(),
 		durations:  newDurations(),
+		speeds:     newSpeeds(),
 		startsLeft: math.MaxInt,
 	}
 	for _, option := range options {
--- /dev/null
+++ b/jaysched/speed.go
@@ -0,0 +1,537 @@
+package jaysched
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// speedInterval is the time between two reviews of the workers' speeds. It is short against
+	// the tasks whose delay the review is to limit.
+	speedInterval = 100 * time.Millisecond
+	// minSpeedRuns is the number of runs below which a worker's speed is unknown: a worker with
+	// a few runs often has one that is long by itself.
+	minSpeedRuns = 4
+	// maxRecentEnds limits the ends that are remembered of one worker, about as many as a
+	// worker has while its overdue runs are observed.
+	maxRecentEnds = 32
+	// overdueRatio is the ratio of elapsed to predicted time above which a run counts as
+	// overdue, and minOverdue is the number of overdue runs below which a worker is not
+	// examined. Both only save the examination of workers that cannot be slow.
+	overdueRatio = 1.5
+	minOverdue   = 2
+	// slowEvidence is the logarithm of the likelihood ratio from which a worker counts as
+	// slow. It bounds the chance per examined worker of a false alarm to its inverse.
+	slowEvidence = 11.5
+	// fastEvidence is the same for a slow worker to count as fast again. An error there costs
+	// only the time until the worker is recognised once more.
+	fastEvidence = 3.0
+	// maxEndEvidence limits what one end contributes to fastEvidence, so that one task that
+	// lasts long by itself does not outweigh the next probes.
+	maxEndEvidence = 4.0
+	// distrustShare is the share of the observed workers above which the prediction is taken
+	// to be wrong, and not the workers slow.
+	distrustShare = 0.5
+	// probeInterval is the time between two rounds of probes, and probesPerSlowWorker is the
+	// share of the slow workers that get one in a round: each probe that proves slow delays a
+	// job. Once one of them has proved fast the others are probed without that limit, since
+	// the workers of a service usually recover together.
+	probeInterval       = time.Second
+	probesPerSlowWorker = 1.0 / 8
+	// probeCandidates is the number of jobs from which the task for a probe is chosen.
+	probeCandidates = 64
+)
+
+// slowFactors are the factors that are weighed against the hypothesis that a worker is sound.
+// A smaller factor is within the errors of estimates.
+var slowFactors = []float64{2, 3, 4.5, 6.75, 10}
+
+// changeAges are the ages that are examined of the change from sound to slow, as multiples of
+// the predicted duration of the worker's tasks.
+var changeAges = []float64{1.5, 2.5, 4, 8}
+
+// speeds is what a pool knows about durations on sound workers, and the state of its probes.
+//
+// It handles this load: some workers of a service take several times as long for everything. A
+// worker that is not recognised as slow holds all tasks that it has got, and gets more of them.
+// The evidence must not wait for the ends of these tasks, nor confuse such a worker with a sound
+// one that has some long tasks, or a job whose estimate is wrong.
+type speeds struct {
+	byQueue  map[string]*residuals
+	reviewAt time.Duration
+	// from is when the predictions were last found to be wrong: runs that began earlier show
+	// nothing about their worker.
+	from time.Duration
+	// slow counts the workers known as slow, minFactor is the lowest of their factors.
+	slow      int
+	minFactor float64
+	probeAt   time.Duration
+	// recoveredAt is when a worker was last found to be fast again.
+	recoveredAt time.Duration
+	// movedAt is when runs were last moved off slow workers.
+	movedAt time.Duration
+}
+
+func newSpeeds() speeds {
+	return speeds{byQueue: map[string]*residuals{}}
+}
+
+// pace is what is known about the speed of one worker.
+type pace struct {
+	// reportedAt is when the worker last reported its runs: only until then are they known to
+	// be running.
+	reportedAt time.Duration
+	// from is when the worker's speed last became known by other means, such as the end of its
+	// warm-up: runs that began earlier show nothing about its present speed.
+	from time.Duration
+	ends []sighting
+	slow bool
+	// slowSince is when the worker was recognised as slow, changedAt is when it became slow by
+	// the evidence, and factor is by how much longer its runs take.
+	slowSince time.Duration
+	changedAt time.Duration
+	factor    float64
+	// fastScore is the evidence of runs that began since then that the worker is fast again.
+	fastScore float64
+	// probe is the latest probe, probingStep is the step whose task is about to be one.
+	probe       *run
+	probedAt    time.Duration
+	probingStep *step
+}
+
+// sighting is one observed run of a worker: it ended at a time, or was still running then.
+type sighting struct {
+	job       *job
+	began     time.Duration
+	at        time.Duration
+	predicted time.Duration
+	ended     bool
+	spread    spread
+}
+
+// elapsed returns how long the run has taken so far, as a multiple of its prediction.
+func (o sighting) elapsed() float64 {
+	return (o.at - o.began).Seconds() / o.predicted.Seconds()
+}
+
+// usesDurations reports whether the pool compares runs with their predicted durations.
+func (p *Pool) usesDurations() bool {
+	return p.settings.WorkerSpeeds || p.settings.CopyShare > 0
+}
+
+// factorOn returns by how much longer runs take on a worker than predicted.
+func (w *worker) factorOn() float64 {
+	if !w.pace.slow {
+		return 1
+	}
+	return w.pace.factor
+}
+
+// speedPercent returns the worker's speed, or zero if it is unknown.
+func (w *worker) speedPercent() int {
+	switch {
+	case w.pace.slow:
+		return max(1, int(math.Round(fullSpeed/w.pace.factor)))
+	case len(w.pace.ends) >= minSpeedRuns:
+		return fullSpeed
+	default:
+		return 0
+	}
+}
+
+// predictOn returns the expected duration of a task of a step on a worker.
+func (p *Pool) predictOn(w *worker, s *step) time.Duration {
+	takes := p.durations.predict(s.job.spec.Queue, s.decl.Estimate)
+	if w.pace.slow {
+		takes = time.Duration(float64(takes) * w.pace.factor)
+	}
+	return takes
+}
+
+// sight returns what a run shows about the speed of its worker at a time. Nothing is shown by
+// runs that are limited or resumed, whose begin is unknown, or whose queue has no learned
+// durations.
+func (p *Pool) sight(r *run, at time.Duration, ended bool) (o sighting, ok bool) {
+	s := r.task.step
+	adopted := r.attempt == 0
+	limited := r.speed > 0 && r.speed < fullSpeed
+	if s.decl.LongRunning || s.decl.Fills || s.decl.Gang || s.decl.Estimate <= 0 || adopted || limited || r.checkpoint != "" {
+		return sighting{}, false
+	}
+	if r.confirmedAt == 0 || at <= r.confirmedAt || r.confirmedAt < r.worker.pace.from {
+		return sighting{}, false
+	}
+	known, learned := p.speeds.byQueue[s.job.spec.Queue]
+	if !learned || !known.learned() {
+		return sighting{}, false
+	}
+	predicted := p.durations.predict(s.job.spec.Queue, s.decl.Estimate)
+	return sighting{job: s.job, began: r.confirmedAt, at: at, predicted: predicted, ended: ended, spread: known.spread}, predicted > 0
+}
+
+// runDone records how long a run took, and reports whether that says how long such tasks take
+// on a sound worker. A run on a slow worker would distort the predictions for all others.
+func (p *Pool) runDone(r *run, now time.Duration) (representative bool) {
+	if !p.usesDurations() {
+		return true
+	}
+	w, s := r.worker, r.task.step
+	o, shows := p.sight(r, now, true)
+	if shows {
+		w.pace.ends = append(w.pace.ends[max(0, len(w.pace.ends)-maxRecentEnds+1):], o)
+		p.weighRecovery(w, r, o, now)
+	}
+	if w.pace.slow || r.confirmedAt < w.pace.from {
+		return false
+	}
+	if !s.decl.LongRunning && !s.decl.Gang && s.decl.Estimate > 0 && r.checkpoint == "" && r.attempt > 0 && now > r.confirmedAt {
+		took, predicted := now-r.confirmedAt, p.durations.predict(s.job.spec.Queue, s.decl.Estimate)
+		p.speeds.residualsOf(s.job.spec.Queue).add(math.Log(took.Seconds() / predicted.Seconds()))
+	}
+	return true
+}
+
+// reviewSpeeds determines which workers are slow.
+func (p *Pool) reviewSpeeds(now time.Duration) {
+	if !p.settings.WorkerSpeeds || now < p.speeds.reviewAt {
+		return
+	}
+	p.speeds.reviewAt = now + speedInterval
+	observed, slow := 0, 0
+	var found []suspectedSlow
+	for _, w := range p.sorted {
+		if w.contact != connected {
+			p.forgetSpeed(w, "it does not answer", now)
+			continue
+		}
+		if w.Warming > 0 {
+			w.pace.from = now
+		}
+		seen := p.sightings(w)
+		switch {
+		case w.pace.slow:
+			w.updateFactor(seen)
+			slow++
+			observed++
+		case len(seen) >= minSpeedRuns:
+			observed++
+			if s, is := examine(w, seen); is {
+				found = append(found, s)
+			}
+		}
+	}
+	if looking := slow + len(found); looking > 1 && float64(looking) > distrustShare*float64(observed) {
+		p.distrustPredictions(now)
+	} else {
+		for _, s := range found {
+			p.foundSlow(s, now)
+		}
+	}
+	p.countSlow()
+}
+
+// sightings returns what the runs and the recent ends of a worker show about its speed.
+func (p *Pool) sightings(w *worker) []sighting {
+	var seen []sighting
+	for _, r := range w.inOrder {
+		if r.phase != running && r.phase != stopping {
+			continue
+		}
+		if o, ok := p.sight(r, w.pace.reportedAt, false); ok && o.began >= p.speeds.from {
+			seen = append(seen, o)
+		}
+	}
+	for _, o := range w.pace.ends {
+		if o.began >= max(w.pace.from, p.speeds.from) {
+			seen = append(seen, o)
+		}
+	}
+	return seen
+}
+
+// suspectedSlow is a worker that looks slow.
+type suspectedSlow struct {
+	worker    *worker
+	changedAt time.Duration
+	runs      int
+	seen      []sighting
+}
+
+// examine reports whether a worker looks slow by what is seen of its runs.
+func examine(w *worker, seen []sighting) (found suspectedSlow, slow bool) {
+	overdue := 0
+	var takes []time.Duration
+	for _, o := range seen {
+		takes = append(takes, o.predicted)
+		if o.elapsed() > overdueRatio {
+			overdue++
+		}
+	}
+	if overdue < minOverdue {
+		return suspectedSlow{}, false
+	}
+	slices.Sort(takes)
+	typical := takes[len(takes)/2]
+	most := slowEvidence
+	for _, age := range changeAges {
+		changed := w.pace.reportedAt - time.Duration(age*float64(typical))
+		since := slices.DeleteFunc(slices.Clone(seen), func(o sighting) bool { return o.at <= changed })
+		if len(since) < minSpeedRuns {
+			continue
+		}
+		if e := evidenceOfSlowness(since, changed); e >= most {
+			most = e
+			found, slow = suspectedSlow{worker: w, changedAt: changed, runs: len(since), seen: since}, true
+		}
+	}
+	return found, slow
+}
+
+// foundSlow marks a worker as slow.
+func (p *Pool) foundSlow(s suspectedSlow, now time.Duration) {
+	w := s.worker
+	w.pace.slow, w.pace.slowSince, w.pace.changedAt, w.pace.fastScore = true, now, s.changedAt, 0
+	w.pace.probe, w.pace.probedAt = nil, now
+	w.updateFactor(s.seen)
+	p.recordEvent(Event{Kind: WorkerSlow, Worker: w.ID, Detail: fmt.Sprintf("%.1f times the predicted durations, by %d runs", w.pace.factor, s.runs), Since: now - w.pace.reportedAt}, now)
+}
+
+// updateFactor estimates by how much longer runs take on a slow worker: the mean of the factors
+// in the logarithm, weighted by their likelihood.
+func (w *worker) updateFactor(seen []sighting) {
+	since := slices.DeleteFunc(slices.Clone(seen), func(o sighting) bool { return o.at <= w.pace.changedAt })
+	if len(since) == 0 {
+		return
+	}
+	byFactor := likelihoods(since, w.pace.changedAt)
+	most := slices.Max(byFactor)
+	sum, weights := 0.0, 0.0
+	for n, l := range byFactor {
+		weight := math.Exp(l - most)
+		sum += weight * math.Log(slowFactors[n])
+		weights += weight
+	}
+	w.pace.factor = math.Exp(sum / weights)
+}
+
+// weighRecovery adds the end of a run that began on a slow worker after that was recognised to
+// the evidence that the worker is fast again.
+func (p *Pool) weighRecovery(w *worker, r *run, o sighting, now time.Duration) {
+	if !w.pace.slow || r.orderedAt < w.pace.slowSince {
+		return
+	}
+	x, total := math.Log(o.elapsed()), o.spread.total()
+	evidence := math.Log(density(x, total) / density(x-math.Log(w.pace.factor), total))
+	w.pace.fastScore = max(0, w.pace.fastScore+min(evidence, maxEndEvidence))
+	if w.pace.fastScore >= fastEvidence {
+		p.speeds.recoveredAt = now
+		p.forgetSpeed(w, fmt.Sprintf("%.1f times the predicted duration instead of %.1f", o.elapsed(), w.pace.factor), now)
+		p.countSlow()
+	}
+}
+
+// distrustPredictions treats no worker as slow: most look slow at the same time, so that the
+// durations of their tasks have changed. The predictions follow the next ends.
+func (p *Pool) distrustPredictions(now time.Duration) {
+	p.speeds.from = now
+	for _, w := range p.sorted {
+		if w.pace.slow {
+			p.forgetSpeed(w, "most workers look slow, so the predictions are wrong", now)
+			w.pace.from = 0
+		}
+		w.pace.ends = nil
+	}
+}
+
+// forgetSpeed makes the speed of a worker that is known as slow unknown.
+func (p *Pool) forgetSpeed(w *worker, why string, now time.Duration) {
+	if w.pace.slow {
+		p.recordEvent(Event{Kind: WorkerFastAgain, Worker: w.ID, Detail: why, Waited: now - w.pace.slowSince}, now)
+		w.pace = pace{reportedAt: w.pace.reportedAt, from: now}
+	}
+}
+
+func (p *Pool) countSlow() {
+	p.speeds.slow, p.speeds.minFactor = 0, math.Inf(1)
+	for _, w := range p.sorted {
+		if w.pace.slow {
+			p.speeds.slow++
+			p.speeds.minFactor = min(p.speeds.minFactor, w.pace.factor)
+		}
+	}
+}
+
+// tooSlowFor reports whether a worker is too slow for the tasks of a step: their job would not
+// stay on time there. Tasks without a target may run there.
+func (p *Pool) tooSlowFor(w *worker, s *step, now time.Duration) bool {
+	if !w.pace.slow || s.decl.LongRunning || s.decl.Fills || s.job.spec.Schedule.Timed() || w.pace.probingStep == s {
+		return false
+	}
+	takes := p.durations.predict(s.job.spec.Queue, s.decl.Estimate)
+	slowed := time.Duration(float64(takes) * w.pace.factor)
+	if now+slowed > s.job.target {
+		return true
+	}
+	return now+p.remainingOccurrenceTime(s.occ, now)-takes+slowed > s.job.target
+}
+
+// slowWorkerSuits reports whether a step may have room on a slow worker although others found
+// none: they may have less slack.
+func (p *Pool) slowWorkerSuits(s *step, now time.Duration) bool {
+	if p.speeds.slow == 0 || s.decl.Estimate <= 0 {
+		return false
+	}
+	takes := p.durations.predict(s.job.spec.Queue, s.decl.Estimate)
+	if now+time.Duration(float64(takes)*p.speeds.minFactor) > s.job.target {
+		return false
+	}
+	need := needOf(s)
+	return slices.ContainsFunc(p.sorted, func(w *worker) bool {
+		return w.pace.slow && w.free.Fits(need) && p.obstacleBesidesAdvice(w, s, now) == noObstacle
+	})
+}
+
+// placeProbes starts single tasks on slow workers, to learn whether they are fast again.
+func (p *Pool) placeProbes(formerRuns bool, now time.Duration) {
+	if p.speeds.slow == 0 || now < p.speeds.probeAt {
+		return
+	}
+	var due []*worker
+	for _, w := range p.sorted {
+		probing := w.pace.probe != nil && w.runs[w.pace.probe.ref()] == w.pace.probe
+		if w.pace.slow && w.usable() && !probing && now >= w.pace.probedAt+probeInterval {
+			due = append(due, w)
+		}
+	}
+	if len(due) == 0 {
+		return
+	}
+	p.speeds.probeAt = now + probeInterval
+	slices.SortStableFunc(due, func(a, b *worker) int { return cmp.Compare(a.pace.probedAt, b.pace.probedAt) })
+	most := max(1, int(float64(p.speeds.slow)*probesPerSlowWorker))
+	if p.speeds.recoveredAt > 0 && now-p.speeds.recoveredAt < 2*probeInterval {
+		most = len(due)
+	}
+	for _, w := range due[:min(most, len(due))] {
+		p.placeProbe(w, formerRuns, now)
+	}
+}
+
+// placeProbe starts the task with the most slack on a slow worker.
+func (p *Pool) placeProbe(w *worker, formerRuns bool, now time.Duration) {
+	var best *task
+	bestSlack, seen := time.Duration(0), 0
+	for _, j := range slices.Backward(p.open) {
+		if seen >= probeCandidates || p.startsLeft <= 0 {
+			break
+		}
+		if j.waiting == 0 || j.longRunning || j.advised || j.foundInStore && p.hasUnprocessedRuns(j) {
+			continue
+		}
+		seen++
+		if slack := p.slackOf(j, now); best == nil || slack > bestSlack {
+			if t := p.probeTask(j, w, formerRuns, now); t != nil {
+				best, bestSlack = t, slack
+			}
+		}
+	}
+	if best != nil {
+		p.start(best, w, p.nextRun(best.lastRun), now)
+		w.pace.probe, w.pace.probedAt = best.runs[len(best.runs)-1], now
+	}
+}
+
+// slackOf returns how much later than now a job could be served and still be on time. A job
+// that is of no use any more has any slack.
+func (p *Pool) slackOf(j *job, now time.Duration) time.Duration {
+	if p.deadlineStatusOf(j, now) == expired {
+		return MaxDuration
+	}
+	return j.target - now - p.remainingOccurrenceTime(j.occurrences[0], now)
+}
+
+// probeTask returns a waiting task of a job that may be a probe on a worker, or nil.
+func (p *Pool) probeTask(j *job, w *worker, formerRuns bool, now time.Duration) *task {
+	known, learned := p.speeds.byQueue[j.spec.Queue]
+	if !learned || !known.learned() {
+		return nil
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.waiting == 0 || !s.ready(now) || s.decl.Gang || s.decl.Fills || s.decl.LongRunning || s.suspected || s.decl.Estimate <= 0 || !p.quotaAllows(s, 1) {
+				continue
+			}
+			w.pace.probingStep = s
+			at := slices.IndexFunc(s.tasks, func(t *task) bool {
+				return t.waiting() && t.checkpoint == "" && now >= t.notBefore && !(formerRuns && t.mayRunUnreported) && p.allows(w, t, now)
+			})
+			w.pace.probingStep = nil
+			if at >= 0 {
+				return s.tasks[at]
+			}
+		}
+	}
+	return nil
+}
+
+// leaveSlowWorkers moves runs with checkpoints off slow workers if their jobs end sooner by it
+// and other workers have room that no waiting task needs.
+func (p *Pool) leaveSlowWorkers(now time.Duration) {
+	if p.speeds.slow == 0 || p.lackedRoom || p.OwnerUnconfirmed() || now < p.speeds.movedAt+migrationCost/2 {
+		return
+	}
+	var reserved []*run
+	var at []*worker
+	for _, w := range p.sorted {
+		if !w.pace.slow || w.contact != connected {
+			continue
+		}
+		for _, r := range w.inOrder {
+			if target := p.fasterWorker(r, now); target != nil && p.sooner(r, now) {
+				target.free = target.free.Sub(r.need)
+				reserved, at = append(reserved, r), append(at, target)
+			}
+		}
+	}
+	for n, r := range reserved {
+		at[n].free = at[n].free.Add(r.need)
+		p.speeds.movedAt = now
+		p.recordEvent(Event{Kind: RunStopped, Worker: r.worker.ID, Run: r.ref(), Detail: "worker is slow", Waited: now - r.confirmedAt}, now)
+		p.stop(r, "workerIsSlow", now)
+	}
+}
+
+// sooner reports whether the task of a run on a slow worker ends sooner if it continues
+// elsewhere from its checkpoint.
+func (p *Pool) sooner(r *run, now time.Duration) bool {
+	s := r.task.step
+	if r.phase != running || !s.decl.Checkpoint || s.decl.Gang || s.decl.LongRunning || len(r.task.runs) > 1 || r.task.isolation() != unsuspected {
+		return false
+	}
+	left := p.remainingTime(r, now)
+	elsewhere := migrationCost + time.Duration(float64(left)/r.worker.factorOn())
+	return left > elsewhere+migrationSlack
+}
+
+// fasterWorker returns another worker that is not slow and has room for the task of a run, or
+// nil.
+func (p *Pool) fasterWorker(r *run, now time.Duration) *worker {
+	var best *worker
+	for _, w := range p.sorted {
+		if w == r.worker || w.pace.slow || w.health.onTrial() || slices.Contains(r.task.failedOn, w.ID) || !p.allows(w, r.task, now) {
+			continue
+		}
+		if best == nil || p.better(r.task, w, best, now) {
+			best = w
+		}
+	}
+	return best
+}
+
+// worth returns what some capacity of a worker is worth at its speed.
+func (w *worker) worth(milli int64) float64 {
+	return float64(milli) / w.factorOn()
+}
--- a/jaysched/waiting.go
+++ b/jaysched/waiting.go
@@ -41,9 +41,11 @@
 	reserved
 	// isolated workers have a suspect, or a run that the task, a suspect, must not join.
 	isolated
+	// tooSlow workers would end the task too late for its job.
+	tooSlow
 )
 
-var obstacleNames = [...]string{"none", "notUsable", "notConfirmed", "unaccounted", "refusing", "avoided", "wrongLabel", "limitReached", "notAdvised", "lacksRoom", "reserved", "isolated"}
+var obstacleNames = [...]string{"none", "notUsable", "notConfirmed", "unaccounted", "refusing", "avoided", "wrongLabel", "limitReached", "notAdvised", "lacksRoom", "reserved", "isolated", "tooSlow"}
 
 // String returns the obstacle in camel case.
 func (o obstacle) String() string {
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -103,6 +103,7 @@
 	// turns out to be lost. They were given up when its lease had ended.
 	lapsedSuspects        []*run
 	lapsedSuspectsAtStart bool
+	pace                  pace
 }
 
 // run is one run of a task on a worker.
@@ -132,6 +133,8 @@
 	load     int64
 	// isolation is that of the task when the run began.
 	isolation isolation
+	// copied says that the run is a copy of a straggling one.
+	copied bool
 }
 
 // phase is the known state of a run.
