Copies only where they end first; runs of a job elsewhere count for its estimate

Cause: a review of the workers' speeds took ten times the rest of the decisions, most copies of tasks that last long by themselves lost, and under 1.6 times the load they cost the other queues room. One wrong estimate of a job could hide a slow worker for as long as its tasks ran.

Change: tables of the likelihoods, an examination only of workers with mostly overdue runs, the runs of the same job on other workers as evidence, one copy at a time until enough of them end first, and a stop of copies that waiting tasks need the room of.

--- a/jayreplay/owner.go
+++ b/jayreplay/owner.go
@@ -209,6 +209,7 @@
 // recordOutcomes records when jobs were first shown as done or failed.
 func (o *poolOwner) recordOutcomes() {
 	for _, e := range o.pool.TakeEvents() {
+		o.sim.events[e.Kind]++
 		if e.Kind != jaysched.JobRecorded {
 			continue
 		}
--- a/jayreplay/simulation.go
+++ b/jayreplay/simulation.go
@@ -9,6 +9,7 @@
 	"jaythread/jayfleet"
 	"jaythread/jaypool"
 	"jaythread/jayport"
+	"jaythread/jaysched"
 )
 
 // simulation is the state of the simulation of one load.
@@ -31,6 +32,8 @@
 	instanceSeconds float64
 	// usedSeconds sums up the part of these instance-seconds that tasks reserved.
 	usedSeconds float64
+	// events counts the events of the pools by kind.
+	events map[jaysched.EventKind]int
 }
 
 // task is the actual behaviour of a task, which may differ from its declared estimate.
@@ -82,7 +85,7 @@
 }
 
 func newSimulation(load Load) *simulation {
-	s := &simulation{load: load, tasks: map[jayport.TaskID]*task{}, jobs: map[string]*JobResult{}}
+	s := &simulation{load: load, tasks: map[jayport.TaskID]*task{}, jobs: map[string]*JobResult{}, events: map[jaysched.EventKind]int{}}
 	s.clock.now = 0
 	s.fleet = jayfleet.New(jayfleet.Settings{MoveTime: load.MoveTime, MaintenanceTime: maintenanceTime})
 	var working []string
--- a/jaysched/copies.go
+++ b/jaysched/copies.go
@@ -15,19 +15,49 @@
 	copyRatio = 2
 	// maxRunsOfTask is the maximum number of runs of a task, the copy included.
 	maxRunsOfTask = 2
+	// minWinShare is the share of the copies of tasks on sound workers that must end first for
+	// more than one at a time: where tasks last long by themselves a copy only takes room.
+	// Until then there is one copy at a time, and copyTrialInterval between two of them.
+	minWinShare       = 0.2
+	copyTrialInterval = time.Second
+	// winDecay is the factor by which earlier copies count for less with each new one, so that
+	// a change is noticed within some tens of copies.
+	winDecay = 0.95
 )
 
+// copies are the copies in a pool, and how the recent ones ended.
+type copies struct {
+	searchAt time.Duration
+	// trialAt is when the next copy may start while they are not worthwhile.
+	trialAt time.Duration
+	// won and lost count the recent copies of tasks on workers that are not known as slow.
+	won, lost float64
+}
+
+// worthwhile reports whether copies of tasks on sound workers end first often enough.
+func (c *copies) worthwhile() bool {
+	return c.won >= minWinShare*(c.won+c.lost+1)
+}
+
+func (c *copies) ended(won float64) {
+	c.won, c.lost = c.won*winDecay+won, c.lost*winDecay+1-won
+}
+
 // startCopies starts copies of straggling tasks of speculative steps.
 //
 // It handles this load: a step waits for its last task, which lasts much longer than the others
 // by its worker or by chance. The copies use only capacity that no waiting task needs, within
 // a share of the pool's capacity, so that they delay no other job.
 func (p *Pool) startCopies(now time.Duration) {
-	if p.settings.CopyShare <= 0 || now < p.copiesAt || p.lackedRoom || p.startsLeft <= 0 || p.OwnerUnconfirmed() || p.formerRunsPossible(now) {
+	if p.settings.CopyShare <= 0 || now < p.copies.searchAt || p.startsLeft <= 0 || p.OwnerUnconfirmed() || p.formerRunsPossible(now) {
 		return
 	}
-	p.copiesAt = now + copyInterval
-	capacity, used := 0.0, 0.0
+	p.copies.searchAt = now + copyInterval
+	if p.lackedRoom {
+		p.stopCopies(now)
+		return
+	}
+	capacity, used, trials := 0.0, 0.0, 0
 	var stragglers []*run
 	for _, w := range p.sorted {
 		if w.usable() {
@@ -36,6 +66,9 @@
 		for _, r := range w.inOrder {
 			if r.copied {
 				used += float64(r.need.ProcessorsMilli)
+				if !r.copyOfSlow {
+					trials++
+				}
 			}
 			if p.straggles(r, now) {
 				stragglers = append(stragglers, r)
@@ -51,13 +84,41 @@
 		if used+need > p.settings.CopyShare*capacity || !p.quotaAllows(r.task.step, 1) {
 			continue
 		}
+		if !r.worker.pace.slow && !p.copies.worthwhile() && (trials > 0 || now < p.copies.trialAt) {
+			continue
+		}
 		if w := p.fasterWorker(r, now); w != nil {
 			p.startCopy(r, w, now)
 			used += need
+			if !r.worker.pace.slow {
+				trials++
+				p.copies.trialAt = now + copyTrialInterval
+			}
 		}
 	}
 }
 
+// stopCopies stops copies of tasks on sound workers while tasks wait for room: the other run of
+// their task goes on.
+func (p *Pool) stopCopies(now time.Duration) {
+	for _, w := range p.sorted {
+		for _, r := range w.inOrder {
+			if r.copied && !r.copyOfSlow && r.phase == running && r.task.hasOtherRun(r) {
+				p.recordEvent(Event{Kind: RunStopped, Worker: w.ID, Run: r.ref(), Detail: "a copy, and tasks wait for room"}, now)
+				p.stop(r, "roomNeeded", now)
+				p.copies.ended(0)
+			}
+		}
+	}
+}
+
+// hasOtherRun reports whether a task has another run, which its worker reports as running.
+func (t *task) hasOtherRun(r *run) bool {
+	return slices.ContainsFunc(t.runs, func(other *run) bool {
+		return other != r && other.phase == running && other.worker.contact == connected
+	})
+}
+
 // straggles reports whether the task of a run should get a copy.
 func (p *Pool) straggles(r *run, now time.Duration) bool {
 	t := r.task
@@ -86,7 +147,7 @@
 	number := p.nextRun(t.lastRun)
 	p.start(t, w, number, now)
 	copied := t.runs[len(t.runs)-1]
-	copied.copied = true
+	copied.copied, copied.copyOfSlow = true, r.worker.pace.slow
 	takes := p.durations.predict(t.step.job.spec.Queue, t.step.decl.Estimate)
 	detail := fmt.Sprintf("run %d on %s has taken %v of a predicted %v", r.number, r.worker.ID, (now - r.confirmedAt).Round(time.Millisecond), takes.Round(time.Millisecond))
 	p.recordEvent(Event{Kind: CopyStarted, Worker: w.ID, Run: copied.ref(), Detail: detail, Since: now - r.worker.pace.reportedAt}, now)
@@ -105,11 +166,17 @@
 // copyEnded records whether the copy of a task has ended first, before the other run is stopped.
 func (p *Pool) copyEnded(t *task, r *run, now time.Duration) {
 	if r != nil && r.copied {
+		if !r.copyOfSlow {
+			p.copies.ended(1)
+		}
 		p.recordEvent(Event{Kind: CopyWon, Worker: r.worker.ID, Run: r.ref(), Waited: now - r.confirmedAt}, now)
 		return
 	}
 	for _, other := range t.runs {
 		if other.copied {
+			if !other.copyOfSlow && other.phase != stopping && other.phase != stopped {
+				p.copies.ended(0)
+			}
 			p.recordEvent(Event{Kind: CopyLost, Worker: other.worker.ID, Run: other.ref(), Waited: now - other.confirmedAt}, now)
 		}
 	}
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -190,7 +190,7 @@
 	switch {
 	case r.task.step.decl.LongRunning:
 		return p.mayEvict(r, now)
-	case r.worker.urgent:
+	case r.worker.urgent || r.copied && r.task.hasOtherRun(r):
 		return true
 	default:
 		return r.worker.migrate && p.mayMigrate(r, now)
@@ -239,7 +239,7 @@
 
 // timeToEmpty returns how long a run is expected to occupy its worker if it may be migrated.
 func (p *Pool) timeToEmpty(r *run, now time.Duration) time.Duration {
-	if p.mayMigrate(r, now) {
+	if r.copied && r.task.hasOtherRun(r) || p.mayMigrate(r, now) {
 		return typicalStopTime
 	}
 	return p.remainingTime(r, now)
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -148,8 +148,7 @@
 	events        []Event
 	durations     *durations
 	speeds        speeds
-	// copiesAt is when straggling tasks are next searched for.
-	copiesAt time.Duration
+	copies        copies
 }
 
 // Option configures a new pool.
--- a/jaysched/speed.go
+++ b/jaysched/speed.go
@@ -24,8 +24,9 @@
 	overdueRatio = 1.5
 	minOverdue   = 2
 	// slowEvidence is the logarithm of the likelihood ratio from which a worker counts as
-	// slow. It bounds the chance per examined worker of a false alarm to its inverse.
-	slowEvidence = 11.5
+	// slow. A false alarm costs the worker's room until its first probe has ended, a later
+	// recognition the delay of all tasks on a slow worker.
+	slowEvidence = 8.0
 	// fastEvidence is the same for a slow worker to count as fast again. An error there costs
 	// only the time until the worker is recognised once more.
 	fastEvidence = 3.0
@@ -102,9 +103,24 @@
 	probingStep *step
 }
 
+// sightingsByJob are the observed runs on all workers that are not known as slow, by their job.
+type sightingsByJob map[*job][]sighting
+
+func (b sightingsByJob) add(seen []sighting) {
+	for _, o := range seen {
+		b[o.job] = append(b[o.job], o)
+	}
+}
+
+// elsewhere returns the runs of a job on other workers: they show whether its estimate is wrong.
+func (b sightingsByJob) elsewhere(j *job, w *worker) []sighting {
+	return slices.DeleteFunc(slices.Clone(b[j]), func(o sighting) bool { return o.worker == w })
+}
+
 // sighting is one observed run of a worker: it ended at a time, or was still running then.
 type sighting struct {
 	job       *job
+	worker    *worker
 	began     time.Duration
 	at        time.Duration
 	predicted time.Duration
@@ -169,7 +185,7 @@
 		return sighting{}, false
 	}
 	predicted := p.durations.predict(s.job.spec.Queue, s.decl.Estimate)
-	return sighting{job: s.job, began: r.confirmedAt, at: at, predicted: predicted, ended: ended, spread: known.spread}, predicted > 0
+	return sighting{job: s.job, worker: r.worker, began: r.confirmedAt, at: at, predicted: predicted, ended: ended, spread: known.spread}, predicted > 0
 }
 
 // runDone records how long a run took, and reports whether that says how long such tasks take
@@ -202,6 +218,8 @@
 	p.speeds.reviewAt = now + speedInterval
 	observed, slow := 0, 0
 	var found []suspectedSlow
+	seenOn := make(map[*worker][]sighting, len(p.sorted))
+	byJob := sightingsByJob{}
 	for _, w := range p.sorted {
 		if w.contact != connected {
 			p.forgetSpeed(w, "it does not answer", now)
@@ -211,14 +229,21 @@
 			w.pace.from = now
 		}
 		seen := p.sightings(w)
+		seenOn[w] = seen
+		if !w.pace.slow {
+			byJob.add(seen)
+		}
+	}
+	for _, w := range p.sorted {
+		seen := seenOn[w]
 		switch {
 		case w.pace.slow:
-			w.updateFactor(seen)
+			w.updateFactor(seen, byJob)
 			slow++
 			observed++
 		case len(seen) >= minSpeedRuns:
 			observed++
-			if s, is := examine(w, seen); is {
+			if s, is := examine(w, seen, byJob); is {
 				found = append(found, s)
 			}
 		}
@@ -227,7 +252,7 @@
 		p.distrustPredictions(now)
 	} else {
 		for _, s := range found {
-			p.foundSlow(s, now)
+			p.foundSlow(s, byJob, now)
 		}
 	}
 	p.countSlow()
@@ -261,7 +286,7 @@
 }
 
 // examine reports whether a worker looks slow by what is seen of its runs.
-func examine(w *worker, seen []sighting) (found suspectedSlow, slow bool) {
+func examine(w *worker, seen []sighting, byJob sightingsByJob) (found suspectedSlow, slow bool) {
 	overdue := 0
 	var takes []time.Duration
 	for _, o := range seen {
@@ -279,10 +304,10 @@
 	for _, age := range changeAges {
 		changed := w.pace.reportedAt - time.Duration(age*float64(typical))
 		since := slices.DeleteFunc(slices.Clone(seen), func(o sighting) bool { return o.at <= changed })
-		if len(since) < minSpeedRuns {
+		if len(since) < minSpeedRuns || !mostOverdue(since) {
 			continue
 		}
-		if e := evidenceOfSlowness(since, changed); e >= most {
+		if e := evidenceOfSlowness(since, byJob, changed); e >= most {
 			most = e
 			found, slow = suspectedSlow{worker: w, changedAt: changed, runs: len(since), seen: since}, true
 		}
@@ -290,23 +315,38 @@
 	return found, slow
 }
 
+// mostOverdue reports whether no more runs have ended as predicted than are overdue. On a slow
+// worker nearly none has.
+func mostOverdue(seen []sighting) bool {
+	overdue, ended := 0, 0
+	for _, o := range seen {
+		switch {
+		case o.elapsed() > overdueRatio:
+			overdue++
+		case o.ended:
+			ended++
+		}
+	}
+	return overdue >= minOverdue && ended <= overdue
+}
+
 // foundSlow marks a worker as slow.
-func (p *Pool) foundSlow(s suspectedSlow, now time.Duration) {
+func (p *Pool) foundSlow(s suspectedSlow, byJob sightingsByJob, now time.Duration) {
 	w := s.worker
 	w.pace.slow, w.pace.slowSince, w.pace.changedAt, w.pace.fastScore = true, now, s.changedAt, 0
 	w.pace.probe, w.pace.probedAt = nil, now
-	w.updateFactor(s.seen)
+	w.updateFactor(s.seen, byJob)
 	p.recordEvent(Event{Kind: WorkerSlow, Worker: w.ID, Detail: fmt.Sprintf("%.1f times the predicted durations, by %d runs", w.pace.factor, s.runs), Since: now - w.pace.reportedAt}, now)
 }
 
 // updateFactor estimates by how much longer runs take on a slow worker: the mean of the factors
 // in the logarithm, weighted by their likelihood.
-func (w *worker) updateFactor(seen []sighting) {
+func (w *worker) updateFactor(seen []sighting, byJob sightingsByJob) {
 	since := slices.DeleteFunc(slices.Clone(seen), func(o sighting) bool { return o.at <= w.pace.changedAt })
 	if len(since) == 0 {
 		return
 	}
-	byFactor := likelihoods(since, w.pace.changedAt)
+	byFactor := likelihoods(since, byJob, w.pace.changedAt)
 	most := slices.Max(byFactor)
 	sum, weights := 0.0, 0.0
 	for n, l := range byFactor {
--- /dev/null
+++ b/jaysched/speed_test.go
@@ -0,0 +1,220 @@
+package jaysched
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaythread/jayport"
+	"jaythread/jayspec"
+)
+
+// newSpeedHarness returns a harness with workers of four cores, whose queue has learned its
+// durations.
+func newSpeedHarness(t *testing.T, workers int, copyShare float64, options ...Option) *harness {
+	w := newHarness(t, workers, options...)
+	w.pool.settings.WorkerSpeeds, w.pool.settings.CopyShare = true, copyShare
+	learnDurations(w.pool)
+	return w
+}
+
+// learnDurations makes the durations of the queue known to a pool.
+func learnDurations(p *Pool) {
+	r := p.speeds.residualsOf("q")
+	for n := range minResiduals {
+		r.add(0.2 * float64(n%5-2))
+	}
+}
+
+// fill declares jobs of one task, four for each worker.
+func fill(w *harness, workers int, change ...func(*jayspec.Step)) {
+	for n := range 4 * workers {
+		declare(w, newSpec(fmt.Sprintf("j%02d", n), 1, append([]func(*jayspec.Step){func(s *jayspec.Step) { s.Tasks = 1 }}, change...)...))
+	}
+}
+
+// endAll ends all runs on a worker as done.
+func (w *harness) endAll(id string) {
+	for ref := range w.workers[id].active {
+		w.workers[id].end(ref, jayport.EndedDone)
+	}
+	w.pass(time.Millisecond)
+	w.reports()
+}
+
+// pace lets time pass with reports. The runs on the named workers do not end, those on others
+// take as long as predicted.
+func (w *harness) pace(d time.Duration, slow ...string) {
+	for range int(d / (100 * time.Millisecond)) {
+		w.pass(100 * time.Millisecond)
+		for id, f := range w.workers {
+			for ref := range f.active {
+				r := w.pool.workers[id].runs[ref]
+				if !slices.Contains(slow, id) && r != nil && w.now-r.confirmedAt >= time.Second {
+					f.end(ref, jayport.EndedDone)
+				}
+			}
+		}
+		w.reports()
+	}
+}
+
+func (w *harness) countEvents(kinds map[EventKind]int) map[EventKind]int {
+	for _, e := range w.pool.TakeEvents() {
+		kinds[e.Kind]++
+	}
+	return kinds
+}
+
+func TestSlowWorkerIsRecognisedByOverdueRuns(t *testing.T) {
+	is := is.New(t)
+	w := newSpeedHarness(t, 4, 0)
+	fill(w, 4)
+	w.pace(2500*time.Millisecond, "w1")
+	is.True(w.pool.workers["w1"].pace.slow)
+	is.True(w.pool.workers["w1"].speedPercent() < 60)
+	is.True(!w.pool.workers["w2"].pace.slow)
+	is.True(w.pool.Demand(w.now).Loads[1].SpeedPercent > 0)
+	t.Run("it gets single probes only, and is trusted when one is fast", func(t *testing.T) {
+		is := is.New(t)
+		w.endAll("w1")
+		is.True(w.pool.workers["w1"].pace.slow)
+		declare(w, newSpec("k", 1, func(s *jayspec.Step) { s.Tasks = 16 }))
+		w.pass(probeInterval)
+		is.Equal(len(w.workers["w1"].active), 1)
+		w.pace(1500 * time.Millisecond)
+		is.True(!w.pool.workers["w1"].pace.slow)
+		is.Equal(w.countEvents(map[EventKind]int{})[WorkerFastAgain], 1)
+	})
+}
+
+// Guards against a pool that avoids all its workers when the tasks of a queue become longer.
+func TestNoWorkerIsSlowIfMostLookSlow(t *testing.T) {
+	is := is.New(t)
+	w := newSpeedHarness(t, 4, 0)
+	fill(w, 4)
+	w.pace(4*time.Second, "w0", "w1", "w2", "w3")
+	is.Equal(w.pool.speeds.slow, 0)
+	is.True(w.pool.speeds.from > 0)
+}
+
+// Guards against a worker that is called slow since it does not report: its runs may have ended.
+func TestSilentWorkerIsNotSlow(t *testing.T) {
+	is := is.New(t)
+	w := newSpeedHarness(t, 4, 0)
+	fill(w, 4)
+	w.workers["w1"].silent = true
+	w.pace(3500*time.Millisecond, "w1")
+	is.True(!w.pool.workers["w1"].pace.slow)
+	is.Equal(w.pool.workers["w1"].speedPercent(), 0)
+}
+
+// Guards against predictions that follow the slow workers, so that these look sound.
+func TestSlowRunsAreNotLearned(t *testing.T) {
+	is := is.New(t)
+	w := newSpeedHarness(t, 4, 0)
+	fill(w, 4)
+	w.pace(3*time.Second, "w1")
+	before := w.pool.durations.predict("q", time.Second)
+	w.endAll("w1")
+	is.Equal(w.pool.durations.predict("q", time.Second), before)
+}
+
+// speedTrial plays one worker with ten tasks at a time and returns after how long it is
+// recognised as slow, or zero. The estimates are off by a deviation, which the tasks of a job
+// have in common.
+func speedTrial(random *rand.Rand, deviation, factor float64, takes time.Duration) time.Duration {
+	type slot struct {
+		job   *job
+		began time.Duration
+		ends  time.Duration
+	}
+	r := &residuals{}
+	jobError, left, j := 0.0, 0, (*job)(nil)
+	next := func(now time.Duration) slot {
+		if left == 0 {
+			left, j, jobError = 1+random.IntN(8), &job{}, deviation*random.NormFloat64()
+		}
+		left--
+		e := jobError + 0.2*random.NormFloat64()
+		if random.Float64() < 0.03 {
+			e += math.Log(7)
+		}
+		return slot{job: j, began: now, ends: now + time.Duration(float64(takes)*math.Exp(e))}
+	}
+	for range maxResiduals {
+		r.add(math.Log(next(0).ends.Seconds() / takes.Seconds()))
+	}
+	w := &worker{}
+	slots := make([]slot, 10)
+	for n := range slots {
+		slots[n] = next(0)
+	}
+	const sound, end = 10 * time.Second, 16 * time.Second
+	for now := time.Duration(0); now < end; now += speedInterval {
+		if factor > 1 && now == sound {
+			for n := range slots {
+				slots[n].ends = now + time.Duration(float64(slots[n].ends-now)*factor)
+			}
+		}
+		seen := slices.Clone(w.pace.ends)
+		for n, s := range slots {
+			if s.ends <= now {
+				w.pace.ends = append(w.pace.ends[max(0, len(w.pace.ends)-maxRecentEnds+1):], sighting{job: s.job, began: s.began, at: s.ends, predicted: takes, ended: true, spread: r.spread})
+				slots[n] = next(now)
+				if factor > 1 && now >= sound {
+					slots[n].ends = now + time.Duration(float64(slots[n].ends-now)*factor)
+				}
+			} else if now > s.began {
+				seen = append(seen, sighting{job: s.job, began: s.began, at: now, predicted: takes, spread: r.spread})
+			}
+		}
+		w.pace.reportedAt = now
+		if _, slow := examine(w, seen, nil); slow {
+			return now
+		}
+	}
+	return 0
+}
+
+// Guards against sound workers that are called slow for the tasks that always last long by
+// themselves, and against a slow worker that is recognised only when its runs end.
+func TestSpeedIsRecognisedFromOverdueRuns(t *testing.T) {
+	const trials, takes = 60, 540 * time.Millisecond
+	for _, deviation := range []float64{0.2, 0.5, 0.9} {
+		t.Run(fmt.Sprint("estimates off by ", deviation), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			random := rand.New(rand.NewPCG(1, uint64(100*deviation)))
+			falseAlarms := 0
+			var delays []time.Duration
+			for range trials {
+				if speedTrial(random, deviation, 1, takes) > 0 {
+					falseAlarms++
+				}
+				if at := speedTrial(random, deviation, 6.5, takes); at > 10*time.Second {
+					delays = append(delays, at-10*time.Second)
+				}
+			}
+			slices.Sort(delays)
+			t.Logf("false alarms %d of %d workers in 16 s each; recognised %d of %d, median after %.1f durations, 9 of 10 after %.1f",
+				falseAlarms, trials, len(delays), trials, delays[len(delays)/2].Seconds()/takes.Seconds(), delays[len(delays)*9/10].Seconds()/takes.Seconds())
+			is.Equal(falseAlarms, 0)
+			// Where estimates say little the evidence comes with the ends of the runs, or from
+			// the other tasks of their jobs on other workers, which this test leaves out.
+			switch deviation {
+			case 0.2:
+				is.Equal(len(delays), trials)
+				is.True(delays[trials/2] <= 2*takes)
+			case 0.5:
+				is.True(len(delays) >= trials*8/10)
+				is.True(delays[len(delays)/2] <= 5*takes)
+			}
+		})
+	}
+}
--- a/jaysched/speedevidence.go
+++ b/jaysched/speedevidence.go
@@ -98,8 +98,8 @@
 // evidenceOfSlowness returns the logarithm of the ratio of two likelihoods of the runs that were
 // seen since a time: that the worker has been slow since then, by one of slowFactors, and that
 // it is sound.
-func evidenceOfSlowness(seen []sighting, changedAt time.Duration) float64 {
-	byFactor := likelihoods(seen, changedAt)
+func evidenceOfSlowness(seen []sighting, byJob sightingsByJob, changedAt time.Duration) float64 {
+	byFactor := likelihoods(seen, byJob, changedAt)
 	most, sum := slices.Max(byFactor), 0.0
 	for _, l := range byFactor {
 		sum += math.Exp(l - most)
@@ -109,58 +109,105 @@
 
 // likelihoods returns for each of slowFactors the logarithm of the likelihood that the worker
 // has been slow by it since a time, relative to that of a sound worker.
-func likelihoods(seen []sighting, changedAt time.Duration) []float64 {
-	byJob := map[*job][]sighting{}
+func likelihoods(seen []sighting, byJob sightingsByJob, changedAt time.Duration) []float64 {
+	here := map[*job][]sighting{}
 	var jobs []*job
 	for _, o := range seen {
-		if _, known := byJob[o.job]; !known {
+		if _, known := here[o.job]; !known {
 			jobs = append(jobs, o.job)
 		}
-		byJob[o.job] = append(byJob[o.job], o)
+		here[o.job] = append(here[o.job], o)
 	}
 	ls := make([]float64, len(slowFactors))
 	for _, j := range jobs {
-		sound := jobLikelihood(byJob[j], changedAt, 1)
+		others := byJob.elsewhere(j, seen[0].worker)
+		sound := jobLikelihood(here[j], others, changedAt, 1)
 		for n, factor := range slowFactors {
-			ls[n] += jobLikelihood(byJob[j], changedAt, factor) - sound
+			ls[n] += jobLikelihood(here[j], others, changedAt, factor) - sound
 		}
 	}
 	return ls
 }
 
+const (
+	// minError and maxError are the numbers of deviations between which the error that the
+	// runs of a job have in common is integrated.
+	minError = -3
+	maxError = 4
+	// maxErrorPoints limits the points of the integration.
+	maxErrorPoints = 36
+)
+
 // jobLikelihood returns the logarithm of the likelihood of the runs of one job on a worker that
-// has taken a factor longer since a time. The error that they have in common is integrated over
-// its distribution.
-func jobLikelihood(runs []sighting, changedAt time.Duration, factor float64) float64 {
-	const from, to = -3, 4
-	var at [to - from + 1]float64
-	most := math.Inf(-1)
+// has taken a factor longer since a time, and on others, which are sound. The error that they have in common is integrated over
+// its distribution, in steps that are small against the spread of single tasks: a run that lies
+// between two points would otherwise count against a hypothesis.
+func jobLikelihood(runs, others []sighting, changedAt time.Duration, factor float64) float64 {
+	var points [maxErrorPoints]float64
+	width := runs[0].spread.job
+	count := min(maxErrorPoints, max(maxError-minError+1, int(width*(maxError-minError)/taskSpread)+2))
+	step := float64(maxError-minError) / float64(count-1)
+	at := points[:count]
 	for n := range at {
-		z := float64(n + from)
-		l := -z * z / 2
-		for _, o := range runs {
-			l += o.likelihood(z*o.spread.job, changedAt, factor)
+		z := minError + float64(n)*step
+		at[n] = -z * z / 2
+	}
+	add := func(o sighting, factor float64) {
+		done := o.workDone(changedAt, factor)
+		x, table, scale := math.Log(done/o.predicted.Seconds()), logSurvivals, 0.0
+		if o.ended {
+			table, scale = logDensities, math.Log(done*factor)
+		}
+		for n := range at {
+			at[n] += table.at(x-(minError+float64(n)*step)*width) - scale
 		}
-		at[n] = l
-		most = max(most, l)
 	}
-	sum := 0.0
+	for _, o := range runs {
+		add(o, factor)
+	}
+	for _, o := range others {
+		add(o, 1)
+	}
+	most, sum := slices.Max(at), 0.0
 	for _, l := range at {
 		sum += math.Exp(l - most)
 	}
 	return most + math.Log(sum)
 }
 
-// likelihood returns the logarithm of the likelihood of a run for an error of its job's
-// estimate. What the worker did since the change counts for less by the factor.
-func (o sighting) likelihood(jobError float64, changedAt time.Duration, factor float64) float64 {
+// workDone returns how long the run would have taken so far on a sound worker, in seconds, if
+// the worker has been slow since a time. What it did since then counts for less by the factor.
+func (o sighting) workDone(changedAt time.Duration, factor float64) float64 {
 	before := max(0, min(o.at, changedAt)-o.began)
-	done := before.Seconds() + (o.at-o.began-before).Seconds()/factor
-	x := math.Log(done/o.predicted.Seconds()) - jobError
-	if !o.ended {
-		return math.Log(survival(x, taskSpread))
+	return before.Seconds() + (o.at-o.began-before).Seconds()/factor
+}
+
+// logTable holds the logarithms of a function in equal steps.
+type logTable [2*tableRange*tableSteps + 1]float64
+
+const (
+	// tableRange and tableSteps are the highest argument of a table, beyond which its last
+	// value holds, and its steps for each unit.
+	tableRange = 8
+	tableSteps = 64
+)
+
+var (
+	logDensities = newLogTable(func(x float64) float64 { return density(x, taskSpread) })
+	logSurvivals = newLogTable(func(x float64) float64 { return survival(x, taskSpread) })
+)
+
+func newLogTable(of func(float64) float64) *logTable {
+	t := &logTable{}
+	for n := range t {
+		t[n] = math.Log(of(float64(n)/tableSteps - tableRange))
 	}
-	return math.Log(density(x, taskSpread) / (done * factor))
+	return t
+}
+
+func (t *logTable) at(x float64) float64 {
+	n := int((x+tableRange)*tableSteps + 1.0/2)
+	return t[min(max(n, 0), len(t)-1)]
 }
 
 // density returns the density of the logarithm of a task's duration over its prediction.
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -133,8 +133,10 @@
 	load     int64
 	// isolation is that of the task when the run began.
 	isolation isolation
-	// copied says that the run is a copy of a straggling one.
-	copied bool
+	// copied says that the run is a copy of a straggling one, copyOfSlow that the other run's
+	// worker was known as slow.
+	copied     bool
+	copyOfSlow bool
 }
 
 // phase is the known state of a run.
