Worker speed: more evidence for a slow worker

Cause: with a likelihood ratio of e^8, 9 of 2,256 busy sound workers were called slow in 16 s each where estimates are off by 50 %, 1 of 2,585 at 20 %.

Change: a ratio of e^9.

--- a/jaysched/speed.go
+++ b/jaysched/speed.go
@@ -26,7 +26,7 @@
 	// slowEvidence is the logarithm of the likelihood ratio from which a worker counts as
 	// slow. A false alarm costs the worker's room until its first probe has ended, a later
 	// recognition the delay of all tasks on a slow worker.
-	slowEvidence = 8.0
+	slowEvidence = 9.0
 	// fastEvidence is the same for a slow worker to count as fast again. An error there costs
 	// only the time until the worker is recognised once more.
 	fastEvidence = 3.0
