Slow workers are recognised whatever percentage their runs report

Cause: a run that a worker reports below 100 percent was taken to be throttled and shows nothing about its worker. Only best-effort runs are throttled, and they are left out anyway. If workers report less for other runs, no worker is slow.

Change: the reported percentage is ignored.

--- a/jaysched/speed.go
+++ b/jaysched/speed.go
@@ -168,13 +168,13 @@
 }
 
 // sight returns what a run shows about the speed of its worker at a time. Nothing is shown by
-// runs that are limited or resumed, whose begin is unknown, or whose queue has no learned
-// durations.
+// best-effort runs, whose speed is limited, by resumed ones, by those whose begin is unknown, or
+// whose queue has no learned durations. The percentage in a worker's report is ignored: only
+// best-effort runs are ever throttled, and other runs may report less than 100 as well.
 func (p *Pool) sight(r *run, at time.Duration, ended bool) (o sighting, ok bool) {
 	s := r.task.step
 	adopted := r.attempt == 0
-	limited := r.speed > 0 && r.speed < fullSpeed
-	if s.decl.LongRunning || s.decl.Fills || s.decl.Gang || s.decl.Estimate <= 0 || adopted || limited || r.checkpoint != "" {
+	if s.decl.LongRunning || s.decl.Fills || s.decl.Gang || s.decl.Estimate <= 0 || adopted || r.checkpoint != "" {
 		return sighting{}, false
 	}
 	if r.confirmedAt == 0 || at <= r.confirmedAt || r.confirmedAt < r.worker.pace.from {
--- a/jaysched/speed_test.go
+++ b/jaysched/speed_test.go
@@ -93,6 +93,23 @@
 	})
 }
 
+// Guards against slow workers that are never recognised since their reports list a percentage
+// below 100 for every run, and these runs were taken to be throttled.
+func TestSlowWorkerIsRecognisedWhateverSpeedItReports(t *testing.T) {
+	w := newSpeedHarness(t, 4, 0)
+	fill(w, 4)
+	for range 25 {
+		for _, f := range w.workers {
+			for ref, active := range f.active {
+				active.Speed = 40
+				f.active[ref] = active
+			}
+		}
+		w.pace(100*time.Millisecond, "w1")
+	}
+	is.New(t).True(w.pool.workers["w1"].pace.slow)
+}
+
 // Guards against a pool that avoids all its workers when the tasks of a queue become longer.
 func TestNoWorkerIsSlowIfMostLookSlow(t *testing.T) {
 	is := is.New(t)
