Tasks start on slow workers if no sound one may run them

Cause: a task whose job cannot be on time on a slow worker did not start there even if no other worker could run it. A pool of one slow worker, or whose sound workers drain, ran single probes; an advised task got not even these.

Change: such tasks, and advised ones, may start on slow workers.

Result: tests that fail without the change.

--- a/jaysched/speed.go
+++ b/jaysched/speed.go
@@ -405,27 +405,44 @@
 }
 
 // tooSlowFor reports whether a worker is too slow for the tasks of a step: their job would not
-// stay on time there. Tasks without a target may run there.
+// stay on time there. Tasks without a target may run there, and so may those that would wait for
+// good: the advisor may allow slow workers only, or no other worker may be able to run them.
 func (p *Pool) tooSlowFor(w *worker, s *step, now time.Duration) bool {
-	if !w.pace.slow || s.decl.LongRunning || s.decl.Fills || s.job.spec.Schedule.Timed() || w.pace.probingStep == s {
+	if !w.pace.slow || s.mayRunSlowly() || w.pace.probingStep == s {
 		return false
 	}
 	takes := p.durations.predict(s.job.spec.Queue, s.decl.Estimate)
 	slowed := time.Duration(float64(takes) * w.pace.factor)
-	if now+slowed > s.job.target {
-		return true
-	}
-	return now+p.remainingOccurrenceTime(s.occ, now)-takes+slowed > s.job.target
+	onTime := now+slowed <= s.job.target && now+p.remainingOccurrenceTime(s.occ, now)-takes+slowed <= s.job.target
+	return !onTime && p.hasSoundWorkerFor(s, now)
+}
+
+// mayRunSlowly reports whether the tasks of a step may run on any slow worker.
+func (s *step) mayRunSlowly() bool {
+	return s.decl.LongRunning || s.decl.Fills || s.job.advised || s.job.spec.Schedule.Timed()
+}
+
+// hasSoundWorkerFor reports whether a worker that is not slow runs tasks of a step as soon as it
+// has room.
+func (p *Pool) hasSoundWorkerFor(s *step, now time.Duration) bool {
+	need := needOf(s)
+	return slices.ContainsFunc(p.sorted, func(w *worker) bool {
+		if w.pace.slow || !w.Capacity.Fits(need) {
+			return false
+		}
+		o := p.obstacleBesidesAdvice(w, s, now)
+		return o == noObstacle || o == limitReached
+	})
 }
 
 // slowWorkerSuits reports whether a step may have room on a slow worker although others found
 // none: they may have less slack.
 func (p *Pool) slowWorkerSuits(s *step, now time.Duration) bool {
-	if p.speeds.slow == 0 || s.decl.Estimate <= 0 {
+	if p.speeds.slow == 0 {
 		return false
 	}
 	takes := p.durations.predict(s.job.spec.Queue, s.decl.Estimate)
-	if now+time.Duration(float64(takes)*p.speeds.minFactor) > s.job.target {
+	if !s.mayRunSlowly() && (s.decl.Estimate <= 0 || now+time.Duration(float64(takes)*p.speeds.minFactor) > s.job.target) {
 		return false
 	}
 	need := needOf(s)
--- a/jaysched/speed_test.go
+++ b/jaysched/speed_test.go
@@ -254,3 +254,42 @@
 		})
 	}
 }
+
+// Guards against tasks that wait for good since all workers that may run them are slow: single
+// probes served such a pool, and an advised task got not even these.
+func TestTasksWithoutSoundWorkerStart(t *testing.T) {
+	// newSlow returns a harness whose first worker is slow, and too slow for new jobs to be on time.
+	newSlow := func(t *testing.T, workers int) *harness {
+		w := newSpeedHarness(t, workers, 0)
+		slow := w.pool.workers["w0"]
+		slow.pace.slow, slow.pace.factor, slow.pace.slowSince, slow.pace.probedAt = true, 6.5, w.now, w.now
+		w.pool.countSlow()
+		return w
+	}
+	four := newSpec("j", 1, tasks(4, 1000, 100))
+	t.Run("in a pool of one worker", func(t *testing.T) {
+		w := newSlow(t, 1)
+		declare(w, four)
+		is.New(t).Equal(len(w.workers["w0"].active), 4)
+	})
+	t.Run("if the others drain", func(t *testing.T) {
+		w := newSlow(t, 3)
+		w.workers["w1"].info.Draining, w.workers["w2"].info.Draining = true, true
+		w.list()
+		declare(w, four)
+		is.New(t).Equal(len(w.workers["w0"].active), 4)
+	})
+	t.Run("if the advisor allows no other", func(t *testing.T) {
+		w := newSlow(t, 2)
+		spec := newSpec("j", 1)
+		spec.Policy.Advised = true
+		declare(w, spec)
+		w.advise(3*time.Second, "w0")
+		is.New(t).Equal(len(w.workers["w0"].active), 2)
+	})
+	t.Run("but none while another worker is sound", func(t *testing.T) {
+		w := newSlow(t, 2)
+		declare(w, newSpec("j", 1, tasks(6, 1000, 100)))
+		is.New(t).Equal(len(w.workers["w0"].active), 0)
+	})
+}
