No adopted run is a copy with copyShare off

Cause: a task of a speculative step may have two runs after a takeover. The later one was marked as a copy also with the part off, and stopped when its host was to be vacated.

Change: runs are marked only with the part on.

Result: a test that fails without the change.

--- a/jaysched/copies.go
+++ b/jaysched/copies.go
@@ -155,8 +155,8 @@
 
 // adoptCopy marks the later run of a task with two runs, which a former owner started, as its
 // copy.
-func (t *task) adoptCopy() {
-	if len(t.runs) < maxRunsOfTask {
+func (p *Pool) adoptCopy(t *task) {
+	if p.settings.CopyShare <= 0 || len(t.runs) < maxRunsOfTask {
 		return
 	}
 	latest := slices.MaxFunc(t.runs, func(a, b *run) int { return cmp.Compare(a.number, b.number) })
--- a/jaysched/copies_test.go
+++ b/jaysched/copies_test.go
@@ -120,3 +120,18 @@
 	w.endAll(copied)
 	is.Equal(w.pool.jobs["j00"].outcome, Done)
 }
+
+// Guards against a decision that changes although the part is off: a run of a task with two runs
+// was taken for a copy after a takeover, and stopped when its host was to be vacated.
+func TestNoRunIsACopyWithThePartOff(t *testing.T) {
+	is := is.New(t)
+	first, _, _ := withCopy(t)
+	next := takeOver(t, first, newSpec("j00", 1, speculative, func(s *jayspec.Step) { s.Tasks = 1 }))
+	readInventory(next)
+	next.reports()
+	runs := next.pool.jobs["j00"].occurrences[0].steps[0].tasks[0].runs
+	is.Equal(len(runs), maxRunsOfTask)
+	for _, r := range runs {
+		is.True(!r.copied)
+	}
+}
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -297,7 +297,7 @@
 	w.add(r)
 	p.quotas.countRun(r, 1)
 	t.addRun(r)
-	t.adoptCopy()
+	p.adoptCopy(t)
 	t.lastRun = max(t.lastRun, r.number)
 	t.step.gangRun = max(t.step.gangRun, r.number)
 	t.mayRunUnreported = false
