--- a/jaynode/demand.go
+++ b/jaynode/demand.go
@@ -94,6 +94,7 @@
 			CapacityMilli: &l.CapacityMilli,
 			RestartCost:   l.RestartCost,
 			Restartable:   l.Restartable,
+			SpeedPercent:  uint32(l.SpeedPercent),
 		})
 	}
 }
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -295,6 +295,7 @@
 			EmptyIn:       millis(w.EmptyInMillis),
 			RestartCost:   w.RestartCost,
 			Restartable:   w.Restartable,
+			SpeedPercent:  int(w.SpeedPercent),
 		}
 	}
 	return demand
--- a/jayreplay/division_test.go
+++ b/jayreplay/division_test.go
@@ -14,7 +14,7 @@
 		l.DivideHosts = divide
 		l.Until += 10 * time.Second // the long tasks of the last jobs
 		for n := range b.QueueLoads {
-			b.QueueLoads[n].LongShare = 0.03
+			b.QueueLoads[n].LongTasks, b.QueueLoads[n].LongFactor = 0.03, 7
 		}
 	}
 }
--- a/jayreplay/owner.go
+++ b/jayreplay/owner.go
@@ -55,6 +55,8 @@
 
 			RejectHopeless: s.load.RejectHopeless,
 			FairShares:     s.load.FairShares,
+			WorkerSpeeds:   s.load.WorkerSpeeds,
+			CopyShare:      s.load.CopyShare,
 		}),
 	}
 	o.pool.SetWeights(s.load.Weights)
@@ -211,6 +213,7 @@
 // recordOutcomes records when jobs were first shown as done or failed.
 func (o *poolOwner) recordOutcomes() {
 	for _, e := range o.pool.TakeEvents() {
+		o.sim.events[e.Kind]++
 		if e.Kind != jaysched.JobRecorded {
 			continue
 		}
--- a/jayreplay/simulation.go
+++ b/jayreplay/simulation.go
@@ -9,6 +9,7 @@
 	"jaythread/jayfleet"
 	"jaythread/jaypool"
 	"jaythread/jayport"
+	"jaythread/jaysched"
 	"jaythread/jayshare"
 )
 
@@ -33,6 +34,8 @@
 	instanceSeconds float64
 	// usedSeconds sums up the part of these instance-seconds that tasks reserved.
 	usedSeconds float64
+	// events counts the events of the pools by kind.
+	events map[jaysched.EventKind]int
 }
 
 // task is the actual behaviour of a task, which may differ from its declared estimate.
@@ -84,7 +87,7 @@
 }
 
 func newSimulation(load Load) *simulation {
-	s := &simulation{load: load, uses: jayshare.NewLedger(), tasks: map[jayport.TaskID]*task{}, jobs: map[string]*JobResult{}}
+	s := &simulation{load: load, uses: jayshare.NewLedger(), tasks: map[jayport.TaskID]*task{}, jobs: map[string]*JobResult{}, events: map[jaysched.EventKind]int{}}
 	s.clock.now = 0
 	s.fleet = jayfleet.New(jayfleet.Settings{MoveTime: load.MoveTime, MaintenanceTime: maintenanceTime, DivideHosts: load.DivideHosts, PredictBursts: load.PredictBursts, BurstPredictors: load.BurstPredictors})
 	var working []string
@@ -191,14 +194,14 @@
 	}
 }
 
-// saveCheckpoint records the progress of a stopped run if its task writes checkpoints,
+// saveCheckpoint records the work done in a stopped run if its task writes checkpoints,
 // and returns the checkpoint.
-func (s *simulation) saveCheckpoint(r *activeRun) string {
+func (s *simulation) saveCheckpoint(r *activeRun, done time.Duration) string {
 	t := s.tasks[r.order.Run.Task]
 	if !t.checkpoint {
 		return ""
 	}
-	t.savedTime = min(t.savedTime+s.clock.now-r.startedAt, t.duration)
+	t.savedTime = min(t.savedTime+done, t.duration)
 	return "saved"
 }
 
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -28,6 +28,8 @@
 	// is emptied within EmptyIn; Restartable says that EmptyIn is based on restarts of its runs.
 	RestartCost int64
 	Restartable bool
+	// SpeedPercent is the worker's speed as its own runs show it; zero is unknown.
+	SpeedPercent int
 }
 
 // MaxDuration stands for a time that never comes, such as until a worker with a long-running
@@ -133,7 +135,7 @@
 }
 
 func (p *Pool) load(w *worker, now time.Duration) Load {
-	l := Load{Worker: w.ID, CapacityMilli: w.Capacity.ProcessorsMilli, UsedMilli: w.Capacity.ProcessorsMilli - w.free.ProcessorsMilli, Runs: len(w.runs)}
+	l := Load{Worker: w.ID, CapacityMilli: w.Capacity.ProcessorsMilli, UsedMilli: w.Capacity.ProcessorsMilli - w.free.ProcessorsMilli, Runs: len(w.runs), SpeedPercent: w.speedPercent()}
 	if w.lastDone > w.acknowledged {
 		l.Runs++
 	}
@@ -209,7 +211,7 @@
 	switch {
 	case r.task.step.decl.LongRunning:
 		return p.mayEvict(r, now)
-	case r.worker.urgent:
+	case r.worker.urgent || r.copied && r.task.hasOtherRun(r):
 		return true
 	default:
 		return r.worker.migrate && p.mayMigrate(r, now)
@@ -248,7 +250,7 @@
 // remainingTime returns the expected remaining time of a run. A run that has exceeded its
 // estimate is expected to take as long again as it has exceeded it.
 func (p *Pool) remainingTime(r *run, now time.Duration) time.Duration {
-	takes := p.durations.predict(r.task.step.job.spec.Queue, r.task.step.decl.Estimate)
+	takes := p.predictOn(r.worker, r.task.step)
 	ran := now - r.orderedAt
 	if ran < takes {
 		return takes - ran
@@ -258,7 +260,7 @@
 
 // timeToEmpty returns how long a run is expected to occupy its worker if it may be migrated.
 func (p *Pool) timeToEmpty(r *run, now time.Duration) time.Duration {
-	if p.mayMigrate(r, now) {
+	if r.copied && r.task.hasOtherRun(r) || p.mayMigrate(r, now) {
 		return typicalStopTime
 	}
 	return p.remainingTime(r, now)
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -150,6 +150,8 @@
 	events        []Event
 	durations     *durations
 	outlook       *outlook
+	speeds        speeds
+	copies        copies
 }
 
 // Option configures a new pool.
@@ -194,6 +196,7 @@
 		quotas:     newQuotas(),
 		durations:  newDurations(),
 		outlook:    newOutlook(),
+		speeds:     newSpeeds(),
 		startsLeft: math.MaxInt,
 	}
 	for _, option := range options {
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -107,6 +107,7 @@
 	// turns out to be lost. They were given up when its lease had ended.
 	lapsedSuspects        []*run
 	lapsedSuspectsAtStart bool
+	pace                  pace
 }
 
 // run is one run of a task on a worker.
@@ -136,6 +137,10 @@
 	load     int64
 	// isolation is that of the task when the run began.
 	isolation isolation
+	// copied says that the run is a copy of a straggling one, copyOfSlow that the other run's
+	// worker was known as slow.
+	copied     bool
+	copyOfSlow bool
 }
 
 // phase is the known state of a run.
