A job stored without a decision is not rejected later

Cause: a request that gave up on the pool after 50 ms stored its job without being counted, so that a repeated request could be answered "not run" after 5 s while the first append was in flight; its own failure also took off the count of another request. A further request did not extend the time for which the job counts as possibly stored. Change: such a request is counted afterwards, and each request extends the time.

--- a/jaynode/rejection.go
+++ b/jaynode/rejection.go
@@ -50,16 +50,25 @@
 	}
 	var admission jaysched.Admission
 	var settled atomic.Bool
+	decided := false
 	asked := duty.ask(func() {
 		// A decision after the timeout would give a place to a job that is being stored.
-		if settled.CompareAndSwap(false, true) {
+		if !settled.Load() {
+			decided = true
 			admission = duty.pool.Admit(job, i.node.clock())
 		}
 	}, admitTimeout)
-	if !asked && settled.CompareAndSwap(false, true) {
+	if !asked {
+		settled.Store(true)
+		// The job is stored all the same, so that no later request for it may be rejected.
+		duty.post(func(now time.Duration) {
+			if !decided || admission.Rejected {
+				duty.pool.AdmitUndecided(job, now)
+			}
+		})
 		return nil
 	}
-	if !asked || !admission.Rejected {
+	if !admission.Rejected {
 		return nil
 	}
 	return &hopelessError{retryAfter: admission.RetryAfter}
--- a/jaynode/rejection_test.go
+++ b/jaynode/rejection_test.go
@@ -127,5 +127,11 @@
 		is.True(r.node.clock()-began <= admitTimeout)
 		answer(r.duty, 100*time.Millisecond)
 		is.Equal(r.duty.pool.Places(), 0)
+		// Guards against "not run" for a job that the first request may still store.
+		r.pass(6*time.Second, false)
+		go answer(r.duty, time.Second)
+		err = r.node.intake.admit("seats", testID, value)
+		time.Sleep(2 * time.Second)
+		is.NoErr(err)
 	})
 }
--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -425,9 +425,7 @@
 	if _, stored := p.jobs[spec.ID]; stored || !p.settings.RejectHopeless {
 		return Admission{}
 	}
-	if other, admitted := o.admitted[spec.ID]; admitted {
-		other.requests++
-		o.admitted[spec.ID] = other
+	if o.admitAgain(spec.ID, now) {
 		return Admission{}
 	}
 	candidate, takes := p.candidate(spec, now)
@@ -472,6 +470,27 @@
 	return Admission{Rejected: true, RetryAfter: retryAfter}
 }
 
+// AdmitUndecided handles a job that is stored although Admit was not asked in time.
+func (p *Pool) AdmitUndecided(spec *jayspec.Job, now time.Duration) {
+	o := p.outlook
+	if _, stored := p.jobs[spec.ID]; stored || !p.settings.RejectHopeless || o.admitAgain(spec.ID, now) {
+		return
+	}
+	o.places.Remove(spec.ID)
+	o.admitted[spec.ID], _ = p.candidate(spec, now)
+}
+
+// admitAgain counts a further request for a job that was admitted already.
+func (o *outlook) admitAgain(id string, now time.Duration) (admitted bool) {
+	a, admitted := o.admitted[id]
+	if admitted {
+		a.requests++
+		a.until = now + unansweredTTL
+		o.admitted[id] = a
+	}
+	return admitted
+}
+
 // maxRetryAfter limits how far ahead a place may be: beyond, the rate at which work is done says
 // little.
 const maxRetryAfter = 10 * time.Minute
--- a/jaysched/outlook_test.go
+++ b/jaysched/outlook_test.go
@@ -133,6 +133,15 @@
 		w.pool.outlook.beganAt = 0
 		w.passWithFleet(newOwnerTime + 100*time.Millisecond)
 	})
+	// Guards against the same for a repeated request whose own time has not passed.
+	admit("a job that may be stored by a later request", false, 12, longEnough, func(w *harness, j *jayspec.Job) {
+		w.pool.outlook.beganAt = w.now
+		w.pool.Admit(j, w.now)
+		w.pool.Admit(j, w.now+unansweredTTL/2)
+		w.pool.outlook.beganAt = 0
+		w.now += unansweredTTL - time.Second
+		w.passWithFleet(2 * time.Second)
+	})
 	// Guards against rejections by an owner that does not know the pool's jobs and workers yet: the
 	// places were lost with the former owner.
 	admit("a new owner", false, 12, longEnough, func(w *harness, _ *jayspec.Job) { w.pool.outlook.beganAt = w.now - newOwnerTime/2 })
