No rejection without the list of hosts on their way; places of read jobs end

Cause: the message of a fleet's owner of an earlier version, or with the part off, has no list of arriving hosts, and the pool took it as word that no host is on its way. The list was computed with the part off as well. A job that another entry stored and that was read from the store kept its place, and the work promised to it. Change: the list begins with an entry without capacity; a pool ignores a message without one. It is sent only with the part on. Each job that is added to the pool ends its place and its admission.

--- a/jaynode/demand.go
+++ b/jaynode/demand.go
@@ -47,7 +47,9 @@
 			duty.pool.InventoryRead(ask.Existing, micros(ask.SurveyedAtMicros), now)
 		}
 		duty.pool.SetVacating(vacate, now)
-		duty.pool.SetArriving(decodeArriving(ask.Arriving), now)
+		if len(ask.Arriving) > 0 {
+			duty.pool.SetArriving(decodeArriving(ask.Arriving), now)
+		}
 		writeDemand(report, duty.pool.Demand(now))
 		if ask.Quota != nil {
 			message := decodeQuotaMessage(ask.Fence, ask.Quota)
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -207,7 +207,9 @@
 	d.askingDemand[pool] = true
 	d.sentOrders[pool] = names
 	ask := &jaywire.AskDemand{Pool: pool, Fence: d.claim.Fence, Vacate: orders, Quota: encodeQuotaMessage(d.lender.Message(pool))}
-	ask.Arriving = encodeArriving(d.fleet.Arriving(pool, now))
+	if d.node.settings.Overload.RejectHopeless {
+		ask.Arriving = encodeArriving(d.fleet.Arriving(pool, now))
+	}
 	existing, asked, read := d.fleet.Existing(pool)
 	if clock, known := d.clocks[pool]; known && read {
 		ask.Surveyed, ask.Existing = true, existing
--- a/jaynode/rejection.go
+++ b/jaynode/rejection.go
@@ -93,9 +93,11 @@
 	}
 }
 
-// encodeArriving returns the hosts that are on their way to a pool.
+// encodeArriving returns the hosts that are on their way to a pool, after an entry without
+// capacity: an empty list is that of a fleet's owner of an earlier version or with the part off,
+// which does not say that no hosts are on their way.
 func encodeArriving(arriving []jayfleet.Arriving) []*jaywire.ArrivingHost {
-	encoded := make([]*jaywire.ArrivingHost, 0, len(arriving))
+	encoded := append(make([]*jaywire.ArrivingHost, 0, len(arriving)+1), &jaywire.ArrivingHost{})
 	for _, a := range arriving {
 		encoded = append(encoded, &jaywire.ArrivingHost{CapacityMilli: a.CapacityMilli, InMillis: a.In.Milliseconds()})
 	}
--- a/jaynode/rejection_test.go
+++ b/jaynode/rejection_test.go
@@ -135,3 +135,30 @@
 		is.NoErr(err)
 	})
 }
+
+func TestDemandWithoutArrivingHostsRejectsNothing(t *testing.T) {
+	// Guards against a fleet's owner of an earlier version, or with the part off: its message lacks
+	// the hosts that are on their way.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRejectingEntry(t)
+		r.setClaims(r.duty.claim, r.claim(jayowner.Fleet, 2, 2))
+		value, err := encodeJob(jobOf(testID, time.Second))
+		is.NoErr(err)
+		time.Sleep(2 * time.Second)
+		rejects := func(arriving []*jaywire.ArrivingHost) bool {
+			go answer(r.duty, 100*time.Millisecond)
+			is.True(r.node.demandOwned(&jaywire.AskDemand{Pool: "seats", Fence: 2, Arriving: arriving}).Owned)
+			time.Sleep(200 * time.Millisecond)
+			r.duty.pool.SetConfirmedAt(r.node.clock())
+			r.duty.pool.Decide(r.node.clock())
+			go answer(r.duty, 100*time.Millisecond)
+			err := r.node.intake.admit("seats", testID, value)
+			time.Sleep(200 * time.Millisecond)
+			return err != nil
+		}
+		is.True(!rejects(nil))
+		r.duty.pool.AppendEnded(testID)
+		is.True(rejects(encodeArriving(nil)))
+	})
+}
--- a/jaysched/outlook_test.go
+++ b/jaysched/outlook_test.go
@@ -170,7 +170,7 @@
 	is.Equal(retryAfter("a"), time.Duration(0))
 	is.Equal(w.pool.Places(), 2)
 	// Guards against a place that outlives its job: another entry stored it meanwhile.
-	w.pool.Declare(newSpec("b", 1, four), w.now)
+	w.pool.Restore(newSpec("b", 1, four), nil, w.now)
 	is.Equal(w.pool.Places(), 1)
 }
 
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -299,7 +299,6 @@
 		p.addArrival(spec, chain, now)
 	}
 	delete(p.expected, spec.ID)
-	p.outlook.stored(spec.ID)
 	return true
 }
 
@@ -312,6 +311,7 @@
 	j.chain = chain
 	j.target = j.submittedAt + time.Duration(policy.Stretch*float64(chain)) + policy.Objective
 	p.enqueue(j)
+	p.outlook.stored(j.spec.ID)
 	return chain
 }
 
