A review of many jobs looks each job's queue up once

Cause: with the part on, a review read the specification of each job four times and summed up its waiting work twice. Change: the forecast of a job keeps its queue and its time; the check for a backlog uses its work.

--- a/jaysched/deadline.go
+++ b/jaysched/deadline.go
@@ -37,12 +37,13 @@
 		return
 	}
 	p.deadlineReviewAt = now + reviewInterval
-	overloaded, byOutlook := p.overloaded(now), p.reviewOutlook(now)
+	byOutlook := p.reviewOutlook(now)
+	overloaded := p.overloaded(now)
 	changed := false
 	for _, j := range p.open {
 		was, favour := j.deadlineStatus, j.favour
 		switch {
-		case byOutlook && p.servedByOutlook(j):
+		case byOutlook && j.servedByOutlook(now):
 			p.reviewByOutlook(j, now)
 		case overloaded:
 			j.deadlineStatus, j.favour = p.deadlineStatusOf(j, now), 0
@@ -65,18 +66,22 @@
 		p.lastRoomAt = now
 	}
 	overdue := time.Duration(overloadedAfter * float64(p.settings.MoveTime+reportDelay))
-	return now-p.lastRoomAt > overdue && p.backlogged()
+	return now-p.lastRoomAt > overdue && p.backlogged(now)
 }
 
 // backlogged reports whether the waiting work takes the pool's workers longer than the time its
 // jobs have.
-func (p *Pool) backlogged() bool {
+func (p *Pool) backlogged(now time.Duration) bool {
 	work, allowed, count := 0.0, 0.0, 0.0
 	for _, j := range p.open {
 		if j.longRunning || j.spec.Schedule.Timed() || j.deadlineStatus == expired {
 			continue
 		}
-		work += p.waitingWork(j)
+		if j.forecast.queue != nil && j.forecast.at == now {
+			work += j.forecast.work
+		} else {
+			work += p.waitingWork(j)
+		}
 		allowed += (j.target - j.submittedAt).Seconds()
 		count++
 	}
--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -183,6 +183,7 @@
 		if j.hasTarget() {
 			q := p.queueOutlook(j.spec.Queue)
 			j.forecast = p.forecastOf(j, q.spread, now)
+			j.forecast.at, j.forecast.queue = now, q
 			q.jobs++
 			q.chain += j.chain
 			q.slack += j.target - j.submittedAt - j.chain
@@ -213,9 +214,9 @@
 	return q
 }
 
-// servedByOutlook reports whether the deadline status of a job is set by the outlook.
-func (p *Pool) servedByOutlook(j *job) bool {
-	return j.hasTarget() && p.outlook.queues[j.spec.Queue].predictable
+// servedByOutlook reports whether the deadline status of a job is set by the outlook of this review.
+func (j *job) servedByOutlook(now time.Duration) bool {
+	return j.forecast.at == now && j.forecast.queue.predictable
 }
 
 // hasTarget reports whether a job is one that should be done by its target.
@@ -228,10 +229,10 @@
 func (o *outlook) waitingMakesLate(open []*job, now time.Duration) bool {
 	ahead := 0.0
 	for _, j := range open {
-		if !j.hasTarget() || j.waiting == 0 {
+		if j.forecast.at != now || j.waiting == 0 {
 			continue
 		}
-		q, f := o.queues[j.spec.Queue], j.forecast
+		q, f := j.forecast.queue, &j.forecast
 		margin := time.Duration(spreadsToReorder * q.spread * float64(f.takes))
 		if q.predictable && f.takes <= j.target-now && f.takes+o.supply.timeFor(ahead) > j.target-now+margin {
 			return true
@@ -247,6 +248,9 @@
 
 // jobForecast is how long a job takes if it is served from now on, and the work that waits.
 type jobForecast struct {
+	// at is the time of the review, and queue what was known about the job's queue.
+	at    time.Duration
+	queue *queueOutlook
 	takes time.Duration
 	work  float64
 	// mostlyDone says that more than half of the tasks are done.
@@ -305,8 +309,8 @@
 // each review. A job most of whose tasks are done may exceed its target by the spread and is
 // served as if its target were earlier by as much: the work already done would be lost with it.
 func (p *Pool) reviewByOutlook(j *job, now time.Duration) {
-	f := j.forecast
-	margin := time.Duration(p.outlook.queues[j.spec.Queue].spread * float64(f.takes))
+	f := &j.forecast
+	margin := time.Duration(f.queue.spread * float64(f.takes))
 	j.favour = 0
 	if f.mostlyDone {
 		j.favour = margin
@@ -379,7 +383,7 @@
 	}
 	o.waitingMilli, o.reviewedAt = 0, now
 	for _, j := range p.open {
-		if !j.hasTarget() || j.waiting == 0 || j.deadlineStatus == expired || p.waitsForQuota(j, now) {
+		if j.forecast.at != now || j.waiting == 0 || j.deadlineStatus == expired || p.waitsForQuota(j, now) {
 			continue
 		}
 		w, known := o.waiting[j.priority]
--- a/jaysched/outlook_test.go
+++ b/jaysched/outlook_test.go
@@ -76,7 +76,7 @@
 	job.Queue = "none"
 	declare(w, job)
 	w.passWithFleet(300 * time.Millisecond)
-	is.New(t).True(!w.pool.servedByOutlook(w.pool.jobs["none"]))
+	is.New(t).True(!w.pool.jobs["none"].forecast.queue.predictable)
 }
 
 func TestDeadlineStatusHasHysteresis(t *testing.T) {
