--- a/jaysched/outlook_test.go
+++ b/jaysched/outlook_test.go
@@ -124,20 +124,13 @@
 	admit("a stored job", false, 12, longEnough, func(_ *harness, j *jayspec.Job) { j.ID = "old3" })
 	// Guards against "not run" for a job that the append of another request stores.
 	admit("a repeated request in flight", false, 12, longEnough, func(w *harness, j *jayspec.Job) { w.pool.Expect(j, w.now) })
-	// Guards against the same when the earlier request was admitted and its append has no answer.
+	// Guards against the same when one of two admitted requests failed and the append of the other
+	// has no answer yet.
 	admit("a job that may be stored", false, 12, longEnough, func(w *harness, j *jayspec.Job) {
-		w.pool.outlook.beganAt = w.now
-		w.pool.Admit(j, w.now)
-		w.pool.Admit(j, w.now)
-		w.pool.AppendEnded(j.ID)
-		w.pool.outlook.beganAt = 0
-		w.passWithFleet(newOwnerTime + 100*time.Millisecond)
-	})
-	// Guards against the same for a repeated request whose own time has not passed.
-	admit("a job that may be stored by a later request", false, 12, longEnough, func(w *harness, j *jayspec.Job) {
 		w.pool.outlook.beganAt = w.now
 		w.pool.Admit(j, w.now)
 		w.pool.Admit(j, w.now+unansweredTTL/2)
+		w.pool.AppendEnded(j.ID)
 		w.pool.outlook.beganAt = 0
 		w.now += unansweredTTL - time.Second
 		w.passWithFleet(2 * time.Second)
