--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -239,8 +239,17 @@
 	}
 	d.askingDemand[pool] = true
 	d.sentOrders[pool] = names
-	ask := &jaywire.AskDemand{Pool: pool, Fence: d.claim.Fence, Vacate: orders, Quota: encodeQuotaMessage(d.lender.Message(pool)), Contracting: d.fleet.Contracting(pool)}
-	ask.Arriving, ask.UsedElsewhere = encodeArriving(d.fleet.Arriving(pool, now)), d.usedElsewhere(pool, now)
+	ask := &jaywire.AskDemand{
+		Pool:          pool,
+		Fence:         d.claim.Fence,
+		Vacate:        orders,
+		Quota:         encodeQuotaMessage(d.lender.Message(pool)),
+		Contracting:   d.fleet.Contracting(pool),
+		UsedElsewhere: d.usedElsewhere(pool, now),
+	}
+	if d.node.settings.Overload.RejectHopeless {
+		ask.Arriving = encodeArriving(d.fleet.Arriving(pool, now))
+	}
 	existing, asked, read := d.fleet.Existing(pool)
 	if clock, known := d.clocks[pool]; known && read {
 		ask.Surveyed, ask.Existing = true, existing
--- a/jaysched/outlook_test.go
+++ b/jaysched/outlook_test.go
@@ -76,7 +76,7 @@
 	job.Queue = "none"
 	declare(w, job)
 	w.passWithFleet(300 * time.Millisecond)
-	is.New(t).True(!w.pool.servedByOutlook(w.pool.jobs["none"]))
+	is.New(t).True(!w.pool.jobs["none"].forecast.queue.predictable)
 }
 
 func TestDeadlineStatusHasHysteresis(t *testing.T) {
@@ -124,14 +124,16 @@
 	admit("a stored job", false, 12, longEnough, func(_ *harness, j *jayspec.Job) { j.ID = "old3" })
 	// Guards against "not run" for a job that the append of another request stores.
 	admit("a repeated request in flight", false, 12, longEnough, func(w *harness, j *jayspec.Job) { w.pool.Expect(j, w.now) })
-	// Guards against the same when the earlier request was admitted and its append has no answer.
+	// Guards against the same when one of two admitted requests failed and the append of the other
+	// has no answer yet.
 	admit("a job that may be stored", false, 12, longEnough, func(w *harness, j *jayspec.Job) {
 		w.pool.outlook.beganAt = w.now
 		w.pool.Admit(j, w.now)
-		w.pool.Admit(j, w.now)
+		w.pool.Admit(j, w.now+unansweredTTL/2)
 		w.pool.AppendEnded(j.ID)
 		w.pool.outlook.beganAt = 0
-		w.passWithFleet(newOwnerTime + 100*time.Millisecond)
+		w.now += unansweredTTL - time.Second
+		w.passWithFleet(2 * time.Second)
 	})
 	// Guards against rejections by an owner that does not know the pool's jobs and workers yet: the
 	// places were lost with the former owner.
@@ -161,7 +163,7 @@
 	is.Equal(retryAfter("a"), time.Duration(0))
 	is.Equal(w.pool.Places(), 2)
 	// Guards against a place that outlives its job: another entry stored it meanwhile.
-	w.pool.Declare(newSpec("b", 1, four), w.now)
+	w.pool.Restore(newSpec("b", 1, four), nil, w.now)
 	is.Equal(w.pool.Places(), 1)
 }
 
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -304,7 +304,6 @@
 		p.addArrival(spec, chain, now)
 	}
 	delete(p.expected, spec.ID)
-	p.outlook.stored(spec.ID)
 	return true
 }
 
@@ -318,6 +317,7 @@
 	j.target = j.submittedAt + time.Duration(policy.Stretch*float64(chain)) + policy.Objective
 	j.slack = j.target - j.submittedAt - chain
 	p.enqueue(j)
+	p.outlook.stored(j.spec.ID)
 	return chain
 }
 
