Count each failed prediction of a burst

With a period shorter than the horizon, a prediction that had failed was replaced by the next one of the pool and never counted as missing. It is now recorded first.

--- a/jayburst/forecast.go
+++ b/jayburst/forecast.go
@@ -151,6 +151,10 @@
 	best := f.best(now)
 	for pool, p := range best {
 		e, known := f.expected[pool]
+		if known && e.began == 0 && now > e.overdue() {
+			f.fail(e, now)
+			known = false
+		}
 		switch {
 		case !known:
 			f.expected[pool] = &expectation{Prediction: p}
@@ -179,12 +183,17 @@
 	if _, still := best[e.Pool]; still && now <= e.overdue() {
 		return false
 	}
+	f.fail(e, now)
+	return true
+}
+
+// fail records that a predicted burst has not begun.
+func (f *Forecast) fail(e *expectation, now time.Duration) {
 	outcome := Missing
 	if !f.detectors[e.Pool].observed(now) {
 		outcome = Unobserved
 	}
 	f.events = append(f.events, Event{Outcome: outcome, Prediction: e.Prediction})
-	return true
 }
 
 // best returns the prediction with the highest confidence for each pool with a usable one
--- a/jayburst/forecast_test.go
+++ b/jayburst/forecast_test.go
@@ -177,6 +177,28 @@
 	is.True(d.inBurst)
 }
 
+func TestEachPredictionHasAnOutcome(t *testing.T) {
+	// Guards against a failed prediction that is replaced by the next one of a short period
+	// without being counted as missing.
+	is := is.New(t)
+	f := New(Settings{Horizon: 4 * spacing, MaxUncertainty: spacing, Predictors: both()})
+	f.SetMinHeight(height / 10)
+	outcomes := map[Outcome]int{}
+	for at := sampling; at < 40*spacing; at += sampling {
+		milli := int64(height / 20)
+		if at < 20*spacing && at/spacing%2 == 1 {
+			milli = height
+		}
+		f.Observe("pool", milli, at)
+		f.Predict(at)
+		for _, e := range f.TakeEvents() {
+			outcomes[e.Outcome]++
+		}
+	}
+	is.True(outcomes[Missing] >= 2) // the period needs two failures to end
+	is.Equal(outcomes[Predicted], outcomes[Came]+outcomes[Missing])
+}
+
 func TestRemovedPoolIsForgotten(t *testing.T) {
 	// Guards against predictions without end for a pool that the catalog no longer has.
 	is := is.New(t)
