--- a/jayburst/forecast_test.go
+++ b/jayburst/forecast_test.go
@@ -176,17 +176,12 @@
 	// zero while the owner sees its first jobs.
 	is := is.New(t)
 	d := detector{}
-	at := time.Duration(0)
-	observe := func(milli float64) change {
-		at += sampling
-		return d.observe(sample{at: at, milli: milli}, height/10)
+	for n := range 60 {
+		d.observe(sample{at: time.Duration(n) * sampling, milli: 50}, height/10)
 	}
-	for range 60 {
-		observe(50)
-	}
-	at += 2 * maxGap
 	for n := range 10 {
-		is.True(observe(float64(n)*height/10) != began)
+		at := 60*sampling + 2*maxGap + time.Duration(n)*sampling
+		is.True(d.observe(sample{at: at, milli: float64(n) * height / 10}, height/10) != began)
 	}
 	is.True(d.inBurst)
 }
--- a/jayfleet/predict_test.go
+++ b/jayfleet/predict_test.go
@@ -30,12 +30,11 @@
 
 // scripted is a predictor with a fixed prediction.
 type scripted struct {
+	jayburst.Predictor
 	prediction jayburst.Prediction
 }
 
 func (s scripted) Began(string, time.Duration) {}
-func (s scripted) Lost(string)                 {}
-func (s scripted) Forget(string)               {}
 func (s scripted) Predict(time.Duration, func(string) bool) []jayburst.Prediction {
 	return []jayburst.Prediction{s.prediction}
 }
