--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -65,6 +65,8 @@
 	// number of hosts that the pool is entitled to.
 	onTime   int
 	entitled int
+	// restarts reports whether runs that keep a host from leaving may be restarted elsewhere.
+	restarts bool
 }
 
 // balance moves hosts to the pools that lack some, and moves hosts that no pool needs to
@@ -115,6 +117,9 @@
 	if len(b.soonEmpty) > 0 {
 		return b.soonEmpty[0], true
 	}
+	if b.restarts && len(b.laterEmpty) > 0 {
+		return b.laterEmpty[0], true
+	}
 	return nil, false
 }
 
@@ -147,8 +152,12 @@
 		from.drop(h)
 		from.have--
 		to.have++
+		l, _ := f.load(h)
 		h.vacate(to.pool, drains, now)
 		h.drainTime = f.moves(reclaimDrainMoves)
+		if drains && f.settings.DivideHosts {
+			h.allowRestarts(l)
+		}
 		return true
 	}
 	return false
@@ -248,7 +257,7 @@
 }
 
 func (f *Fleet) poolBalance(pool string, d Demand, now time.Duration) *poolBalance {
-	b := &poolBalance{pool: pool}
+	b := &poolBalance{pool: pool, restarts: f.settings.DivideHosts}
 	capacity, counted := int64(0), int64(0)
 	for _, h := range f.sorted {
 		if h.Pool != pool && !f.serves(h, pool) {
--- a/jayfleet/division.go
+++ b/jayfleet/division.go
@@ -191,11 +191,18 @@
 	from.have--
 	to.have++
 	h.vacate(to.pool, true, now)
-	h.divided = true
-	h.drainTime = max(f.moves(reclaimDrainMoves), drainFactor*l.EmptyIn)
+	h.drainTime = f.moves(reclaimDrainMoves)
+	h.allowRestarts(l)
 	h.staysUntil = now + stayFactor*(l.EmptyIn+f.settings.MoveTime)
 }
 
+// allowRestarts allows the host's pool to restart runs elsewhere that keep the host from leaving,
+// and extends the time that the pool has by the estimate for its runs.
+func (h *host) allowRestarts(l Load) {
+	h.divided = true
+	h.drainTime = max(h.drainTime, drainFactor*l.EmptyIn)
+}
+
 // cancelDivided leaves hosts that are still being emptied in their pool if the pool that they
 // were to be given to has enough by now and their own pool lacks some.
 func (f *Fleet) cancelDivided(balances []*poolBalance) {
