Divide hosts although one is stuck in a move

Cause: a host in a move without a command of the present owner of the fleet stops every division, also if it is stuck or was moved by others, and the even share does not apply meanwhile. Change: such a host counts only while a move of a former owner can last.

--- a/jayfleet/division.go
+++ b/jayfleet/division.go
@@ -26,6 +26,9 @@
 	// drainFactor is the multiple of its estimated time for which the pool may empty a host that
 	// is given to another pool.
 	drainFactor = 2
+	// unknownMoves is the multiple of the move time within which the moves of a former owner end.
+	// Without the limit, one host that is stuck in a move would stop every division.
+	unknownMoves = 2
 )
 
 // Division is the part of a division of the hosts that concerns one pool, in hosts.
@@ -101,10 +104,12 @@
 
 // movesUnknown reports whether a host may be on its way to a pool that this owner does not know. A
 // host that a former owner moved is listed in its old pool until it has arrived; if it counted
-// there, as many hosts would be given once more.
+// there, as many hosts would be given once more. A host that still moves long after the takeover
+// was not moved by a former owner, or is stuck.
 func (f *Fleet) movesUnknown(now time.Duration) bool {
+	recent := now-f.decidingSince < takeoverDelay+f.moves(unknownMoves)
 	return slices.ContainsFunc(f.sorted, func(h *host) bool {
-		return f.held(h, now) || h.State == jayport.HostMoving && h.command == nil
+		return f.held(h, now) || recent && h.State == jayport.HostMoving && h.command == nil
 	})
 }
 
--- a/jayfleet/division_test.go
+++ b/jayfleet/division_test.go
@@ -93,6 +93,15 @@
 	is.True(w.hostsUp("fees") <= 12)
 }
 
+func TestHostStuckInAMoveDoesNotStopDivisions(t *testing.T) {
+	// Guards against hosts that are never divided: one host stays in a move that no owner of the
+	// fleet has a command for.
+	w := divided(t, 20, 2)
+	w.hosts["m0"].State = jayport.HostMoving
+	w.steps(takeoverDelay + (unknownMoves+3)*move)
+	is.New(t).True(w.hostsUp("fees") >= 9)
+}
+
 // BenchmarkDivide measures a decision with all pools short, with the part off and on.
 func BenchmarkDivide(b *testing.B) {
 	for _, on := range []bool{false, true} {
