Restart runs of a released worker only if the worker leaves by it

Cause: of more than two overdue runs, or if one fits no other worker, some were restarted and the others held the worker. An owner that may have been replaced stopped runs that it could not start elsewhere. A run that is being stopped counted for as long as it had taken. Change: all runs of the plan are restarted or none; none by an unconfirmed owner; a run that is being stopped holds its worker for a stop time. Result: the two new tests fail without the change and pass with it.

--- a/jaysched/release.go
+++ b/jaysched/release.go
@@ -171,7 +171,7 @@
 
 // timeToRelease returns how long a run is expected to hold its worker if it is not restarted.
 func (p *Pool) timeToRelease(r *run, now time.Duration) time.Duration {
-	if p.mayMigrate(r, now) {
+	if r.phase == stopping || p.mayMigrate(r, now) {
 		return typicalStopTime
 	}
 	return p.holdTime(r, now)
@@ -194,19 +194,21 @@
 }
 
 // restartRuns stops the runs on a closed worker that start anew elsewhere, if the order allows
-// it and the fleet's owner was heard recently.
+// it and the fleet's owner was heard recently. An owner that may have been replaced stops nothing:
+// it could not start the run elsewhere.
 func (p *Pool) restartRuns(w *worker, now time.Duration) {
-	if !w.closed || !w.restart || !p.contracting(now) || len(w.runs) == 0 {
+	if !w.closed || !w.restart || !p.contracting(now) || p.OwnerUnconfirmed() || len(w.runs) == 0 {
 		return
 	}
 	plan := p.planRelease(w, now)
-	if !plan.feasible {
+	stays := func(r *run) bool {
+		return len(plan.restart) > maxHoldingRuns && !p.usefulAfterRestart(r, now) || !p.roomElsewhere(r)
+	}
+	// A run that stays holds the worker, so that restarts of the others would gain nothing.
+	if !plan.feasible || slices.ContainsFunc(plan.restart, stays) {
 		return
 	}
 	for _, r := range plan.restart {
-		if len(plan.restart) > maxHoldingRuns && !p.usefulAfterRestart(r, now) || !p.roomElsewhere(r) {
-			continue
-		}
 		lost := p.restartLoss(r, now)
 		p.recordEvent(Event{Kind: RunRestarted, Worker: w.ID, Run: r.ref(), Detail: fmt.Sprintf("released, lost %.0f core milliseconds", lost), Waited: now - r.orderedAt, LostMilli: lost}, now)
 		r.task.released = true
--- a/jaysched/release_test.go
+++ b/jaysched/release_test.go
@@ -55,6 +55,45 @@
 	stays("a member of a gang is not restarted", func(s *jayspec.Step) { s.Gang = true })
 }
 
+func TestNoRestartIfAnotherRunHoldsTheWorker(t *testing.T) {
+	// Guards against lost work without gain: of two overdue runs one fits no other worker, so the
+	// worker does not leave, but the other one is started anew.
+	is := is.New(t)
+	w := newHarness(t, 1)
+	w.pool.workers["w0"].Labels = []string{"disk"}
+	declare(w, newSpec("j", 1, tasks(1, 400, 100)))
+	declare(w, newSpec("k", 1, tasks(1, 400, 100), func(s *jayspec.Step) { s.RequiredLabel = "disk" }))
+	w.reports()
+	w.addWorker("w1")
+	w.list()
+	w.run()
+	w.pass(1800 * time.Millisecond)
+	w.reports()
+	both := map[string]string{"j.0.0.0": "w0", "k.0.0.0": "w0"}
+	is.Equal(w.running(), both)
+	releaseWorker(w)
+	is.Equal(len(w.pool.planRelease(w.pool.workers["w0"], w.now).restart), 2)
+	is.Equal(w.running(), both)
+}
+
+func TestUnconfirmedOwnerRestartsNothing(t *testing.T) {
+	// Guards against runs that an owner stops after a pause, although it may have been replaced
+	// and could not start them elsewhere.
+	is := is.New(t)
+	w := newConfirmedHarness(t, 1)
+	declare(w, newSpec("j", 1, func(s *jayspec.Step) { s.Tasks = 1 }))
+	w.reports()
+	w.addWorker("w1")
+	w.list()
+	w.run()
+	w.pass(1800 * time.Millisecond)
+	w.reports()
+	w.pool.OwnerPaused(w.now)
+	is.True(w.pool.OwnerUnconfirmed())
+	releaseWorker(w)
+	is.Equal(w.running()["j.0.0.0"], "w0")
+}
+
 func TestOrdersToReleaseExpire(t *testing.T) {
 	// Guards against a pool that keeps its workers closed after the owner of the fleet is lost.
 	is := is.New(t)
