Let surplus hosts leave with restarts; keep them in their new pool for a time

Cause: a pool kept busy hosts beyond its need until they were empty by themselves. Change: a surplus host may leave with restarts if its pool's owner reports its on-time need; it stays in its new pool like a divided one, and its move is counted as vacated.

--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -107,7 +107,7 @@
 
 // reclaimable returns a host that the pool does not need, preferring idle ones, and
 // whether it must be drained first. It returns nil if there is none.
-func (b *poolBalance) reclaimable() (h *host, drains bool) {
+func (b *poolBalance) reclaimable(now time.Duration) (h *host, drains bool) {
 	if b.have <= b.need {
 		return nil, false
 	}
@@ -117,8 +117,13 @@
 	if len(b.soonEmpty) > 0 {
 		return b.soonEmpty[0], true
 	}
-	if b.restarts && len(b.laterEmpty) > 0 {
-		return b.laterEmpty[0], true
+	if !b.restarts {
+		return nil, false
+	}
+	for _, h := range b.laterEmpty {
+		if now >= h.staysUntil {
+			return h, true
+		}
 	}
 	return nil, false
 }
@@ -145,7 +150,7 @@
 		if from == to {
 			continue
 		}
-		h, drains := from.reclaimable()
+		h, drains := from.reclaimable(now)
 		if h == nil {
 			continue
 		}
@@ -155,8 +160,8 @@
 		l, _ := f.load(h)
 		h.vacate(to.pool, drains, now)
 		h.drainTime = f.moves(reclaimDrainMoves)
-		if drains && f.settings.DivideHosts {
-			h.allowRestarts(l)
+		if drains && from.restarts {
+			f.allowRestarts(h, l, now)
 		}
 		return true
 	}
@@ -174,7 +179,8 @@
 // vacate asks the host's pool to empty it, so that no run is started there before it
 // moves.
 func (h *host) vacate(to string, drains bool, now time.Duration) {
-	h.vacating, h.moveTo, h.drains, h.vacatingSince, h.divided = forMove, to, drains, now, false
+	h.vacating, h.moveTo, h.drains, h.vacatingSince = forMove, to, drains, now
+	h.divided, h.restart = false, false
 }
 
 // finishMoves moves the hosts that their pools have emptied. A host that is still busy
@@ -257,7 +263,7 @@
 }
 
 func (f *Fleet) poolBalance(pool string, d Demand, now time.Duration) *poolBalance {
-	b := &poolBalance{pool: pool, restarts: f.settings.DivideHosts}
+	b := &poolBalance{pool: pool, restarts: f.settings.DivideHosts && d.OnTimeMilli != nil}
 	capacity, counted := int64(0), int64(0)
 	for _, h := range f.sorted {
 		if h.Pool != pool && !f.serves(h, pool) {
--- a/jayfleet/division.go
+++ b/jayfleet/division.go
@@ -51,7 +51,7 @@
 		return true
 	}
 	return slices.ContainsFunc(f.sorted, func(h *host) bool {
-		return h.Pool == pool && h.divided && h.vacating == forMove
+		return h.Pool == pool && h.restart && h.vacating == forMove
 	})
 }
 
@@ -197,15 +197,17 @@
 	to.have++
 	h.vacate(to.pool, true, now)
 	h.drainTime = f.moves(reclaimDrainMoves)
-	h.allowRestarts(l)
-	h.staysUntil = now + stayFactor*(l.EmptyIn+f.settings.MoveTime)
+	h.divided = true
+	f.allowRestarts(h, l, now)
 }
 
 // allowRestarts allows the host's pool to restart runs elsewhere that keep the host from leaving,
-// and extends the time that the pool has by the estimate for its runs.
-func (h *host) allowRestarts(l Load) {
-	h.divided = true
+// and extends the time that the pool has by the estimate for its runs. The host then stays in its
+// new pool for a time, so that restarts are not paid for again and again.
+func (f *Fleet) allowRestarts(h *host, l Load, now time.Duration) {
+	h.restart = true
 	h.drainTime = max(h.drainTime, drainFactor*l.EmptyIn)
+	h.staysUntil = now + stayFactor*(l.EmptyIn+f.settings.MoveTime)
 }
 
 // cancelDivided leaves hosts that are still being emptied in their pool if the pool that they
--- a/jayfleet/division_test.go
+++ b/jayfleet/division_test.go
@@ -70,6 +70,41 @@
 	after("hosts that never become empty stay", never, none)
 }
 
+func TestSurplusHostsLeaveWithRestarts(t *testing.T) {
+	// Guards against a pool that keeps busy hosts beyond its need while another pool has almost
+	// none: each host holds a run that ends later than a drain lasts.
+	surplus := func(name string, change func(*world), gives int, restart, contracting bool) {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := divided(t, 20, 2)
+			w.wanted["seats"] = 10 * hostMilli
+			w.wanted["fees"] = 5 * hostMilli
+			change(w)
+			w.step()
+			w.step()
+			orders := w.fleet.Vacating("seats")
+			is.Equal(len(orders), gives)
+			for _, o := range orders {
+				is.Equal(o.Restart, restart)
+			}
+			is.Equal(w.fleet.Contracting("seats"), contracting)
+			for _, h := range w.fleet.hosts {
+				is.True(!h.divided) // reported as vacated
+				is.True(!h.restart || h.staysUntil > w.now)
+			}
+		})
+	}
+	surplus("with the part on", func(*world) {}, 4, true, true)
+	surplus("with the part off", func(w *world) { w.fleet.settings.DivideHosts = false }, 0, false, false)
+	surplus("if the pool's owner has an earlier version", func(w *world) { delete(w.onTime, "seats") }, 0, false, false)
+	surplus("unless they have just arrived", func(w *world) {
+		w.step()
+		for _, h := range w.fleet.hosts {
+			h.vacating, h.restart, h.staysUntil = notVacating, false, w.now+time.Second
+		}
+	}, 0, false, true) // above its entitlement
+}
+
 func TestNewFleetOwnerMovesNoDividedHostTwice(t *testing.T) {
 	// Guards against a host that is moved twice: the owner of the fleet is lost after it has sent
 	// the moves of a division, and the next one has not seen them in the inventory yet.
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -166,6 +166,8 @@
 	staysUntil time.Duration
 	// divided reports whether the host is vacated by a division.
 	divided bool
+	// restart allows the host's pool to restart runs elsewhere that keep it from leaving.
+	restart bool
 }
 
 // command is an operation requested from the inventory.
@@ -303,7 +305,7 @@
 	workers := map[string]Vacate{}
 	for _, h := range f.sorted {
 		if h.Pool == pool && h.Worker != "" && (h.vacating != notVacating || h.command != nil) {
-			workers[h.Worker] = Vacate{Urgent: h.urgent, Migrate: h.drains, Restart: h.divided && h.vacating == forMove}
+			workers[h.Worker] = Vacate{Urgent: h.urgent, Migrate: h.drains, Restart: h.restart && h.vacating == forMove}
 		}
 	}
 	return workers
