Keep hosts of a silent pool out of the count of the pool they were promised to

Cause: a host that is to be emptied with restarts stayed promised for as long as its pool's owner reported nothing since; the other pool counted it and got no other host. Change: the promise ends with the drain time if the pool's owner is silent.

--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -184,7 +184,9 @@
 }
 
 // finishMoves moves the hosts that their pools have emptied. A host that is still busy
-// after its drain time, or that was expected to be idle but is not, stays in its pool.
+// after its drain time, or that was expected to be idle but is not, stays in its pool. So does a
+// host that a division gives away if its pool's owner reports nothing: the pool that it is given to
+// would count it as long as the silence lasts.
 func (f *Fleet) finishMoves(now time.Duration) {
 	for _, h := range f.sorted {
 		if h.vacating != forMove || h.command != nil {
@@ -195,7 +197,7 @@
 		switch {
 		case f.empty(h, now) && reported:
 			f.begin(h, moving{to: h.moveTo}, h.moveReason(), now)
-		case reported && !waits:
+		case (reported || h.restart && f.silent(h.Pool, now)) && !waits:
 			h.vacating = notVacating
 		}
 	}
--- a/jayfleet/division.go
+++ b/jayfleet/division.go
@@ -230,6 +230,11 @@
 	}
 }
 
+// silent reports whether a pool's owner has reported nothing for longer than a report is valid.
+func (f *Fleet) silent(pool string, now time.Duration) bool {
+	return now-f.demands[pool].At > maxDemandAge
+}
+
 // moveReason returns why a vacated host is moved.
 func (h *host) moveReason() string {
 	if h.divided {
--- a/jayfleet/division_test.go
+++ b/jayfleet/division_test.go
@@ -105,6 +105,20 @@
 	}, 0, false, true) // above its entitlement
 }
 
+func TestHostsOfASilentPoolAreNotCountedElsewhere(t *testing.T) {
+	// Guards against a pool that gets no other hosts as long as the owner of the pool that was to
+	// give it hosts reports nothing.
+	is := is.New(t)
+	w := divided(t, 20, 2)
+	w.step()
+	is.True(len(w.fleet.Vacating("seats")) > 0)
+	for range 6 {
+		w.now += time.Second
+		w.fleet.Decide(w.now)
+	}
+	is.Equal(len(w.fleet.Vacating("seats")), 0)
+}
+
 func TestNewFleetOwnerMovesNoDividedHostTwice(t *testing.T) {
 	// Guards against a host that is moved twice: the owner of the fleet is lost after it has sent
 	// the moves of a division, and the next one has not seen them in the inventory yet.
