--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -112,7 +112,7 @@
 
 // reclaimable returns a host that the pool does not need, preferring idle ones, and
 // whether it must be drained first. It returns nil if there is none.
-func (b *poolBalance) reclaimable() (h *host, drains bool) {
+func (b *poolBalance) reclaimable(now time.Duration) (h *host, drains bool) {
 	if b.have <= max(b.need, b.ahead) {
 		return nil, false
 	}
@@ -122,8 +122,13 @@
 	if len(b.soonEmpty) > 0 {
 		return b.soonEmpty[0], true
 	}
-	if b.restarts && len(b.laterEmpty) > 0 {
-		return b.laterEmpty[0], true
+	if !b.restarts {
+		return nil, false
+	}
+	for _, h := range b.laterEmpty {
+		if now >= h.staysUntil {
+			return h, true
+		}
 	}
 	return nil, false
 }
@@ -155,7 +160,7 @@
 		if from == to {
 			continue
 		}
-		h, drains := from.reclaimable()
+		h, drains := from.reclaimable(now)
 		if h == nil {
 			continue
 		}
@@ -165,8 +170,8 @@
 		l, _ := f.load(h)
 		h.vacate(to.pool, drains, now)
 		h.drainTime = f.moves(reclaimDrainMoves)
-		if drains && f.settings.DivideHosts {
-			h.allowRestarts(l)
+		if drains && from.restarts {
+			f.allowRestarts(h, l, now)
 		}
 		return true
 	}
@@ -184,11 +189,14 @@
 // vacate asks the host's pool to empty it, so that no run is started there before it
 // moves.
 func (h *host) vacate(to string, drains bool, now time.Duration) {
-	h.vacating, h.moveTo, h.drains, h.vacatingSince, h.divided = forMove, to, drains, now, false
+	h.vacating, h.moveTo, h.drains, h.vacatingSince = forMove, to, drains, now
+	h.divided, h.restart = false, false
 }
 
 // finishMoves moves the hosts that their pools have emptied. A host that is still busy
-// after its drain time, or that was expected to be idle but is not, stays in its pool.
+// after its drain time, or that was expected to be idle but is not, stays in its pool. So does a
+// host that a division gives away if its pool's owner reports nothing: the pool that it is given to
+// would count it as long as the silence lasts.
 func (f *Fleet) finishMoves(now time.Duration) {
 	for _, h := range f.sorted {
 		if h.vacating != forMove || h.command != nil {
@@ -199,7 +207,7 @@
 		switch {
 		case f.empty(h, now) && reported:
 			f.begin(h, moving{to: h.moveTo}, h.moveReason(), now)
-		case reported && !waits:
+		case (reported || h.restart && f.silent(h.Pool, now)) && !waits:
 			h.vacating = notVacating
 		}
 	}
@@ -270,7 +278,7 @@
 }
 
 func (f *Fleet) poolBalance(pool string, d Demand, now time.Duration) *poolBalance {
-	b := &poolBalance{pool: pool, restarts: f.settings.DivideHosts}
+	b := &poolBalance{pool: pool, restarts: f.settings.DivideHosts && d.OnTimeMilli != nil}
 	capacity, counted := int64(0), int64(0)
 	for _, h := range f.sorted {
 		if h.Pool != pool && !f.serves(h, pool) {
--- a/jayfleet/division.go
+++ b/jayfleet/division.go
@@ -26,6 +26,9 @@
 	// drainFactor is the multiple of its estimated time for which the pool may empty a host that
 	// is given to another pool.
 	drainFactor = 2
+	// unknownMoves is the multiple of the move time within which the moves of a former owner end.
+	// Without the limit, one host that is stuck in a move would stop every division.
+	unknownMoves = 2
 )
 
 // Division is the part of a division of the hosts that concerns one pool, in hosts.
@@ -48,7 +51,7 @@
 		return true
 	}
 	return slices.ContainsFunc(f.sorted, func(h *host) bool {
-		return h.Pool == pool && h.divided && h.vacating == forMove
+		return h.Pool == pool && h.restart && h.vacating == forMove
 	})
 }
 
@@ -101,10 +104,12 @@
 
 // movesUnknown reports whether a host may be on its way to a pool that this owner does not know. A
 // host that a former owner moved is listed in its old pool until it has arrived; if it counted
-// there, as many hosts would be given once more.
+// there, as many hosts would be given once more. A host that still moves long after the takeover
+// was not moved by a former owner, or is stuck.
 func (f *Fleet) movesUnknown(now time.Duration) bool {
+	recent := now-f.decidingSince < takeoverDelay+f.moves(unknownMoves)
 	return slices.ContainsFunc(f.sorted, func(h *host) bool {
-		return f.held(h, now) || h.State == jayport.HostMoving && h.command == nil
+		return f.held(h, now) || recent && h.State == jayport.HostMoving && h.command == nil
 	})
 }
 
@@ -192,7 +197,16 @@
 	to.have++
 	h.vacate(to.pool, true, now)
 	h.drainTime = f.moves(reclaimDrainMoves)
-	h.allowRestarts(l)
+	h.divided = true
+	f.allowRestarts(h, l, now)
+}
+
+// allowRestarts allows the host's pool to restart runs elsewhere that keep the host from leaving,
+// and extends the time that the pool has by the estimate for its runs. The host then stays in its
+// new pool for a time, so that restarts are not paid for again and again.
+func (f *Fleet) allowRestarts(h *host, l Load, now time.Duration) {
+	h.restart = true
+	h.drainTime = max(h.drainTime, drainFactor*l.EmptyIn)
 	h.staysUntil = now + stayFactor*(l.EmptyIn+f.settings.MoveTime)
 }
 
@@ -223,6 +237,11 @@
 	}
 }
 
+// silent reports whether a pool's owner has reported nothing for longer than a report is valid.
+func (f *Fleet) silent(pool string, now time.Duration) bool {
+	return now-f.demands[pool].At > maxDemandAge
+}
+
 // moveReason returns why a vacated host is moved.
 func (h *host) moveReason() string {
 	if h.divided {
