--- a/jayfleet/division.go
+++ b/jayfleet/division.go
@@ -210,13 +210,6 @@
 	h.staysUntil = now + stayFactor*(l.EmptyIn+f.settings.MoveTime)
 }
 
-// allowRestarts allows the host's pool to restart runs elsewhere that keep the host from leaving,
-// and extends the time that the pool has by the estimate for its runs.
-func (h *host) allowRestarts(l Load) {
-	h.divided = true
-	h.drainTime = max(h.drainTime, drainFactor*l.EmptyIn)
-}
-
 // cancelDivided leaves hosts that are still being emptied in their pool if the pool that they
 // were to be given to has enough by now and their own pool lacks some.
 func (f *Fleet) cancelDivided(balances []*poolBalance) {
