--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -54,6 +54,10 @@
 	need   int
 	keep   int
 	useful int
+	// ahead is the number of hosts that the pool needs for a predicted burst, and kept the
+	// number that is not released to standby because of it.
+	ahead int
+	kept  int
 	// idle lists hosts that run nothing, the longest idle first. soonEmpty lists hosts
 	// that become empty within soonEmptyMoves, the earliest first.
 	idle      []*host
@@ -61,6 +65,12 @@
 	// laterEmpty lists other hosts that become empty within shareDrainMoves, the earliest
 	// first.
 	laterEmpty []*host
+	// onTime is the number of hosts needed for jobs that can still be on time. entitled is the
+	// number of hosts that the pool is entitled to.
+	onTime   int
+	entitled int
+	// restarts reports whether runs that keep a host from leaving may be restarted elsewhere.
+	restarts bool
 }
 
 // balance moves hosts to the pools that lack some, and moves hosts that no pool needs to
@@ -76,7 +86,10 @@
 		f.fill(b, &free, balances, now)
 		f.short = f.short || b.have+reserveHosts < b.need
 	}
-	f.share(balances, now)
+	f.fillAhead(balances, &free, now)
+	if !f.divide(balances, len(free), now) {
+		f.share(balances, now)
+	}
 	f.releaseIdle(balances, f.enoughStandby(len(free), now), now)
 }
 
@@ -99,8 +112,8 @@
 
 // reclaimable returns a host that the pool does not need, preferring idle ones, and
 // whether it must be drained first. It returns nil if there is none.
-func (b *poolBalance) reclaimable() (h *host, drains bool) {
-	if b.have <= b.need {
+func (b *poolBalance) reclaimable(now time.Duration) (h *host, drains bool) {
+	if b.have <= max(b.need, b.ahead) {
 		return nil, false
 	}
 	if len(b.idle) > 0 {
@@ -109,14 +122,27 @@
 	if len(b.soonEmpty) > 0 {
 		return b.soonEmpty[0], true
 	}
+	if !b.restarts {
+		return nil, false
+	}
+	for _, h := range b.laterEmpty {
+		if now >= h.staysUntil {
+			return h, true
+		}
+	}
 	return nil, false
 }
 
 // fill assigns hosts to a pool until it has as many as it needs or none is available.
 func (f *Fleet) fill(to *poolBalance, free *[]*host, balances []*poolBalance, now time.Duration) {
-	for to.have < to.need {
+	f.fillTo(to, to.need, "wanted", free, balances, now)
+}
+
+// fillTo assigns hosts to a pool until it has the given number or none is available.
+func (f *Fleet) fillTo(to *poolBalance, hosts int, why string, free *[]*host, balances []*poolBalance, now time.Duration) {
+	for to.have < hosts {
 		if len(*free) > 0 {
-			f.begin((*free)[0], moving{to: to.pool}, "wanted", now)
+			f.begin((*free)[0], moving{to: to.pool}, why, now)
 			*free = (*free)[1:]
 			to.have++
 			continue
@@ -134,15 +160,19 @@
 		if from == to {
 			continue
 		}
-		h, drains := from.reclaimable()
+		h, drains := from.reclaimable(now)
 		if h == nil {
 			continue
 		}
 		from.drop(h)
 		from.have--
 		to.have++
+		l, _ := f.load(h)
 		h.vacate(to.pool, drains, now)
 		h.drainTime = f.moves(reclaimDrainMoves)
+		if drains && from.restarts {
+			f.allowRestarts(h, l, now)
+		}
 		return true
 	}
 	return false
@@ -160,10 +190,13 @@
 // moves.
 func (h *host) vacate(to string, drains bool, now time.Duration) {
 	h.vacating, h.moveTo, h.drains, h.vacatingSince = forMove, to, drains, now
+	h.divided, h.restart = false, false
 }
 
 // finishMoves moves the hosts that their pools have emptied. A host that is still busy
-// after its drain time, or that was expected to be idle but is not, stays in its pool.
+// after its drain time, or that was expected to be idle but is not, stays in its pool. So does a
+// host that a division gives away if its pool's owner reports nothing: the pool that it is given to
+// would count it as long as the silence lasts.
 func (f *Fleet) finishMoves(now time.Duration) {
 	for _, h := range f.sorted {
 		if h.vacating != forMove || h.command != nil {
@@ -173,8 +206,8 @@
 		waits := h.drains && now-h.vacatingSince < h.drainTime
 		switch {
 		case f.empty(h, now) && reported:
-			f.begin(h, moving{to: h.moveTo}, "vacated", now)
-		case reported && !waits:
+			f.begin(h, moving{to: h.moveTo}, h.moveReason(), now)
+		case (reported || h.restart && f.silent(h.Pool, now)) && !waits:
 			h.vacating = notVacating
 		}
 	}
@@ -189,9 +222,12 @@
 	for _, b := range balances {
 		for _, h := range slices.Clone(b.idle) {
 			l, _ := f.load(h)
-			if b.have <= b.need || l.Idle < f.minIdleTime(b, enoughStandby) {
+			if b.have <= max(b.need, b.kept) {
 				break
 			}
+			if l.Idle < f.minIdleTime(b, enoughStandby) {
+				continue
+			}
 			b.drop(h)
 			b.have--
 			h.vacate(target, false, now)
@@ -242,9 +278,12 @@
 }
 
 func (f *Fleet) poolBalance(pool string, d Demand, now time.Duration) *poolBalance {
-	b := &poolBalance{pool: pool}
+	b := &poolBalance{pool: pool, restarts: f.settings.DivideHosts && d.OnTimeMilli != nil}
 	capacity, counted := int64(0), int64(0)
 	for _, h := range f.sorted {
+		if h.Pool != pool && !f.serves(h, pool) {
+			continue
+		}
 		room := f.room(h)
 		if h.Pool == pool && room > 0 {
 			capacity += room
@@ -273,18 +312,24 @@
 	}
 	b.need = max(hostsFor(d.NeedMilli, each), d.HostsAtLeast)
 	b.useful = max(hostsFor(d.NeedMilli-d.ExpiredMilli, each), d.HostsAtLeast)
+	if d.OnTimeMilli != nil {
+		b.onTime = min(b.useful, max(hostsFor(*d.OnTimeMilli, each), d.HostsAtLeast))
+	}
 	b.keep = max(hostsFor(d.NeedMilli+d.SpareMilli, each), d.HostsAtLeast)
+	f.raise(b, each, now)
 	return b
 }
 
-// sort orders the hosts that may be moved to another pool: idle ones by longest idle time,
-// others by shortest time until they are empty.
+// sort orders the hosts that may be moved to another pool: slow ones first, then idle ones by
+// longest idle time, others by shortest time until they are empty.
 func (b *poolBalance) sort(d Demand) {
 	slices.SortStableFunc(b.idle, func(a, b *host) int {
-		return cmp.Compare(d.Loads[b.Worker].Idle, d.Loads[a.Worker].Idle)
+		x, y := d.Loads[a.Worker], d.Loads[b.Worker]
+		return cmp.Or(compareSlow(x, y), cmp.Compare(y.Idle, x.Idle))
 	})
 	emptySooner := func(a, b *host) int {
-		return cmp.Compare(d.Loads[a.Worker].EmptyIn, d.Loads[b.Worker].EmptyIn)
+		x, y := d.Loads[a.Worker], d.Loads[b.Worker]
+		return cmp.Or(compareSlow(x, y), cmp.Compare(x.EmptyIn, y.EmptyIn))
 	}
 	slices.SortStableFunc(b.laterEmpty, emptySooner)
 	slices.SortStableFunc(b.soonEmpty, emptySooner)
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"jaythread/jayburst"
 	"jaythread/jayport"
 )
 
@@ -20,6 +21,8 @@
 	// DivideHosts and PredictBursts select decisions under load; see jayoptions.Overload.
 	DivideHosts   bool
 	PredictBursts bool
+	// BurstPredictors are the predictors of bursts; nil means all.
+	BurstPredictors []jayburst.Predictor
 }
 
 // Action is a command for the fleet's owner to carry out: MoveHost, MaintainHost or
@@ -69,6 +72,13 @@
 	// EmptyIn is the estimated time until the worker is empty if its runs are migrated; a
 	// negative value means never.
 	EmptyIn time.Duration
+	// RestartCost is the work, in thousandths of a core times seconds, that is lost if the
+	// worker is emptied within EmptyIn. Restartable reports whether EmptyIn is based on
+	// restarts.
+	RestartCost int64
+	Restartable bool
+	// SpeedPercent is the worker's speed as its own runs show it; zero is unknown.
+	SpeedPercent int
 }
 
 // Vacate specifies how a pool is to empty a worker.
@@ -77,6 +87,8 @@
 	// runs that can continue on another worker.
 	Urgent  bool
 	Migrate bool
+	// Restart allows stopping runs that start anew on another worker.
+	Restart bool
 }
 
 // Demand is the capacity that a pool's owner requests.
@@ -89,6 +101,12 @@
 	// ExpiredMilli is the part of NeedMilli that is for jobs whose results their callers
 	// can no longer use.
 	ExpiredMilli int64
+	// OnTimeMilli is the part of NeedMilli for jobs that can still be done by their target;
+	// nil means that it is not known.
+	OnTimeMilli *int64
+	// ArrivingMilli is the capacity that the arriving jobs would keep busy if they continued
+	// to arrive at the present rate.
+	ArrivingMilli int64
 	// HostsAtLeast is the minimum number of hosts regardless of their size.
 	HostsAtLeast int
 	// Loads holds the load of each worker by worker ID.
@@ -115,8 +133,14 @@
 	waves    map[string]*wave
 	// shortSince is the time since which a pool has had less than its share, by pool.
 	shortSince map[string]time.Duration
+	// division is what each pool was last entitled to, by pool, while a pool lacks hosts.
+	// divisions are those that moved hosts and were not taken yet.
+	division  map[string]Division
+	divisions []Division
 	// short reports whether some pool has fewer hosts than it can use soon.
-	short       bool
+	short bool
+	// bursts predicts the bursts of the pools; it is nil if they are not predicted.
+	bursts      *burstPredictor
 	actions     []Action
 	hostChanges []HostChange
 }
@@ -148,6 +172,12 @@
 	drainTime time.Duration
 	// vacatingSince is when the pool was first asked to empty the host.
 	vacatingSince time.Duration
+	// staysUntil is until when the host is not given away again by a division.
+	staysUntil time.Duration
+	// divided reports whether the host is vacated by a division.
+	divided bool
+	// restart allows the host's pool to restart runs elsewhere that keep it from leaving.
+	restart bool
 }
 
 // command is an operation requested from the inventory.
@@ -184,6 +214,7 @@
 		working:  map[string]bool{},
 		demands:  map[string]Demand{},
 		waves:    map[string]*wave{},
+		bursts:   newBurstPredictor(settings),
 
 		shortSince: map[string]time.Duration{},
 	}
@@ -255,6 +286,7 @@
 // SetDemand stores the latest demand of a pool.
 func (f *Fleet) SetDemand(pool string, d Demand) {
 	f.demands[pool] = d
+	f.observeBursts(pool, d)
 }
 
 // HandleAnswer applies the inventory's answer to the command on a host.
@@ -285,7 +317,7 @@
 	workers := map[string]Vacate{}
 	for _, h := range f.sorted {
 		if h.Pool == pool && h.Worker != "" && (h.vacating != notVacating || h.command != nil) {
-			workers[h.Worker] = Vacate{Urgent: h.urgent, Migrate: h.drains}
+			workers[h.Worker] = Vacate{Urgent: h.urgent, Migrate: h.drains, Restart: h.restart && h.vacating == forMove}
 		}
 	}
 	return workers
@@ -312,6 +344,7 @@
 	if f.listedAt > 0 {
 		f.resend(now)
 		f.finishMoves(now)
+		f.predictBursts(now)
 		f.balance(now)
 		f.runWaves(now)
 	}
@@ -362,12 +395,13 @@
 	return l, ok
 }
 
-// room returns the host's current capacity in thousandths of a core.
+// room returns the host's current capacity in thousandths of a core, at its speed.
 func (f *Fleet) room(h *host) int64 {
-	if l, known := f.load(h); known && l.CapacityMilli != nil {
-		return *l.CapacityMilli
+	l, known := f.load(h)
+	if known && l.CapacityMilli != nil {
+		return l.worth(*l.CapacityMilli)
 	}
-	return h.Capacity.ProcessorsMilli
+	return l.worth(h.Capacity.ProcessorsMilli)
 }
 
 // empty reports whether a command on the host would end no run: it is on standby, or its
--- a/jaymetric/jobs.go
+++ b/jaymetric/jobs.go
@@ -25,9 +25,14 @@
 	jobDuration       *prometheus.HistogramVec
 	commands          *prometheus.CounterVec
 	dutyChanges       *prometheus.CounterVec
+	hostsGiven        *prometheus.CounterVec
+	workLost          *prometheus.CounterVec
 	rejected          *prometheus.CounterVec
 	decisionAge       prometheus.Histogram
 	quotaWait         *prometheus.CounterVec
+	beyondShare       *prometheus.CounterVec
+	share             *prometheus.GaugeVec
+	burstPredictions  *prometheus.CounterVec
 	organisations     boundedLabels
 }
 
@@ -72,6 +77,8 @@
 		taskWait:          newHistogramVec("jaythread_task_wait_seconds", "Time from when a task could start to its start.", "pool"),
 		jobDuration:       newHistogramVec("jaythread_job_duration_seconds", "Time from a job's submission to its end.", "pool"),
 		commands:          newCounterVec("jaythread_host_commands_total", "Moves and maintenances of instances by outcome.", "command", "outcome"),
+		hostsGiven:        newCounterVec("jaythread_hosts_given_total", "Instances that a pool was asked to give to another one and has emptied, by reason.", "pool", "reason"),
+		workLost:          newCounterVec("jaythread_lost_work_core_seconds_total", "Work of runs that were restarted to release their worker.", "pool"),
 		dutyChanges:       newCounterVec("jaythread_duty_changes_total", "Duties taken over and ended by this entry.", "duty", "change"),
 		rejected:          newCounterVec("jaythread_calls_rejected_total", "Calls that were rejected for their path or key, by reason.", "reason"),
 		decisionAge: prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -79,9 +86,14 @@
 			Help:    "Age of the operators' declarations that a call was decided by, when it arrived.",
 			Buckets: []float64{0.1, 0.5, 1, 1.5, 2, 3, 5, 10, 30},
 		}),
-		quotaWait: newCounterVec("jaythread_quota_wait_seconds_total", "Time for which tasks waited for their organisation's quota, by pool and organisation.", "pool", "organisation"),
+		quotaWait:   newCounterVec("jaythread_quota_wait_seconds_total", "Time for which tasks waited for their organisation's quota, by pool and organisation.", "pool", "organisation"),
+		beyondShare: newCounterVec("jaythread_beyond_share_seconds_total", "Time for which organisations had jobs beyond their share, by pool and organisation.", "pool", "organisation"),
+		share: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "jaythread_organisation_share_cores", Help: "Share of an organisation of the capacity of all pools, by the pool that lacks room.",
+		}, []string{"pool", "organisation"}),
+		burstPredictions: newCounterVec("jaythread_burst_predictions_total", "Predictions of bursts by outcome, and bursts that were not predicted.", "pool", "outcome"),
 	}
-	m.Registry.MustRegister(m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges)
+	m.Registry.MustRegister(m.burstPredictions, m.hostsGiven, m.workLost, m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges, m.beyondShare, m.share)
 	m.Runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -134,6 +146,16 @@
 	m.commands.WithLabelValues(command, outcome).Inc()
 }
 
+// HostGiven counts an instance that a pool gives to another one.
+func (m *JobMetrics) HostGiven(pool, reason string) {
+	m.hostsGiven.WithLabelValues(pool, reason).Inc()
+}
+
+// WorkLost records the work of runs that were restarted to release their worker.
+func (m *JobMetrics) WorkLost(pool string, coreSeconds float64) {
+	m.workLost.WithLabelValues(pool).Add(coreSeconds)
+}
+
 // DutyChanged counts a duty that this entry took over or ended.
 func (m *JobMetrics) DutyChanged(duty, change string) {
 	m.dutyChanges.WithLabelValues(duty, change).Inc()
@@ -154,6 +176,24 @@
 	m.quotaWait.WithLabelValues(pool, m.organisations.value(organisation)).Add(waited.Seconds())
 }
 
+// WasBeyondShare records for how long an organisation had jobs beyond its share.
+func (m *JobMetrics) WasBeyondShare(pool, organisation string, lasted time.Duration) {
+	m.beyondShare.WithLabelValues(pool, m.organisations.value(organisation)).Add(lasted.Seconds())
+}
+
+// SetShares replaces the shares that are in force in a pool, in cores by organisation.
+func (m *JobMetrics) SetShares(pool string, cores map[string]float64) {
+	m.share.DeletePartialMatch(prometheus.Labels{"pool": pool})
+	for organisation, share := range cores {
+		m.share.WithLabelValues(pool, m.organisations.value(organisation)).Add(share)
+	}
+}
+
+// BurstPredicted counts a prediction of a burst, or what became of it.
+func (m *JobMetrics) BurstPredicted(pool, outcome string) {
+	m.burstPredictions.WithLabelValues(pool, outcome).Inc()
+}
+
 // Gauge registers a gauge whose value is read at each scrape.
 func (m *JobMetrics) Gauge(name, help string, read func() float64) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -5,11 +5,13 @@
 	"strings"
 	"time"
 
+	"jaythread/jayburst"
 	"jaythread/jayclock"
 	"jaythread/jayfleet"
 	"jaythread/jaymember"
 	"jaythread/jayowner"
 	"jaythread/jayquota"
+	"jaythread/jayshare"
 	"jaythread/jaytail"
 	"jaythread/jaywire"
 )
@@ -42,7 +44,9 @@
 	// The fields below are used only by the duty's goroutine.
 	fleet *jayfleet.Fleet
 	// lender decides what each pool may use of the organisations' quotas.
-	lender          *jayquota.Lender
+	lender *jayquota.Lender
+	// uses sums up what organisations use in the pools.
+	uses            *jayshare.Ledger
 	readingHosts    bool
 	nextHostsReadAt time.Duration
 	askingDemand    map[string]bool
@@ -63,6 +67,7 @@
 			CallTime:         inventoryTimeout,
 		},
 		lender:       jayquota.NewLender(claim.Fence, jayquota.ByDemand{}),
+		uses:         jayshare.NewLedger(),
 		askingDemand: map[string]bool{},
 		nextDemandAt: map[string]time.Duration{},
 		sentOrders:   map[string]string{},
@@ -137,6 +142,8 @@
 	for _, c := range d.fleet.TakeHostChanges() {
 		d.logger.Info("host changed", "host", c.Host, "pool", c.Pool, "state", c.State.String(), "worker", c.Worker)
 	}
+	d.logDivisions()
+	d.logBursts(now)
 	d.logStates(now)
 	d.readHosts(now)
 	d.lendQuotas(working)
@@ -153,11 +160,37 @@
 	d.nextStatesLogAt = now + stateLogInterval
 	pools, off := d.fleet.States(now)
 	for _, s := range pools {
-		d.logger.Info("pool state", "pool", s.Pool, "need", s.Need, "keep", s.Keep, "useful", s.Useful, "on", s.On, "idle", s.Idle, "longRunning", s.LongRunning,
+		d.logger.Info("pool state", "pool", s.Pool, "need", s.Need, "keep", s.Keep, "useful", s.Useful, "entitled", s.Entitled, "on", s.On, "idle", s.Idle, "longRunning", s.LongRunning,
 			"coming", s.Coming, "leaving", s.Leaving, "usedMilli", s.UsedMilli, "roomMilli", s.RoomMilli, "off", off)
 	}
 }
 
+// logDivisions logs each division of the hosts that moves some, by pool.
+func (d *fleetDuty) logDivisions() {
+	for _, v := range d.fleet.TakeDivisions() {
+		d.logger.Info("hosts divided", "pool", v.Pool, "entitled", v.Entitled, "hosts", v.Have, "need", v.Need, "onTime", v.OnTime, "gives", v.Gives)
+	}
+}
+
+// logBursts logs and counts the predictions of bursts and what became of them. Times are
+// relative to now: the clock of an entry means nothing to an operator.
+func (d *fleetDuty) logBursts(now time.Duration) {
+	for _, e := range d.fleet.TakeBurstEvents() {
+		p := e.Prediction
+		d.node.metrics.BurstPredicted(p.Pool, e.Outcome.String())
+		switch e.Outcome {
+		case jayburst.Predicted:
+			d.logger.Info("burst predicted", "pool", p.Pool, "beginsIn", (p.Begin - now).String(), "uncertainty", p.Uncertainty.String(), "heightMilli", p.HeightMilli, "confidence", p.Confidence)
+		case jayburst.Came:
+			d.logger.Info("burst begins", "pool", p.Pool, "predicted", true, "error", (e.Began - p.Begin).String(), "confidence", p.Confidence, "age", (now - e.Began).String())
+		case jayburst.Unpredicted:
+			d.logger.Info("burst begins", "pool", p.Pool, "predicted", false, "age", (now - e.Began).String())
+		case jayburst.Missing, jayburst.Unobserved:
+			d.logger.Info("burst does not begin", "pool", p.Pool, "outcome", e.Outcome.String(), "overdue", (now - p.Begin).String(), "confidence", p.Confidence)
+		}
+	}
+}
+
 // waveStartTime returns when a wave's time began, on this entry's clock: the earlier of
 // the recorded declaration and the time at which this entry learned of the wave. An entry
 // that was started during a wave learned of it late. Without the recorded time, each new
@@ -197,7 +230,7 @@
 	vacating := d.fleet.Vacating(pool)
 	orders := make([]*jaywire.VacateOrder, 0, len(vacating))
 	for worker, how := range vacating {
-		orders = append(orders, &jaywire.VacateOrder{Worker: worker, Urgent: how.Urgent, Migrate: how.Migrate})
+		orders = append(orders, &jaywire.VacateOrder{Worker: worker, Urgent: how.Urgent, Migrate: how.Migrate, Restart: how.Restart})
 	}
 	slices.SortFunc(orders, func(a, b *jaywire.VacateOrder) int { return strings.Compare(a.Worker, b.Worker) })
 	names := vacateOrdersKey(orders)
@@ -206,7 +239,17 @@
 	}
 	d.askingDemand[pool] = true
 	d.sentOrders[pool] = names
-	ask := &jaywire.AskDemand{Pool: pool, Fence: d.claim.Fence, Vacate: orders, Quota: encodeQuotaMessage(d.lender.Message(pool))}
+	ask := &jaywire.AskDemand{
+		Pool:          pool,
+		Fence:         d.claim.Fence,
+		Vacate:        orders,
+		Quota:         encodeQuotaMessage(d.lender.Message(pool)),
+		Contracting:   d.fleet.Contracting(pool),
+		UsedElsewhere: d.usedElsewhere(pool, now),
+	}
+	if d.node.settings.Overload.RejectHopeless {
+		ask.Arriving = encodeArriving(d.fleet.Arriving(pool, now))
+	}
 	existing, asked, read := d.fleet.Existing(pool)
 	if clock, known := d.clocks[pool]; known && read {
 		ask.Surveyed, ask.Existing = true, existing
@@ -220,6 +263,7 @@
 			if err == nil && report.GetOwned() {
 				d.fleet.SetDemand(pool, demandOf(report, now))
 				d.receiveQuotas(pool, report)
+				d.receiveUses(pool, report, now)
 				d.clocks[pool] = jaymember.PeerClock{Fence: report.Fence, Clock: micros(report.ClockMicros), HeardAt: at}
 			}
 		})
@@ -240,12 +284,14 @@
 
 func demandOf(report *jaywire.DemandReport, at time.Duration) jayfleet.Demand {
 	demand := jayfleet.Demand{
-		NeedMilli:    report.NeedMilli,
-		SpareMilli:   report.SpareMilli,
-		ExpiredMilli: report.ExpiredMilli,
-		HostsAtLeast: int(report.WorkersAtLeast),
-		Loads:        make(map[string]jayfleet.Load, len(report.Workers)),
-		At:           at,
+		OnTimeMilli:   report.OnTimeMilli,
+		NeedMilli:     report.NeedMilli,
+		SpareMilli:    report.SpareMilli,
+		ExpiredMilli:  report.ExpiredMilli,
+		ArrivingMilli: report.ArrivingMilli,
+		HostsAtLeast:  int(report.WorkersAtLeast),
+		Loads:         make(map[string]jayfleet.Load, len(report.Workers)),
+		At:            at,
 	}
 	for _, w := range report.Workers {
 		demand.Loads[w.Worker] = jayfleet.Load{
@@ -256,6 +302,9 @@
 			Vacated:       w.Vacated,
 			Idle:          millis(w.IdleMillis),
 			EmptyIn:       millis(w.EmptyInMillis),
+			RestartCost:   w.RestartCost,
+			Restartable:   w.Restartable,
+			SpeedPercent:  int(w.SpeedPercent),
 		}
 	}
 	return demand
--- a/jaynode/meters.go
+++ b/jaynode/meters.go
@@ -133,6 +133,8 @@
 	n.metrics.Answered(call, outcome, n.clock()-began)
 }
 
+const milliPerCore = 1000
+
 // countEvent counts an event of a pool.
 func (d *poolDuty) countEvent(event jaysched.Event) {
 	m := d.node.metrics
@@ -142,8 +144,12 @@
 		m.TaskStarted(d.name, event.Waited)
 	case jaysched.JobEnded:
 		m.JobEnded(d.name, event.Waited)
+	case jaysched.RunRestarted:
+		m.WorkLost(d.name, event.LostMilli/milliPerCore)
 	case jaysched.QuotaFree:
 		m.QuotaWaited(d.name, event.Organisation, event.Waited)
+	case jaysched.WithinShare:
+		m.WasBeyondShare(d.name, event.Organisation, event.Waited)
 	}
 }
 
@@ -158,6 +164,7 @@
 		}
 		return float64(duties)
 	})
+	n.metrics.Gauge("jaythread_return_places", "Rejected jobs that have a place in the order of return, in the pools that this entry owns.", n.returnPlaces)
 	n.metrics.Gauge("jaythread_declarations_age_seconds", "Age of this entry's view of the operators' declarations.", func() float64 {
 		return (n.clock() - n.declarations.asOf()).Seconds()
 	})
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -49,6 +49,8 @@
 	storedJobs sync.Map
 	// lacksRoom is set while tasks wait for free capacity.
 	lacksRoom atomic.Bool
+	// places is the number of rejected jobs that are to return.
+	places atomic.Int64
 	// latency measures how long the pool's workers take to answer.
 	latency *jaysched.Latency
 
@@ -57,6 +59,8 @@
 	jobs         *jobTail
 	flushing     bool
 	nextExpireAt time.Duration
+	// nextSharesAt is when the organisations' shares are passed to the metrics next.
+	nextSharesAt time.Duration
 	// lastActiveAt is when the duty's goroutine last processed an event or began a step.
 	lastActiveAt time.Duration
 }
@@ -122,6 +126,7 @@
 // run takes the pool over and runs its tasks until the duty ends.
 func (d *poolDuty) run() {
 	defer d.node.removePool(d)
+	defer d.node.metrics.SetShares(d.name, nil)
 	if !d.takeOver() {
 		return
 	}
@@ -138,6 +143,7 @@
 	// before it advances AsOf, so that all jobs up to AsOf are processed below.
 	jobsAsOf := d.jobs.tail.AsOf()
 	d.pool.SetQuotas(d.node.quotas())
+	d.pool.SetWeights(d.node.weights())
 	for {
 		handle, ok := d.inbox.Take()
 		if !ok {
@@ -156,9 +162,11 @@
 		d.perform(action)
 	}
 	d.lacksRoom.Store(d.pool.LacksRoom())
+	d.places.Store(int64(d.pool.Places()))
 	d.flush()
 	d.expire(now)
 	d.logEvents()
+	d.countShares(now)
 }
 
 // ask runs a function in the duty's goroutine and waits for it. It returns false if the
--- a/jayreplay/generate.go
+++ b/jayreplay/generate.go
@@ -31,6 +31,12 @@
 	EstimateSpread float64
 	// Checkpoint is true if the tasks write checkpoints.
 	Checkpoint bool
+	// Speculative is the share of the steps whose tasks may have copies.
+	Speculative float64
+	// LongTasks is the share of the tasks that take longer by LongFactor than the others of
+	// their step.
+	LongTasks  float64
+	LongFactor float64
 	Policy     jayspec.Policy
 }
 
@@ -39,6 +45,9 @@
 	QueueLoads []QueueLoad
 	// Width is the duration for which the rate of a burst is above half of its maximum.
 	Width time.Duration
+	// Square gives a burst its maximum rate during Width and none outside, instead of a rate
+	// that rises and falls gradually.
+	Square bool
 	// BaseShare is the constant part of the arrival rate, to which a burst is added, as a
 	// share of the mean rate.
 	BaseShare float64
@@ -49,6 +58,11 @@
 	Begin time.Duration
 	// For is how long jobs arrive.
 	For time.Duration
+	// Cycles is how often the sequence of bursts is repeated within For; zero means once.
+	Cycles int
+	// Jitter is the standard deviation of the time of each burst around its place in the
+	// sequence.
+	Jitter time.Duration
 	// Seed is the seed of the random numbers.
 	Seed uint64
 }
@@ -94,8 +108,8 @@
 // sequence of bursts. Arrivals are a Poisson process with a varying rate.
 func (s SequentialBursts) queueArrivals(queueLoad QueueLoad, position int, size jaypool.Resources) []Arrival {
 	random := rand.New(rand.NewPCG(s.Seed, uint64(position)))
-	each := s.For / time.Duration(len(s.QueueLoads))
-	center := time.Duration(position)*each + each/2
+	each := s.cycle() / time.Duration(len(s.QueueLoads))
+	centers := s.centers(time.Duration(position)*each+each/2, random)
 	most := queueLoad.Rate * (s.BaseShare + s.burstFactor())
 	var arrivals []Arrival
 	for at := time.Duration(0); ; {
@@ -103,8 +117,9 @@
 		if at >= s.For {
 			break
 		}
+		center := centers[min(int(at/s.cycle()), len(centers)-1)]
 		widths := (at - center).Seconds() / s.Width.Seconds()
-		rate := queueLoad.Rate * (s.BaseShare + s.burstFactor()*math.Exp(-4*math.Ln2*widths*widths))
+		rate := queueLoad.Rate * (s.BaseShare + s.burstFactor()*s.shape(widths))
 		if random.Float64()*most < rate {
 			id := fmt.Sprintf("%s%04d", queueLoad.Queue, len(arrivals))
 			arrivals = append(arrivals, queueLoad.job(id, s.Begin+at, size, random))
@@ -113,10 +128,43 @@
 	return arrivals
 }
 
+// cycle returns the duration of one sequence of bursts.
+func (s SequentialBursts) cycle() time.Duration {
+	return s.For / time.Duration(max(1, s.Cycles))
+}
+
+// centers returns the times of a queue's bursts, of which the first one is given.
+func (s SequentialBursts) centers(first time.Duration, random *rand.Rand) []time.Duration {
+	centers := []time.Duration{first}
+	for n := 1; n < s.Cycles; n++ {
+		off := 0.0
+		if s.Jitter > 0 {
+			off = random.NormFloat64()
+		}
+		centers = append(centers, first+time.Duration(n)*s.cycle()+time.Duration(off*float64(s.Jitter)))
+	}
+	return centers
+}
+
+// shape returns the rate of a burst as a share of its maximum, at a distance from its center
+// in multiples of its width.
+func (s SequentialBursts) shape(widths float64) float64 {
+	if !s.Square {
+		return math.Exp(-4 * math.Ln2 * widths * widths)
+	}
+	if math.Abs(widths) > 0.5 {
+		return 0
+	}
+	return 1
+}
+
 // burstFactor returns the maximum rate of a burst, as a multiple of the mean rate and
 // without the constant part.
 func (s SequentialBursts) burstFactor() float64 {
-	return (1 - s.BaseShare) * s.For.Seconds() / s.Width.Seconds() * math.Sqrt(4*math.Ln2/math.Pi)
+	if s.Square {
+		return (1 - s.BaseShare) * s.cycle().Seconds() / s.Width.Seconds()
+	}
+	return (1 - s.BaseShare) * s.cycle().Seconds() / s.Width.Seconds() * math.Sqrt(4*math.Ln2/math.Pi)
 }
 
 // job returns a random job of the queue.
@@ -137,8 +185,13 @@
 		decl.Estimate = seconds(mean * estimateFactor)
 		var durations []time.Duration
 		for range decl.Tasks {
-			durations = append(durations, seconds(logNormal(random, mean, taskSpread)))
+			took := logNormal(random, mean, taskSpread)
+			if l.LongTasks > 0 && random.Float64() < l.LongTasks {
+				took *= l.LongFactor
+			}
+			durations = append(durations, seconds(took))
 		}
+		decl.Speculative = l.Speculative > 0 && random.Float64() < l.Speculative
 		a.Job.Steps = append(a.Job.Steps, decl)
 		a.Durations = append(a.Durations, durations)
 	}
--- a/jayreplay/load.go
+++ b/jayreplay/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jaythread/jayburst"
 	"jaythread/jaypool"
 	"jaythread/jayspec"
 )
@@ -17,15 +18,32 @@
 	Size jaypool.Resources
 	// MoveTime is how long the move of an instance to another pool takes.
 	MoveTime time.Duration
+	// DivideHosts divides the hosts among pools that all lack some.
+	DivideHosts bool
 	// RebootTime is how long an instance is unavailable after a crash of its worker.
 	RebootTime time.Duration
 	// Outages are losses of workers that are not caused by a task.
 	Outages []Outage
 	// Faults are times at which workers fail every run that they start.
 	Faults []Outage
+	// Slowdowns are times at which workers are slow.
+	Slowdowns []Slowdown
+	// WorkerSpeeds and CopyShare are settings of the pools; see jaysched.Settings.
+	WorkerSpeeds bool
+	CopyShare    float64
 	// Link is the bandwidth of the network link of each pool's owner in bytes per second,
 	// for each direction. Zero means unlimited.
 	Link float64
+	// RejectHopeless lets the pools reject hopeless jobs. Their callers repeat the request after
+	// Retry-After in whole seconds, up to maxReturns times.
+	RejectHopeless bool
+	// FairShares serves organisations by their Weights while a pool lacks room.
+	FairShares bool
+	Weights    map[string]float64
+	// PredictBursts moves hosts ahead of bursts that recur.
+	PredictBursts bool
+	// BurstPredictors are the predictors of bursts; nil means all.
+	BurstPredictors []jayburst.Predictor
 	// Arrivals are the submitted jobs, ordered by time.
 	Arrivals []Arrival
 	// MeasureFrom is the time from which instance-seconds are counted.
@@ -46,6 +64,15 @@
 	Each  int
 }
 
+// Slowdown is a time at which the workers on some of the hosts take longer for everything.
+type Slowdown struct {
+	Outage
+	// Pool is the pool whose workers are slow. A host is not slow in another pool.
+	Pool string
+	// Factor is by how much longer the workers take.
+	Factor float64
+}
+
 // Arrival is the submission of a job.
 type Arrival struct {
 	At  time.Duration
--- a/jayreplay/owner.go
+++ b/jayreplay/owner.go
@@ -40,7 +40,7 @@
 )
 
 func newPoolOwner(s *simulation, name string) *poolOwner {
-	return &poolOwner{
+	o := &poolOwner{
 		sim:      s,
 		name:     name,
 		workers:  map[string]*worker{},
@@ -52,8 +52,15 @@
 			Stop:      200 * time.Millisecond,
 			MoveTime:  s.load.MoveTime,
 			FarFactor: 1.5,
+
+			RejectHopeless: s.load.RejectHopeless,
+			FairShares:     s.load.FairShares,
+			WorkerSpeeds:   s.load.WorkerSpeeds,
+			CopyShare:      s.load.CopyShare,
 		}),
 	}
+	o.pool.SetWeights(s.load.Weights)
+	return o
 }
 
 func (o *poolOwner) start() {
@@ -206,6 +213,7 @@
 // recordOutcomes records when jobs were first shown as done or failed.
 func (o *poolOwner) recordOutcomes() {
 	for _, e := range o.pool.TakeEvents() {
+		o.sim.events[e.Kind]++
 		if e.Kind != jaysched.JobRecorded {
 			continue
 		}
--- a/jayreplay/result.go
+++ b/jayreplay/result.go
@@ -11,13 +11,17 @@
 
 // JobResult is the outcome of a job.
 type JobResult struct {
-	Queue     string
-	Submitted time.Duration
-	Objective time.Duration
+	Queue        string
+	Organisation string
+	Submitted    time.Duration
+	Objective    time.Duration
 	// Work is the work of the job in core-seconds.
 	Work float64
 	// Done is when the job was first shown as done, or zero.
 	Done time.Duration
+	// Rejections counts how often the job was rejected. Accepted is when it was accepted, or zero.
+	Rejections int
+	Accepted   time.Duration
 	// Failed is when the job was first shown as failed, or zero.
 	Failed time.Duration
 	// Crashes is true if some of the job's tasks crash their workers.
@@ -94,6 +98,12 @@
 	return r
 }
 
+// OfOrganisations returns the result for the jobs of some organisations.
+func (r Result) OfOrganisations(names ...string) Result {
+	r.Jobs = slices.DeleteFunc(slices.Clone(r.Jobs), func(j JobResult) bool { return !slices.Contains(names, j.Organisation) })
+	return r
+}
+
 // Of returns the result for the jobs of a queue.
 func (r Result) Of(queue string) Result {
 	r.Jobs = slices.DeleteFunc(slices.Clone(r.Jobs), func(j JobResult) bool { return j.Queue != queue })
--- a/jayreplay/simulation.go
+++ b/jayreplay/simulation.go
@@ -9,6 +9,8 @@
 	"jaythread/jayfleet"
 	"jaythread/jaypool"
 	"jaythread/jayport"
+	"jaythread/jaysched"
+	"jaythread/jayshare"
 )
 
 // simulation is the state of the simulation of one load.
@@ -16,6 +18,7 @@
 	clock    clock
 	load     Load
 	fleet    *jayfleet.Fleet
+	uses     *jayshare.Ledger
 	owners   []*poolOwner
 	hosts    []*host
 	tasks    map[jayport.TaskID]*task
@@ -31,6 +34,8 @@
 	instanceSeconds float64
 	// usedSeconds sums up the part of these instance-seconds that tasks reserved.
 	usedSeconds float64
+	// events counts the events of the pools by kind.
+	events map[jaysched.EventKind]int
 }
 
 // task is the actual behaviour of a task, which may differ from its declared estimate.
@@ -82,9 +87,9 @@
 }
 
 func newSimulation(load Load) *simulation {
-	s := &simulation{load: load, tasks: map[jayport.TaskID]*task{}, jobs: map[string]*JobResult{}}
+	s := &simulation{load: load, uses: jayshare.NewLedger(), tasks: map[jayport.TaskID]*task{}, jobs: map[string]*JobResult{}, events: map[jaysched.EventKind]int{}}
 	s.clock.now = 0
-	s.fleet = jayfleet.New(jayfleet.Settings{MoveTime: load.MoveTime, MaintenanceTime: maintenanceTime})
+	s.fleet = jayfleet.New(jayfleet.Settings{MoveTime: load.MoveTime, MaintenanceTime: maintenanceTime, DivideHosts: load.DivideHosts, PredictBursts: load.PredictBursts, BurstPredictors: load.BurstPredictors})
 	var working []string
 	for pool := range load.Hosts {
 		working = append(working, pool)
@@ -118,7 +123,7 @@
 // the job is stored.
 func (s *simulation) submitJob(a *Arrival) {
 	owner := s.owner(a.Job.Pool)
-	s.jobs[a.Job.ID] = &JobResult{Queue: a.Job.Queue, Submitted: s.clock.now, Objective: a.objective(), Work: a.work()}
+	s.jobs[a.Job.ID] = &JobResult{Queue: a.Job.Queue, Organisation: a.Job.Organisation, Submitted: s.clock.now, Objective: a.objective(), Work: a.work()}
 	if !a.Job.LongRunning() {
 		s.jobOrder = append(s.jobOrder, a.Job.ID)
 	}
@@ -141,6 +146,23 @@
 	for at, when := range a.FailsAt {
 		s.clock.after(when-s.clock.now, func() { s.failTask(taskID(a.Job.ID, at[0], at[1])) })
 	}
+	s.store(owner, a)
+}
+
+// maxReturns limits how often the caller of a rejected job repeats the request.
+const maxReturns = 4
+
+// store asks a pool's owner to store a job.
+func (s *simulation) store(owner *poolOwner, a *Arrival) {
+	admission := owner.pool.Admit(a.Job, s.clock.now)
+	if admission.Rejected {
+		j := s.jobs[a.Job.ID]
+		if j.Rejections++; j.Rejections <= maxReturns {
+			s.clock.after(admission.RetryAfter, func() { s.store(owner, a) })
+		}
+		return
+	}
+	s.jobs[a.Job.ID].Accepted = s.clock.now
 	owner.pool.Expect(a.Job, s.clock.now)
 	s.clock.after(storeLatency, func() {
 		owner.pool.Declare(a.Job, s.clock.now)
@@ -172,14 +194,14 @@
 	}
 }
 
-// saveCheckpoint records the progress of a stopped run if its task writes checkpoints,
+// saveCheckpoint records the work done in a stopped run if its task writes checkpoints,
 // and returns the checkpoint.
-func (s *simulation) saveCheckpoint(r *activeRun) string {
+func (s *simulation) saveCheckpoint(r *activeRun, done time.Duration) string {
 	t := s.tasks[r.order.Run.Task]
 	if !t.checkpoint {
 		return ""
 	}
-	t.savedTime = min(t.savedTime+s.clock.now-r.startedAt, t.duration)
+	t.savedTime = min(t.savedTime+done, t.duration)
 	return "saved"
 }
 
--- a/jaysched/deadline.go
+++ b/jaysched/deadline.go
@@ -37,19 +37,26 @@
 		return
 	}
 	p.deadlineReviewAt = now + reviewInterval
+	byOutlook := p.reviewOutlook(now)
 	overloaded := p.overloaded(now)
 	changed := false
 	for _, j := range p.open {
-		was := j.deadlineStatus
-		j.deadlineStatus = onTime
-		if overloaded {
-			j.deadlineStatus = p.deadlineStatusOf(j, now)
+		was, favour := j.deadlineStatus, j.favour
+		switch {
+		case byOutlook && j.servedByOutlook(now):
+			p.reviewByOutlook(j, now)
+		case overloaded:
+			j.deadlineStatus, j.favour = p.deadlineStatusOf(j, now), 0
+		default:
+			j.deadlineStatus, j.favour = onTime, 0
 		}
-		changed = changed || j.deadlineStatus != was
+		changed = changed || j.deadlineStatus != was || j.favour != favour
 	}
+	changed = p.reviewShares(overloaded, now) || changed
 	if changed {
 		slices.SortStableFunc(p.open, compareJobs)
 	}
+	p.sumWaiting(now)
 }
 
 // overloaded reports whether tasks have lacked room for long, and are too many to be done in
@@ -60,25 +67,29 @@
 		p.lastRoomAt = now
 	}
 	overdue := time.Duration(overloadedAfter * float64(p.settings.MoveTime+reportDelay))
-	return now-p.lastRoomAt > overdue && p.backlogged()
+	return now-p.lastRoomAt > overdue && p.backlogged(now)
 }
 
 // backlogged reports whether the waiting work takes the pool's workers longer than the time its
 // jobs have.
-func (p *Pool) backlogged() bool {
+func (p *Pool) backlogged(now time.Duration) bool {
 	work, allowed, count := 0.0, 0.0, 0.0
 	for _, j := range p.open {
 		if j.longRunning || j.spec.Schedule.Timed() || j.deadlineStatus == expired {
 			continue
 		}
-		work += p.waitingWork(j)
+		if j.forecast.queue != nil && j.forecast.at == now {
+			work += j.forecast.work
+		} else {
+			work += p.waitingWork(j)
+		}
 		allowed += (j.target - j.submittedAt).Seconds()
 		count++
 	}
 	room := 0.0
 	for _, w := range p.sorted {
 		if w.usable() {
-			room += float64(w.roomBesideLongRuns().ProcessorsMilli)
+			room += w.worth(w.roomBesideLongRuns().ProcessorsMilli)
 		}
 	}
 	return count > 0 && work*count > allowed*max(1, room)
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -24,6 +24,12 @@
 	// EmptyIn is the expected time until the worker is empty if its runs are migrated, or
 	// MaxDuration.
 	EmptyIn time.Duration
+	// RestartCost is the work, in thousandths of a core times seconds, that is lost if the worker
+	// is emptied within EmptyIn; Restartable says that EmptyIn is based on restarts of its runs.
+	RestartCost int64
+	Restartable bool
+	// SpeedPercent is the worker's speed as its own runs show it; zero is unknown.
+	SpeedPercent int
 }
 
 // MaxDuration stands for a time that never comes, such as until a worker with a long-running
@@ -39,6 +45,11 @@
 	// ExpiredMilli is the part of the need that belongs to jobs whose results come too late for
 	// their callers.
 	ExpiredMilli int64
+	// OnTimeMilli is the part of the need that belongs to jobs that can be done by their target.
+	OnTimeMilli int64
+	// ArrivingMilli is how many thousandths of a core the arriving jobs would keep busy if they
+	// continued to arrive at the present rate.
+	ArrivingMilli int64
 	// WorkersAtLeast is the minimum number of workers that the pool needs, whatever their size.
 	WorkersAtLeast int
 	Loads          []Load
@@ -52,6 +63,8 @@
 	// Migrate allows stopping runs that can continue elsewhere from their checkpoint without
 	// making their job late.
 	Migrate bool
+	// Restart allows stopping runs that start anew elsewhere; see restartRuns.
+	Restart bool
 }
 
 // Demand returns the pool's present demand.
@@ -63,7 +76,15 @@
 	// hosts than needed. Only growth beyond the random variation is counted.
 	growth := max(0, p.trend.growth(u.milli, lead, now)-spread)
 	need := max(u.milli+growth, p.offeredWork.forecast(u.milli, lead, now)) + p.blockedByMemory(u.shortTasks)
-	d := Demand{NeedMilli: need, SpareMilli: spread, ExpiredMilli: u.expired, WorkersAtLeast: p.workersAtLeast(now)}
+	arriving, _ := p.offeredWork.rate(now)
+	d := Demand{
+		NeedMilli:      need,
+		SpareMilli:     spread,
+		ExpiredMilli:   u.expired,
+		OnTimeMilli:    p.onTimeMilli(need, now),
+		ArrivingMilli:  int64(arriving),
+		WorkersAtLeast: p.workersAtLeast(now),
+	}
 	for _, w := range p.sorted {
 		if w.contact == connected && w.listed && !w.Draining {
 			d.Loads = append(d.Loads, p.load(w, now))
@@ -114,7 +135,7 @@
 }
 
 func (p *Pool) load(w *worker, now time.Duration) Load {
-	l := Load{Worker: w.ID, CapacityMilli: w.Capacity.ProcessorsMilli, UsedMilli: w.Capacity.ProcessorsMilli - w.free.ProcessorsMilli, Runs: len(w.runs)}
+	l := Load{Worker: w.ID, CapacityMilli: w.Capacity.ProcessorsMilli, UsedMilli: w.Capacity.ProcessorsMilli - w.free.ProcessorsMilli, Runs: len(w.runs), SpeedPercent: w.speedPercent()}
 	if w.lastDone > w.acknowledged {
 		l.Runs++
 	}
@@ -130,6 +151,7 @@
 		l.Idle = now - w.idleSince
 		l.Vacated = w.closed
 	}
+	p.addRelease(&l, w, now)
 	return l
 }
 
@@ -170,17 +192,18 @@
 				p.stop(r, "vacating", now)
 			}
 		}
+		p.restartRuns(w, now)
 	}
 }
 
 // vacate closes a worker for new runs.
 func (w *worker) vacate(o Vacate) {
-	w.closed, w.urgent, w.migrate = true, o.Urgent, o.Migrate
+	w.closed, w.urgent, w.migrate, w.restart = true, o.Urgent, o.Migrate, o.Restart
 }
 
 // open allows new runs on a worker again.
 func (w *worker) open() {
-	w.closed, w.urgent, w.migrate = false, false, false
+	w.closed, w.urgent, w.migrate, w.restart = false, false, false, false
 }
 
 // shouldStop reports whether a run on a closed worker is to be stopped now.
@@ -188,7 +211,7 @@
 	switch {
 	case r.task.step.decl.LongRunning:
 		return p.mayEvict(r, now)
-	case r.worker.urgent:
+	case r.worker.urgent || r.copied && r.task.hasOtherRun(r):
 		return true
 	default:
 		return r.worker.migrate && p.mayMigrate(r, now)
@@ -227,7 +250,7 @@
 // remainingTime returns the expected remaining time of a run. A run that has exceeded its
 // estimate is expected to take as long again as it has exceeded it.
 func (p *Pool) remainingTime(r *run, now time.Duration) time.Duration {
-	takes := p.durations.predict(r.task.step.job.spec.Queue, r.task.step.decl.Estimate)
+	takes := p.predictOn(r.worker, r.task.step)
 	ran := now - r.orderedAt
 	if ran < takes {
 		return takes - ran
@@ -237,7 +260,7 @@
 
 // timeToEmpty returns how long a run is expected to occupy its worker if it may be migrated.
 func (p *Pool) timeToEmpty(r *run, now time.Duration) time.Duration {
-	if p.mayMigrate(r, now) {
+	if r.copied && r.task.hasOtherRun(r) || p.mayMigrate(r, now) {
 		return typicalStopTime
 	}
 	return p.remainingTime(r, now)
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -11,15 +11,17 @@
 
 // The kinds of events. Each is a line in the log.
 const (
-	JobDeclared  EventKind = "job declared"
-	JobEnded     EventKind = "job ended"
-	JobRecorded  EventKind = "job recorded"
-	RunStarted   EventKind = "run started"
-	RunEnded     EventKind = "run ended"
-	RunAdopted   EventKind = "run adopted"
-	RunVanished  EventKind = "run vanished"
-	RunLost      EventKind = "run lost"
-	RunStopped   EventKind = "run stopped"
+	JobDeclared EventKind = "job declared"
+	JobEnded    EventKind = "job ended"
+	JobRecorded EventKind = "job recorded"
+	RunStarted  EventKind = "run started"
+	RunEnded    EventKind = "run ended"
+	RunAdopted  EventKind = "run adopted"
+	RunVanished EventKind = "run vanished"
+	RunLost     EventKind = "run lost"
+	RunStopped  EventKind = "run stopped"
+	// RunRestarted is a run that was stopped to release its worker and starts anew elsewhere.
+	RunRestarted EventKind = "run restarted"
 	RunThrottled EventKind = "run throttled"
 	StartRefused EventKind = "start refused"
 	// TaskWaits is a long-running task that has waited for long.
@@ -46,10 +48,27 @@
 	WorkerLapsed    EventKind = "worker lapsed"
 	WorkerAvoided   EventKind = "worker avoided"
 	WorkerTrusted   EventKind = "worker trusted"
+	// WorkerSlow is a worker whose runs take much longer than predicted, WorkerFastAgain one
+	// that is not treated as slow any more.
+	WorkerSlow      EventKind = "worker slow"
+	WorkerFastAgain EventKind = "worker fast again"
+	// CopyStarted is a second run of a straggling task. CopyWon is a copy that has ended first,
+	// CopyLost one that has not.
+	CopyStarted EventKind = "copy started"
+	CopyWon     EventKind = "copy won"
+	CopyLost    EventKind = "copy lost"
 	// QuotaReached is an organisation whose tasks wait for its quota, QuotaFree one whose tasks
 	// do not wait for it any more.
 	QuotaReached EventKind = "quota reached"
 	QuotaFree    EventKind = "quota free"
+	// JobRejected is a job that cannot be done while its result is of use, JobReturned one that
+	// was rejected and is accepted at its place in the order of return.
+	JobRejected EventKind = "job rejected"
+	JobReturned EventKind = "job returned in turn"
+	// BeyondShare is an organisation with jobs beyond its share, WithinShare one without such jobs
+	// again.
+	BeyondShare EventKind = "organisation beyond its share"
+	WithinShare EventKind = "organisation within its share again"
 )
 
 // Event reports a decision, or a change of the pool's state, with its cause.
@@ -58,7 +77,7 @@
 	At     time.Duration
 	Job    string
 	Worker string
-	// Organisation is set for QuotaReached and QuotaFree.
+	// Organisation is set for QuotaReached, QuotaFree, JobRejected, BeyondShare and WithinShare.
 	Organisation string
 	Run          jayport.RunRef
 	Detail       string
@@ -68,6 +87,8 @@
 	// Waited is how long the task or job had waited, or how long ago a run that has ended had
 	// begun.
 	Waited time.Duration
+	// LostMilli is the lost work of a RunRestarted, in thousandths of a core times seconds.
+	LostMilli float64
 }
 
 func (p *Pool) recordEvent(e Event, now time.Duration) {
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -60,10 +60,18 @@
 	advised     bool
 	// priority is that of the job's queue; zero is served first.
 	priority int
+	// slack is how long the job can wait altogether and still be done by its target.
+	slack time.Duration
 	// target is when the job should be done.
 	target         time.Duration
 	deadlineStatus deadlineStatus
-	occurrences    []*occurrence
+	// chain is how long the job takes if it runs alone, favour by how much its target counts as
+	// earlier in the order.
+	chain, favour time.Duration
+	forecast      jobForecast
+	// beyondShare says that other jobs use the share of the job's organisation.
+	beyondShare bool
+	occurrences []*occurrence
 	// openOccurrences counts the occurrences that have not ended.
 	openOccurrences int
 	// waiting counts the tasks of all steps that are not done and have no run.
@@ -156,6 +164,8 @@
 	trialStored int64
 	// parked says that the task, one of a service, is not started any more.
 	parked bool
+	// released says that a run of the task was restarted to release its worker.
+	released bool
 	// droppedAt is when the task lost its latest run.
 	droppedAt time.Duration
 	// notBefore delays the next start after a failure, by retryDelay after the latest one.
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -143,10 +143,15 @@
 	// expire.
 	vacating      map[string]Vacate
 	vacatingUntil time.Duration
+	release       release
 	quotas        quotas
+	fairness      fairness
 	actions       []Action
 	events        []Event
 	durations     *durations
+	outlook       *outlook
+	speeds        speeds
+	copies        copies
 }
 
 // Option configures a new pool.
@@ -190,6 +195,8 @@
 
 		quotas:     newQuotas(),
 		durations:  newDurations(),
+		outlook:    newOutlook(),
+		speeds:     newSpeeds(),
 		startsLeft: math.MaxInt,
 	}
 	for _, option := range options {
@@ -306,8 +313,11 @@
 	policy := p.policy(j)
 	j.advised, j.priority = policy.Advised, policy.Priority
 	chain = p.longestChain(j.spec)
+	j.chain = chain
 	j.target = j.submittedAt + time.Duration(policy.Stretch*float64(chain)) + policy.Objective
+	j.slack = j.target - j.submittedAt - chain
 	p.enqueue(j)
+	p.outlook.stored(j.spec.ID)
 	return chain
 }
 
