Restarts for surplus hosts in a deep shortage only

Cause: with divideHosts any pool that lacked a host, and no host on standby, got surplus hosts of others by restarting their runs.

Change: runs are restarted for a pool only if it has less than half of what it needs, as for a division.

--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -71,6 +71,10 @@
 	entitled int
 	// restarts reports whether runs that keep a host from leaving may be restarted elsewhere.
 	restarts bool
+	// farShort reports whether the pool has so few of the hosts that it needs that runs of other
+	// pools are restarted for it. In a small shortage the work that restarts lose outweighs the
+	// gain.
+	farShort bool
 }
 
 // balance moves hosts to the pools that lack some, and moves hosts that no pool needs to
@@ -111,8 +115,9 @@
 }
 
 // reclaimable returns a host that the pool does not need, preferring idle ones, and
-// whether it must be drained first. It returns nil if there is none.
-func (b *poolBalance) reclaimable(now time.Duration) (h *host, drains bool) {
+// whether it must be drained first. It returns nil if there is none. With restarts, hosts that
+// runs would hold for longer are included.
+func (b *poolBalance) reclaimable(restarts bool, now time.Duration) (h *host, drains bool) {
 	if b.have <= max(b.need, b.ahead) {
 		return nil, false
 	}
@@ -122,7 +127,7 @@
 	if len(b.soonEmpty) > 0 {
 		return b.soonEmpty[0], true
 	}
-	if !b.restarts {
+	if !restarts {
 		return nil, false
 	}
 	for _, h := range b.laterEmpty {
@@ -160,7 +165,8 @@
 		if from == to {
 			continue
 		}
-		h, drains := from.reclaimable(now)
+		restarts := from.restarts && to.farShort
+		h, drains := from.reclaimable(restarts, now)
 		if h == nil {
 			continue
 		}
@@ -170,7 +176,7 @@
 		l, _ := f.load(h)
 		h.vacate(to.pool, drains, now)
 		h.drainTime = f.moves(reclaimDrainMoves)
-		if drains && from.restarts {
+		if drains && restarts {
 			f.allowRestarts(h, l, now)
 		}
 		return true
@@ -316,6 +322,7 @@
 		b.onTime = min(b.useful, max(hostsFor(*d.OnTimeMilli, each), d.HostsAtLeast))
 	}
 	b.keep = max(hostsFor(d.NeedMilli+d.SpareMilli, each), d.HostsAtLeast)
+	b.farShort = float64(b.have) < beginShare*float64(b.need)
 	f.raise(b, each, now)
 	return b
 }
