--- a/jayburst/rule.go
+++ b/jayburst/rule.go
@@ -12,9 +12,7 @@
 	retained = 0.8
 	// missWeight is the weight of a prediction that did not come true relative to one that did.
 	// One failure stops acting on a rule that came true up to three times, the second failure
-	// in a row on any rule. With 40 bursts at regular times in a random order of four pools,
-	// 2 predictions fail (median of 60 seeds; at most 9). A weight of 4 gives at most 4, but
-	// more jobs of regular bursts are late.
+	// in a row on any rule.
 	missWeight = 2
 	// minIntervals is the number of intervals from which regularity can be judged.
 	minIntervals = 3
