--- a/jayreplay/division_test.go
+++ b/jayreplay/division_test.go
@@ -1,6 +1,7 @@
 package jayreplay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -24,11 +25,14 @@
 	// the pools before it have a backlog and keep their hosts, and nearly every host has a task
 	// that takes long.
 	for seed := range uint64(2) {
-		is := is.New(t)
-		off, on := Play(fourBursts(seed, withRateFactor(2.2), withDivision(false))), Play(fourBursts(seed, withRateFactor(2.2), withDivision(true)))
-		t.Logf("seed %d: lowest queue %.3f with the part off, %.3f with it on; all %.3f, %.3f", seed, lowestInTime(off), lowestInTime(on), off.InTime(), on.InTime())
-		is.True(3*lowestInTime(on) >= 4*lowestInTime(off)) // a third more
-		is.True(on.InTime() >= off.InTime())
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			off, on := Play(fourBursts(seed, withRateFactor(2.2), withDivision(false))), Play(fourBursts(seed, withRateFactor(2.2), withDivision(true)))
+			t.Logf("lowest queue %.3f with the part off, %.3f with it on; all %.3f, %.3f", lowestInTime(off), lowestInTime(on), off.InTime(), on.InTime())
+			is.True(3*lowestInTime(on) >= 4*lowestInTime(off)) // a third more
+			is.True(on.InTime() >= off.InTime())
+		})
 	}
 }
 
