--- a/jaysched/copies_test.go
+++ b/jaysched/copies_test.go
@@ -116,7 +116,9 @@
 	w.pool.ReportFailed(refOf(original), w.now)
 	w.pace(6*time.Second, original, copied)
 	is.Equal(w.countEvents(map[EventKind]int{})[RunLost], 1)
+	clear(w.workers[original].active) // the worker ends its runs when its lease ends
 	is.Equal(w.running()[straggler], copied)
+	is.Equal(w.starts(straggler), maxRunsOfTask)
 	w.endAll(copied)
 	is.Equal(w.pool.jobs["j00"].outcome, Done)
 }
