Owners of duties: the capacity of an entry counts its link

Cause: duties went to the entry with the fewest in relation to its processors. Once an entry with a fast link had four duties, one with a twentieth of its link got the fifth and owned a pool in a burst; hosts were idle for seconds while its starts waited for the link.

Change: jayowner.Capacity is the scarcer of processors and link, each by what one task costs the owner of a pool. An unknown link counts as before. A link below one megabit is announced as one megabit instead of as unknown.

With the former capacity in its place TestCapacity and TestEntriesRankAlike fail: the small entry gets the duty.

--- a/jaycli/serve_jobs.go
+++ b/jaycli/serve_jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"os/signal"
@@ -67,7 +68,7 @@
 		DataCenter:      options.DataCenter,
 		PeerAddr:        options.PeerAddr,
 		ProcessorsMilli: int64(s.Processors * 1000),
-		LinkMegabits:    int64(s.LinkMegabits),
+		LinkMegabits:    int64(math.Ceil(s.LinkMegabits)), // zero would be an unknown link
 		StoreReadRate:   s.StoreReadRate,
 		MaxLease:        time.Duration(s.MaxLease),
 		StopTime:        time.Duration(s.StopTime),
--- a/jaymember/claims.go
+++ b/jaymember/claims.go
@@ -9,6 +9,7 @@
 	"jaythread/jayclock"
 	"jaythread/jayowner"
 	"jaythread/jayport"
+	"jaythread/jaywire"
 )
 
 const (
@@ -122,7 +123,7 @@
 func (o *Owners) ownShare(view *View, vacant []jayowner.Duty, now time.Duration) []jayport.Record {
 	var candidates []jayowner.Candidate
 	for name, e := range o.members.Entries.names() {
-		candidates = append(candidates, jayowner.Candidate{Incarnation: name, Capacity: e.ProcessorsMilli})
+		candidates = append(candidates, jayowner.Candidate{Incarnation: name, Capacity: capacityOf(e)})
 	}
 	share := jayowner.Share(o.members.Duties(), candidates, o.members.Entry)
 	var records []jayport.Record
@@ -179,15 +180,20 @@
 
 // candidates returns the entries that are not presumed to have ended.
 func (o *Owners) candidates(now time.Duration) []jayowner.Candidate {
-	candidates := []jayowner.Candidate{{Incarnation: o.members.Incarnation, Capacity: o.members.ProcessorsMilli, Started: o.members.Started.UnixMilli()}}
+	candidates := []jayowner.Candidate{{Incarnation: o.members.Incarnation, Capacity: jayowner.Capacity(o.members.ProcessorsMilli, o.members.LinkMegabits), Started: o.members.Started.UnixMilli()}}
 	for _, e := range o.members.Entries.All() {
 		if e.Incarnation != o.members.Incarnation && !o.members.Liveness.PresumedEnded(e.Incarnation, now) {
-			candidates = append(candidates, jayowner.Candidate{Incarnation: e.Incarnation, Capacity: e.ProcessorsMilli, Started: e.StartedUnixMillis})
+			candidates = append(candidates, jayowner.Candidate{Incarnation: e.Incarnation, Capacity: capacityOf(e), Started: e.StartedUnixMillis})
 		}
 	}
 	return candidates
 }
 
+// capacityOf returns the capacity for duties that an entry has announced.
+func capacityOf(e *jaywire.EntryRecord) int64 {
+	return jayowner.Capacity(e.ProcessorsMilli, e.LinkMegabits)
+}
+
 // Release releases this entry's duties, so that other entries claim them at once.
 func (o *Owners) Release() {
 	view := o.table.Load()
--- a/jaymember/claims_test.go
+++ b/jaymember/claims_test.go
@@ -42,3 +42,30 @@
 		is.Equal(claim.Term, int64(5))
 	})
 }
+
+func TestEntriesRankAlike(t *testing.T) {
+	// Guards against two entries that both claim a duty at once, since one ranks the other, or
+	// itself, by a capacity that is not the announced one.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := jayclock.Since(time.Now().Add(-time.Hour))
+		store, links := newMemoryStore(), map[string]int64{"e1": 200, "e2": 10, "e3": 0}
+		var all []*Members
+		for name, megabits := range links {
+			m := newTestMembers(t, name, store, clock)
+			m.ProcessorsMilli, m.LinkMegabits = 400, megabits
+			m.Entries.announce(t.Context())
+			all = append(all, m)
+		}
+		page, err := store.Read(testFormats{}.Own(topicEntries, 0), 0, 0, 0)
+		is.NoErr(err)
+		for _, m := range all {
+			for _, r := range page.Records {
+				m.Entries.Apply(r)
+			}
+			ranking := jayowner.Rankings([]jayowner.Duty{jayowner.Fleet}, nil, m.Owners.candidates(clock()))[jayowner.Fleet]
+			is.Equal(entryOf(ranking[2]), "e2") // has the slow link
+			is.Equal(ranking, jayowner.Rankings([]jayowner.Duty{jayowner.Fleet}, nil, all[0].Owners.candidates(clock()))[jayowner.Fleet])
+		}
+	})
+}
--- a/jayowner/assign.go
+++ b/jayowner/assign.go
@@ -11,8 +11,8 @@
 // Candidate is an entry that can own duties.
 type Candidate struct {
 	Incarnation string
-	// Capacity measures what the entry can do, such as its share of the host's processors.
-	// Entries with more capacity get duties first.
+	// Capacity measures how many tasks the entry can serve; see the function Capacity. Entries
+	// with more capacity get duties first.
 	Capacity int64
 	// Started is when the entry was started, in milliseconds of its own time of day.
 	Started int64
