Starts that the limit of starts in flight holds back are shown

Cause: the owner of a pool limits its starts in flight. With a slow link, hosts were idle beside waiting tasks, and nothing said that this limit was the reason.

No decision changes. The fixture of the pool's owner is split so that a test can prepare the owner before it starts.

--- a/jaymetric/jobs.go
+++ b/jaymetric/jobs.go
@@ -33,6 +33,8 @@
 	beyondShare       *prometheus.CounterVec
 	share             *prometheus.GaugeVec
 	burstPredictions  *prometheus.CounterVec
+	startsHeldBack    *prometheus.CounterVec
+	startLimit        *prometheus.GaugeVec
 	organisations     boundedLabels
 }
 
@@ -92,8 +94,12 @@
 			Name: "jaythread_organisation_share_cores", Help: "Share of an organisation of the capacity of all pools, by the pool that lacks room.",
 		}, []string{"pool", "organisation"}),
 		burstPredictions: newCounterVec("jaythread_burst_predictions_total", "Predictions of bursts by outcome, and bursts that were not predicted.", "pool", "outcome"),
+		startsHeldBack:   newCounterVec("jaythread_starts_held_back_seconds_total", "Time for which tasks with room on a worker waited because of the limit of starts in flight.", "pool"),
+		startLimit: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "jaythread_start_limit", Help: "Present limit of starts in flight, in the pools that this entry owns.",
+		}, []string{"pool"}),
 	}
-	m.Registry.MustRegister(m.burstPredictions, m.hostsGiven, m.workLost, m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges, m.beyondShare, m.share)
+	m.Registry.MustRegister(m.startsHeldBack, m.startLimit, m.burstPredictions, m.hostsGiven, m.workLost, m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges, m.beyondShare, m.share)
 	m.Runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -194,6 +200,21 @@
 	m.burstPredictions.WithLabelValues(pool, outcome).Inc()
 }
 
+// StartsHeldBack records for how long the limit of starts in flight has held tasks back.
+func (m *JobMetrics) StartsHeldBack(pool string, lasted time.Duration) {
+	m.startsHeldBack.WithLabelValues(pool).Add(lasted.Seconds())
+}
+
+// SetStartLimit sets the present limit of starts in flight of a pool.
+func (m *JobMetrics) SetStartLimit(pool string, limit int) {
+	m.startLimit.WithLabelValues(pool).Set(float64(limit))
+}
+
+// RemoveStartLimit removes the limit of a pool that this entry no longer owns.
+func (m *JobMetrics) RemoveStartLimit(pool string) {
+	m.startLimit.DeleteLabelValues(pool)
+}
+
 // Gauge registers a gauge whose value is read at each scrape.
 func (m *JobMetrics) Gauge(name, help string, read func() float64) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -61,6 +61,8 @@
 	nextExpireAt time.Duration
 	// nextSharesAt is when the organisations' shares are passed to the metrics next.
 	nextSharesAt time.Duration
+	// heldBack tracks for how long the limit of starts in flight holds tasks back.
+	heldBack heldBack
 	// lastActiveAt is when the duty's goroutine last processed an event or began a step.
 	lastActiveAt time.Duration
 }
@@ -127,6 +129,7 @@
 func (d *poolDuty) run() {
 	defer d.node.removePool(d)
 	defer d.node.metrics.SetShares(d.name, nil)
+	defer d.node.metrics.RemoveStartLimit(d.name)
 	if !d.takeOver() {
 		return
 	}
@@ -167,6 +170,7 @@
 	d.expire(now)
 	d.logEvents()
 	d.countShares(now)
+	d.countHeldBack(now)
 }
 
 // ask runs a function in the duty's goroutine and waits for it. It returns false if the
--- a/jaynode/poolduty_test.go
+++ b/jaynode/poolduty_test.go
@@ -25,6 +25,14 @@
 }
 
 func newPoolFixture(t *testing.T, term int64, silent ...string) *poolFixture {
+	t.Helper()
+	w := newIdlePoolFixture(t, term, silent...)
+	w.start(t)
+	return w
+}
+
+// newIdlePoolFixture returns a fixture whose owner is not started yet.
+func newIdlePoolFixture(t *testing.T, term int64, silent ...string) *poolFixture {
 	t.Helper()
 	clock := jayclock.Since(time.Now().Add(-time.Hour))
 	store := newSharedStore()
@@ -45,6 +53,11 @@
 	w.entry.node.heartbeats.asOf = clock()
 	w.claim = w.entry.claim(jayowner.PoolDuty("seats"), 1, term)
 	w.duty = newPoolDuty(w.entry.node, "seats", w.claim)
+	return w
+}
+
+func (w *poolFixture) start(t *testing.T) {
+	t.Helper()
 	w.refreshClaims()
 	w.entry.node.duties.Go(w.duty.run)
 	t.Cleanup(func() {
@@ -52,7 +65,6 @@
 		w.entry.node.duties.Wait()
 		time.Sleep(20 * time.Second) // lets pending calls return
 	})
-	return w
 }
 
 // refreshClaims sets claims by which the entry owns the pool as of now.
--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -24,6 +24,7 @@
 	p.confirmOwner(now)
 	if p.ownership.lapsed(now) {
 		// Another owner may have waited until this owner's leases ended, and may act now.
+		p.heldBack = false
 		return p.takeActions()
 	}
 	p.expireLeases(now)
--- /dev/null
+++ b/jaysched/heldback.go
@@ -0,0 +1,66 @@
+package jaysched
+
+import (
+	"slices"
+	"time"
+)
+
+// heldBackInterval is the least time between two reviews of whether starts are held back. With a
+// long queue a review costs as much as a decision, and an owner whose starts are held back may
+// lack processors.
+const heldBackInterval = 100 * time.Millisecond
+
+// StartsHeldBack reports whether in the latest review a task had room on a worker and waited only
+// because of the limit of starts in flight.
+func (p *Pool) StartsHeldBack() bool {
+	return p.heldBack
+}
+
+// reviewHeldBack records whether the limit of starts holds tasks back, once all starts that it
+// allows have been decided on.
+func (p *Pool) reviewHeldBack(formerRuns bool, now time.Duration) {
+	if p.startsLeft > 0 || p.OwnerUnconfirmed() {
+		p.heldBack = false
+		return
+	}
+	if now < p.heldBackAt+heldBackInterval {
+		return
+	}
+	p.heldBackAt = now
+	p.heldBack = slices.ContainsFunc(p.open, func(j *job) bool { return p.couldStart(j, formerRuns, now) })
+}
+
+// couldStart reports whether any task of a job could start now if there were no limit of starts.
+func (p *Pool) couldStart(j *job, formerRuns bool, now time.Duration) bool {
+	if j.waiting == 0 || j.foundInStore && p.hasUnprocessedRuns(j) {
+		return false
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.waiting > 0 && s.ready(now) && p.stepCouldStart(s, formerRuns, now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// stepCouldStart reports the same of the tasks of a step. The first task that waits stands for
+// the others. Gangs do not count: whether all members find room is known only once they are
+// placed.
+func (p *Pool) stepCouldStart(s *step, formerRuns bool, now time.Duration) bool {
+	if s.decl.Gang || p.smallerNeedUnmet(s) {
+		return false
+	}
+	n := slices.IndexFunc(s.tasks, func(t *task) bool {
+		return t.waiting() && now >= t.notBefore && !(formerRuns && t.mayRunUnreported)
+	})
+	if n < 0 || !p.quotaAllows(s, 1) {
+		return false
+	}
+	if slices.ContainsFunc(p.sorted, func(w *worker) bool { return p.allows(w, s.tasks[n], now) }) {
+		return true
+	}
+	p.noteNoRoom(s)
+	return false
+}
--- a/jaysched/latency.go
+++ b/jaysched/latency.go
@@ -85,6 +85,13 @@
 	return max(0, int(l.maxInFlight)-l.inFlight)
 }
 
+// Limit returns how many starts may be in flight.
+func (l *Latency) Limit() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int(l.maxInFlight)
+}
+
 // OrderTimeout returns the timeout for the answer to an order.
 func (l *Latency) OrderTimeout() time.Duration {
 	return l.timeout(minOrderTimeout, maxOrderTimeout)
@@ -98,12 +105,13 @@
 // timeout returns a timeout between two limits. Where nearly all answers take longer, repeating
 // requests that timed out would increase the congestion, so the upper limit is raised.
 func (l *Latency) timeout(least, most time.Duration) time.Duration {
-	mean := l.meanLatency()
+	mean := l.Mean()
 	longest := max(most, min(congestedFactor*mean, maxCongestedTimeout))
 	return min(max(least, timeoutFactor*mean), longest)
 }
 
-func (l *Latency) meanLatency() time.Duration {
+// Mean returns the mean latency of the answers to starts.
+func (l *Latency) Mean() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.mean
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -104,6 +104,10 @@
 	losses []workerLoss
 	// startsLeft is how many more runs may be started in the present decision.
 	startsLeft int
+	// heldBack says that the limit of starts held tasks back in the latest review, heldBackAt is
+	// when that was.
+	heldBack   bool
+	heldBackAt time.Duration
 	// deadlineReviewAt is when the deadline status of the jobs is reviewed next.
 	deadlineReviewAt time.Duration
 	// waitsReportedAt is when the waits of long-running tasks were last reported.
