Tests of the owners' capacity and of starts that are held back, shorter

Change: the case of a quota is one of the table, and the rankings of all entries are compared directly. All checks stay.

--- a/jaymember/claims_test.go
+++ b/jaymember/claims_test.go
@@ -1,6 +1,8 @@
 package jaymember
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,23 +51,23 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		clock := jayclock.Since(time.Now().Add(-time.Hour))
-		store, links := newMemoryStore(), map[string]int64{"e1": 200, "e2": 10, "e3": 0}
+		store, duties := newMemoryStore(), []jayowner.Duty{jayowner.Fleet}
 		var all []*Members
-		for name, megabits := range links {
+		for name, megabits := range map[string]int64{"e1": 200, "e2": 10, "e3": 0} {
 			m := newTestMembers(t, name, store, clock)
 			m.ProcessorsMilli, m.LinkMegabits = 400, megabits
 			m.Entries.announce(t.Context())
 			all = append(all, m)
 		}
-		page, err := store.Read(testFormats{}.Own(topicEntries, 0), 0, 0, 0)
-		is.NoErr(err)
+		var rankings []string
 		for _, m := range all {
-			for _, r := range page.Records {
+			for _, r := range store.records[testFormats{}.Own(topicEntries, 0)] {
 				m.Entries.Apply(r)
 			}
-			ranking := jayowner.Rankings([]jayowner.Duty{jayowner.Fleet}, nil, m.Owners.candidates(clock()))[jayowner.Fleet]
+			ranking := jayowner.Rankings(duties, nil, m.Owners.candidates(clock()))[jayowner.Fleet]
 			is.Equal(entryOf(ranking[2]), "e2") // has the slow link
-			is.Equal(ranking, jayowner.Rankings([]jayowner.Duty{jayowner.Fleet}, nil, all[0].Owners.candidates(clock()))[jayowner.Fleet])
+			rankings = append(rankings, fmt.Sprint(ranking))
 		}
+		is.Equal(len(slices.Compact(rankings)), 1)
 	})
 }
--- a/jaysched/heldback_test.go
+++ b/jaysched/heldback_test.go
@@ -11,12 +11,15 @@
 func TestStartsHeldBack(t *testing.T) {
 	// Guards against an owner whose hosts are idle for seconds while tasks wait, and nothing
 	// shows that its limit of starts in flight is the reason.
-	heldBack := func(name string, want bool, limit int, change ...func(*jayspec.Step)) {
+	heldBack := func(name, organisation string, want bool, limit int, change ...func(*jayspec.Step)) {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			w := newHarness(t, 2) // room for eight tasks
+			w.pool.SetQuotas(acmeQuotas(1000))
 			w.pool.SetStarts(limit)
-			w.pool.Declare(newSpec("j", 1, change...), w.now)
+			spec := newSpec("j", 1, change...)
+			spec.Organisation = organisation
+			w.pool.Declare(spec, w.now)
 			w.pool.Decide(w.now)
 			is.Equal(w.pool.StartsHeldBack(), want)
 			w.pool.SetStarts(10)
@@ -24,19 +27,9 @@
 			is.True(!w.pool.StartsHeldBack()) // the limit has risen
 		})
 	}
-	heldBack("a task with room waits", true, 3, tasks(6, 1000, 100))
-	heldBack("all tasks have started", false, 6, tasks(6, 1000, 100))
-	heldBack("the other tasks lack room", false, 8, tasks(9, 1000, 100))
-	heldBack("no worker is suitable", false, 0, tasks(6, 1000, 100), func(s *jayspec.Step) { s.RequiredLabel = "gpu" })
-	t.Run("the quota is used up", func(t *testing.T) {
-		is := is.New(t)
-		w := newHarness(t, 2)
-		w.pool.SetQuotas(acmeQuotas(1000))
-		w.pool.SetStarts(0)
-		spec := newSpec("j", 1)
-		spec.Organisation = "acme"
-		w.pool.Declare(spec, w.now)
-		w.pool.Decide(w.now)
-		is.True(!w.pool.StartsHeldBack()) // nothing is lent yet
-	})
+	heldBack("a task with room waits", "", true, 3, tasks(6, 1000, 100))
+	heldBack("all tasks have started", "", false, 6, tasks(6, 1000, 100))
+	heldBack("the other tasks lack room", "", false, 8, tasks(9, 1000, 100))
+	heldBack("no worker is suitable", "", false, 0, tasks(6, 1000, 100), func(s *jayspec.Step) { s.RequiredLabel = "gpu" })
+	heldBack("nothing of the quota is lent yet", "acme", false, 0, tasks(6, 1000, 100))
 }
