The review of starts held back records no quota as reached

So quota reached and quota free followed each other in the log for as long as the limit was used up, and jaythread_quota_wait_seconds counted these times as waits.

Change: withinQuota asks without a record. quotaAllows records as before.

Measured: the new check in TestStartsHeldBack fails without the change (one quota reached); with it, the tests of jaysched named HeldBack, Quota and Wait pass.

--- a/jaysched/heldback.go
+++ b/jaysched/heldback.go
@@ -55,7 +55,7 @@
 	n := slices.IndexFunc(s.tasks, func(t *task) bool {
 		return t.waiting() && now >= t.notBefore && !(formerRuns && t.mayRunUnreported)
 	})
-	if n < 0 || !p.quotaAllows(s, 1) {
+	if n < 0 || !p.withinQuota(s, 1) {
 		return false
 	}
 	if slices.ContainsFunc(p.sorted, func(w *worker) bool { return p.allows(w, s.tasks[n], now) }) {
--- a/jaysched/heldback_test.go
+++ b/jaysched/heldback_test.go
@@ -22,6 +22,7 @@
 			w.pool.Declare(spec, w.now)
 			w.pool.Decide(w.now)
 			is.Equal(w.pool.StartsHeldBack(), want)
+			is.Equal(len(w.pool.quotas.reachedSince), 0) // the review records none: the next decision would report it as free
 			w.pool.SetStarts(10)
 			w.pool.Decide(w.now)
 			is.True(!w.pool.StartsHeldBack()) // the limit has risen
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -14,8 +14,8 @@
 	p.updatePossibleUse(now)
 	defer p.recordReachedQuotas(now)
 	defer p.failUnfitJobs(now)
-	defer p.reportWaits(now)                // may reach quotas
-	defer p.reviewHeldBack(formerRuns, now) // may reach quotas
+	defer p.reportWaits(now) // may reach quotas
+	defer p.reviewHeldBack(formerRuns, now)
 	p.clearReservations()
 	p.updateBusyTimes(now)
 	if p.OwnerUnconfirmed() {
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -74,27 +74,32 @@
 	p.quotas.limits.Apply(p.fence, m)
 }
 
-// quotaAllows reports whether the quota of a step's organisation lets some of its tasks start.
+// quotaAllows reports whether the quota of a step's organisation lets some of its tasks start. If
+// not, it records that the quota is reached.
 func (p *Pool) quotaAllows(s *step, tasks int) bool {
-	q, organisation := &p.quotas, s.job.spec.Organisation
-	if organisation == "" || len(q.declared.Of) == 0 {
+	if p.withinQuota(s, tasks) {
 		return true
 	}
-	need := s.decl.Need.Times(int64(tasks))
-	quota, used := q.declared.Of[organisation], q.usedBy(organisation)
-	switch {
-	case !q.declared.Current:
+	q, organisation := &p.quotas, s.job.spec.Organisation
+	if !q.declared.Current {
 		q.reached[organisation] = "the declarations may be outdated"
-	case !q.limits.Allows(organisation, q.declared.Revision, quota, used, need):
-		if _, known := q.reached[organisation]; !known {
-			q.reached[organisation] = fmt.Sprintf("used here %+v, needed %+v, %s, quota %+v", used, need, q.limits.Describe(organisation), quota)
-		}
-	default:
-		return true
+	} else if _, known := q.reached[organisation]; !known {
+		need := s.decl.Need.Times(int64(tasks))
+		q.reached[organisation] = fmt.Sprintf("used here %+v, needed %+v, %s, quota %+v", q.usedBy(organisation), need, q.limits.Describe(organisation), q.declared.Of[organisation])
 	}
 	return false
 }
 
+// withinQuota reports the same as quotaAllows, but records nothing.
+func (p *Pool) withinQuota(s *step, tasks int) bool {
+	q, organisation := &p.quotas, s.job.spec.Organisation
+	if organisation == "" || len(q.declared.Of) == 0 {
+		return true
+	}
+	need := s.decl.Need.Times(int64(tasks))
+	return q.declared.Current && q.limits.Allows(organisation, q.declared.Revision, q.declared.Of[organisation], q.usedBy(organisation), need)
+}
+
 // recordReachedQuotas records the quotas that keep tasks from starting since this decision, and
 // those that do not any more.
 func (p *Pool) recordReachedQuotas(now time.Duration) {
