Starts held back are seen behind suspects and slow workers

Cause: the review let the first waiting task of a step stand for all, also a suspect that must not start beside other jobs, and then took its need for one without room. It also missed that a task may have room on a slow worker that is too slow for one before it. Held-back tasks were not counted.

Change: tasks behind an isolated one are looked at, an isolated one says nothing of room, and slow workers are considered as in placeStep.

Measured: TestStartsHeldBackBehindOthers fails at its first check without the first change, at its second without slowWorkerSuits, and passes with both. The cost of a review was not measured again.

--- a/jaysched/heldback.go
+++ b/jaysched/heldback.go
@@ -45,22 +45,24 @@
 	return false
 }
 
-// stepCouldStart reports the same of the tasks of a step. The first task that waits stands for
-// the others. Gangs do not count: whether all members find room is known only once they are
-// placed.
+// stepCouldStart reports the same of the tasks of a step. The first task that waits and is not
+// isolated stands for the later ones. Gangs do not count: whether all members find room is known
+// only once they are placed.
 func (p *Pool) stepCouldStart(s *step, formerRuns bool, now time.Duration) bool {
-	if s.decl.Gang || p.smallerNeedUnmet(s) {
+	if s.decl.Gang || !p.withinQuota(s, 1) || p.smallerNeedUnmet(s) && !p.slowWorkerSuits(s, now) {
 		return false
 	}
-	n := slices.IndexFunc(s.tasks, func(t *task) bool {
-		return t.waiting() && now >= t.notBefore && !(formerRuns && t.mayRunUnreported)
-	})
-	if n < 0 || !p.withinQuota(s, 1) {
-		return false
-	}
-	if slices.ContainsFunc(p.sorted, func(w *worker) bool { return p.allows(w, s.tasks[n], now) }) {
-		return true
+	for _, t := range s.tasks {
+		if !t.waiting() || now < t.notBefore || formerRuns && t.mayRunUnreported {
+			continue
+		}
+		if slices.ContainsFunc(p.sorted, func(w *worker) bool { return p.allows(w, t, now) }) {
+			return true
+		}
+		if t.isolation() <= watched {
+			p.noteNoRoom(s)
+			return false
+		}
 	}
-	p.noteNoRoom(s)
 	return false
 }
--- a/jaysched/heldback_test.go
+++ b/jaysched/heldback_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -34,3 +35,28 @@
 	heldBack("no worker is suitable", "", false, 0, tasks(6, 1000, 100), func(s *jayspec.Step) { s.RequiredLabel = "gpu" })
 	heldBack("nothing of the quota is lent yet", "acme", false, 0, tasks(6, 1000, 100))
 }
+
+func TestStartsHeldBackBehindOthers(t *testing.T) {
+	// Guards against held-back tasks that are not counted since one before them cannot start: a
+	// suspect must not be beside other jobs, and a slow worker would make a job late.
+	w := newHarness(t, 2)
+	w.pool.SetStarts(2)
+	w.pool.Declare(newSpec("a", 1, tasks(2, 1000, 100), func(s *jayspec.Step) { s.MaxPerInstance = 1 }), w.now)
+	w.pool.Declare(newSpec("j", 1, tasks(2, 1000, 100)), w.now)
+	for run := range int64(isolatedAfter) {
+		w.pool.jobs["j"].occurrences[0].steps[0].tasks[0].addCrash(crash{run: run})
+	}
+	w.pool.Decide(w.now)
+	is.New(t).True(w.pool.StartsHeldBack())
+	w = newSpeedHarness(t, 2, 0)
+	slow := &w.pool.workers["w0"].pace
+	slow.slow, slow.factor, slow.slowSince, slow.probedAt = true, 6.5, w.now, w.now
+	w.pool.countSlow()
+	w.pool.SetStarts(4)
+	patient := newSpec("c", 1, tasks(1, 1000, 100))
+	patient.Policy.Objective = time.Hour
+	w.pool.Declare(newSpec("a", 1, tasks(6, 1000, 100)), w.now)
+	w.pool.Declare(patient, w.now)
+	w.pool.Decide(w.now)
+	is.New(t).True(w.pool.StartsHeldBack())
+}
