--- a/jayowner/capacity.go
+++ b/jayowner/capacity.go
@@ -4,9 +4,9 @@
 
 const (
 	// taskProcessorTime and taskSentBytes are what the owner of a pool spends on one task in a
-	// burst: the decision, the start order and the report of the end. They are the sum of
-	// BenchmarkRush in jaysched and BenchmarkTask in platform, plus the headers below HTTP of
-	// two requests and of the acknowledgements of two responses. Only their ratio matters.
+	// burst: the decision, the start order and the report of the end, as docs/CAPACITY.md states
+	// them. The bytes include the headers below HTTP of two requests and of the
+	// acknowledgements of two responses. Only their ratio matters.
 	taskProcessorTime = 31 * time.Microsecond
 	taskSentBytes     = 474 + 4*52
 
