Review of starts held back: room is checked before the quota

Cause: the quota was asked for each waiting step since the review looks behind suspects, also where a known lack of room already answers.

Change: the order of the two conditions.

The tests named HeldBack and Quota pass 20 times.

--- a/jaysched/heldback.go
+++ b/jaysched/heldback.go
@@ -49,7 +49,7 @@
 // isolated stands for the later ones. Gangs do not count: whether all members find room is known
 // only once they are placed.
 func (p *Pool) stepCouldStart(s *step, formerRuns bool, now time.Duration) bool {
-	if s.decl.Gang || !p.withinQuota(s, 1) || p.smallerNeedUnmet(s) && !p.slowWorkerSuits(s, now) {
+	if s.decl.Gang || p.smallerNeedUnmet(s) && !p.slowWorkerSuits(s, now) || !p.withinQuota(s, 1) {
 		return false
 	}
 	for _, t := range s.tasks {
