--- a/jaymember/claims_test.go
+++ b/jaymember/claims_test.go
@@ -1,6 +1,7 @@
 package jaymember
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,3 +43,28 @@
 		is.Equal(claim.Term, int64(5))
 	})
 }
+
+func TestEntriesRankAlike(t *testing.T) {
+	// Guards against two entries that both claim a duty at once, since one ranks the other, or
+	// itself, by a capacity that is not the announced one.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := jayclock.Since(time.Now().Add(-time.Hour))
+		store, all, rankings := newMemoryStore(), []*Members{}, [][]string{}
+		for name, megabits := range map[string]int64{"e1": 200, "e2": 10, "e3": 0} {
+			m := newTestMembers(t, name, store, clock)
+			m.ProcessorsMilli, m.LinkMegabits = 400, megabits
+			m.Entries.announce(t.Context())
+			all = append(all, m)
+		}
+		for _, m := range all {
+			for _, r := range store.records[testFormats{}.Own(topicEntries, 0)] {
+				m.Entries.Apply(r)
+			}
+			ranking := jayowner.Rankings(m.Duties(), nil, m.Owners.candidates(clock()))[jayowner.Fleet]
+			is.Equal(entryOf(ranking[2]), "e2") // has the slow link
+			rankings = append(rankings, ranking)
+		}
+		is.Equal(len(slices.CompactFunc(rankings, slices.Equal)), 1)
+	})
+}
--- a/jaynode/poolduty_test.go
+++ b/jaynode/poolduty_test.go
@@ -25,6 +25,12 @@
 }
 
 func newPoolFixture(t *testing.T, term int64, silent ...string) *poolFixture {
+	t.Helper()
+	return newIdlePoolFixture(t, term, silent...).start(t)
+}
+
+// newIdlePoolFixture returns a fixture whose owner is not started yet.
+func newIdlePoolFixture(t *testing.T, term int64, silent ...string) *poolFixture {
 	t.Helper()
 	clock := jayclock.Since(time.Now().Add(-time.Hour))
 	store := newSharedStore()
@@ -45,6 +51,10 @@
 	w.entry.node.heartbeats.asOf = clock()
 	w.claim = w.entry.claim(jayowner.PoolDuty("seats"), 1, term)
 	w.duty = newPoolDuty(w.entry.node, "seats", w.claim)
+	return w
+}
+
+func (w *poolFixture) start(t *testing.T) *poolFixture {
 	w.refreshClaims()
 	w.entry.node.duties.Go(w.duty.run)
 	t.Cleanup(func() {
--- a/jayowner/owner_test.go
+++ b/jayowner/owner_test.go
@@ -111,6 +111,16 @@
 	})
 }
 
+func TestCapacity(t *testing.T) {
+	// Guards against hosts that are idle for seconds in a burst, since the owner of their pool has
+	// a twentieth of the link of an entry with four duties.
+	is := is.New(t)
+	candidates := []Candidate{{Incarnation: "large", Capacity: Capacity(800, 200)}, {Incarnation: "small", Capacity: Capacity(400, 10)}}
+	is.Equal(Rankings([]Duty{Fleet}, map[string]int{"large": 4}, candidates)[Fleet], []string{"large", "small"})
+	is.Equal(Capacity(800, 10), Capacity(192, 10))                             // the link is scarcer
+	is.Equal([]int64{Capacity(192, 200), Capacity(192, 0)}, []int64{192, 192}) // the processors are scarcer, the link is unknown
+}
+
 func ExampleFenceOf() {
 	fmt.Println(FenceOf(0), FenceOf(41))
 	// Output: 1 42
