Package jaysupply: the capacity of a pool from now on

Cause: the decision on an arriving job is to look at the work that arrives later; jaysched is large, and the computation needs nothing of it.

--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -4,12 +4,12 @@
 	"cmp"
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
 	"jaythread/jayreturn"
 	"jaythread/jayspec"
+	"jaythread/jaysupply"
 )
 
 const (
@@ -58,7 +58,7 @@
 	reviewedAt time.Duration
 	arriving   []Arriving
 	arrivingAt time.Duration
-	supply     supply
+	supply     jaysupply.Supply
 	// totals are the present and arriving capacities of the recent past.
 	totals []sample
 	// queues is what is known about the queues with open jobs.
@@ -158,16 +158,16 @@
 		}
 	}
 	elapsed := now - o.arrivingAt
-	o.supply = newSupply(milli)
+	o.supply = jaysupply.New(milli)
 	total := milli
 	for _, a := range o.arriving {
-		o.supply.add(max(0, a.In-elapsed), a.CapacityMilli)
+		o.supply.Add(max(0, a.In-elapsed), a.CapacityMilli)
 		total += a.CapacityMilli
 	}
 	lead := p.settings.MoveTime + reportDelay
 	o.totals = slices.DeleteFunc(o.totals, func(s sample) bool { return s.at < now-lead })
 	if len(o.totals) > 0 {
-		o.supply.add(lead, max(0, total-o.totals[0].milli))
+		o.supply.Add(lead, max(0, total-o.totals[0].milli))
 	}
 	o.totals = append(o.totals, sample{at: now, milli: total})
 }
@@ -234,7 +234,7 @@
 		}
 		q, f := j.forecast.queue, &j.forecast
 		margin := time.Duration(spreadsToReorder * q.spread * float64(f.takes))
-		if q.predictable && f.takes <= j.target-now && f.takes+o.supply.timeFor(ahead) > j.target-now+margin {
+		if q.predictable && f.takes <= j.target-now && f.takes+o.supply.TimeFor(ahead) > j.target-now+margin {
 			return true
 		}
 		if q.predictable && o.byStatus && j.deadlineStatus != onTime {
@@ -452,11 +452,11 @@
 		onTimeWork += o.places.Promised(candidate.priority, min(until, candidate.target))
 		promisedAll = o.places.Promised(candidate.priority, until)
 	}
-	begins := o.supply.timeFor(usefulWork + promisedAll)
+	begins := o.supply.TimeFor(usefulWork + promisedAll)
 	within := func(begins, bound time.Duration) bool {
 		return float64(begins+takes) <= (1+spread)*float64(bound)
 	}
-	if !known || within(o.supply.timeFor(onTimeWork), allowed) || within(begins, maxLateFactor*allowed) {
+	if !known || within(o.supply.TimeFor(onTimeWork), allowed) || within(begins, maxLateFactor*allowed) {
 		o.places.Remove(spec.ID)
 		o.admitted[spec.ID] = candidate
 		o.recent = append(o.recent, candidate)
@@ -465,9 +465,9 @@
 		}
 		return Admission{}
 	}
-	wait := o.supply.timeFor(usefulWork)
+	wait := o.supply.TimeFor(usefulWork)
 	if !inTurn {
-		wait = o.supply.timeFor(usefulWork + o.places.Promised(candidate.priority, MaxDuration))
+		wait = o.supply.TimeFor(usefulWork + o.places.Promised(candidate.priority, MaxDuration))
 	}
 	retryAfter := o.places.Give(spec.ID, candidate.priority, candidate.work, min(wait, maxRetryAfter), now)
 	p.recordRejection(spec, begins+takes, retryAfter, now)
@@ -507,7 +507,7 @@
 		arriving += a.CapacityMilli
 	}
 	detail := fmt.Sprintf("queue %s, backlog %.0fm·s, capacity %dm, arriving %dm, expected end %v, retry after %v, places %d",
-		spec.Queue, o.waitingMilli, o.supply.milli, arriving, min(ends, maxRetryAfter).Round(time.Millisecond), retryAfter, o.places.Len())
+		spec.Queue, o.waitingMilli, o.supply.Milli(), arriving, min(ends, maxRetryAfter).Round(time.Millisecond), retryAfter, o.places.Len())
 	p.recordEvent(Event{Kind: JobRejected, Job: spec.ID, Organisation: spec.Organisation, Detail: detail}, now)
 }
 
@@ -522,7 +522,7 @@
 	if o.beganAt == 0 || now-o.beganAt < newOwnerTime || !o.current(now) || p.OwnerUnconfirmed() || p.formerRunsPossible(now) {
 		return false
 	}
-	if now-o.reviewedAt > outlookTTL || o.supply.milli == 0 || now-max(p.lastRoomAt, o.beganAt) < p.settings.MoveTime+reportDelay {
+	if now-o.reviewedAt > outlookTTL || o.supply.Milli() == 0 || now-max(p.lastRoomAt, o.beganAt) < p.settings.MoveTime+reportDelay {
 		return false
 	}
 	_, expected := p.expected[spec.ID]
@@ -595,48 +595,3 @@
 func (p *Pool) Places() int {
 	return p.outlook.places.Len()
 }
-
-// supply is the capacity from now on, as steps in time.
-type supply struct {
-	milli int64
-	steps []supplyStep
-}
-
-// supplyStep is capacity that is added after a time.
-type supplyStep struct {
-	in    time.Duration
-	milli int64
-}
-
-func newSupply(milli int64) supply {
-	return supply{milli: milli}
-}
-
-// add adds capacity that arrives after a time.
-func (s *supply) add(in time.Duration, milli int64) {
-	if milli <= 0 {
-		return
-	}
-	at, _ := slices.BinarySearchFunc(s.steps, in, func(step supplyStep, in time.Duration) int { return cmp.Compare(step.in, in) })
-	s.steps = slices.Insert(s.steps, at, supplyStep{in: in, milli: milli})
-}
-
-// timeFor returns the time within which work is done, in thousandths of a core times seconds.
-func (s *supply) timeFor(work float64) time.Duration {
-	at, milli := time.Duration(0), float64(s.milli)
-	for _, step := range s.steps {
-		done := milli * (step.in - at).Seconds()
-		if done >= work {
-			break
-		}
-		work -= done
-		at, milli = step.in, milli+float64(step.milli)
-	}
-	if milli <= 0 {
-		return maxSupplyTime
-	}
-	return at + time.Duration(math.Min(work/milli, maxSupplyTime.Seconds())*float64(time.Second))
-}
-
-// maxSupplyTime stands for work that the capacity does not suffice for.
-const maxSupplyTime = 1000 * time.Hour
