Rejection counts the work that arrives while an overload lasts

Cause: a late job is served after all jobs that can be on time, also after those that arrive later. The decision counted only the work that waits.

Change: a late job gets the capacity less the arriving work for as long again as tasks have lacked room, and all capacity after that; it is behind all waiting jobs that can be on time. Retry-After follows the same outlook, and "job rejected" states the arriving work and the remaining time.

--- a/jaysched/deadline.go
+++ b/jaysched/deadline.go
@@ -39,6 +39,7 @@
 	p.deadlineReviewAt = now + reviewInterval
 	byOutlook := p.reviewOutlook(now)
 	overloaded := p.overloaded(now)
+	p.outlook.overloaded = overloaded
 	changed := false
 	for _, j := range p.open {
 		was, favour := j.deadlineStatus, j.favour
--- a/jaysched/ends.go
+++ b/jaysched/ends.go
@@ -133,7 +133,7 @@
 	}
 	t.failedRuns = append(t.failedRuns, number)
 	p.markChanged(t.step.job)
-	if failures := t.failures(); failures >= p.policy(t.step.job).Attempts {
+	if failures := t.failures(); failures >= p.policy(t.step.job.spec).Attempts {
 		p.end(t.step.job, Failed, now)
 		p.recordEvent(Event{Kind: JobEnded, Job: t.step.job.spec.ID, Detail: fmt.Sprintf("failed: %s failed %d times", t.id(), failures), Waited: now - t.step.job.submittedAt}, now)
 	}
--- a/jaysched/forecast.go
+++ b/jaysched/forecast.go
@@ -71,12 +71,13 @@
 	arrivals []arrival
 }
 
-// arrival is the arrival of a job: its work in thousandths of a core times seconds, and how
-// long it takes.
+// arrival is the arrival of a job: its priority, its work in thousandths of a core times seconds,
+// and how long it takes.
 type arrival struct {
-	at    time.Duration
-	work  float64
-	chain time.Duration
+	at       time.Duration
+	priority int
+	work     float64
+	chain    time.Duration
 }
 
 // add records the arrival of a job.
@@ -91,6 +92,11 @@
 // their first step. Their usage then says little about the usage at the time when a host that
 // is requested now arrives; the rate of arriving work indicates it within half a second.
 func (o *offeredWork) rate(now time.Duration) (milli float64, chain time.Duration) {
+	return o.rateUpTo(math.MaxInt, now)
+}
+
+// rateUpTo returns the rate of the jobs of the given priority and of more urgent ones.
+func (o *offeredWork) rateUpTo(priority int, now time.Duration) (milli float64, chain time.Duration) {
 	o.arrivals = slices.DeleteFunc(o.arrivals, func(a arrival) bool { return a.at < now-maxRateWindow })
 	if len(o.arrivals) == 0 {
 		return 0, 0
@@ -101,7 +107,7 @@
 	}
 	work, weighted := 0.0, 0.0
 	for _, a := range o.arrivals {
-		if a.at > from {
+		if a.at > from && a.priority <= priority {
 			work += a.work
 			weighted += a.work * a.chain.Seconds()
 		}
@@ -112,6 +118,22 @@
 	return work / (now - from).Seconds(), time.Duration(weighted / work * float64(time.Second))
 }
 
+// overtaking returns the rate of the jobs of the given priority and of more urgent ones, or zero
+// if there are too few of them for a rate.
+func (o *offeredWork) overtaking(priority int, now time.Duration) (milli float64) {
+	milli, _ = o.rateUpTo(priority, now)
+	count := 0
+	for _, a := range o.arrivals {
+		if a.priority <= priority {
+			count++
+		}
+	}
+	if count < rateJobs {
+		return 0
+	}
+	return milli
+}
+
 // forecast returns the usage of a pool after the lead time, given its present usage: some of
 // the present jobs will have ended by then, and others will have arrived at the present rate.
 func (o *offeredWork) forecast(milli int64, lead, now time.Duration) int64 {
@@ -160,5 +182,5 @@
 		takes := p.durations.predict(spec.Queue, s.Estimate)
 		work += float64(s.Tasks) * float64(s.Need.ProcessorsMilli) * takes.Seconds()
 	}
-	p.offeredWork.add(arrival{at: now, work: work, chain: chain})
+	p.offeredWork.add(arrival{at: now, priority: p.policy(spec).Priority, work: work, chain: chain})
 }
--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -67,6 +67,11 @@
 	lateAt time.Duration
 	// byStatus says that jobs that can be on time are served first in predictable queues.
 	byStatus bool
+	// overloaded says that they are served first in all queues.
+	overloaded bool
+	// arrivingWork is the work that arrives, in thousandths of a core, of the jobs of a priority
+	// and more urgent ones. It is computed once between two reviews, when it is first needed.
+	arrivingWork map[int]float64
 	// waiting is the useful waiting work, by priority.
 	waiting map[int]*waitingWork
 	// waitingMilli is the sum of waiting, in thousandths of a core times seconds.
@@ -102,10 +107,11 @@
 
 func newOutlook() *outlook {
 	return &outlook{
-		queues:   map[string]*queueOutlook{},
-		waiting:  map[int]*waitingWork{},
-		admitted: map[string]admittedJob{},
-		places:   jayreturn.New(),
+		queues:       map[string]*queueOutlook{},
+		arrivingWork: map[int]float64{},
+		waiting:      map[int]*waitingWork{},
+		admitted:     map[string]admittedJob{},
+		places:       jayreturn.New(),
 	}
 }
 
@@ -382,6 +388,7 @@
 		}
 	}
 	o.waitingMilli, o.reviewedAt = 0, now
+	clear(o.arrivingWork)
 	for _, j := range p.open {
 		if j.forecast.at != now || j.waiting == 0 || j.deadlineStatus == expired || p.waitsForQuota(j, now) {
 			continue
@@ -442,7 +449,8 @@
 	due, hasPlace := o.places.Due(spec.ID)
 	inTurn := hasPlace && due <= now
 	allowed := candidate.target - now
-	onTimeWork, usefulWork := o.ahead(candidate)
+	overload := p.overload(spec.Queue, candidate.priority, now)
+	onTimeWork, usefulWork := o.ahead(candidate, overload)
 	promisedAll := 0.0
 	if !inTurn {
 		until := now + maxLateFactor*allowed
@@ -452,7 +460,7 @@
 		onTimeWork += o.places.Promised(candidate.priority, min(until, candidate.target))
 		promisedAll = o.places.Promised(candidate.priority, until)
 	}
-	begins := o.supply.TimeFor(usefulWork + promisedAll)
+	begins := o.supply.TimeBehind(usefulWork+promisedAll, overload)
 	within := func(begins, bound time.Duration) bool {
 		return float64(begins+takes) <= (1+spread)*float64(bound)
 	}
@@ -465,12 +473,12 @@
 		}
 		return Admission{}
 	}
-	wait := o.supply.TimeFor(usefulWork)
+	wait := o.supply.TimeBehind(usefulWork, overload)
 	if !inTurn {
-		wait = o.supply.TimeFor(usefulWork + o.places.Promised(candidate.priority, MaxDuration))
+		wait = o.supply.TimeBehind(usefulWork+o.places.Promised(candidate.priority, MaxDuration), overload)
 	}
 	retryAfter := o.places.Give(spec.ID, candidate.priority, candidate.work, min(wait, maxRetryAfter), now)
-	p.recordRejection(spec, begins+takes, retryAfter, now)
+	p.recordRejection(spec, overload, begins+takes, retryAfter, now)
 	return Admission{Rejected: true, RetryAfter: retryAfter}
 }
 
@@ -500,14 +508,14 @@
 const maxRetryAfter = 10 * time.Minute
 
 // recordRejection records a rejection with the outlook behind it.
-func (p *Pool) recordRejection(spec *jayspec.Job, ends, retryAfter, now time.Duration) {
+func (p *Pool) recordRejection(spec *jayspec.Job, overload jaysupply.Overload, ends, retryAfter, now time.Duration) {
 	o := p.outlook
 	arriving := int64(0)
 	for _, a := range o.arriving {
 		arriving += a.CapacityMilli
 	}
-	detail := fmt.Sprintf("queue %s, backlog %.0fm·s, capacity %dm, arriving %dm, expected end %v, retry after %v, places %d",
-		spec.Queue, o.waitingMilli, o.supply.Milli(), arriving, min(ends, maxRetryAfter).Round(time.Millisecond), retryAfter, o.places.Len())
+	detail := fmt.Sprintf("queue %s, backlog %.0fm·s, capacity %dm, arriving %dm, arriving work %.0fm, overload remaining %v, expected end %v, retry after %v, places %d",
+		spec.Queue, o.waitingMilli, o.supply.Milli(), arriving, overload.ArrivingMilli, overload.Remaining.Round(time.Millisecond), min(ends, maxRetryAfter).Round(time.Millisecond), retryAfter, o.places.Len())
 	p.recordEvent(Event{Kind: JobRejected, Job: spec.ID, Organisation: spec.Organisation, Detail: detail}, now)
 }
 
@@ -531,10 +539,7 @@
 
 // candidate returns the entry of a job that is to be stored, and its longest chain of tasks.
 func (p *Pool) candidate(spec *jayspec.Job, now time.Duration) (a admittedJob, chain time.Duration) {
-	policy, present := p.policyOf(spec.Queue)
-	if !present {
-		policy = spec.Policy
-	}
+	policy := p.policy(spec)
 	chain = p.longestChain(spec)
 	a = admittedJob{priority: policy.Priority, target: now + time.Duration(policy.Stretch*float64(chain)) + policy.Objective, requests: 1, until: now + unansweredTTL}
 	if spec.LongRunning() || spec.Schedule.Timed() {
@@ -549,9 +554,26 @@
 	return a, chain
 }
 
+// overload returns the work that arrives and is served before a late job of a queue. Where jobs
+// are served by their targets, none is: later jobs have later targets. Without recent arrivals, the
+// waiting work alone counts.
+func (p *Pool) overload(queue string, priority int, now time.Duration) jaysupply.Overload {
+	o := p.outlook
+	q, known := o.queues[queue]
+	if !o.overloaded && !(o.byStatus && known && q.predictable) {
+		return jaysupply.Overload{}
+	}
+	arriving, known := o.arrivingWork[priority]
+	if !known {
+		arriving = p.offeredWork.overtaking(priority, now)
+		o.arrivingWork[priority] = arriving
+	}
+	return jaysupply.Lasting(now-max(p.lastRoomAt, o.beganAt), arriving)
+}
+
 // ahead returns the waiting work that is served before a new job while it can be on time, and
-// once it is late.
-func (o *outlook) ahead(a admittedJob) (onTimeWork, usefulWork float64) {
+// once it is late. In an overload, a late job is served after all that can be on time.
+func (o *outlook) ahead(a admittedJob, overload jaysupply.Overload) (onTimeWork, usefulWork float64) {
 	for priority, w := range o.waiting {
 		switch {
 		case priority < a.priority:
@@ -561,6 +583,9 @@
 			first := w.byStatus[onTime].until(a.target)
 			onTimeWork += first
 			usefulWork += first + w.byStatus[late].until(a.target)
+			if overload.ArrivingMilli > 0 {
+				usefulWork += w.byStatus[onTime].total() - first
+			}
 		}
 	}
 	for _, other := range o.recent {
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -286,11 +286,11 @@
 
 // policy returns the present policy of a job's queue, or the one that the job was accepted
 // under.
-func (p *Pool) policy(j *job) jayspec.Policy {
-	if present, ok := p.policyOf(j.spec.Queue); ok {
+func (p *Pool) policy(spec *jayspec.Job) jayspec.Policy {
+	if present, ok := p.policyOf(spec.Queue); ok {
 		return present
 	}
-	return j.spec.Policy
+	return spec.Policy
 }
 
 // Declare adds a job that this owner has stored. A known job stays unchanged.
@@ -310,7 +310,7 @@
 // add adds a job and returns how long it takes if it runs alone.
 func (p *Pool) add(j *job) (chain time.Duration) {
 	p.jobs[j.spec.ID] = j
-	policy := p.policy(j)
+	policy := p.policy(j.spec)
 	j.advised, j.priority = policy.Advised, policy.Priority
 	chain = p.longestChain(j.spec)
 	j.chain = chain
