Rate of urgent jobs is independent of less urgent arrivals

Cause: the window of the rate was chosen by the arrivals of all priorities, and only the work was filtered. While less urgent jobs arrive fast, the window of urgent jobs holds few or none of them, so the rate is zero or that of one job.

Change: the window holds 12 jobs of the given priority and more urgent ones. The rate over all priorities, which the demand reports, is as before.

--- a/jaysched/forecast.go
+++ b/jaysched/forecast.go
@@ -92,18 +92,23 @@
 // their first step. Their usage then says little about the usage at the time when a host that
 // is requested now arrives; the rate of arriving work indicates it within half a second.
 func (o *offeredWork) rate(now time.Duration) (milli float64, chain time.Duration) {
-	return o.rateUpTo(math.MaxInt, now)
+	milli, chain, _ = o.rateUpTo(math.MaxInt, now)
+	return milli, chain
 }
 
-// rateUpTo returns the rate of the jobs of the given priority and of more urgent ones.
-func (o *offeredWork) rateUpTo(priority int, now time.Duration) (milli float64, chain time.Duration) {
+// rateUpTo returns the rate of the jobs of the given priority and of more urgent ones, and how many
+// of them arrived within maxRateWindow. The window of the rate contains rateJobs of these jobs:
+// chosen by all arrivals, it would contain few or none of them while less urgent jobs arrive faster.
+func (o *offeredWork) rateUpTo(priority int, now time.Duration) (milli float64, chain time.Duration, count int) {
 	o.arrivals = slices.DeleteFunc(o.arrivals, func(a arrival) bool { return a.at < now-maxRateWindow })
-	if len(o.arrivals) == 0 {
-		return 0, 0
-	}
 	from := now - maxRateWindow
-	if n := len(o.arrivals); n > rateJobs {
-		from = min(o.arrivals[n-rateJobs-1].at, now-minRateWindow)
+	for _, a := range slices.Backward(o.arrivals) {
+		if a.priority > priority {
+			continue
+		}
+		if count++; count == rateJobs+1 {
+			from = min(a.at, now-minRateWindow)
+		}
 	}
 	work, weighted := 0.0, 0.0
 	for _, a := range o.arrivals {
@@ -113,21 +118,15 @@
 		}
 	}
 	if work == 0 {
-		return 0, 0
+		return 0, 0, count
 	}
-	return work / (now - from).Seconds(), time.Duration(weighted / work * float64(time.Second))
+	return work / (now - from).Seconds(), time.Duration(weighted / work * float64(time.Second)), count
 }
 
 // overtaking returns the rate of the jobs of the given priority and of more urgent ones, or zero
 // if there are too few of them for a rate.
 func (o *offeredWork) overtaking(priority int, now time.Duration) (milli float64) {
-	milli, _ = o.rateUpTo(priority, now)
-	count := 0
-	for _, a := range o.arrivals {
-		if a.priority <= priority {
-			count++
-		}
-	}
+	milli, _, count := o.rateUpTo(priority, now)
 	if count < rateJobs {
 		return 0
 	}
--- a/jaysched/forecast_test.go
+++ b/jaysched/forecast_test.go
@@ -97,3 +97,17 @@
 	w.pool.Expect(newSpec("later", 1), w.now)
 	is.Equal(len(w.pool.expected), 1)
 }
+
+func TestRateOfUrgentJobsBesideManyLessUrgentOnes(t *testing.T) {
+	// Guards against a rate of urgent jobs that is zero, or that of a single large job, because
+	// the window is chosen by the less urgent jobs that arrive faster.
+	var o offeredWork
+	for n := range rateJobs {
+		o.add(arrival{at: time.Duration(n) * 100 * time.Millisecond, work: 1000})
+	}
+	alone := o.overtaking(0, 2*time.Second)
+	for range 3 * rateJobs {
+		o.add(arrival{at: 1900 * time.Millisecond, priority: 1, work: 1000})
+	}
+	is.New(t).Equal(o.overtaking(0, 2*time.Second), alone)
+}
