Tests of the outlook while work arrives fail without most of its terms

Cause: the tests of jaysched passed with six of its terms mutated. The bound on Retry-After was met by the places of earlier rejections alone, and the job that returns met an empty pool, in which any job is accepted.

Change: the case has no earlier places, a beginning of the pool before that of the overload, and waiting work with later targets; Retry-After is compared exactly. At the return 7.9 s of work wait and tasks still lack room: a newcomer is rejected, the returning job accepted. Further cases have the order by status in all queues, set directly and by a review.

Measured: these mutations passed before and fail now: the overload lasts since the owner began; the order by status in all queues is ignored; waiting jobs with later targets are not ahead; Retry-After of a first rejection without arriving work. 'overloaded' that the review never sets fails too. Still passing: Retry-After without arriving work for a job that is rejected again in its turn, promised work that counts against a job in its turn, and a job that is never in its turn (the last two concern earlier code).

--- a/jaysched/outlook_test.go
+++ b/jaysched/outlook_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"jaythread/jayport"
+	"jaythread/jayreturn"
 	"jaythread/jayspec"
 )
 
@@ -189,20 +190,25 @@
 			is := is.New(t)
 			w := newOutlookHarness(t, 4, 1, 300*time.Millisecond)
 			w.arrive(100*time.Millisecond, 2*time.Second)
+			o := w.pool.outlook
+			o.beganAt -= time.Minute // the overload lasts since lastRoomAt
+			o.places = jayreturn.New()
 			c := &waitingWork{}
-			c.byStatus[onTime].add(w.now, 4000*6)
-			w.pool.outlook.waiting[0] = c
+			c.byStatus[onTime].add(w.now, 4000*4)
+			c.byStatus[onTime].add(w.now+time.Hour, 4000*2) // served before a late job too
+			o.waiting[0] = c
 			change(w.pool)
 			admission := w.pool.Admit(job, w.now)
 			is.Equal(admission.Rejected, rejected)
 			if !rejected {
 				return
 			}
-			is.True(admission.RetryAfter >= 8*time.Second) // what waits, after the overload
-			for id := range w.pool.jobs {
-				w.pool.Cancel(id, w.now)
-			}
+			is.Equal(admission.RetryAfter, 9*time.Second) // 2.3 s of overload, then 6 s of waiting work
 			w.passWithFleet(admission.RetryAfter)
+			c = &waitingWork{}
+			c.byStatus[onTime].add(w.now, 4000*7.9)
+			o.waiting[0] = c
+			is.True(w.pool.Admit(newSpec("newcomer", 1, tasks(4, 1000, 100)), w.now).Rejected)
 			is.True(!w.pool.Admit(job, w.now).Rejected) // it returns in its turn
 		})
 	}
@@ -215,6 +221,16 @@
 		}
 	})
 	admit("not where jobs are served by target", false, func(p *Pool) { p.outlook.queues["q"].predictable = false })
+	admit("where all queues are served by status", true, func(p *Pool) {
+		p.outlook.queues["q"].predictable, p.outlook.overloaded = false, true
+	})
+}
+
+func TestLongOverloadIsKnownInUnpredictableQueues(t *testing.T) {
+	// Guards against an outlook that ignores the order by status in queues that are predicted badly.
+	w := newOutlookHarness(t, 30, 3, 300*time.Millisecond)
+	w.arrive(100*time.Millisecond, 5*time.Second)
+	is.New(t).True(w.pool.overload("q", 0, w.now).Remaining > 0)
 }
 
 func TestShortOverloadRejectsNothing(t *testing.T) {
