An overload is at most as old as the order by status

Cause: a task that fits no worker lacks room for as long as it waits, so an overload that had just begun counted as old, and jobs were rejected within the first move time. Change: the overload begins with the later of the lack of room and the order by status; both the first rejection and the expected remaining time follow from it.

--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -63,8 +63,10 @@
 	totals []sample
 	// queues is what is known about the queues with open jobs.
 	queues map[string]*queueOutlook
-	// lateAt is the latest time at which the waiting work made a job late.
-	lateAt time.Duration
+	// lateAt is the latest time at which the waiting work made a job late, and lateSince when this
+	// began.
+	lateAt    time.Duration
+	lateSince time.Duration
 	// byStatus says that jobs that can be on time are served first in predictable queues.
 	byStatus bool
 	// overloaded says that they are served first in all queues.
@@ -147,6 +149,9 @@
 	p.reviewSupply(now)
 	p.reviewQueues(now)
 	if p.lackedRoom && o.waitingMakesLate(p.open, now) {
+		if !o.byStatus {
+			o.lateSince = now
+		}
 		o.lateAt = now
 	}
 	o.byStatus = o.lateAt > 0 && now-o.lateAt <= orderHold
@@ -530,7 +535,7 @@
 	if o.beganAt == 0 || now-o.beganAt < newOwnerTime || !o.current(now) || p.OwnerUnconfirmed() || p.formerRunsPossible(now) {
 		return false
 	}
-	if now-o.reviewedAt > outlookTTL || o.supply.Milli() == 0 || now-max(p.lastRoomAt, o.beganAt) < p.settings.MoveTime+reportDelay {
+	if now-o.reviewedAt > outlookTTL || o.supply.Milli() == 0 || now-p.overloadedSince() < p.settings.MoveTime+reportDelay {
 		return false
 	}
 	_, expected := p.expected[spec.ID]
@@ -568,7 +573,18 @@
 		arriving = p.offeredWork.overtaking(priority, now)
 		o.arrivingWork[priority] = arriving
 	}
-	return jaysupply.Lasting(now-max(p.lastRoomAt, o.beganAt), arriving)
+	return jaysupply.Lasting(now-p.overloadedSince(), arriving)
+}
+
+// overloadedSince returns when the present overload began. A task that fits no worker lacks room
+// for as long as it waits, so the overload is at most as old as the order by what can be on time.
+func (p *Pool) overloadedSince() time.Duration {
+	o := p.outlook
+	since := max(p.lastRoomAt, o.beganAt)
+	if o.byStatus {
+		since = max(since, o.lateSince)
+	}
+	return since
 }
 
 // ahead returns the waiting work that is served before a new job while it can be on time, and
