--- a/jaysched/forecast.go
+++ b/jaysched/forecast.go
@@ -71,12 +71,13 @@
 	arrivals []arrival
 }
 
-// arrival is the arrival of a job: its work in thousandths of a core times seconds, and how
-// long it takes.
+// arrival is the arrival of a job: its priority, its work in thousandths of a core times seconds,
+// and how long it takes.
 type arrival struct {
-	at    time.Duration
-	work  float64
-	chain time.Duration
+	at       time.Duration
+	priority int
+	work     float64
+	chain    time.Duration
 }
 
 // add records the arrival of a job.
@@ -91,25 +92,45 @@
 // their first step. Their usage then says little about the usage at the time when a host that
 // is requested now arrives; the rate of arriving work indicates it within half a second.
 func (o *offeredWork) rate(now time.Duration) (milli float64, chain time.Duration) {
+	milli, chain, _ = o.rateUpTo(math.MaxInt, now)
+	return milli, chain
+}
+
+// rateUpTo returns the rate of the jobs of the given priority and of more urgent ones, and how many
+// of them arrived within maxRateWindow. The window of the rate contains rateJobs of these jobs:
+// chosen by all arrivals, it would contain few or none of them while less urgent jobs arrive faster.
+func (o *offeredWork) rateUpTo(priority int, now time.Duration) (milli float64, chain time.Duration, count int) {
 	o.arrivals = slices.DeleteFunc(o.arrivals, func(a arrival) bool { return a.at < now-maxRateWindow })
-	if len(o.arrivals) == 0 {
-		return 0, 0
-	}
 	from := now - maxRateWindow
-	if n := len(o.arrivals); n > rateJobs {
-		from = min(o.arrivals[n-rateJobs-1].at, now-minRateWindow)
+	for _, a := range slices.Backward(o.arrivals) {
+		if a.priority > priority {
+			continue
+		}
+		if count++; count == rateJobs+1 {
+			from = min(a.at, now-minRateWindow)
+		}
 	}
 	work, weighted := 0.0, 0.0
 	for _, a := range o.arrivals {
-		if a.at > from {
+		if a.at > from && a.priority <= priority {
 			work += a.work
 			weighted += a.work * a.chain.Seconds()
 		}
 	}
 	if work == 0 {
-		return 0, 0
+		return 0, 0, count
+	}
+	return work / (now - from).Seconds(), time.Duration(weighted / work * float64(time.Second)), count
+}
+
+// overtaking returns the rate of the jobs of the given priority and of more urgent ones, or zero
+// if there are too few of them for a rate.
+func (o *offeredWork) overtaking(priority int, now time.Duration) (milli float64) {
+	milli, _, count := o.rateUpTo(priority, now)
+	if count < rateJobs {
+		return 0
 	}
-	return work / (now - from).Seconds(), time.Duration(weighted / work * float64(time.Second))
+	return milli
 }
 
 // forecast returns the usage of a pool after the lead time, given its present usage: some of
@@ -160,5 +181,5 @@
 		takes := p.durations.predict(spec.Queue, s.Estimate)
 		work += float64(s.Tasks) * float64(s.Need.ProcessorsMilli) * takes.Seconds()
 	}
-	p.offeredWork.add(arrival{at: now, work: work, chain: chain})
+	p.offeredWork.add(arrival{at: now, priority: p.policy(spec).Priority, work: work, chain: chain})
 }
--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -4,12 +4,12 @@
 	"cmp"
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
 	"jaythread/jayreturn"
 	"jaythread/jayspec"
+	"jaythread/jaysupply"
 )
 
 const (
@@ -58,15 +58,22 @@
 	reviewedAt time.Duration
 	arriving   []Arriving
 	arrivingAt time.Duration
-	supply     supply
+	supply     jaysupply.Supply
 	// totals are the present and arriving capacities of the recent past.
 	totals []sample
 	// queues is what is known about the queues with open jobs.
 	queues map[string]*queueOutlook
-	// lateAt is the latest time at which the waiting work made a job late.
-	lateAt time.Duration
+	// lateAt is the latest time at which the waiting work made a job late, and lateSince when this
+	// began.
+	lateAt    time.Duration
+	lateSince time.Duration
 	// byStatus says that jobs that can be on time are served first in predictable queues.
 	byStatus bool
+	// overloaded says that they are served first in all queues.
+	overloaded bool
+	// arrivingWork is the work that arrives, in thousandths of a core, of the jobs of a priority
+	// and more urgent ones. It is computed once between two reviews, when it is first needed.
+	arrivingWork map[int]float64
 	// waiting is the useful waiting work, by priority.
 	waiting map[int]*waitingWork
 	// waitingMilli is the sum of waiting, in thousandths of a core times seconds.
@@ -102,10 +109,11 @@
 
 func newOutlook() *outlook {
 	return &outlook{
-		queues:   map[string]*queueOutlook{},
-		waiting:  map[int]*waitingWork{},
-		admitted: map[string]admittedJob{},
-		places:   jayreturn.New(),
+		queues:       map[string]*queueOutlook{},
+		arrivingWork: map[int]float64{},
+		waiting:      map[int]*waitingWork{},
+		admitted:     map[string]admittedJob{},
+		places:       jayreturn.New(),
 	}
 }
 
@@ -141,6 +149,9 @@
 	p.reviewSupply(now)
 	p.reviewQueues(now)
 	if p.lackedRoom && o.waitingMakesLate(p.open, now) {
+		if !o.byStatus {
+			o.lateSince = now
+		}
 		o.lateAt = now
 	}
 	o.byStatus = o.lateAt > 0 && now-o.lateAt <= orderHold
@@ -158,16 +169,16 @@
 		}
 	}
 	elapsed := now - o.arrivingAt
-	o.supply = newSupply(milli)
+	o.supply = jaysupply.New(milli)
 	total := milli
 	for _, a := range o.arriving {
-		o.supply.add(max(0, a.In-elapsed), a.CapacityMilli)
+		o.supply.Add(max(0, a.In-elapsed), a.CapacityMilli)
 		total += a.CapacityMilli
 	}
 	lead := p.settings.MoveTime + reportDelay
 	o.totals = slices.DeleteFunc(o.totals, func(s sample) bool { return s.at < now-lead })
 	if len(o.totals) > 0 {
-		o.supply.add(lead, max(0, total-o.totals[0].milli))
+		o.supply.Add(lead, max(0, total-o.totals[0].milli))
 	}
 	o.totals = append(o.totals, sample{at: now, milli: total})
 }
@@ -234,7 +245,7 @@
 		}
 		q, f := j.forecast.queue, &j.forecast
 		margin := time.Duration(spreadsToReorder * q.spread * float64(f.takes))
-		if q.predictable && f.takes <= j.target-now && f.takes+o.supply.timeFor(ahead) > j.target-now+margin {
+		if q.predictable && f.takes <= j.target-now && f.takes+o.supply.TimeFor(ahead) > j.target-now+margin {
 			return true
 		}
 		if q.predictable && o.byStatus && j.deadlineStatus != onTime {
@@ -382,6 +393,7 @@
 		}
 	}
 	o.waitingMilli, o.reviewedAt = 0, now
+	clear(o.arrivingWork)
 	for _, j := range p.open {
 		if j.forecast.at != now || j.waiting == 0 || j.deadlineStatus == expired || p.waitsForQuota(j, now) {
 			continue
@@ -442,7 +454,8 @@
 	due, hasPlace := o.places.Due(spec.ID)
 	inTurn := hasPlace && due <= now
 	allowed := candidate.target - now
-	onTimeWork, usefulWork := o.ahead(candidate)
+	overload := p.overload(spec.Queue, candidate.priority, now)
+	onTimeWork, usefulWork := o.ahead(candidate, overload)
 	promisedAll := 0.0
 	if !inTurn {
 		until := now + maxLateFactor*allowed
@@ -452,11 +465,11 @@
 		onTimeWork += o.places.Promised(candidate.priority, min(until, candidate.target))
 		promisedAll = o.places.Promised(candidate.priority, until)
 	}
-	begins := o.supply.timeFor(usefulWork + promisedAll)
+	begins := o.supply.TimeBehind(usefulWork+promisedAll, overload)
 	within := func(begins, bound time.Duration) bool {
 		return float64(begins+takes) <= (1+spread)*float64(bound)
 	}
-	if !known || within(o.supply.timeFor(onTimeWork), allowed) || within(begins, maxLateFactor*allowed) {
+	if !known || within(o.supply.TimeFor(onTimeWork), allowed) || within(begins, maxLateFactor*allowed) {
 		o.places.Remove(spec.ID)
 		o.admitted[spec.ID] = candidate
 		o.recent = append(o.recent, candidate)
@@ -465,12 +478,12 @@
 		}
 		return Admission{}
 	}
-	wait := o.supply.timeFor(usefulWork)
+	wait := o.supply.TimeBehind(usefulWork, overload)
 	if !inTurn {
-		wait = o.supply.timeFor(usefulWork + o.places.Promised(candidate.priority, MaxDuration))
+		wait = o.supply.TimeBehind(usefulWork+o.places.Promised(candidate.priority, MaxDuration), overload)
 	}
 	retryAfter := o.places.Give(spec.ID, candidate.priority, candidate.work, min(wait, maxRetryAfter), now)
-	p.recordRejection(spec, begins+takes, retryAfter, now)
+	p.recordRejection(spec, overload, begins+takes, retryAfter, now)
 	return Admission{Rejected: true, RetryAfter: retryAfter}
 }
 
@@ -500,14 +513,14 @@
 const maxRetryAfter = 10 * time.Minute
 
 // recordRejection records a rejection with the outlook behind it.
-func (p *Pool) recordRejection(spec *jayspec.Job, ends, retryAfter, now time.Duration) {
+func (p *Pool) recordRejection(spec *jayspec.Job, overload jaysupply.Overload, ends, retryAfter, now time.Duration) {
 	o := p.outlook
 	arriving := int64(0)
 	for _, a := range o.arriving {
 		arriving += a.CapacityMilli
 	}
-	detail := fmt.Sprintf("queue %s, backlog %.0fm·s, capacity %dm, arriving %dm, expected end %v, retry after %v, places %d",
-		spec.Queue, o.waitingMilli, o.supply.milli, arriving, min(ends, maxRetryAfter).Round(time.Millisecond), retryAfter, o.places.Len())
+	detail := fmt.Sprintf("queue %s, backlog %.0fm·s, capacity %dm, arriving %dm, arriving work %.0fm, overload remaining %v, expected end %v, retry after %v, places %d",
+		spec.Queue, o.waitingMilli, o.supply.Milli(), arriving, overload.ArrivingMilli, overload.Remaining.Round(time.Millisecond), min(ends, maxRetryAfter).Round(time.Millisecond), retryAfter, o.places.Len())
 	p.recordEvent(Event{Kind: JobRejected, Job: spec.ID, Organisation: spec.Organisation, Detail: detail}, now)
 }
 
@@ -522,7 +535,7 @@
 	if o.beganAt == 0 || now-o.beganAt < newOwnerTime || !o.current(now) || p.OwnerUnconfirmed() || p.formerRunsPossible(now) {
 		return false
 	}
-	if now-o.reviewedAt > outlookTTL || o.supply.milli == 0 || now-max(p.lastRoomAt, o.beganAt) < p.settings.MoveTime+reportDelay {
+	if now-o.reviewedAt > outlookTTL || o.supply.Milli() == 0 || now-p.overloadedSince() < p.settings.MoveTime+reportDelay {
 		return false
 	}
 	_, expected := p.expected[spec.ID]
@@ -531,10 +544,7 @@
 
 // candidate returns the entry of a job that is to be stored, and its longest chain of tasks.
 func (p *Pool) candidate(spec *jayspec.Job, now time.Duration) (a admittedJob, chain time.Duration) {
-	policy, present := p.policyOf(spec.Queue)
-	if !present {
-		policy = spec.Policy
-	}
+	policy := p.policy(spec)
 	chain = p.longestChain(spec)
 	a = admittedJob{priority: policy.Priority, target: now + time.Duration(policy.Stretch*float64(chain)) + policy.Objective, requests: 1, until: now + unansweredTTL}
 	if spec.LongRunning() || spec.Schedule.Timed() {
@@ -549,9 +559,37 @@
 	return a, chain
 }
 
+// overload returns the work that arrives and is served before a late job of a queue. Where jobs
+// are served by their targets, none is: later jobs have later targets. Without recent arrivals, the
+// waiting work alone counts.
+func (p *Pool) overload(queue string, priority int, now time.Duration) jaysupply.Overload {
+	o := p.outlook
+	q, known := o.queues[queue]
+	if !o.overloaded && !(o.byStatus && known && q.predictable) {
+		return jaysupply.Overload{}
+	}
+	arriving, known := o.arrivingWork[priority]
+	if !known {
+		arriving = p.offeredWork.overtaking(priority, now)
+		o.arrivingWork[priority] = arriving
+	}
+	return jaysupply.Lasting(now-p.overloadedSince(), arriving)
+}
+
+// overloadedSince returns when the present overload began. A task that fits no worker lacks room
+// for as long as it waits, so the overload is at most as old as the order by what can be on time.
+func (p *Pool) overloadedSince() time.Duration {
+	o := p.outlook
+	since := max(p.lastRoomAt, o.beganAt)
+	if o.byStatus {
+		since = max(since, o.lateSince)
+	}
+	return since
+}
+
 // ahead returns the waiting work that is served before a new job while it can be on time, and
-// once it is late.
-func (o *outlook) ahead(a admittedJob) (onTimeWork, usefulWork float64) {
+// once it is late. In an overload, a late job is served after all that can be on time.
+func (o *outlook) ahead(a admittedJob, overload jaysupply.Overload) (onTimeWork, usefulWork float64) {
 	for priority, w := range o.waiting {
 		switch {
 		case priority < a.priority:
@@ -561,6 +599,9 @@
 			first := w.byStatus[onTime].until(a.target)
 			onTimeWork += first
 			usefulWork += first + w.byStatus[late].until(a.target)
+			if overload.ArrivingMilli > 0 {
+				usefulWork += w.byStatus[onTime].total() - first
+			}
 		}
 	}
 	for _, other := range o.recent {
@@ -595,48 +636,3 @@
 func (p *Pool) Places() int {
 	return p.outlook.places.Len()
 }
-
-// supply is the capacity from now on, as steps in time.
-type supply struct {
-	milli int64
-	steps []supplyStep
-}
-
-// supplyStep is capacity that is added after a time.
-type supplyStep struct {
-	in    time.Duration
-	milli int64
-}
-
-func newSupply(milli int64) supply {
-	return supply{milli: milli}
-}
-
-// add adds capacity that arrives after a time.
-func (s *supply) add(in time.Duration, milli int64) {
-	if milli <= 0 {
-		return
-	}
-	at, _ := slices.BinarySearchFunc(s.steps, in, func(step supplyStep, in time.Duration) int { return cmp.Compare(step.in, in) })
-	s.steps = slices.Insert(s.steps, at, supplyStep{in: in, milli: milli})
-}
-
-// timeFor returns the time within which work is done, in thousandths of a core times seconds.
-func (s *supply) timeFor(work float64) time.Duration {
-	at, milli := time.Duration(0), float64(s.milli)
-	for _, step := range s.steps {
-		done := milli * (step.in - at).Seconds()
-		if done >= work {
-			break
-		}
-		work -= done
-		at, milli = step.in, milli+float64(step.milli)
-	}
-	if milli <= 0 {
-		return maxSupplyTime
-	}
-	return at + time.Duration(math.Min(work/milli, maxSupplyTime.Seconds())*float64(time.Second))
-}
-
-// maxSupplyTime stands for work that the capacity does not suffice for.
-const maxSupplyTime = 1000 * time.Hour
--- a/jaysched/outlook_test.go
+++ b/jaysched/outlook_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"jaythread/jayport"
+	"jaythread/jayreturn"
 	"jaythread/jayspec"
 )
 
@@ -167,12 +168,84 @@
 	is.Equal(w.pool.Places(), 1)
 }
 
+// arrive lets jobs of a second arrive for a time, and returns how many of them were rejected.
+func (w *harness) arrive(every, d time.Duration) (rejected int) {
+	for until := w.now + d; w.now < until; w.passWithFleet(every) {
+		job := newSpec(fmt.Sprint("arriving", w.now), 1, tasks(4, 1000, 100))
+		if w.pool.Admit(job, w.now).Rejected {
+			rejected++
+			continue
+		}
+		declare(w, job)
+	}
+	return rejected
+}
+
+func TestLateJobIsRejectedForArrivingWork(t *testing.T) {
+	// Guards against late jobs that are accepted by the work that waits when they arrive, and are
+	// overtaken by every later job for as long as the overload lasts.
+	job := newSpec("new", 1, tasks(4, 1000, 100))
+	admit := func(name string, rejected bool, change func(*Pool)) {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newOutlookHarness(t, 4, 1, 300*time.Millisecond)
+			w.arrive(100*time.Millisecond, 2*time.Second)
+			o := w.pool.outlook
+			o.beganAt -= time.Minute // the overload lasts since lastRoomAt
+			o.places = jayreturn.New()
+			c := &waitingWork{}
+			c.byStatus[onTime].add(w.now, 4000*4)
+			c.byStatus[onTime].add(w.now+time.Hour, 4000*2) // served before a late job too
+			o.waiting[0] = c
+			change(w.pool)
+			admission := w.pool.Admit(job, w.now)
+			is.Equal(admission.Rejected, rejected)
+			if !rejected {
+				return
+			}
+			is.Equal(admission.RetryAfter, 9*time.Second) // 2.3 s of overload, then 6 s of waiting work
+			w.passWithFleet(admission.RetryAfter)
+			c = &waitingWork{}
+			c.byStatus[onTime].add(w.now, 4000*7.9)
+			o.waiting[0] = c
+			is.True(w.pool.Admit(newSpec("newcomer", 1, tasks(4, 1000, 100)), w.now).Rejected)
+			is.True(!w.pool.Admit(job, w.now).Rejected) // it returns in its turn
+		})
+	}
+	admit("while it arrives", true, func(*Pool) {})
+	admit("not by a new owner, which knows no arrivals", false, func(p *Pool) { p.offeredWork = offeredWork{} })
+	admit("not with too few arrivals for a rate", false, func(p *Pool) { p.offeredWork.arrivals = p.offeredWork.arrivals[:rateJobs-1] })
+	admit("not for less urgent arrivals", false, func(p *Pool) {
+		for n := range p.offeredWork.arrivals {
+			p.offeredWork.arrivals[n].priority = 1
+		}
+	})
+	admit("not where jobs are served by target", false, func(p *Pool) { p.outlook.queues["q"].predictable = false })
+	admit("where all queues are served by status", true, func(p *Pool) {
+		p.outlook.queues["q"].predictable, p.outlook.overloaded = false, true
+	})
+}
+
+func TestLongOverloadIsKnownInUnpredictableQueues(t *testing.T) {
+	// Guards against an outlook that ignores the order by status in queues that are predicted badly.
+	w := newOutlookHarness(t, 30, 3, 300*time.Millisecond)
+	w.arrive(100*time.Millisecond, 5*time.Second)
+	is.New(t).True(w.pool.overload("q", 0, w.now).Remaining > 0)
+}
+
+func TestShortOverloadRejectsNothing(t *testing.T) {
+	// Guards against rejections for a burst whose hosts are still on their way.
+	w := newOutlookHarness(t, 0, 1, 300*time.Millisecond)
+	is.New(t).Equal(w.arrive(50*time.Millisecond, w.pool.settings.MoveTime), 0)
+}
+
 // BenchmarkReview measures a review of 20,000 waiting jobs while the pool is overloaded, with the
-// part off and on, and a decision on an arriving job.
+// part off and on, and a decision on an arriving job, also while work arrives and 20,000 places are
+// taken.
 func BenchmarkReview(b *testing.B) {
 	job := newSpec("new", 2)
 	job.Policy.Objective = 10 * time.Second
-	for _, name := range []string{"off", "on", "admission"} {
+	for _, name := range []string{"off", "on", "admission", "overtaken"} {
 		b.Run(name, func(b *testing.B) {
 			r := newBurst(200)
 			r.pool.settings.RejectHopeless, r.pool.lackedRoom = name != "off", true
@@ -190,17 +263,25 @@
 			for range 20 {
 				review()
 			}
-			for n := 0; b.Loop(); n++ {
-				if name != "admission" {
-					review()
-					continue
-				}
+			admit := func(n int) {
 				job.ID = fmt.Sprint(n)
 				if !r.pool.Admit(job, r.now).Rejected {
 					b.Fatal("accepted")
 				}
 				r.pool.TakeEvents()
 			}
+			first := 0
+			for ; name == "overtaken" && first < 20_000; first++ {
+				r.pool.addArrival(job, time.Second, r.now)
+				admit(first)
+			}
+			for n := first; b.Loop(); n++ {
+				if name == "off" || name == "on" {
+					review()
+					continue
+				}
+				admit(n)
+			}
 		})
 	}
 }
