Quotas: a first quota waits until the owners of all pools keep it

Cause: the lender bounds what a pool uses by what it has lent. An owner that does not know of a quota starts tasks without a limit: nothing is lent, and what it has started since its latest report is unknown. When the organisation gets its first quota, a pool that is told first starts by it beside these tasks. Class: a quota of nothing is the highest one; "all pools have confirmed" was kept for lowered and raised quotas only.

Change, without a new field on the wire: - A limit that a lender sends tells a quota and its revision. An owner with older declarations keeps that quota from then on (Holder.Quota; jaysched asks for it also if it knows of no quota at all). - The lender lends nothing of a resource that was not limited before until each owner has confirmed such a message, whose report tells what is in use (bind). The first request for a report tells the quotas too (with all, limits replace none), so that a takeover takes as many exchanges as before. - If a quota is removed, limits are told to have none, so that they do not count by the same quota that is declared again. - The owner of the fleet uses a quota that limits more once it has read the claims after it (quotasToLend): an owner that claimed its pool before, unknown to the lender, would not be asked.

Model: a third kind of history, in which the organisation has no quota at first, and six mutations of it. The random and directed histories draw as before. Changed test: the mutation "a new lender does not wait" now also skips bind, which would otherwise make up for it: the fault would be none.

Open: a new owner of a pool that has not read the declarations since its claim may start without a limit until it is asked. A quota that is removed and declared again before all have read the removal; organisations.md says how long to wait.

--- a/jaynode/declarations.go
+++ b/jaynode/declarations.go
@@ -18,6 +18,8 @@
 	formats jayport.Formats
 	logger  logr.Logger
 	catalog atomic.Pointer[jaycatalog.Catalog]
+	// adoptedAt is when the catalog came in force here.
+	adoptedAt atomic.Int64
 	// tail follows the declarations; confirmer reads them once more on request.
 	tail      *jaytail.Tail
 	confirmer *confirmer
@@ -77,6 +79,7 @@
 	if present := d.catalog.Load(); present != nil && present.Revision >= c.Revision {
 		return
 	}
+	d.adoptedAt.Store(int64(d.now()))
 	d.catalog.Store(c)
 	d.logger.Info("catalog in force", "revision", c.Revision, "queues", len(c.Queues), "pools", len(c.Pools), "organisations", c.Organisations.Size())
 }
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -11,6 +11,7 @@
 	"jaythread/jaymember"
 	"jaythread/jayowner"
 	"jaythread/jayquota"
+	"jaythread/jaysched"
 	"jaythread/jayshare"
 	"jaythread/jaytail"
 	"jaythread/jaywire"
@@ -45,6 +46,8 @@
 	fleet *jayfleet.Fleet
 	// lender decides what each pool may use of the organisations' quotas.
 	lender *jayquota.Lender
+	// lendsBy are the quotas by which the lender decides, nil before it decides.
+	lendsBy *jaysched.Quotas
 	// uses sums up what organisations use in the pools.
 	uses            *jayshare.Ledger
 	readingHosts    bool
--- a/jaynode/quota.go
+++ b/jaynode/quota.go
@@ -1,6 +1,8 @@
 package jaynode
 
 import (
+	"time"
+
 	"jaythread/jayowner"
 	"jaythread/jaypool"
 	"jaythread/jayquota"
@@ -34,12 +36,31 @@
 		c, _ := view.Claim(jayowner.PoolDuty(pool))
 		owners[pool] = c.Fence
 	}
-	declared := d.node.quotas()
+	quotas := d.quotasToLend(view.AsOf)
+	if quotas == nil {
+		return
+	}
 	d.lender.SetPools(owners)
-	d.lender.SetQuotas(declared.Revision, declared.Of)
+	d.lender.SetQuotas(quotas.Revision, quotas.Of)
 	d.lender.Decide()
 }
 
+// quotasToLend returns the quotas to decide by, or nil. Quotas that limit more than the former ones
+// count once the claims have been read after them: the owner of a pool that has claimed it before
+// may have started tasks without a limit, and must be asked.
+func (d *fleetDuty) quotasToLend(claimsAsOf time.Duration) *jaysched.Quotas {
+	declared := d.node.quotas()
+	adopted := time.Duration(d.node.declarations.adoptedAt.Load()) // of these quotas or newer ones
+	former := jaysched.Quotas{}
+	if d.lendsBy != nil {
+		former = *d.lendsBy
+	}
+	if claimsAsOf >= adopted || !jayquota.LimitsMore(former.Of, declared.Of) {
+		d.lendsBy = &declared
+	}
+	return d.lendsBy
+}
+
 // receiveQuotas handles the part of a pool's report on the organisations' quotas.
 func (d *fleetDuty) receiveQuotas(pool string, report *jaywire.DemandReport) {
 	if report.Quota == nil {
--- a/jayquota/directed_test.go
+++ b/jayquota/directed_test.go
@@ -237,3 +237,86 @@
 	}
 	return m.violation
 }
+
+// firstQuotaHistory plays a random history in which the organisation has no quota at first and gets
+// one while owners start tasks without a limit. It returns the first violation, or nothing.
+func firstQuotaHistory(division Division, mutation mutation, seed uint64) string {
+	m := newModel(division, mutation, seed)
+	m.quotas = []int64{unlimited}
+	for range m.random.IntN(20) {
+		m.moveWithoutQuota()
+	}
+	m.firstQuota()
+	for range 60 {
+		m.directedMove()
+	}
+	return m.violation
+}
+
+// moveWithoutQuota makes a move that does not change the quota.
+func (m *model) moveWithoutQuota() {
+	pool, other := "a", "b"
+	if m.random.IntN(2) == 0 {
+		pool, other = other, pool
+	}
+	switch move := m.random.IntN(10); {
+	case move < 2:
+		m.lend(m.mostly(m.latestLender()), pool, m.mostlyLatestOwner(pool), m.mostlyLatestOwner(other))
+	case move < 4:
+		m.startMany(pool, m.mostlyLatestOwner(pool))
+	case move < 6:
+		m.reach(pool, m.latestOwner(pool))
+	case move < 7:
+		m.replaceOwner(pool)
+	case move < 8:
+		m.replaceLender()
+	default:
+		m.deliver()
+	}
+}
+
+// firstQuota declares the first quota. Lender and one owner learn of it, the other owner starts
+// tasks without a limit until its declarations are too old. At times that one, or the lender, is
+// asked or replaced meanwhile.
+func (m *model) firstQuota() {
+	pool, other := "a", "b"
+	if m.random.IntN(2) == 0 {
+		pool, other = other, pool
+	}
+	owner, others := m.latestOwner(pool), m.latestOwner(other)
+	m.reach(pool, owner)
+	m.reach(other, others)
+	if m.random.IntN(2) == 0 {
+		m.replaceLender()
+	}
+	lender := m.latestLender()
+	if m.random.IntN(2) == 0 {
+		m.ask(lender, pool, owner, 0)
+		m.ask(lender, other, others, 200)
+	}
+	asked := owner
+	if m.random.IntN(3) == 0 {
+		// The lender still asks the former owner, which does not know that it was replaced.
+		m.replaceOwner(pool)
+		owner = m.latestOwner(pool)
+		m.reach(pool, owner)
+	}
+	m.ownersAtFirstQuota = map[string]int64{"a": m.latestOwner("a").fence, "b": m.latestOwner("b").fence}
+	m.changeQuota()
+	others.revision, lender.revision = len(m.quotas)-1, len(m.quotas)-1
+	for range m.random.IntN(3) {
+		m.ask(lender, pool, asked, 200)
+	}
+	m.startMany(pool, owner)
+	m.oldest = len(m.quotas) - 1
+	for range 1 + m.random.IntN(4) {
+		m.ask(lender, other, others, 200)
+		if m.random.IntN(3) == 0 {
+			m.startMany(other, others)
+		}
+	}
+	if m.random.IntN(2) == 0 {
+		owner.revision = m.oldest
+	}
+	m.startMany(other, others)
+}
--- a/jayquota/holder.go
+++ b/jayquota/holder.go
@@ -12,11 +12,19 @@
 type Holder struct {
 	applied Number
 	limits  map[string]Limit
+	// told holds, by organisation, the quota by the newest declarations that a lender has told.
+	told map[string]toldQuota
+}
+
+// toldQuota is a quota by a revision of the declarations.
+type toldQuota struct {
+	quota    vector
+	revision int64
 }
 
 // NewHolder returns a holder without limits, which ignores lenders with a lower fence.
 func NewHolder(lenderFence int64) *Holder {
-	return &Holder{applied: Number{Fence: lenderFence}, limits: map[string]Limit{}}
+	return &Holder{applied: Number{Fence: lenderFence}, limits: map[string]Limit{}, told: map[string]toldQuota{}}
 }
 
 // Apply applies a lender's message, unless a newer one was applied or it is for an owner of the
@@ -27,26 +35,49 @@
 	}
 	h.applied = m.Number
 	for _, l := range m.Limits {
-		h.limits[l.Organisation] = l
+		if told := h.told[l.Organisation]; l.Revision > told.revision {
+			h.told[l.Organisation] = toldQuota{quota: vectorOf(l.Quota), revision: l.Revision}
+		}
+		if !m.All {
+			h.limits[l.Organisation] = l
+		}
+	}
+}
+
+// Quota returns the quota of an organisation that is in force for the pool, if the organisation has
+// the declared quota by the given revision of the declarations. A resource that is not limited by
+// these may be limited by newer declarations, of which the lender has told.
+func (h *Holder) Quota(organisation string, revision int64, declared jaypool.Resources) jaypool.Resources {
+	told, quota := h.told[organisation], vectorOf(declared)
+	if told.revision <= revision {
+		return declared
+	}
+	for n, of := range told.quota {
+		if quota[n] == 0 {
+			quota[n] = of
+		}
 	}
+	return quota.resources()
 }
 
 // Allows reports whether a task of an organisation may start beside what the pool uses, if
 // the organisation has the given quota by the given revision of the declarations. A limit
 // that the lender has decided by an earlier revision with a higher quota does not count: only
-// the lender knows what all pools use together.
+// the lender knows what all pools use together. If the lender has told a quota by later
+// declarations for a resource that the given quota does not limit, that one counts.
 func (h *Holder) Allows(organisation string, revision int64, quota, used, need jaypool.Resources) bool {
-	if !Limited(quota) {
-		return true
-	}
-	limit := h.limits[organisation]
-	outdated := limit.Revision < revision
+	limit, declared := h.limits[organisation], vectorOf(quota)
 	most, basis := vectorOf(limit.Limit), vectorOf(limit.Quota)
 	after := vectorOf(used.Add(need))
-	for n, of := range vectorOf(quota) {
+	for n, of := range vectorOf(h.Quota(organisation, revision, quota)) {
 		if of == 0 {
 			continue
 		}
+		known := revision
+		if declared[n] == 0 {
+			known = h.told[organisation].revision
+		}
+		outdated := limit.Revision < known
 		if after[n] > most[n] || outdated && (basis[n] == 0 || basis[n] > of) {
 			return false
 		}
--- a/jayquota/lender.go
+++ b/jayquota/lender.go
@@ -15,6 +15,9 @@
 	pools    map[string]*account
 	revision int64
 	quotas   map[string]jaypool.Resources
+	// limitedSince is, by organisation and resource, the number of the first message since which
+	// the quota has limited the resource without a break, or 0.
+	limitedSince map[string]vector
 	// chosen is the latest pool that may exceed the quota by a task, by organisation.
 	chosen map[string]chosen
 }
@@ -35,7 +38,11 @@
 	known bool
 	// confirmed is the latest message that the owner has confirmed.
 	confirmed int64
-	shares    map[string]*share
+	// exempt says that the owner keeps no quotas, unnamed that the pool is not to run tasks any more,
+	// so that its owner is sent no messages.
+	exempt  bool
+	unnamed bool
+	shares  map[string]*share
 }
 
 // share is what a lender knows of one pool's part in one organisation's quota.
@@ -48,6 +55,9 @@
 	// which one that may be in force there was decided.
 	lent  vector
 	basis vector
+	// bound says for each resource that the pool's owner starts nothing beyond its limit, whether
+	// it knows of the quota from the declarations or not.
+	bound [resources]bool
 	// changed is the number of the first message after the latest change of the limit or its
 	// quota.
 	changed int64
@@ -74,7 +84,10 @@
 // NewLender returns a lender that knows nothing of the pools yet. The fence is that of its
 // ownership of the fleet.
 func NewLender(fence int64, division Division) *Lender {
-	return &Lender{fence: fence, division: division, pools: map[string]*account{}, quotas: map[string]jaypool.Resources{}, chosen: map[string]chosen{}}
+	return &Lender{
+		fence: fence, division: division, pools: map[string]*account{}, quotas: map[string]jaypool.Resources{},
+		limitedSince: map[string]vector{}, chosen: map[string]chosen{},
+	}
 }
 
 // SetPools sets the pools that may run tasks, with the fences of their newest owners that are
@@ -92,6 +105,7 @@
 	}
 	maps.DeleteFunc(l.pools, func(pool string, a *account) bool {
 		_, named := owners[pool]
+		a.unnamed = !named
 		return !named && !a.inUse()
 	})
 }
@@ -114,6 +128,37 @@
 // SetQuotas sets the quotas that a revision of the declarations gives to the organisations.
 func (l *Lender) SetQuotas(revision int64, quotas map[string]jaypool.Resources) {
 	l.revision, l.quotas = revision, quotas
+	for organisation := range l.limitedSince {
+		if _, still := quotas[organisation]; !still {
+			l.noteLimited(organisation, vector{})
+		}
+	}
+	for organisation, quota := range quotas {
+		l.noteLimited(organisation, vectorOf(quota))
+	}
+}
+
+// noteLimited records since when a quota limits each resource. An owner may start tasks without a
+// limit once the quota does not limit the resource.
+func (l *Lender) noteLimited(organisation string, quota vector) {
+	since := l.limitedSince[organisation]
+	for r, of := range quota {
+		switch {
+		case of == 0:
+			since[r] = 0
+			for _, a := range l.pools {
+				if s := a.shares[organisation]; s != nil {
+					s.bound[r] = false
+				}
+			}
+		case since[r] == 0:
+			since[r] = l.message + 1
+		}
+	}
+	l.limitedSince[organisation] = since
+	if since == (vector{}) {
+		delete(l.limitedSince, organisation)
+	}
 }
 
 // Receive handles the report of a pool's owner.
@@ -141,11 +186,38 @@
 			s.limit, s.quota = vectorOf(u.Limit), u.Quota
 		}
 	}
+	first := !a.known
 	a.known = true
 	a.confirmed = r.Applied.Message
 	for _, s := range a.shares {
 		if s.changed <= a.confirmed {
-			s.lent, s.basis = s.limit, vectorOf(s.quota)
+			s.confirm()
+		}
+	}
+	if first {
+		l.bindTold(a)
+	}
+}
+
+// confirm handles a report by which the latest change is in force at the pool.
+func (s *share) confirm() {
+	s.lent, s.basis = s.limit, vectorOf(s.quota)
+	if s.changed == 0 {
+		// The limit is another lender's.
+		return
+	}
+	for r, of := range s.basis {
+		s.bound[r] = s.bound[r] || of > 0
+	}
+}
+
+// bindTold records which quotas the owner of a pool knows from the message that it has confirmed
+// first.
+func (l *Lender) bindTold(a *account) {
+	for organisation, since := range l.limitedSince {
+		s := a.share(organisation)
+		for r := range since {
+			s.bound[r] = since[r] > 0 && since[r] <= a.confirmed
 		}
 	}
 }
@@ -155,7 +227,7 @@
 func (l *Lender) Ignore(pool string, ownerFence int64) {
 	if a := l.pools[pool]; a != nil && ownerFence >= a.ownerFence {
 		*a = *newAccount(ownerFence)
-		a.known = true
+		a.known, a.exempt = true, true
 	}
 }
 
@@ -167,9 +239,52 @@
 			return
 		}
 	}
+	l.release()
 	for organisation, quota := range l.quotas {
-		l.divide(organisation, quota)
+		if l.bind(organisation, quota) {
+			l.divide(organisation, quota)
+		}
+	}
+}
+
+// release tells the owners that limits by quotas that are not declared any more must not be used if
+// a quota is declared again: until then what other pools use is not limited.
+func (l *Lender) release() {
+	for _, a := range l.pools {
+		for organisation, s := range a.shares {
+			if !Limited(l.quotas[organisation]) {
+				l.setLimit(s, s.limit, jaypool.Resources{}, true)
+			}
+		}
+	}
+}
+
+// bind reports whether the owners of all pools keep their limits of a quota. The others may have
+// started tasks without a limit since their latest report: they are told the quota, with limits of
+// nothing, and the report that confirms this tells what they use.
+func (l *Lender) bind(organisation string, quota jaypool.Resources) bool {
+	all := true
+	for _, a := range l.pools {
+		s := a.share(organisation)
+		if a.exempt || s.isBound(vectorOf(quota)) || a.unnamed && s.committed() == (vector{}) {
+			continue
+		}
+		all = false
+		if pending := s.changed > a.confirmed; !pending || s.limit != (vector{}) || s.quota != quota {
+			l.changeLimit(s, vector{}, quota, l.revision)
+		}
 	}
+	return all
+}
+
+// isBound reports whether the owner keeps its limits of all resources of a quota.
+func (s *share) isBound(quota vector) bool {
+	for r, of := range quota {
+		if of > 0 && !s.bound[r] {
+			return false
+		}
+	}
+	return true
 }
 
 // divide decides on the limits of one organisation. Limits are lowered first; what is free
@@ -334,6 +449,11 @@
 	if s.limit == limit && s.quota == quota {
 		return
 	}
+	l.changeLimit(s, limit, quota, revision)
+}
+
+// changeLimit changes a limit and the quota that it is decided by.
+func (l *Lender) changeLimit(s *share, limit vector, quota jaypool.Resources, revision int64) {
 	s.limit, s.quota, s.revision, s.changed = limit, quota, revision, l.message+1
 	s.lent, s.basis = s.lent.max(limit), lowerQuota(s.basis, vectorOf(quota))
 }
@@ -356,7 +476,8 @@
 	return false
 }
 
-// Message returns the message to a pool's owner: the limits that it has not confirmed.
+// Message returns the message to a pool's owner: the limits that it has not confirmed, or the
+// quotas if it has not reported all its limits.
 func (l *Lender) Message(pool string) Message {
 	l.message++
 	m := Message{Number: Number{Fence: l.fence, Message: l.message}}
@@ -364,8 +485,8 @@
 	if a == nil {
 		return m
 	}
-	m.All = !a.known
 	if !a.known {
+		m.All, m.Limits = true, l.toldQuotas()
 		return m
 	}
 	m.OwnerFence = a.ownerFence
@@ -376,3 +497,11 @@
 	}
 	return m
 }
+
+// toldQuotas returns limits of nothing that tell all quotas.
+func (l *Lender) toldQuotas() (told []Limit) {
+	for _, organisation := range slices.Sorted(maps.Keys(l.limitedSince)) {
+		told = append(told, Limit{Organisation: organisation, Quota: l.quotas[organisation], Revision: l.revision})
+	}
+	return told
+}
--- a/jayquota/lender_test.go
+++ b/jayquota/lender_test.go
@@ -299,3 +299,42 @@
 	}
 	is.Fail() // b is given no turn
 }
+
+// Guards against limits of a quota that was removed: they must not be used by the same quota if it is
+// declared again, while another pool uses what it started meanwhile.
+func TestQuotaThatIsDeclaredAgainWaitsForUseWithoutQuota(t *testing.T) {
+	is := is.New(t)
+	e := newExchange(ByDemand{}, 100)
+	e.rounds(3)
+	is.True(e.allows("b", 15))
+	e.quota, e.revision = 0, 2
+	e.rounds(3)
+	e.uses["a"] = Use{Used: processors(120)} // started after the report
+	e.quota, e.revision = 100, 3
+	is.True(!e.allows("b", 15))
+	for range 3 {
+		e.decide()
+		e.ask("b")
+	}
+	is.True(!e.allows("b", 15)) // pool a has not been heard since there is a quota again
+	e.uses["a"] = Use{}
+	e.rounds(3)
+	is.True(e.allows("b", 15))
+}
+
+// Guards against starts beyond a first quota by an owner that does not know it from the declarations
+// yet, although it has confirmed its limit.
+func TestOwnerKeepsAQuotaThatTheLenderTells(t *testing.T) {
+	is := is.New(t)
+	h := NewHolder(0)
+	allows := func(revision int64) bool {
+		return h.Allows("org", revision, jaypool.Resources{}, processors(0), processors(15))
+	}
+	is.True(allows(1))
+	h.Apply(1, Message{Number: Number{Message: 1}, All: true, Limits: []Limit{{Organisation: "org", Quota: processors(40), Revision: 2}}})
+	is.True(!allows(1)) // nothing is lent yet
+	is.True(allows(2))  // by these declarations there is no quota any more
+	h.Apply(1, Message{Number: Number{Message: 2}, Limits: []Limit{{Organisation: "org", Limit: processors(20), Quota: processors(40), Revision: 2}}})
+	is.True(allows(1))
+	is.Equal(h.Quota("org", 1, jaypool.Resources{}), processors(40))
+}
--- a/jayquota/model_test.go
+++ b/jayquota/model_test.go
@@ -42,6 +42,15 @@
 	anyLender
 	// anyMessage: a report on a message before a change confirms the change.
 	anyMessage
+	// hastyFirst: an organisation's first quota is lent before all pools have confirmed it.
+	hastyFirst
+	// silentQuota: owners do not learn of a quota from the lender.
+	silentQuota
+	// boundByAnyReport: the first report of an owner counts as confirmation of a quota that was
+	// declared after the message which the report answers.
+	boundByAnyReport
+	// unknownClaims: a lender does not know the claims before the first quota.
+	unknownClaims
 )
 
 // model is a system with two pools and one organisation whose messages may be delayed,
@@ -62,6 +71,9 @@
 	started  int
 	// claims counts the claims of all duties: it gives the fences.
 	claims int64
+	// ownersAtFirstQuota are the newest owners' fences when the first quota was declared. A lender
+	// that knows the quota knows their claims.
+	ownersAtFirstQuota map[string]int64
 	// violation is the first violation of the quota.
 	violation string
 }
@@ -110,6 +122,8 @@
 const (
 	modelCapacity = 150
 	modelLargest  = 25
+	// unlimited is a quota that limits nothing.
+	unlimited = 0
 )
 
 func newModel(division Division, mutation mutation, seed uint64) *model {
@@ -181,10 +195,23 @@
 // exchange sends a lender's message to an owner, and its report back, each at any time, any
 // number of times or never.
 func (m *model) exchange(l *modelLender, pool string, o *modelOwner, wanted int64) {
+	if m.ownersAtFirstQuota != nil && m.quotas[l.revision] != unlimited && m.mutation != unknownClaims {
+		l.SetPools(m.ownersAtFirstQuota)
+	}
 	l.SetQuotas(int64(l.revision), map[string]jaypool.Resources{"org": processors(m.quotas[l.revision])})
-	if m.mutation == hastyLender {
+	switch m.mutation {
+	case hastyLender:
 		for _, a := range l.pools {
 			a.known = true
+			a.share("org").bound = [resources]bool{true, true, true}
+		}
+	case hastyFirst:
+		for _, a := range l.pools {
+			a.share("org").bound = [resources]bool{true, true, true}
+		}
+	case boundByAnyReport:
+		for organisation := range l.limitedSince {
+			l.limitedSince[organisation] = vector{1, 1, 1}
 		}
 	}
 	if m.mutation == hastyRaise {
@@ -220,6 +247,9 @@
 			o.holder.applied = Number{}
 		}
 		o.holder.Apply(o.fence, message)
+		if m.mutation == silentQuota {
+			clear(o.holder.told)
+		}
 		report := o.holder.Report(o.fence, message.All, map[string]Use{"org": {
 			Used: processors(m.used(pool, o)), Wanted: processors(wanted), Largest: processors(min(wanted, modelLargest)), Task: processors(min(wanted, modelLargest)),
 		}})
@@ -268,6 +298,9 @@
 		}
 		w.running = append(w.running, run)
 		// Any quota counts that was in force when the start was ordered, or later.
+		if slices.Contains(m.quotas[oldest:], unlimited) {
+			return
+		}
 		if quota := slices.Max(m.quotas[oldest:]); m.total() > quota+modelLargest && m.violation == "" {
 			m.violation = fmt.Sprintf("%d are running with a quota of %d and tasks of at most %d", m.total(), quota, modelLargest)
 		}
@@ -364,8 +397,9 @@
 	play  func(Division, mutation, uint64) string
 	seeds uint64
 }{
-	"random":   {play: history, seeds: 3000},
-	"directed": {play: directedHistory, seeds: 500},
+	"random":      {play: history, seeds: 3000},
+	"directed":    {play: directedHistory, seeds: 500},
+	"first quota": {play: firstQuotaHistory, seeds: 500},
 }
 
 // seedsVariable sets the number of seeds that TestQuotaIsKept plays of each kind.
@@ -430,14 +464,33 @@
 		"a report on another lender's message counts":    anyLender,
 		"a report on a message before the change counts": anyMessage,
 	} {
-		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(mutationSeeds) {
-				if directedHistory(ByDemand{}, mutation, seed) != "" {
-					t.Logf("found by seed %d", seed)
-					return
-				}
-			}
-			t.Errorf("not found by %d seeds", mutationSeeds)
-		})
+		t.Run(name, func(t *testing.T) { findFault(t, directedHistory, mutation) })
+	}
+}
+
+// TestModelFindsFaultsOfAFirstQuota checks that the model can fail where an organisation gets its
+// first quota.
+func TestModelFindsFaultsOfAFirstQuota(t *testing.T) {
+	for name, mutation := range map[string]mutation{
+		"a first quota does not wait":                           hastyFirst,
+		"owners ignore the quota that the lender tells":         silentQuota,
+		"a report on a message before the quota confirms it":    boundByAnyReport,
+		"use of a former owner is forgotten":                    forgottenUse,
+		"a lender does not know the claims before the quota":    unknownClaims,
+		"a report on another lender's message confirms a quota": anyLender,
+	} {
+		t.Run(name, func(t *testing.T) { findFault(t, firstQuotaHistory, mutation) })
+	}
+}
+
+// findFault checks that a mutation is found by the seeds of a kind of history.
+func findFault(t *testing.T, play func(Division, mutation, uint64) string, mutation mutation) {
+	t.Helper()
+	for seed := range uint64(mutationSeeds) {
+		if play(ByDemand{}, mutation, seed) != "" {
+			t.Logf("found by seed %d", seed)
+			return
+		}
 	}
+	t.Errorf("not found by %d seeds", mutationSeeds)
 }
--- a/jayquota/quota.go
+++ b/jayquota/quota.go
@@ -19,12 +19,20 @@
 //     pools fits the lower one: until then no owner that knows of the lower quota starts a task.
 //     When it is raised, no more than the former quota is lent until all pools have confirmed
 //     limits that belong to the raised one.
+//   - An owner that does not know of a quota yet starts tasks without a limit. A lender tells it
+//     the quota with its limits, and with the first request for a report. From then on the owner
+//     keeps its limit, until it knows declarations that are as new. Nothing is lent of an
+//     organisation's first quota before the owners of all pools have confirmed that.
 //   - A new owner of a pool has no limits. It tells as in use also what the former owner may
 //     have started, or may still start, on workers that have not answered the new one.
 //     Workers that have answered it refuse the former owner.
 //
 // So the fences of lenders and owners must come from one sequence, and whoever claims a duty
-// must know all claims before its own.
+// must know all claims before its own, and all quotas that were declared before. A lender must know
+// all claims of pools that were made before it was given an organisation's first quota: their owners
+// may have started tasks without a limit.
+//
+// One task may exceed a quota: the tasks that run need at most the quota and one task together.
 package jayquota
 
 import "jaythread/jaypool"
@@ -69,6 +77,19 @@
 	return quota != jaypool.Resources{}
 }
 
+// LimitsMore reports whether quotas limit a resource of an organisation that former ones do not.
+func LimitsMore(former, quotas map[string]jaypool.Resources) bool {
+	for organisation, quota := range quotas {
+		before := vectorOf(former[organisation])
+		for n, of := range vectorOf(quota) {
+			if of > 0 && before[n] == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Exceeds reports whether an amount is more than a quota allows.
 func Exceeds(quota, amount jaypool.Resources) bool {
 	used := vectorOf(amount)
@@ -110,7 +131,8 @@
 	OwnerFence int64
 	// All asks for a report with the limits of all organisations.
 	All bool
-	// Limits replace those of the same organisations.
+	// Limits replace those of the same organisations. With All they tell the quotas only and
+	// replace no limit; owners of an earlier version have no limits then until they are lent anew.
 	Limits []Limit
 }
 
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -50,6 +50,11 @@
 	return q.used[organisation].Add(q.possible[organisation])
 }
 
+// of returns the quota of an organisation that is in force for the pool.
+func (q *quotas) of(organisation string) jaypool.Resources {
+	return q.limits.Quota(organisation, q.declared.Revision, q.declared.Of[organisation])
+}
+
 // countRun adds a run to what its organisation uses, or removes it.
 func (q *quotas) countRun(r *run, sign int64) {
 	organisation := r.task.step.job.spec.Organisation
@@ -77,17 +82,17 @@
 // quotaAllows reports whether the quota of a step's organisation lets some of its tasks start.
 func (p *Pool) quotaAllows(s *step, tasks int) bool {
 	q, organisation := &p.quotas, s.job.spec.Organisation
-	if organisation == "" || len(q.declared.Of) == 0 {
+	if organisation == "" {
 		return true
 	}
 	need := s.decl.Need.Times(int64(tasks))
 	quota, used := q.declared.Of[organisation], q.usedBy(organisation)
 	switch {
-	case !q.declared.Current:
+	case len(q.declared.Of) > 0 && !q.declared.Current:
 		q.reached[organisation] = "the declarations may be outdated"
 	case !q.limits.Allows(organisation, q.declared.Revision, quota, used, need):
 		if _, known := q.reached[organisation]; !known {
-			q.reached[organisation] = fmt.Sprintf("used here %+v, needed %+v, %s, quota %+v", used, need, q.limits.Describe(organisation), quota)
+			q.reached[organisation] = fmt.Sprintf("used here %+v, needed %+v, %s, quota %+v", used, need, q.limits.Describe(organisation), q.of(organisation))
 		}
 	default:
 		return true
@@ -128,7 +133,7 @@
 	}
 	for _, j := range p.open {
 		organisation := j.spec.Organisation
-		if j.waiting == 0 || !jayquota.Limited(p.quotas.declared.Of[organisation]) {
+		if j.waiting == 0 || !jayquota.Limited(p.quotas.of(organisation)) {
 			continue
 		}
 		use := uses[organisation]
--- a/jaysched/quota_test.go
+++ b/jaysched/quota_test.go
@@ -143,3 +143,14 @@
 		})
 	}
 }
+
+// Guards against starts beyond an organisation's first quota by an owner whose declarations are
+// older: the fleet's owner has told it the quota and counts on its limit.
+func TestQuotaOfLaterDeclarationsIsKept(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 4)
+	lend(w, 1, 2000, 8000)
+	declare(w, ofAcme("j", 6))
+	is.Equal(len(w.running()), 2)
+	is.Equal(acmeUse(w).Wanted.ProcessorsMilli, int64(4000))
+}
