Quotas: the turn to exceed a quota passes from a pool that starts nothing

Cause: the pool that may exceed a quota by one task kept its turn until what it uses changed. A pool that cannot start its task, for lack of a worker, kept it for good; its limit took the whole quota, and the organisation's tasks in other pools waited.

What the others have been lent, what it uses and one task still exceed the quota by no more than that task.

Model: a fourth kind of history, with a quota smaller than most tasks and turns that pass after one report.

--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -69,7 +69,7 @@
 			OwnerChangeDelay: n.settings.HolderTime,
 			CallTime:         inventoryTimeout,
 		},
-		lender:       jayquota.NewLender(claim.Fence, jayquota.ByDemand{}),
+		lender:       jayquota.NewLender(claim.Fence, jayquota.ByDemand{}, jayquota.WithTurn(turnReports(n.settings.MoveTime))),
 		uses:         jayshare.NewLedger(),
 		askingDemand: map[string]bool{},
 		nextDemandAt: map[string]time.Duration{},
--- a/jaynode/quota.go
+++ b/jaynode/quota.go
@@ -25,6 +25,16 @@
 	}
 }
 
+// minTurnReports is the minimum number of reports that a pool's turn to exceed a quota lasts: a task
+// that has a worker starts meanwhile.
+const minTurnReports = 4
+
+// turnReports returns the number of reports that a pool's turn to exceed a quota lasts at first:
+// those of two move times, so that a host which the pool needs for its task arrives meanwhile.
+func turnReports(moveTime time.Duration) int {
+	return max(minTurnReports, int(2*moveTime/demandInterval))
+}
+
 // lendQuotas decides what each pool may use of the organisations' quotas.
 func (d *fleetDuty) lendQuotas(working []string) {
 	view := d.node.members.Owners.View()
--- a/jaynode/quota_test.go
+++ b/jaynode/quota_test.go
@@ -41,3 +41,9 @@
 	is.True(duty.quotasToLend(0) == nil) // another owner of the fleet
 	is.True(duty.quotasToLend(now) != nil)
 }
+
+func TestTurnToExceedAQuotaFollowsTheMoveTime(t *testing.T) {
+	is := is.New(t)
+	is.Equal(turnReports(0), minTurnReports)
+	is.Equal(turnReports(1500*time.Millisecond), 20)
+}
--- a/jayquota/directed_test.go
+++ b/jayquota/directed_test.go
@@ -320,3 +320,18 @@
 	}
 	m.startMany(other, others)
 }
+
+// turnHistory plays a random history with a quota that is smaller than most tasks and with turns to
+// exceed it that pass after one report. It returns the first violation, or nothing.
+func turnHistory(division Division, mutation mutation, seed uint64) string {
+	m := newModel(division, mutation, seed)
+	m.quotas, m.shortTurns = []int64{10}, true
+	m.latestLender().turnReports = 1
+	for range 100 {
+		for _, pool := range []string{"a", "b"} {
+			m.ask(m.mostly(m.latestLender()), pool, m.mostlyLatestOwner(pool), 200)
+		}
+		m.directedMove()
+	}
+	return m.violation
+}
--- a/jayquota/division.go
+++ b/jayquota/division.go
@@ -9,6 +9,13 @@
 	Limit   vector
 	// Turn is the pool's turn among those whose share is too small for a task.
 	Turn Turn
+	// LastTurn orders the pools by their latest turns, the earliest first; 0 is none.
+	LastTurn int64
+}
+
+// before reports whether a pool is to use the quota before another one.
+func (p Part) before(other Part) bool {
+	return p.Turn < other.Turn || p.Turn == other.Turn && p.LastTurn < other.LastTurn
 }
 
 // Turn orders pools of which only one can start a task.
@@ -19,7 +26,7 @@
 	Chosen Turn = iota
 	// Waiting pools have not been chosen.
 	Waiting
-	// Served pools were the latest to use the quota.
+	// Served pools were the latest to use the quota, or have not used it in their turn.
 	Served
 )
 
@@ -89,7 +96,7 @@
 		if p.Wanted[r] == 0 || granted[n] >= p.Largest[r] {
 			continue
 		}
-		if first < 0 || p.Turn < parts[first].Turn {
+		if first < 0 || p.before(parts[first]) {
 			first = n
 		}
 		sum += granted[n]
--- a/jayquota/lender.go
+++ b/jayquota/lender.go
@@ -18,6 +18,10 @@
 	// limitedSince is, by organisation and resource, the number of the first message since which
 	// the quota has limited the resource without a break, or 0.
 	limitedSince map[string]vector
+	// turnReports is the number of reports that a pool's turn to exceed a quota lasts at first.
+	turnReports int
+	// turns counts the turns that were given.
+	turns int64
 	// chosen is the latest pool that may exceed the quota by a task, by organisation.
 	chosen map[string]chosen
 }
@@ -26,8 +30,11 @@
 type chosen struct {
 	pool string
 	used vector
-	// served says that what the pool uses has changed since.
+	// served says that the turn has ended: what the pool uses has changed since, or the turn has
+	// passed to the others unused.
 	served bool
+	// reports counts the pool's reports since it was chosen, or since its turn has ended.
+	reports int
 }
 
 // account is what a lender knows of one pool.
@@ -58,6 +65,10 @@
 	// bound says for each resource that the pool's owner starts nothing beyond its limit, whether
 	// it knows of the quota from the declarations or not.
 	bound [resources]bool
+	// unusedTurns counts the latest turns to exceed the quota that the pool has not used.
+	unusedTurns int
+	// lastTurn is the number of the pool's latest turn, of those that this lender has given.
+	lastTurn int64
 	// changed is the number of the first message after the latest change of the limit or its
 	// quota.
 	changed int64
@@ -81,13 +92,26 @@
 	return s
 }
 
+// Option configures a lender.
+type Option func(*Lender)
+
+// WithTurn sets the number of reports that a pool's turn to exceed a quota lasts at first, while
+// others wait and it starts nothing.
+func WithTurn(reports int) Option {
+	return func(l *Lender) { l.turnReports = reports }
+}
+
 // NewLender returns a lender that knows nothing of the pools yet. The fence is that of its
 // ownership of the fleet.
-func NewLender(fence int64, division Division) *Lender {
-	return &Lender{
+func NewLender(fence int64, division Division, options ...Option) *Lender {
+	l := &Lender{
 		fence: fence, division: division, pools: map[string]*account{}, quotas: map[string]jaypool.Resources{},
-		limitedSince: map[string]vector{}, chosen: map[string]chosen{},
+		limitedSince: map[string]vector{}, turnReports: defaultTurnReports, chosen: map[string]chosen{},
 	}
+	for _, option := range options {
+		option(l)
+	}
+	return l
 }
 
 // SetPools sets the pools that may run tasks, with the fences of their newest owners that are
@@ -197,6 +221,7 @@
 	if first {
 		l.bindTold(a)
 	}
+	l.countTurns(pool, a)
 }
 
 // confirm handles a report by which the latest change is in force at the pool.
@@ -294,8 +319,9 @@
 	names := slices.Sorted(maps.Keys(l.pools))
 	for _, pool := range names {
 		s := l.pools[pool].share(organisation)
-		parts = append(parts, Part{Used: s.used, Wanted: s.wanted, Largest: s.largest, Limit: s.limit, Turn: l.turn(organisation, pool, s)})
+		parts = append(parts, Part{Used: s.used, Wanted: s.wanted, Largest: s.largest, Limit: s.limit, Turn: l.turn(organisation, pool, s), LastTurn: s.lastTurn})
 	}
+	l.passTurn(organisation, total, names, parts)
 	targets := l.division.Divide(total, parts)
 	capTargets(total, parts, targets)
 	fits := l.fits(organisation, total)
@@ -318,9 +344,11 @@
 	for n, pool := range names {
 		s := l.pools[pool].share(organisation)
 		before := s.committed()
-		limit, exceeds := s.raised(targets[n], free, total)
+		limit, exceeds := s.raised(targets[n], free, total, l.mayExceed(organisation, total, n, s, parts))
 		l.setLimit(s, limit, quota, fits)
 		if exceeds {
+			l.turns++
+			s.lastTurn = l.turns
 			l.chosen[organisation] = chosen{pool: pool, used: s.used}
 		}
 		for r, of := range s.committed() {
@@ -405,8 +433,10 @@
 	if c.pool != pool {
 		return Waiting
 	}
-	c.served = c.served || c.used != s.used
-	l.chosen[organisation] = c
+	if !c.served && c.used != s.used {
+		c.served, c.reports, s.unusedTurns = true, 0, 0
+		l.chosen[organisation] = c
+	}
 	if c.served {
 		return Served
 	}
@@ -418,8 +448,9 @@
 // in use ends, and the limit would remain.
 //
 // If less is free than the largest waiting task needs, the task may exceed the quota, as one
-// task may: the smallest quota must not keep a task from ever running.
-func (s *share) raised(target, free, quota vector) (limit vector, exceeds bool) {
+// task may: the smallest quota must not keep a task from ever running. Something of the quota must be
+// left beside what the other pools are lent and this one uses.
+func (s *share) raised(target, free, quota vector, mayExceed bool) (limit vector, exceeds bool) {
 	limit = s.limit
 	for r := range limit {
 		if free[r] >= 0 {
@@ -427,7 +458,7 @@
 		}
 		over := s.used[r] + s.largest[r] - limit[r]
 		short := quota[r] > 0 && over > 0
-		if short && (free[r] <= 0 || target[r] <= s.used[r] || over > s.task[r]) {
+		if short && (!mayExceed || free[r]+s.committed()[r]-s.used[r] <= 0 || target[r] <= s.used[r] || over > s.task[r]) {
 			return limit, false
 		}
 		exceeds = exceeds || short
--- a/jayquota/lender_test.go
+++ b/jayquota/lender_test.go
@@ -300,6 +300,56 @@
 	is.Fail() // b is given no turn
 }
 
+// Guards against a small task that waits for as long as another pool cannot start the task that may
+// exceed the quota, and against the large one that waits for good for the small ones.
+func TestTurnPassesBetweenSmallAndLargeTasks(t *testing.T) {
+	is := is.New(t)
+	e := newExchange(ByDemand{}, 100)
+	e.uses["a"] = Use{Wanted: processors(300), Largest: processors(300), Task: processors(300)}
+	e.rounds(5)
+	is.True(e.allows("a", 300))
+	e.uses["b"] = Use{Wanted: processors(10), Largest: processors(10), Task: processors(10)}
+	small, large := 0, 0
+	for range 200 {
+		e.rounds(1)
+		if e.allows("b", 10) {
+			small++
+		}
+		if e.allows("a", 300) {
+			large++
+		}
+	}
+	t.Logf("of 200 rounds the small task may start in %d, the large one in %d", small, large)
+	is.True(small >= 150)
+	is.True(large >= 150)
+}
+
+// Guards against a pool that gets no turn while two others, which cannot start their tasks, pass
+// the turn to each other.
+func TestTurnPassesToEachPool(t *testing.T) {
+	is := is.New(t)
+	e := newExchange(ByDemand{}, 100)
+	e.holders["c"] = NewHolder(0)
+	e.lender.SetPools(map[string]int64{"a": 1, "b": 1, "c": 1})
+	for _, pool := range []string{"a", "b", "c"} {
+		e.uses[pool] = Use{Wanted: processors(300), Largest: processors(300), Task: processors(300)}
+	}
+	turns := map[string]int{}
+	for range 300 {
+		e.rounds(1)
+		e.ask("c")
+		for pool := range e.holders {
+			if e.allows(pool, 300) {
+				turns[pool]++
+			}
+		}
+	}
+	t.Logf("rounds in which a pool may start its task: %v", turns)
+	for _, pool := range []string{"a", "b", "c"} {
+		is.True(turns[pool] >= defaultTurnReports)
+	}
+}
+
 // Guards against limits of a quota that was removed: they must not be used by the same quota if it is
 // declared again, while another pool uses what it started meanwhile.
 func TestQuotaThatIsDeclaredAgainWaitsForUseWithoutQuota(t *testing.T) {
--- a/jayquota/model_test.go
+++ b/jayquota/model_test.go
@@ -74,6 +74,8 @@
 	// ownersAtFirstQuota are the newest owners' fences when the first quota was declared. A lender
 	// that knows the quota knows their claims.
 	ownersAtFirstQuota map[string]int64
+	// shortTurns lets a turn to exceed the quota pass after one report.
+	shortTurns bool
 	// violation is the first violation of the quota.
 	violation string
 }
@@ -141,6 +143,9 @@
 func (m *model) replaceLender() {
 	m.claims++
 	l := &modelLender{Lender: NewLender(m.claims, m.division), revision: len(m.quotas) - 1}
+	if m.shortTurns {
+		l.turnReports = 1
+	}
 	owners := map[string]int64{}
 	for pool, all := range m.owners {
 		owners[pool] = all[len(all)-1].fence
@@ -400,6 +405,7 @@
 	"random":      {play: history, seeds: 3000},
 	"directed":    {play: directedHistory, seeds: 500},
 	"first quota": {play: firstQuotaHistory, seeds: 500},
+	"turn":        {play: turnHistory, seeds: 500},
 }
 
 // seedsVariable sets the number of seeds that TestQuotaIsKept plays of each kind.
--- a/jayquota/quota.go
+++ b/jayquota/quota.go
@@ -32,7 +32,8 @@
 // all claims of pools that were made before it was given an organisation's first quota: their owners
 // may have started tasks without a limit.
 //
-// One task may exceed a quota: the tasks that run need at most the quota and one task together.
+// One task may exceed a quota, as far as no other pool uses what is left of it. So the tasks that
+// run need at most the quota and one task together. The pools take turns: see Turn.
 package jayquota
 
 import "jaythread/jaypool"
