Packing: workers that the advisor has refused have no room for the step

Cause: the demand for workers counted the room of workers that the advisor has refused for a step. If it refused all workers, a service task waited for good, and no other worker was demanded.

Change: a refused worker has no room for the step. While the step seeks another worker, refused workers that have room count beside the additional one, since the fleet would otherwise take them for enough. Tasks that end by themselves are treated alike, with one additional worker at a time. Not changed: workers that lack a step's label still count as room.

Measured: TestWorkersThatMustNotRunAStepHaveNoRoomForIt failed before and passes; TestSearchForAWorkerThatMayRunAStepSlowsDown passes.

--- a/jaysched/advice.go
+++ b/jaysched/advice.go
@@ -38,6 +38,12 @@
 	tickets map[string]ticket
 	// refused holds the workers that must not run the step.
 	refused map[string]bool
+	// refusedSince is when the first worker was refused, zero if none was.
+	refusedSince time.Duration
+	// tried counts the refused workers that have joined since then, triedAt is the time of the
+	// latest such refusal.
+	tried   int
+	triedAt time.Duration
 	asking  bool
 	askAt   time.Duration
 }
@@ -111,11 +117,52 @@
 		if text, good := got.Tickets[id]; good {
 			s.advice.tickets[id] = ticket{text: text, until: asked + got.Valid}
 		} else {
-			s.advice.refused[id] = true
+			s.advice.refuse(id, p.workers[id], now)
 		}
 	}
 }
 
+// refuse records that a worker, which may have left, must not run the step.
+func (a *advice) refuse(id string, w *worker, now time.Duration) {
+	a.refused[id] = true
+	if a.refusedSince == 0 {
+		a.refusedSince = now
+	}
+	if w != nil && w.joinedAt > a.refusedSince {
+		a.tried++
+		a.triedAt = now
+	}
+}
+
+const (
+	// maxTriedAtOnce is the number of additional workers that a step tries one after the other: as
+	// many as the advisor is asked about at least.
+	maxTriedAtOnce = minAdviceWorkers
+	// maxTrialDoublings limits the delay between further trials to a thousand times the time in
+	// which a host arrives: an advisor that refuses all workers must not draw ever more hosts into
+	// the pool.
+	maxTrialDoublings = 10
+)
+
+// seeksWorker reports whether the pool demands another worker for a step in place of those that
+// the advisor has refused. After maxTriedAtOnce additional ones were refused too, it does so after
+// delays that double, the first being the time in which a host arrives: until then the pool may give
+// them back.
+func (s *step) seeksWorker(delay, now time.Duration) bool {
+	a := &s.advice
+	if len(a.refused) == 0 {
+		return false
+	}
+	more := a.tried - maxTriedAtOnce
+	return more < 0 || now >= a.triedAt+delay<<min(more, maxTrialDoublings)
+}
+
+// mustNotRun reports whether a worker has no room for a step because the advisor has refused it.
+// While no other one is sought its room counts, so that the pool demands none.
+func (p *Pool) mustNotRun(w *worker, s *step, now time.Duration) bool {
+	return s.advice.refused[w.ID] && s.seeksWorker(p.settings.MoveTime+reportDelay, now)
+}
+
 // forgetAdvice discards the advice about an incarnation of a worker that has ended.
 func (p *Pool) forgetAdvice(w *worker) {
 	for _, j := range p.open {
--- a/jaysched/packing.go
+++ b/jaysched/packing.go
@@ -14,13 +14,15 @@
 // It handles this load: long-running tasks take the memory of all workers and few of their
 // cores. Counted by cores, the pool has more workers than it needs, and a task that fits on
 // none of them waits for as long as the others run, although there are hosts on standby. The
-// same happens for a step of which each worker may run only one task.
+// same happens for a step of which each worker may run only one task, and for one that the advisor
+// allows on none of the workers. In place of refused workers others are sought; the refused ones
+// count as well then, since otherwise the pool would have enough workers.
 func (p *Pool) workersAtLeast(now time.Duration) int {
 	if p.formerRunsPossible(now) {
 		// Tasks that wait may already run somewhere.
 		return p.longRunWorkers()
 	}
-	k := p.newPacking()
+	k := p.newPacking(now)
 	for _, t := range p.unplacedTasks(now) {
 		k.place(t)
 	}
@@ -50,7 +52,7 @@
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				if s.ready(now) {
-					tasks = append(tasks, p.unplacedTasksOf(s)...)
+					tasks = append(tasks, p.unplacedTasksOf(s, now)...)
 				}
 			}
 		}
@@ -61,14 +63,19 @@
 	return tasks
 }
 
-func (p *Pool) unplacedTasksOf(s *step) []*task {
+func (p *Pool) unplacedTasksOf(s *step, now time.Duration) []*task {
 	if s.decl.LongRunning {
 		return slices.DeleteFunc(slices.Clone(s.tasks), func(t *task) bool { return t.done || t.parked || t.runsOnUsableWorker() })
 	}
-	if s.waiting == 0 || p.fitsSomewhere(s) {
+	if s.waiting == 0 || p.fitsSomewhere(s, now) {
 		return nil
 	}
-	return slices.DeleteFunc(slices.Clone(s.tasks), func(t *task) bool { return !t.waiting() })
+	waiting := slices.DeleteFunc(slices.Clone(s.tasks), func(t *task) bool { return !t.waiting() })
+	if s.seeksWorker(p.settings.MoveTime+reportDelay, now) {
+		// Tasks that end by themselves can all run on the first worker that is not refused.
+		return waiting[:min(1, len(waiting))]
+	}
+	return waiting
 }
 
 // runsOnUsableWorker reports whether a task runs on a worker where it may stay.
@@ -78,8 +85,10 @@
 
 // fitsSomewhere reports whether some worker could take a task of a step if only long-running
 // tasks ran there.
-func (p *Pool) fitsSomewhere(s *step) bool {
-	return slices.ContainsFunc(p.sorted, func(w *worker) bool { return w.usable() && w.roomBesideLongRuns().Fits(needOf(s)) })
+func (p *Pool) fitsSomewhere(s *step, now time.Duration) bool {
+	return slices.ContainsFunc(p.sorted, func(w *worker) bool {
+		return w.usable() && w.roomBesideLongRuns().Fits(needOf(s)) && !p.mustNotRun(w, s, now)
+	})
 }
 
 // roomBesideLongRuns returns the room of a worker on which only long-running tasks run.
@@ -90,6 +99,8 @@
 // packing computes by first fit how many workers some tasks need, beside the long-running ones
 // on the present workers.
 type packing struct {
+	pool *Pool
+	now  time.Duration
 	bins []*bin
 	// size is the capacity of an additional worker.
 	size jaypool.Resources
@@ -103,8 +114,8 @@
 	placed map[*step]int
 }
 
-func (p *Pool) newPacking() *packing {
-	k := &packing{size: p.maxCapacity}
+func (p *Pool) newPacking(now time.Duration) *packing {
+	k := &packing{pool: p, now: now, size: p.maxCapacity}
 	for _, w := range p.sorted {
 		if w.usable() {
 			k.bins = append(k.bins, &bin{worker: w, room: w.roomBesideLongRuns(), used: w.longRuns > 0})
@@ -114,14 +125,23 @@
 }
 
 // place assigns a task to a present worker, an additional one that has room, or else a new
-// additional one.
+// additional one. In the latter case the workers that have room but must not run the task count as
+// used, since the additional one is needed beside them.
 func (k *packing) place(t *task) {
+	var refused []*bin
 	for _, b := range k.bins {
-		if b.fits(t) {
+		switch {
+		case !b.fits(t):
+		case b.worker != nil && k.pool.mustNotRun(b.worker, t.step, k.now):
+			refused = append(refused, b)
+		default:
 			b.add(t)
 			return
 		}
 	}
+	for _, b := range refused {
+		b.used = true
+	}
 	b := &bin{room: k.size}
 	b.add(t)
 	k.bins = append(k.bins, b)
--- a/jaysched/packing_test.go
+++ b/jaysched/packing_test.go
@@ -1,6 +1,7 @@
 package jaysched
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -121,3 +122,33 @@
 	w.reports()
 	is.New(t).True(w.pool.Demand(w.now).WorkersAtLeast > 2)
 }
+
+// Guards against a pool that draws ever more hosts for a service task that the advisor allows on none
+// of them.
+func TestSearchForAWorkerThatMayRunAStepSlowsDown(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 2)
+	spec := newSpec("j", 1, longRunning)
+	spec.Policy.Advised = true
+	declare(w, spec)
+	w.advise(3 * time.Second)
+	demands := func() bool { return w.pool.Demand(w.now).WorkersAtLeast > len(w.pool.sorted) }
+	try := func() {
+		w.pass(100 * time.Millisecond)
+		w.addWorker(fmt.Sprintf("w%d", len(w.pool.sorted)))
+		w.list()
+		w.run()
+		w.reports()
+		w.advise(3 * time.Second)
+	}
+	for range maxTriedAtOnce {
+		is.True(demands())
+		try()
+	}
+	for n := range 3 {
+		is.True(!demands())
+		w.pass((w.pool.settings.MoveTime + reportDelay) << n)
+		is.True(demands())
+		try()
+	}
+}
