Quotas: a report on a removed quota does not confirm the next one

Cause: a report confirmed that an owner keeps a resource's quota whenever the share's quota limited the resource, also if that quota had been removed since. While the owner of another pool was unknown, Decide did not release the limit, so a quota declared again was lent beside what had been started without a limit. Change: a confirmation counts if its change was decided after the quota last began to limit the resource. SetQuotas does nothing for quotas that limit the same resources as before.

--- a/jayquota/lender.go
+++ b/jayquota/lender.go
@@ -165,23 +165,27 @@
 // noteLimited records since when a quota limits each resource. An owner may start tasks without a
 // limit once the quota does not limit the resource.
 func (l *Lender) noteLimited(organisation string, quota vector) {
-	since := l.limitedSince[organisation]
+	since, changed := l.limitedSince[organisation], false
 	for r, of := range quota {
 		switch {
-		case of == 0:
-			since[r] = 0
+		case of == 0 && since[r] > 0:
+			since[r], changed = 0, true
 			for _, a := range l.pools {
 				if s := a.shares[organisation]; s != nil {
 					s.bound[r] = false
 				}
 			}
-		case since[r] == 0:
-			since[r] = l.message + 1
+		case of > 0 && since[r] == 0:
+			// A number is left out, so that changes which were decided before have lower ones.
+			l.message++
+			since[r], changed = l.message+1, true
 		}
 	}
-	l.limitedSince[organisation] = since
-	if since == (vector{}) {
+	switch {
+	case since == (vector{}):
 		delete(l.limitedSince, organisation)
+	case changed:
+		l.limitedSince[organisation] = since
 	}
 }
 
@@ -213,9 +217,9 @@
 	first := !a.known
 	a.known = true
 	a.confirmed = r.Applied.Message
-	for _, s := range a.shares {
+	for organisation, s := range a.shares {
 		if s.changed <= a.confirmed {
-			s.confirm()
+			s.confirm(l.limitedSince[organisation])
 		}
 	}
 	if first {
@@ -224,15 +228,13 @@
 	l.countTurns(pool, a)
 }
 
-// confirm handles a report by which the latest change is in force at the pool.
-func (s *share) confirm() {
+// confirm handles a report by which the latest change is in force at the pool. The change binds the
+// owner if it was decided after the quota last began to limit the resource: by an earlier one the owner
+// may have started tasks without a limit since.
+func (s *share) confirm(limitedSince vector) {
 	s.lent, s.basis = s.limit, vectorOf(s.quota)
-	if s.changed == 0 {
-		// The limit is another lender's.
-		return
-	}
-	for r, of := range s.basis {
-		s.bound[r] = s.bound[r] || of > 0
+	for r, since := range limitedSince {
+		s.bound[r] = s.bound[r] || since > 0 && since <= s.changed && s.basis[r] > 0
 	}
 }
 
--- a/jayquota/lender_test.go
+++ b/jayquota/lender_test.go
@@ -388,3 +388,30 @@
 	is.True(allows(1))
 	is.Equal(h.Quota("org", 1, jaypool.Resources{}), processors(40))
 }
+
+// Guards against a limit of a removed quota that counts when the quota is declared again: a report on it
+// must not confirm the new quota, also if the owner of another pool is not known meanwhile.
+func TestReportOnARemovedQuotaDoesNotConfirmTheNextOne(t *testing.T) {
+	is := is.New(t)
+	e := newExchange(ByDemand{}, 100)
+	e.rounds(3)
+	e.lender.SetPools(map[string]int64{"b": 2}) // nothing is known of the new owner
+	e.lender.SetPools(map[string]int64{"a": 1, "b": 2})
+	e.quota, e.revision = 0, 2
+	e.decide()
+	e.ask("a")
+	e.quota, e.revision = 100, 3
+	e.decide()
+	e.ask("a")
+	e.uses["a"] = Use{Used: processors(95)} // started before the quota was declared again
+	h := NewHolder(0)
+	for range 3 {
+		m := e.lender.Message("b")
+		h.Apply(2, m)
+		e.lender.Receive("b", h.Report(2, m.All, nil))
+		e.decide()
+	}
+	m := e.lender.Message("b")
+	h.Apply(2, m)
+	is.True(!h.Allows("org", 3, processors(100), processors(0), processors(15)))
+}
