Quotas: a first quota does not wait for a removed pool

Cause: the lender keeps a pool that is not declared any more while it may use something, but its owner is sent no messages. It never confirmed a first quota, so the organisation's tasks waited in all pools until another entry owned the fleet. Change: first quotas wait for the declared pools only; what a removed pool used by its latest report still counts. Result: TestFirstQuotaDoesNotWaitForARemovedPool fails before and passes after; all tests of jayquota pass.

--- a/jayquota/lender.go
+++ b/jayquota/lender.go
@@ -288,12 +288,13 @@
 
 // bind reports whether the owners of all pools keep their limits of a quota. The others may have
 // started tasks without a limit since their latest report: they are told the quota, with limits of
-// nothing, and the report that confirms this tells what they use.
+// nothing, and the report that confirms this tells what they use. Owners of removed pools are not
+// asked any more: what they used by their latest report counts.
 func (l *Lender) bind(organisation string, quota jaypool.Resources) bool {
 	all := true
 	for _, a := range l.pools {
 		s := a.share(organisation)
-		if a.exempt || s.isBound(vectorOf(quota)) || a.unnamed && s.committed() == (vector{}) {
+		if a.exempt || a.unnamed || s.isBound(vectorOf(quota)) {
 			continue
 		}
 		all = false
--- a/jayquota/lender_test.go
+++ b/jayquota/lender_test.go
@@ -415,3 +415,19 @@
 	h.Apply(2, m)
 	is.True(!h.Allows("org", 3, processors(100), processors(0), processors(15)))
 }
+
+// Guards against a first quota that is never lent: a pool that was removed from the declarations while
+// it used something is not asked any more and confirms nothing.
+func TestFirstQuotaDoesNotWaitForARemovedPool(t *testing.T) {
+	is := is.New(t)
+	e := newExchange(ByDemand{}, 0)
+	e.uses["a"] = Use{Used: processors(5)}
+	e.rounds(3)
+	e.lender.SetPools(map[string]int64{"b": 1})
+	e.quota, e.revision = 40, 2
+	for range 5 {
+		e.decide()
+		e.ask("b")
+	}
+	is.True(e.allows("b", 15))
+}
