Quotas: reports without delay do not shorten a turn

Cause: the length of a turn to exceed a quota was counted in reports. While limits change, of any organisation, reports follow one another at once, so that a turn of two move times could be over before the host that the pool needs arrives. Change: at most one report counts in each period of demandInterval. Result: TestReportsWithoutDelayDoNotShortenATurn fails if every report counts and passes with the change; all tests of jayquota pass.

--- a/jaynode/quota.go
+++ b/jaynode/quota.go
@@ -50,6 +50,7 @@
 	if quotas == nil {
 		return
 	}
+	d.lender.SetPeriod(1 + int64(d.node.clock()/demandInterval))
 	d.lender.SetPools(owners)
 	d.lender.SetQuotas(quotas.Revision, quotas.Of)
 	d.lender.Decide()
--- a/jayquota/lender.go
+++ b/jayquota/lender.go
@@ -20,6 +20,8 @@
 	limitedSince map[string]vector
 	// turnReports is the number of reports that a pool's turn to exceed a quota lasts at first.
 	turnReports int
+	// period is the number of the present period between two regular reports, 0 if unknown.
+	period int64
 	// turns counts the turns that were given.
 	turns int64
 	// chosen is the latest pool that may exceed the quota by a task, by organisation.
@@ -33,8 +35,10 @@
 	// served says that the turn has ended: what the pool uses has changed since, or the turn has
 	// passed to the others unused.
 	served bool
-	// reports counts the pool's reports since it was chosen, or since its turn has ended.
+	// reports counts the pool's reports since it was chosen, or since its turn has ended, at most one
+	// in each period; period is that of the latest one.
 	reports int
+	period  int64
 }
 
 // account is what a lender knows of one pool.
--- a/jayquota/lender_test.go
+++ b/jayquota/lender_test.go
@@ -431,3 +431,15 @@
 	}
 	is.True(e.allows("b", 15))
 }
+
+// Guards against a turn that is over before a host can arrive, since limits of other organisations
+// change and reports follow one another without delay.
+func TestReportsWithoutDelayDoNotShortenATurn(t *testing.T) {
+	is := is.New(t)
+	e := newExchange(ByDemand{}, 100)
+	e.lender.SetPeriod(1)
+	e.uses["a"] = Use{Wanted: processors(300), Largest: processors(300), Task: processors(300)}
+	e.uses["b"] = e.uses["a"]
+	e.rounds(10 * defaultTurnReports)
+	is.True(e.allows("a", 300))
+}
--- a/jayquota/turn.go
+++ b/jayquota/turn.go
@@ -16,12 +16,20 @@
 	return l.turnReports << min(s.unusedTurns, maxTurnDoublings)
 }
 
+// SetPeriod sets the number of the present period between two regular reports. In each period one
+// report counts for the length of a turn: while limits change, reports follow one another without
+// delay, and a turn would be over before a host can arrive. Without periods every report counts.
+func (l *Lender) SetPeriod(period int64) {
+	l.period = period
+}
+
 // countTurns counts a report of a pool's owner if the limit that lets the pool exceed a quota is in
 // force there.
 func (l *Lender) countTurns(pool string, a *account) {
 	for organisation, c := range l.chosen {
-		if c.pool == pool && a.share(organisation).changed <= a.confirmed {
+		if c.pool == pool && a.share(organisation).changed <= a.confirmed && (l.period == 0 || c.period != l.period) {
 			c.reports++
+			c.period = l.period
 			l.chosen[organisation] = c
 		}
 	}
