Quotas: the test of a turn's length checks each round

Change: it checks in each round that the turn has not passed. Result: it fails if every report counts, and passes as committed.

--- a/jayquota/lender_test.go
+++ b/jayquota/lender_test.go
@@ -440,6 +440,9 @@
 	e.lender.SetPeriod(1)
 	e.uses["a"] = Use{Wanted: processors(300), Largest: processors(300), Task: processors(300)}
 	e.uses["b"] = e.uses["a"]
-	e.rounds(10 * defaultTurnReports)
+	for range 10 * defaultTurnReports {
+		e.rounds(1)
+		is.True(!e.allows("b", 300)) // a has the turn
+	}
 	is.True(e.allows("a", 300))
 }
