Quotas: frequent declarations do not keep a first quota from being lent

Cause: the owner of the fleet used a first quota once the claims had been read after the newest declarations. A read of the claims may wait for one second, so declarations that follow one another faster delayed the quota for as long as they did. Change: the delay is that of the declarations with the quota; newer ones restart it only if they remove a quota.

--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -48,6 +48,9 @@
 	lender *jayquota.Lender
 	// lendsBy are the quotas by which the lender decides, nil before it decides.
 	lendsBy *jaysched.Quotas
+	// nextQuotas are those to decide by once the claims have been read as of nextQuotasAt, or nil.
+	nextQuotas   *jaysched.Quotas
+	nextQuotasAt time.Duration
 	// uses sums up what organisations use in the pools.
 	uses            *jayshare.Ledger
 	readingHosts    bool
--- a/jaynode/quota.go
+++ b/jaynode/quota.go
@@ -58,16 +58,20 @@
 
 // quotasToLend returns the quotas to decide by, or nil. Quotas that limit more than the former ones
 // count once the claims have been read after them: the owner of a pool that has claimed it before
-// may have started tasks without a limit, and must be asked.
+// may have started tasks without a limit, and must be asked. Newer declarations do not restart this
+// delay, unless they remove a quota: a first quota would never count while declarations follow one
+// another faster than claims are read.
 func (d *fleetDuty) quotasToLend(claimsAsOf time.Duration) *jaysched.Quotas {
 	declared := d.node.quotas()
-	adopted := time.Duration(d.node.declarations.adoptedAt.Load()) // of these quotas or newer ones
+	if d.nextQuotas == nil || jayquota.LimitsMore(declared.Of, d.nextQuotas.Of) {
+		d.nextQuotas, d.nextQuotasAt = &declared, time.Duration(d.node.declarations.adoptedAt.Load()) // of these quotas or newer ones
+	}
 	former := jaysched.Quotas{}
 	if d.lendsBy != nil {
 		former = *d.lendsBy
 	}
-	if claimsAsOf >= adopted || !jayquota.LimitsMore(former.Of, declared.Of) {
-		d.lendsBy = &declared
+	if claimsAsOf >= d.nextQuotasAt || !jayquota.LimitsMore(former.Of, d.nextQuotas.Of) {
+		d.lendsBy, d.nextQuotas = d.nextQuotas, nil
 	}
 	return d.lendsBy
 }
--- a/jaynode/quota_test.go
+++ b/jaynode/quota_test.go
@@ -37,7 +37,19 @@
 	declare(3, 50)
 	is.Equal(revision(0), int64(3)) // it limits no more resources
 
-	duty.lendsBy = nil
+	declare(4, 0)
+	is.Equal(revision(0), int64(4))
+	declare(5, 100)
+	is.Equal(revision(0), int64(4))
+	declare(6, 0)
+	is.Equal(revision(0), int64(6)) // a removal is not passed over
+	declare(7, 100)
+	is.Equal(revision(0), int64(6))
+	read := now
+	declare(8, 100)
+	is.Equal(revision(read), int64(7)) // newer declarations do not restart the delay
+
+	duty.lendsBy, duty.nextQuotas = nil, nil
 	is.True(duty.quotasToLend(0) == nil) // another owner of the fleet
 	is.True(duty.quotasToLend(now) != nil)
 }
