Quotas: jobs that wait for a quota of later declarations are not rejected

Cause: waitsForQuota looked for declared quotas only. With rejectHopeless a job could be rejected for a lack of room while it waited for a quota that the fleet's owner had told. Change: it counts told quotas too. Pools that know no quota skip the check of quotas as before. Result: TestQuotaOfLaterDeclarationsIsKept fails before and passes after.

--- a/jayquota/holder.go
+++ b/jayquota/holder.go
@@ -44,6 +44,11 @@
 	}
 }
 
+// Told reports whether a lender has told any quota.
+func (h *Holder) Told() bool {
+	return len(h.told) > 0
+}
+
 // Quota returns the quota of an organisation that is in force for the pool, if the organisation has
 // the declared quota by the given revision of the declarations. A resource that is not limited by
 // these may be limited by newer declarations, of which the lender has told.
--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -402,7 +402,7 @@
 
 // waitsForQuota reports whether a task of the job that could start now waits for a quota.
 func (p *Pool) waitsForQuota(j *job, now time.Duration) bool {
-	if len(p.quotas.declared.Of) == 0 {
+	if p.quotas.none() {
 		return false
 	}
 	for _, s := range j.occurrences[0].steps {
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -50,6 +50,11 @@
 	return q.used[organisation].Add(q.possible[organisation])
 }
 
+// none reports whether no quota is known, from the declarations or from the fleet's owner.
+func (q *quotas) none() bool {
+	return len(q.declared.Of) == 0 && !q.limits.Told()
+}
+
 // of returns the quota of an organisation that is in force for the pool.
 func (q *quotas) of(organisation string) jaypool.Resources {
 	return q.limits.Quota(organisation, q.declared.Revision, q.declared.Of[organisation])
@@ -82,7 +87,7 @@
 // quotaAllows reports whether the quota of a step's organisation lets some of its tasks start.
 func (p *Pool) quotaAllows(s *step, tasks int) bool {
 	q, organisation := &p.quotas, s.job.spec.Organisation
-	if organisation == "" {
+	if organisation == "" || q.none() {
 		return true
 	}
 	need := s.decl.Need.Times(int64(tasks))
--- a/jaysched/quota_test.go
+++ b/jaysched/quota_test.go
@@ -153,4 +153,7 @@
 	declare(w, ofAcme("j", 6))
 	is.Equal(len(w.running()), 2)
 	is.Equal(acmeUse(w).Wanted.ProcessorsMilli, int64(4000))
+	for _, j := range w.pool.open {
+		is.True(w.pool.waitsForQuota(j, w.now)) // so it is not rejected for a lack of room
+	}
 }
