Quotas: shorter tests of turns, and two checks that could not fail

Cause: TestQuotaThatIsDeclaredAgainWaitsForUseWithoutQuota passed without Lender.release, since the organisation stayed declared; that turns grow was not checked. Several tests repeated the same rounds.

--- a/jayquota/directed_test.go
+++ b/jayquota/directed_test.go
@@ -1,12 +1,16 @@
 package jayquota
 
+func (m *model) poolsInAnyOrder() (pool, other string) {
+	if m.random.IntN(2) == 0 {
+		return "b", "a"
+	}
+	return "a", "b"
+}
+
 // directedMove makes a move that consists of several steps in an order in which faults show. Some
 // of its messages are lost or overtaken by later ones.
 func (m *model) directedMove() {
-	pool, other := "a", "b"
-	if m.random.IntN(2) == 0 {
-		pool, other = other, pool
-	}
+	pool, other := m.poolsInAnyOrder()
 	lender := m.latestLender()
 	switch move := m.random.IntN(100); {
 	case move < 20:
@@ -255,10 +259,7 @@
 
 // moveWithoutQuota makes a move that does not change the quota.
 func (m *model) moveWithoutQuota() {
-	pool, other := "a", "b"
-	if m.random.IntN(2) == 0 {
-		pool, other = other, pool
-	}
+	pool, other := m.poolsInAnyOrder()
 	switch move := m.random.IntN(10); {
 	case move < 2:
 		m.lend(m.mostly(m.latestLender()), pool, m.mostlyLatestOwner(pool), m.mostlyLatestOwner(other))
@@ -279,10 +280,7 @@
 // tasks without a limit until its declarations are too old. At times that one, or the lender, is
 // asked or replaced meanwhile.
 func (m *model) firstQuota() {
-	pool, other := "a", "b"
-	if m.random.IntN(2) == 0 {
-		pool, other = other, pool
-	}
+	pool, other := m.poolsInAnyOrder()
 	owner, others := m.latestOwner(pool), m.latestOwner(other)
 	m.reach(pool, owner)
 	m.reach(other, others)
--- a/jayquota/lender_test.go
+++ b/jayquota/lender_test.go
@@ -1,6 +1,8 @@
 package jayquota
 
 import (
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -31,12 +33,30 @@
 func (e *exchange) rounds(n int) {
 	for range n {
 		e.decide()
-		for _, pool := range []string{"a", "b"} {
+		for _, pool := range slices.Sorted(maps.Keys(e.holders)) {
 			e.ask(pool)
 		}
 	}
 }
 
+// turns plays rounds in which pools wait to start a task of the given size, and returns in how many
+// of them each pool may start it.
+func (e *exchange) turns(rounds int, sizes map[string]int64) map[string]int {
+	turns := map[string]int{}
+	for range rounds {
+		for pool, size := range sizes {
+			e.uses[pool] = Use{Wanted: processors(size), Largest: processors(size), Task: processors(size)}
+		}
+		e.rounds(1)
+		for pool, size := range sizes {
+			if e.allows(pool, size) {
+				turns[pool]++
+			}
+		}
+	}
+	return turns
+}
+
 func (e *exchange) decide() {
 	e.lender.SetQuotas(e.revision, map[string]jaypool.Resources{"org": processors(e.quota)})
 	e.lender.Decide()
@@ -45,13 +65,13 @@
 // ask sends a message to one pool and the report on it back.
 func (e *exchange) ask(pool string) {
 	m := e.lender.Message(pool)
-	e.holders[pool].Apply(1, m)
+	e.holders[pool].Apply(e.lender.pools[pool].ownerFence, m)
 	e.lender.Receive(pool, e.report(pool, m.All))
 }
 
 // report returns the report of a pool's owner.
 func (e *exchange) report(pool string, all bool) Report {
-	return e.holders[pool].Report(1, all, map[string]Use{"org": e.uses[pool]})
+	return e.holders[pool].Report(e.lender.pools[pool].ownerFence, all, map[string]Use{"org": e.uses[pool]})
 }
 
 // left returns what a pool may still use.
@@ -305,71 +325,55 @@
 func TestTurnPassesBetweenSmallAndLargeTasks(t *testing.T) {
 	is := is.New(t)
 	e := newExchange(ByDemand{}, 100)
-	e.uses["a"] = Use{Wanted: processors(300), Largest: processors(300), Task: processors(300)}
-	e.rounds(5)
-	is.True(e.allows("a", 300))
-	e.uses["b"] = Use{Wanted: processors(10), Largest: processors(10), Task: processors(10)}
-	small, large := 0, 0
-	for range 200 {
-		e.rounds(1)
-		if e.allows("b", 10) {
-			small++
-		}
-		if e.allows("a", 300) {
-			large++
-		}
-	}
-	t.Logf("of 200 rounds the small task may start in %d, the large one in %d", small, large)
-	is.True(small >= 150)
-	is.True(large >= 150)
+	is.True(e.turns(5, map[string]int64{"a": 300})["a"] > 0)
+	turns := e.turns(200, map[string]int64{"a": 300, "b": 10})
+	t.Logf("rounds in which a pool may start its task: %v", turns)
+	is.True(turns["a"] >= 150)
+	is.True(turns["b"] >= 150)
 }
 
 // Guards against a pool that gets no turn while two others, which cannot start their tasks, pass
 // the turn to each other.
 func TestTurnPassesToEachPool(t *testing.T) {
-	is := is.New(t)
 	e := newExchange(ByDemand{}, 100)
 	e.holders["c"] = NewHolder(0)
 	e.lender.SetPools(map[string]int64{"a": 1, "b": 1, "c": 1})
-	for _, pool := range []string{"a", "b", "c"} {
-		e.uses[pool] = Use{Wanted: processors(300), Largest: processors(300), Task: processors(300)}
-	}
-	turns := map[string]int{}
-	for range 300 {
-		e.rounds(1)
-		e.ask("c")
-		for pool := range e.holders {
-			if e.allows(pool, 300) {
-				turns[pool]++
-			}
-		}
-	}
+	turns := e.turns(300, map[string]int64{"a": 300, "b": 300, "c": 300})
 	t.Logf("rounds in which a pool may start its task: %v", turns)
-	for _, pool := range []string{"a", "b", "c"} {
-		is.True(turns[pool] >= defaultTurnReports)
+	for pool := range e.holders {
+		is.New(t).True(turns[pool] >= defaultTurnReports)
+		is.New(t).True(e.lender.turnLength(e.lender.pools[pool].share("org")) > defaultTurnReports) // unused turns grow
 	}
 }
 
 // Guards against limits of a quota that was removed: they must not be used by the same quota if it is
 // declared again, while another pool uses what it started meanwhile.
 func TestQuotaThatIsDeclaredAgainWaitsForUseWithoutQuota(t *testing.T) {
-	is := is.New(t)
-	e := newExchange(ByDemand{}, 100)
-	e.rounds(3)
-	is.True(e.allows("b", 15))
-	e.quota, e.revision = 0, 2
-	e.rounds(3)
-	e.uses["a"] = Use{Used: processors(120)} // started after the report
-	e.quota, e.revision = 100, 3
-	is.True(!e.allows("b", 15))
-	for range 3 {
-		e.decide()
-		e.ask("b")
+	for name, quotas := range map[string]map[string]jaypool.Resources{"organisation removed": nil, "quota removed": {"org": {}}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := newExchange(ByDemand{}, 100)
+			e.rounds(3)
+			is.True(e.allows("b", 15))
+			for range 3 {
+				e.lender.SetQuotas(2, quotas)
+				e.lender.Decide()
+				e.ask("a")
+				e.ask("b")
+			}
+			e.uses["a"] = Use{Used: processors(120)} // started after the report
+			e.revision = 3
+			is.True(!e.allows("b", 15))
+			for range 3 {
+				e.decide()
+				e.ask("b")
+			}
+			is.True(!e.allows("b", 15)) // pool a has not been heard since there is a quota again
+			e.uses["a"] = Use{}
+			e.rounds(3)
+			is.True(e.allows("b", 15))
+		})
 	}
-	is.True(!e.allows("b", 15)) // pool a has not been heard since there is a quota again
-	e.uses["a"] = Use{}
-	e.rounds(3)
-	is.True(e.allows("b", 15))
 }
 
 // Guards against starts beyond a first quota by an owner that does not know it from the declarations
@@ -395,8 +399,8 @@
 	is := is.New(t)
 	e := newExchange(ByDemand{}, 100)
 	e.rounds(3)
-	e.lender.SetPools(map[string]int64{"b": 2}) // nothing is known of the new owner
-	e.lender.SetPools(map[string]int64{"a": 1, "b": 2})
+	e.holders["b"] = NewHolder(0)
+	e.lender.SetPools(map[string]int64{"a": 1, "b": 2}) // nothing is known of the new owner
 	e.quota, e.revision = 0, 2
 	e.decide()
 	e.ask("a")
@@ -404,16 +408,12 @@
 	e.decide()
 	e.ask("a")
 	e.uses["a"] = Use{Used: processors(95)} // started before the quota was declared again
-	h := NewHolder(0)
 	for range 3 {
-		m := e.lender.Message("b")
-		h.Apply(2, m)
-		e.lender.Receive("b", h.Report(2, m.All, nil))
+		e.ask("b")
 		e.decide()
 	}
-	m := e.lender.Message("b")
-	h.Apply(2, m)
-	is.True(!h.Allows("org", 3, processors(100), processors(0), processors(15)))
+	e.ask("b")
+	is.True(!e.allows("b", 15))
 }
 
 // Guards against a first quota that is never lent: a pool that was removed from the declarations while
@@ -438,11 +438,7 @@
 	is := is.New(t)
 	e := newExchange(ByDemand{}, 100)
 	e.lender.SetPeriod(1)
-	e.uses["a"] = Use{Wanted: processors(300), Largest: processors(300), Task: processors(300)}
-	e.uses["b"] = e.uses["a"]
-	for range 10 * defaultTurnReports {
-		e.rounds(1)
-		is.True(!e.allows("b", 300)) // a has the turn
-	}
-	is.True(e.allows("a", 300))
+	turns := e.turns(10*defaultTurnReports, map[string]int64{"a": 300, "b": 300})
+	is.True(turns["a"] > 0)
+	is.Equal(turns["b"], 0) // a has the turn
 }
--- a/jayquota/model_test.go
+++ b/jayquota/model_test.go
@@ -205,13 +205,9 @@
 	}
 	l.SetQuotas(int64(l.revision), map[string]jaypool.Resources{"org": processors(m.quotas[l.revision])})
 	switch m.mutation {
-	case hastyLender:
-		for _, a := range l.pools {
-			a.known = true
-			a.share("org").bound = [resources]bool{true, true, true}
-		}
-	case hastyFirst:
+	case hastyLender, hastyFirst:
 		for _, a := range l.pools {
+			a.known = a.known || m.mutation == hastyLender
 			a.share("org").bound = [resources]bool{true, true, true}
 		}
 	case boundByAnyReport:
