Packing: workers that join together are one trial of a refused step

Cause: every refused worker that had joined since the first refusal counted as a trial. When hosts joined for other tasks, as in a burst, the step's next trial was delayed by up to a thousand move times although it had not sought any of them. Change: only a worker that joined after the former trial was refused counts. Result: TestSearchForAWorkerThatMayRunAStepSlowsDown with eight workers that join together fails before and passes after.

--- a/jaysched/advice.go
+++ b/jaysched/advice.go
@@ -38,10 +38,8 @@
 	tickets map[string]ticket
 	// refused holds the workers that must not run the step.
 	refused map[string]bool
-	// refusedSince is when the first worker was refused, zero if none was.
-	refusedSince time.Duration
-	// tried counts the refused workers that have joined since then, triedAt is the time of the
-	// latest such refusal.
+	// tried counts the additional workers that were refused: those that had joined after the former
+	// one was. triedAt is the time of the latest such refusal or of the first one, zero if none was.
 	tried   int
 	triedAt time.Duration
 	asking  bool
@@ -125,10 +123,11 @@
 // refuse records that a worker, which may have left, must not run the step.
 func (a *advice) refuse(id string, w *worker, now time.Duration) {
 	a.refused[id] = true
-	if a.refusedSince == 0 {
-		a.refusedSince = now
-	}
-	if w != nil && w.joinedAt > a.refusedSince {
+	switch {
+	case a.triedAt == 0:
+		a.triedAt = now
+	case w != nil && w.joinedAt > a.triedAt:
+		// Workers that join together are one trial: most of them have joined for other tasks.
 		a.tried++
 		a.triedAt = now
 	}
--- a/jaysched/packing_test.go
+++ b/jaysched/packing_test.go
@@ -133,22 +133,28 @@
 	declare(w, spec)
 	w.advise(3 * time.Second)
 	demands := func() bool { return w.pool.Demand(w.now).WorkersAtLeast > len(w.pool.sorted) }
-	try := func() {
+	try := func(workers int) {
 		w.pass(100 * time.Millisecond)
-		w.addWorker(fmt.Sprintf("w%d", len(w.pool.sorted)))
+		for range workers {
+			w.addWorker(fmt.Sprintf("w%d", len(w.workers)))
+		}
 		w.list()
 		w.run()
 		w.reports()
-		w.advise(3 * time.Second)
+		for range workers/minAdviceWorkers + 1 {
+			w.advise(3 * time.Second)
+		}
 	}
-	for range maxTriedAtOnce {
+	is.True(demands())
+	try(2 * maxTriedAtOnce) // a burst of other tasks; the search goes on
+	for range maxTriedAtOnce - 1 {
 		is.True(demands())
-		try()
+		try(1)
 	}
 	for n := range 3 {
 		is.True(!demands())
 		w.pass((w.pool.settings.MoveTime + reportDelay) << n)
 		is.True(demands())
-		try()
+		try(1)
 	}
 }
