--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -11,6 +11,7 @@
 	"jaythread/jaymember"
 	"jaythread/jayowner"
 	"jaythread/jayquota"
+	"jaythread/jaysched"
 	"jaythread/jayshare"
 	"jaythread/jaytail"
 	"jaythread/jaywire"
@@ -45,6 +46,11 @@
 	fleet *jayfleet.Fleet
 	// lender decides what each pool may use of the organisations' quotas.
 	lender *jayquota.Lender
+	// lendsBy are the quotas by which the lender decides, nil before it decides.
+	lendsBy *jaysched.Quotas
+	// nextQuotas are those to decide by once the claims have been read as of nextQuotasAt, or nil.
+	nextQuotas   *jaysched.Quotas
+	nextQuotasAt time.Duration
 	// uses sums up what organisations use in the pools.
 	uses            *jayshare.Ledger
 	readingHosts    bool
@@ -66,7 +72,7 @@
 			OwnerChangeDelay: n.settings.HolderTime,
 			CallTime:         inventoryTimeout,
 		},
-		lender:       jayquota.NewLender(claim.Fence, jayquota.ByDemand{}),
+		lender:       jayquota.NewLender(claim.Fence, jayquota.ByDemand{}, jayquota.WithTurn(turnReports(n.settings.MoveTime))),
 		uses:         jayshare.NewLedger(),
 		askingDemand: map[string]bool{},
 		nextDemandAt: map[string]time.Duration{},
--- a/jaynode/quota.go
+++ b/jaynode/quota.go
@@ -1,6 +1,8 @@
 package jaynode
 
 import (
+	"time"
+
 	"jaythread/jayowner"
 	"jaythread/jaypool"
 	"jaythread/jayquota"
@@ -23,6 +25,16 @@
 	}
 }
 
+// minTurnReports is the minimum number of reports that a pool's turn to exceed a quota lasts: a task
+// that has a worker starts meanwhile.
+const minTurnReports = 4
+
+// turnReports returns the number of reports that a pool's turn to exceed a quota lasts at first:
+// those of two move times, so that a host which the pool needs for its task arrives meanwhile.
+func turnReports(moveTime time.Duration) int {
+	return max(minTurnReports, int(2*moveTime/demandInterval))
+}
+
 // lendQuotas decides what each pool may use of the organisations' quotas.
 func (d *fleetDuty) lendQuotas(working []string) {
 	view := d.node.members.Owners.View()
@@ -34,12 +46,36 @@
 		c, _ := view.Claim(jayowner.PoolDuty(pool))
 		owners[pool] = c.Fence
 	}
-	declared := d.node.quotas()
+	quotas := d.quotasToLend(view.AsOf)
+	if quotas == nil {
+		return
+	}
+	d.lender.SetPeriod(1 + int64(d.node.clock()/demandInterval))
 	d.lender.SetPools(owners)
-	d.lender.SetQuotas(declared.Revision, declared.Of)
+	d.lender.SetQuotas(quotas.Revision, quotas.Of)
 	d.lender.Decide()
 }
 
+// quotasToLend returns the quotas to decide by, or nil. Quotas that limit more than the former ones
+// count once the claims have been read after them: the owner of a pool that has claimed it before
+// may have started tasks without a limit, and must be asked. Newer declarations do not restart this
+// delay, unless they remove a quota: a first quota would never count while declarations follow one
+// another faster than claims are read.
+func (d *fleetDuty) quotasToLend(claimsAsOf time.Duration) *jaysched.Quotas {
+	declared := d.node.quotas()
+	if d.nextQuotas == nil || jayquota.LimitsMore(declared.Of, d.nextQuotas.Of) {
+		d.nextQuotas, d.nextQuotasAt = &declared, time.Duration(d.node.declarations.adoptedAt.Load()) // of these quotas or newer ones
+	}
+	former := jaysched.Quotas{}
+	if d.lendsBy != nil {
+		former = *d.lendsBy
+	}
+	if claimsAsOf >= d.nextQuotasAt || !jayquota.LimitsMore(former.Of, d.nextQuotas.Of) {
+		d.lendsBy, d.nextQuotas = d.nextQuotas, nil
+	}
+	return d.lendsBy
+}
+
 // receiveQuotas handles the part of a pool's report on the organisations' quotas.
 func (d *fleetDuty) receiveQuotas(pool string, report *jaywire.DemandReport) {
 	if report.Quota == nil {
--- a/jayquota/directed_test.go
+++ b/jayquota/directed_test.go
@@ -1,12 +1,16 @@
 package jayquota
 
+func (m *model) poolsInAnyOrder() (pool, other string) {
+	if m.random.IntN(2) == 0 {
+		return "b", "a"
+	}
+	return "a", "b"
+}
+
 // directedMove makes a move that consists of several steps in an order in which faults show. Some
 // of its messages are lost or overtaken by later ones.
 func (m *model) directedMove() {
-	pool, other := "a", "b"
-	if m.random.IntN(2) == 0 {
-		pool, other = other, pool
-	}
+	pool, other := m.poolsInAnyOrder()
 	lender := m.latestLender()
 	switch move := m.random.IntN(100); {
 	case move < 20:
@@ -237,3 +241,95 @@
 	}
 	return m.violation
 }
+
+// firstQuotaHistory plays a random history in which the organisation has no quota at first and gets
+// one while owners start tasks without a limit. It returns the first violation, or nothing.
+func firstQuotaHistory(division Division, mutation mutation, seed uint64) string {
+	m := newModel(division, mutation, seed)
+	m.quotas = []int64{unlimited}
+	for range m.random.IntN(20) {
+		m.moveWithoutQuota()
+	}
+	m.firstQuota()
+	for range 60 {
+		m.directedMove()
+	}
+	return m.violation
+}
+
+// moveWithoutQuota makes a move that does not change the quota.
+func (m *model) moveWithoutQuota() {
+	pool, other := m.poolsInAnyOrder()
+	switch move := m.random.IntN(10); {
+	case move < 2:
+		m.lend(m.mostly(m.latestLender()), pool, m.mostlyLatestOwner(pool), m.mostlyLatestOwner(other))
+	case move < 4:
+		m.startMany(pool, m.mostlyLatestOwner(pool))
+	case move < 6:
+		m.reach(pool, m.latestOwner(pool))
+	case move < 7:
+		m.replaceOwner(pool)
+	case move < 8:
+		m.replaceLender()
+	default:
+		m.deliver()
+	}
+}
+
+// firstQuota declares the first quota. Lender and one owner learn of it, the other owner starts
+// tasks without a limit until its declarations are too old. At times that one, or the lender, is
+// asked or replaced meanwhile.
+func (m *model) firstQuota() {
+	pool, other := m.poolsInAnyOrder()
+	owner, others := m.latestOwner(pool), m.latestOwner(other)
+	m.reach(pool, owner)
+	m.reach(other, others)
+	if m.random.IntN(2) == 0 {
+		m.replaceLender()
+	}
+	lender := m.latestLender()
+	if m.random.IntN(2) == 0 {
+		m.ask(lender, pool, owner, 0)
+		m.ask(lender, other, others, 200)
+	}
+	asked := owner
+	if m.random.IntN(3) == 0 {
+		// The lender still asks the former owner, which does not know that it was replaced.
+		m.replaceOwner(pool)
+		owner = m.latestOwner(pool)
+		m.reach(pool, owner)
+	}
+	m.ownersAtFirstQuota = map[string]int64{"a": m.latestOwner("a").fence, "b": m.latestOwner("b").fence}
+	m.changeQuota()
+	others.revision, lender.revision = len(m.quotas)-1, len(m.quotas)-1
+	for range m.random.IntN(3) {
+		m.ask(lender, pool, asked, 200)
+	}
+	m.startMany(pool, owner)
+	m.oldest = len(m.quotas) - 1
+	for range 1 + m.random.IntN(4) {
+		m.ask(lender, other, others, 200)
+		if m.random.IntN(3) == 0 {
+			m.startMany(other, others)
+		}
+	}
+	if m.random.IntN(2) == 0 {
+		owner.revision = m.oldest
+	}
+	m.startMany(other, others)
+}
+
+// turnHistory plays a random history with a quota that is smaller than most tasks and with turns to
+// exceed it that pass after one report. It returns the first violation, or nothing.
+func turnHistory(division Division, mutation mutation, seed uint64) string {
+	m := newModel(division, mutation, seed)
+	m.quotas, m.shortTurns = []int64{10}, true
+	m.latestLender().turnReports = 1
+	for range 100 {
+		for _, pool := range []string{"a", "b"} {
+			m.ask(m.mostly(m.latestLender()), pool, m.mostlyLatestOwner(pool), 200)
+		}
+		m.directedMove()
+	}
+	return m.violation
+}
--- a/jayquota/lender.go
+++ b/jayquota/lender.go
@@ -15,6 +15,15 @@
 	pools    map[string]*account
 	revision int64
 	quotas   map[string]jaypool.Resources
+	// limitedSince is, by organisation and resource, the number of the first message since which
+	// the quota has limited the resource without a break, or 0.
+	limitedSince map[string]vector
+	// turnReports is the number of reports that a pool's turn to exceed a quota lasts at first.
+	turnReports int
+	// period is the number of the present period between two regular reports, 0 if unknown.
+	period int64
+	// turns counts the turns that were given.
+	turns int64
 	// chosen is the latest pool that may exceed the quota by a task, by organisation.
 	chosen map[string]chosen
 }
@@ -23,8 +32,13 @@
 type chosen struct {
 	pool string
 	used vector
-	// served says that what the pool uses has changed since.
+	// served says that the turn has ended: what the pool uses has changed since, or the turn has
+	// passed to the others unused.
 	served bool
+	// reports counts the pool's reports since it was chosen, or since its turn has ended, at most one
+	// in each period; period is that of the latest one.
+	reports int
+	period  int64
 }
 
 // account is what a lender knows of one pool.
@@ -35,7 +49,11 @@
 	known bool
 	// confirmed is the latest message that the owner has confirmed.
 	confirmed int64
-	shares    map[string]*share
+	// exempt says that the owner keeps no quotas, unnamed that the pool is not to run tasks any more,
+	// so that its owner is sent no messages.
+	exempt  bool
+	unnamed bool
+	shares  map[string]*share
 }
 
 // share is what a lender knows of one pool's part in one organisation's quota.
@@ -48,6 +66,13 @@
 	// which one that may be in force there was decided.
 	lent  vector
 	basis vector
+	// bound says for each resource that the pool's owner starts nothing beyond its limit, whether
+	// it knows of the quota from the declarations or not.
+	bound [resources]bool
+	// unusedTurns counts the latest turns to exceed the quota that the pool has not used.
+	unusedTurns int
+	// lastTurn is the number of the pool's latest turn, of those that this lender has given.
+	lastTurn int64
 	// changed is the number of the first message after the latest change of the limit or its
 	// quota.
 	changed int64
@@ -71,10 +96,26 @@
 	return s
 }
 
+// Option configures a lender.
+type Option func(*Lender)
+
+// WithTurn sets the number of reports that a pool's turn to exceed a quota lasts at first, while
+// others wait and it starts nothing.
+func WithTurn(reports int) Option {
+	return func(l *Lender) { l.turnReports = reports }
+}
+
 // NewLender returns a lender that knows nothing of the pools yet. The fence is that of its
 // ownership of the fleet.
-func NewLender(fence int64, division Division) *Lender {
-	return &Lender{fence: fence, division: division, pools: map[string]*account{}, quotas: map[string]jaypool.Resources{}, chosen: map[string]chosen{}}
+func NewLender(fence int64, division Division, options ...Option) *Lender {
+	l := &Lender{
+		fence: fence, division: division, pools: map[string]*account{}, quotas: map[string]jaypool.Resources{},
+		limitedSince: map[string]vector{}, turnReports: defaultTurnReports, chosen: map[string]chosen{},
+	}
+	for _, option := range options {
+		option(l)
+	}
+	return l
 }
 
 // SetPools sets the pools that may run tasks, with the fences of their newest owners that are
@@ -92,6 +133,7 @@
 	}
 	maps.DeleteFunc(l.pools, func(pool string, a *account) bool {
 		_, named := owners[pool]
+		a.unnamed = !named
 		return !named && !a.inUse()
 	})
 }
@@ -114,6 +156,41 @@
 // SetQuotas sets the quotas that a revision of the declarations gives to the organisations.
 func (l *Lender) SetQuotas(revision int64, quotas map[string]jaypool.Resources) {
 	l.revision, l.quotas = revision, quotas
+	for organisation := range l.limitedSince {
+		if _, still := quotas[organisation]; !still {
+			l.noteLimited(organisation, vector{})
+		}
+	}
+	for organisation, quota := range quotas {
+		l.noteLimited(organisation, vectorOf(quota))
+	}
+}
+
+// noteLimited records since when a quota limits each resource. An owner may start tasks without a
+// limit once the quota does not limit the resource.
+func (l *Lender) noteLimited(organisation string, quota vector) {
+	since, changed := l.limitedSince[organisation], false
+	for r, of := range quota {
+		switch {
+		case of == 0 && since[r] > 0:
+			since[r], changed = 0, true
+			for _, a := range l.pools {
+				if s := a.shares[organisation]; s != nil {
+					s.bound[r] = false
+				}
+			}
+		case of > 0 && since[r] == 0:
+			// A number is left out, so that changes which were decided before have lower ones.
+			l.message++
+			since[r], changed = l.message+1, true
+		}
+	}
+	switch {
+	case since == (vector{}):
+		delete(l.limitedSince, organisation)
+	case changed:
+		l.limitedSince[organisation] = since
+	}
 }
 
 // Receive handles the report of a pool's owner.
@@ -141,11 +218,37 @@
 			s.limit, s.quota = vectorOf(u.Limit), u.Quota
 		}
 	}
+	first := !a.known
 	a.known = true
 	a.confirmed = r.Applied.Message
-	for _, s := range a.shares {
+	for organisation, s := range a.shares {
 		if s.changed <= a.confirmed {
-			s.lent, s.basis = s.limit, vectorOf(s.quota)
+			s.confirm(l.limitedSince[organisation])
+		}
+	}
+	if first {
+		l.bindTold(a)
+	}
+	l.countTurns(pool, a)
+}
+
+// confirm handles a report by which the latest change is in force at the pool. The change binds the
+// owner if it was decided after the quota last began to limit the resource: by an earlier one the owner
+// may have started tasks without a limit since.
+func (s *share) confirm(limitedSince vector) {
+	s.lent, s.basis = s.limit, vectorOf(s.quota)
+	for r, since := range limitedSince {
+		s.bound[r] = s.bound[r] || since > 0 && since <= s.changed && s.basis[r] > 0
+	}
+}
+
+// bindTold records which quotas the owner of a pool knows from the message that it has confirmed
+// first.
+func (l *Lender) bindTold(a *account) {
+	for organisation, since := range l.limitedSince {
+		s := a.share(organisation)
+		for r := range since {
+			s.bound[r] = since[r] > 0 && since[r] <= a.confirmed
 		}
 	}
 }
@@ -155,7 +258,7 @@
 func (l *Lender) Ignore(pool string, ownerFence int64) {
 	if a := l.pools[pool]; a != nil && ownerFence >= a.ownerFence {
 		*a = *newAccount(ownerFence)
-		a.known = true
+		a.known, a.exempt = true, true
 	}
 }
 
@@ -167,11 +270,55 @@
 			return
 		}
 	}
+	l.release()
 	for organisation, quota := range l.quotas {
-		l.divide(organisation, quota)
+		if l.bind(organisation, quota) {
+			l.divide(organisation, quota)
+		}
 	}
 }
 
+// release tells the owners that limits by quotas that are not declared any more must not be used if
+// a quota is declared again: until then what other pools use is not limited.
+func (l *Lender) release() {
+	for _, a := range l.pools {
+		for organisation, s := range a.shares {
+			if !Limited(l.quotas[organisation]) {
+				l.setLimit(s, s.limit, jaypool.Resources{}, true)
+			}
+		}
+	}
+}
+
+// bind reports whether the owners of all pools keep their limits of a quota. The others may have
+// started tasks without a limit since their latest report: they are told the quota, with limits of
+// nothing, and the report that confirms this tells what they use. Owners of removed pools are not
+// asked any more: what they used by their latest report counts.
+func (l *Lender) bind(organisation string, quota jaypool.Resources) bool {
+	all := true
+	for _, a := range l.pools {
+		s := a.share(organisation)
+		if a.exempt || a.unnamed || s.isBound(vectorOf(quota)) {
+			continue
+		}
+		all = false
+		if pending := s.changed > a.confirmed; !pending || s.limit != (vector{}) || s.quota != quota {
+			l.changeLimit(s, vector{}, quota, l.revision)
+		}
+	}
+	return all
+}
+
+// isBound reports whether the owner keeps its limits of all resources of a quota.
+func (s *share) isBound(quota vector) bool {
+	for r, of := range quota {
+		if of > 0 && !s.bound[r] {
+			return false
+		}
+	}
+	return true
+}
+
 // divide decides on the limits of one organisation. Limits are lowered first; what is free
 // once all pools have confirmed lower limits is lent anew in a later round.
 func (l *Lender) divide(organisation string, quota jaypool.Resources) {
@@ -179,8 +326,9 @@
 	names := slices.Sorted(maps.Keys(l.pools))
 	for _, pool := range names {
 		s := l.pools[pool].share(organisation)
-		parts = append(parts, Part{Used: s.used, Wanted: s.wanted, Largest: s.largest, Limit: s.limit, Turn: l.turn(organisation, pool, s)})
+		parts = append(parts, Part{Used: s.used, Wanted: s.wanted, Largest: s.largest, Limit: s.limit, Turn: l.turn(organisation, pool, s), LastTurn: s.lastTurn})
 	}
+	l.passTurn(organisation, total, names, parts)
 	targets := l.division.Divide(total, parts)
 	capTargets(total, parts, targets)
 	fits := l.fits(organisation, total)
@@ -203,9 +351,11 @@
 	for n, pool := range names {
 		s := l.pools[pool].share(organisation)
 		before := s.committed()
-		limit, exceeds := s.raised(targets[n], free, total)
+		limit, exceeds := s.raised(targets[n], free, total, l.mayExceed(organisation, total, n, s, parts))
 		l.setLimit(s, limit, quota, fits)
 		if exceeds {
+			l.turns++
+			s.lastTurn = l.turns
 			l.chosen[organisation] = chosen{pool: pool, used: s.used}
 		}
 		for r, of := range s.committed() {
@@ -290,8 +440,10 @@
 	if c.pool != pool {
 		return Waiting
 	}
-	c.served = c.served || c.used != s.used
-	l.chosen[organisation] = c
+	if !c.served && c.used != s.used {
+		c.served, c.reports, s.unusedTurns = true, 0, 0
+		l.chosen[organisation] = c
+	}
 	if c.served {
 		return Served
 	}
@@ -303,8 +455,9 @@
 // in use ends, and the limit would remain.
 //
 // If less is free than the largest waiting task needs, the task may exceed the quota, as one
-// task may: the smallest quota must not keep a task from ever running.
-func (s *share) raised(target, free, quota vector) (limit vector, exceeds bool) {
+// task may: the smallest quota must not keep a task from ever running. Something of the quota must be
+// left beside what the other pools are lent and this one uses.
+func (s *share) raised(target, free, quota vector, mayExceed bool) (limit vector, exceeds bool) {
 	limit = s.limit
 	for r := range limit {
 		if free[r] >= 0 {
@@ -312,7 +465,7 @@
 		}
 		over := s.used[r] + s.largest[r] - limit[r]
 		short := quota[r] > 0 && over > 0
-		if short && (free[r] <= 0 || target[r] <= s.used[r] || over > s.task[r]) {
+		if short && (!mayExceed || free[r]+s.committed()[r]-s.used[r] <= 0 || target[r] <= s.used[r] || over > s.task[r]) {
 			return limit, false
 		}
 		exceeds = exceeds || short
@@ -334,6 +487,11 @@
 	if s.limit == limit && s.quota == quota {
 		return
 	}
+	l.changeLimit(s, limit, quota, revision)
+}
+
+// changeLimit changes a limit and the quota that it is decided by.
+func (l *Lender) changeLimit(s *share, limit vector, quota jaypool.Resources, revision int64) {
 	s.limit, s.quota, s.revision, s.changed = limit, quota, revision, l.message+1
 	s.lent, s.basis = s.lent.max(limit), lowerQuota(s.basis, vectorOf(quota))
 }
@@ -356,7 +514,8 @@
 	return false
 }
 
-// Message returns the message to a pool's owner: the limits that it has not confirmed.
+// Message returns the message to a pool's owner: the limits that it has not confirmed, or the
+// quotas if it has not reported all its limits.
 func (l *Lender) Message(pool string) Message {
 	l.message++
 	m := Message{Number: Number{Fence: l.fence, Message: l.message}}
@@ -364,8 +523,8 @@
 	if a == nil {
 		return m
 	}
-	m.All = !a.known
 	if !a.known {
+		m.All, m.Limits = true, l.toldQuotas()
 		return m
 	}
 	m.OwnerFence = a.ownerFence
@@ -376,3 +535,11 @@
 	}
 	return m
 }
+
+// toldQuotas returns limits of nothing that tell all quotas.
+func (l *Lender) toldQuotas() (told []Limit) {
+	for _, organisation := range slices.Sorted(maps.Keys(l.limitedSince)) {
+		told = append(told, Limit{Organisation: organisation, Quota: l.quotas[organisation], Revision: l.revision})
+	}
+	return told
+}
--- a/jayquota/lender_test.go
+++ b/jayquota/lender_test.go
@@ -1,6 +1,8 @@
 package jayquota
 
 import (
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -31,12 +33,30 @@
 func (e *exchange) rounds(n int) {
 	for range n {
 		e.decide()
-		for _, pool := range []string{"a", "b"} {
+		for _, pool := range slices.Sorted(maps.Keys(e.holders)) {
 			e.ask(pool)
 		}
 	}
 }
 
+// turns plays rounds in which pools wait to start a task of the given size, and returns in how many
+// of them each pool may start it.
+func (e *exchange) turns(rounds int, sizes map[string]int64) map[string]int {
+	turns := map[string]int{}
+	for range rounds {
+		for pool, size := range sizes {
+			e.uses[pool] = Use{Wanted: processors(size), Largest: processors(size), Task: processors(size)}
+		}
+		e.rounds(1)
+		for pool, size := range sizes {
+			if e.allows(pool, size) {
+				turns[pool]++
+			}
+		}
+	}
+	return turns
+}
+
 func (e *exchange) decide() {
 	e.lender.SetQuotas(e.revision, map[string]jaypool.Resources{"org": processors(e.quota)})
 	e.lender.Decide()
@@ -45,13 +65,13 @@
 // ask sends a message to one pool and the report on it back.
 func (e *exchange) ask(pool string) {
 	m := e.lender.Message(pool)
-	e.holders[pool].Apply(1, m)
+	e.holders[pool].Apply(e.lender.pools[pool].ownerFence, m)
 	e.lender.Receive(pool, e.report(pool, m.All))
 }
 
 // report returns the report of a pool's owner.
 func (e *exchange) report(pool string, all bool) Report {
-	return e.holders[pool].Report(1, all, map[string]Use{"org": e.uses[pool]})
+	return e.holders[pool].Report(e.lender.pools[pool].ownerFence, all, map[string]Use{"org": e.uses[pool]})
 }
 
 // left returns what a pool may still use.
@@ -299,3 +319,126 @@
 	}
 	is.Fail() // b is given no turn
 }
+
+// Guards against a small task that waits for as long as another pool cannot start the task that may
+// exceed the quota, and against the large one that waits for good for the small ones.
+func TestTurnPassesBetweenSmallAndLargeTasks(t *testing.T) {
+	is := is.New(t)
+	e := newExchange(ByDemand{}, 100)
+	is.True(e.turns(5, map[string]int64{"a": 300})["a"] > 0)
+	turns := e.turns(200, map[string]int64{"a": 300, "b": 10})
+	t.Logf("rounds in which a pool may start its task: %v", turns)
+	is.True(turns["a"] >= 150)
+	is.True(turns["b"] >= 150)
+}
+
+// Guards against a pool that gets no turn while two others, which cannot start their tasks, pass
+// the turn to each other.
+func TestTurnPassesToEachPool(t *testing.T) {
+	e := newExchange(ByDemand{}, 100)
+	e.holders["c"] = NewHolder(0)
+	e.lender.SetPools(map[string]int64{"a": 1, "b": 1, "c": 1})
+	turns := e.turns(300, map[string]int64{"a": 300, "b": 300, "c": 300})
+	t.Logf("rounds in which a pool may start its task: %v", turns)
+	for pool := range e.holders {
+		is.New(t).True(turns[pool] >= defaultTurnReports)
+		is.New(t).True(e.lender.turnLength(e.lender.pools[pool].share("org")) > defaultTurnReports) // unused turns grow
+	}
+}
+
+// Guards against limits of a quota that was removed: they must not be used by the same quota if it is
+// declared again, while another pool uses what it started meanwhile.
+func TestQuotaThatIsDeclaredAgainWaitsForUseWithoutQuota(t *testing.T) {
+	for name, quotas := range map[string]map[string]jaypool.Resources{"organisation removed": nil, "quota removed": {"org": {}}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := newExchange(ByDemand{}, 100)
+			e.rounds(3)
+			is.True(e.allows("b", 15))
+			for range 3 {
+				e.lender.SetQuotas(2, quotas)
+				e.lender.Decide()
+				e.ask("a")
+				e.ask("b")
+			}
+			e.uses["a"] = Use{Used: processors(120)} // started after the report
+			e.revision = 3
+			is.True(!e.allows("b", 15))
+			for range 3 {
+				e.decide()
+				e.ask("b")
+			}
+			is.True(!e.allows("b", 15)) // pool a has not been heard since there is a quota again
+			e.uses["a"] = Use{}
+			e.rounds(3)
+			is.True(e.allows("b", 15))
+		})
+	}
+}
+
+// Guards against starts beyond a first quota by an owner that does not know it from the declarations
+// yet, although it has confirmed its limit.
+func TestOwnerKeepsAQuotaThatTheLenderTells(t *testing.T) {
+	is := is.New(t)
+	h := NewHolder(0)
+	allows := func(revision int64) bool {
+		return h.Allows("org", revision, jaypool.Resources{}, processors(0), processors(15))
+	}
+	is.True(allows(1))
+	h.Apply(1, Message{Number: Number{Message: 1}, All: true, Limits: []Limit{{Organisation: "org", Quota: processors(40), Revision: 2}}})
+	is.True(!allows(1)) // nothing is lent yet
+	is.True(allows(2))  // by these declarations there is no quota any more
+	h.Apply(1, Message{Number: Number{Message: 2}, Limits: []Limit{{Organisation: "org", Limit: processors(20), Quota: processors(40), Revision: 2}}})
+	is.True(allows(1))
+	is.Equal(h.Quota("org", 1, jaypool.Resources{}), processors(40))
+}
+
+// Guards against a limit of a removed quota that counts when the quota is declared again: a report on it
+// must not confirm the new quota, also if the owner of another pool is not known meanwhile.
+func TestReportOnARemovedQuotaDoesNotConfirmTheNextOne(t *testing.T) {
+	is := is.New(t)
+	e := newExchange(ByDemand{}, 100)
+	e.rounds(3)
+	e.holders["b"] = NewHolder(0)
+	e.lender.SetPools(map[string]int64{"a": 1, "b": 2}) // nothing is known of the new owner
+	e.quota, e.revision = 0, 2
+	e.decide()
+	e.ask("a")
+	e.quota, e.revision = 100, 3
+	e.decide()
+	e.ask("a")
+	e.uses["a"] = Use{Used: processors(95)} // started before the quota was declared again
+	for range 3 {
+		e.ask("b")
+		e.decide()
+	}
+	e.ask("b")
+	is.True(!e.allows("b", 15))
+}
+
+// Guards against a first quota that is never lent: a pool that was removed from the declarations while
+// it used something is not asked any more and confirms nothing.
+func TestFirstQuotaDoesNotWaitForARemovedPool(t *testing.T) {
+	is := is.New(t)
+	e := newExchange(ByDemand{}, 0)
+	e.uses["a"] = Use{Used: processors(5)}
+	e.rounds(3)
+	e.lender.SetPools(map[string]int64{"b": 1})
+	e.quota, e.revision = 40, 2
+	for range 5 {
+		e.decide()
+		e.ask("b")
+	}
+	is.True(e.allows("b", 15))
+}
+
+// Guards against a turn that is over before a host can arrive, since limits of other organisations
+// change and reports follow one another without delay.
+func TestReportsWithoutDelayDoNotShortenATurn(t *testing.T) {
+	is := is.New(t)
+	e := newExchange(ByDemand{}, 100)
+	e.lender.SetPeriod(1)
+	turns := e.turns(10*defaultTurnReports, map[string]int64{"a": 300, "b": 300})
+	is.True(turns["a"] > 0)
+	is.Equal(turns["b"], 0) // a has the turn
+}
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -50,6 +50,21 @@
 	return q.used[organisation].Add(q.possible[organisation])
 }
 
+// none reports whether no quota is known, from the declarations or from the fleet's owner.
+func (q *quotas) none() bool {
+	return len(q.declared.Of) == 0 && !q.limits.Told()
+}
+
+// of returns the quota of an organisation that is in force for the pool.
+func (q *quotas) of(organisation string) jaypool.Resources {
+	return q.limits.Quota(organisation, q.declared.Revision, q.declared.Of[organisation])
+}
+
+// outdated reports whether the declared quotas may no longer be those in force.
+func (q *quotas) outdated() bool {
+	return len(q.declared.Of) > 0 && !q.declared.Current
+}
+
 // countRun adds a run to what its organisation uses, or removes it.
 func (q *quotas) countRun(r *run, sign int64) {
 	organisation := r.task.step.job.spec.Organisation
@@ -81,11 +96,11 @@
 		return true
 	}
 	q, organisation := &p.quotas, s.job.spec.Organisation
-	if !q.declared.Current {
+	if q.outdated() {
 		q.reached[organisation] = "the declarations may be outdated"
 	} else if _, known := q.reached[organisation]; !known {
 		need := s.decl.Need.Times(int64(tasks))
-		q.reached[organisation] = fmt.Sprintf("used here %+v, needed %+v, %s, quota %+v", q.usedBy(organisation), need, q.limits.Describe(organisation), q.declared.Of[organisation])
+		q.reached[organisation] = fmt.Sprintf("used here %+v, needed %+v, %s, quota %+v", q.usedBy(organisation), need, q.limits.Describe(organisation), q.of(organisation))
 	}
 	return false
 }
@@ -93,11 +108,11 @@
 // withinQuota reports the same as quotaAllows, but records nothing.
 func (p *Pool) withinQuota(s *step, tasks int) bool {
 	q, organisation := &p.quotas, s.job.spec.Organisation
-	if organisation == "" || len(q.declared.Of) == 0 {
+	if organisation == "" || q.none() {
 		return true
 	}
 	need := s.decl.Need.Times(int64(tasks))
-	return q.declared.Current && q.limits.Allows(organisation, q.declared.Revision, q.declared.Of[organisation], q.usedBy(organisation), need)
+	return !q.outdated() && q.limits.Allows(organisation, q.declared.Revision, q.declared.Of[organisation], q.usedBy(organisation), need)
 }
 
 // recordReachedQuotas records the quotas that keep tasks from starting since this decision, and
@@ -133,7 +148,7 @@
 	}
 	for _, j := range p.open {
 		organisation := j.spec.Organisation
-		if j.waiting == 0 || !jayquota.Limited(p.quotas.declared.Of[organisation]) {
+		if j.waiting == 0 || !jayquota.Limited(p.quotas.of(organisation)) {
 			continue
 		}
 		use := uses[organisation]
