Statistics of worker speeds move to the package jayspeed

Change: errors of predictions, likelihoods and the examination of a worker move from jaysched/speed.go and speedevidence.go. Runs name their job and worker by ID instead of by pointer.

Result: no decision changes.

--- a/jaysched/copies.go
+++ b/jaysched/copies.go
@@ -130,7 +130,7 @@
 		return false
 	}
 	known, learned := p.speeds.byQueue[s.job.spec.Queue]
-	if !learned || !known.learned() || s.decl.Estimate <= 0 {
+	if !learned || !known.Learned() || s.decl.Estimate <= 0 {
 		return false
 	}
 	takes := p.durations.predict(s.job.spec.Queue, s.decl.Estimate)
--- a/jaysched/speed.go
+++ b/jaysched/speed.go
@@ -6,33 +6,20 @@
 	"math"
 	"slices"
 	"time"
+
+	"jaythread/jayspeed"
 )
 
 const (
 	// speedInterval is the time between two reviews of the workers' speeds. It is short against
 	// the tasks whose delay the review is to limit.
 	speedInterval = 100 * time.Millisecond
-	// minSpeedRuns is the number of runs below which a worker's speed is unknown: a worker with
-	// a few runs often has one that is long by itself.
-	minSpeedRuns = 4
 	// maxRecentEnds limits the ends that are remembered of one worker, about as many as a
 	// worker has while its overdue runs are observed.
 	maxRecentEnds = 32
-	// overdueRatio is the ratio of elapsed to predicted time above which a run counts as
-	// overdue, and minOverdue is the number of overdue runs below which a worker is not
-	// examined. Both only save the examination of workers that cannot be slow.
-	overdueRatio = 1.5
-	minOverdue   = 2
-	// slowEvidence is the logarithm of the likelihood ratio from which a worker counts as
-	// slow. A false alarm costs the worker's room until its first probe has ended, a later
-	// recognition the delay of all tasks on a slow worker.
-	slowEvidence = 9.0
-	// fastEvidence is the same for a slow worker to count as fast again. An error there costs
-	// only the time until the worker is recognised once more.
+	// fastEvidence is the logarithm of the likelihood ratio from which a slow worker counts as
+	// fast again. An error there costs only the time until the worker is recognised once more.
 	fastEvidence = 3.0
-	// maxEndEvidence limits what one end contributes to fastEvidence, so that one task that
-	// lasts long by itself does not outweigh the next probes.
-	maxEndEvidence = 4.0
 	// distrustShare is the share of the observed workers above which the prediction is taken
 	// to be wrong, and not the workers slow.
 	distrustShare = 0.5
@@ -46,14 +33,6 @@
 	probeCandidates = 64
 )
 
-// slowFactors are the factors that are weighed against the hypothesis that a worker is sound.
-// A smaller factor is within the errors of estimates.
-var slowFactors = []float64{2, 3, 4.5, 6.75, 10}
-
-// changeAges are the ages that are examined of the change from sound to slow, as multiples of
-// the predicted duration of the worker's tasks.
-var changeAges = []float64{1.5, 2.5, 4, 8}
-
 // speeds is what a pool knows about durations on sound workers, and the state of its probes.
 //
 // It handles this load: some workers of a service take several times as long for everything. A
@@ -61,7 +40,7 @@
 // The evidence must not wait for the ends of these tasks, nor confuse such a worker with a sound
 // one that has some long tasks, or a job whose estimate is wrong.
 type speeds struct {
-	byQueue  map[string]*residuals
+	byQueue  map[string]*jayspeed.Errors
 	reviewAt time.Duration
 	// from is when the predictions were last found to be wrong: runs that began earlier show
 	// nothing about their worker.
@@ -77,7 +56,7 @@
 }
 
 func newSpeeds() speeds {
-	return speeds{byQueue: map[string]*residuals{}}
+	return speeds{byQueue: map[string]*jayspeed.Errors{}}
 }
 
 // pace is what is known about the speed of one worker.
@@ -88,7 +67,7 @@
 	// from is when the worker's speed last became known by other means, such as the end of its
 	// warm-up: runs that began earlier show nothing about its present speed.
 	from time.Duration
-	ends []sighting
+	ends []jayspeed.Run
 	slow bool
 	// slowSince is when the worker was recognised as slow, changedAt is when it became slow by
 	// the evidence, and factor is by how much longer its runs take.
@@ -103,34 +82,13 @@
 	probingStep *step
 }
 
-// sightingsByJob are the observed runs on all workers that are not known as slow, by their job.
-type sightingsByJob map[*job][]sighting
-
-func (b sightingsByJob) add(seen []sighting) {
-	for _, o := range seen {
-		b[o.job] = append(b[o.job], o)
+func (s *speeds) errorsOf(queue string) *jayspeed.Errors {
+	e, known := s.byQueue[queue]
+	if !known {
+		e = &jayspeed.Errors{}
+		s.byQueue[queue] = e
 	}
-}
-
-// elsewhere returns the runs of a job on other workers: they show whether its estimate is wrong.
-func (b sightingsByJob) elsewhere(j *job, w *worker) []sighting {
-	return slices.DeleteFunc(slices.Clone(b[j]), func(o sighting) bool { return o.worker == w })
-}
-
-// sighting is one observed run of a worker: it ended at a time, or was still running then.
-type sighting struct {
-	job       *job
-	worker    *worker
-	began     time.Duration
-	at        time.Duration
-	predicted time.Duration
-	ended     bool
-	spread    spread
-}
-
-// elapsed returns how long the run has taken so far, as a multiple of its prediction.
-func (o sighting) elapsed() float64 {
-	return (o.at - o.began).Seconds() / o.predicted.Seconds()
+	return e
 }
 
 // usesDurations reports whether the pool compares runs with their predicted durations.
@@ -151,7 +109,7 @@
 	switch {
 	case w.pace.slow:
 		return max(1, int(math.Round(fullSpeed/w.pace.factor)))
-	case len(w.pace.ends) >= minSpeedRuns:
+	case len(w.pace.ends) >= jayspeed.MinRuns:
 		return fullSpeed
 	default:
 		return 0
@@ -171,21 +129,21 @@
 // best-effort runs, whose speed is limited, by resumed ones, by those whose begin is unknown, or
 // whose queue has no learned durations. The percentage in a worker's report is ignored: only
 // best-effort runs are ever throttled, and other runs may report less than 100 as well.
-func (p *Pool) sight(r *run, at time.Duration, ended bool) (o sighting, ok bool) {
+func (p *Pool) sight(r *run, at time.Duration, ended bool) (o jayspeed.Run, ok bool) {
 	s := r.task.step
 	adopted := r.attempt == 0
 	if s.decl.LongRunning || s.decl.Fills || s.decl.Gang || s.decl.Estimate <= 0 || adopted || r.checkpoint != "" {
-		return sighting{}, false
+		return jayspeed.Run{}, false
 	}
 	if r.confirmedAt == 0 || at <= r.confirmedAt || r.confirmedAt < r.worker.pace.from {
-		return sighting{}, false
+		return jayspeed.Run{}, false
 	}
 	known, learned := p.speeds.byQueue[s.job.spec.Queue]
-	if !learned || !known.learned() {
-		return sighting{}, false
+	if !learned || !known.Learned() {
+		return jayspeed.Run{}, false
 	}
 	predicted := p.durations.predict(s.job.spec.Queue, s.decl.Estimate)
-	return sighting{job: s.job, worker: r.worker, began: r.confirmedAt, at: at, predicted: predicted, ended: ended, spread: known.spread}, predicted > 0
+	return jayspeed.Run{Job: s.job.spec.ID, Worker: r.worker.ID, Began: r.confirmedAt, At: at, Predicted: predicted, Ended: ended, Spread: known.Spread()}, predicted > 0
 }
 
 // runDone records how long a run took, and reports whether that says how long such tasks take
@@ -205,7 +163,7 @@
 	}
 	if !s.decl.LongRunning && !s.decl.Gang && s.decl.Estimate > 0 && r.checkpoint == "" && r.attempt > 0 && now > r.confirmedAt {
 		took, predicted := now-r.confirmedAt, p.durations.predict(s.job.spec.Queue, s.decl.Estimate)
-		p.speeds.residualsOf(s.job.spec.Queue).add(math.Log(took.Seconds() / predicted.Seconds()))
+		p.speeds.errorsOf(s.job.spec.Queue).Add(math.Log(took.Seconds() / predicted.Seconds()))
 	}
 	return true
 }
@@ -218,8 +176,8 @@
 	p.speeds.reviewAt = now + speedInterval
 	observed, slow := 0, 0
 	var found []suspectedSlow
-	seenOn := make(map[*worker][]sighting, len(p.sorted))
-	byJob := sightingsByJob{}
+	seenOn := make(map[*worker][]jayspeed.Run, len(p.sorted))
+	byJob := jayspeed.RunsByJob{}
 	for _, w := range p.sorted {
 		if w.contact != connected {
 			p.forgetSpeed(w, "it does not answer", now)
@@ -231,7 +189,7 @@
 		seen := p.sightings(w)
 		seenOn[w] = seen
 		if !w.pace.slow {
-			byJob.add(seen)
+			byJob.Add(seen)
 		}
 	}
 	for _, w := range p.sorted {
@@ -241,10 +199,10 @@
 			w.updateFactor(seen, byJob)
 			slow++
 			observed++
-		case len(seen) >= minSpeedRuns:
+		case len(seen) >= jayspeed.MinRuns:
 			observed++
-			if s, is := examine(w, seen, byJob); is {
-				found = append(found, s)
+			if s, is := jayspeed.Examine(seen, byJob, w.pace.reportedAt); is {
+				found = append(found, suspectedSlow{worker: w, Slowness: s})
 			}
 		}
 	}
@@ -259,18 +217,18 @@
 }
 
 // sightings returns what the runs and the recent ends of a worker show about its speed.
-func (p *Pool) sightings(w *worker) []sighting {
-	var seen []sighting
+func (p *Pool) sightings(w *worker) []jayspeed.Run {
+	var seen []jayspeed.Run
 	for _, r := range w.inOrder {
 		if r.phase != running && r.phase != stopping {
 			continue
 		}
-		if o, ok := p.sight(r, w.pace.reportedAt, false); ok && o.began >= p.speeds.from {
+		if o, ok := p.sight(r, w.pace.reportedAt, false); ok && o.Began >= p.speeds.from {
 			seen = append(seen, o)
 		}
 	}
 	for _, o := range w.pace.ends {
-		if o.began >= max(w.pace.from, p.speeds.from) {
+		if o.Began >= max(w.pace.from, p.speeds.from) {
 			seen = append(seen, o)
 		}
 	}
@@ -279,96 +237,36 @@
 
 // suspectedSlow is a worker that looks slow.
 type suspectedSlow struct {
-	worker    *worker
-	changedAt time.Duration
-	runs      int
-	seen      []sighting
-}
-
-// examine reports whether a worker looks slow by what is seen of its runs.
-func examine(w *worker, seen []sighting, byJob sightingsByJob) (found suspectedSlow, slow bool) {
-	overdue := 0
-	var takes []time.Duration
-	for _, o := range seen {
-		takes = append(takes, o.predicted)
-		if o.elapsed() > overdueRatio {
-			overdue++
-		}
-	}
-	if overdue < minOverdue {
-		return suspectedSlow{}, false
-	}
-	slices.Sort(takes)
-	typical := takes[len(takes)/2]
-	most := slowEvidence
-	for _, age := range changeAges {
-		changed := w.pace.reportedAt - time.Duration(age*float64(typical))
-		since := slices.DeleteFunc(slices.Clone(seen), func(o sighting) bool { return o.at <= changed })
-		if len(since) < minSpeedRuns || !mostOverdue(since) {
-			continue
-		}
-		if e := evidenceOfSlowness(since, byJob, changed); e >= most {
-			most = e
-			found, slow = suspectedSlow{worker: w, changedAt: changed, runs: len(since), seen: since}, true
-		}
-	}
-	return found, slow
-}
-
-// mostOverdue reports whether no more runs have ended as predicted than are overdue. On a slow
-// worker nearly none has.
-func mostOverdue(seen []sighting) bool {
-	overdue, ended := 0, 0
-	for _, o := range seen {
-		switch {
-		case o.elapsed() > overdueRatio:
-			overdue++
-		case o.ended:
-			ended++
-		}
-	}
-	return overdue >= minOverdue && ended <= overdue
+	worker *worker
+	jayspeed.Slowness
 }
 
 // foundSlow marks a worker as slow.
-func (p *Pool) foundSlow(s suspectedSlow, byJob sightingsByJob, now time.Duration) {
+func (p *Pool) foundSlow(s suspectedSlow, byJob jayspeed.RunsByJob, now time.Duration) {
 	w := s.worker
-	w.pace.slow, w.pace.slowSince, w.pace.changedAt, w.pace.fastScore = true, now, s.changedAt, 0
+	w.pace.slow, w.pace.slowSince, w.pace.changedAt, w.pace.fastScore = true, now, s.ChangedAt, 0
 	w.pace.probe, w.pace.probedAt = nil, now
-	w.updateFactor(s.seen, byJob)
-	p.recordEvent(Event{Kind: WorkerSlow, Worker: w.ID, Detail: fmt.Sprintf("%.1f times the predicted durations, by %d runs", w.pace.factor, s.runs), Since: now - w.pace.reportedAt}, now)
+	w.updateFactor(s.Seen, byJob)
+	p.recordEvent(Event{Kind: WorkerSlow, Worker: w.ID, Detail: fmt.Sprintf("%.1f times the predicted durations, by %d runs", w.pace.factor, len(s.Seen)), Since: now - w.pace.reportedAt}, now)
 }
 
-// updateFactor estimates by how much longer runs take on a slow worker: the mean of the factors
-// in the logarithm, weighted by their likelihood.
-func (w *worker) updateFactor(seen []sighting, byJob sightingsByJob) {
-	since := slices.DeleteFunc(slices.Clone(seen), func(o sighting) bool { return o.at <= w.pace.changedAt })
-	if len(since) == 0 {
-		return
-	}
-	byFactor := likelihoods(since, byJob, w.pace.changedAt)
-	most := slices.Max(byFactor)
-	sum, weights := 0.0, 0.0
-	for n, l := range byFactor {
-		weight := math.Exp(l - most)
-		sum += weight * math.Log(slowFactors[n])
-		weights += weight
+// updateFactor estimates by how much longer runs take on a slow worker.
+func (w *worker) updateFactor(seen []jayspeed.Run, byJob jayspeed.RunsByJob) {
+	if factor, known := jayspeed.Factor(seen, byJob, w.pace.changedAt); known {
+		w.pace.factor = factor
 	}
-	w.pace.factor = math.Exp(sum / weights)
 }
 
 // weighRecovery adds the end of a run that began on a slow worker after that was recognised to
 // the evidence that the worker is fast again.
-func (p *Pool) weighRecovery(w *worker, r *run, o sighting, now time.Duration) {
+func (p *Pool) weighRecovery(w *worker, r *run, o jayspeed.Run, now time.Duration) {
 	if !w.pace.slow || r.orderedAt < w.pace.slowSince {
 		return
 	}
-	x, total := math.Log(o.elapsed()), o.spread.total()
-	evidence := math.Log(density(x, total) / density(x-math.Log(w.pace.factor), total))
-	w.pace.fastScore = max(0, w.pace.fastScore+min(evidence, maxEndEvidence))
+	w.pace.fastScore = max(0, w.pace.fastScore+jayspeed.EvidenceOfRecovery(o, w.pace.factor))
 	if w.pace.fastScore >= fastEvidence {
 		p.speeds.recoveredAt = now
-		p.forgetSpeed(w, fmt.Sprintf("%.1f times the predicted duration instead of %.1f", o.elapsed(), w.pace.factor), now)
+		p.forgetSpeed(w, fmt.Sprintf("%.1f times the predicted duration instead of %.1f", o.Elapsed(), w.pace.factor), now)
 		p.countSlow()
 	}
 }
@@ -513,7 +411,7 @@
 // probeTask returns a waiting task of a job that may be a probe on a worker, or nil.
 func (p *Pool) probeTask(j *job, w *worker, formerRuns bool, now time.Duration) *task {
 	known, learned := p.speeds.byQueue[j.spec.Queue]
-	if !learned || !known.learned() {
+	if !learned || !known.Learned() {
 		return nil
 	}
 	for _, o := range j.occurrences {
--- a/jaysched/speed_test.go
+++ b/jaysched/speed_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"jaythread/jayport"
 	"jaythread/jayspec"
+	"jaythread/jayspeed"
 )
 
 // newSpeedHarness returns a harness with workers of four cores, whose queue has learned its
@@ -25,9 +27,9 @@
 
 // learnDurations makes the durations of the queue known to a pool.
 func learnDurations(p *Pool) {
-	r := p.speeds.residualsOf("q")
-	for n := range minResiduals {
-		r.add(0.2 * float64(n%5-2))
+	r := p.speeds.errorsOf("q")
+	for n := range jayspeed.MinErrors {
+		r.Add(0.2 * float64(n%5-2))
 	}
 }
 
@@ -166,25 +168,25 @@
 // have in common.
 func speedTrial(random *rand.Rand, deviation, factor float64, takes time.Duration) time.Duration {
 	type slot struct {
-		job   *job
+		job   string
 		began time.Duration
 		ends  time.Duration
 	}
-	r := &residuals{}
-	jobError, left, j := 0.0, 0, (*job)(nil)
+	r := &jayspeed.Errors{}
+	jobError, left, job := 0.0, 0, 0
 	next := func(now time.Duration) slot {
 		if left == 0 {
-			left, j, jobError = 1+random.IntN(8), &job{}, deviation*random.NormFloat64()
+			left, job, jobError = 1+random.IntN(8), job+1, deviation*random.NormFloat64()
 		}
 		left--
 		e := jobError + 0.2*random.NormFloat64()
 		if random.Float64() < 0.03 {
 			e += math.Log(7)
 		}
-		return slot{job: j, began: now, ends: now + time.Duration(float64(takes)*math.Exp(e))}
+		return slot{job: strconv.Itoa(job), began: now, ends: now + time.Duration(float64(takes)*math.Exp(e))}
 	}
-	for range maxResiduals {
-		r.add(math.Log(next(0).ends.Seconds() / takes.Seconds()))
+	for range jayspeed.MaxErrors {
+		r.Add(math.Log(next(0).ends.Seconds() / takes.Seconds()))
 	}
 	w := &worker{}
 	slots := make([]slot, 10)
@@ -201,17 +203,17 @@
 		seen := slices.Clone(w.pace.ends)
 		for n, s := range slots {
 			if s.ends <= now {
-				w.pace.ends = append(w.pace.ends[max(0, len(w.pace.ends)-maxRecentEnds+1):], sighting{job: s.job, began: s.began, at: s.ends, predicted: takes, ended: true, spread: r.spread})
+				w.pace.ends = append(w.pace.ends[max(0, len(w.pace.ends)-maxRecentEnds+1):], jayspeed.Run{Job: s.job, Began: s.began, At: s.ends, Predicted: takes, Ended: true, Spread: r.Spread()})
 				slots[n] = next(now)
 				if factor > 1 && now >= sound {
 					slots[n].ends = now + time.Duration(float64(slots[n].ends-now)*factor)
 				}
 			} else if now > s.began {
-				seen = append(seen, sighting{job: s.job, began: s.began, at: now, predicted: takes, spread: r.spread})
+				seen = append(seen, jayspeed.Run{Job: s.job, Began: s.began, At: now, Predicted: takes, Spread: r.Spread()})
 			}
 		}
 		w.pace.reportedAt = now
-		if _, slow := examine(w, seen, nil); slow {
+		if _, slow := jayspeed.Examine(seen, nil, now); slow {
 			return now
 		}
 	}
--- /dev/null
+++ b/jayspeed/likelihood.go
@@ -0,0 +1,142 @@
+package jayspeed
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// evidenceOfSlowness returns the logarithm of the ratio of two likelihoods of the runs that were
+// seen since a time: that the worker has been slow since then, by one of slowFactors, and that
+// it is sound.
+func evidenceOfSlowness(seen []Run, byJob RunsByJob, changedAt time.Duration) float64 {
+	byFactor := likelihoods(seen, byJob, changedAt)
+	most, sum := slices.Max(byFactor), 0.0
+	for _, l := range byFactor {
+		sum += math.Exp(l - most)
+	}
+	return most + math.Log(sum/float64(len(byFactor)))
+}
+
+// likelihoods returns for each of slowFactors the logarithm of the likelihood that the worker
+// has been slow by it since a time, relative to that of a sound worker.
+func likelihoods(seen []Run, byJob RunsByJob, changedAt time.Duration) []float64 {
+	here := map[string][]Run{}
+	var jobs []string
+	for _, o := range seen {
+		if _, known := here[o.Job]; !known {
+			jobs = append(jobs, o.Job)
+		}
+		here[o.Job] = append(here[o.Job], o)
+	}
+	ls := make([]float64, len(slowFactors))
+	for _, j := range jobs {
+		others := byJob.elsewhere(j, seen[0].Worker)
+		sound := jobLikelihood(here[j], others, changedAt, 1)
+		for n, factor := range slowFactors {
+			ls[n] += jobLikelihood(here[j], others, changedAt, factor) - sound
+		}
+	}
+	return ls
+}
+
+const (
+	// minError and maxError are the numbers of deviations between which the error that the
+	// runs of a job have in common is integrated.
+	minError = -3
+	maxError = 4
+	// maxErrorPoints limits the points of the integration.
+	maxErrorPoints = 36
+)
+
+// jobLikelihood returns the logarithm of the likelihood of the runs of one job on a worker that
+// has taken a factor longer since a time, and on others, which are sound. The error that they
+// have in common is integrated over its distribution, in steps that are small against the spread
+// of single tasks: a run that lies between two points would otherwise count against a hypothesis.
+func jobLikelihood(runs, others []Run, changedAt time.Duration, factor float64) float64 {
+	var points [maxErrorPoints]float64
+	width := runs[0].Spread.job
+	count := min(maxErrorPoints, max(maxError-minError+1, int(width*(maxError-minError)/taskSpread)+2))
+	step := float64(maxError-minError) / float64(count-1)
+	at := points[:count]
+	for n := range at {
+		z := minError + float64(n)*step
+		at[n] = -z * z / 2
+	}
+	add := func(o Run, factor float64) {
+		done := o.workDone(changedAt, factor)
+		x, table, scale := math.Log(done/o.Predicted.Seconds()), logSurvivals, 0.0
+		if o.Ended {
+			table, scale = logDensities, math.Log(done*factor)
+		}
+		for n := range at {
+			at[n] += table.at(x-(minError+float64(n)*step)*width) - scale
+		}
+	}
+	for _, o := range runs {
+		add(o, factor)
+	}
+	for _, o := range others {
+		add(o, 1)
+	}
+	most, sum := slices.Max(at), 0.0
+	for _, l := range at {
+		sum += math.Exp(l - most)
+	}
+	return most + math.Log(sum)
+}
+
+// workDone returns how long the run would have taken so far on a sound worker, in seconds, if
+// the worker has been slow since a time. What it did since then counts for less by the factor.
+func (o Run) workDone(changedAt time.Duration, factor float64) float64 {
+	before := max(0, min(o.At, changedAt)-o.Began)
+	return before.Seconds() + (o.At-o.Began-before).Seconds()/factor
+}
+
+// logTable holds the logarithms of a function in equal steps.
+type logTable [2*tableRange*tableSteps + 1]float64
+
+const (
+	// tableRange and tableSteps are the highest argument of a table, beyond which its last
+	// value holds, and its steps for each unit.
+	tableRange = 8
+	tableSteps = 64
+)
+
+var (
+	logDensities = newLogTable(func(x float64) float64 { return density(x, taskSpread) })
+	logSurvivals = newLogTable(func(x float64) float64 { return survival(x, taskSpread) })
+)
+
+func newLogTable(of func(float64) float64) *logTable {
+	t := &logTable{}
+	for n := range t {
+		t[n] = math.Log(of(float64(n)/tableSteps - tableRange))
+	}
+	return t
+}
+
+func (t *logTable) at(x float64) float64 {
+	n := int((x+tableRange)*tableSteps + 1.0/2)
+	return t[min(max(n, 0), len(t)-1)]
+}
+
+// density returns the density of the logarithm of a task's duration over its prediction.
+func density(x, deviation float64) float64 {
+	return (1-longShare-shortShare)*normalDensity(x, deviation) + longShare*normalDensity(x-longMean, longSpread) + shortShare*normalDensity(x-shortMean, shortSpread)
+}
+
+func normalDensity(x, deviation float64) float64 {
+	z := x / deviation
+	return math.Exp(-z*z/2) / (deviation * math.Sqrt(2*math.Pi))
+}
+
+// survival returns the probability that the logarithm of a task's duration over its prediction
+// is larger.
+func survival(x, deviation float64) float64 {
+	return (1-longShare-shortShare)*normalSurvival(x/deviation) + longShare*normalSurvival((x-longMean)/longSpread) + shortShare*normalSurvival((x-shortMean)/shortSpread)
+}
+
+func normalSurvival(z float64) float64 {
+	return math.Erfc(z/math.Sqrt2) / 2
+}
