Worker speeds: earlier ends of a job show whether its estimate is right

Cause: runs that ended before the assumed change of a worker's speed were dropped, although they show the error that the tasks of their job have in common. In queues with poor estimates, a slow worker then looked like one with wrongly estimated jobs. A run without a duration made the evidence undefined.

Change: all runs of a job with runs since the change count, and ends before it are not stretched by the factor. Seven instead of four times of the change are examined, 64 instead of 32 ends are kept for each worker, and runs without a duration are left out.

TestSpeedIsRecognisedDespitePoorEstimates still fails.

--- a/jaysched/speed.go
+++ b/jaysched/speed.go
@@ -14,9 +14,9 @@
 	// speedInterval is the time between two reviews of the workers' speeds. It is short against
 	// the tasks whose delay the review is to limit.
 	speedInterval = 100 * time.Millisecond
-	// maxRecentEnds limits the ends that are remembered of one worker, about as many as a
-	// worker has while its overdue runs are observed.
-	maxRecentEnds = 32
+	// maxRecentEnds limits the ends that are remembered of one worker. They cover the jobs of
+	// its overdue runs, whose earlier ends show whether their estimates are wrong.
+	maxRecentEnds = 64
 	// fastEvidence is the logarithm of the likelihood ratio from which a slow worker counts as
 	// fast again. An error there costs only the time until the worker is recognised once more.
 	fastEvidence = 3.0
@@ -210,7 +210,7 @@
 		p.distrustPredictions(now)
 	} else {
 		for _, s := range found {
-			p.foundSlow(s, byJob, now)
+			p.foundSlow(s, seenOn[s.worker], byJob, now)
 		}
 	}
 	p.countSlow()
@@ -242,12 +242,12 @@
 }
 
 // foundSlow marks a worker as slow.
-func (p *Pool) foundSlow(s suspectedSlow, byJob jayspeed.RunsByJob, now time.Duration) {
+func (p *Pool) foundSlow(s suspectedSlow, seen []jayspeed.Run, byJob jayspeed.RunsByJob, now time.Duration) {
 	w := s.worker
 	w.pace.slow, w.pace.slowSince, w.pace.changedAt, w.pace.fastScore = true, now, s.ChangedAt, 0
 	w.pace.probe, w.pace.probedAt = nil, now
-	w.updateFactor(s.Seen, byJob)
-	p.recordEvent(Event{Kind: WorkerSlow, Worker: w.ID, Detail: fmt.Sprintf("%.1f times the predicted durations, by %d runs", w.pace.factor, len(s.Seen)), Since: now - w.pace.reportedAt}, now)
+	w.updateFactor(seen, byJob)
+	p.recordEvent(Event{Kind: WorkerSlow, Worker: w.ID, Detail: fmt.Sprintf("%.1f times the predicted durations, by %d runs", w.pace.factor, s.Runs), Since: now - w.pace.reportedAt}, now)
 }
 
 // updateFactor estimates by how much longer runs take on a slow worker.
--- a/jayspeed/likelihood.go
+++ b/jayspeed/likelihood.go
@@ -19,15 +19,17 @@
 }
 
 // likelihoods returns for each of slowFactors the logarithm of the likelihood that the worker
-// has been slow by it since a time, relative to that of a sound worker.
+// has been slow by it since a time, relative to that of a sound worker. The runs of these jobs
+// that ended earlier count as well: they show the error of the job's estimate, which otherwise
+// explains the durations as well as a slow worker does.
 func likelihoods(seen []Run, byJob RunsByJob, changedAt time.Duration) []float64 {
 	here := map[string][]Run{}
 	var jobs []string
 	for _, o := range seen {
-		if _, known := here[o.Job]; !known {
+		here[o.Job] = append(here[o.Job], o)
+		if o.At > changedAt && !slices.Contains(jobs, o.Job) {
 			jobs = append(jobs, o.Job)
 		}
-		here[o.Job] = append(here[o.Job], o)
 	}
 	ls := make([]float64, len(slowFactors))
 	for _, j := range jobs {
@@ -67,7 +69,10 @@
 		done := o.workDone(changedAt, factor)
 		x, table, scale := math.Log(done/o.Predicted.Seconds()), logSurvivals, 0.0
 		if o.Ended {
-			table, scale = logDensities, math.Log(done*factor)
+			table, scale = logDensities, math.Log(done)
+			if o.At > changedAt {
+				scale += math.Log(factor)
+			}
 		}
 		for n := range at {
 			at[n] += table.at(x-(minError+float64(n)*step)*width) - scale
--- a/jayspeed/speed.go
+++ b/jayspeed/speed.go
@@ -34,7 +34,7 @@
 
 // changeAges are the ages that are examined of the change from sound to slow, as multiples of
 // the predicted duration of the worker's tasks.
-var changeAges = []float64{1.5, 2.5, 4, 8}
+var changeAges = []float64{1.5, 2, 2.5, 3, 4, 6, 8}
 
 // Run is one observed run: it ended at a time, or was still running then.
 type Run struct {
@@ -67,14 +67,15 @@
 	return slices.DeleteFunc(slices.Clone(b[job]), func(o Run) bool { return o.Worker == worker })
 }
 
-// Slowness describes a worker that looks slow: since when, and by what runs.
+// Slowness describes a worker that looks slow: since when, and by how many runs.
 type Slowness struct {
 	ChangedAt time.Duration
-	Seen      []Run
+	Runs      int
 }
 
 // Examine reports whether a worker looks slow at a time by what is seen of its runs.
 func Examine(seen []Run, byJob RunsByJob, at time.Duration) (found Slowness, slow bool) {
+	seen = withDuration(seen)
 	overdue := 0
 	var takes []time.Duration
 	for _, o := range seen {
@@ -95,14 +96,19 @@
 		if len(since) < MinRuns || !mostOverdue(since) {
 			continue
 		}
-		if e := evidenceOfSlowness(since, byJob, changed); e >= most {
+		if e := evidenceOfSlowness(seen, byJob, changed); e >= most {
 			most = e
-			found, slow = Slowness{ChangedAt: changed, Seen: since}, true
+			found, slow = Slowness{ChangedAt: changed, Runs: len(since)}, true
 		}
 	}
 	return found, slow
 }
 
+// withDuration returns the runs that have lasted for some time: the others have no logarithm.
+func withDuration(seen []Run) []Run {
+	return slices.DeleteFunc(slices.Clone(seen), func(o Run) bool { return o.At <= o.Began })
+}
+
 // runsSince returns the runs that were running after a time.
 func runsSince(seen []Run, changedAt time.Duration) []Run {
 	return slices.DeleteFunc(slices.Clone(seen), func(o Run) bool { return o.At <= changedAt })
@@ -126,11 +132,11 @@
 // Factor estimates by how much longer runs take on a slow worker: the mean of the factors in the
 // logarithm, weighted by their likelihood. It is unknown without runs since the worker became slow.
 func Factor(seen []Run, byJob RunsByJob, changedAt time.Duration) (factor float64, known bool) {
-	since := runsSince(seen, changedAt)
-	if len(since) == 0 {
+	seen = withDuration(seen)
+	if len(runsSince(seen, changedAt)) == 0 {
 		return 0, false
 	}
-	byFactor := likelihoods(since, byJob, changedAt)
+	byFactor := likelihoods(seen, byJob, changedAt)
 	most := slices.Max(byFactor)
 	sum, weights := 0.0, 0.0
 	for n, l := range byFactor {
