Worker speeds: earlier ends of one step say nothing about another

Cause: each step has its own estimate, but all runs of a job counted as having one error in common. Tasks of a step whose estimate is right, followed by those of a step whose estimate is wrong, then looked like a worker that became slow.

Change: runs name their occurrence and step. For a job of several steps, the runs are weighed with one error for the job and with one for each step, and the assumption that says less for a slow worker counts. For jobs of one step nothing changes.

Both new tests fail without the change.

--- a/jaysched/speed.go
+++ b/jaysched/speed.go
@@ -143,7 +143,7 @@
 		return jayspeed.Run{}, false
 	}
 	predicted := p.durations.predict(s.job.spec.Queue, s.decl.Estimate)
-	return jayspeed.Run{Job: s.job.spec.ID, Worker: r.worker.ID, Began: r.confirmedAt, At: at, Predicted: predicted, Ended: ended, Spread: known.Spread()}, predicted > 0
+	return jayspeed.Run{Job: s.job.spec.ID, Occurrence: s.id.Occurrence, Step: s.id.Step, Worker: r.worker.ID, Began: r.confirmedAt, At: at, Predicted: predicted, Ended: ended, Spread: known.Spread()}, predicted > 0
 }
 
 // runDone records how long a run took, and reports whether that says how long such tasks take
--- a/jaysched/speed_test.go
+++ b/jaysched/speed_test.go
@@ -95,6 +95,20 @@
 	})
 }
 
+// Guards against a step with a wrong estimate that makes a worker look slow: what is seen of a run
+// did not say to which step of its job it belongs.
+func TestSeenRunsNameTheirStep(t *testing.T) {
+	is := is.New(t)
+	w := newSpeedHarness(t, 1, 0)
+	declare(w, newSpec("j", 2))
+	w.pace(1800 * time.Millisecond)
+	ended := map[int]bool{}
+	for _, o := range w.pool.sightings(w.pool.workers["w0"]) {
+		ended[o.Step] = o.Ended
+	}
+	is.Equal(ended, map[int]bool{0: true, 1: false})
+}
+
 // Guards against slow workers that are never recognised since their reports list a percentage
 // below 100 for every run, and these runs were taken to be throttled.
 func TestSlowWorkerIsRecognisedWhateverSpeedItReports(t *testing.T) {
--- a/jayspeed/likelihood.go
+++ b/jayspeed/likelihood.go
@@ -21,7 +21,8 @@
 // likelihoods returns for each of slowFactors the logarithm of the likelihood that the worker
 // has been slow by it since a time, relative to that of a sound worker. The runs of these jobs
 // that ended earlier count as well: they show the error of the job's estimate, which otherwise
-// explains the durations as well as a slow worker does.
+// explains the durations as well as a slow worker does. Whether the steps of a job share the error
+// or each has its own is unknown, so the assumption counts that says less for a slow worker.
 func likelihoods(seen []Run, byJob RunsByJob, changedAt time.Duration) []float64 {
 	here := map[string][]Run{}
 	var jobs []string
@@ -34,14 +35,54 @@
 	ls := make([]float64, len(slowFactors))
 	for _, j := range jobs {
 		others := byJob.elsewhere(j, seen[0].Worker)
-		sound := jobLikelihood(here[j], others, changedAt, 1)
-		for n, factor := range slowFactors {
-			ls[n] += jobLikelihood(here[j], others, changedAt, factor) - sound
+		together := relativeLikelihoods(here[j], others, changedAt)
+		if steps := byStep(here[j]); len(steps) > 1 {
+			alone := make([]float64, len(slowFactors))
+			for _, runs := range steps {
+				sameStep := slices.DeleteFunc(slices.Clone(others), func(o Run) bool { return !o.sameStep(runs[0]) })
+				for n, l := range relativeLikelihoods(runs, sameStep, changedAt) {
+					alone[n] += l
+				}
+			}
+			for n := range together {
+				together[n] = min(together[n], alone[n])
+			}
 		}
+		for n, l := range together {
+			ls[n] += l
+		}
+	}
+	return ls
+}
+
+// relativeLikelihoods returns the likelihoods of runs that have one error in common.
+func relativeLikelihoods(runs, others []Run, changedAt time.Duration) []float64 {
+	ls := make([]float64, len(slowFactors))
+	sound := jobLikelihood(runs, others, changedAt, 1)
+	for n, factor := range slowFactors {
+		ls[n] = jobLikelihood(runs, others, changedAt, factor) - sound
 	}
 	return ls
 }
 
+// byStep divides the runs of a job by their steps, in the order in which these first occur.
+func byStep(runs []Run) [][]Run {
+	var steps [][]Run
+	for _, o := range runs {
+		at := slices.IndexFunc(steps, func(step []Run) bool { return o.sameStep(step[0]) })
+		if at < 0 {
+			steps = append(steps, []Run{o})
+		} else {
+			steps[at] = append(steps[at], o)
+		}
+	}
+	return steps
+}
+
+func (o Run) sameStep(other Run) bool {
+	return o.Step == other.Step && o.Occurrence == other.Occurrence
+}
+
 const (
 	// minError and maxError are the numbers of deviations between which the error that the
 	// runs of a job have in common is integrated.
--- a/jayspeed/speed.go
+++ b/jayspeed/speed.go
@@ -40,9 +40,11 @@
 type Run struct {
 	// Job and Worker identify the job and the worker of the run.
 	Job, Worker string
-	Began, At   time.Duration
-	Predicted   time.Duration
-	Ended       bool
+	// Occurrence and Step identify the step within the job, whose estimate is its own.
+	Occurrence, Step int
+	Began, At        time.Duration
+	Predicted        time.Duration
+	Ended            bool
 	// Spread is the spread of the predictions for the queue of the job.
 	Spread Spread
 }
--- a/jayspeed/speed_test.go
+++ b/jayspeed/speed_test.go
@@ -1,6 +1,7 @@
 package jayspeed
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -22,7 +23,8 @@
 }
 
 // Guards against a slow worker that is taken for one with wrongly estimated jobs, although the
-// earlier tasks of these jobs took as long as predicted on it.
+// earlier tasks of these jobs took as long as predicted on it, and against a sound worker that
+// is taken for slow since a step with a wrong estimate follows one with a right estimate.
 func TestEarlierEndsOfAJobShowThatItsEstimateIsRight(t *testing.T) {
 	const now = 10 * time.Second
 	running := append(runsOf("a", 2, now-2500*time.Millisecond, now, false), runsOf("b", 2, now-2500*time.Millisecond, now, false)...)
@@ -37,6 +39,14 @@
 		is.True(slow)
 		is.True(found.ChangedAt >= now-4*time.Second)
 	})
+	t.Run("but ends of another step do not show it", func(t *testing.T) {
+		of := slices.Clone(running)
+		for n := range of {
+			of[n].Step = 1
+		}
+		_, slow := Examine(append(slices.Clone(ends), of...), nil, now)
+		is.New(t).True(!slow)
+	})
 	t.Run("with late ends the estimates are wrong", func(t *testing.T) {
 		late := append(runsOf("a", 3, now-7*time.Second, now-3*time.Second, true), runsOf("b", 3, now-7*time.Second, now-3*time.Second, true)...)
 		_, slow := Examine(append(late, running...), nil, now)
