Worker speeds: weigh the runs of a job on other workers once per examination

Cause: the likelihoods of a job's runs on other workers depend neither on the factor nor on the time of the change, but were computed for each of six factors and seven times.

Change: they are added to the points of the integration once for each job and step.

The trials of speed_test.go give the same figures as before.

--- a/jayspeed/likelihood.go
+++ b/jayspeed/likelihood.go
@@ -9,8 +9,8 @@
 // evidenceOfSlowness returns the logarithm of the ratio of two likelihoods of the runs that were
 // seen since a time: that the worker has been slow since then, by one of slowFactors, and that
 // it is sound.
-func evidenceOfSlowness(seen []Run, byJob RunsByJob, changedAt time.Duration) float64 {
-	byFactor := likelihoods(seen, byJob, changedAt)
+func evidenceOfSlowness(jobs []jobEvidence, changedAt time.Duration) float64 {
+	byFactor := likelihoods(jobs, changedAt)
 	most, sum := slices.Max(byFactor), 0.0
 	for _, l := range byFactor {
 		sum += math.Exp(l - most)
@@ -18,29 +18,54 @@
 	return most + math.Log(sum/float64(len(byFactor)))
 }
 
-// likelihoods returns for each of slowFactors the logarithm of the likelihood that the worker
-// has been slow by it since a time, relative to that of a sound worker. The runs of these jobs
-// that ended earlier count as well: they show the error of the job's estimate, which otherwise
-// explains the durations as well as a slow worker does. Whether the steps of a job share the error
-// or each has its own is unknown, so the assumption counts that says less for a slow worker.
-func likelihoods(seen []Run, byJob RunsByJob, changedAt time.Duration) []float64 {
+// jobEvidence are the runs of one job on a worker: together, and by step if it has several.
+type jobEvidence struct {
+	together runGroup
+	steps    []runGroup
+}
+
+// evidenceByJob returns the runs that are seen on a worker by their jobs, in the order in which
+// these first occur.
+func evidenceByJob(seen []Run, byJob RunsByJob) []jobEvidence {
 	here := map[string][]Run{}
-	var jobs []string
+	var names []string
 	for _, o := range seen {
+		if _, known := here[o.Job]; !known {
+			names = append(names, o.Job)
+		}
 		here[o.Job] = append(here[o.Job], o)
-		if o.At > changedAt && !slices.Contains(jobs, o.Job) {
-			jobs = append(jobs, o.Job)
+	}
+	jobs := make([]jobEvidence, 0, len(names))
+	for _, name := range names {
+		others := byJob.elsewhere(name, seen[0].Worker)
+		j := jobEvidence{together: newRunGroup(here[name], others)}
+		if steps := byStep(here[name]); len(steps) > 1 {
+			for _, runs := range steps {
+				sameStep := slices.DeleteFunc(slices.Clone(others), func(o Run) bool { return !o.sameStep(runs[0]) })
+				j.steps = append(j.steps, newRunGroup(runs, sameStep))
+			}
 		}
+		jobs = append(jobs, j)
 	}
+	return jobs
+}
+
+// likelihoods returns for each of slowFactors the logarithm of the likelihood that the worker
+// has been slow by it since a time, relative to that of a sound worker. The runs of these jobs
+// that ended earlier count as well: they show the error of the job's estimate, which otherwise
+// explains the durations as well as a slow worker does. Whether the steps of a job share the error
+// or each has its own is unknown, so the assumption counts that says less for a slow worker.
+func likelihoods(jobs []jobEvidence, changedAt time.Duration) []float64 {
 	ls := make([]float64, len(slowFactors))
 	for _, j := range jobs {
-		others := byJob.elsewhere(j, seen[0].Worker)
-		together := relativeLikelihoods(here[j], others, changedAt)
-		if steps := byStep(here[j]); len(steps) > 1 {
+		if len(runsSince(j.together.runs, changedAt)) == 0 {
+			continue
+		}
+		together := j.together.relativeLikelihoods(changedAt)
+		if len(j.steps) > 0 {
 			alone := make([]float64, len(slowFactors))
-			for _, runs := range steps {
-				sameStep := slices.DeleteFunc(slices.Clone(others), func(o Run) bool { return !o.sameStep(runs[0]) })
-				for n, l := range relativeLikelihoods(runs, sameStep, changedAt) {
+			for _, s := range j.steps {
+				for n, l := range s.relativeLikelihoods(changedAt) {
 					alone[n] += l
 				}
 			}
@@ -55,16 +80,6 @@
 	return ls
 }
 
-// relativeLikelihoods returns the likelihoods of runs that have one error in common.
-func relativeLikelihoods(runs, others []Run, changedAt time.Duration) []float64 {
-	ls := make([]float64, len(slowFactors))
-	sound := jobLikelihood(runs, others, changedAt, 1)
-	for n, factor := range slowFactors {
-		ls[n] = jobLikelihood(runs, others, changedAt, factor) - sound
-	}
-	return ls
-}
-
 // byStep divides the runs of a job by their steps, in the order in which these first occur.
 func byStep(runs []Run) [][]Run {
 	var steps [][]Run
@@ -92,38 +107,57 @@
 	maxErrorPoints = 36
 )
 
-// jobLikelihood returns the logarithm of the likelihood of the runs of one job on a worker that
-// has taken a factor longer since a time, and on others, which are sound. The error that they
-// have in common is integrated over its distribution, in steps that are small against the spread
-// of single tasks: a run that lies between two points would otherwise count against a hypothesis.
-func jobLikelihood(runs, others []Run, changedAt time.Duration, factor float64) float64 {
-	var points [maxErrorPoints]float64
+// runGroup are runs on a worker that have one error in common.
+type runGroup struct {
+	runs []Run
+	// width is the deviation of the error, and step the distance of two points of its
+	// integration, in deviations.
+	width, step float64
+	// points are the logarithms of the error's distribution and of the likelihoods of the runs on
+	// other workers, which depend neither on the factor nor on the time of the change.
+	points []float64
+}
+
+// newRunGroup returns the group of runs on a worker and of those on others, which are sound. The
+// points of the integration are close together against the spread of single tasks: a run that
+// lies between two points would otherwise count against a hypothesis.
+func newRunGroup(runs, others []Run) runGroup {
 	width := runs[0].Spread.job
 	count := min(maxErrorPoints, max(maxError-minError+1, int(width*(maxError-minError)/taskSpread)+2))
-	step := float64(maxError-minError) / float64(count-1)
-	at := points[:count]
-	for n := range at {
-		z := minError + float64(n)*step
-		at[n] = -z * z / 2
+	g := runGroup{runs: runs, width: width, step: float64(maxError-minError) / float64(count-1), points: make([]float64, count)}
+	for n := range g.points {
+		z := minError + float64(n)*g.step
+		g.points[n] = -z * z / 2
 	}
-	add := func(o Run, factor float64) {
-		done := o.workDone(changedAt, factor)
-		x, table, scale := math.Log(done/o.Predicted.Seconds()), logSurvivals, 0.0
-		if o.Ended {
-			table, scale = logDensities, math.Log(done)
-			if o.At > changedAt {
-				scale += math.Log(factor)
-			}
-		}
-		for n := range at {
-			at[n] += table.at(x-(minError+float64(n)*step)*width) - scale
+	for _, o := range others {
+		g.add(g.points, o, 0, 1)
+	}
+	return g
+}
+
+// add adds the logarithm of the likelihood of a run to each point, if its worker has taken a
+// factor longer since a time.
+func (g *runGroup) add(points []float64, o Run, changedAt time.Duration, factor float64) {
+	done := o.workDone(changedAt, factor)
+	x, table, scale := math.Log(done/o.Predicted.Seconds()), logSurvivals, 0.0
+	if o.Ended {
+		table, scale = logDensities, math.Log(done)
+		if o.At > changedAt {
+			scale += math.Log(factor)
 		}
 	}
-	for _, o := range runs {
-		add(o, factor)
+	for n := range points {
+		points[n] += table.at(x-(minError+float64(n)*g.step)*g.width) - scale
 	}
-	for _, o := range others {
-		add(o, 1)
+}
+
+// likelihood returns the logarithm of the likelihood of the runs if the worker has taken a factor
+// longer since a time. The common error is integrated over its distribution.
+func (g *runGroup) likelihood(changedAt time.Duration, factor float64) float64 {
+	var buffer [maxErrorPoints]float64
+	at := buffer[:copy(buffer[:], g.points)]
+	for _, o := range g.runs {
+		g.add(at, o, changedAt, factor)
 	}
 	most, sum := slices.Max(at), 0.0
 	for _, l := range at {
@@ -132,6 +166,16 @@
 	return most + math.Log(sum)
 }
 
+// relativeLikelihoods returns the likelihoods for slowFactors, relative to that of a sound worker.
+func (g *runGroup) relativeLikelihoods(changedAt time.Duration) []float64 {
+	ls := make([]float64, len(slowFactors))
+	sound := g.likelihood(changedAt, 1)
+	for n, factor := range slowFactors {
+		ls[n] = g.likelihood(changedAt, factor) - sound
+	}
+	return ls
+}
+
 // workDone returns how long the run would have taken so far on a sound worker, in seconds, if
 // the worker has been slow since a time. What it did since then counts for less by the factor.
 func (o Run) workDone(changedAt time.Duration, factor float64) float64 {
--- a/jayspeed/speed.go
+++ b/jayspeed/speed.go
@@ -91,14 +91,14 @@
 	}
 	slices.Sort(takes)
 	typical := takes[len(takes)/2]
-	most := slowEvidence
+	most, jobs := slowEvidence, evidenceByJob(seen, byJob)
 	for _, age := range changeAges {
 		changed := at - time.Duration(age*float64(typical))
 		since := runsSince(seen, changed)
 		if len(since) < MinRuns || !mostOverdue(since) {
 			continue
 		}
-		if e := evidenceOfSlowness(seen, byJob, changed); e >= most {
+		if e := evidenceOfSlowness(jobs, changed); e >= most {
 			most = e
 			found, slow = Slowness{ChangedAt: changed, Runs: len(since)}, true
 		}
@@ -138,7 +138,7 @@
 	if len(runsSince(seen, changedAt)) == 0 {
 		return 0, false
 	}
-	byFactor := likelihoods(seen, byJob, changedAt)
+	byFactor := likelihoods(evidenceByJob(seen, byJob), changedAt)
 	most := slices.Max(byFactor)
 	sum, weights := 0.0, 0.0
 	for n, l := range byFactor {
