Soak: decisions under overload in every third seed

Cause: the soak set none of the settings in jobService.overload, so that no fault was played against these decisions.

Change: every third seed enables all of them, apart from the seeds of former regressions. Half of the rejected jobs return when their Retry-After says so, the others earlier. A 429 without a Retry-After of at least 1 s is a violation, as are a task with more runs than it may have and a second run that continues after the end of its task.

--- a/jaysoak/callers_test.go
+++ b/jaysoak/callers_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,9 +32,15 @@
 	organisation int
 	// accepted is when the job was accepted, or zero.
 	accepted time.Time
-	// refused is true if every attempt to submit the job was rejected as not run.
-	refused   bool
-	cancelled bool
+	// refused is true if every attempt to submit the job was rejected as not run, and
+	// rejected if every one of them was answered with 429.
+	refused  bool
+	rejected bool
+	// submitted is when the job was first submitted. returnsInTurn says that its caller waits
+	// for as long as a Retry-After states.
+	submitted     time.Time
+	returnsInTurn bool
+	cancelled     bool
 	// crashes is true if a task of the job crashes its workers.
 	crashes bool
 	// tasks is the number of the job's tasks.
@@ -47,31 +55,41 @@
 	soak   *soak
 	client *http.Client
 
+	// rejections counts the answers with 429.
+	rejections atomic.Int64
+
 	mu   sync.Mutex
 	jobs []*job
 }
 
+// answer is an entry's response to a call. It is zero if there is no complete response.
+type answer struct {
+	status int
+	text   string
+	// retryAfter is the Retry-After of a response with 429.
+	retryAfter time.Duration
+}
+
 func newCallers(s *soak) *callers {
 	return &callers{soak: s, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
 }
 
-// call sends a request to an entry. It returns the status and the body of the response, or
-// zero if there is no complete response.
-func (c *callers) call(p *process, j *job, method string, body []byte) (int, string) {
+// call sends a request to an entry.
+func (c *callers) call(p *process, j *job, method string, body []byte) answer {
 	key := c.soak.organisations.key(j.organisation)
-	status, text := c.callWith(key, p, method, j.path, body)
-	if status == http.StatusUnauthorized && c.soak.organisations.revokedFor(key) == 0 {
+	response := c.callWith(key, p, method, j.path, body)
+	if response.status == http.StatusUnauthorized && c.soak.organisations.revokedFor(key) == 0 {
 		c.soak.fail("key", p.name+" refuses the declared key "+key)
 	}
-	return status, text
+	return response
 }
 
 // callWith is call with an API key, or without one if it is empty.
-func (c *callers) callWith(key string, p *process, method, path string, body []byte) (int, string) {
+func (c *callers) callWith(key string, p *process, method, path string, body []byte) answer {
 	request, err := http.NewRequest(method, "http://"+p.caller+path, bytes.NewReader(body))
 	if err != nil {
 		c.soak.fail("soak", err.Error())
-		return 0, ""
+		return answer{}
 	}
 	request.Host = "a.example"
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
@@ -80,14 +98,29 @@
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
-		return 0, ""
+		return answer{}
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
 	if err != nil {
-		return 0, ""
+		return answer{}
+	}
+	return answer{status: response.StatusCode, text: string(text), retryAfter: c.retryAfter(p, response)}
+}
+
+// retryAfter returns the Retry-After of a response with 429, which must be a number of seconds
+// from 1 on.
+func (c *callers) retryAfter(p *process, response *http.Response) time.Duration {
+	if response.StatusCode != http.StatusTooManyRequests {
+		return 0
 	}
-	return response.StatusCode, string(text)
+	c.rejections.Add(1)
+	header := response.Header.Get("Retry-After")
+	seconds, err := strconv.Atoi(header)
+	if err != nil || seconds < 1 {
+		c.soak.fail("retry", fmt.Sprintf("%s answers 429 with the Retry-After %q", p.name, header))
+	}
+	return time.Duration(seconds) * time.Second
 }
 
 // crashingJobRatio is the mean number of jobs per job that crashes its workers.
@@ -105,11 +138,15 @@
 		}
 		steps = append(steps, step)
 	}
-	spec := fmt.Sprint(30+r.IntN(300), "ms")
+	takes := 30 + r.IntN(300)
+	spec := fmt.Sprint(takes, "ms")
 	if c.soak.scenario.crashing() && r.IntN(crashingJobRatio) == 0 {
 		j.crashes = true
 		spec += fmt.Sprintf(" crash=0@%dms", r.IntN(30))
 	}
+	if c.soak.scenario.overloaded {
+		c.declareForOverload(j, steps, takes, r)
+	}
 	text, _ := json.Marshal(map[string]any{"spec": spec, "steps": steps})
 	return text
 }
@@ -123,33 +160,20 @@
 	return count
 }
 
+// newJob returns the job with a number for the pool with a path prefix.
+func (c *callers) newJob(number int, prefix string) *job {
+	id := fmt.Sprintf("%016x", number)
+	return &job{id: id, path: prefix + id, organisation: number % len(c.soak.scenario.organisations()), returnsInTurn: number%2 == 0}
+}
+
 // runJob submits a job, may cancel it, and then checks its state several times.
 func (c *callers) runJob(number int, r *rand.Rand) {
-	j := &job{id: fmt.Sprintf("%016x", number), organisation: number % len(organisationNames), refused: true}
-	j.path = []string{"/seats/", "/fees/"}[r.IntN(2)] + j.id
-	c.mu.Lock()
-	c.jobs = append(c.jobs, j)
-	c.mu.Unlock()
-	text := c.jobBody(j, r)
-	if c.soak.scenario.organised() {
-		c.soak.platform.Checker.Submitted(j.id, organisationNames[j.organisation])
-	}
-	for range submitAttempts {
-		status, _ := c.call(c.soak.anyEntry(r), j, http.MethodPost, text)
-		if status == http.StatusOK {
-			j.accepted, j.refused = time.Now(), false
-			break
-		}
-		if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests && status != http.StatusUnauthorized {
-			j.refused = false
-		}
-		time.Sleep(retryPause)
-	}
-	if j.accepted.IsZero() {
+	j := c.newJob(number, []string{"/seats/", "/fees/"}[r.IntN(2)])
+	if !c.submit(j, c.jobBody(j, r), r) {
 		return
 	}
 	if r.IntN(8) == 0 {
-		status, _ := c.call(c.soak.anyEntry(r), j, http.MethodDelete, nil)
+		status := c.call(c.soak.anyEntry(r), j, http.MethodDelete, nil).status
 		j.cancelled = true
 		if status == http.StatusGone && time.Since(j.accepted) > visibilityDelay {
 			c.soak.fail("lost", j.id+" is unknown when it is cancelled")
@@ -164,35 +188,65 @@
 	}
 }
 
+// submit submits a job, several times if need be, and reports whether it was accepted.
+func (c *callers) submit(j *job, body []byte, r *rand.Rand) bool {
+	j.refused, j.rejected, j.submitted = true, true, time.Now()
+	c.mu.Lock()
+	c.jobs = append(c.jobs, j)
+	c.mu.Unlock()
+	if c.soak.scenario.organised() {
+		c.soak.platform.Checker.Submitted(j.id, c.soak.scenario.organisations()[j.organisation])
+	}
+	for range submitAttempts {
+		response := c.call(c.soak.anyEntry(r), j, http.MethodPost, body)
+		switch response.status {
+		case http.StatusOK:
+			j.accepted, j.refused, j.rejected = time.Now(), false, false
+			return true
+		case http.StatusTooManyRequests:
+		case http.StatusServiceUnavailable, http.StatusUnauthorized:
+			j.rejected = false
+		default:
+			j.refused, j.rejected = false, false
+		}
+		pause, returns := j.pauseAfter(response)
+		if !returns {
+			break
+		}
+		time.Sleep(pause)
+	}
+	return false
+}
+
 // checkState queries a job's state and checks it against earlier responses and against the
 // runs of its tasks. It reports whether the job has ended.
 func (c *callers) checkState(j *job, p *process) bool {
 	asked := time.Now()
-	status, text := c.call(p, j, http.MethodGet, nil)
-	if status == http.StatusGone && asked.Sub(j.accepted) > visibilityDelay {
+	response := c.call(p, j, http.MethodGet, nil)
+	if response.status == http.StatusGone && asked.Sub(j.accepted) > visibilityDelay {
 		c.soak.fail("lost", j.id+" was accepted and is unknown to "+p.name)
 	}
-	if status != http.StatusOK {
+	if response.status != http.StatusOK {
 		return false
 	}
-	var answer struct {
+	var shown struct {
 		State string `json:"state"`
 	}
-	if err := json.Unmarshal([]byte(text), &answer); err != nil {
-		c.soak.fail("answer", j.id+": "+text)
+	if err := json.Unmarshal([]byte(response.text), &shown); err != nil {
+		c.soak.fail("answer", j.id+": "+response.text)
 		return false
 	}
-	if j.state == "done" && answer.State != "done" {
-		c.soak.fail("mixed", j.id+" was shown as done and is now "+answer.State)
+	if j.state == "done" && shown.State != "done" {
+		c.soak.fail("mixed", j.id+" was shown as done and is now "+shown.State)
 	}
-	if answer.State == "failed" && !j.crashes || answer.State == "canceled" && !j.cancelled {
-		c.soak.fail("lost", j.id+" is shown as "+answer.State+" without cause")
+	if shown.State == "failed" && !j.crashes || shown.State == "canceled" && !j.cancelled {
+		c.soak.fail("lost", j.id+" is shown as "+shown.State+" without cause")
 	}
-	if finished := c.soak.platform.Checker.Finished(j.id); answer.State == "done" && finished < j.tasks {
+	if finished := c.soak.platform.Checker.Finished(j.id); shown.State == "done" && finished < j.tasks {
 		c.soak.fail("mixed", fmt.Sprintf("%s is shown as done, %d of its %d tasks have ended so", j.id, finished, j.tasks))
 	}
-	j.state = answer.State
-	return answer.State == "done" || answer.State == "canceled" || answer.State == "failed"
+	j.state = shown.State
+	return shown.State == "done" || shown.State == "canceled" || shown.State == "failed"
 }
 
 // awaitEnds waits until every accepted job has ended, and checks that no rejected job was
--- a/jaysoak/organisations_test.go
+++ b/jaysoak/organisations_test.go
@@ -19,8 +19,12 @@
 	declarationTime = 3 * time.Second
 )
 
+// organisationNames are the organisations with a quota.
 var organisationNames = []string{"acme", "zeta"}
 
+// unlimitedOrganisation has no quota, so that its jobs can use all workers.
+const unlimitedOrganisation = "mira"
+
 // organisations are the organisations of a scenario with the history of their keys.
 type organisations struct {
 	// configuring is held while a configuration is changed and written.
@@ -52,10 +56,14 @@
 // declare declares the organisations for the first time.
 func (o *organisations) declare(s *soak) {
 	o.revoked = map[string]time.Time{}
-	for n, name := range organisationNames {
+	for n, name := range s.scenario.organisations() {
 		key := fmt.Sprint("key-", n, "-0")
+		quota := quotaOf(soakQuota)
+		if name == unlimitedOrganisation {
+			quota = map[string]int64{}
+		}
 		o.keys = append(o.keys, key)
-		o.declared = append(o.declared, jaystub.Organisation{Name: name, APIKeys: []string{key}, Weight: 1, MaxCount: quotaOf(soakQuota)})
+		o.declared = append(o.declared, jaystub.Organisation{Name: name, APIKeys: []string{key}, Weight: 1, MaxCount: quota})
 	}
 	s.platform.Organisations = o.declared
 }
@@ -106,8 +114,8 @@
 	time.Sleep(revocationTime + pause/10)
 	var calls sync.WaitGroup
 	calls.Go(func() {
-		status, _ := newCallers(s).callWith(former, p, http.MethodGet, "/seats/", nil)
-		if status == http.StatusOK {
+		answer := newCallers(s).callWith(former, p, http.MethodGet, "/seats/", nil)
+		if answer.status == http.StatusOK {
 			s.fail("key", fmt.Sprintf("%s accepts the key %q, removed %v ago", p.name, former, s.organisations.revokedFor(former)))
 		}
 	})
@@ -157,15 +165,15 @@
 func (c *callers) probe(j *job, r *rand.Rand) {
 	o := &c.soak.organisations
 	probes := map[string]int{
-		o.key(1 - j.organisation): http.StatusGone,
-		"unknown-key":             http.StatusUnauthorized,
+		o.key((j.organisation + 1) % len(c.soak.scenario.organisations())): http.StatusGone,
+		"unknown-key": http.StatusUnauthorized,
 	}
 	if revoked := o.revokedKey(); revoked != "" {
 		probes[revoked] = http.StatusUnauthorized
 	}
 	for key, want := range probes {
 		p := c.soak.anyEntry(r)
-		status, _ := c.callWith(key, p, http.MethodGet, j.path, nil)
+		status := c.callWith(key, p, http.MethodGet, j.path, nil).status
 		replaced := status == http.StatusUnauthorized && o.revokedFor(key) > 0
 		if status != 0 && status != http.StatusServiceUnavailable && status != want && !replaced {
 			c.soak.fail("key", fmt.Sprintf("%s answers %d for %s to the key %q, removed %v ago", p.name, status, j.id, key, o.revokedFor(key)))
--- a/jaysoak/process_test.go
+++ b/jaysoak/process_test.go
@@ -39,7 +39,7 @@
 // stopBound is the time limit of a graceful stop in the settings of the processes.
 const stopBound = 3 * time.Second
 
-func newProcess(t *testing.T, dir, binary, name string, platform *jaystub.Platform) *process {
+func newProcess(t *testing.T, dir, binary, name string, platform *jaystub.Platform, played scenario) *process {
 	t.Helper()
 	store, err := newProxy(platform.StoreAddr)
 	if err != nil {
@@ -49,14 +49,17 @@
 		name: name, binary: binary, caller: freeAddr(t), store: store,
 		config: filepath.Join(dir, name+".jsonc"), log: filepath.Join(dir, name+".log"),
 	}
+	jobService := map[string]any{
+		"storeAddr": store.addr(), "inventoryAddr": platform.InventoryAddr, "readyAddr": freeAddr(t), "trustedNetwork": true,
+		"processors": 0.4, "moveTime": "200ms", "maintenanceTime": "200ms", "holderTime": "300ms",
+		"fencesChecked": !platform.UncheckedFences, "revocationTime": revocationTime.String(), "declarationTime": declarationTime.String(),
+	}
+	if played.overloaded {
+		jobService["overload"] = overloadSettings
+	}
 	settings := map[string]any{
 		"entry": name, "dataCenter": "z", "callerAddr": p.caller, "peerAddr": freeAddr(t), "logFormat": "json",
-		"eventLoops": 1, "stopGrace": "300ms", "stopBound": stopBound.String(),
-		"jobService": map[string]any{
-			"storeAddr": store.addr(), "inventoryAddr": platform.InventoryAddr, "readyAddr": freeAddr(t), "trustedNetwork": true,
-			"processors": 0.4, "moveTime": "200ms", "maintenanceTime": "200ms", "holderTime": "300ms",
-			"fencesChecked": !platform.UncheckedFences, "revocationTime": revocationTime.String(), "declarationTime": declarationTime.String(),
-		},
+		"eventLoops": 1, "stopGrace": "300ms", "stopBound": stopBound.String(), "jobService": jobService,
 	}
 	text, err := json.Marshal(settings)
 	if err != nil {
--- a/jaysoak/soak_test.go
+++ b/jaysoak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,6 +39,16 @@
 type scenario struct {
 	seed       uint64
 	faultKinds int
+	// overloaded says that the decisions under overload are enabled, that more work arrives
+	// than the workers can do, and that some of them are slow.
+	overloaded bool
+}
+
+// newScenario returns the scenario of a seed. The decisions under overload are enabled in every
+// third one, apart from the seeds of former regressions.
+func newScenario(seed uint64) scenario {
+	failedOnce := slices.ContainsFunc(regressions, func(s scenario) bool { return s.seed == seed })
+	return scenario{seed: seed, faultKinds: allFaultKinds, overloaded: seed%3 == 2 && !failedOnce}
 }
 
 const (
@@ -57,27 +68,44 @@
 // organised reports whether callers belong to organisations with keys and quotas.
 func (s scenario) organised() bool { return s.faultKinds > crashFaultKinds }
 
+// unguarded reports whether the workers of one pool start whatever they are told to. Scenarios
+// under overload are played with and without it, independently of the check of fences.
+func (s scenario) unguarded() bool {
+	if s.overloaded {
+		return s.seed/6%2 == 1
+	}
+	return s.seed%3 == 0
+}
+
+// organisations returns the names of the organisations that submit jobs.
+func (s scenario) organisations() []string {
+	if s.overloaded {
+		return append(slices.Clone(organisationNames), unlimitedOrganisation)
+	}
+	return organisationNames
+}
+
 // regressions are scenarios that failed once, each with the cause of the failure. They run
 // every time.
 var regressions = []scenario{
 	// A graceful stop waited for long reads of the store.
-	{42, firstFaultKinds},
+	{seed: 42, faultKinds: firstFaultKinds},
 	// Two processes of the installation were configured with the same port.
-	{166744, firstFaultKinds},
+	{seed: 166744, faultKinds: firstFaultKinds},
 	// An owner that was resumed after a pause responded with an outdated state of jobs that
 	// its successor had ended.
-	{693828, firstFaultKinds},
+	{seed: 693828, faultKinds: firstFaultKinds},
 	// A task that crashes its workers was started once more than allowed: one of the worker
 	// losses that it had caused was forgotten when the pool's owner was lost.
-	{511346, crashFaultKinds},
+	{seed: 511346, faultKinds: crashFaultKinds},
 	// A fault of the simulated platform: a crashed worker started one more run.
-	{233363, crashFaultKinds},
+	{seed: 233363, faultKinds: crashFaultKinds},
 	// A job was given up for crashes that another job had caused: the workers of both were
 	// the last ones of their rack, and both were started together again.
-	{144303, crashFaultKinds},
+	{seed: 144303, faultKinds: crashFaultKinds},
 	// A new owner of a pool was asked for what organisations use before it had looked at their
 	// quotas, and told that nothing is in use.
-	{4, allFaultKinds},
+	{seed: 4, faultKinds: allFaultKinds},
 }
 
 // soak is the run of one scenario: an installation with its faults and the violations found.
@@ -139,11 +167,11 @@
 // seeds, either a range such as "1-50" or a number of random seeds such as "fresh:10".
 // JAYTHREAD_SOAK_FOR sets how long faults are injected for each seed.
 func TestSoak(t *testing.T) {
-	scenarios, length := append([]scenario{{1, allFaultKinds}, {2, allFaultKinds}}, regressions...), defaultLength
+	scenarios, length := append([]scenario{newScenario(1), newScenario(2)}, regressions...), defaultLength
 	if spec := os.Getenv("JAYTHREAD_SOAK_SEEDS"); spec != "" {
 		scenarios = nil
 		for _, seed := range parseSeeds(t, spec) {
-			scenarios = append(scenarios, scenario{seed, allFaultKinds})
+			scenarios = append(scenarios, newScenario(seed))
 		}
 	}
 	if spec := os.Getenv("JAYTHREAD_SOAK_FOR"); spec != "" {
@@ -205,8 +233,14 @@
 	s := startInstallation(t, dir, binary, played)
 	c := newCallers(s)
 	var calls sync.WaitGroup
+	if played.overloaded {
+		length += overloadTime
+	}
 	until, number := time.Now().Add(length), 0
 	next := time.Now()
+	if played.overloaded {
+		calls.Go(func() { c.overload(length) })
+	}
 	for time.Now().Before(until) {
 		number++
 		job, own := number, rand.New(rand.NewPCG(seed, uint64(number)+100))
@@ -220,10 +254,16 @@
 	calls.Wait()
 	s.faults.Wait()
 	accepted, refused := c.awaitEnds(finishTime, r)
+	s.awaitSecondRuns()
 	for _, v := range s.platform.Checker.Violations() {
 		s.fail(v.Rule, v.Text)
 	}
 	t.Logf("%d jobs, %d accepted, %d rejected, %d workers crashed by jobs", number, accepted, refused, c.crashedWorkers())
+	if played.overloaded {
+		started, longest := s.platform.Checker.Copies()
+		t.Logf("%d answers 429, %d jobs rejected so at every try, %d copies, a task ran on for at most %v after its end was acknowledged; logged: %s",
+			c.rejections.Load(), c.alwaysRejected(), started, longest.Round(time.Millisecond), countMessages(s.entries))
+	}
 	if accepted == 0 {
 		s.fail("soak", "no job was accepted")
 	}
@@ -245,7 +285,7 @@
 	}
 	platform.UncheckedFences = played.seed%2 == 0
 	if played.crashing() {
-		platform.UnguardedPools = map[string]bool{"fees": played.seed%3 == 0}
+		platform.UnguardedPools = map[string]bool{"fees": played.unguarded()}
 		platform.StopTime = 100 * time.Millisecond
 	}
 	s := &soak{t: t, scenario: played, platform: platform}
@@ -267,7 +307,7 @@
 		}
 	}
 	for n := range soakEntries {
-		p := newProcess(t, dir, binary, fmt.Sprint("e", n), platform)
+		p := newProcess(t, dir, binary, fmt.Sprint("e", n), platform, played)
 		if err := p.start(); err != nil {
 			t.Fatal(err)
 		}
@@ -380,6 +420,15 @@
 	s.platform.Store.SetFaults(jaystub.Faults{})
 }
 
+// awaitSecondRuns waits until no task runs whose end was acknowledged, or until one runs for too
+// long.
+func (s *soak) awaitSecondRuns() {
+	until := time.Now().Add(jaystub.SecondRunTime + time.Second)
+	for s.platform.Checker.SecondRuns() > 0 && time.Now().Before(until) {
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 func (s *soak) checkError(err error) {
 	if err != nil {
 		s.fail("process", err.Error())
