--- a/jaysoak/overload_test.go
+++ b/jaysoak/overload_test.go
@@ -28,8 +28,8 @@
 	burstInterval = 40 * time.Millisecond
 	// burstTime is how long jobs arrive for one pool before they arrive for the other.
 	burstTime = time.Second
-	// speculativeInterval is the time between two speculative jobs before the burst.
-	speculativeInterval = 100 * time.Millisecond
+	// earlyInterval is the time between two jobs before the burst.
+	earlyInterval = 100 * time.Millisecond
 	// stragglerTime is how long a straggler takes: longer than another run of its task may
 	// continue after its copy has ended.
 	stragglerTime = 8 * time.Second
@@ -39,8 +39,8 @@
 )
 
 // overload submits more work than the workers can do for a third of the given length. Two workers,
-// one in each pool at first, are slow for half of the length. Before the burst, speculative jobs
-// let the pools learn how long tasks take, and later some of their tasks take long by themselves.
+// one in each pool at first, are slow for half of the length. Before the burst, jobs let the pools
+// learn how long tasks take, and later some of their tasks take long by themselves.
 func (c *callers) overload(length time.Duration) {
 	r := rand.New(rand.NewPCG(c.soak.scenario.seed, 11))
 	first := r.IntN(soakMachines)
@@ -56,11 +56,12 @@
 	recovery := time.AfterFunc(length*2/3, func() { setSpeeds(1) })
 	defer recovery.Stop()
 	pools := []string{"/seats/", "/fees/"}
-	before := int(length * 5 / 12 / speculativeInterval)
+	before := int(length * 5 / 12 / earlyInterval)
 	for n := range before {
+		// A third of the stragglers must not be copied.
 		own := rand.New(rand.NewPCG(c.soak.scenario.seed, uint64(n)+1<<21))
-		calls.Go(func() { c.submitSpeculativeJob(1<<21+n, pools[n%2], n > before/2, own) })
-		time.Sleep(speculativeInterval)
+		calls.Go(func() { c.submitEarlyJob(1<<21+n, pools[n%2], n > before/2, n%3 != 2, own) })
+		time.Sleep(earlyInterval)
 	}
 	for n := range int(length / 3 / burstInterval) {
 		own := rand.New(rand.NewPCG(c.soak.scenario.seed, uint64(n)+1<<20))
@@ -77,10 +78,10 @@
 	c.submitUnlimited(number, pool, fmt.Sprint(takes, "ms"), step, r)
 }
 
-// submitSpeculativeJob submits a job with a speculative step, of which one task may take long.
-func (c *callers) submitSpeculativeJob(number int, pool string, straggles bool, r *rand.Rand) {
+// submitEarlyJob submits a job of small tasks, of which one may take long.
+func (c *callers) submitEarlyJob(number int, pool string, straggles, speculative bool, r *rand.Rand) {
 	takes := 150 + r.IntN(200)
-	step := map[string]any{"count": 4, "cpu": 1000, "memMb": 100, "estMs": estimateOf(takes, r), "speculative": true}
+	step := map[string]any{"count": 4, "cpu": 1000, "memMb": 100, "estMs": estimateOf(takes, r), "speculative": speculative}
 	spec := fmt.Sprint(takes, "ms")
 	if straggles {
 		spec += fmt.Sprint(" straggle=0@", stragglerTime)
