Soak: the output counts the jobs of the overload

In another place a variable hid the type of the same name.

Change: the number is that of all submitted jobs, and the variable is the status.

--- a/jaysoak/organisations_test.go
+++ b/jaysoak/organisations_test.go
@@ -114,8 +114,8 @@
 	time.Sleep(revocationTime + pause/10)
 	var calls sync.WaitGroup
 	calls.Go(func() {
-		answer := newCallers(s).callWith(former, p, http.MethodGet, "/seats/", nil)
-		if answer.status == http.StatusOK {
+		status := newCallers(s).callWith(former, p, http.MethodGet, "/seats/", nil).status
+		if status == http.StatusOK {
 			s.fail("key", fmt.Sprintf("%s accepts the key %q, removed %v ago", p.name, former, s.organisations.revokedFor(former)))
 		}
 	})
--- a/jaysoak/soak_test.go
+++ b/jaysoak/soak_test.go
@@ -258,7 +258,7 @@
 	for _, v := range s.platform.Checker.Violations() {
 		s.fail(v.Rule, v.Text)
 	}
-	t.Logf("%d jobs, %d accepted, %d rejected, %d workers crashed by jobs", number, accepted, refused, c.crashedWorkers())
+	t.Logf("%d jobs, %d accepted, %d rejected, %d workers crashed by jobs", len(c.jobs), accepted, refused, c.crashedWorkers())
 	if played.overloaded {
 		started, longest := s.platform.Checker.Copies()
 		t.Logf("%d answers 429, %d jobs rejected so at every try, %d copies, a task ran on for at most %v after its end was acknowledged; logged: %s",
