Overload decisions: clearer names and comments

Read by a newcomer, some comments of the decisions under overload were incomplete or wrong, and some names said little: Arriving was documented as a host although it sums up several, fastScore named the wrong start of its evidence, "raise" was both a method and a function, and over, cheapest and stepCouldStart changed state without saying so.

Correct these comments and rename unexported identifiers: raise to addPredictedNeed and raiseEntitlements, cheapest to takeCheapest, over, fail and began of the forecast to end, recordFailure and recordBegin, rest to remainingTime, factorOn to slowdown, the variable by to member.

--- a/jayburst/detector.go
+++ b/jayburst/detector.go
@@ -114,13 +114,14 @@
 	return d.begin(limit)
 }
 
-// begin enters a burst whose rate has crossed the threshold.
+// begin enters a burst once its rate has crossed the limit, which becomes the burst's threshold. A
+// burst that continues one that an outage has interrupted is no change.
 func (d *detector) begin(limit float64) change {
 	usual := seconds(median(d.durations))
-	resumed := d.beganAt > 0 && float64(d.last.at-d.beganAt) < resumeShare*float64(usual)
+	continues := d.beganAt > 0 && float64(d.last.at-d.beganAt) < resumeShare*float64(usual)
 	d.inBurst, d.threshold, d.crossings = true, limit, 0
 	d.sum, d.summed = 0, 0
-	if resumed {
+	if continues {
 		return noChange
 	}
 	d.beganAt = d.crossed
--- a/jayburst/forecast.go
+++ b/jayburst/forecast.go
@@ -99,7 +99,7 @@
 	}
 	switch d.observe(sample{at: at, milli: float64(milli)}, f.lowestBurst()) {
 	case began:
-		f.began(pool, d.beganAt)
+		f.recordBegin(pool, d.beganAt)
 	case foundInBurst:
 		for _, p := range f.settings.Predictors {
 			p.Lost(pool)
@@ -131,8 +131,8 @@
 	return max(float64(f.minHeight), minHeightShare*highest)
 }
 
-// began records the begin of a burst.
-func (f *Forecast) began(pool string, at time.Duration) {
+// recordBegin records the begin of a burst as an event and reports it to the predictors.
+func (f *Forecast) recordBegin(pool string, at time.Duration) {
 	event := Event{Outcome: Unpredicted, Prediction: Prediction{Pool: pool}, Began: at}
 	if e, ok := f.expected[pool]; ok && e.began == 0 {
 		event.Outcome, event.Prediction = Came, e.Prediction
@@ -152,7 +152,7 @@
 	for pool, p := range best {
 		e, known := f.expected[pool]
 		if known && e.began == 0 && now > e.overdue() {
-			f.fail(e, now)
+			f.recordFailure(e, now)
 			known = false
 		}
 		switch {
@@ -166,7 +166,7 @@
 	var predictions []Prediction
 	for _, pool := range slices.Sorted(maps.Keys(f.expected)) {
 		e := f.expected[pool]
-		if f.over(e, best, now) {
+		if f.end(e, best, now) {
 			delete(f.expected, pool)
 			continue
 		}
@@ -175,20 +175,21 @@
 	return predictions
 }
 
-// over reports whether a predicted burst is no longer expected.
-func (f *Forecast) over(e *expectation, best map[string]Prediction, now time.Duration) bool {
+// end reports whether a predicted burst is no longer expected. If it has not begun, end records
+// the failure of its prediction.
+func (f *Forecast) end(e *expectation, best map[string]Prediction, now time.Duration) bool {
 	if e.began > 0 {
 		return now > e.began+settleTime
 	}
 	if _, still := best[e.Pool]; still && now <= e.overdue() {
 		return false
 	}
-	f.fail(e, now)
+	f.recordFailure(e, now)
 	return true
 }
 
-// fail records that a predicted burst has not begun.
-func (f *Forecast) fail(e *expectation, now time.Duration) {
+// recordFailure records that a predicted burst has not begun.
+func (f *Forecast) recordFailure(e *expectation, now time.Duration) {
 	outcome := Missing
 	if !f.detectors[e.Pool].observed(now) {
 		outcome = Unobserved
--- a/jayburst/rule.go
+++ b/jayburst/rule.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// confidence returns the expected share of predictions that come true. Without predictions
-// it is as likely as not.
+// confidence returns the expected share of predictions that come true. Without predictions,
+// success counts as likely as failure.
 func (r *record) confidence() float64 {
 	return (r.hits + 1) / (r.hits + missWeight*r.misses + 2)
 }
@@ -107,8 +107,8 @@
 }
 
 // uncertainty returns by how much a begin may differ from its prediction. known is false with
-// too few intervals. Before predictions could be compared with begins, it follows from how
-// much the intervals of all rules differ.
+// too few intervals. Before predictions could be compared with begins, the uncertainty follows
+// from how much the intervals of all rules differ.
 func (e *experience) uncertainty() (within time.Duration, known bool) {
 	errors := e.errors
 	if len(errors) < confirmingSamples {
--- a/jayfleet/arriving.go
+++ b/jayfleet/arriving.go
@@ -16,7 +16,7 @@
 	arrivingStep = 100 * time.Millisecond
 )
 
-// Arriving is capacity that a pool gets after some time.
+// Arriving is the capacity of hosts that a pool can use after the time In.
 type Arriving struct {
 	CapacityMilli int64
 	In            time.Duration
@@ -43,7 +43,8 @@
 	return arriving
 }
 
-// arrivesIn returns when a host can be used by a pool that it is on its way to.
+// arrivesIn returns the time until a host can be used by a pool; arrives is false if the host is
+// not on its way to that pool.
 func (f *Fleet) arrivesIn(h *host, pool string, now time.Duration) (in time.Duration, arrives bool) {
 	move := f.settings.MoveTime + joinDelay
 	if m, ok := h.command.(moving); ok {
--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -143,7 +143,8 @@
 	f.fillTo(to, to.need, "wanted", free, balances, now)
 }
 
-// fillTo assigns hosts to a pool until it has the given number or none is available.
+// fillTo assigns hosts to a pool until it has the given number or none is available. The
+// parameter why is the reason given for moves from standby.
 func (f *Fleet) fillTo(to *poolBalance, hosts int, why string, free *[]*host, balances []*poolBalance, now time.Duration) {
 	for to.have < hosts {
 		if len(*free) > 0 {
@@ -201,8 +202,8 @@
 
 // finishMoves moves the hosts that their pools have emptied. A host that is still busy
 // after its drain time, or that was expected to be idle but is not, stays in its pool. So does a
-// host that a division gives away if its pool's owner reports nothing: the pool that it is given to
-// would count it as long as the silence lasts.
+// host whose runs may be restarted if its pool's owner reports nothing: the pool that the host is
+// given to would count the host for as long as the owner is silent.
 func (f *Fleet) finishMoves(now time.Duration) {
 	for _, h := range f.sorted {
 		if h.vacating != forMove || h.command != nil {
@@ -323,7 +324,7 @@
 	}
 	b.keep = max(hostsFor(d.NeedMilli+d.SpareMilli, each), d.HostsAtLeast)
 	b.farShort = float64(b.have) < beginShare*float64(b.need)
-	f.raise(b, each, now)
+	f.addPredictedNeed(b, each, now)
 	return b
 }
 
--- a/jayfleet/division.go
+++ b/jayfleet/division.go
@@ -16,12 +16,13 @@
 	// divideTolerance is the fraction of its entitlement by which a pool may deviate from it.
 	// Demand varies randomly by about as much from one report to the next.
 	divideTolerance = 0.1
-	// beginShare is the fraction of its entitlement below which a pool is given hosts. A given
+	// beginShare is the fraction of its entitlement below which a pool is given hosts, and the
+	// fraction of its need below which runs of other pools are restarted for it. A given
 	// host serves nobody while it is emptied and moves, which is more than half of a short burst:
 	// pools with similar ratios of hosts to entitlement lose by an exchange.
 	beginShare = 0.5
-	// stayFactor is the multiple of the time in which a given host serves nobody, for which it
-	// is not given away again.
+	// stayFactor gives the time for which a given host is not given away again, as a multiple of
+	// the time in which the host serves nobody.
 	stayFactor = 2
 	// drainFactor is the multiple of its estimated time for which the pool may empty a host that
 	// is given to another pool.
@@ -127,7 +128,7 @@
 			continue
 		}
 		for to.have+to.margin() < to.entitled {
-			from, h := f.cheapest(balances, candidates, now)
+			from, h := f.takeCheapest(balances, candidates, now)
 			if from == nil {
 				return gives
 			}
@@ -143,10 +144,10 @@
 	return max(reserveHosts, int(divideTolerance*float64(b.entitled)))
 }
 
-// cheapest returns the pool that is furthest above its entitlement and has a host to give, and
-// the host whose release costs least there. Candidates holds the hosts of each pool that was
-// asked for before.
-func (f *Fleet) cheapest(balances []*poolBalance, candidates map[*poolBalance][]*host, now time.Duration) (*poolBalance, *host) {
+// takeCheapest returns the pool that is furthest above its entitlement and has a host to give, and
+// the host whose release costs least there, which it removes from the candidates. candidates holds
+// the releasable hosts by pool; the hosts of a pool are added when they are first needed.
+func (f *Fleet) takeCheapest(balances []*poolBalance, candidates map[*poolBalance][]*host, now time.Duration) (*poolBalance, *host) {
 	var from *poolBalance
 	most := 0
 	for _, b := range balances {
@@ -261,13 +262,13 @@
 		func(b *poolBalance) int { return b.need },
 	}
 	for _, want := range stages {
-		left -= raise(balances, want, left)
+		left -= raiseEntitlements(balances, want, left)
 	}
 }
 
-// raise raises the entitlements to what the pools want, or, if the remaining hosts are too few, in
-// proportion to what each pool lacks. It returns the number of hosts that were used.
-func raise(balances []*poolBalance, want func(*poolBalance) int, left int) (used int) {
+// raiseEntitlements raises the entitlements to what the pools want, or, if the remaining hosts are
+// too few, in proportion to what each pool lacks. It returns the number of hosts that were used.
+func raiseEntitlements(balances []*poolBalance, want func(*poolBalance) int, left int) (used int) {
 	lacked := 0
 	for _, b := range balances {
 		lacked += max(0, want(b)-b.entitled)
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -172,7 +172,8 @@
 	drainTime time.Duration
 	// vacatingSince is when the pool was first asked to empty the host.
 	vacatingSince time.Duration
-	// staysUntil is until when the host is not given away again by a division.
+	// staysUntil is until when the host is not given away again while runs on it must be waited for
+	// or restarted. Idle hosts, and those that become empty soon, may be reclaimed earlier.
 	staysUntil time.Duration
 	// divided reports whether the host is vacated by a division.
 	divided bool
--- a/jayfleet/predict.go
+++ b/jayfleet/predict.go
@@ -42,7 +42,8 @@
 			// A host that is released to standby cannot be back in time if the burst begins
 			// within a move in each direction.
 			Horizon: s.MoveTime + lead,
-			// Hosts would be on in vain for longer than they are called ahead.
+			// With a larger uncertainty, hosts would be on in vain for longer than they are
+			// requested ahead.
 			MaxUncertainty: lead,
 			Predictors:     predictors,
 		}),
@@ -75,9 +76,9 @@
 	}
 }
 
-// raise sets the numbers of hosts that a pool needs for a predicted burst, in proportion to
-// the confidence in it.
-func (f *Fleet) raise(b *poolBalance, each int64, now time.Duration) {
+// addPredictedNeed sets the numbers of hosts that a pool needs for a predicted burst, in
+// proportion to the confidence in the prediction.
+func (f *Fleet) addPredictedNeed(b *poolBalance, each int64, now time.Duration) {
 	if f.bursts == nil {
 		return
 	}
--- a/jayfleet/speed.go
+++ b/jayfleet/speed.go
@@ -7,8 +7,8 @@
 	slowSpeed = 50
 )
 
-// worth returns what some capacity of a worker is worth at its speed. A pool that has slow hosts
-// needs more of them, and none that is nearly stopped counts as a whole host.
+// worth returns a capacity of the worker scaled by its speed, so that a pool with slow hosts
+// demands more hosts. A capacity that is not zero stays so.
 func (l Load) worth(milli int64) int64 {
 	if l.SpeedPercent <= 0 || l.SpeedPercent >= fullSpeed {
 		return milli
--- a/jayreturn/queue.go
+++ b/jayreturn/queue.go
@@ -34,7 +34,7 @@
 	places map[string]place
 	// last is the time of the latest place of each priority.
 	last map[int]time.Duration
-	// promised is the work of the places by slot, counted its number of places.
+	// promised is the work of the places in each slot, counted the number of these places.
 	promised map[slot]float64
 	counted  map[slot]int
 }
@@ -52,8 +52,9 @@
 // Give gives a rejected job a place after the given wait, but not before the places that were
 // given earlier, and returns the time until then in whole seconds, as Retry-After has them. The
 // wait includes the work that was promised to earlier places. A job keeps a place whose time has
-// not come; at its time it gets the next one by the wait alone, before all later ones. While the
-// queue is full, the job gets the time without a place.
+// not come. A job that is rejected again at its time gets a new place after the wait alone, which
+// may precede places that were given earlier. While the queue is full, Give returns the time
+// without giving a place.
 func (q *Queue) Give(id string, priority int, work float64, wait, now time.Duration) time.Duration {
 	former, known := q.places[id]
 	if known && former.due > now {
@@ -71,7 +72,7 @@
 	return wait
 }
 
-// wholeSeconds rounds up.
+// wholeSeconds rounds a duration up to whole seconds.
 func wholeSeconds(d time.Duration) time.Duration {
 	return (d + time.Second - 1).Truncate(time.Second)
 }
--- a/jaysched/advice.go
+++ b/jaysched/advice.go
@@ -38,8 +38,8 @@
 	tickets map[string]ticket
 	// refused holds the workers that must not run the step.
 	refused map[string]bool
-	// tried counts the additional workers that were refused: those that had joined after the former
-	// one was. triedAt is the time of the latest such refusal or of the first one, zero if none was.
+	// tried counts the refused workers that had joined after triedAt, which is then set to the time
+	// of their refusal. Before, triedAt is the time of the first refusal, or zero.
 	tried   int
 	triedAt time.Duration
 	asking  bool
@@ -156,8 +156,9 @@
 	return more < 0 || now >= a.triedAt+delay<<min(more, maxTrialDoublings)
 }
 
-// mustNotRun reports whether a worker has no room for a step because the advisor has refused it.
-// While no other one is sought its room counts, so that the pool demands none.
+// mustNotRun reports whether a worker has no room for a step because the advisor has refused the
+// worker. While the step seeks no other worker, the room of a refused one counts, so that the pool
+// demands no host.
 func (p *Pool) mustNotRun(w *worker, s *step, now time.Duration) bool {
 	return s.advice.refused[w.ID] && s.seeksWorker(p.settings.MoveTime+reportDelay, now)
 }
--- a/jaysched/copies.go
+++ b/jaysched/copies.go
@@ -15,9 +15,10 @@
 	copyRatio = 2
 	// maxRunsOfTask is the maximum number of runs of a task, the copy included.
 	maxRunsOfTask = 2
-	// minWinShare is the share of the copies of tasks on sound workers that must end first for
-	// more than one at a time: where tasks last long by themselves a copy only takes room.
-	// Until then there is one copy at a time, and copyTrialInterval between two of them.
+	// minWinShare is the share of the recent copies of tasks on sound workers that must have ended
+	// first before several such copies may run at a time: where tasks last long by themselves, a
+	// copy only takes room. Below that share one copy runs at a time, and copyTrialInterval passes
+	// between the starts of two copies.
 	minWinShare       = 0.2
 	copyTrialInterval = time.Second
 	// winDecay is the factor by which earlier copies count for less with each new one, so that
@@ -39,6 +40,7 @@
 	return c.won >= minWinShare*(c.won+c.lost+1)
 }
 
+// ended counts a copy that has ended: won is one if the copy ended first, and zero if not.
 func (c *copies) ended(won float64) {
 	c.won, c.lost = c.won*winDecay+won, c.lost*winDecay+1-won
 }
@@ -112,7 +114,7 @@
 	}
 }
 
-// hasOtherRun reports whether a task has another run, which its worker reports as running.
+// hasOtherRun reports whether another run of a task is running on a connected worker.
 func (t *task) hasOtherRun(r *run) bool {
 	return slices.ContainsFunc(t.runs, func(other *run) bool {
 		return other != r && other.phase == running && other.worker.contact == connected
@@ -163,7 +165,8 @@
 	latest.copied = true
 }
 
-// copyEnded records whether the copy of a task has ended first, before the other run is stopped.
+// copyEnded records whether the copy of a task that is done has won or lost. r is the run that
+// ended first, or nil if it is not known. The caller stops the other run afterwards.
 func (p *Pool) copyEnded(t *task, r *run, now time.Duration) {
 	if r != nil && r.copied {
 		if !r.copyOfSlow {
--- a/jaysched/fairness.go
+++ b/jaysched/fairness.go
@@ -27,22 +27,23 @@
 	// participants are the organisations that use or want room, by name, while shares are in
 	// force; jobs without an organisation are one more. Otherwise it is nil.
 	participants map[string]*participant
-	// level is that of the latest division.
+	// level is the level of the latest division, see jayshare.Level.
 	level float64
-	// rows are what the present review has found of each open job.
+	// rows holds what the present review has found of each open job, in the order of the queue.
 	rows []fairnessRow
 }
 
 // participant is an organisation that takes part in the division. All amounts are thousandths of
 // a core.
 type participant struct {
-	// here is what it uses and wants in the pool, elsewhere the same in the other pools.
+	// here is what the organisation uses and wants in this pool, elsewhere what it uses and wants
+	// in the other pools.
 	here, elsewhere jayshare.Use
 	demand          jayshare.Demand
-	// left is how much more its jobs may use within its share.
+	// left is how much more the organisation's jobs may use within its share.
 	left int64
-	// beyondAt is the latest review that found a job beyond the share. beyondSince is that of
-	// the first one, while the participant is logged as beyond.
+	// beyondAt is the time of the latest review that found a job beyond the share. While logged
+	// is set, the participant was reported as beyond its share, at beyondSince.
 	beyondAt    time.Duration
 	beyondSince time.Duration
 	logged      bool
@@ -51,15 +52,15 @@
 // entitlement returns the participant's entitlement at a level. It is never zero: one that uses
 // nothing has its first job served, however small its weight, or it would starve while others use
 // all of the capacity.
-func (by *participant) entitlement(level float64) int64 {
-	return max(1, by.demand.Entitlement(level))
+func (m *participant) entitlement(level float64) int64 {
+	return max(1, m.demand.Entitlement(level))
 }
 
 // fairnessRow is what a review finds of one open job.
 type fairnessRow struct {
-	by    *participant
-	wants int64
-	begun bool
+	member *participant
+	wants  int64
+	begun  bool
 }
 
 // OrganisationShare is the share of an organisation while its pool lacks room, in thousandths of
@@ -97,8 +98,8 @@
 		p.countParticipants(now) // otherwise the latest review has counted them
 	}
 	uses := make([]jayshare.Use, 0, len(f.participants))
-	for organisation, by := range f.participants {
-		if u := by.here; u.UsedMilli > 0 || u.WantedMilli > 0 {
+	for organisation, member := range f.participants {
+		if u := member.here; u.UsedMilli > 0 || u.WantedMilli > 0 {
 			u.Organisation = organisation
 			uses = append(uses, u)
 		}
@@ -113,9 +114,9 @@
 // Shares returns the organisations' shares while they are in force, in the order of their names.
 func (p *Pool) Shares() []OrganisationShare {
 	shares := make([]OrganisationShare, 0, len(p.fairness.participants))
-	for organisation, by := range p.fairness.participants {
-		if by.demand.Milli > 0 {
-			shares = append(shares, OrganisationShare{Organisation: organisation, ShareMilli: by.demand.Share(p.fairness.level)})
+	for organisation, member := range p.fairness.participants {
+		if member.demand.Milli > 0 {
+			shares = append(shares, OrganisationShare{Organisation: organisation, ShareMilli: member.demand.Share(p.fairness.level)})
 		}
 	}
 	slices.SortFunc(shares, func(a, b OrganisationShare) int { return strings.Compare(a.Organisation, b.Organisation) })
@@ -181,10 +182,10 @@
 		was := j.beyondShare
 		// A job that has begun within the share stays there: its own tasks, once they run, must
 		// not put it behind others.
-		j.beyondShare = row.by.left <= 0 && (was || !row.begun)
-		row.by.left -= row.wants
+		j.beyondShare = row.member.left <= 0 && (was || !row.begun)
+		row.member.left -= row.wants
 		if j.beyondShare {
-			row.by.beyondAt = now
+			row.member.beyondAt = now
 		}
 		changed = changed || j.beyondShare != was
 	}
@@ -215,8 +216,8 @@
 	if f.participants == nil {
 		f.participants = map[string]*participant{}
 	}
-	for _, by := range f.participants {
-		by.here, by.elsewhere = jayshare.Use{}, jayshare.Use{}
+	for _, member := range f.participants {
+		member.here, member.elsewhere = jayshare.Use{}, jayshare.Use{}
 	}
 	if now-f.heardAt <= jayshare.MaxAge {
 		for _, u := range f.elsewhere {
@@ -228,12 +229,12 @@
 		used, wanted := j.usedAndWanted(now)
 		row := fairnessRow{wants: wanted, begun: j.started || used > 0}
 		if used > 0 || wanted > 0 {
-			row.by = f.participant(j.spec.Organisation)
-			if row.by.here.WantedMilli == 0 && wanted > 0 {
+			row.member = f.participant(j.spec.Organisation)
+			if row.member.here.WantedMilli == 0 && wanted > 0 {
 				wanting++
 			}
-			row.by.here.UsedMilli += used
-			row.by.here.WantedMilli += wanted
+			row.member.here.UsedMilli += used
+			row.member.here.WantedMilli += wanted
 		}
 		f.rows = append(f.rows, row)
 	}
@@ -241,12 +242,12 @@
 }
 
 func (f *fairness) participant(organisation string) *participant {
-	by, known := f.participants[organisation]
+	member, known := f.participants[organisation]
 	if !known {
-		by = &participant{demand: jayshare.Demand{Weight: f.weights[organisation]}}
-		f.participants[organisation] = by
+		member = &participant{demand: jayshare.Demand{Weight: f.weights[organisation]}}
+		f.participants[organisation] = member
 	}
-	return by
+	return member
 }
 
 // divideCapacity divides the capacity of all pools by what the participants use and want. Of the
@@ -256,19 +257,19 @@
 	f := &p.fairness
 	capacity := p.sharedRoom()
 	demands := make([]jayshare.Demand, 0, len(f.participants))
-	for organisation, by := range f.participants {
-		capacity += by.elsewhere.UsedMilli
-		used := by.here.UsedMilli + by.elsewhere.UsedMilli
-		by.demand.Milli = used + by.here.WantedMilli + by.elsewhere.WantedMilli
+	for organisation, member := range f.participants {
+		capacity += member.elsewhere.UsedMilli
+		used := member.here.UsedMilli + member.elsewhere.UsedMilli
+		member.demand.Milli = used + member.here.WantedMilli + member.elsewhere.WantedMilli
 		if quota := p.quotas.declared.Of[organisation].ProcessorsMilli; quota > 0 {
-			by.demand.Milli = max(used, min(by.demand.Milli, quota))
+			member.demand.Milli = max(used, min(member.demand.Milli, quota))
 		}
-		by.demand.Weight = f.weights[organisation]
-		demands = append(demands, by.demand)
+		member.demand.Weight = f.weights[organisation]
+		demands = append(demands, member.demand)
 	}
 	f.level = jayshare.Level(capacity, demands)
-	for _, by := range f.participants {
-		by.left = by.entitlement(f.level) - by.here.UsedMilli - by.elsewhere.UsedMilli
+	for _, member := range f.participants {
+		member.left = member.entitlement(f.level) - member.here.UsedMilli - member.elsewhere.UsedMilli
 	}
 }
 
@@ -302,17 +303,17 @@
 	if wants == 0 {
 		return false // no review would place it again
 	}
-	by, known := f.participants[j.spec.Organisation]
+	member, known := f.participants[j.spec.Organisation]
 	if !known {
-		by = f.participant(j.spec.Organisation)
-		by.left = by.entitlement(f.level)
+		member = f.participant(j.spec.Organisation)
+		member.left = member.entitlement(f.level)
 	}
-	beyond := by.left <= 0
-	by.left -= wants
+	beyond := member.left <= 0
+	member.left -= wants
 	return beyond
 }
 
-// endShares returns to the order without shares.
+// endShares returns to the order without shares, and reports whether a job was beyond a share.
 func (p *Pool) endShares(now time.Duration) (changed bool) {
 	if p.fairness.participants == nil {
 		return false
@@ -328,22 +329,22 @@
 
 // recordShareChanges records which organisations have jobs beyond their share since this review,
 // and which had none for shortageEndsAfter: an organisation at its share has some now and then. If
-// the shares are no longer in force, no organisation is beyond its share.
+// ended is set, the shares are no longer in force and no organisation is beyond its share.
 func (p *Pool) recordShareChanges(ended bool, now time.Duration) {
 	f := &p.fairness
 	for _, organisation := range sortedNames(f.participants) {
-		by := f.participants[organisation]
+		member := f.participants[organisation]
 		kind, since := BeyondShare, time.Duration(0)
 		switch {
-		case !by.logged && by.beyondAt == now:
-			by.logged, by.beyondSince = true, now
-		case by.logged && (now-by.beyondAt >= shortageEndsAfter || ended):
-			by.logged, kind, since = false, WithinShare, now-by.beyondSince
+		case !member.logged && member.beyondAt == now:
+			member.logged, member.beyondSince = true, now
+		case member.logged && (now-member.beyondAt >= shortageEndsAfter || ended):
+			member.logged, kind, since = false, WithinShare, now-member.beyondSince
 		default:
 			continue
 		}
 		detail := fmt.Sprintf("used here %d, used elsewhere %d, wanted here %d, wanted elsewhere %d, share %d, in thousandths of a core",
-			by.here.UsedMilli, by.elsewhere.UsedMilli, by.here.WantedMilli, by.elsewhere.WantedMilli, by.demand.Share(f.level))
+			member.here.UsedMilli, member.elsewhere.UsedMilli, member.here.WantedMilli, member.elsewhere.WantedMilli, member.demand.Share(f.level))
 		if organisation == "" {
 			detail = "jobs without an organisation, " + detail
 		}
--- a/jaysched/heldback.go
+++ b/jaysched/heldback.go
@@ -45,9 +45,10 @@
 	return false
 }
 
-// stepCouldStart reports the same of the tasks of a step. The first task that waits and is not
-// isolated stands for the later ones. Gangs do not count: whether all members find room is known
-// only once they are placed.
+// stepCouldStart reports whether any task of a step could start now if there were no limit of
+// starts. The first task that waits and is not isolated stands for the later ones: if it has no
+// room, this is noted for the steps that need as much or more. Gangs do not count: whether all
+// members find room is known only once they are placed.
 func (p *Pool) stepCouldStart(s *step, formerRuns bool, now time.Duration) bool {
 	if s.decl.Gang || p.smallerNeedUnmet(s) && !p.slowWorkerSuits(s, now) || !p.withinQuota(s, 1) {
 		return false
--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -26,7 +26,8 @@
 	// the slack of its jobs. With less, the deadline status of many jobs is wrong, and serving
 	// by target is better.
 	spreadsInSlack = 3.5
-	// spreadsToLeave is the same for a queue that is predictable already.
+	// spreadsToLeave takes the place of spreadsInSlack for a queue that counts as predictable, so
+	// that the queue does not change between the two orders at each review.
 	spreadsToLeave = 2.7
 	// spreadsToReorder is by how many spreads of its prediction a job must be late for the order to
 	// change, so that a pool whose hosts are about to arrive keeps its order.
@@ -40,7 +41,7 @@
 	expiryInterval = time.Second
 )
 
-// Arriving is a host that a pool gets after some time.
+// Arriving is the capacity of hosts that a pool can use after the time In.
 type Arriving struct {
 	CapacityMilli int64
 	In            time.Duration
@@ -53,6 +54,7 @@
 // targets alone, all jobs become slightly late, and jobs are accepted whose results come too late
 // for their callers.
 type outlook struct {
+	// beganAt is the time of the first review, or zero.
 	beganAt time.Duration
 	// reviewedAt is when the waiting work was summed up.
 	reviewedAt time.Duration
@@ -61,7 +63,7 @@
 	supply     jaysupply.Supply
 	// totals are the present and arriving capacities of the recent past.
 	totals []sample
-	// queues is what is known about the queues with open jobs.
+	// queues holds the outlook of the queues with open jobs, by name.
 	queues map[string]*queueOutlook
 	// lateAt is the latest time at which the waiting work made a job late, and lateSince when this
 	// began.
@@ -69,7 +71,7 @@
 	lateSince time.Duration
 	// byStatus says that jobs that can be on time are served first in predictable queues.
 	byStatus bool
-	// overloaded says that they are served first in all queues.
+	// overloaded says that jobs that can be on time are served first in all queues.
 	overloaded bool
 	// arrivingWork is the work that arrives, in thousandths of a core, of the jobs of a priority
 	// and more urgent ones. It is computed once between two reviews, when it is first needed.
@@ -81,10 +83,12 @@
 	// admitted are the jobs that were accepted and are not known to be stored.
 	admitted map[string]admittedJob
 	// recent are the admitted jobs that the waiting work does not contain yet.
-	recent   []admittedJob
+	recent []admittedJob
+	// places are the places of rejected jobs. expireAt is when unused places and outdated admitted
+	// jobs are searched for next.
 	places   *jayreturn.Queue
 	expireAt time.Duration
-	// left is used to compute the remaining time of a job.
+	// left is a buffer of forecastOf for the remaining time from each step of a job.
 	left []time.Duration
 }
 
@@ -230,7 +234,8 @@
 	return j.forecast.at == now && j.forecast.queue.predictable
 }
 
-// hasTarget reports whether a job is one that should be done by its target.
+// hasTarget reports whether a job is neither long-running nor timed: only other jobs have a target
+// that counts.
 func (j *job) hasTarget() bool {
 	return !j.longRunning && !j.spec.Schedule.Timed()
 }
@@ -290,7 +295,7 @@
 		takes := p.durations.predict(j.spec.Queue, s.decl.Estimate)
 		f.work += float64(s.waiting) * float64(needOf(s).ProcessorsMilli) * takes.Seconds()
 		if s.waiting == 0 {
-			takes = s.rest(takes, spread, now)
+			takes = s.remainingTime(takes, spread, now)
 		}
 		o.left[n] += takes
 		f.takes = max(f.takes, o.left[n])
@@ -299,8 +304,8 @@
 	return f
 }
 
-// rest returns the expected remaining time of a step all of whose tasks run.
-func (s *step) rest(takes time.Duration, spread float64, now time.Duration) time.Duration {
+// remainingTime returns the expected remaining time of a step none of whose tasks wait.
+func (s *step) remainingTime(takes time.Duration, spread float64, now time.Duration) time.Duration {
 	bound := time.Duration(spread * float64(takes))
 	rest := time.Duration(0)
 	for _, t := range s.tasks {
@@ -315,10 +320,11 @@
 	return rest
 }
 
-// reviewByOutlook sets the deadline status of a job by the outlook. The bounds differ by the
-// spread of the prediction for a job that changes its status back, so that no job changes it at
-// each review. A job most of whose tasks are done may exceed its target by the spread and is
-// served as if its target were earlier by as much: the work already done would be lost with it.
+// reviewByOutlook sets the deadline status of a job by the outlook. A job that is late or expired
+// regains the better status only at an earlier predicted end, by the spread of the prediction or
+// twice the spread, so that no job changes its status at each review. A job most of whose tasks are
+// done may exceed its target by the spread and is served as if its target were earlier by as much:
+// if the job were given up, the work already done would be lost.
 func (p *Pool) reviewByOutlook(j *job, now time.Duration) {
 	f := &j.forecast
 	margin := time.Duration(f.queue.spread * float64(f.takes))
@@ -412,7 +418,8 @@
 	}
 }
 
-// waitsForQuota reports whether a task of the job that could start now waits for a quota.
+// waitsForQuota reports whether a task of the job that could start now waits for a quota, and
+// records a reached quota as quotaAllows does.
 func (p *Pool) waitsForQuota(j *job, now time.Duration) bool {
 	if p.quotas.none() {
 		return false
@@ -427,8 +434,8 @@
 
 // Admission is the decision on a job that is to be stored.
 type Admission struct {
-	// Rejected says that the job cannot be done while its result is of use. RetryAfter is when
-	// its turn is likely to come.
+	// Rejected says that the job cannot be done while its result is of use. RetryAfter is the time
+	// until the job's turn is likely to come.
 	Rejected   bool
 	RetryAfter time.Duration
 }
@@ -508,8 +515,8 @@
 	return admitted
 }
 
-// maxRetryAfter limits how far ahead a place may be: beyond, the rate at which work is done says
-// little.
+// maxRetryAfter limits how far ahead a place may be: the present rate of finished work does not
+// predict a later time.
 const maxRetryAfter = 10 * time.Minute
 
 // recordRejection records a rejection with the outlook behind it.
@@ -525,8 +532,8 @@
 }
 
 // mayReject reports whether a job may be rejected at all: the outlook is known, and no request in
-// flight is known that may store the job. Until tasks have lacked room for the
-// time in which the fleet moves a host, hosts may be on their way that are not known yet.
+// flight is known that may store the job. Until tasks have lacked room for the time in which the
+// fleet moves a host, hosts may be on their way that are not known yet.
 func (p *Pool) mayReject(spec *jayspec.Job, now time.Duration) bool {
 	o := p.outlook
 	if spec.LongRunning() || spec.Schedule.Timed() {
@@ -613,13 +620,15 @@
 	return onTimeWork, usefulWork
 }
 
-// stored handles a job that is known to be stored.
+// stored removes the place and the admission of a job that is known to be stored: the job itself
+// counts from then on.
 func (o *outlook) stored(id string) {
 	o.places.Remove(id)
 	delete(o.admitted, id)
 }
 
-// AppendEnded handles the end of a request for an admitted job that did not store it.
+// AppendEnded handles the end of a request that did not store its admitted job. The job no longer
+// counts as waiting once all its requests have ended.
 func (p *Pool) AppendEnded(id string) {
 	a, admitted := p.outlook.admitted[id]
 	if !admitted {
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -105,7 +105,8 @@
 	return false
 }
 
-// withinQuota reports the same as quotaAllows, but records nothing.
+// withinQuota reports whether the quota of a step's organisation lets some of its tasks start.
+// Unlike quotaAllows, it records nothing.
 func (p *Pool) withinQuota(s *step, tasks int) bool {
 	q, organisation := &p.quotas, s.job.spec.Organisation
 	if organisation == "" || q.none() {
--- a/jaysched/release.go
+++ b/jaysched/release.go
@@ -183,10 +183,10 @@
 	return now-r.orderedAt > time.Duration(overdueFactor*float64(takes))
 }
 
-// restartable reports whether a run may be stopped and started anew. Ordinary runs end soon and
-// are waited for: their restarts cost more work than the wait. A task that
-// was restarted once is waited for, so that no task starts again and again. Members of a gang lose
-// the progress of the whole gang, and suspects need a worker of their own.
+// restartable reports whether a run may be stopped and started anew. Runs that are not overdue end
+// soon and are waited for: their restarts cost more work than the wait. A task that was restarted
+// once is waited for, so that no task starts again and again. The restart of a gang's member would
+// lose the progress of the whole gang, and a suspect needs a worker of its own.
 func (p *Pool) restartable(r *run, now time.Duration) bool {
 	s := r.task.step
 	return r.phase == running && p.overdue(r, now) && len(r.task.runs) == 1 && !r.task.released &&
--- a/jaysched/speed.go
+++ b/jaysched/speed.go
@@ -40,6 +40,7 @@
 // The evidence must not wait for the ends of these tasks, nor confuse such a worker with a sound
 // one that has some long tasks, or a job whose estimate is wrong.
 type speeds struct {
+	// byQueue holds the errors of the predicted durations by queue.
 	byQueue  map[string]*jayspeed.Errors
 	reviewAt time.Duration
 	// from is when the predictions were last found to be wrong: runs that began earlier show
@@ -64,9 +65,11 @@
 	// reportedAt is when the worker last reported its runs: only until then are they known to
 	// be running.
 	reportedAt time.Duration
-	// from is when the worker's speed last became known by other means, such as the end of its
-	// warm-up: runs that began earlier show nothing about its present speed.
+	// from is when the worker was last warming up or last stopped counting as slow: runs that
+	// began earlier show nothing about its present speed. It is zero if neither was the case, and
+	// after the predictions were found to be wrong, where speeds.from applies.
 	from time.Duration
+	// ends are the recent ends of runs on the worker, the oldest first.
 	ends []jayspeed.Run
 	slow bool
 	// slowSince is when the worker was recognised as slow, changedAt is when it became slow by
@@ -74,7 +77,8 @@
 	slowSince time.Duration
 	changedAt time.Duration
 	factor    float64
-	// fastScore is the evidence of runs that began since then that the worker is fast again.
+	// fastScore is the evidence that the worker is fast again, from runs that were ordered since
+	// slowSince.
 	fastScore float64
 	// probe is the latest probe, probingStep is the step whose task is about to be one.
 	probe       *run
@@ -96,8 +100,8 @@
 	return p.settings.WorkerSpeeds || p.settings.CopyShare > 0
 }
 
-// factorOn returns by how much longer runs take on a worker than predicted.
-func (w *worker) factorOn() float64 {
+// slowdown returns by how much longer runs take on a worker than predicted.
+func (w *worker) slowdown() float64 {
 	if !w.pace.slow {
 		return 1
 	}
@@ -201,12 +205,12 @@
 			observed++
 		case len(seen) >= jayspeed.MinRuns:
 			observed++
-			if s, is := jayspeed.Examine(seen, byJob, w.pace.reportedAt); is {
-				found = append(found, suspectedSlow{worker: w, Slowness: s})
+			if slowness, looksSlow := jayspeed.Examine(seen, byJob, w.pace.reportedAt); looksSlow {
+				found = append(found, suspectedSlow{worker: w, Slowness: slowness})
 			}
 		}
 	}
-	if looking := slow + len(found); looking > 1 && float64(looking) > distrustShare*float64(observed) {
+	if lookSlow := slow + len(found); lookSlow > 1 && float64(lookSlow) > distrustShare*float64(observed) {
 		p.distrustPredictions(now)
 	} else {
 		for _, s := range found {
@@ -257,8 +261,8 @@
 	}
 }
 
-// weighRecovery adds the end of a run that began on a slow worker after that was recognised to
-// the evidence that the worker is fast again.
+// weighRecovery adds the end of a run to the evidence that a slow worker is fast again, if the run
+// was ordered after the worker was recognised as slow.
 func (p *Pool) weighRecovery(w *worker, r *run, o jayspeed.Run, now time.Duration) {
 	if !w.pace.slow || r.orderedAt < w.pace.slowSince {
 		return
@@ -445,6 +449,7 @@
 			continue
 		}
 		for _, r := range w.inOrder {
+			// The room stays taken during the search, so that no two runs count on it.
 			if target := p.fasterWorker(r, now); target != nil && p.sooner(r, now) {
 				target.free = target.free.Sub(r.need)
 				reserved, at = append(reserved, r), append(at, target)
@@ -467,7 +472,7 @@
 		return false
 	}
 	left := p.remainingTime(r, now)
-	elsewhere := migrationCost + time.Duration(float64(left)/r.worker.factorOn())
+	elsewhere := migrationCost + time.Duration(float64(left)/r.worker.slowdown())
 	return left > elsewhere+migrationSlack
 }
 
@@ -486,7 +491,8 @@
 	return best
 }
 
-// worth returns what some capacity of a worker is worth at its speed.
+// worth returns a capacity of the worker divided by its slowdown, which is the capacity of a sound
+// worker that does as much.
 func (w *worker) worth(milli int64) float64 {
-	return float64(milli) / w.factorOn()
+	return float64(milli) / w.slowdown()
 }
--- a/jayshare/ledger.go
+++ b/jayshare/ledger.go
@@ -27,7 +27,7 @@
 	totals  map[string]Use
 }
 
-// report is the latest report of a pool.
+// report is the latest report of a pool, and the time at which it was asked for.
 type report struct {
 	at   time.Duration
 	uses map[string]Use
@@ -53,7 +53,7 @@
 }
 
 // Elsewhere returns what each organisation uses and wants in all pools but one, without those
-// that neither use nor want anything. Pools that have not reported for MaxAge do not count.
+// that neither use nor want anything. Reports older than MaxAge are removed and do not count.
 func (l *Ledger) Elsewhere(pool string, now time.Duration) []Use {
 	for other, r := range l.reports {
 		if now-r.at > MaxAge {
@@ -81,6 +81,7 @@
 	delete(l.reports, pool)
 }
 
+// count adds a use to the total of its organisation, or subtracts it if the sign is negative.
 func (l *Ledger) count(u Use, sign int64) {
 	total := l.totals[u.Organisation].add(u, sign)
 	if total.UsedMilli == 0 && total.WantedMilli == 0 {
--- a/jayspeed/errors.go
+++ b/jayspeed/errors.go
@@ -53,39 +53,40 @@
 	return math.Hypot(s.job, taskSpread)
 }
 
-// Add adds the error of a prediction.
-func (r *Errors) Add(e float64) {
-	if len(r.recent) < MaxErrors {
-		r.recent = append(r.recent, e)
+// Add adds the error of a prediction: the logarithm of the ratio of observed to predicted
+// duration.
+func (e *Errors) Add(logError float64) {
+	if len(e.recent) < MaxErrors {
+		e.recent = append(e.recent, logError)
 	} else {
-		r.recent[r.next] = e
-		r.next = (r.next + 1) % MaxErrors
+		e.recent[e.next] = logError
+		e.next = (e.next + 1) % MaxErrors
 	}
-	r.added++
-	if len(r.recent) >= MinErrors && (r.added-MinErrors)%errorsPerUpdate == 0 {
-		r.update()
+	e.added++
+	if len(e.recent) >= MinErrors && (e.added-MinErrors)%errorsPerUpdate == 0 {
+		e.update()
 	}
 }
 
 // update computes the spread. The median is not affected by tasks that last long by themselves.
 // All of it beyond taskSpread is attributed to jobs, which makes the tasks of one job count for
 // less evidence, not more.
-func (r *Errors) update() {
-	absolute := make([]float64, len(r.recent))
-	for n, e := range r.recent {
-		absolute[n] = math.Abs(e)
+func (e *Errors) update() {
+	absolute := make([]float64, len(e.recent))
+	for n, logError := range e.recent {
+		absolute[n] = math.Abs(logError)
 	}
 	slices.Sort(absolute)
 	total := spreadMargin * madToDeviation * absolute[len(absolute)/2]
-	r.spread.job = math.Sqrt(max(minJobSpread*minJobSpread, total*total-taskSpread*taskSpread))
+	e.spread.job = math.Sqrt(max(minJobSpread*minJobSpread, total*total-taskSpread*taskSpread))
 }
 
 // Learned reports whether the durations of the queue are known.
-func (r *Errors) Learned() bool {
-	return r.added >= MinErrors
+func (e *Errors) Learned() bool {
+	return e.added >= MinErrors
 }
 
 // Spread returns the spread of the predictions, which is known once Learned.
-func (r *Errors) Spread() Spread {
-	return r.spread
+func (e *Errors) Spread() Spread {
+	return e.spread
 }
--- a/jaysupply/supply.go
+++ b/jaysupply/supply.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// MaxTime stands for work that the capacity does not suffice for.
+// MaxTime is the time returned for work that the capacity cannot complete sooner.
 const MaxTime = 1000 * time.Hour
 
 // Supply is the capacity of a pool from now on, in thousandths of a core, as steps in time. The
