Names: target lead, speed evidence, minimum of errors, one join delay

Cause: a newcomer's reading found a figurative name, a name used for two meanings and a constant that stood twice. Change: names and comments only.

--- a/jayburst/rule.go
+++ b/jayburst/rule.go
@@ -16,6 +16,8 @@
 	missWeight = 2
 	// minIntervals is the number of intervals from which regularity can be judged.
 	minIntervals = 3
+	// minErrors is the number of errors from which they give the uncertainty.
+	minErrors = 2
 	// rememberedErrors is the number of recent errors that give the uncertainty.
 	rememberedErrors = 12
 	// errorQuantile and errorFactor give the uncertainty as a multiple of a quantile of the
@@ -111,7 +113,7 @@
 // from how much the intervals of all rules differ.
 func (e *experience) uncertainty() (within time.Duration, known bool) {
 	errors := e.errors
-	if len(errors) < confirmingSamples {
+	if len(errors) < minErrors {
 		if len(e.intervals) < minIntervals {
 			return 0, false
 		}
--- a/jayfleet/predict.go
+++ b/jayfleet/predict.go
@@ -6,14 +6,9 @@
 	"jaythread/jayburst"
 )
 
-const (
-	// reportDelay is how long it takes until a host that has arrived can be used: the time
-	// for its first report.
-	reportDelay = 200 * time.Millisecond
-	// minBurstShare is the share of the mean capacity of a pool below which arriving work is
-	// no burst: the pool's own hosts serve it.
-	minBurstShare = 0.2
-)
+// minBurstShare is the share of the mean capacity of a pool below which arriving work is no
+// burst: the pool's own hosts serve it.
+const minBurstShare = 0.2
 
 // burstPredictor predicts the bursts of the pools.
 //
@@ -52,7 +47,7 @@
 
 // burstLead returns how long before the begin of a burst its hosts must be requested.
 func burstLead(s Settings) time.Duration {
-	return s.MoveTime + reportDelay
+	return s.MoveTime + joinDelay
 }
 
 // observeBursts adds the arriving work of a pool to the samples.
--- a/jaysched/deadline.go
+++ b/jaysched/deadline.go
@@ -42,16 +42,16 @@
 	p.outlook.overloaded = overloaded
 	changed := false
 	for _, j := range p.open {
-		was, favour := j.deadlineStatus, j.favour
+		was, formerLead := j.deadlineStatus, j.targetLead
 		switch {
 		case byOutlook && j.servedByOutlook(now):
 			p.reviewByOutlook(j, now)
 		case overloaded:
-			j.deadlineStatus, j.favour = p.deadlineStatusOf(j, now), 0
+			j.deadlineStatus, j.targetLead = p.deadlineStatusOf(j, now), 0
 		default:
-			j.deadlineStatus, j.favour = onTime, 0
+			j.deadlineStatus, j.targetLead = onTime, 0
 		}
-		changed = changed || j.deadlineStatus != was || j.favour != favour
+		changed = changed || j.deadlineStatus != was || j.targetLead != formerLead
 	}
 	changed = p.reviewShares(overloaded, now) || changed
 	if changed {
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -65,10 +65,10 @@
 	// target is when the job should be done.
 	target         time.Duration
 	deadlineStatus deadlineStatus
-	// chain is how long the job takes if it runs alone, favour by how much its target counts as
+	// chain is how long the job takes if it runs alone, targetLead by how much its target counts as
 	// earlier in the order.
-	chain, favour time.Duration
-	forecast      jobForecast
+	chain, targetLead time.Duration
+	forecast          jobForecast
 	// beyondShare says that other jobs use the share of the job's organisation.
 	beyondShare bool
 	occurrences []*occurrence
--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -328,12 +328,12 @@
 func (p *Pool) reviewByOutlook(j *job, now time.Duration) {
 	f := &j.forecast
 	margin := time.Duration(f.queue.spread * float64(f.takes))
-	j.favour = 0
+	j.targetLead = 0
 	if f.mostlyDone {
-		j.favour = margin
+		j.targetLead = margin
 	}
 	ends := now + f.takes
-	target, useful := j.target+j.favour, j.submittedAt+maxLateFactor*(j.target-j.submittedAt)+margin
+	target, useful := j.target+j.targetLead, j.submittedAt+maxLateFactor*(j.target-j.submittedAt)+margin
 	if j.deadlineStatus != onTime {
 		target -= margin
 	}
@@ -409,7 +409,7 @@
 			w = &waitingWork{}
 			o.waiting[j.priority] = w
 		}
-		w.byStatus[j.deadlineStatus].add(j.target-j.favour, j.forecast.work)
+		w.byStatus[j.deadlineStatus].add(j.target-j.targetLead, j.forecast.work)
 		o.waitingMilli += j.forecast.work
 	}
 	o.recent = o.recent[:0]
--- a/jaysched/queue.go
+++ b/jaysched/queue.go
@@ -34,6 +34,6 @@
 		cmp.Compare(a.priority, b.priority),
 		cmp.Compare(a.deadlineStatus, b.deadlineStatus),
 		compareBool(a.beyondShare, b.beyondShare),
-		cmp.Compare(a.target-a.favour, b.target-b.favour),
+		cmp.Compare(a.target-a.targetLead, b.target-b.targetLead),
 	)
 }
--- a/jaysched/speed.go
+++ b/jaysched/speed.go
@@ -129,11 +129,11 @@
 	return takes
 }
 
-// sight returns what a run shows about the speed of its worker at a time. Nothing is shown by
+// evidenceOf returns what a run shows about the speed of its worker at a time. Nothing is shown by
 // best-effort runs, whose speed is limited, by resumed ones, by those whose begin is unknown, or
 // whose queue has no learned durations. The percentage in a worker's report is ignored: only
 // best-effort runs are ever throttled, and other runs may report less than 100 as well.
-func (p *Pool) sight(r *run, at time.Duration, ended bool) (o jayspeed.Run, ok bool) {
+func (p *Pool) evidenceOf(r *run, at time.Duration, ended bool) (o jayspeed.Run, ok bool) {
 	s := r.task.step
 	adopted := r.attempt == 0
 	if s.decl.LongRunning || s.decl.Fills || s.decl.Gang || s.decl.Estimate <= 0 || adopted || r.checkpoint != "" {
@@ -157,7 +157,7 @@
 		return true
 	}
 	w, s := r.worker, r.task.step
-	o, shows := p.sight(r, now, true)
+	o, shows := p.evidenceOf(r, now, true)
 	if shows {
 		w.pace.ends = append(w.pace.ends[max(0, len(w.pace.ends)-maxRecentEnds+1):], o)
 		p.weighRecovery(w, r, o, now)
@@ -190,7 +190,7 @@
 		if w.Warming > 0 {
 			w.pace.from = now
 		}
-		seen := p.sightings(w)
+		seen := p.speedEvidence(w)
 		seenOn[w] = seen
 		if !w.pace.slow {
 			byJob.Add(seen)
@@ -220,14 +220,14 @@
 	p.countSlow()
 }
 
-// sightings returns what the runs and the recent ends of a worker show about its speed.
-func (p *Pool) sightings(w *worker) []jayspeed.Run {
+// speedEvidence returns what the runs and the recent ends of a worker show about its speed.
+func (p *Pool) speedEvidence(w *worker) []jayspeed.Run {
 	var seen []jayspeed.Run
 	for _, r := range w.inOrder {
 		if r.phase != running && r.phase != stopping {
 			continue
 		}
-		if o, ok := p.sight(r, w.pace.reportedAt, false); ok && o.Began >= p.speeds.from {
+		if o, ok := p.evidenceOf(r, w.pace.reportedAt, false); ok && o.Began >= p.speeds.from {
 			seen = append(seen, o)
 		}
 	}
--- a/jaysched/speed_test.go
+++ b/jaysched/speed_test.go
@@ -103,7 +103,7 @@
 	declare(w, newSpec("j", 2))
 	w.pace(1800 * time.Millisecond)
 	ended := map[int]bool{}
-	for _, o := range w.pool.sightings(w.pool.workers["w0"]) {
+	for _, o := range w.pool.speedEvidence(w.pool.workers["w0"]) {
 		ended[o.Step] = o.Ended
 	}
 	is.Equal(ended, map[int]bool{0: true, 1: false})
