The fleet's commands keep to the inventory's rate and to what they rest on

Cause: the owner of the fleet decided some 4,000 moves within 1.5 s when all pools of a new fleet were idle, each with a goroutine, a record and a call. Most ended with "no free connections", were taken for in doubt although no byte was sent, and were repeated all together 300 ms later, without asking whether the host was still empty.

Hosts for pools come first, standby last. No more idle hosts are closed than can move within 0.3 s. - A command that was not sent (no connection, refused dial) or was rejected for its rate has no effect and is decided again. - Each command carries the latest time at which it may be sent, so that its call ends while the pool keeps the host closed. A repetition needs a fresh report that the host is closed; a listing that shows the effect confirms a command without an answer. - A pool keeps the hosts closed that a former owner of the fleet named, until that owner's orders expire; reports of a pool's former owner no longer count. - One log line for all hosts of a step to which the same happens.

--- a/jaycli/serve_jobs.go
+++ b/jaycli/serve_jobs.go
@@ -70,6 +70,8 @@
 		ProcessorsMilli: int64(s.Processors * 1000),
 		LinkMegabits:    int64(math.Ceil(s.LinkMegabits)), // zero would be an unknown link
 		StoreReadRate:   s.StoreReadRate,
+		HostCommandRate: s.InventoryCommandRate,
+		HostCommands:    s.CommandsInFlight(),
 		MaxLease:        time.Duration(s.MaxLease),
 		StopTime:        time.Duration(s.StopTime),
 		FarFactor:       s.FarFactor,
@@ -84,7 +86,7 @@
 	}, jaynode.Ports{
 		Store:     platform.NewStore(s.StoreAddr),
 		Workers:   platform.NewWorkers(),
-		Inventory: platform.NewInventory(s.InventoryAddr),
+		Inventory: platform.NewInventory(s.InventoryAddr, s.CommandsInFlight()),
 		Advisor:   platform.NewAdvisor(s.AdvisorAddr),
 		Formats:   platform.Formats{},
 	}, logger, jaynode.WithMetrics(metrics))
--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -85,6 +85,7 @@
 func (f *Fleet) balance(now time.Duration) {
 	balances := f.balances(now)
 	free := f.free(now)
+	f.countClosing(now)
 	f.short = false
 	for _, b := range balances {
 		f.fill(b, &free, balances, now)
@@ -148,7 +149,9 @@
 func (f *Fleet) fillTo(to *poolBalance, hosts int, why string, free *[]*host, balances []*poolBalance, now time.Duration) {
 	for to.have < hosts {
 		if len(*free) > 0 {
-			f.begin((*free)[0], moving{to: to.pool}, why, now)
+			if !f.begin((*free)[0], moving{to: to.pool}, why, now) {
+				return
+			}
 			*free = (*free)[1:]
 			to.have++
 			continue
@@ -168,7 +171,7 @@
 		}
 		restarts := from.restarts && to.farShort
 		h, drains := from.reclaimable(restarts, now)
-		if h == nil {
+		if h == nil || !drains && !f.takeClosing() {
 			continue
 		}
 		from.drop(h)
@@ -200,13 +203,37 @@
 	h.divided, h.restart = false, false
 }
 
-// finishMoves moves the hosts that their pools have emptied. A host that is still busy
+// countClosing sets how many idle hosts may be closed for moves now: those that the pace allows,
+// without those that are closed already and wait to move.
+func (f *Fleet) countClosing(now time.Duration) {
+	f.closingLeft = len(f.sorted)
+	if most, limited := f.pace.closable(now); limited {
+		f.closingLeft = most
+	}
+	for _, h := range f.sorted {
+		if h.vacating == forMove && !h.drains && h.commandDone == 0 {
+			f.closingLeft--
+		}
+	}
+}
+
+// takeClosing reports whether one more idle host may be closed for a move, and counts it if so.
+func (f *Fleet) takeClosing() bool {
+	if f.closingLeft <= 0 {
+		return false
+	}
+	f.closingLeft--
+	return true
+}
+
+// finishMoves moves the hosts that their pools have emptied, either those for standby or those
+// for other pools. A host that is still busy
 // after its drain time, or that was expected to be idle but is not, stays in its pool. So does a
 // host whose runs may be restarted if its pool's owner reports nothing: the pool that the host is
 // given to would count the host for as long as the owner is silent.
-func (f *Fleet) finishMoves(now time.Duration) {
+func (f *Fleet) finishMoves(toStandby bool, now time.Duration) {
 	for _, h := range f.sorted {
-		if h.vacating != forMove || h.command != nil {
+		if h.vacating != forMove || h.command != nil || f.standby[h.moveTo] != toStandby {
 			continue
 		}
 		reported := f.demands[h.Pool].At > h.vacatingSince
@@ -235,6 +262,9 @@
 			if l.Idle < f.minIdleTime(b, enoughStandby) {
 				continue
 			}
+			if !f.takeClosing() {
+				return
+			}
 			b.drop(h)
 			b.have--
 			h.vacate(target, false, now)
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -1,6 +1,7 @@
 package jayfleet
 
 import (
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -18,6 +19,12 @@
 	// HeldUntil is the time until which this owner sends no commands to a host, by host
 	// name. It lists hosts that previous owners have recently sent commands to.
 	HeldUntil map[string]time.Duration
+	// CommandRate is the number of commands per second that the inventory serves, and
+	// CommandsInFlight the number that may wait for their answer. Zero is no limit.
+	CommandRate      float64
+	CommandsInFlight int
+	// CallTime is the maximum duration of a call to the inventory.
+	CallTime time.Duration
 	// DivideHosts and PredictBursts select decisions under load; see jayoptions.Overload.
 	DivideHosts   bool
 	PredictBursts bool
@@ -38,12 +45,17 @@
 	// From is the host's current pool and Why the reason; both are only logged.
 	From string
 	Why  string
+	// SendBy is the latest time at which the command may be sent: later the host's pool may
+	// start runs on it.
+	SendBy time.Duration
 }
 
 // MaintainHost starts the maintenance of a host for a wave.
 type MaintainHost struct {
 	Host string
 	Wave string
+	// SendBy is the same as for a move.
+	SendBy time.Duration
 }
 
 // RecordWave stores the progress of a wave.
@@ -113,6 +125,9 @@
 	Loads map[string]Load
 	// At is when the demand was reported.
 	At time.Duration
+	// superseded is set if the pool has another owner since. It does not know which hosts the
+	// former owner has closed.
+	superseded bool
 }
 
 // Fleet is the aggregate of all hosts, demands and waves. It is not safe for concurrent
@@ -140,7 +155,10 @@
 	// short reports whether some pool has fewer hosts than it can use soon.
 	short bool
 	// bursts predicts the bursts of the pools; it is nil if they are not predicted.
-	bursts      *burstPredictor
+	bursts *burstPredictor
+	pace   *commandPace
+	// closingLeft is the number of idle hosts that may still be closed for moves now.
+	closingLeft int
 	actions     []Action
 	hostChanges []HostChange
 }
@@ -216,6 +234,7 @@
 		demands:  map[string]Demand{},
 		waves:    map[string]*wave{},
 		bursts:   newBurstPredictor(settings),
+		pace:     newCommandPace(settings),
 
 		shortSince: map[string]time.Duration{},
 	}
@@ -253,6 +272,7 @@
 			f.hostChanges = append(f.hostChanges, HostChange{Host: listed.Name, Pool: listed.Pool, State: listed.State, Worker: listed.Worker})
 		}
 		h.Host = listed
+		f.confirmCommand(h, asked)
 		h.clearCompletedCommand(asked)
 	}
 	f.sorted = slices.DeleteFunc(f.sorted, func(h *host) bool {
@@ -264,6 +284,39 @@
 	slices.SortFunc(f.sorted, func(a, b *host) int { return strings.Compare(a.Name, b.Name) })
 }
 
+// confirmCommand takes a command without an answer for accepted if a listing that was requested
+// after it was sent shows its effect.
+func (f *Fleet) confirmCommand(h *host, asked time.Duration) {
+	if h.command == nil || h.commandDone > 0 || h.sending || asked < h.commandSent {
+		return
+	}
+	switch a := h.command.(type) {
+	case moving:
+		if h.Pool == a.to || h.State == jayport.HostMoving {
+			f.accept(h, asked)
+		}
+	case maintaining:
+		if h.State == jayport.HostMaintained {
+			f.accept(h, asked)
+		}
+	}
+}
+
+// accept records that the inventory has accepted the command on a host.
+func (f *Fleet) accept(h *host, now time.Duration) {
+	h.commandDone = now
+	h.vacating = notVacating
+	if m, ok := h.command.(maintaining); ok {
+		f.markMaintained(m.wave, h.Name)
+	}
+}
+
+// abandon gives up the command on a host.
+func (h *host) abandon() {
+	h.command = nil
+	h.vacating = notVacating
+}
+
 // clearCompletedCommand clears a command that the listing shows to be complete: it was
 // accepted before the listing was requested, and the host is neither moving nor being
 // maintained.
@@ -290,8 +343,18 @@
 	f.observeBursts(pool, d)
 }
 
-// HandleAnswer applies the inventory's answer to the command on a host.
+// PoolOwnerChanged discards what the former owner of a pool has reported about closed hosts.
+func (f *Fleet) PoolOwnerChanged(pool string) {
+	if d, known := f.demands[pool]; known {
+		d.superseded = true
+		f.demands[pool] = d
+	}
+}
+
+// HandleAnswer applies the inventory's answer to the command on a host. It must be called once
+// for each command.
 func (f *Fleet) HandleAnswer(name string, err error, now time.Duration) {
+	f.pace.answered(errors.Is(err, jayport.ErrRateExceeded), now)
 	h, known := f.hosts[name]
 	if !known || h.command == nil {
 		return
@@ -299,14 +362,12 @@
 	h.sending = false
 	switch outcome(err) {
 	case accepted:
-		h.commandDone = now
-		h.vacating = notVacating
-		if m, ok := h.command.(maintaining); ok {
-			f.markMaintained(m.wave, name)
-		}
+		f.accept(h, now)
 	case refused:
+		h.abandon()
+	case notMade:
+		// The host stays closed, so that the command is decided again at the next tick.
 		h.command = nil
-		h.vacating = notVacating
 	case inDoubt:
 		// The command may still be carried out, so it is repeated until its outcome is
 		// known.
@@ -343,11 +404,13 @@
 		f.decidingSince = now
 	}
 	if f.listedAt > 0 {
+		// The pace may not allow all commands. Pools that lack hosts come first, standby last.
 		f.resend(now)
-		f.finishMoves(now)
+		f.finishMoves(false, now)
 		f.predictBursts(now)
 		f.balance(now)
 		f.runWaves(now)
+		f.finishMoves(true, now)
 	}
 	return f.actions
 }
@@ -358,21 +421,40 @@
 	return now < f.settings.HeldUntil[h.Name]
 }
 
-// resendAfter is the delay before a command without an answer is repeated.
-const resendAfter = 300 * time.Millisecond
+const (
+	// resendAfter is the delay before a command without an answer is repeated.
+	resendAfter = 300 * time.Millisecond
+	// abandonAfter is the time after which a command without an answer is given up if it
+	// cannot be repeated because the host's pool does not keep the host closed.
+	abandonAfter = 5 * time.Second
+)
 
+// resend repeats commands without an answer on hosts that are still closed.
 func (f *Fleet) resend(now time.Duration) {
 	for _, h := range f.sorted {
-		if h.command != nil && h.commandDone == 0 && !h.sending && now >= h.commandSent+resendAfter {
-			f.send(h, "repeated", now)
+		if h.command == nil || h.commandDone > 0 || h.sending || now < h.commandSent+resendAfter {
+			continue
+		}
+		switch {
+		case f.empty(h, now):
+			if f.pace.take(now) {
+				f.send(h, "repeated", now)
+			}
+		case now >= h.commandSent+abandonAfter:
+			h.abandon()
 		}
 	}
 }
 
-func (f *Fleet) begin(h *host, a command, why string, now time.Duration) {
+// begin sends a command for an empty host. It returns false if the pace does not allow one now.
+func (f *Fleet) begin(h *host, a command, why string, now time.Duration) bool {
+	if !f.pace.take(now) {
+		return false
+	}
 	h.command = a
 	h.commandDone = 0
 	f.send(h, why, now)
+	return true
 }
 
 func (f *Fleet) send(h *host, why string, now time.Duration) {
@@ -380,10 +462,20 @@
 	h.commandSent = now
 	switch a := h.command.(type) {
 	case moving:
-		f.actions = append(f.actions, MoveHost{Host: h.Name, Pool: a.to, From: h.Pool, Why: why})
+		f.actions = append(f.actions, MoveHost{Host: h.Name, Pool: a.to, From: h.Pool, Why: why, SendBy: f.sendBy(h, now)})
 	case maintaining:
-		f.actions = append(f.actions, MaintainHost{Host: h.Name, Wave: a.wave})
+		f.actions = append(f.actions, MaintainHost{Host: h.Name, Wave: a.wave, SendBy: f.sendBy(h, now)})
+	}
+}
+
+// sendBy returns the latest time at which a command on an empty host may be sent, so that the
+// call ends while the host's pool still keeps the host closed.
+func (f *Fleet) sendBy(h *host, now time.Duration) time.Duration {
+	latest := now + maxCommandAge
+	if f.standby[h.Pool] {
+		return latest
 	}
+	return min(latest, f.demands[h.Pool].At+jayport.ClosedTime-f.settings.CallTime)
 }
 
 // load returns the load that the pool of a host last reported for the host.
@@ -412,11 +504,11 @@
 		return true
 	}
 	l, known := f.load(h)
-	fresh := now-f.demands[h.Pool].At < maxDemandAge
+	d := f.demands[h.Pool]
+	fresh := now-d.At < maxDemandAge && !d.superseded
 	return known && fresh && l.Vacated
 }
 
 // maxDemandAge is the maximum age of a demand for the pool to be balanced or for one of
-// its hosts to be considered empty. The pool's owner starts no runs on a vacated host for
-// two seconds after the last request to vacate it, which is longer.
+// its hosts to be considered empty. It is shorter than jayport.ClosedTime.
 const maxDemandAge = time.Second
--- a/jayfleet/guard.go
+++ b/jayfleet/guard.go
@@ -82,10 +82,10 @@
 	return g.FencesChecked || stuck < maxCommandAge
 }
 
-// MaySend reports whether a command of the given age may be sent. The age must include
-// time during which the process was paused.
-func (g Guard) MaySend(record RecordState, age time.Duration) bool {
-	if age > maxCommandAge {
+// MaySend reports whether a command may be sent now that had to be sent by the given time. The
+// times must include those during which the process was paused.
+func (g Guard) MaySend(record RecordState, sendBy, now time.Duration) bool {
+	if now > sendBy {
 		return false
 	}
 	return g.FencesChecked || record == Recorded
--- a/jayfleet/guard_test.go
+++ b/jayfleet/guard_test.go
@@ -12,7 +12,7 @@
 	checked, unchecked := Guard{FencesChecked: true}, Guard{}
 	sends := func(g Guard, record RecordState, age time.Duration, want bool) {
 		t.Run(fmt.Sprintf("checked %v record %d age %v", g.FencesChecked, record, age), func(t *testing.T) {
-			is.New(t).Equal(g.MaySend(record, age), want)
+			is.New(t).Equal(g.MaySend(record, maxCommandAge, age), want)
 		})
 	}
 	sends(checked, Recorded, 0, true)
@@ -119,7 +119,7 @@
 	case r.answered > r.guard.RecordTimeout():
 		record = RecordPending
 	}
-	if !r.guard.MaySend(record, r.sentAt) {
+	if !r.guard.MaySend(record, maxCommandAge, r.sentAt) {
 		return 0, false
 	}
 	return r.sentAt + r.callTime, true
--- a/jayfleet/outcome.go
+++ b/jayfleet/outcome.go
@@ -15,12 +15,13 @@
 const (
 	accepted outcomeKind = iota
 	refused
+	notMade
 	inDoubt
 )
 
-// outcome classifies the answer to a command. A refused command has no effect; a command
-// without an answer may still be carried out. A call rejected by a rate limit was not made
-// and is repeated.
+// outcome classifies the answer to a command. A refused command has no effect, and neither has
+// one that was not sent or was rejected for its rate; a command without an answer may still be
+// carried out.
 func outcome(err error) outcomeKind {
 	var hostError *jayport.HostError
 	switch {
@@ -28,6 +29,8 @@
 		return accepted
 	case errors.As(err, &hostError), errors.Is(err, jayport.ErrMalformed), errors.Is(err, ErrStale):
 		return refused
+	case errors.Is(err, jayport.ErrRejected):
+		return notMade
 	default:
 		return inDoubt
 	}
--- a/jayfleet/thresholds_test.go
+++ b/jayfleet/thresholds_test.go
@@ -163,7 +163,7 @@
 	is.Equal(checked.RecordTimeout(), 150*time.Millisecond)
 	is.Equal(unchecked.RecordTimeout(), time.Second)
 	checkThreshold(t, "a command older than 1 s is not sent", time.Second, func(age time.Duration) bool {
-		return unchecked.MaySend(Recorded, age)
+		return unchecked.MaySend(Recorded, maxCommandAge, age)
 	})
 	checkThreshold(t, "no command is decided once a record has been pending for 1 s", time.Second, unchecked.MayDecide)
 	day := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/jayfleet/waves.go
+++ b/jayfleet/waves.go
@@ -128,7 +128,9 @@
 			continue
 		}
 		if f.empty(h, now) {
-			f.begin(h, maintaining{wave: w.Name}, "wave", now)
+			if !f.begin(h, maintaining{wave: w.Name}, "wave", now) {
+				break
+			}
 			selected++
 			continue
 		}
--- a/jayfleet/world_test.go
+++ b/jayfleet/world_test.go
@@ -100,6 +100,16 @@
 		}
 	}
 	w.maxDown = max(w.maxDown, maintained)
+	w.list()
+	w.evict()
+	w.reportDemands()
+	for _, a := range w.fleet.Decide(w.now) {
+		w.perform(a)
+	}
+}
+
+// list gives the fleet the inventory.
+func (w *world) list() {
 	var list []jayport.Host
 	for _, name := range w.names {
 		if w.hosts[name] != nil {
@@ -107,11 +117,6 @@
 		}
 	}
 	w.fleet.ApplyInventory(list, w.now)
-	w.evict()
-	w.reportDemands()
-	for _, a := range w.fleet.Decide(w.now) {
-		w.perform(a)
-	}
 }
 
 // evict removes the long runs from one closed host, at most once per evictEvery, since few
--- a/jaynode/demand.go
+++ b/jaynode/demand.go
@@ -46,6 +46,7 @@
 		if ask.Surveyed && ask.SurveyedFence == duty.claim.Fence {
 			duty.pool.InventoryRead(ask.Existing, micros(ask.SurveyedAtMicros), now)
 		}
+		duty.pool.SetFleetFence(ask.Fence, now)
 		duty.pool.SetVacating(vacate, now)
 		duty.pool.SetContracting(ask.Contracting, now)
 		if len(ask.Arriving) > 0 {
--- a/jaynode/fleetcommands.go
+++ b/jaynode/fleetcommands.go
@@ -17,22 +17,22 @@
 	lease := jayport.Lease{Holder: d.node.settings.Entry, Fence: d.claim.Fence}
 	switch a := action.(type) {
 	case jayfleet.MoveHost:
-		d.logger.Info("moving host", "host", a.Host, "from", a.From, "to", a.Pool, "why", a.Why)
+		d.commandLog.add(a.Host, "moving hosts", "from", a.From, "to", a.Pool, "why", a.Why)
 		if a.Why != "repeated" {
 			d.node.metrics.HostGiven(a.From, a.Why)
 		}
-		d.recordAndSend(a.Host, func() error { return d.node.ports.Inventory.Move(a.Host, a.Pool, lease, inventoryTimeout) })
+		d.recordAndSend(a.Host, a.SendBy, func() error { return d.node.ports.Inventory.Move(a.Host, a.Pool, lease, inventoryTimeout) })
 	case jayfleet.MaintainHost:
-		d.logger.Info("maintaining host", "host", a.Host, "wave", a.Wave)
-		d.recordAndSend(a.Host, func() error { return d.node.ports.Inventory.Maintain(a.Host, a.Wave, lease, inventoryTimeout) })
+		d.commandLog.add(a.Host, "maintaining hosts", "wave", a.Wave)
+		d.recordAndSend(a.Host, a.SendBy, func() error { return d.node.ports.Inventory.Maintain(a.Host, a.Wave, lease, inventoryTimeout) })
 	case jayfleet.RecordWave:
 		d.recordWave(a)
 	}
 }
 
 // recordAndSend records a command to a host for the next owner of the fleet, and then
-// sends it if the guard allows that.
-func (d *fleetDuty) recordAndSend(host string, do func() error) {
+// sends it if the guard allows that, at the latest at sendBy.
+func (d *fleetDuty) recordAndSend(host string, sendBy time.Duration, do func() error) {
 	decided := d.node.clock()
 	value, err := proto.Marshal(&jaywire.HostCommand{
 		UnixMillis:    time.Now().UnixMilli(),
@@ -52,15 +52,14 @@
 	go func() {
 		record, err := d.awaitRecord(outcome)
 		if err != nil {
-			d.logger.Info("command not recorded", "host", host, "error", err.Error())
+			d.post(func(time.Duration) { d.commandLog.add(host, "commands not recorded", "error", err.Error()) })
 		}
 		if d.ctx.Err() != nil {
 			// The duty has ended, for example because another entry owns the fleet now.
 			return
 		}
-		if age := d.node.clock() - decided; !d.guard.MaySend(record, age) {
+		if !d.guard.MaySend(record, sendBy, d.node.clock()) {
 			entry.Withdraw()
-			d.logger.Info("command not sent", "host", host, "age", age.String(), "recorded", record == jayfleet.Recorded)
 			d.commandAnswered(host, jayfleet.ErrStale)
 			return
 		}
@@ -89,7 +88,7 @@
 func (d *fleetDuty) commandAnswered(host string, err error) {
 	d.post(func(now time.Duration) {
 		if err != nil {
-			d.logger.Info("command not accepted", "host", host, "error", err.Error())
+			d.commandLog.add(host, "commands not accepted", "error", err.Error())
 		}
 		var refused *jayport.HostError
 		if errors.As(err, &refused) && refused.Reason == jayport.HostFenced {
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -60,6 +60,8 @@
 	sentOrders      map[string]string
 	// clocks relates the clock of each pool's owner to this entry's clock.
 	clocks map[string]jaymember.PeerClock
+	// commandLog collects the lines about single hosts of one step.
+	commandLog *hostLog
 	// nextStatesLogAt is when the states of the pools are logged next.
 	nextStatesLogAt time.Duration
 }
@@ -78,9 +80,18 @@
 		nextDemandAt: map[string]time.Duration{},
 		sentOrders:   map[string]string{},
 		clocks:       map[string]jaymember.PeerClock{},
+		commandLog:   newHostLog(),
 	}
 }
 
+// hostAndWorker returns the name of a host, with its worker if it has one.
+func hostAndWorker(c jayfleet.HostChange) string {
+	if c.Worker == "" {
+		return c.Host
+	}
+	return c.Host + "=" + c.Worker
+}
+
 // run takes the fleet over and manages it until the duty ends.
 func (d *fleetDuty) run() {
 	defer d.node.removeFleet(d)
@@ -109,11 +120,14 @@
 	}
 	held := c.heldHosts(d.guard, d.node.members.Liveness, jayfleet.Takeover{Clock: d.node.clock(), WallTime: time.Now(), Started: d.node.started})
 	d.fleet = jayfleet.New(jayfleet.Settings{
-		MoveTime:        d.node.settings.MoveTime,
-		MaintenanceTime: d.node.settings.MaintenanceTime,
-		HeldUntil:       held,
-		DivideHosts:     d.node.settings.Overload.DivideHosts,
-		PredictBursts:   d.node.settings.Overload.PredictBursts,
+		MoveTime:         d.node.settings.MoveTime,
+		MaintenanceTime:  d.node.settings.MaintenanceTime,
+		HeldUntil:        held,
+		CommandRate:      d.node.settings.HostCommandRate,
+		CommandsInFlight: d.node.settings.HostCommands,
+		CallTime:         inventoryTimeout,
+		DivideHosts:      d.node.settings.Overload.DivideHosts,
+		PredictBursts:    d.node.settings.Overload.PredictBursts,
 	})
 	d.node.metrics.DutyChanged(string(d.claim.Duty), "takenOver")
 	d.logger.Info("fleet taken over", "term", d.claim.Term, "waves", len(c.waves), "heldHosts", len(held))
@@ -140,14 +154,16 @@
 		since := waveStartTime(w.since, progress, now, time.Now())
 		d.fleet.AddWave(w.Wave, since, progress.GetMaintained(), progress.GetDone())
 	}
+	d.watchPoolOwners(working)
 	if d.guard.MayDecide(d.journal.AppendAge()) {
 		for _, action := range d.fleet.Decide(now) {
 			d.perform(action)
 		}
 	}
 	for _, c := range d.fleet.TakeHostChanges() {
-		d.logger.Info("host changed", "host", c.Host, "pool", c.Pool, "state", c.State.String(), "worker", c.Worker)
+		d.commandLog.add(hostAndWorker(c), "hosts changed", "pool", c.Pool, "state", c.State.String())
 	}
+	d.commandLog.write(d.logger)
 	d.logDivisions()
 	d.logBursts(now)
 	d.logStates(now)
@@ -158,6 +174,16 @@
 	}
 }
 
+// watchPoolOwners discards the reports about closed hosts of pools whose owner was replaced.
+func (d *fleetDuty) watchPoolOwners(working []string) {
+	for _, pool := range working {
+		claim, claimed := d.node.members.Owners.OwnerOf(jayowner.PoolDuty(pool))
+		if reporter, known := d.clocks[pool]; known && claimed && claim.Fence != reporter.Fence {
+			d.fleet.PoolOwnerChanged(pool)
+		}
+	}
+}
+
 // logStates logs the state and the needs of each pool, once per stateLogInterval.
 func (d *fleetDuty) logStates(now time.Duration) {
 	if now < d.nextStatesLogAt {
--- a/jaynode/settings.go
+++ b/jaynode/settings.go
@@ -13,6 +13,10 @@
 	// StoreReadRate is the number of reads per second that the store serves all entries
 	// together. Zero means that there is no limit.
 	StoreReadRate float64
+	// HostCommandRate is the number of commands to hosts per second that the inventory serves,
+	// and HostCommands the number that may wait for their answer. Zero is no limit.
+	HostCommandRate float64
+	HostCommands    int
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
 	// StopTime is the maximum time that a worker takes to stop a run.
--- a/jayoptions/jobs.go
+++ b/jayoptions/jobs.go
@@ -31,6 +31,9 @@
 	// StoreReadRate is the number of reads per second that the store serves all entries
 	// together. Entries that are many read less often. Zero means that there is no limit.
 	StoreReadRate float64 `json:"storeReadRate"`
+	// InventoryCommandRate is the number of commands to instances per second that the
+	// inventory serves all entries together. Zero means that there is no limit.
+	InventoryCommandRate float64 `json:"inventoryCommandRate"`
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease Duration `json:"maxLease"`
 	// StopTime is the longest time that a worker takes to stop a run.
@@ -99,6 +102,22 @@
 	return j.StoreAddr != ""
 }
 
+const (
+	// commandTime is the time that the inventory may take for a command while the owner of
+	// the fleet still uses the whole rate.
+	commandTime = 100 * time.Millisecond
+	// minCommandsInFlight and maxCommandsInFlight limit the commands, and so the connections
+	// to the inventory, of one entry.
+	minCommandsInFlight = 16
+	maxCommandsInFlight = 512
+)
+
+// CommandsInFlight returns the number of commands to the inventory that may wait for their
+// answer.
+func (j *JobService) CommandsInFlight() int {
+	return min(maxCommandsInFlight, max(minCommandsInFlight, int(j.InventoryCommandRate*commandTime.Seconds())))
+}
+
 func (j *JobService) check(d *jaydocument.Document) {
 	if !j.Enabled() {
 		return
@@ -117,6 +136,7 @@
 	checkNumber(d, "/jobService/processors", j.Processors, 0.01, 1024)
 	checkNumber(d, "/jobService/linkMegabits", j.LinkMegabits, 0.1, 1e6)
 	checkNumber(d, "/jobService/storeReadRate", j.StoreReadRate, 0, 1e9)
+	checkNumber(d, "/jobService/inventoryCommandRate", j.InventoryCommandRate, 0, 1e6)
 	checkNumber(d, "/jobService/farFactor", j.FarFactor, 1, 1000)
 	checkDuration(d, "/jobService/maxLease", j.MaxLease, 500*time.Millisecond, time.Hour)
 	checkDuration(d, "/jobService/stopTime", j.StopTime, 0, time.Minute)
--- a/jayport/inventory.go
+++ b/jayport/inventory.go
@@ -99,8 +99,12 @@
 	return "inventory refused: " + e.Reason.String()
 }
 
+// ClosedTime is how long the owner of a pool starts no runs on a host after each request of the
+// fleet's owner to empty it, also when the fleet has another owner meanwhile.
+const ClosedTime = 2 * time.Second
+
 // Inventory lists the fleet's instances and moves and maintains them. Its
-// errors are ErrNoAnswer, ErrRejected and *HostError.
+// errors are ErrNoAnswer, ErrRejected, ErrNotSent and *HostError.
 type Inventory interface {
 	Hosts(timeout time.Duration) ([]Host, error)
 	// Move ends all runs on a host immediately and moves it to another pool.
--- a/jayport/store.go
+++ b/jayport/store.go
@@ -16,6 +16,8 @@
 	ErrRejected = errors.New("rejected")
 	// ErrRateExceeded is the ErrRejected of a request beyond the rate that the platform serves.
 	ErrRateExceeded = fmt.Errorf("%w: too many requests", ErrRejected)
+	// ErrNotSent is the ErrRejected of a request of which no byte was sent.
+	ErrNotSent = fmt.Errorf("%w: not sent", ErrRejected)
 	// ErrMalformed means that the request was refused as invalid.
 	ErrMalformed = errors.New("refused as malformed")
 )
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -55,18 +55,6 @@
 	Loads          []Load
 }
 
-// Vacate is an order to start no run on a worker. If it is urgent, the worker's runs are
-// stopped too, long-running ones only where their step can miss them.
-type Vacate struct {
-	Worker string
-	Urgent bool
-	// Migrate allows stopping runs that can continue elsewhere from their checkpoint without
-	// making their job late.
-	Migrate bool
-	// Restart allows stopping runs that start anew elsewhere; see restartRuns.
-	Restart bool
-}
-
 // Demand returns the pool's present demand.
 func (p *Pool) Demand(now time.Duration) Demand {
 	u := p.usage(now)
@@ -149,63 +137,12 @@
 	}
 	if l.Runs == 0 {
 		l.Idle = now - w.idleSince
-		l.Vacated = w.closed
+		l.Vacated = w.closed && p.vacating.ordered(w.ID)
 	}
 	p.addRelease(&l, w, now)
 	return l
 }
 
-// SetVacating closes the named workers and opens all others.
-func (p *Pool) SetVacating(orders []Vacate, now time.Duration) {
-	for _, w := range p.sorted {
-		w.open()
-	}
-	p.vacating = make(map[string]Vacate, len(orders))
-	for _, o := range orders {
-		p.vacating[o.Worker] = o
-		if w, known := p.workers[o.Worker]; known {
-			w.vacate(o)
-		}
-	}
-	p.vacatingUntil = now + vacateOrderTTL
-}
-
-// vacateOrderTTL is how long an order to vacate is valid. The fleet's owner repeats it several
-// times a second; once that owner is lost the workers are used again.
-const vacateOrderTTL = 2 * time.Second
-
-// vacate opens workers whose order has expired and stops those runs on closed or draining
-// workers that should continue elsewhere.
-func (p *Pool) vacate(now time.Duration) {
-	if now >= p.vacatingUntil {
-		for _, w := range p.sorted {
-			w.open()
-		}
-	}
-	for _, w := range p.sorted {
-		if w.contact != connected || !w.closed && !w.Draining {
-			continue
-		}
-		for _, r := range w.inOrder {
-			if r.phase == running && p.shouldStop(r, now) {
-				p.recordEvent(Event{Kind: RunStopped, Worker: w.ID, Run: r.ref(), Detail: "vacating"}, now)
-				p.stop(r, "vacating", now)
-			}
-		}
-		p.restartRuns(w, now)
-	}
-}
-
-// vacate closes a worker for new runs.
-func (w *worker) vacate(o Vacate) {
-	w.closed, w.urgent, w.migrate, w.restart = true, o.Urgent, o.Migrate, o.Restart
-}
-
-// open allows new runs on a worker again.
-func (w *worker) open() {
-	w.closed, w.urgent, w.migrate, w.restart = false, false, false, false
-}
-
 // shouldStop reports whether a run on a closed worker is to be stopped now.
 func (p *Pool) shouldStop(r *run, now time.Duration) bool {
 	switch {
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -67,7 +67,7 @@
 	} else {
 		p.recordEvent(Event{Kind: WorkerJoined, Worker: w.ID, Detail: incarnationText(w.Incarnation)}, now)
 	}
-	if order, vacating := p.vacating[w.ID]; vacating && now < p.vacatingUntil {
+	if order, vacating := p.vacating.orders[w.ID]; vacating && now < p.vacating.until {
 		w.vacate(order)
 	}
 	return w
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -142,20 +142,17 @@
 	offeredWork offeredWork
 	// expected are the jobs that are about to be stored, with the time at which they were
 	// submitted.
-	expected map[string]time.Duration
-	// vacating are the orders to vacate workers, by worker ID; vacatingUntil is when they
-	// expire.
-	vacating      map[string]Vacate
-	vacatingUntil time.Duration
-	release       release
-	quotas        quotas
-	fairness      fairness
-	actions       []Action
-	events        []Event
-	durations     *durations
-	outlook       *outlook
-	speeds        speeds
-	copies        copies
+	expected  map[string]time.Duration
+	vacating  vacating
+	release   release
+	quotas    quotas
+	fairness  fairness
+	actions   []Action
+	events    []Event
+	durations *durations
+	outlook   *outlook
+	speeds    speeds
+	copies    copies
 }
 
 // Option configures a new pool.
--- a/jaysched/release_test.go
+++ b/jaysched/release_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"jaythread/jayport"
 	"jaythread/jayspec"
 )
 
@@ -102,7 +103,7 @@
 	is.True(w.pool.contracting(w.now))
 	w.pass(contractingTTL)
 	is.True(!w.pool.contracting(w.now))
-	w.pass(vacateOrderTTL)
+	w.pass(jayport.ClosedTime)
 	is.True(w.pool.workers["w0"].usable())
 }
 
--- a/jaysched/vacate_test.go
+++ b/jaysched/vacate_test.go
@@ -40,7 +40,25 @@
 		declare(w, newSpec("j", 1))
 		is.Equal(len(w.running()), 0)
 		// The fleet's owner is lost: its order expires.
-		w.pass(vacateOrderTTL)
+		w.pass(jayport.ClosedTime)
+		is.Equal(len(w.running()), 2)
+	})
+	t.Run("a worker stays closed while a replaced owner of the fleet may act", func(t *testing.T) {
+		// Guards against a task that is ended by a late move: the fleet's next owner did not
+		// name the worker, and the pool started tasks on it before the command arrived.
+		is := is.New(t)
+		w := newHarness(t, 1)
+		w.pool.SetFleetFence(3, w.now)
+		w.pool.SetVacating([]Vacate{{Worker: "w0"}}, w.now)
+		w.pass(100 * time.Millisecond)
+		w.pool.SetFleetFence(8, w.now)
+		w.pool.SetVacating(nil, w.now)
+		declare(w, newSpec("j", 1))
+		is.Equal(len(w.running()), 0)
+		is.True(!vacated(w, "w0")) // the next owner must order it itself
+		w.pass(jayport.ClosedTime)
+		w.pool.SetVacating(nil, w.now)
+		w.run()
 		is.Equal(len(w.running()), 2)
 	})
 	t.Run("long-running tasks move one by one", func(t *testing.T) {
--- /dev/null
+++ b/jaysched/vacating.go
@@ -0,0 +1,115 @@
+package jaysched
+
+import (
+	"time"
+
+	"jaythread/jayport"
+)
+
+// Vacate is an order to start no run on a worker. If it is urgent, the worker's runs are
+// stopped too, long-running ones only where their step can miss them.
+type Vacate struct {
+	Worker string
+	Urgent bool
+	// Migrate allows stopping runs that can continue elsewhere from their checkpoint without
+	// making their job late.
+	Migrate bool
+	// Restart allows stopping runs that start anew elsewhere; see restartRuns.
+	Restart bool
+}
+
+// vacating holds the orders of the fleet's owner to vacate workers.
+type vacating struct {
+	// fence is the fence of the fleet's owner that sends the orders.
+	fence int64
+	// orders are the orders by worker ID, and until is when they expire.
+	orders map[string]Vacate
+	until  time.Duration
+	// former is the set of the workers that a former owner of the fleet ordered to vacate, and
+	// formerUntil is when its orders expire. A command that it sent may still arrive.
+	former      map[string]bool
+	formerUntil time.Duration
+}
+
+// ordered reports whether the present owner of the fleet ordered to vacate a worker.
+func (v *vacating) ordered(worker string) bool {
+	_, ordered := v.orders[worker]
+	return ordered
+}
+
+// SetFleetFence sets the fence of the fleet's owner that sends the following orders. The workers
+// that a former owner ordered to vacate stay closed until its orders expire.
+func (p *Pool) SetFleetFence(fence int64, now time.Duration) {
+	v := &p.vacating
+	if fence == v.fence {
+		return
+	}
+	v.fence = fence
+	if now >= v.until {
+		return
+	}
+	if now >= v.formerUntil {
+		v.former = make(map[string]bool, len(v.orders))
+	}
+	for worker := range v.orders {
+		v.former[worker] = true
+	}
+	v.formerUntil = v.until
+}
+
+// SetVacating closes the named workers, and those that a former owner of the fleet named a moment
+// ago, and opens all others.
+func (p *Pool) SetVacating(orders []Vacate, now time.Duration) {
+	for _, w := range p.sorted {
+		w.open()
+	}
+	v := &p.vacating
+	v.orders = make(map[string]Vacate, len(orders))
+	v.until = now + jayport.ClosedTime
+	for _, o := range orders {
+		v.orders[o.Worker] = o
+		if w, known := p.workers[o.Worker]; known {
+			w.vacate(o)
+		}
+	}
+	if now >= v.formerUntil {
+		return
+	}
+	for worker := range v.former {
+		if w, known := p.workers[worker]; known && !w.closed {
+			w.vacate(Vacate{Worker: worker})
+		}
+	}
+}
+
+// vacate opens workers whose order has expired and stops those runs on closed or draining
+// workers that should continue elsewhere.
+func (p *Pool) vacate(now time.Duration) {
+	if now >= p.vacating.until {
+		for _, w := range p.sorted {
+			w.open()
+		}
+	}
+	for _, w := range p.sorted {
+		if w.contact != connected || !w.closed && !w.Draining {
+			continue
+		}
+		for _, r := range w.inOrder {
+			if r.phase == running && p.shouldStop(r, now) {
+				p.recordEvent(Event{Kind: RunStopped, Worker: w.ID, Run: r.ref(), Detail: "vacating"}, now)
+				p.stop(r, "vacating", now)
+			}
+		}
+		p.restartRuns(w, now)
+	}
+}
+
+// vacate closes a worker for new runs.
+func (w *worker) vacate(o Vacate) {
+	w.closed, w.urgent, w.migrate, w.restart = true, o.Urgent, o.Migrate, o.Restart
+}
+
+// open allows new runs on a worker again.
+func (w *worker) open() {
+	w.closed, w.urgent, w.migrate, w.restart = false, false, false, false
+}
