Many entries start together: claims without knowing the others, announcements in groups

Cause: each entry appended its own announcement to one partition, which takes appends one after the other: 583 entries take 2.3 s, and 5,627 would take 22 s. Appends and reads of the partition timed out and were repeated. Each entry ranked itself among those that it had heard of after 900 ms, so that small ones claimed the fleet and three pools at once; duties changed hands three times. After a loss of most entries each candidate waited 150 ms for every lost one that ranks before it. The ranking sorted all entries for each duty, each 50 ms, in each entry: 6.4 ms at 583.

Change: at a first start, and beyond the first three ranks at any takeover, a candidate waits for a time that depends on its own strength and a hash only, and reads the claims once more before it appends one. An entry hands its announcement to an owner, which appends those of many together; only entries that find no owner append their own. The ranking selects the first candidates without a sort.

--- a/jaymember/claims.go
+++ b/jaymember/claims.go
@@ -25,11 +25,16 @@
 	// claimTimeout limits the duration of the append of a claim. A slow store takes
 	// several hundred milliseconds.
 	claimTimeout = 1500 * time.Millisecond
+	// rankedCandidates is the number of candidates that a candidate waits for in the order of
+	// their rank. If so many have not claimed a duty, most may have been lost.
+	rankedCandidates = 3
 	// firstClaimDelay is the time after this entry's start before it claims any vacant
-	// duty, so that entries that are started together have read each other's
-	// announcements: a weak entry takes half a second until it is announced. An entry
-	// that claims too early takes all duties.
+	// duty, so that it has read the claims and announcements of others.
 	firstClaimDelay = 900 * time.Millisecond
+	// acquaintanceTime is the time after this entry's start in which it does not rely on
+	// knowing the others: those that were started together with it announce themselves in
+	// that time.
+	acquaintanceTime = 4 * time.Second
 	// ownShareDelay is the time after this entry's start before it claims its own share
 	// of the duties. The claims and the entries must have been read by then.
 	ownShareDelay = 100 * time.Millisecond
@@ -57,14 +62,24 @@
 	if len(vacant) == 0 {
 		return
 	}
-	records := o.dueClaims(view, vacant, now)
+	records, ranked := o.dueClaims(view, vacant, now)
 	if len(records) == 0 {
 		return
 	}
-	o.append(view, records...)
+	if ranked || o.upToDate(view) {
+		o.append(view, records...)
+	}
 	o.awaitRead(ctx, view.next)
 }
 
+// upToDate reports whether the store has no claims that the view lacks. Without this check, the
+// many candidates that claim without regard to each other would occupy the store with appends
+// that it rejects.
+func (o *Owners) upToDate(view *View) bool {
+	page, err := o.members.Store.Read(o.members.Formats.Own(topicOwners, 0), view.next, 0, claimTimeout)
+	return err == nil && page.End == view.next
+}
+
 // append appends claims unless another claim was appended since the view was read. A
 // claim whose answer is lost is read from the store like any other.
 func (o *Owners) append(view *View, claims ...jayport.Record) {
@@ -79,22 +94,50 @@
 	}
 }
 
-// dueClaims returns the claims that this entry should make now.
-func (o *Owners) dueClaims(view *View, vacant []jayowner.Duty, now time.Duration) []jayport.Record {
+// dueClaims returns the claims that this entry should make now. ranked reports whether it is
+// among the first candidates for all of them, so that few others claim them now.
+func (o *Owners) dueClaims(view *View, vacant []jayowner.Duty, now time.Duration) (records []jayport.Record, ranked bool) {
 	if !o.firstClaimDelayPassed(now) {
-		return o.ownShare(view, vacant, now)
+		return o.ownShare(view, vacant, now), true
 	}
-	rankings := jayowner.Rankings(vacant, dutyCounts(view), o.candidates(now))
-	delay := max(rankDelay, rankLatencies*o.members.Store.Latency())
-	var records []jayport.Record
+	ranked = true
+	counts := dutyCounts(view)
+	rankings := jayowner.Rankings(vacant, counts, o.candidates(now), rankedCandidates)
+	owned := counts[o.members.Incarnation]
 	for _, d := range vacant {
 		rank := slices.Index(rankings[d], o.members.Incarnation)
-		if rank < 0 || now-o.vacantSince[d] < time.Duration(rank)*delay {
+		if now < o.claimAt(view, d, rank, owned) {
 			continue
 		}
 		records = append(records, o.claimRecord(view, d, rank, now))
+		ranked = ranked && rank >= 0 && o.knowsOthers(view, d)
+		owned++
 	}
-	return records
+	return records, ranked
+}
+
+// knowsOthers reports whether this entry can rank itself for a vacant duty. A duty that never had
+// an owner belongs to a first start, when an entry knows too few others.
+func (o *Owners) knowsOthers(view *View, d jayowner.Duty) bool {
+	_, claimed := view.Claim(d)
+	return claimed || o.vacantSince[d] >= o.members.StartedAt+acquaintanceTime
+}
+
+// claimAt returns when this entry should claim a vacant duty: in the order of the ranks if it is
+// one of the candidates that rank first, and without regard to the others if it is not, which
+// has the rank -1, or if it does not know them.
+func (o *Owners) claimAt(view *View, d jayowner.Duty, rank, owned int) time.Duration {
+	delay := max(rankDelay, rankLatencies*o.members.Store.Latency())
+	// On a slow store a claim takes longer to reach the others.
+	alone := jayowner.ClaimDelay(d, o.members.Incarnation, o.members.capacity(), owned) * (delay / rankDelay)
+	since := o.vacantSince[d]
+	if !o.knowsOthers(view, d) {
+		return max(since, o.members.StartedAt+firstClaimDelay) + alone
+	}
+	if rank >= 0 {
+		return since + time.Duration(rank)*delay
+	}
+	return since + rankedCandidates*delay + alone
 }
 
 // claimRecord returns the record that claims a duty.
@@ -110,8 +153,7 @@
 	}.Record()
 }
 
-// firstClaimDelayPassed reports whether entries that were started together with this one
-// should be known: firstClaimDelay has passed.
+// firstClaimDelayPassed reports whether firstClaimDelay has passed.
 func (o *Owners) firstClaimDelayPassed(now time.Duration) bool {
 	return now-o.members.StartedAt >= firstClaimDelay
 }
@@ -122,7 +164,7 @@
 // different duties, and no pool waits until firstClaimDelay has passed.
 func (o *Owners) ownShare(view *View, vacant []jayowner.Duty, now time.Duration) []jayport.Record {
 	var candidates []jayowner.Candidate
-	for name, e := range o.members.Entries.names() {
+	for name, e := range o.members.Entries.Names() {
 		candidates = append(candidates, jayowner.Candidate{Incarnation: name, Capacity: capacityOf(e)})
 	}
 	share := jayowner.Share(o.members.Duties(), candidates, o.members.Entry)
@@ -180,7 +222,7 @@
 
 // candidates returns the entries that are not presumed to have ended.
 func (o *Owners) candidates(now time.Duration) []jayowner.Candidate {
-	candidates := []jayowner.Candidate{{Incarnation: o.members.Incarnation, Capacity: jayowner.Capacity(o.members.ProcessorsMilli, o.members.LinkMegabits), Started: o.members.Started.UnixMilli()}}
+	candidates := []jayowner.Candidate{{Incarnation: o.members.Incarnation, Capacity: o.members.capacity(), Started: o.members.Started.UnixMilli()}}
 	for _, e := range o.members.Entries.All() {
 		if e.Incarnation != o.members.Incarnation && !o.members.Liveness.PresumedEnded(e.Incarnation, now) {
 			candidates = append(candidates, jayowner.Candidate{Incarnation: e.Incarnation, Capacity: capacityOf(e), Started: e.StartedUnixMillis})
--- a/jaymember/claims_test.go
+++ b/jaymember/claims_test.go
@@ -54,14 +54,14 @@
 		for name, megabits := range map[string]int64{"e1": 200, "e2": 10, "e3": 0} {
 			m := newTestMembers(t, name, store, clock)
 			m.ProcessorsMilli, m.LinkMegabits = 400, megabits
-			m.Entries.announce(t.Context())
+			m.Announcer.announce(t.Context())
 			all = append(all, m)
 		}
 		for _, m := range all {
 			for _, r := range store.records[testFormats{}.Own(topicEntries, 0)] {
 				m.Entries.Apply(r)
 			}
-			ranking := jayowner.Rankings(m.Duties(), nil, m.Owners.candidates(clock()))[jayowner.Fleet]
+			ranking := jayowner.Rankings(m.Duties(), nil, m.Owners.candidates(clock()), 3)[jayowner.Fleet]
 			is.Equal(entryOf(ranking[2]), "e2") // has the slow link
 			rankings = append(rankings, ranking)
 		}
--- a/jaymember/entries.go
+++ b/jaymember/entries.go
@@ -1,7 +1,6 @@
 package jaymember
 
 import (
-	"context"
 	"maps"
 	"sync"
 	"time"
@@ -9,8 +8,6 @@
 	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
 
-	"jaythread/jayclock"
-	"jaythread/jaypace"
 	"jaythread/jayport"
 	"jaythread/jaywire"
 )
@@ -23,7 +20,9 @@
 
 	mu     sync.Mutex
 	byName map[string]*jaywire.EntryRecord
-	asOf   time.Duration
+	// version counts the changes of byName.
+	version int64
+	asOf    time.Duration
 }
 
 func newEntries(m *Members) *Entries {
@@ -34,6 +33,7 @@
 func (e *Entries) Reset() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.version++
 	clear(e.byName)
 }
 
@@ -41,6 +41,7 @@
 func (e *Entries) Apply(r jayport.Record) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.version++
 	if r.Value == nil {
 		delete(e.byName, r.Key)
 		return
@@ -84,9 +85,24 @@
 	return e.AddrOf(incarnation) != ""
 }
 
-// names returns the newest announcement by entry name, including entries that have ended
+// Version returns a number that changes with the announcements.
+func (e *Entries) Version() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
+// Named returns the newest announcement of an entry.
+func (e *Entries) Named(name string) (*jaywire.EntryRecord, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	record, known := e.byName[name]
+	return record, known
+}
+
+// Names returns the newest announcement by entry name, including entries that have ended
 // since.
-func (e *Entries) names() map[string]*jaywire.EntryRecord {
+func (e *Entries) Names() map[string]*jaywire.EntryRecord {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return maps.Clone(e.byName)
@@ -113,39 +129,3 @@
 	}
 	return ""
 }
-
-const (
-	// announceRetryDelay is the delay before a failed announcement is repeated for the
-	// first time. It is doubled each time, up to maxAnnounceDelay.
-	announceRetryDelay = 300 * time.Millisecond
-	maxAnnounceDelay   = 2400 * time.Millisecond
-)
-
-// announce announces this entry to the others and retries until the store accepts it, or
-// until the announcement is read: one without an answer may still be stored.
-func (e *Entries) announce(ctx context.Context) {
-	value, err := proto.Marshal(&jaywire.EntryRecord{
-		Incarnation:       e.members.Incarnation,
-		PeerAddr:          e.members.PeerAddr,
-		DataCenter:        e.members.DataCenter,
-		ProcessorsMilli:   e.members.ProcessorsMilli,
-		LinkMegabits:      e.members.LinkMegabits,
-		StartedUnixMillis: e.members.Started.UnixMilli(),
-	})
-	if err != nil {
-		e.logger.Error(err, "announcement cannot be encoded")
-		return
-	}
-	for delay := announceRetryDelay; ctx.Err() == nil && !e.announced(e.members.Incarnation); delay = min(2*delay, maxAnnounceDelay) {
-		_, err := e.members.Store.Append(jayport.Append{
-			Partition: e.members.Formats.Own(topicEntries, 0),
-			Records:   []jayport.Record{{Key: e.members.Entry, Value: value}},
-			AsOf:      jayport.AnyOffset,
-		}, jayport.CallTimeout)
-		if err == nil {
-			return
-		}
-		e.logger.Info("announcing this entry failed; retrying", "error", err.Error())
-		jayclock.Sleep(ctx, jaypace.Jitter(delay))
-	}
-}
--- a/jaymember/fakes_test.go
+++ b/jaymember/fakes_test.go
@@ -23,6 +23,8 @@
 	records map[jayport.Partition][]jayport.Record
 	// refuse rejects all calls.
 	refuse bool
+	// appends counts the appends.
+	appends int
 }
 
 func newMemoryStore() *memoryStore {
@@ -40,6 +42,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	end := int64(len(s.records[a.Partition]))
+	s.appends++
 	switch {
 	case s.refuse:
 		return jayport.Appended{}, fmt.Errorf("%w: test", jayport.ErrRejected)
--- a/jaymember/members.go
+++ b/jaymember/members.go
@@ -60,6 +60,9 @@
 	Store   *jayrelay.Store
 	Formats jayport.Formats
 	Logger  logr.Logger
+	// SharedReads and SharedClaims read announcements and claims through other entries.
+	SharedReads  jaytail.SharedRead
+	SharedClaims jaytail.SharedRead
 	// Pace limits the reads of all entries to the store's rate.
 	Pace *jaypace.Pace
 
@@ -85,6 +88,8 @@
 	Entries  *Entries
 	Owners   *Owners
 	Liveness *Liveness
+	// Announcer announces this entry, and others while this entry owns a duty.
+	Announcer *announcer
 }
 
 // New returns a membership; Start starts it.
@@ -93,6 +98,7 @@
 	m.Entries = newEntries(m)
 	m.Owners = newOwners(m)
 	m.Liveness = newLiveness(m)
+	m.Announcer = newAnnouncer(m)
 	return m
 }
 
@@ -112,7 +118,8 @@
 	m.Go(func() { m.Owners.tail.Run(ctx) })
 	entries := m.newTail(topicEntries, entriesWait, entriesShare, m.Entries)
 	m.Go(func() { entries.Run(ctx) })
-	m.Go(func() { m.Entries.announce(ctx) })
+	m.Go(func() { m.Announcer.announce(ctx) })
+	m.Go(func() { m.Announcer.store(ctx) })
 }
 
 func (m *Members) newTail(topic string, wait time.Duration, share float64, handler jaytail.Handler) *jaytail.Tail {
@@ -121,7 +128,13 @@
 	return jaytail.New(m.Store, p, options, handler, m.Clock, m.Logger.WithName(p.Topic))
 }
 
+// capacity returns this entry's capacity for duties.
+func (m *Members) capacity() int64 {
+	return jayowner.Capacity(m.ProcessorsMilli, m.LinkMegabits)
+}
+
 // Close closes the connections to other entries.
 func (m *Members) Close() {
 	m.Liveness.link.Close()
+	m.Announcer.link.Close()
 }
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -265,3 +265,6 @@
 		return &jaywire.PeerResponse{}
 	}
 }
+	case *jaywire.PeerRequest_Announce:
+		taken := !n.stopping.Load() && n.members.Announcer.Take(body.Announce)
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Announced{Announced: &jaywire.EntryAnnounced{Taken: taken}}}
--- a/jayowner/owner_test.go
+++ b/jayowner/owner_test.go
@@ -85,7 +85,7 @@
 			duties = append(duties, PoolDuty(fmt.Sprint(n)))
 		}
 		first := map[string]int{}
-		for _, ranking := range Rankings(duties, nil, candidates) {
+		for _, ranking := range Rankings(duties, nil, candidates, 9) {
 			is.Equal(len(ranking), 4)
 			first[ranking[0]]++
 		}
@@ -93,21 +93,21 @@
 		is.Equal(first["a"]+first["b"]+first["d"], 3)
 	})
 	t.Run("entries with fewer duties are preferred", func(t *testing.T) {
-		ranking := Rankings([]Duty{Fleet}, map[string]int{"a": 1, "b": 1, "c": 2}, candidates)[Fleet]
+		ranking := Rankings([]Duty{Fleet}, map[string]int{"a": 1, "b": 1, "c": 2}, candidates, 9)[Fleet]
 		is.New(t).Equal(ranking[0], "d")
 	})
 	t.Run("the entry that was started last is preferred among equals", func(t *testing.T) {
 		restarted := append([]Candidate{}, candidates...)
 		restarted[3].Started = 90_000
-		ranking := Rankings([]Duty{Fleet}, map[string]int{"c": 2}, restarted)[Fleet]
+		ranking := Rankings([]Duty{Fleet}, map[string]int{"c": 2}, restarted, 9)[Fleet]
 		is.New(t).Equal(ranking[0], "d")
 	})
 	t.Run("rankings do not depend on the order of duties and candidates", func(t *testing.T) {
 		is := is.New(t)
 		duties := []Duty{Fleet, PoolDuty("x"), PoolDuty("y")}
-		want := fmt.Sprint(Rankings(duties, nil, candidates))
+		want := fmt.Sprint(Rankings(duties, nil, candidates, 9))
 		turned := []Candidate{candidates[3], candidates[1], candidates[0], candidates[2]}
-		is.Equal(fmt.Sprint(Rankings([]Duty{PoolDuty("y"), Fleet, PoolDuty("x")}, nil, turned)), want)
+		is.Equal(fmt.Sprint(Rankings([]Duty{PoolDuty("y"), Fleet, PoolDuty("x")}, nil, turned, 9)), want)
 	})
 }
 
@@ -116,7 +116,7 @@
 	// a twentieth of the link of an entry with four duties.
 	is := is.New(t)
 	candidates := []Candidate{{Incarnation: "large", Capacity: Capacity(800, 200)}, {Incarnation: "small", Capacity: Capacity(400, 10)}}
-	is.Equal(Rankings([]Duty{Fleet}, map[string]int{"large": 4}, candidates)[Fleet], []string{"large", "small"})
+	is.Equal(Rankings([]Duty{Fleet}, map[string]int{"large": 4}, candidates, 9)[Fleet], []string{"large", "small"})
 	is.Equal(Capacity(800, 10), Capacity(192, 10))                             // the link is scarcer
 	is.Equal([]int64{Capacity(192, 200), Capacity(192, 0)}, []int64{192, 192}) // the processors are scarcer, the link is unknown
 }
