Owners are watched by few entries

Cause: every entry pinged every owner each 150 ms: 3,900 pings a second for each owner at 583 entries. In turn it pinged all others, so that each entry kept a session with every other one.

Change: the 32 candidates that would claim an owner's duties first ping it in each round; the others take turns that make about one more round of 32. An entry pings 16 others besides owners. A suspected owner is pinged in each round by whoever suspects it, also after a request that failed.

--- a/jaymember/liveness.go
+++ b/jaymember/liveness.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,7 +15,7 @@
 )
 
 const (
-	// pingInterval is the time between two pings of each owner.
+	// pingInterval is the time between two pings of an owner by each of its watchers.
 	pingInterval = 150 * time.Millisecond
 	// pingTimeout limits the duration of a ping. An entry answers within some
 	// milliseconds, a slowed one within some tens of milliseconds.
@@ -62,7 +60,9 @@
 	// lastPinged is when each entry was last pinged.
 	lastPinged map[string]time.Duration
 	nextOther  int
-	link       *jaypeer.Client
+	// watch is whom this entry pings. Only the goroutine that pings uses it.
+	watch *watch
+	link  *jaypeer.Client
 }
 
 // suspicion is the state of an owner whose last ping failed.
@@ -89,6 +89,7 @@
 		replaced:     map[string]bool{},
 		lastAnswered: map[string]time.Duration{},
 		lastPinged:   map[string]time.Duration{},
+		watch:        &watch{},
 		link:         jaypeer.NewClient(m.Incarnation, pingTimeout, nil),
 	}
 }
@@ -164,19 +165,23 @@
 	return answered > 0 && 2*answered > pinged
 }
 
-// pingOwners pings the owners of duties and some other entries, once per pingInterval.
+// pingOwners pings owners of duties and some other entries, once per pingInterval.
 func (l *Liveness) pingOwners(ctx context.Context) {
-	for ctx.Err() == nil {
+	for round := 0; ctx.Err() == nil; round++ {
 		if view := l.members.Owners.table.Load(); view != nil {
-			pinged := map[string]bool{l.members.Incarnation: true}
+			l.watch.update(l.members, view)
+			owners := map[string]bool{l.members.Incarnation: true}
 			for _, c := range view.Claims() {
-				if !c.Released && !pinged[c.Incarnation] {
-					pinged[c.Incarnation] = true
+				if c.Released || owners[c.Incarnation] {
+					continue
+				}
+				owners[c.Incarnation] = true
+				if l.watch.pings(c.Incarnation, round) || l.Suspects(c.Incarnation) {
 					l.members.Go(func() { l.ping(c) })
 				}
 			}
-			l.dropSuspicions(pinged)
-			for _, e := range l.nextOthers(pinged) {
+			l.dropSuspicions(owners)
+			for _, e := range l.nextOthers(owners) {
 				l.members.Go(func() { l.pingOther(e) })
 			}
 		}
@@ -184,16 +189,14 @@
 	}
 }
 
-// nextOthers returns some entries, in turn, that are not pinged as owners.
-func (l *Liveness) nextOthers(pinged map[string]bool) []*jaywire.EntryRecord {
-	all := l.members.Entries.All()
-	slices.SortFunc(all, func(a, b *jaywire.EntryRecord) int { return strings.Compare(a.Incarnation, b.Incarnation) })
+// nextOthers returns some of the entries that this entry pings in turn besides owners.
+func (l *Liveness) nextOthers(owners map[string]bool) []*jaywire.EntryRecord {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var others []*jaywire.EntryRecord
-	for range all {
+	for range l.watch.others {
 		l.nextOther++
-		if e := all[l.nextOther%len(all)]; !pinged[e.Incarnation] && !l.replaced[e.Incarnation] && len(others) < othersPinged {
+		if e := l.watch.others[l.nextOther%len(l.watch.others)]; !owners[e.Incarnation] && !l.replaced[e.Incarnation] && len(others) < othersPinged {
 			others = append(others, e)
 		}
 	}
--- /dev/null
+++ b/jaymember/watch_test.go
@@ -0,0 +1,59 @@
+package jaymember
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaythread/jayclock"
+	"jaythread/jayowner"
+	"jaythread/jaywire"
+)
+
+// pingsOfOwner returns how many pings an owner gets from n entries in a number of rounds, and how
+// many different entries each entry pings besides owners.
+func pingsOfOwner(t *testing.T, n, rounds int) (pings, others int) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		clock := jayclock.Since(time.Now().Add(-time.Hour))
+		m := newTestMembers(t, "e0", newMemoryStore(), clock)
+		for i := range n {
+			name := fmt.Sprint("e", i)
+			m.Entries.byName[name] = &jaywire.EntryRecord{Incarnation: name + "-00000000", ProcessorsMilli: 192}
+		}
+		m.publish(jayowner.Claim{Duty: jayowner.Fleet, Incarnation: "e1-00000000"})
+		for name, e := range m.Entries.Names() {
+			if name == "e1" {
+				continue
+			}
+			m.Incarnation = e.Incarnation
+			var w watch
+			w.update(m, m.Owners.View())
+			others = max(others, len(w.others))
+			for round := range rounds {
+				if w.pings("e1-00000000", round) {
+					pings++
+				}
+			}
+		}
+	})
+	return pings, others
+}
+
+// TestPingsOfOwnerDoNotGrowWithTheEntries guards against an owner that answers thousands of pings
+// a second, and against sessions of each entry with every other.
+func TestPingsOfOwnerDoNotGrowWithTheEntries(t *testing.T) {
+	const rounds = 200
+	for _, n := range []int{20, 32, 100, 583, 1166} {
+		t.Run(fmt.Sprint(n, " entries"), func(t *testing.T) {
+			is := is.New(t)
+			pings, others := pingsOfOwner(t, n, rounds)
+			is.True(pings >= rounds*min(n-1, watchersPerOwner))
+			is.True(pings <= rounds*(2*watchersPerOwner+1))
+			is.True(others <= maxOthers)
+		})
+	}
+}
