Entries of a large data centre share the reads of the store

Each record was sent by the store to all.

Change: in a data centre of 32 entries or more, one entry for each 32, the strongest, reads for the others; those that wait for the same records share one read. The answer tells how long before the question the read was sent, so that an entry knows how old its knowledge is. An entry reads the store itself while its reader does not answer or cannot read, while the store seems lost, and the claims while it owns a duty.

--- a/jaymember/members.go
+++ b/jaymember/members.go
@@ -114,17 +114,17 @@
 func (m *Members) follow(ctx context.Context) {
 	// The handler of the claims asks the tail for its offset, so tail must be set before
 	// the tail runs.
-	m.Owners.tail = m.newTail(topicOwners, ClaimsWait, claimsShare, m.Owners)
+	m.Owners.tail = m.newTail(topicOwners, ClaimsWait, claimsShare, m.SharedClaims, m.Owners)
 	m.Go(func() { m.Owners.tail.Run(ctx) })
-	entries := m.newTail(topicEntries, entriesWait, entriesShare, m.Entries)
+	entries := m.newTail(topicEntries, entriesWait, entriesShare, m.SharedReads, m.Entries)
 	m.Go(func() { entries.Run(ctx) })
 	m.Go(func() { m.Announcer.announce(ctx) })
 	m.Go(func() { m.Announcer.store(ctx) })
 }
 
-func (m *Members) newTail(topic string, wait time.Duration, share float64, handler jaytail.Handler) *jaytail.Tail {
+func (m *Members) newTail(topic string, wait time.Duration, share float64, shared jaytail.SharedRead, handler jaytail.Handler) *jaytail.Tail {
 	p := m.Formats.Own(topic, 0)
-	options := jaytail.Options{Wait: wait, Interval: func() time.Duration { return m.Pace.Interval(share) }}
+	options := jaytail.Options{Wait: wait, Shared: shared, Interval: func() time.Duration { return m.Pace.Interval(share) }}
 	return jaytail.New(m.Store, p, options, handler, m.Clock, m.Logger.WithName(p.Topic))
 }
 
--- a/jaymember/rate_test.go
+++ b/jaymember/rate_test.go
@@ -199,7 +199,7 @@
 		go func() {
 			time.Sleep(300 * time.Millisecond * time.Duration(n) / time.Duration(count))
 			members.follow(ctx)
-			members.newTail("declarations", ClaimsWait, claimsShare, ignore{}).Run(ctx)
+			members.newTail("declarations", ClaimsWait, claimsShare, nil, ignore{}).Run(ctx)
 		}()
 	}
 	return m
--- a/jaynode/declarations.go
+++ b/jaynode/declarations.go
@@ -38,7 +38,7 @@
 func newDeclarations(n *Node) *declarations {
 	d := &declarations{formats: n.ports.Formats, logger: n.logger.WithName("catalog"), waves: map[string]declaredWave{}, now: n.clock}
 	interval := func() time.Duration { return n.pace.Interval(declarationsShare) }
-	d.tail = n.newTail(n.ports.Formats.Declarations(), jaytail.Options{Wait: declarationsWait, Interval: interval}, d)
+	d.tail = n.newTail(n.ports.Formats.Declarations(), jaytail.Options{Wait: declarationsWait, Interval: interval, Shared: n.sharedReads.Read}, d)
 	d.confirmer = newConfirmer(n.newTail(n.ports.Formats.Declarations(), jaytail.Options{}, d), n.pace)
 	return d
 }
--- a/jaynode/members.go
+++ b/jaynode/members.go
@@ -19,6 +19,8 @@
 		Clock:           n.clock,
 		Store:           n.store,
 		Formats:         n.ports.Formats,
+		SharedReads:     n.sharedReads.Read,
+		SharedClaims:    n.sharedReads.ReadClaims,
 		Logger:          n.logger,
 		Pace:            n.pace,
 		Partition:       n.partitionOf,
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -48,6 +48,10 @@
 	// store calls the platform's store, through peers if it cannot be reached directly.
 	store      *jayrelay.Store
 	relayPeers *relayPeers
+	// relayServer makes calls to the store for peers, and sharedReads are this entry's reads
+	// through others.
+	relayServer *jayrelay.Server
+	sharedReads *sharedReads
 	// pace limits the reads of all entries to the store's rate.
 	pace        *jaypace.Pace
 	clock       jayclock.Clock
@@ -128,6 +132,8 @@
 	n.relayPeers = &relayPeers{node: n, link: jaypeer.NewClient(n.incarnation, relayTimeout, nil)}
 	n.pace = jaypace.New(settings.StoreReadRate, func() int { return n.members.Entries.Count() })
 	n.store = jayrelay.New(n.ports.Store, n.relayPeers, n.clock, n.logger.WithName("store"), jayrelay.WithPace(n.pace))
+	n.relayServer = jayrelay.NewServer(n.ports.Store, n.clock)
+	n.sharedReads = newSharedReads(n)
 	n.peers = jaypeer.NewClient(n.incarnation, peerTimeout, nil)
 	n.peerServer = jaypeer.NewServer(n.incarnation, peerTimeout, n.handlePeer)
 	n.declarations = newDeclarations(n)
@@ -186,6 +192,7 @@
 	n.peerServer.Close()
 	n.peers.Close()
 	n.relayPeers.link.Close()
+	n.sharedReads.link.Close()
 	n.intake.link.Close()
 	n.members.Close()
 	ended := make(chan struct{})
@@ -252,19 +259,19 @@
 	case *jaywire.PeerRequest_AskDemand:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Demand{Demand: n.demandOwned(body.AskDemand)}}
 	case *jaywire.PeerRequest_StoreCall:
-		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_StoreResult{StoreResult: jayrelay.Serve(n.ports.Store, body.StoreCall)}}
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_StoreResult{StoreResult: n.relayServer.Serve(body.StoreCall)}}
 	case *jaywire.PeerRequest_WitnessJob:
 		kept := n.witnesses.Keep(body.WitnessJob.Pool, body.WitnessJob.Job, body.WitnessJob.Fence)
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_JobWitnessed{JobWitnessed: &jaywire.JobWitnessed{Kept: kept}}}
 	case *jaywire.PeerRequest_AskWitnessed:
 		jobs := n.witnesses.Collect(body.AskWitnessed.Pool, body.AskWitnessed.Fence)
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_WitnessedJobs{WitnessedJobs: &jaywire.WitnessedJobs{Jobs: jobs}}}
+	case *jaywire.PeerRequest_Announce:
+		taken := !n.stopping.Load() && n.members.Announcer.Take(body.Announce)
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Announced{Announced: &jaywire.EntryAnnounced{Taken: taken}}}
 	case *jaywire.PeerRequest_Ping:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Pong{Pong: &jaywire.Pong{Stopping: n.stopping.Load(), ClockMicros: n.clock().Microseconds()}}}
 	default:
 		return &jaywire.PeerResponse{}
 	}
 }
-	case *jaywire.PeerRequest_Announce:
-		taken := !n.stopping.Load() && n.members.Announcer.Take(body.Announce)
-		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Announced{Announced: &jaywire.EntryAnnounced{Taken: taken}}}
--- a/jayrelay/codec.go
+++ b/jayrelay/codec.go
@@ -69,7 +69,7 @@
 		if err != nil {
 			return resultOf(err)
 		}
-		return &jaywire.StoreResult{Outcome: jaywire.StoreOutcome_STORE_OUTCOME_GOOD, Records: wireRecords(page.Records), Next: page.Next, End: page.End}
+		return pageResult(page)
 	case *jaywire.StoreCall_Latest:
 		latest, err := direct.Latest(p, body.Latest.After, timeout)
 		if err != nil {
@@ -81,6 +81,10 @@
 	}
 }
 
+func pageResult(page jayport.Page) *jaywire.StoreResult {
+	return &jaywire.StoreResult{Outcome: jaywire.StoreOutcome_STORE_OUTCOME_GOOD, Records: wireRecords(page.Records), Next: page.Next, End: page.End}
+}
+
 func serveAppend(direct jayport.Store, p jayport.Partition, body *jaywire.StoreAppend, timeout time.Duration) *jaywire.StoreResult {
 	a := jayport.Append{Partition: p, Records: recordsOf(body.Records), AsOf: body.AsOf}
 	if body.Producer != "" {
--- a/jaytail/tail.go
+++ b/jaytail/tail.go
@@ -31,6 +31,11 @@
 	errorRetryDelay = 200 * time.Millisecond
 )
 
+// SharedRead reads a partition from an offset on through another entry, which may answer with a
+// read of the store that it sent before this call, by the time lead. ok is false if it cannot; the
+// tail then reads the store itself.
+type SharedRead func(p jayport.Partition, from int64, wait time.Duration) (page jayport.Page, lead time.Duration, ok bool)
+
 // Options configure a Tail.
 type Options struct {
 	// Prefix limits which keys are passed to the handler.
@@ -45,6 +50,8 @@
 	// Interval returns the least time between two reads on average, also after one that was
 	// rejected for its rate. A nil Interval counts as zero.
 	Interval func() time.Duration
+	// Shared is tried before the store for each read after the load. It may be nil.
+	Shared SharedRead
 	// Needed returns whether the records are needed at present. While it returns
 	// false nothing is read, since each read is billed. A nil Needed counts as
 	// true.
@@ -77,6 +84,8 @@
 	loaded bool
 	// behind is true if the last read did not reach the end of the partition.
 	behind bool
+	// shared is true if another entry has answered the last read.
+	shared bool
 	// loadAfter is the last key that an unfinished load has passed to the handler,
 	// or empty. loadStarted is the clock's time at which the load requested its
 	// first page, and pageTimeout the timeout of its next page.
@@ -130,7 +139,10 @@
 			continue
 		}
 		t.markRegained()
-		delayed = max(0, t.intervalAfter(started))
+		delayed = 0
+		if !t.shared {
+			delayed = max(0, t.intervalAfter(started))
+		}
 		jayclock.Sleep(ctx, max(t.pause(), delayed))
 	}
 }
@@ -175,8 +187,12 @@
 			return err
 		}
 		asked = t.loadStarted
-	} else if err := t.read(wait); err != nil {
-		return err
+	} else {
+		lead, err := t.read(wait)
+		if err != nil {
+			return err
+		}
+		asked = max(asked-lead, t.AsOf())
 	}
 	if t.behind {
 		return nil
@@ -235,17 +251,25 @@
 	return last || !page.More || len(page.Records) == 0
 }
 
-func (t *Tail) read(wait time.Duration) error {
-	page, err := t.store.Read(t.partition, t.next, wait, readTimeout)
+// read reads once. lead is how long before the call the store was read.
+func (t *Tail) read(wait time.Duration) (lead time.Duration, err error) {
+	t.shared = false
+	var page jayport.Page
+	if t.options.Shared != nil {
+		page, lead, t.shared = t.options.Shared(t.partition, t.next, wait)
+	}
+	if !t.shared {
+		page, err = t.store.Read(t.partition, t.next, wait, readTimeout)
+	}
 	var expired *jayport.ExpiredError
 	if errors.As(err, &expired) {
 		// The records in between have expired, but the store keeps the newest
 		// record of each key.
 		t.loaded, t.behind = false, false
-		return t.load()
+		return 0, t.load()
 	}
 	if err != nil {
-		return err
+		return 0, err
 	}
 	for _, r := range page.Records {
 		if hasPrefix(r.Key, t.options.Prefix) {
@@ -254,7 +278,7 @@
 	}
 	t.next = page.Next
 	t.behind = page.Next < page.End
-	return nil
+	return lead, nil
 }
 
 func (t *Tail) markLost(err error) {
