Announcements are read with a pause; readers use the reads that they make for others

Each reader also followed the same records a second time for itself.

Change: 250 ms between two reads of the announcements; a reader's own reads are those that it shares.

--- a/jaymember/announce.go
+++ b/jaymember/announce.go
@@ -93,7 +93,7 @@
 		if !ok {
 			break
 		}
-		r, err := announcementRecord(entryOf(announcement.Incarnation), announcement)
+		r, err := announcementRecord(EntryOf(announcement.Incarnation), announcement)
 		if err != nil {
 			a.logger.Error(err, "announcement cannot be encoded", "entry", announcement.Incarnation)
 			continue
--- a/jaymember/entries.go
+++ b/jaymember/entries.go
@@ -114,7 +114,7 @@
 func (e *Entries) restarted(incarnation string, after time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	present, known := e.byName[entryOf(incarnation)]
+	present, known := e.byName[EntryOf(incarnation)]
 	return known && present.Incarnation != incarnation && present.StartedUnixMillis > after.UnixMilli()
 }
 
--- a/jaymember/incarnation.go
+++ b/jaymember/incarnation.go
@@ -11,7 +11,7 @@
 	return entry + "-" + uuid.NewString()[:incarnationDigits]
 }
 
-// entryOf returns the name of the entry that an incarnation belongs to.
-func entryOf(incarnation string) string {
+// EntryOf returns the name of the entry that an incarnation belongs to.
+func EntryOf(incarnation string) string {
 	return incarnation[:max(0, len(incarnation)-incarnationDigits-1)]
 }
--- a/jaymember/members.go
+++ b/jaymember/members.go
@@ -32,9 +32,10 @@
 	// the wait at once; a connection that no longer answers is noticed only when the wait
 	// is over.
 	ClaimsWait = time.Second
-	// entriesWait is the same wait for the announcements. A new entry is known at once,
-	// so that duties are spread over all entries from the start.
-	entriesWait = 3 * time.Second
+	// entriesWait is the same wait for the announcements, and entriesPause the delay between
+	// two reads of them: while many entries start, there are new ones all the time.
+	entriesWait  = 3 * time.Second
+	entriesPause = 250 * time.Millisecond
 	// claimsShare, entriesShare and heartbeatsShare are the shares of the store's rate that
 	// all entries may use to read claims, announcements and heartbeats that follow each
 	// other. Each record ends the waiting reads of all entries.
@@ -114,17 +115,19 @@
 func (m *Members) follow(ctx context.Context) {
 	// The handler of the claims asks the tail for its offset, so tail must be set before
 	// the tail runs.
-	m.Owners.tail = m.newTail(topicOwners, ClaimsWait, claimsShare, m.SharedClaims, m.Owners)
+	m.Owners.tail = m.newTail(topicOwners, jaytail.Options{Wait: ClaimsWait, Shared: m.SharedClaims}, claimsShare, m.Owners)
 	m.Go(func() { m.Owners.tail.Run(ctx) })
-	entries := m.newTail(topicEntries, entriesWait, entriesShare, m.SharedReads, m.Entries)
+	entries := m.newTail(topicEntries, jaytail.Options{Wait: entriesWait, Pause: entriesPause, Shared: m.SharedReads}, entriesShare, m.Entries)
 	m.Go(func() { entries.Run(ctx) })
 	m.Go(func() { m.Announcer.announce(ctx) })
 	m.Go(func() { m.Announcer.store(ctx) })
 }
 
-func (m *Members) newTail(topic string, wait time.Duration, share float64, shared jaytail.SharedRead, handler jaytail.Handler) *jaytail.Tail {
+// newTail returns a tail that uses up to a share of the store's rate together with those of all
+// other entries.
+func (m *Members) newTail(topic string, options jaytail.Options, share float64, handler jaytail.Handler) *jaytail.Tail {
 	p := m.Formats.Own(topic, 0)
-	options := jaytail.Options{Wait: wait, Shared: shared, Interval: func() time.Duration { return m.Pace.Interval(share) }}
+	options.Interval = func() time.Duration { return m.Pace.Interval(share) }
 	return jaytail.New(m.Store, p, options, handler, m.Clock, m.Logger.WithName(p.Topic))
 }
 
--- a/jaynode/sharedreads.go
+++ b/jaynode/sharedreads.go
@@ -1,6 +1,7 @@
 package jaynode
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -46,20 +47,23 @@
 	if !s.node.store.Direct() {
 		return jayport.Page{}, 0, false
 	}
-	reader, addr, found := s.reader()
-	if !found {
+	own, reader := s.reader()
+	if own {
+		// Its reads serve others too.
+		page, lead, err := s.node.relayServer.Read(p, from, min(wait, sharedReadWait), sharedReadMargin)
+		return page, lead, err == nil
+	}
+	if reader == nil {
 		return jayport.Page{}, 0, false
 	}
 	call := jayrelay.SharedReadCall(p, from, min(wait, sharedReadWait).Milliseconds(), sharedReadMargin.Milliseconds())
-	response, err := s.link.Ask(addr.Incarnation, addr.PeerAddr, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_StoreCall{StoreCall: call}})
+	response, err := s.link.Ask(reader.Incarnation, reader.PeerAddr, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_StoreCall{StoreCall: call}})
 	if err == nil {
 		err = jayrelay.DecodeError(response.GetStoreResult())
 	}
 	if err != nil {
-		s.node.logger.V(1).Info("shared read failed", "reader", reader, "partition", p.String(), "error", err.Error())
-		s.mu.Lock()
-		s.avoidUntil[reader] = s.node.clock() + avoidReaderTime
-		s.mu.Unlock()
+		s.node.logger.V(1).Info("shared read failed", "reader", reader.Incarnation, "partition", p.String(), "error", err.Error())
+		s.avoid(reader)
 		return jayport.Page{}, 0, false
 	}
 	result := response.GetStoreResult()
@@ -75,8 +79,9 @@
 	return s.Read(p, from, wait)
 }
 
-// reader returns the entry to ask, with its newest announcement.
-func (s *sharedReads) reader() (name string, announced *jaywire.EntryRecord, found bool) {
+// reader returns whether this entry reads for others, or else the newest announcement of the
+// entry that reads for it, or nil if there is none.
+func (s *sharedReads) reader() (own bool, announced *jaywire.EntryRecord) {
 	entries := s.node.members.Entries
 	now := s.node.clock()
 	s.mu.Lock()
@@ -84,12 +89,22 @@
 	if version := entries.Version(); version != s.version {
 		s.readers, s.version = jayrelay.Readers(relayMembers(entries), s.node.settings.DataCenter), version
 	}
-	name, found = jayrelay.ReaderFor(s.node.settings.Entry, s.readers, func(r string) bool { return now < s.avoidUntil[r] })
+	if slices.Contains(s.readers, s.node.settings.Entry) {
+		return true, nil
+	}
+	name, found := jayrelay.ReaderFor(s.node.settings.Entry, s.readers, func(r string) bool { return now < s.avoidUntil[r] })
 	if !found {
-		return "", nil, false
+		return false, nil
 	}
-	announced, found = entries.Named(name)
-	return name, announced, found
+	announced, _ = entries.Named(name)
+	return false, announced
+}
+
+// avoid makes this entry ask other readers for a while.
+func (s *sharedReads) avoid(reader *jaywire.EntryRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.avoidUntil[jaymember.EntryOf(reader.Incarnation)] = s.node.clock() + avoidReaderTime
 }
 
 func relayMembers(entries *jaymember.Entries) []jayrelay.Member {
--- a/jayrelay/readers.go
+++ b/jayrelay/readers.go
@@ -49,11 +49,8 @@
 }
 
 // ReaderFor returns the reader that an entry should ask, without those that it avoids, or false
-// if there is none. A reader asks nobody.
+// if there is none.
 func ReaderFor(entry string, readers []string, avoids func(string) bool) (string, bool) {
-	if slices.Contains(readers, entry) {
-		return "", false
-	}
 	chosen, lowest, found := "", uint64(0), false
 	for _, r := range readers {
 		if avoids(r) {
