A burst of commands within the inventory's rate goes out at once

Cause: the pace refilled evenly and kept only 16 commands in flight at 64 a second, so that the hosts for the beginning of a burst would have been called over half a second on a fleet whose inventory takes them all at once.

The check whether one more host of a pool may be closed for a wave counted all hosts for each candidate; it counts once a decision now.

--- a/jayfleet/balance.go
+++ b/jayfleet/balance.go
@@ -301,12 +301,13 @@
 // most hosts first.
 func (f *Fleet) balances(now time.Duration) []*poolBalance {
 	var balances []*poolBalance
+	hosts, mean := f.byDestination(), f.meanCapacity()
 	for pool := range f.working {
 		d, known := f.demands[pool]
 		if !known || now-d.At > maxDemandAge {
 			continue
 		}
-		balances = append(balances, f.poolBalance(pool, d, now))
+		balances = append(balances, f.poolBalance(pool, d, hosts[pool], mean, now))
 	}
 	slices.SortFunc(balances, func(a, b *poolBalance) int {
 		return cmp.Or(cmp.Compare(b.need-b.have, a.need-a.have), strings.Compare(a.pool, b.pool))
@@ -314,10 +315,12 @@
 	return balances
 }
 
-func (f *Fleet) poolBalance(pool string, d Demand, now time.Duration) *poolBalance {
+// poolBalance compares the demand of a pool with the hosts that are in it or on their way to it.
+// mean is the mean capacity of all hosts.
+func (f *Fleet) poolBalance(pool string, d Demand, hosts []*host, mean int64, now time.Duration) *poolBalance {
 	b := &poolBalance{pool: pool, restarts: f.settings.DivideHosts && d.OnTimeMilli != nil}
 	capacity, counted := int64(0), int64(0)
-	for _, h := range f.sorted {
+	for _, h := range hosts {
 		if h.Pool != pool && !f.serves(h, pool) {
 			continue
 		}
@@ -343,7 +346,7 @@
 		}
 	}
 	b.sort(d)
-	each := f.meanCapacity()
+	each := mean
 	if counted > 0 {
 		each = capacity / counted
 	}
--- a/jayfleet/division.go
+++ b/jayfleet/division.go
@@ -51,8 +51,8 @@
 	if d, divided := f.division[pool]; divided && d.Have > d.Entitled {
 		return true
 	}
-	return slices.ContainsFunc(f.sorted, func(h *host) bool {
-		return h.Pool == pool && h.restart && h.vacating == forMove
+	return slices.ContainsFunc(f.byPool[pool], func(h *host) bool {
+		return h.restart && h.vacating == forMove
 	})
 }
 
--- a/jayfleet/fleet.go
+++ b/jayfleet/fleet.go
@@ -136,6 +136,8 @@
 	settings Settings
 	hosts    map[string]*host
 	sorted   []*host
+	// byPool are the hosts by the pool that the inventory lists them in, in the same order.
+	byPool map[string][]*host
 	// decidingSince is when this owner called Decide for the first time.
 	decidingSince time.Duration
 	// listedAt is when the current inventory was requested. complete reports whether all
@@ -157,6 +159,8 @@
 	// bursts predicts the bursts of the pools; it is nil if they are not predicted.
 	bursts *burstPredictor
 	pace   *commandPace
+	// closed are the hosts that are closed for waves, by pool.
+	closed map[string]*closedHosts
 	// closingLeft is the number of idle hosts that may still be closed for moves now.
 	closingLeft int
 	actions     []Action
@@ -282,6 +286,34 @@
 		return !present[h.Name]
 	})
 	slices.SortFunc(f.sorted, func(a, b *host) int { return strings.Compare(a.Name, b.Name) })
+	f.byPool = map[string][]*host{}
+	for _, h := range f.sorted {
+		f.byPool[h.Pool] = append(f.byPool[h.Pool], h)
+	}
+}
+
+// byDestination returns the hosts by the pool that they are in or on their way to; those on their
+// way are listed twice.
+func (f *Fleet) byDestination() map[string][]*host {
+	hosts := make(map[string][]*host, len(f.byPool))
+	for _, h := range f.sorted {
+		hosts[h.Pool] = append(hosts[h.Pool], h)
+		if to := h.destination(); to != "" && to != h.Pool {
+			hosts[to] = append(hosts[to], h)
+		}
+	}
+	return hosts
+}
+
+// destination returns the pool that a host is moved or vacated for, or an empty string.
+func (h *host) destination() string {
+	if m, ok := h.command.(moving); ok {
+		return m.to
+	}
+	if h.vacating == forMove {
+		return h.moveTo
+	}
+	return ""
 }
 
 // confirmCommand takes a command without an answer for accepted if a listing that was requested
@@ -377,8 +409,8 @@
 // Vacating returns the workers that a pool is to empty, by worker ID.
 func (f *Fleet) Vacating(pool string) map[string]Vacate {
 	workers := map[string]Vacate{}
-	for _, h := range f.sorted {
-		if h.Pool == pool && h.Worker != "" && (h.vacating != notVacating || h.command != nil) {
+	for _, h := range f.byPool[pool] {
+		if h.Worker != "" && (h.vacating != notVacating || h.command != nil) {
 			workers[h.Worker] = Vacate{Urgent: h.urgent, Migrate: h.drains, Restart: h.restart && h.vacating == forMove}
 		}
 	}
@@ -389,8 +421,8 @@
 // inventory was requested. known is false if it has not been read yet or has unreadable
 // rows.
 func (f *Fleet) Existing(pool string) (workers []string, asked time.Duration, known bool) {
-	for _, h := range f.sorted {
-		if h.Pool == pool && h.Worker != "" {
+	for _, h := range f.byPool[pool] {
+		if h.Worker != "" {
 			workers = append(workers, h.Worker)
 		}
 	}
--- a/jayfleet/state.go
+++ b/jayfleet/state.go
@@ -35,9 +35,10 @@
 // States returns the state of each working pool with a current demand, and the number of
 // usable hosts on standby.
 func (f *Fleet) States(now time.Duration) (pools []PoolState, off int) {
+	hosts := f.byDestination()
 	for _, b := range f.balances(now) {
 		state := PoolState{Pool: b.pool, Need: b.need, Keep: b.keep, Useful: b.useful, Entitled: f.division[b.pool].Entitled}
-		for _, h := range f.sorted {
+		for _, h := range hosts[b.pool] {
 			state.count(f, h)
 		}
 		pools = append(pools, state)
--- a/jayfleet/waves.go
+++ b/jayfleet/waves.go
@@ -48,6 +48,10 @@
 // still meet its deadline. It can usually wait, because most hosts are on standby once in
 // each cycle of the bursts.
 func (f *Fleet) runWaves(now time.Duration) {
+	if len(f.waves) == 0 {
+		return
+	}
+	f.countClosed()
 	for _, w := range f.sortedWaves() {
 		f.runWave(w, now)
 		f.recordWave(w)
@@ -134,7 +138,10 @@
 			selected++
 			continue
 		}
-		if f.mayVacate(h, late) && (late || h.vacating == forWave || f.mayClose(h.Pool)) {
+		if f.mayVacate(h, late) && (late || h.vacating == forWave || f.closed[h.Pool].mayClose()) {
+			if h.vacating != forWave {
+				f.closed[h.Pool].closed++
+			}
 			h.vacating = forWave
 			h.urgent = late
 			selected++
@@ -197,23 +204,37 @@
 // time. One host may be closed in any pool.
 const maxClosedShare = 1.0 / 2
 
-// mayClose reports whether one more host of a pool may be closed for a wave.
-//
-// It is designed for a pool with few hosts, each with long-running tasks, while all hosts
-// are in use. The tasks on closed hosts cannot move anywhere, and each further closed host
-// leaves less room for them.
-func (f *Fleet) mayClose(pool string) bool {
-	closed, all := 0, 0
+// closedHosts is the number of a pool's hosts that are up, and of those that are closed for waves.
+type closedHosts struct {
+	up, closed int
+}
+
+// countClosed counts the hosts of each pool that are closed for waves.
+func (f *Fleet) countClosed() {
+	f.closed = map[string]*closedHosts{}
 	for _, h := range f.sorted {
-		if h.Pool != pool || h.State != jayport.HostUp {
+		c := f.closed[h.Pool]
+		if c == nil {
+			c = &closedHosts{}
+			f.closed[h.Pool] = c
+		}
+		if h.State != jayport.HostUp {
 			continue
 		}
-		all++
+		c.up++
 		if h.vacating == forWave {
-			closed++
+			c.closed++
 		}
 	}
-	return closed == 0 || float64(closed+1) <= maxClosedShare*float64(all)
+}
+
+// mayClose reports whether one more host of the pool may be closed for a wave.
+//
+// It is designed for a pool with few hosts, each with long-running tasks, while all hosts
+// are in use. The tasks on closed hosts cannot move anywhere, and each further closed host
+// leaves less room for them.
+func (c *closedHosts) mayClose() bool {
+	return c.closed == 0 || float64(c.closed+1) <= maxClosedShare*float64(c.up)
 }
 
 const (
--- a/jayoptions/jobs.go
+++ b/jayoptions/jobs.go
@@ -103,19 +103,16 @@
 }
 
 const (
-	// commandTime is the time that the inventory may take for a command while the owner of
-	// the fleet still uses the whole rate.
-	commandTime = 100 * time.Millisecond
-	// minCommandsInFlight and maxCommandsInFlight limit the commands, and so the connections
-	// to the inventory, of one entry.
+	// minCommandsInFlight and maxCommandsInFlight bound the number of commands in flight, and
+	// so of the connections to the inventory, of one entry.
 	minCommandsInFlight = 16
 	maxCommandsInFlight = 512
 )
 
 // CommandsInFlight returns the number of commands to the inventory that may wait for their
-// answer.
+// answer: those of one second, so that a burst within the rate is not held up.
 func (j *JobService) CommandsInFlight() int {
-	return min(maxCommandsInFlight, max(minCommandsInFlight, int(j.InventoryCommandRate*commandTime.Seconds())))
+	return min(maxCommandsInFlight, max(minCommandsInFlight, int(j.InventoryCommandRate)))
 }
 
 func (j *JobService) check(d *jaydocument.Document) {
