--- a/jaymember/announce.go
+++ b/jaymember/announce.go
@@ -37,22 +37,22 @@
 	maxAnnounceDelay   = 9600 * time.Millisecond
 )
 
-// announcer makes this entry known to the others, and stores the announcements of others while
+// Announcer makes this entry known to the others, and stores the announcements of others while
 // it owns a duty.
 //
 // It handles this load: hundreds of entries start at once. If each appended its own announcement,
 // the appends, which a partition takes one after the other, would time out and be repeated, and
 // reads of the partition would time out behind them. So owners append those of many entries
 // together, and only entries that find no owner append their own, the strongest first.
-type announcer struct {
+type Announcer struct {
 	members *Members
 	logger  logr.Logger
 	link    *jaypeer.Client
 	inbox   *jayring.Ring[*jaywire.EntryRecord]
 }
 
-func newAnnouncer(m *Members) *announcer {
-	return &announcer{
+func newAnnouncer(m *Members) *Announcer {
+	return &Announcer{
 		members: m,
 		logger:  m.Logger.WithName("entries"),
 		link:    jaypeer.NewClient(m.Incarnation, pingTimeout, nil),
@@ -61,12 +61,12 @@
 }
 
 // Take accepts the announcement of another entry. It returns false if too many wait.
-func (a *announcer) Take(record *jaywire.EntryRecord) bool {
+func (a *Announcer) Take(record *jaywire.EntryRecord) bool {
 	return a.inbox.Offer(record)
 }
 
 // store appends the announcements of other entries until the context ends.
-func (a *announcer) store(ctx context.Context) {
+func (a *Announcer) store(ctx context.Context) {
 	var records []jayport.Record
 	for ctx.Err() == nil {
 		if len(records) == 0 {
@@ -87,7 +87,7 @@
 }
 
 // takeRecords adds the records of waiting announcements, up to announceBatch in all.
-func (a *announcer) takeRecords(records []jayport.Record) []jayport.Record {
+func (a *Announcer) takeRecords(records []jayport.Record) []jayport.Record {
 	for len(records) < announceBatch {
 		announcement, ok := a.inbox.Take()
 		if !ok {
@@ -109,7 +109,7 @@
 }
 
 // append appends announcements and reports whether the store has accepted them.
-func (a *announcer) append(records []jayport.Record) bool {
+func (a *Announcer) append(records []jayport.Record) bool {
 	_, err := a.members.Store.Append(jayport.Append{
 		Partition: a.members.Formats.Own(topicEntries, 0),
 		Records:   records,
@@ -123,7 +123,7 @@
 
 // announce announces this entry until its announcement is read: one without an answer may still
 // be stored.
-func (a *announcer) announce(ctx context.Context) {
+func (a *Announcer) announce(ctx context.Context) {
 	m := a.members
 	announcement := &jaywire.EntryRecord{
 		Incarnation:       m.Incarnation,
@@ -161,7 +161,7 @@
 const announceDuty jayowner.Duty = "announce"
 
 // handOver asks the owner of a duty to store the announcement, and reports whether it will.
-func (a *announcer) handOver(announcement *jaywire.EntryRecord, now time.Duration) bool {
+func (a *Announcer) handOver(announcement *jaywire.EntryRecord, now time.Duration) bool {
 	owner, known := a.ownerFor(now)
 	if !known {
 		return false
@@ -173,7 +173,7 @@
 
 // ownerFor returns an owner other than this entry that seems to be alive. The entries spread
 // over the owners.
-func (a *announcer) ownerFor(now time.Duration) (jayowner.Claim, bool) {
+func (a *Announcer) ownerFor(now time.Duration) (jayowner.Claim, bool) {
 	view := a.members.Owners.View()
 	if view == nil {
 		return jayowner.Claim{}, false
--- a/jaymember/members.go
+++ b/jaymember/members.go
@@ -90,7 +90,7 @@
 	Owners   *Owners
 	Liveness *Liveness
 	// Announcer announces this entry, and others while this entry owns a duty.
-	Announcer *announcer
+	Announcer *Announcer
 }
 
 // New returns a membership; Start starts it.
