--- a/jayowner/owner_test.go
+++ b/jayowner/owner_test.go
@@ -125,3 +125,18 @@
 	fmt.Println(FenceOf(0), FenceOf(41))
 	// Output: 1 42
 }
+
+func BenchmarkRankings(b *testing.B) {
+	duties := []Duty{Fleet, PoolDuty("a"), PoolDuty("b"), PoolDuty("c"), PoolDuty("d")}
+	for _, n := range []int{30, 583, 1166} {
+		b.Run(fmt.Sprint(n, " entries"), func(b *testing.B) {
+			var candidates []Candidate
+			for i := range n {
+				candidates = append(candidates, Candidate{Incarnation: fmt.Sprint("entry-", i), Capacity: 113 << (i % 4)})
+			}
+			for b.Loop() {
+				Rankings(duties, nil, candidates, 3)
+			}
+		})
+	}
+}
