The entries that claim after a loss of all entries watch the lost owners

An entry that was restarted had not announced itself again, did not find itself among the first candidates, and pinged the lost owners each fourth or tenth round only.

Change: the watchers are found by the entry's name, and half of them are those that would claim the duty if all entries were starting.

--- a/jaymember/watch.go
+++ b/jaymember/watch.go
@@ -16,6 +16,9 @@
 const (
 	// watchersPerOwner is the number of entries that ping an owner in each round.
 	watchersPerOwner = 32
+	// rankedWatchers is the number of those that are chosen by rank, and that are chosen as if
+	// all entries were starting.
+	rankedWatchers = watchersPerOwner / 2
 	// maxOthers is the number of entries that this entry pings in turn besides owners.
 	maxOthers = 16
 	// watchInterval is the least time between two computations of the watched owners while
@@ -24,8 +27,8 @@
 )
 
 // watch is the owners that this entry pings in each round, and the other entries that it pings in
-// turn. The watchers of an owner are the candidates that would claim its duties: they must notice
-// its end first. All others ping it as often as together they make the pings of one more watcher
+// turn. The watchers of an owner are the candidates that would claim its duties, by their rank or,
+// after a loss of all entries, by their share: they must notice its end first. All others ping it as often as together they make the pings of one more watcher
 // in each round, so that its end is noticed when its watchers are lost with it.
 //
 // It handles this load: if every entry pinged every owner, an owner would answer thousands of
@@ -54,7 +57,7 @@
 	all := m.Entries.All()
 	w.rounds = max(1, (len(all)+watchersPerOwner-1)/watchersPerOwner)
 	w.phase = xxhash.Sum64String(m.Incarnation)
-	w.owners = watchedOwners(m.Incarnation, view, all)
+	w.owners = watchedOwners(m.Entry, view, m.Entries.Names())
 	w.others = othersOf(m.Incarnation, all)
 }
 
@@ -63,20 +66,21 @@
 	return w.rounds == 1 || w.owners[owner] || (uint64(round)+w.phase)%uint64(w.rounds) == 0
 }
 
-// watchedOwners returns the owners that an entry watches: those of duties for which it is among
-// the first candidates besides the owner.
-func watchedOwners(own string, view *View, all []*jaywire.EntryRecord) map[string]bool {
-	owners := map[string]bool{}
+// watchedOwners returns the owners that an entry watches. An entry that was restarted counts as
+// its former process as long as that one's announcement is the newest.
+func watchedOwners(own string, view *View, entries map[string]*jaywire.EntryRecord) map[string]bool {
+	var byRank, byName []jayowner.Candidate
+	for name, e := range entries {
+		byRank = append(byRank, jayowner.Candidate{Incarnation: e.Incarnation, Capacity: capacityOf(e), Started: e.StartedUnixMillis})
+		byName = append(byName, jayowner.Candidate{Incarnation: name, Capacity: capacityOf(e)})
+	}
 	counts := dutyCounts(view)
+	owners := map[string]bool{}
 	for _, c := range view.Claims() {
-		var candidates []jayowner.Candidate
-		for _, e := range all {
-			if e.Incarnation != c.Incarnation {
-				candidates = append(candidates, jayowner.Candidate{Incarnation: e.Incarnation, Capacity: capacityOf(e), Started: e.StartedUnixMillis})
-			}
-		}
-		first := jayowner.Rankings([]jayowner.Duty{c.Duty}, counts, candidates, watchersPerOwner)[c.Duty]
-		if slices.Contains(first, own) {
+		duty := []jayowner.Duty{c.Duty}
+		ranked := jayowner.Rankings(duty, counts, byRank, rankedWatchers)[c.Duty]
+		isOwn := func(incarnation string) bool { return EntryOf(incarnation) == own }
+		if slices.ContainsFunc(ranked, isOwn) || slices.Contains(jayowner.Rankings(duty, nil, byName, rankedWatchers)[c.Duty], own) {
 			owners[c.Incarnation] = true
 		}
 	}
