--- a/jaymember/announce.go
+++ b/jaymember/announce.go
@@ -67,27 +67,27 @@
 
 // store appends the announcements of other entries until the context ends.
 func (a *Announcer) store(ctx context.Context) {
-	var records []jayport.Record
+	full := false
 	for ctx.Err() == nil {
-		if len(records) == 0 {
+		if !full {
 			select {
 			case <-ctx.Done():
 				return
 			case <-a.inbox.Ready():
 			}
-			jayclock.Sleep(ctx, announceInterval)
 		}
-		records = a.takeRecords(records)
-		if len(records) == 0 || a.append(records) {
-			records = records[:0]
-			continue
+		jayclock.Sleep(ctx, announceInterval)
+		records := a.takeRecords()
+		full = len(records) == announceBatch
+		for len(records) > 0 && ctx.Err() == nil && !a.append(records) {
+			jayclock.Sleep(ctx, jaypace.Jitter(announceRetryDelay))
 		}
-		jayclock.Sleep(ctx, jaypace.Jitter(announceRetryDelay))
 	}
 }
 
-// takeRecords adds the records of waiting announcements, up to announceBatch in all.
-func (a *Announcer) takeRecords(records []jayport.Record) []jayport.Record {
+// takeRecords returns the records of waiting announcements, up to announceBatch.
+func (a *Announcer) takeRecords() []jayport.Record {
+	var records []jayport.Record
 	for len(records) < announceBatch {
 		announcement, ok := a.inbox.Take()
 		if !ok {
