A reader is asked only after it has answered a ping

Suspected: an entry that is back before its reader waits for the reader, which has no power yet, with each of its reads for up to 1.5 s.

Change: a reader is pinged in the background before it is asked for the first time and after each failure; until it answers the entry reads for itself. The answer to a read may take 0.3 s longer than its wait instead of 0.5 s.

--- a/jaymember/announce_test.go
+++ b/jaymember/announce_test.go
@@ -27,6 +27,7 @@
 			}
 		}
 		time.Sleep(time.Second)
+		synctest.Wait()
 		is.Equal(taken, 583)
 		is.Equal(len(store.records[testFormats{}.Own(topicEntries, 0)]), 583)
 		is.True(store.appends <= 2)
--- a/jaynode/sharedreads.go
+++ b/jaynode/sharedreads.go
@@ -18,7 +18,7 @@
 	// that stops answering is noticed.
 	sharedReadWait = time.Second
 	// sharedReadMargin is the time that the answer may take beyond the wait.
-	sharedReadMargin = 500 * time.Millisecond
+	sharedReadMargin = 300 * time.Millisecond
 	// avoidReaderTime is how long a reader that did not answer, or could not read the store, is
 	// not asked again.
 	avoidReaderTime = 5 * time.Second
@@ -35,10 +35,14 @@
 	version int64
 	// avoidUntil is until when a reader is not asked, by name.
 	avoidUntil map[string]time.Duration
+	// answered reports whether a reader has answered since it was last asked in vain, by
+	// incarnation. A reader is pinged first: one without power would hold up the read.
+	answered map[string]bool
+	pinging  map[string]bool
 }
 
 func newSharedReads(n *Node) *sharedReads {
-	return &sharedReads{node: n, link: jaypeer.NewClient(n.incarnation, sharedReadWait+sharedReadMargin, nil), avoidUntil: map[string]time.Duration{}}
+	return &sharedReads{node: n, link: jaypeer.NewClient(n.incarnation, sharedReadWait+sharedReadMargin, nil), avoidUntil: map[string]time.Duration{}, answered: map[string]bool{}, pinging: map[string]bool{}}
 }
 
 // Read returns the records from an offset on, and by how much the read of the store that they
@@ -97,13 +101,37 @@
 		return false, nil
 	}
 	announced, _ = entries.Named(name)
+	if announced != nil && !s.answered[announced.Incarnation] {
+		s.ping(announced)
+		return false, nil
+	}
 	return false, announced
 }
 
+// ping asks a reader in the background whether it runs. The caller holds the lock.
+func (s *sharedReads) ping(reader *jaywire.EntryRecord) {
+	if s.pinging[reader.Incarnation] {
+		return
+	}
+	s.pinging[reader.Incarnation] = true
+	go func() {
+		_, err := s.link.Ask(reader.Incarnation, reader.PeerAddr, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_Ping{Ping: &jaywire.Ping{}}})
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.pinging, reader.Incarnation)
+		if err == nil {
+			s.answered[reader.Incarnation] = true
+			return
+		}
+		s.avoidUntil[jaymember.EntryOf(reader.Incarnation)] = s.node.clock() + avoidReaderTime
+	}()
+}
+
 // avoid makes this entry ask other readers for a while.
 func (s *sharedReads) avoid(reader *jaywire.EntryRecord) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.answered, reader.Incarnation)
 	s.avoidUntil[jaymember.EntryOf(reader.Incarnation)] = s.node.clock() + avoidReaderTime
 }
 
