An owner without a witness does not show as running what a peer has shown as done

While the store takes no records, an owner tells the entry that asks that a job is done; that entry is its witness and shows it. The owner itself needs a peer as witness for its own callers. All entries had restarted 0.3 s before the outage, none had announced itself, so the owner found no peer and showed the job as running. It had always been possible; announcements that wait for an owner or their turn made it likely.

Change: the owner records that a peer has learned of an unrecorded end. Then it does not answer its own callers until it has a witness or the end is recorded.

Ruled out: the store (the end was recorded 1.4 s later), the next owner (it restored the job as ended).

TestOwnerWithoutWitnessDoesNotRevokeWhatAPeerShows fails without the check.

--- a/jaynode/queries.go
+++ b/jaynode/queries.go
@@ -36,9 +36,12 @@
 		if !answer.GetUnrecorded() || n.witness(c, queue.Pool, id, answer.GetFence()) {
 			return true
 		}
+		if c.Incarnation != n.incarnation || n.shownByPeer(queue.Pool, id) {
+			return false
+		}
 		// Without a witness, this owner shows the job as done only once that is recorded.
 		answer.State = jaywire.JobState_JOB_STATE_RUNNING
-		return c.Incarnation == n.incarnation
+		return true
 	})
 }
 
@@ -118,6 +121,9 @@
 // askIncarnation sends a request to an owner, which may be this entry itself.
 func (n *Node) askIncarnation(c jayowner.Claim, request *jaywire.PeerRequest) (*jaywire.PeerResponse, error) {
 	if c.Incarnation == n.incarnation {
+		if ask := request.GetAskJob(); ask != nil {
+			return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Job{Job: n.jobAnswer(ask, false)}}, nil
+		}
 		return n.handlePeer(request), nil
 	}
 	response, err := n.peers.Ask(c.Incarnation, c.PeerAddr, request)
@@ -130,8 +136,13 @@
 // askTimeout limits how long a query waits for a pool's goroutine.
 const askTimeout = 300 * time.Millisecond
 
-// askOwned answers a query for the state of a job if this entry owns its pool.
+// askOwned answers a peer's query for the state of a job if this entry owns its pool.
 func (n *Node) askOwned(ask *jaywire.AskJob) *jaywire.JobAnswer {
+	return n.jobAnswer(ask, true)
+}
+
+// jobAnswer answers a query of a peer or of this entry for the state of a job.
+func (n *Node) jobAnswer(ask *jaywire.AskJob, fromPeer bool) *jaywire.JobAnswer {
 	stateKnown, unrecorded := true, false
 	answer := n.answerOwned(ask.Pool, func(p *jaysched.Pool, now time.Duration) (jaysched.State, bool) {
 		if !visible(p, ask.Organisation, ask.Job) {
@@ -142,6 +153,9 @@
 		if unrecorded && !ask.Witness {
 			return jaysched.Running, true
 		}
+		if unrecorded && fromPeer {
+			p.ShowByPeer(ask.Job)
+		}
 		return p.StateOf(ask.Job, now)
 	})
 	if !stateKnown {
@@ -155,6 +169,15 @@
 	return answer
 }
 
+// shownByPeer reports whether a peer may have shown a job of a pool that this entry owns as done.
+func (n *Node) shownByPeer(pool, id string) bool {
+	shown := true
+	if duty := n.ownedPool(pool); duty != nil {
+		duty.ask(func() { shown = duty.pool.ShownByPeer(id) }, askTimeout)
+	}
+	return shown
+}
+
 // visible reports whether a caller may know of a job. The organisation is nil in a request
 // of an entry of an earlier version, for which all jobs are visible.
 func visible(p *jaysched.Pool, organisation *string, job string) bool {
--- a/jaynode/witness_test.go
+++ b/jaynode/witness_test.go
@@ -7,8 +7,11 @@
 
 	"github.com/matryer/is"
 
+	"jaythread/jaycatalog"
 	"jaythread/jayclock"
 	"jaythread/jayport"
+	"jaythread/jaysched"
+	"jaythread/jayverdict"
 	"jaythread/jaywire"
 	"jaythread/jaywitness"
 )
@@ -31,24 +34,7 @@
 	// again: such an entry keeps no ends.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		w := newPoolFixture(t, 1)
-		w.entry.node.pools["seats"] = w.duty
-		w.refreshClaimsFor(time.Second)
-		w.entry.store.set(func(s *faultyStore) { s.refuseTopic = topicProgress })
-		ended := map[string][]jayport.EndedRun{}
-		for range 2 { // steps
-			w.workers.mu.Lock()
-			for id, active := range w.workers.active {
-				for run := range active {
-					ended[id] = append(ended[id], jayport.EndedRun{Number: int64(len(ended[id]) + 1), Run: run, Ending: jayport.EndedDone})
-				}
-				report := jayport.Report{Clock: w.clock(), Ended: ended[id]}
-				w.duty.post(func(now time.Duration) { w.duty.pool.Reported(jayport.WorkerRef{ID: id}, report, now, now) })
-				clear(active)
-			}
-			w.workers.mu.Unlock()
-			w.refreshClaimsFor(500 * time.Millisecond)
-		}
+		w := endUnrecorded(t)
 		ask := func(witness bool) *jaywire.JobAnswer {
 			return w.entry.node.askOwned(&jaywire.AskJob{Pool: "seats", Job: testID, Witness: witness})
 		}
@@ -66,3 +52,52 @@
 		is.True(!answer.Unrecorded)
 	})
 }
+
+// TestOwnerWithoutWitnessDoesNotRevokeWhatAPeerShows guards against a job that a peer has shown as
+// done and that the owner shows as running: after a restart of all entries the owner knows no peer
+// that could be its witness, and the end is not recorded yet.
+func TestOwnerWithoutWitnessDoesNotRevokeWhatAPeerShows(t *testing.T) {
+	for _, toldPeer := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := endUnrecorded(t)
+			if toldPeer {
+				ask := &jaywire.AskJob{Pool: "seats", Job: testID, Witness: true}
+				is.True(w.entry.node.handlePeer(&jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskJob{AskJob: ask}}).GetJob().GetUnrecorded())
+			}
+			state, known, err := w.entry.node.JobState(jaycatalog.Queue{Pool: "seats"}, "", testID, 100*time.Millisecond)
+			if toldPeer {
+				is.Equal(verdictOf(t, err), jayverdict.NotRun)
+				return
+			}
+			is.NoErr(err)
+			is.True(known)
+			is.Equal(state, jaysched.Running)
+		})
+	}
+}
+
+// endUnrecorded returns the owner of a pool whose only job has ended while the store did not record
+// progress.
+func endUnrecorded(t *testing.T) *poolFixture {
+	t.Helper()
+	w := newPoolFixture(t, 1)
+	w.entry.node.pools["seats"] = w.duty
+	w.refreshClaimsFor(time.Second)
+	w.entry.store.set(func(s *faultyStore) { s.refuseTopic = topicProgress })
+	ended := map[string][]jayport.EndedRun{}
+	for range 2 { // steps
+		w.workers.mu.Lock()
+		for id, active := range w.workers.active {
+			for run := range active {
+				ended[id] = append(ended[id], jayport.EndedRun{Number: int64(len(ended[id]) + 1), Run: run, Ending: jayport.EndedDone})
+			}
+			report := jayport.Report{Clock: w.clock(), Ended: ended[id]}
+			w.duty.post(func(now time.Duration) { w.duty.pool.Reported(jayport.WorkerRef{ID: id}, report, now, now) })
+			clear(active)
+		}
+		w.workers.mu.Unlock()
+		w.refreshClaimsFor(500 * time.Millisecond)
+	}
+	return w
+}
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -83,6 +83,8 @@
 	recorded Outcome
 	// witnessed says that another entry keeps that the job is shown as done.
 	witnessed bool
+	// shownByPeer says that another entry may have shown the job as done.
+	shownByPeer bool
 	// removing says that the records of the ended job are being removed.
 	removing bool
 	started  bool
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -240,6 +240,19 @@
 	}
 }
 
+// ShowByPeer records that a peer has learned that a job is done and may show it.
+func (p *Pool) ShowByPeer(id string) {
+	if j, known := p.jobs[id]; known {
+		j.shownByPeer = true
+	}
+}
+
+// ShownByPeer reports whether a peer may have shown that a job is done.
+func (p *Pool) ShownByPeer(id string) bool {
+	j, known := p.jobs[id]
+	return known && j.shownByPeer
+}
+
 // VisibleTo reports whether the callers of an organisation may know of a job. A job without an
 // organisation is known to all: its queue needs no key, or it was submitted before there were
 // organisations.
