A store without new claims is not taken for unreachable

An entry appends jobs itself while their pool has no owner, unless the store has been silent for 1.8 s. That was measured from when the last answered read of the claims was sent. A read without a new claim is answered after a second, so the age lies between one and two seconds while nothing is claimed, and a fifth of the jobs were rejected. Since first claims wait for up to 2 s, an installation shows it at its start.

Change: silence is measured from the last answer.

TestStoreWithoutNewClaimsIsReachable fails without the change.

--- a/jaymember/owners.go
+++ b/jaymember/owners.go
@@ -38,6 +38,8 @@
 	*jayowner.Table
 	// AsOf is the time up to which the claims have been read.
 	AsOf time.Duration
+	// AnsweredAt is when the store answered the last read of the claims.
+	AnsweredAt time.Duration
 	// next is the offset after the last claim.
 	next int64
 }
@@ -81,7 +83,7 @@
 
 // CaughtUp publishes the claims and then calls OnClaimsRead.
 func (o *Owners) CaughtUp(asOf time.Duration) {
-	o.Publish(&View{Table: o.working.Clone(), next: o.tail.Next(), AsOf: asOf})
+	o.Publish(&View{Table: o.working.Clone(), next: o.tail.Next(), AsOf: asOf, AnsweredAt: o.members.Clock()})
 	o.members.OnClaimsRead()
 }
 
--- a/jaynode/fakes_test.go
+++ b/jaynode/fakes_test.go
@@ -349,7 +349,7 @@
 		r.Offset = int64(n)
 		_ = table.Apply(r)
 	}
-	e.node.members.Owners.Publish(&jaymember.View{Table: table, AsOf: e.node.clock()})
+	e.node.members.Owners.Publish(&jaymember.View{Table: table, AsOf: e.node.clock(), AnsweredAt: e.node.clock()})
 }
 
 var _ jayport.Store = (*faultyStore)(nil)
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -278,7 +278,7 @@
 
 // storeSilenceLimit is how long this entry may be without an answer from the store before
 // it stops appending jobs itself. The entry reads the claims continuously, and such a
-// read waits for at most jaymember.ClaimsWait.
+// read is answered after at most jaymember.ClaimsWait.
 const storeSilenceLimit = jaymember.ClaimsWait + 800*time.Millisecond
 
 // storeUnreachable reports whether this entry has had no answer from the store for too
@@ -289,7 +289,7 @@
 	if view == nil {
 		return true
 	}
-	lastAnswer := max(view.AsOf, i.node.store.RegainedAt())
+	lastAnswer := max(view.AnsweredAt, i.node.store.RegainedAt())
 	return i.node.clock()-lastAnswer > storeSilenceLimit
 }
 
--- a/jaynode/intake_test.go
+++ b/jaynode/intake_test.go
@@ -140,7 +140,7 @@
 		e.store.set(func(w *faultyStore) { w.refuse = true })
 		claims := jayowner.NewTable()
 		is.NoErr(claims.Apply(jayowner.Claim{Duty: jayowner.PoolDuty("seats"), Incarnation: "e2-x", PeerAddr: silent.Addr().String(), Term: 1}.Record()))
-		e.node.members.Owners.Publish(&jaymember.View{Table: claims, AsOf: clock()})
+		e.node.members.Owners.Publish(&jaymember.View{Table: claims, AsOf: clock(), AnsweredAt: clock()})
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		e.node.intake.start(ctx)
@@ -151,3 +151,19 @@
 		is.Equal(verdictOf(t, e.node.Submit(jobOf(testID, time.Millisecond), 2*time.Second)), jayverdict.MayHaveRun)
 	})
 }
+
+// TestStoreWithoutNewClaimsIsReachable guards against entries that reject jobs for a fifth of the
+// time while a pool has no owner: a read of the claims without a new one is answered after a
+// second, so that the claims are known as of up to two seconds ago.
+func TestStoreWithoutNewClaimsIsReachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := jayclock.Since(time.Now().Add(-time.Hour))
+		e := newTestEntry(t, "e1", newSharedStore(), newSharedHosts(clock, nil), clock)
+		e.node.members.Owners.Publish(&jaymember.View{Table: jayowner.NewTable(), AsOf: clock() - jaymember.ClaimsWait, AnsweredAt: clock()})
+		time.Sleep(jaymember.ClaimsWait)
+		is.True(!e.node.intake.storeUnreachable())
+		time.Sleep(storeSilenceLimit)
+		is.True(e.node.intake.storeUnreachable())
+	})
+}
