Entries that restart together announce themselves in turn at once

Cause: after a restart of all entries, each waited for an owner or for its turn of up to 2.2 s before it announced itself, also in a system of four. Until then none could be a witness for another or reach the store for it.

Change: an entry that finds an announcement of its own former process knows how many others may append theirs, and waits for a turn among them of 10 ms each, if that is sooner.

Measured: TestRestartedEntriesAnnounceThemselvesSoon, for 4 and 583 entries; a first start of many is unchanged.

--- a/jaymember/announce.go
+++ b/jaymember/announce.go
@@ -29,6 +29,9 @@
 	// handOverDelay is the time after which an announcement that an owner has taken, but that
 	// was not read since, is made again.
 	handOverDelay = 1200 * time.Millisecond
+	// assumedLatency is the least time that an append is taken to last. The store's latency is
+	// not known before the first append.
+	assumedLatency = 10 * time.Millisecond
 	// ownersPollInterval is the time between two checks whether an owner is known.
 	ownersPollInterval = 100 * time.Millisecond
 	// announceRetryDelay is the delay before a failed append of an announcement is repeated for
@@ -138,15 +141,14 @@
 		a.logger.Error(err, "announcement cannot be encoded")
 		return
 	}
-	appendAt := m.StartedAt + jayowner.ClaimDelay(announceDuty, m.Incarnation, m.capacity(), 0)
 	retry := announceRetryDelay
 	for ctx.Err() == nil && !m.Entries.announced(m.Incarnation) {
 		now := m.Clock()
 		switch {
 		case a.handOver(announcement, now):
 			jayclock.Sleep(ctx, jaypace.Jitter(handOverDelay))
-		case now < appendAt:
-			jayclock.Sleep(ctx, min(appendAt-now, ownersPollInterval))
+		case now < a.appendAt():
+			jayclock.Sleep(ctx, min(a.appendAt()-now, ownersPollInterval))
 		case a.append([]jayport.Record{record}):
 			return
 		default:
@@ -156,6 +158,18 @@
 	}
 }
 
+// appendAt returns when this entry appends its own announcement if it finds no owner. A restarted
+// entry knows from the former announcements how many others may append theirs at the same time.
+func (a *Announcer) appendAt() time.Duration {
+	m := a.members
+	delay := jayowner.ClaimDelay(announceDuty, m.Incarnation, m.capacity(), 0)
+	if former, known := m.Entries.Named(m.Entry); known && former.Incarnation != m.Incarnation {
+		turn := xxhash.Sum64String(m.Incarnation) % uint64(m.Entries.Count())
+		delay = min(delay, time.Duration(turn)*max(m.Store.Latency(), assumedLatency))
+	}
+	return m.StartedAt + delay
+}
+
 // announceDuty stands for the announcement in the order in which entries act without knowing
 // each other.
 const announceDuty jayowner.Duty = "announce"
--- a/jaymember/announce_test.go
+++ b/jaymember/announce_test.go
@@ -1,6 +1,7 @@
 package jaymember
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,3 +46,29 @@
 		is.New(t).Equal(len(store.records[testFormats{}.Own(topicEntries, 0)]), 1)
 	})
 }
+
+// TestRestartedEntriesAnnounceThemselvesSoon guards against a restart of all entries of a small
+// system after which none knows another for a second, so that none can be a witness or reach the
+// store for another.
+func TestRestartedEntriesAnnounceThemselvesSoon(t *testing.T) {
+	for _, entries := range []int{4, 583} {
+		clock := jayclock.Since(time.Now().Add(-time.Hour))
+		m := newTestMembers(t, "e0", newMemoryStore(), clock)
+		m.StartedAt = clock()
+		known := func(name string) {
+			r, err := announcementRecord(name, &jaywire.EntryRecord{Incarnation: NewIncarnation(name)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			m.Entries.Apply(r)
+		}
+		alone := m.Announcer.appendAt() - m.StartedAt
+		for n := range entries - 1 {
+			known(fmt.Sprint("e", n+1))
+		}
+		is := is.New(t)
+		is.Equal(m.Announcer.appendAt()-m.StartedAt, alone) // it starts for the first time
+		known("e0")
+		is.True(m.Announcer.appendAt()-m.StartedAt <= min(alone, time.Duration(entries)*assumedLatency))
+	}
+}
