Shared reads and grouped log lines in packages of their own

The reads through another entry move from jaynode to jayrelay, which holds the other half of them; jaynode only passes on what it knows of the other entries. The lines about many hosts move to jaylogger. No behaviour changes, except that what is known of a reader is kept by its name, so that it does not grow with the restarts.

TestReadDoesNotWaitForLostReader now runs without sockets, and for readers that answer; without the ping before the first read it fails with 1.3 s instead of 0 s.

--- a/jaynode/fleetcommands.go
+++ b/jaynode/fleetcommands.go
@@ -17,13 +17,13 @@
 	lease := jayport.Lease{Holder: d.node.settings.Entry, Fence: d.claim.Fence}
 	switch a := action.(type) {
 	case jayfleet.MoveHost:
-		d.commandLog.add(a.Host, "moving hosts", "from", a.From, "to", a.Pool, "why", a.Why)
+		d.commandLog.Add(a.Host, "moving hosts", "from", a.From, "to", a.Pool, "why", a.Why)
 		if a.Why != "repeated" {
 			d.node.metrics.HostGiven(a.From, a.Why)
 		}
 		d.recordAndSend(a.Host, a.SendBy, func() error { return d.node.ports.Inventory.Move(a.Host, a.Pool, lease, inventoryTimeout) })
 	case jayfleet.MaintainHost:
-		d.commandLog.add(a.Host, "maintaining hosts", "wave", a.Wave)
+		d.commandLog.Add(a.Host, "maintaining hosts", "wave", a.Wave)
 		d.recordAndSend(a.Host, a.SendBy, func() error { return d.node.ports.Inventory.Maintain(a.Host, a.Wave, lease, inventoryTimeout) })
 	case jayfleet.RecordWave:
 		d.recordWave(a)
@@ -52,7 +52,7 @@
 	go func() {
 		record, err := d.awaitRecord(outcome)
 		if err != nil {
-			d.post(func(time.Duration) { d.commandLog.add(host, "commands not recorded", "error", err.Error()) })
+			d.post(func(time.Duration) { d.commandLog.Add(host, "commands not recorded", "error", err.Error()) })
 		}
 		if d.ctx.Err() != nil {
 			// The duty has ended, for example because another entry owns the fleet now.
@@ -88,7 +88,7 @@
 func (d *fleetDuty) commandAnswered(host string, err error) {
 	d.post(func(now time.Duration) {
 		if err != nil {
-			d.commandLog.add(host, "commands not accepted", "error", err.Error())
+			d.commandLog.Add(host, "commands not accepted", "error", err.Error())
 		}
 		var refused *jayport.HostError
 		if errors.As(err, &refused) && refused.Reason == jayport.HostFenced {
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -8,6 +8,7 @@
 	"jaythread/jayburst"
 	"jaythread/jayclock"
 	"jaythread/jayfleet"
+	"jaythread/jaylogger"
 	"jaythread/jaymember"
 	"jaythread/jayowner"
 	"jaythread/jayquota"
@@ -61,7 +62,7 @@
 	// clocks relates the clock of each pool's owner to this entry's clock.
 	clocks map[string]jaymember.PeerClock
 	// commandLog collects the lines about single hosts of one step.
-	commandLog *hostLog
+	commandLog *jaylogger.Groups
 	// nextStatesLogAt is when the states of the pools are logged next.
 	nextStatesLogAt time.Duration
 }
@@ -80,7 +81,7 @@
 		nextDemandAt: map[string]time.Duration{},
 		sentOrders:   map[string]string{},
 		clocks:       map[string]jaymember.PeerClock{},
-		commandLog:   newHostLog(),
+		commandLog:   jaylogger.NewGroups("hosts"),
 	}
 }
 
@@ -161,9 +162,9 @@
 		}
 	}
 	for _, c := range d.fleet.TakeHostChanges() {
-		d.commandLog.add(hostAndWorker(c), "hosts changed", "pool", c.Pool, "state", c.State.String())
+		d.commandLog.Add(hostAndWorker(c), "hosts changed", "pool", c.Pool, "state", c.State.String())
 	}
-	d.commandLog.write(d.logger)
+	d.commandLog.Write(d.logger)
 	d.logDivisions()
 	d.logBursts(now)
 	d.logStates(now)
--- a/jaynode/members.go
+++ b/jaynode/members.go
@@ -20,7 +20,7 @@
 		Store:           n.store,
 		Formats:         n.ports.Formats,
 		SharedReads:     n.sharedReads.Read,
-		SharedClaims:    n.sharedReads.ReadClaims,
+		SharedClaims:    n.readClaims,
 		Logger:          n.logger,
 		Pace:            n.pace,
 		Partition:       n.partitionOf,
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -51,7 +51,8 @@
 	// relayServer makes calls to the store for peers, and sharedReads are this entry's reads
 	// through others.
 	relayServer *jayrelay.Server
-	sharedReads *sharedReads
+	sharedReads *jayrelay.SharedReads
+	readerPeers *readerPeers
 	// pace limits the reads of all entries to the store's rate.
 	pace        *jaypace.Pace
 	clock       jayclock.Clock
@@ -133,7 +134,8 @@
 	n.pace = jaypace.New(settings.StoreReadRate, func() int { return n.members.Entries.Count() })
 	n.store = jayrelay.New(n.ports.Store, n.relayPeers, n.clock, n.logger.WithName("store"), jayrelay.WithPace(n.pace))
 	n.relayServer = jayrelay.NewServer(n.ports.Store, n.clock)
-	n.sharedReads = newSharedReads(n)
+	n.readerPeers = newReaderPeers(n)
+	n.sharedReads = jayrelay.NewSharedReads(settings.Entry, settings.DataCenter, n.store, n.relayServer, n.readerPeers, n.clock, n.logger.WithName("store"))
 	n.peers = jaypeer.NewClient(n.incarnation, peerTimeout, nil)
 	n.peerServer = jaypeer.NewServer(n.incarnation, peerTimeout, n.handlePeer)
 	n.declarations = newDeclarations(n)
@@ -192,7 +194,7 @@
 	n.peerServer.Close()
 	n.peers.Close()
 	n.relayPeers.link.Close()
-	n.sharedReads.link.Close()
+	n.readerPeers.link.Close()
 	n.intake.link.Close()
 	n.members.Close()
 	ended := make(chan struct{})
