TestRestartedEntryWatchesTheDutiesOfItsShare fails when entries do not watch by name

With one duty the first candidate by name was among the first by rank as well, so the test passed with the watchers by name taken out. It now takes ten duties; red with them taken out, green with them.

--- a/jaymember/watch.go
+++ b/jaymember/watch.go
@@ -28,8 +28,9 @@
 
 // watch is the owners that this entry pings in each round, and the other entries that it pings in
 // turn. The watchers of an owner are the candidates that would claim its duties, by their rank or,
-// after a loss of all entries, by their share: they must notice its end first. All others ping it as often as together they make the pings of one more watcher
-// in each round, so that its end is noticed when its watchers are lost with it.
+// after a loss of all entries, by their share: they must notice its end first. All others ping it
+// as often as together they make the pings of one more watcher in each round, so that its end is
+// noticed when its watchers are lost with it.
 //
 // It handles this load: if every entry pinged every owner, an owner would answer thousands of
 // pings a second, and each entry would keep a session with every other.
--- a/jaymember/watch_test.go
+++ b/jaymember/watch_test.go
@@ -72,13 +72,16 @@
 			m.Entries.byName[name] = &jaywire.EntryRecord{Incarnation: name + "-00000000", ProcessorsMilli: 192}
 			names = append(names, jayowner.Candidate{Incarnation: name, Capacity: 192})
 		}
-		m.publish(jayowner.Claim{Duty: jayowner.Fleet, Incarnation: "e1-00000000"})
-		m.Entry = jayowner.Rankings([]jayowner.Duty{jayowner.Fleet}, nil, names, 1)[jayowner.Fleet][0]
-		m.Incarnation = NewIncarnation(m.Entry)
-		var w watch
-		w.update(m, m.Owners.View())
-		for round := range 20 {
-			is.True(w.pings("e1-00000000", round))
+		for n := range 10 {
+			duty := jayowner.PoolDuty(fmt.Sprint("p", n))
+			m.publish(jayowner.Claim{Duty: duty, Incarnation: "e1-00000000"})
+			m.Entry = jayowner.Rankings([]jayowner.Duty{duty}, nil, names, 1)[duty][0]
+			m.Incarnation = NewIncarnation(m.Entry)
+			var w watch
+			w.update(m, m.Owners.View())
+			for round := range 20 {
+				is.True(w.pings("e1-00000000", round))
+			}
 		}
 	})
 }
