A pool has sixteen witnesses instead of all entries

Cause: an entry that showed a job as done before its end was recorded kept that by itself, so a new owner asked all entries, at once and within 350 ms. The connections that it opens grow with the entries: 5,627 are more than a small entry may have open (4,100), and answers that come too late are passed over, which breaks the promise that goes with them.

Change: sixteen entries, chosen by rendezvous hashing of the pool and the names, are the witnesses of a pool. An entry that is none places the job with up to three of them at once before it shows it. With sixteen entries or fewer nothing changes.

Measured: questions of a takeover 582 -> 16 at 583 entries, 5,626 -> 16 at 5,627 (TestTakeoverAsksFewWitnesses).

--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -63,13 +63,14 @@
 	// startedAt is the same moment on the node's clock.
 	startedAt time.Duration
 
-	declarations *declarations
-	heartbeats   *workerHeartbeats
-	members      *jaymember.Members
-	intake       *intake
-	witnesses    *jaywitness.Register
-	peers        *jaypeer.Client
-	peerServer   *jaypeer.Server
+	declarations   *declarations
+	heartbeats     *workerHeartbeats
+	members        *jaymember.Members
+	intake         *intake
+	witnesses      *jaywitness.Register
+	witnessChoices jaywitness.Choices
+	peers          *jaypeer.Client
+	peerServer     *jaypeer.Server
 
 	// startedClaims is the set of the claims under which a pool's duty was started.
 	startedClaims sync.Map
--- a/jaynode/witness.go
+++ b/jaynode/witness.go
@@ -1,6 +1,9 @@
 package jaynode
 
 import (
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"jaythread/jayowner"
@@ -8,61 +11,80 @@
 )
 
 const (
-	// witnessPeers is the number of peers that an owner asks in turn to become a witness.
+	// witnessPeers is the number of peers that are asked at once to become a witness.
 	witnessPeers = 3
 	// collectTimeout limits how long a new owner waits for the witnesses. A running entry
 	// answers within some tens of milliseconds.
 	collectTimeout = 350 * time.Millisecond
 )
 
-// witness makes this entry the witness of a job that the owner of a pool shows as done before
-// that is recorded. If this entry is the owner, a peer becomes the witness.
+// witness makes an entry the witness of a job that the owner of a pool shows as done before that is
+// recorded, and reports whether there is one: this entry itself, or else another one.
 func (n *Node) witness(c jayowner.Claim, pool, id string, fence int64) bool {
-	if c.Incarnation != n.incarnation {
+	owns := c.Incarnation == n.incarnation
+	if !owns && slices.Contains(n.witnessNames(pool), n.settings.Entry) {
 		return n.witnesses.Keep(pool, id, fence)
 	}
-	if !n.placeWitness(pool, id, fence) {
+	if !n.placeWitness(c, pool, id, fence) {
 		return false
 	}
-	if duty := n.ownedPool(pool); duty != nil {
+	if duty := n.ownedPool(pool); owns && duty != nil {
 		duty.post(func(time.Duration) { duty.pool.Witnessed(id) })
 	}
 	return true
 }
 
-// placeWitness asks peers to become the witness of a job that this entry owns, and reports
-// whether one has.
-func (n *Node) placeWitness(pool, job string, fence int64) bool {
-	asked := 0
-	for _, e := range n.members.Entries.All() {
-		if asked == witnessPeers {
-			break
-		}
-		if e.Incarnation == n.incarnation || n.members.Liveness.PresumedEnded(e.Incarnation, n.clock()) {
-			continue
+// witnessNames returns the names of the entries that may be witnesses of a pool's jobs.
+func (n *Node) witnessNames(pool string) []string {
+	return n.witnessChoices.Of(pool, n.members.Entries.Version(), func() []string {
+		entries := n.members.Entries.Names()
+		entries[n.settings.Entry] = nil // also before its announcement
+		return slices.Collect(maps.Keys(entries))
+	})
+}
+
+// witnessesOf returns the entries other than this one that may be witnesses of a pool's jobs and are
+// not presumed to have ended.
+func (n *Node) witnessesOf(pool string) []*jaywire.EntryRecord {
+	var peers []*jaywire.EntryRecord
+	for _, name := range n.witnessNames(pool) {
+		e, known := n.members.Entries.Named(name)
+		if known && name != n.settings.Entry && !n.members.Liveness.PresumedEnded(e.Incarnation, n.clock()) {
+			peers = append(peers, e)
 		}
-		asked++
-		body := &jaywire.WitnessJob{Pool: pool, Job: job, Fence: fence}
-		response, err := n.peers.Ask(e.Incarnation, e.PeerAddr, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_WitnessJob{WitnessJob: body}})
-		if err == nil && response.GetJobWitnessed().GetKept() {
+	}
+	return peers
+}
+
+// placeWitness asks peers other than the owner to become the witness of a job, and reports whether
+// one has.
+func (n *Node) placeWitness(owner jayowner.Claim, pool, job string, fence int64) bool {
+	peers := slices.DeleteFunc(n.witnessesOf(pool), func(e *jaywire.EntryRecord) bool { return e.Incarnation == owner.Incarnation })
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	peers = peers[:min(len(peers), witnessPeers)]
+	kept := make(chan bool, len(peers))
+	for _, e := range peers {
+		go func() {
+			body := &jaywire.WitnessJob{Pool: pool, Job: job, Fence: fence}
+			response, err := n.peers.Ask(e.Incarnation, e.PeerAddr, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_WitnessJob{WitnessJob: body}})
+			kept <- err == nil && response.GetJobWitnessed().GetKept()
+		}()
+	}
+	for range peers {
+		if <-kept {
 			return true
 		}
 	}
 	return false
 }
 
-// collectWitnessed asks all entries for the jobs of a pool that its former owners have shown
-// as done. Entries that do not answer in time are passed over.
+// collectWitnessed asks the witnesses of a pool for the jobs that its former owners have shown as
+// done. Entries that do not answer in time are passed over.
 func (n *Node) collectWitnessed(pool string, fence int64) map[string]bool {
-	entries := n.members.Entries.All()
-	answers := make(chan []string, len(entries)+1)
+	peers := n.witnessesOf(pool)
+	answers := make(chan []string, len(peers)+1)
 	answers <- n.witnesses.Collect(pool, fence)
-	pending := 1
-	for _, e := range entries {
-		if e.Incarnation == n.incarnation || n.members.Liveness.PresumedEnded(e.Incarnation, n.clock()) {
-			continue
-		}
-		pending++
+	for _, e := range peers {
 		go func() {
 			body := &jaywire.AskWitnessed{Pool: pool, Fence: fence}
 			response, err := n.peers.Ask(e.Incarnation, e.PeerAddr, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskWitnessed{AskWitnessed: body}})
@@ -76,7 +98,7 @@
 	shown := map[string]bool{}
 	timer := time.NewTimer(collectTimeout)
 	defer timer.Stop()
-	for range pending {
+	for range len(peers) + 1 {
 		select {
 		case jobs := <-answers:
 			for _, job := range jobs {
--- a/jaynode/witness_test.go
+++ b/jaynode/witness_test.go
@@ -1,11 +1,13 @@
 package jaynode
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"jaythread/jaycatalog"
 	"jaythread/jayclock"
@@ -29,6 +31,24 @@
 	is.True(!keep(2))
 }
 
+// TestTakeoverAsksFewWitnesses guards against a new owner that asks thousands of entries at once for
+// what its predecessors have shown, and passes over those that do not answer in time.
+func TestTakeoverAsksFewWitnesses(t *testing.T) {
+	for _, entries := range []int{4, 16, 583, 5627} {
+		is := is.New(t)
+		clock := jayclock.Boot
+		e := newTestEntry(t, "e0", newSharedStore(), newSharedHosts(clock, nil), clock)
+		for n := range entries - 1 {
+			name := fmt.Sprint("e", n+1)
+			value, err := proto.Marshal(&jaywire.EntryRecord{Incarnation: name + "-00000000"})
+			is.NoErr(err)
+			e.node.members.Entries.Apply(jayport.Record{Key: name, Value: value})
+		}
+		asked := len(e.node.witnessesOf("seats"))
+		is.True(asked >= min(entries-1, 15) && asked <= 16)
+	}
+}
+
 func TestUnrecordedEndIsToldToWitnessesOnly(t *testing.T) {
 	// Guards against a job that an entry of an earlier version shows as done, and that runs
 	// again: such an entry keeps no ends.
