The fleet's owner is told only the loads that have changed

Cause: every 150 ms the owner of the fleet asked each pool for the loads of all its workers and sent it the list of all its workers. Both grow with the fleet: at 1,451 workers about 40 KB each way a request, and twice that at twice the size, on links of 20 Mbit/s at the small end.

Change: reports are numbered; one contains the loads that have changed since the last one that the fleet's owner has applied, and the workers that have left. It contains all loads if the other side names no report, one of another history, or one from too long ago. The list of workers is left out when its digest is the one that the pool's owner has reported.

--- a/jaynode/demand.go
+++ b/jaynode/demand.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"jaythread/jayload"
 	"jaythread/jayowner"
 	"jaythread/jaysched"
 	"jaythread/jaywire"
@@ -43,16 +44,19 @@
 	}
 	asked := duty.ask(func() {
 		now := n.clock()
-		if ask.Surveyed && ask.SurveyedFence == duty.claim.Fence {
-			duty.pool.InventoryRead(ask.Existing, micros(ask.SurveyedAtMicros), now)
+		if ask.Surveyed && ask.SurveyedFence == duty.claim.Fence && duty.learnExisting(ask) {
+			duty.pool.InventoryRead(duty.existing, micros(ask.SurveyedAtMicros), now)
 		}
+		report.ExistingDigest = jayload.Digest(duty.existing)
 		duty.pool.SetFleetFence(ask.Fence, now)
 		duty.pool.SetVacating(vacate, now)
 		duty.pool.SetContracting(ask.Contracting, now)
 		if len(ask.Arriving) > 0 {
 			duty.pool.SetArriving(decodeArriving(ask.Arriving), now)
 		}
-		writeDemand(report, duty.pool.Demand(now))
+		demand := duty.pool.Demand(now)
+		writeDemand(report, demand)
+		duty.loads.Report(report, encodeLoads(demand.Loads), now.Milliseconds(), ask.LoadsEpoch, ask.LoadsReport)
 		if ask.Quota != nil {
 			message := decodeQuotaMessage(ask.Fence, ask.Quota)
 			duty.pool.ApplyQuotaMessage(message)
@@ -69,6 +73,17 @@
 	return report
 }
 
+// learnExisting sets the pool's workers according to the inventory from a request of the fleet's
+// owner, which leaves them out if they are those that it has sent before. It returns false if they
+// are not.
+func (d *poolDuty) learnExisting(ask *jaywire.AskDemand) bool {
+	if ask.ExistingDigest != 0 {
+		return ask.ExistingDigest == jayload.Digest(d.existing)
+	}
+	d.existing = ask.Existing
+	return true
+}
+
 // neverEmpty is the value of EmptyInMillis for a worker that does not become empty by
 // itself.
 const neverEmpty = -1
@@ -80,12 +95,16 @@
 	report.OnTimeMilli = &d.OnTimeMilli
 	report.ArrivingMilli = d.ArrivingMilli
 	report.WorkersAtLeast = uint32(d.WorkersAtLeast)
-	for _, l := range d.Loads {
+}
+
+func encodeLoads(loads []jaysched.Load) []*jaywire.WorkerLoad {
+	encoded := make([]*jaywire.WorkerLoad, 0, len(loads))
+	for _, l := range loads {
 		emptyIn := l.EmptyIn.Milliseconds()
 		if l.EmptyIn == jaysched.MaxDuration {
 			emptyIn = neverEmpty
 		}
-		report.Workers = append(report.Workers, &jaywire.WorkerLoad{
+		encoded = append(encoded, &jaywire.WorkerLoad{
 			Worker:     l.Worker,
 			UsedMilli:  l.UsedMilli,
 			Runs:       uint32(l.Runs),
@@ -100,4 +119,5 @@
 			SpeedPercent:  uint32(l.SpeedPercent),
 		})
 	}
+	return encoded
 }
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -8,6 +8,7 @@
 	"jaythread/jayburst"
 	"jaythread/jayclock"
 	"jaythread/jayfleet"
+	"jaythread/jayload"
 	"jaythread/jaylogger"
 	"jaythread/jaymember"
 	"jaythread/jayowner"
@@ -59,6 +60,10 @@
 	askingDemand    map[string]bool
 	nextDemandAt    map[string]time.Duration
 	sentOrders      map[string]string
+	// loads are the loads that each pool's owner reports, and existing is the digest of the list of
+	// workers that it has.
+	loads    map[string]*jayload.Receiver
+	existing map[string]uint64
 	// clocks relates the clock of each pool's owner to this entry's clock.
 	clocks map[string]jaymember.PeerClock
 	// commandLog collects the lines about single hosts of one step.
@@ -80,6 +85,8 @@
 		askingDemand: map[string]bool{},
 		nextDemandAt: map[string]time.Duration{},
 		sentOrders:   map[string]string{},
+		loads:        map[string]*jayload.Receiver{},
+		existing:     map[string]uint64{},
 		clocks:       map[string]jaymember.PeerClock{},
 		commandLog:   jaylogger.NewGroups("hosts"),
 	}
@@ -283,9 +290,18 @@
 	if d.node.settings.Overload.RejectHopeless {
 		ask.Arriving = encodeArriving(d.fleet.Arriving(pool, now))
 	}
+	if d.loads[pool] == nil {
+		d.loads[pool] = jayload.NewReceiver()
+	}
+	ask.LoadsEpoch, ask.LoadsReport = d.loads[pool].Applied()
 	existing, asked, read := d.fleet.Existing(pool)
 	if clock, known := d.clocks[pool]; known && read {
-		ask.Surveyed, ask.Existing = true, existing
+		ask.Surveyed = true
+		if digest := jayload.Digest(existing); digest == d.existing[pool] {
+			ask.ExistingDigest = digest
+		} else {
+			ask.Existing = existing
+		}
 		ask.SurveyedFence, ask.SurveyedAtMicros = clock.Fence, clock.ToPeer(asked).Microseconds()
 	}
 	go func() {
@@ -293,8 +309,12 @@
 		d.post(func(at time.Duration) {
 			d.askingDemand[pool] = false
 			d.nextDemandAt[pool] = at + demandInterval
-			if err == nil && report.GetOwned() {
-				d.fleet.SetDemand(pool, demandOf(report, now))
+			if err != nil || !report.GetOwned() {
+				return
+			}
+			d.existing[pool] = report.ExistingDigest
+			if loads, ok := d.loads[pool].Apply(report); ok {
+				d.fleet.SetDemand(pool, demandOf(report, loads, now))
 				d.receiveQuotas(pool, report)
 				d.receiveUses(pool, report, now)
 				d.clocks[pool] = jaymember.PeerClock{Fence: report.Fence, Clock: micros(report.ClockMicros), HeardAt: at}
@@ -315,7 +335,7 @@
 	return b.String()
 }
 
-func demandOf(report *jaywire.DemandReport, at time.Duration) jayfleet.Demand {
+func demandOf(report *jaywire.DemandReport, loads []*jaywire.WorkerLoad, at time.Duration) jayfleet.Demand {
 	demand := jayfleet.Demand{
 		OnTimeMilli:   report.OnTimeMilli,
 		NeedMilli:     report.NeedMilli,
@@ -323,10 +343,10 @@
 		ExpiredMilli:  report.ExpiredMilli,
 		ArrivingMilli: report.ArrivingMilli,
 		HostsAtLeast:  int(report.WorkersAtLeast),
-		Loads:         make(map[string]jayfleet.Load, len(report.Workers)),
+		Loads:         make(map[string]jayfleet.Load, len(loads)),
 		At:            at,
 	}
-	for _, w := range report.Workers {
+	for _, w := range loads {
 		demand.Loads[w.Worker] = jayfleet.Load{
 			CapacityMilli: w.CapacityMilli,
 			UsedMilli:     w.UsedMilli,
--- a/jaynode/fleetduty_test.go
+++ b/jaynode/fleetduty_test.go
@@ -64,5 +64,5 @@
 	is := is.New(t)
 	report := &jaywire.DemandReport{}
 	writeDemand(report, jaysched.Demand{ArrivingMilli: 7})
-	is.Equal(demandOf(report, 0).ArrivingMilli, int64(7))
+	is.Equal(demandOf(report, nil, 0).ArrivingMilli, int64(7))
 }
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jaythread/jayjournal"
+	"jaythread/jayload"
 	"jaythread/jayowner"
 	"jaythread/jayport"
 	"jaythread/jaysched"
@@ -55,7 +56,11 @@
 	latency *jaysched.Latency
 
 	// The fields below are used only by the duty's goroutine.
-	pool         *jaysched.Pool
+	pool *jaysched.Pool
+	// loads reports the loads of the workers to the fleet's owner, and existing are the pool's
+	// workers according to the inventory.
+	loads        *jayload.Sender
+	existing     []string
 	jobs         *jobTail
 	flushing     bool
 	nextExpireAt time.Duration
@@ -79,6 +84,7 @@
 		duty:    newDuty(n, claim, p, poolInbox, n.logger.WithName("pool").WithValues("pool", name, "fence", claim.Fence)),
 		name:    name,
 		latency: jaysched.NewLatency(),
+		loads:   jayload.NewSender(),
 	}
 	options := []jaysched.Option{
 		jaysched.WithFence(claim.Fence, claim.Term),
