--- a/jaysched/rush_bench_test.go
+++ b/jaysched/rush_bench_test.go
@@ -136,7 +136,7 @@
 // BenchmarkReport measures the time that the pool's owner spends on one report without changes,
 // by the pool's size, while each worker runs eight tasks.
 func BenchmarkReport(b *testing.B) {
-	for _, workers := range []int{20, 200, 700} {
+	for _, workers := range []int{80, 1450, 2900} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			r := newBurst(workers)
 			r.fill(workers * 8)
