Log for how long restored tasks are held after a takeover

Nothing showed how long an owner holds tasks that a former owner may have started, how many, and for which workers: "task waits" names only service tasks after 2 s. "restored tasks held" tells it once a second, "restored tasks released" when it ends. Both count as events in the metrics.

No decision changes.

--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -25,8 +25,12 @@
 	RunThrottled EventKind = "run throttled"
 	StartRefused EventKind = "start refused"
 	// TaskWaits is a long-running task that has waited for long.
-	TaskWaits  EventKind = "task waits"
-	EndIgnored EventKind = "end ignored"
+	TaskWaits EventKind = "task waits"
+	// TasksHeld are restored tasks that wait because a former owner may have started them,
+	// TasksReleased says that they do not wait for that any more.
+	TasksHeld     EventKind = "restored tasks held"
+	TasksReleased EventKind = "restored tasks released"
+	EndIgnored    EventKind = "end ignored"
 	// WorkerReturned is a worker that was restarted under its ID.
 	WorkerReturned EventKind = "worker returned"
 	// WorkerResized is a worker whose capacity has changed, TaskTooLarge a task that no worker is
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -15,6 +15,7 @@
 	defer p.recordReachedQuotas(now)
 	defer p.failUnfitJobs(now)
 	defer p.reportWaits(now) // may reach quotas
+	defer p.reportHold(formerRuns, now)
 	defer p.reviewHeldBack(formerRuns, now)
 	p.clearReservations()
 	p.updateBusyTimes(now)
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -112,6 +112,7 @@
 	deadlineReviewAt time.Duration
 	// waitsReportedAt is when the waits of long-running tasks were last reported.
 	waitsReportedAt time.Duration
+	holdReport      holdReport
 	// lastRoomAt is the latest time at which no task lacked room.
 	lastRoomAt time.Duration
 	// batchRecordedAt is the latest time at which a batch was recorded.
--- a/jaysched/waiting.go
+++ b/jaysched/waiting.go
@@ -52,6 +52,54 @@
 	return obstacleNames[o]
 }
 
+// holdReport is what has been reported about restored tasks that are held.
+type holdReport struct {
+	// since is when the hold began, or zero; reportedAt is when it was last reported.
+	since, reportedAt time.Duration
+	// reported says that the present hold has been reported.
+	reported bool
+}
+
+// reportHold records an event at intervals while restored tasks are held because a former owner
+// may have started them, and one once they are not held any more.
+func (p *Pool) reportHold(formerRuns bool, now time.Duration) {
+	h := &p.holdReport
+	switch {
+	case formerRuns && h.since == 0:
+		h.since, h.reportedAt = now, now
+	case formerRuns && now >= h.reportedAt+waitReportInterval:
+		h.reportedAt = now
+		if held, service := p.heldTasks(); held > 0 {
+			h.reported = true
+			p.recordEvent(Event{Kind: TasksHeld, Detail: fmt.Sprintf("%d, %d of services: %s", held, service, p.formerRunsReason()), Waited: now - h.since}, now)
+		}
+	case !formerRuns && h.since > 0:
+		if h.reported {
+			p.recordEvent(Event{Kind: TasksReleased, Waited: now - h.since}, now)
+		}
+		*h = holdReport{}
+	}
+}
+
+// heldTasks counts the waiting tasks that a former owner may have started, and those of services
+// among them.
+func (p *Pool) heldTasks() (held, service int) {
+	for _, j := range p.open {
+		if j.waiting == 0 {
+			continue
+		}
+		j.eachTask(func(t *task) {
+			if t.mayRunUnreported && t.waiting() {
+				held++
+				if t.step.decl.LongRunning {
+					service++
+				}
+			}
+		})
+	}
+	return held, service
+}
+
 // reportWaits records an event for each long-running task that has waited for long, with what
 // keeps it from starting.
 func (p *Pool) reportWaits(now time.Duration) {
--- a/jaysched/waiting_test.go
+++ b/jaysched/waiting_test.go
@@ -74,3 +74,29 @@
 		is.Equal(w.lastWait(), Event{})
 	})
 }
+
+// Guards against a hold of restored tasks that no log line shows: which workers cause it, and how
+// long it lasts.
+func TestHoldOfRestoredTasksIsReported(t *testing.T) {
+	is := is.New(t)
+	first := newHarness(t, 2)
+	spec := newSpec("j", 1, single, longRunning)
+	declare(first, spec)
+	next := takeOver(t, first, spec)
+	next.workers["w0"].silent, next.workers["w1"].silent = true, true
+	readInventory(next)
+	next.reportFor(2 * waitReportInterval)
+	events := map[EventKind]Event{}
+	for _, e := range next.pool.TakeEvents() {
+		events[e.Kind] = e
+	}
+	is.True(strings.HasPrefix(events[TasksHeld].Detail, "1, 1 of services: no report of [w0 w1]"))
+	is.True(events[TasksHeld].Waited >= waitReportInterval)
+	is.Equal(events[TasksReleased], Event{})
+	next.workers["w0"].silent, next.workers["w1"].silent = false, false
+	next.reportFor(waitReportInterval)
+	for _, e := range next.pool.TakeEvents() {
+		events[e.Kind] = e
+	}
+	is.True(events[TasksReleased].Waited >= 2*waitReportInterval)
+}
