An older list of the inventory does not replace a newer one

Callers could see a service task wait although its pool had room: the pool's owner reads the inventory after a takeover, and the fleet's owner sends its own last list with each request for the demand, which may be older. Workers that had left in between became unlisted ones that may have runs of a former owner, and tasks that did not run at the takeover were held for them.

InventoryRead ignores a list that was requested before the newest one.

--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -90,9 +90,13 @@
 
 // InventoryRead handles the list of workers that the inventory had in the pool at the time
 // asked. A worker that is not on the list of workers may have runs that a former owner started;
-// a worker that the inventory no longer has, and that has not answered since, has ended.
+// a worker that the inventory no longer has, and that has not answered since, has ended. A list
+// that is older than the newest one is ignored.
 func (p *Pool) InventoryRead(ids []string, asked, now time.Duration) {
-	p.inventoryRead = true
+	if asked < p.inventoryReadAt {
+		return
+	}
+	p.inventoryRead, p.inventoryReadAt = true, asked
 	exists := make(map[string]bool, len(ids))
 	clear(p.unlisted)
 	for _, id := range ids {
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -134,6 +134,8 @@
 	// inventoryRead says that every existing worker is known, also those that the list of
 	// workers does not contain.
 	inventoryRead bool
+	// inventoryReadAt is when the newest list of the inventory was requested.
+	inventoryReadAt time.Duration
 	// unlisted are the workers that exist but are not on the list.
 	unlisted map[string]bool
 	// endedWorkers are the workers with ended incarnations, by their IDs.
