Restored tasks wait only for workers that a former owner could use

Callers saw a service task that lost its run around a change of its pool's owner wait beside free workers: until each host of the inventory had reported to the new owner, or for 14.2 s, and anew with each owner. With hosts that join, are maintained or leave there is nearly always one that has not reported.

A former owner can have runs only on workers that existed when the takeover was complete: it uses a worker only once the store has confirmed, after that worker joined, that it still is the owner. Of these, a worker that has reported to the new owner refuses the orders of all former ones and its runs are known, also if it leaves the list later. So the first list of the inventory that was requested after the takeover names all candidates, and each counts until it has reported or has ended.

--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -61,7 +61,7 @@
 		// forever: each attempt is a new connection to an address that may belong to another
 		// worker by now. While tasks are held for runs of a former owner, however, a worker
 		// that never reported may have such a run.
-		mayRun := w.contact == unconfirmed && now < p.heldUntil
+		mayRun := p.mayHaveFormerRuns(w) && now < p.formerRuns.heldUntil
 		if !w.listed && w.contact != connected && len(w.runs) == 0 && !mayRun {
 			left = append(left, w)
 		}
--- a/jaysched/formerruns_test.go
+++ b/jaysched/formerruns_test.go
@@ -89,6 +89,23 @@
 		next.pool.InventoryRead([]string{"w0", "w1", "w2", "joined", "joining"}, next.now, next.now)
 		wantStarts(t, next, time.Second, 1)
 	})
+	t.Run("an inventory from before the end of the takeover releases no tasks", func(t *testing.T) {
+		// Guards against two runs of a task: the former owner, which does not know yet that it is
+		// replaced, starts it on a worker that has joined since the inventory was read.
+		first := newHarness(t, 1)
+		spec := newSpec("j", 1, single, longRunning)
+		declare(first, spec)
+		next := takeOver(t, first, spec)
+		next.pool.TakenOver(next.now + 100*time.Millisecond)
+		clear(next.workers["w0"].active)
+		readInventory(next)
+		wantStarts(t, next, 50*time.Millisecond, 0)
+		next.now += 100 * time.Millisecond
+		next.pool.InventoryRead([]string{"w0", "joined"}, next.now, next.now)
+		wantStarts(t, next, 3*time.Second, 0)
+		next.pool.InventoryRead([]string{"w0"}, next.now, next.now)
+		wantStarts(t, next, time.Second, 1)
+	})
 }
 
 // Guards against a task that is started while a former owner may still start it: that owner may use
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -61,7 +61,7 @@
 func (p *Pool) join(listed jayport.Worker, now time.Duration) *worker {
 	w := newWorker(listed, now)
 	p.insert(w)
-	delete(p.unlisted, w.ID)
+	p.formerRuns.listed(w.ID)
 	if former := p.endedWorkers[w.ID].former; len(former) > 0 {
 		p.recordEvent(Event{Kind: WorkerReturned, Worker: w.ID, Detail: fmt.Sprintf("incarnation %d after %d", w.Incarnation, former[len(former)-1])}, now)
 	} else {
@@ -93,17 +93,12 @@
 // a worker that the inventory no longer has, and that has not answered since, has ended. A list
 // that is older than the newest one is ignored.
 func (p *Pool) InventoryRead(ids []string, asked, now time.Duration) {
-	if asked < p.inventoryReadAt {
+	if !p.formerRuns.inventoryRead(ids, asked, p.workers) {
 		return
 	}
-	p.inventoryRead, p.inventoryReadAt = true, asked
 	exists := make(map[string]bool, len(ids))
-	clear(p.unlisted)
 	for _, id := range ids {
 		exists[id] = true
-		if _, known := p.workers[id]; !known {
-			p.unlisted[id] = true
-		}
 	}
 	var ended []*worker
 	for _, w := range p.sorted {
@@ -234,6 +229,7 @@
 	}
 	if w.contact == unconfirmed {
 		w.firstReportAt = now
+		p.formerRuns.reported(w.ID)
 	}
 	w.contact = connected
 	w.asking = false
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -40,23 +40,6 @@
 	}
 }
 
-// formerRunsPossible reports whether some worker may still have runs that a former owner
-// started.
-func (p *Pool) formerRunsPossible(now time.Duration) bool {
-	if now >= p.heldUntil {
-		return false
-	}
-	if !p.inventoryRead || len(p.unlisted) > 0 {
-		return true
-	}
-	for _, w := range p.sorted {
-		if w.contact == unconfirmed {
-			return true
-		}
-	}
-	return false
-}
-
 func (p *Pool) placeStep(s *step, formerRuns bool, now time.Duration) {
 	if s.job.advised {
 		p.requestAdvice(s, now)
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -123,21 +123,12 @@
 	// maxCapacity is the largest amount of each resource that any worker had.
 	maxCapacity jaypool.Resources
 	// sorted are the workers in the order of their IDs.
-	sorted []*worker
-	// heldUntil is when the last lease that a former owner granted must have ended; until
-	// then tasks that it may have started wait for the workers that have not reported yet.
-	heldUntil time.Duration
+	sorted     []*worker
+	formerRuns formerRuns
 	// restoredAt is when this owner first restored a job.
 	restoredAt  time.Duration
 	ownership   ownership
 	unknownJobs unknownJobs
-	// inventoryRead says that every existing worker is known, also those that the list of
-	// workers does not contain.
-	inventoryRead bool
-	// inventoryReadAt is when the newest list of the inventory was requested.
-	inventoryReadAt time.Duration
-	// unlisted are the workers that exist but are not on the list.
-	unlisted map[string]bool
 	// endedWorkers are the workers with ended incarnations, by their IDs.
 	endedWorkers map[string]endedIncarnations
 	// trend and offeredWork predict the pool's usage.
@@ -166,12 +157,6 @@
 	return func(p *Pool) { p.fence, p.term = fence, term }
 }
 
-// WithFormerOwner holds tasks that a former owner may have started until its leases must have
-// ended, or all workers have reported.
-func WithFormerOwner(heldUntil time.Duration) Option {
-	return func(p *Pool) { p.heldUntil = heldUntil }
-}
-
 // WithDueTimes sets the function that converts times of day to the pool's clock.
 func WithDueTimes(dueAt func(time.Time) time.Duration) Option {
 	return func(p *Pool) { p.dueAt = dueAt }
@@ -193,7 +178,6 @@
 		policyOf:     func(string) (jayspec.Policy, bool) { return jayspec.Policy{}, false },
 		jobs:         map[string]*job{},
 		workers:      map[string]*worker{},
-		unlisted:     map[string]bool{},
 		endedWorkers: map[string]endedIncarnations{},
 		expected:     map[string]time.Duration{},
 
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -237,11 +237,11 @@
 // unansweredRoom returns the capacity of the workers that have not answered this owner; it is
 // not bounded while some workers may be unknown.
 func (p *Pool) unansweredRoom() (room jaypool.Resources, bounded bool) {
-	if !p.inventoryRead || len(p.unlisted) > 0 {
+	if !p.formerRuns.allListed() {
 		return room, false
 	}
 	for _, w := range p.sorted {
-		if w.contact == unconfirmed {
+		if p.mayHaveFormerRuns(w) {
 			room = room.Add(w.Capacity)
 		}
 	}
--- a/jaysched/waiting.go
+++ b/jaysched/waiting.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
@@ -158,22 +157,3 @@
 	}
 	return cmp.Or(strings.Join(texts, ", "), "no workers")
 }
-
-// formerRunsReason names the workers that may have runs of a former owner.
-func (p *Pool) formerRunsReason() string {
-	if !p.inventoryRead {
-		return "the inventory is not read"
-	}
-	var unconfirmedIDs []string
-	for _, w := range p.sorted {
-		if w.contact == unconfirmed {
-			unconfirmedIDs = append(unconfirmedIDs, w.ID)
-		}
-	}
-	unlisted := make([]string, 0, len(p.unlisted))
-	for id := range p.unlisted {
-		unlisted = append(unlisted, id)
-	}
-	slices.Sort(unlisted)
-	return fmt.Sprintf("no report of %v, not listed %v", unconfirmedIDs, unlisted)
-}
