The possible use of former owners' runs is computed at most every 100 ms

While workers have not reported, each decision walked all tasks of all restored jobs to bound what the organisations may use. A profile of such an owner has 45 % in updatePossibleUse.

The value only decreases while workers report, so that an older one counts too much at worst; where it may increase it is computed again at once.

--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -61,6 +61,7 @@
 func (p *Pool) join(listed jayport.Worker, now time.Duration) *worker {
 	w := newWorker(listed, now)
 	p.insert(w)
+	p.quotas.possible = nil
 	p.formerRuns.listed(w.ID)
 	if former := p.endedWorkers[w.ID].former; len(former) > 0 {
 		p.recordEvent(Event{Kind: WorkerReturned, Worker: w.ID, Detail: fmt.Sprintf("incarnation %d after %d", w.Incarnation, former[len(former)-1])}, now)
@@ -96,6 +97,7 @@
 	if !p.formerRuns.inventoryRead(ids, asked, p.workers) {
 		return
 	}
+	p.quotas.possible = nil
 	exists := make(map[string]bool, len(ids))
 	for _, id := range ids {
 		exists[id] = true
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -27,6 +27,8 @@
 	used map[string]jaypool.Resources
 	// possible is what runs of a former owner that no worker has reported may need together.
 	possible map[string]jaypool.Resources
+	// possibleAt is when possible was computed.
+	possibleAt time.Duration
 	// reached maps the organisations whose quota kept a task from starting in the present
 	// decision to the reason, reachedSince those of earlier decisions to the time of the first.
 	reached      map[string]string
@@ -200,14 +202,27 @@
 	p.quotas.unfit = p.quotas.unfit[:0]
 }
 
+// possibleUseInterval is the least time between two computations of what runs of a former owner
+// may need. It decreases with each report, so that an older value counts too much; where it may
+// increase it is computed again at once.
+const possibleUseInterval = 100 * time.Millisecond
+
 // updatePossibleUse determines what runs of a former owner may need that no worker has reported
 // yet: no more than the tasks that it may have started, and no more than the workers can run that
 // have not answered this owner.
+//
+// It handles this load: hundreds of workers report one after the other to a new owner that has
+// restored more than a thousand jobs. Computed after each report, it took half of the owner's
+// processor time, the reports waited, and the owner was presumed to have ended.
 func (p *Pool) updatePossibleUse(now time.Duration) {
-	p.quotas.possible = nil
 	if !p.formerRunsPossible(now) {
+		p.quotas.possible = nil
+		return
+	}
+	if p.quotas.possible != nil && now < p.quotas.possibleAt+possibleUseInterval {
 		return
 	}
+	p.quotas.possibleAt = now
 	possible := map[string]jaypool.Resources{}
 	for _, j := range p.open {
 		if organisation := j.spec.Organisation; organisation != "" && j.inherited {
--- a/jaysched/restore.go
+++ b/jaysched/restore.go
@@ -27,6 +27,7 @@
 		p.restoredAt = now
 	}
 	p.add(j)
+	p.quotas.possible = nil
 	p.giveUpCrashing(j, now)
 }
 
--- a/jaysched/unknownjobs.go
+++ b/jaysched/unknownjobs.go
@@ -45,6 +45,7 @@
 	}
 	j := p.jobs[spec.ID]
 	j.foundInStore, j.inherited = true, true
+	p.quotas.possible = nil
 	j.eachTask(func(t *task) { t.mayRunUnreported = true })
 	return true
 }
