A worker with many unrecorded ends is asked again less often

After some seconds without an owner, each worker of a pool lists all ends since, and answers at once. The new owner asked it again every 100 ms until the ends were recorded, hundreds of workers with long lists, and answered no pings meanwhile; the next owner began anew.

The delay now grows with the length of the list, up to a second. Once the ends are recorded the worker is asked at once, as before. TestLongListOfUnrecordedEndsIsRequestedLessOften guards the delays.

--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -166,10 +166,13 @@
 	// late a silent worker is noticed, and how late an end whose report was lost.
 	idleReportWait = time.Second
 	busyReportWait = 400 * time.Millisecond
-	// unrecordedDelay is the delay before the next request to a worker whose ends are not
+	// unrecordedDelay is the least delay before the next request to a worker whose ends are not
 	// recorded yet, or whose report has unreadable or unknown rows: it would give the same
-	// answer immediately.
-	unrecordedDelay = 100 * time.Millisecond
+	// answer immediately. The delay is delayPerEnd for each end that the answer lists, up to
+	// maxUnrecordedDelay.
+	unrecordedDelay    = 100 * time.Millisecond
+	delayPerEnd        = 5 * time.Millisecond
+	maxUnrecordedDelay = time.Second
 	// silentRetryDelay is the delay before a silent worker is asked again.
 	silentRetryDelay = 200 * time.Millisecond
 	// silentAfter is the number of consecutive missing reports after which a worker counts as
@@ -177,6 +180,16 @@
 	silentAfter = 2
 )
 
+// repeatDelay returns the delay before a worker is asked again that would give the same answer
+// immediately, with as many ends.
+//
+// It handles this load: a pool had no owner for some seconds, and each of its hundreds of workers
+// lists all ends since. Asked again every unrecordedDelay, they would occupy the new owner until
+// it answers no pings, and is replaced before it has recorded the ends.
+func repeatDelay(ends int) time.Duration {
+	return min(max(unrecordedDelay, time.Duration(ends)*delayPerEnd), maxUnrecordedDelay)
+}
+
 // reportWait returns how long the worker may delay its next report: not at all if it would
 // answer immediately anyway, or if its previous report is missing. A worker with a suspect must
 // show soon that it has survived.
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -220,7 +220,7 @@
 	}
 	w.askAt = now
 	if w.processed > w.acknowledged || report.Partial || len(w.unknownJobs) > 0 || w.unaccountedRuns > 0 {
-		w.askAt = now + unrecordedDelay
+		w.askAt = now + repeatDelay(len(report.Ended))
 	}
 }
 
--- a/jaysched/reports_test.go
+++ b/jaysched/reports_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"jaythread/jayport"
 )
 
 // renewals returns the latest request to each worker.
@@ -71,3 +73,24 @@
 	is.True(lost[0].Waited >= 300*time.Millisecond) // time since the run was ordered
 	is.True(lost[0].Since <= lost[0].Waited)        // time since the worker's last answer
 }
+
+func TestLongListOfUnrecordedEndsIsRequestedLessOften(t *testing.T) {
+	// Guards against owners that replace each other every two seconds, while no task of the pool
+	// runs: its workers list all ends since the loss of an owner, and the next one receives these
+	// lists ten times a second until it answers no pings.
+	is := is.New(t)
+	w := newHarness(t, 1)
+	ends := func(count int) time.Duration {
+		f := w.workers["w0"]
+		for range count {
+			f.end(jayport.RunRef{Task: jayport.TaskID{Job: "unknown"}, Number: 1}, jayport.EndedLapsed)
+		}
+		w.pool.Reported(refOf("w0"), f.report(w.now), w.now, w.now)
+		return w.pool.workers["w0"].askAt - w.now
+	}
+	is.Equal(ends(1), unrecordedDelay)
+	is.Equal(ends(79), 400*time.Millisecond)
+	is.Equal(ends(400), maxUnrecordedDelay)
+	w.record()
+	is.Equal(w.pool.workers["w0"].askAt, w.now) // the ends are acknowledged at once
+}
