Requests for a first report wait longer after each one without an answer

A new owner asks hundreds of workers at once. Their answers may take longer than the timeout of one (0.25 s without any observation), and nothing raised it: the mean latency comes from starts, and no task starts before the workers have reported.

The timeout doubles with each request without an answer, up to 1.6 s, for workers that have not reported to this owner only: others are found silent as fast as before. The new cases fail without it.

--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -281,7 +281,7 @@
 
 func (d *poolDuty) renewLease(a jaysched.RenewLease) {
 	asked := d.node.clock()
-	report, err := d.node.ports.Workers.Renew(a.To, a.Order, d.latency.ReportTimeout())
+	report, err := d.node.ports.Workers.Renew(a.To, a.Order, d.latency.RenewalTimeout(a.Unanswered))
 	if errors.Is(err, jayport.ErrInvalidResponse) {
 		d.logger.Info("worker report cannot be decoded", "worker", a.To.ID, "error", err.Error())
 	}
--- a/jaysched/bounds_test.go
+++ b/jaysched/bounds_test.go
@@ -343,6 +343,15 @@
 	timeout(50*time.Millisecond, 400*time.Millisecond, 700*time.Millisecond)
 	timeout(300*time.Millisecond, 1200*time.Millisecond, 1200*time.Millisecond)
 	timeout(time.Second, 1600*time.Millisecond, 1600*time.Millisecond)
+	t.Run("requests for a first report", func(t *testing.T) {
+		// Guards against a new owner that gets no report of hundreds of workers for ten seconds,
+		// since it gives up each answer before it can arrive.
+		is := is.New(t)
+		l := NewLatency()
+		is.Equal(l.RenewalTimeout(0), l.ReportTimeout())
+		is.Equal(l.RenewalTimeout(1), 2*l.ReportTimeout())
+		is.Equal(l.RenewalTimeout(30), maxCongestedTimeout)
+	})
 	t.Run("the mean follows an eighth of each difference", func(t *testing.T) {
 		l := NewLatency()
 		l.Answered(80*time.Millisecond, false)
--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -222,6 +222,10 @@
 			order.LeaseUntil = w.leaseUntil(now, p.settings.Lease)
 		}
 		w.asking = true
-		p.actions = append(p.actions, RenewLease{To: w.workerRef(), Order: order})
+		unanswered := 0
+		if w.contact == unconfirmed {
+			unanswered = w.missingReports
+		}
+		p.actions = append(p.actions, RenewLease{To: w.workerRef(), Order: order, Unanswered: unanswered})
 	}
 }
--- a/jaysched/latency.go
+++ b/jaysched/latency.go
@@ -102,6 +102,21 @@
 	return l.timeout(minReportTimeout, maxReportTimeout)
 }
 
+// RenewalTimeout returns the timeout for a report of a worker after a number of requests for its
+// first one that had no answer. It doubles with each of them, up to maxCongestedTimeout.
+//
+// It handles this load: a new owner asks hundreds of workers at once, over a link or with a
+// processor that needs longer for all the answers than the timeout of one. No order has been
+// answered yet, so that the mean latency does not show it, and with the same timeout again all
+// requests would fail again.
+func (l *Latency) RenewalTimeout(unanswered int) time.Duration {
+	timeout := l.ReportTimeout()
+	for range unanswered {
+		timeout = min(2*timeout, maxCongestedTimeout)
+	}
+	return timeout
+}
+
 // timeout returns a timeout between two limits. Where nearly all answers take longer, repeating
 // requests that timed out would increase the congestion, so the upper limit is raised.
 func (l *Latency) timeout(least, most time.Duration) time.Duration {
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -64,6 +64,8 @@
 type RenewLease struct {
 	To    jayport.WorkerRef
 	Order jayport.LeaseOrder
+	// Unanswered counts the earlier requests to a worker that has not reported to this owner yet.
+	Unanswered int
 }
 
 // ForgetWorker closes the connections to a worker that has ended.
--- a/jaysched/reports_test.go
+++ b/jaysched/reports_test.go
@@ -94,3 +94,20 @@
 	w.record()
 	is.Equal(w.pool.workers["w0"].askAt, w.now) // the ends are acknowledged at once
 }
+
+func TestRequestsForAFirstReportAreCounted(t *testing.T) {
+	// Guards against requests for the first reports that all have the same short timeout.
+	is := is.New(t)
+	w := newHarness(t, 0)
+	w.addWorker("w0")
+	w.list()
+	for unanswered := range 3 {
+		is.Equal(renewals(w.pool.Decide(w.now))["w0"].Unanswered, unanswered)
+		w.pool.ReportFailed(refOf("w0"), w.now)
+		w.now += silentRetryDelay
+	}
+	w.reports()
+	w.now += idleReportWait
+	w.pool.ReportFailed(refOf("w0"), w.now)
+	is.Equal(renewals(w.pool.Decide(w.now))["w0"].Unanswered, 0) // a lost answer of a known worker
+}
