--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -57,9 +57,8 @@
 	uses            *jayshare.Ledger
 	readingHosts    bool
 	nextHostsReadAt time.Duration
-	askingDemand    map[string]bool
-	nextDemandAt    map[string]time.Duration
-	sentOrders      map[string]string
+	// demandPaces determines when the owner of each pool is asked for the demand.
+	demandPaces map[string]*demandPace
 	// loads are the loads that each pool's owner reports, and existing is the digest of the list of
 	// workers that it has.
 	loads    map[string]*jayload.Receiver
@@ -80,15 +79,13 @@
 			OwnerChangeDelay: n.settings.HolderTime,
 			CallTime:         inventoryTimeout,
 		},
-		lender:       jayquota.NewLender(claim.Fence, jayquota.ByDemand{}, jayquota.WithTurn(turnReports(n.settings.MoveTime))),
-		uses:         jayshare.NewLedger(),
-		askingDemand: map[string]bool{},
-		nextDemandAt: map[string]time.Duration{},
-		sentOrders:   map[string]string{},
-		loads:        map[string]*jayload.Receiver{},
-		existing:     map[string]uint64{},
-		clocks:       map[string]jaymember.PeerClock{},
-		commandLog:   jaylogger.NewGroups("hosts"),
+		lender:      jayquota.NewLender(claim.Fence, jayquota.ByDemand{}, jayquota.WithTurn(turnReports(n.settings.MoveTime))),
+		uses:        jayshare.NewLedger(),
+		demandPaces: map[string]*demandPace{},
+		loads:       map[string]*jayload.Receiver{},
+		existing:    map[string]uint64{},
+		clocks:      map[string]jaymember.PeerClock{},
+		commandLog:  jaylogger.NewGroups("hosts"),
 	}
 }
 
@@ -274,11 +271,15 @@
 	}
 	slices.SortFunc(orders, func(a, b *jaywire.VacateOrder) int { return strings.Compare(a.Worker, b.Worker) })
 	names := vacateOrdersKey(orders)
-	if d.askingDemand[pool] || now < d.nextDemandAt[pool] && names == d.sentOrders[pool] && !d.lender.Pending(pool) {
+	pace := d.demandPaces[pool]
+	if pace == nil {
+		pace = &demandPace{}
+		d.demandPaces[pool] = pace
+	}
+	if !pace.due(names, d.lender.Pending(pool), now) {
 		return
 	}
-	d.askingDemand[pool] = true
-	d.sentOrders[pool] = names
+	pace.sent(names)
 	ask := &jaywire.AskDemand{
 		Pool:          pool,
 		Fence:         d.claim.Fence,
@@ -307,9 +308,9 @@
 	go func() {
 		report, err := d.node.askDemand(ask)
 		d.post(func(at time.Duration) {
-			d.askingDemand[pool] = false
-			d.nextDemandAt[pool] = at + demandInterval
-			if err != nil || !report.GetOwned() {
+			answered := err == nil && report.GetOwned()
+			pace.ended(answered, at)
+			if !answered {
 				return
 			}
 			d.existing[pool] = report.ExistingDigest
