--- a/jaynode/poolduty_test.go
+++ b/jaynode/poolduty_test.go
@@ -244,3 +244,33 @@
 		is.Equal(starts, 2)
 	})
 }
+
+func TestSurveyBeforeTakeoverDoesNotEndTheWait(t *testing.T) {
+	// Guards against two runs of a task at the same time: the former owner starts a task on a
+	// worker that has just joined, and the fleet's owner passes the next owner an inventory that
+	// it read before that.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newIdlePoolFixture(t, 2)
+		surveyed := w.clock() - 100*time.Millisecond
+		hosts := w.entry.hosts.hosts
+		hosts.hosts["w2"] = jayport.Host{Name: "w2", Pool: "seats", State: jayport.HostUp, Worker: "w2"}
+		w.entry.node.pools["seats"] = w.duty
+		w.start(t)
+		w.entry.setClaims(w.claim, w.entry.claim(jayowner.Fleet, 2, 1))
+		survey := func(at time.Duration) {
+			is.True(w.entry.node.demandOwned(&jaywire.AskDemand{
+				Pool: "seats", Fence: 2, Surveyed: true, SurveyedFence: w.claim.Fence,
+				SurveyedAtMicros: at.Microseconds(), Existing: []string{"w0", "w1"},
+			}).Owned)
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(200 * time.Millisecond)
+		survey(surveyed)
+		starts, _ := w.workers.counts()
+		is.Equal(starts, 0)
+		survey(w.clock())
+		starts, _ = w.workers.counts()
+		is.True(starts > 0)
+	})
+}
