Failing test: service tasks wait anew for each owner

TestServiceTasksDoNotWaitAnewForEachOwner: two services with a task on each of three workers, all of which are lost three times; then an owner each second, ten in all, to which every worker and the inventory report at once. Three of the six tasks never start, beside free workers.

--- a/jaysched/isolation_wait_test.go
+++ b/jaysched/isolation_wait_test.go
@@ -70,3 +70,41 @@
 		is.New(t).Equal(w.running()["short.0.0.0"], "")
 	})
 }
+
+// succeed returns the harness of a new owner that restores jobs with their recorded progress; all
+// workers report.
+func (w *harness) succeed(term int64, specs ...*jayspec.Job) *harness {
+	next := newHarness(w.t, 0, WithFence(term, term), WithFormerOwner(w.now+15*time.Second))
+	next.now, next.workers = w.now, w.workers
+	for _, spec := range specs {
+		next.pool.Restore(spec, w.pool.jobs[spec.ID].progress(), next.now)
+	}
+	next.list()
+	readInventory(next)
+	next.run()
+	return next
+}
+
+// Guards against service tasks that wait beside free workers for as long as the owner changes: they
+// were on lost workers, and each owner counted anew how long they wait, and took all runs that it
+// found for ones that had just begun.
+func TestServiceTasksDoNotWaitAnewForEachOwner(t *testing.T) {
+	is := is.New(t)
+	const workers = 3
+	w := newHarness(t, workers)
+	services := []*jayspec.Job{service("a", workers), service("b", workers)}
+	for _, spec := range services {
+		declare(w, spec)
+	}
+	w.reportFor(2 * time.Second)
+	for range isolatedAfter {
+		w.loseAll()
+		w.reportFor(maxServiceWait)
+	}
+	w.loseAll()
+	for term := range int64(10) {
+		w = w.succeed(term+2, services...)
+		w.reportFor(time.Second)
+	}
+	is.Equal(len(w.running()), 2*workers)
+}
