Service tasks of former owners count as waiting for long

Callers see that a service whose workers were lost serves with all tasks although its pool's owner changes again and again. Before, a task of it could wait beside free workers for as long as owners changed within some 2 s.

Cause: a task that was on lost workers is a suspect, and starts on no worker with a run of another job that is younger than 10 s. After MoveTime and reportDelay that is relaxed to 0.25 s, and a worker is reserved. Each owner began both counts anew: it takes the runs that it finds for new ones, and the task for one that has just begun to wait.

A service task of an inherited job that has lost no run under this owner now counts as waiting for long. Class: a time that begins anew with each owner.

--- a/jaysched/reserve.go
+++ b/jaysched/reserve.go
@@ -43,8 +43,15 @@
 // arrive. Such a task is separated from suspects, and as a suspect from others, only as strictly as
 // isolatedStart: each worker may have a run that is to be isolated for crashRiskTime, while the
 // service lacks a task.
+//
+// For how long a task has waited under former owners is not known. It counts as long: otherwise a
+// task would not start while owners change within that time.
 func (p *Pool) hasWaitedLong(t *task, now time.Duration) bool {
-	return t.step.decl.LongRunning && now-t.waitingSince() >= p.settings.MoveTime+reportDelay
+	if !t.step.decl.LongRunning {
+		return false
+	}
+	underFormerOwner := t.step.job.inherited && t.droppedAt == 0
+	return underFormerOwner || now-t.waitingSince() >= p.settings.MoveTime+reportDelay
 }
 
 // timeToFree returns the expected remaining time of the runs of a worker that end by
