Failing test: a run that has ended counts as a lost worker after a takeover

TestRunThatEndedIsNoLossAfterATakeover: the run of a suspect is recorded before it begins, ends as failed, and its worker forgets the end. The owner is lost before the task runs again; the next one counts three lost workers instead of two. From the fifth on a service task waits for 1 to 4 s after each takeover.

--- a/jaysched/isolation_wait_test.go
+++ b/jaysched/isolation_wait_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"jaythread/jayport"
 	"jaythread/jayspec"
 )
 
@@ -108,3 +109,28 @@
 	}
 	is.Equal(len(w.running()), 2*workers)
 }
+
+// Guards against a service task that is delayed by seconds after each takeover although it crashes
+// nothing: the recorded run of a suspect had ended and its worker had forgotten the end, and the
+// next owner counted the run as one more lost worker.
+func TestRunThatEndedIsNoLossAfterATakeover(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 3)
+	spec := service("j", 1)
+	declare(w, spec)
+	for range isolatedAfter {
+		w.reportFor(2 * time.Second)
+		w.crashWorker(w.running()["j.0.0.0"])
+	}
+	w.reportFor(time.Second)
+	w.pool.SetStarts(0) // the owner is lost before the task runs again
+	w.finish("j", 0, jayport.EndedFailed)
+	w.record()
+	w.reportFor(time.Second)
+	for _, f := range w.workers {
+		is.Equal(len(f.ended), 0)
+	}
+	before := len(w.pool.jobs["j"].occurrences[0].steps[0].tasks[0].crashes)
+	next := w.succeed(2, spec)
+	is.Equal(len(next.pool.jobs["j"].occurrences[0].steps[0].tasks[0].crashes), before)
+}
