A suspect's run that has ended is no longer recorded as about to begin

Cause: a suspect's next run is recorded before it begins, so that the next owner counts it as a loss if no worker reports it. The record stayed when the run had ended and its worker had forgotten the end. So each takeover in between added a loss; from the fifth on a service task starts 1 to 4 s after each takeover, and fewer real losses are needed to give a job up.

The end of the run now removes it from the record, which precedes the acknowledgement to the worker.

--- a/jaysched/ends.go
+++ b/jaysched/ends.go
@@ -43,6 +43,7 @@
 	}
 	t.lastRun = max(t.lastRun, end.Run.Number)
 	t.clearUnconfirmed(end.Run.Number)
+	p.endTrial(t, end.Run.Number)
 	t.step.gangRun = max(t.step.gangRun, end.Run.Number)
 	if end.Checkpoint != "" && t.step.decl.Checkpoint && !t.done && len(t.runs) == 0 {
 		t.checkpoint = end.Checkpoint
--- a/jaysched/suspect.go
+++ b/jaysched/suspect.go
@@ -233,3 +233,12 @@
 	}
 	return now >= t.trialAt+trialRecordTimeout
 }
+
+// endTrial removes a run that has ended from a suspect's record. The worker forgets the end only
+// once that is recorded, and the next owner would count the run as lost with its worker.
+func (p *Pool) endTrial(t *task, run int64) {
+	if t.trial == run && t.step.job.outcome == Open {
+		t.trial = 0
+		p.markChanged(t.step.job)
+	}
+}
