Failing tests: evicted service tasks find the room elsewhere taken

TestEvictedTasksDoNotCountOnTheSameRoom: two of three workers are closed and have a service task each; the third has room for one. Both are stopped; one runs after 3 s. TestShortTasksDoNotTakeTheRoomOfAnEvictedTask: a short job that arrives while the stopped run ends takes the room; the service task does not run after 1 s.

--- a/jaysched/vacate_test.go
+++ b/jaysched/vacate_test.go
@@ -181,3 +181,52 @@
 	vacate(w, busy, 3*time.Second)
 	is.Equal(len(w.workers[busy].active), 0)
 }
+
+// eviction is a service with a task on each of two workers, which are closed, while a third worker
+// has room for one of them.
+func eviction(t *testing.T) *harness {
+	w := newHarness(t, 2)
+	spec := service("j", 2)
+	spec.Steps[0].MayMiss = 2
+	spec.Steps[0].Need.MemoryMegabytes = 600
+	declare(w, spec)
+	w.reports()
+	w.addWorker("w2")
+	w.list()
+	w.run()
+	return w
+}
+
+// vacateBoth orders the pool to vacate two workers and lets time pass. It returns the number of tasks
+// of the service that run at the end.
+func (w *harness) vacateBoth(period time.Duration) (running int) {
+	for range period / (100 * time.Millisecond) {
+		w.pool.SetVacating([]Vacate{{Worker: "w0"}, {Worker: "w1"}}, w.now)
+		w.pass(100 * time.Millisecond)
+		w.reports()
+	}
+	return len(w.workers["w0"].active) + len(w.workers["w1"].active) + len(w.workers["w2"].active)
+}
+
+// Guards against a service task that waits for as long as a wave lasts: two tasks are stopped
+// together, and both counted on the same room elsewhere.
+func TestEvictedTasksDoNotCountOnTheSameRoom(t *testing.T) {
+	is := is.New(t)
+	w := eviction(t)
+	is.Equal(w.vacateBoth(3*time.Second), 2)
+}
+
+// Guards against a service task that waits for as long as short tasks fill each gap: while its run on
+// a closed worker was ending, a short task took the room elsewhere that the stop counted on.
+func TestShortTasksDoNotTakeTheRoomOfAnEvictedTask(t *testing.T) {
+	is := is.New(t)
+	w := eviction(t)
+	w.lose = func(a Action) bool { _, stop := a.(StopRun); return stop }
+	w.pool.SetVacating([]Vacate{{Worker: "w0"}}, w.now)
+	w.run()
+	w.pool.Declare(newSpec("short", 1, single, func(s *jayspec.Step) { s.Need.MemoryMegabytes = 600 }), w.now)
+	w.pass(time.Millisecond)
+	w.lose = func(Action) bool { return false }
+	vacate(w, "w0", time.Second)
+	is.Equal(w.running()["j.0.0.0"], "w2")
+}
