Failing test: a service task waits while only closed workers have room

TestServiceTaskThatWaitsLongUsesAClosedWorker: of three workers two are closed for a wave and have tasks of another service, the third is lost and returns smaller. A service task does not run after 3 s, although both closed workers have room for it. The rule on waiting service tasks counts such workers as room until they drain.

--- a/jaysched/vacate_test.go
+++ b/jaysched/vacate_test.go
@@ -230,3 +230,31 @@
 	vacate(w, "w0", time.Second)
 	is.Equal(w.running()["j.0.0.0"], "w2")
 }
+
+// Guards against a service task that waits for as long as a wave lasts: the only workers with room
+// for it are closed, and are not emptied before the tasks on them find room elsewhere.
+func TestServiceTaskThatWaitsLongUsesAClosedWorker(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 3)
+	declare(w, service("a", 3))
+	declare(w, service("b", 1))
+	w.reports()
+	from := w.running()["b.0.0.0"]
+	var closed []Vacate
+	for _, id := range sortedKeys(w.workers) {
+		if id != from {
+			closed = append(closed, Vacate{Worker: id})
+		}
+	}
+	order := func() { w.pool.SetVacating(closed, w.now) }
+	order()
+	w.crashWorker(from)
+	w.workers[from+"+i"].info.Capacity.MemoryMegabytes = 150 // room for one task
+	w.list()
+	for range 30 {
+		order()
+		w.pass(100 * time.Millisecond)
+		w.reports()
+	}
+	is.Equal(len(w.running()), 4)
+}
