jaymember: test that a leaving entry releases all duties

A failing test: the release is appended once. It is refused if another entry's record came first, and it lacks a claim that is still under way. The entry performs a duty that it could not release until it ends; the others then have to find out first that it has ended. A duty that was claimed last is not performed meanwhile.

--- a/jaymember/claims_test.go
+++ b/jaymember/claims_test.go
@@ -10,6 +10,7 @@
 
 	"jaythread/jayclock"
 	"jaythread/jayowner"
+	"jaythread/jaytail"
 )
 
 func TestVacantDutyIsClaimedOnce(t *testing.T) {
@@ -68,3 +69,49 @@
 		is.Equal(len(slices.CompactFunc(rankings, slices.Equal)), 1)
 	})
 }
+
+func TestLeavingEntryReleasesAllDuties(t *testing.T) {
+	// Guards against a pool without an owner for seconds after its owner has left: the release
+	// failed and was not repeated, or a claim was still under way when the duties were released.
+	for _, c := range []struct {
+		name  string
+		owned bool
+		// missed appends a record that the view lacks when the duties are released.
+		missed func(o *Owners)
+	}{
+		{"another entry's record came first", true, func(o *Owners) {
+			other := jayowner.Claim{Duty: jayowner.PoolDuty("seats"), Incarnation: "e2-00000000", Term: 1}
+			o.append(&View{next: 1}, other.Record())
+		}},
+		{"claim under way", false, func(o *Owners) {
+			o.append(&View{}, o.claimRecord(o.View(), jayowner.Fleet, 0, o.members.Clock()))
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := newMemoryStore()
+				m := newTestMembers(t, "e1", store, jayclock.Since(time.Now().Add(-time.Hour)))
+				m.Stopping, m.OnClaimsRead = func() bool { return true }, func() {}
+				o := m.Owners
+				o.tail = m.newTail(topicOwners, jaytail.Options{}, claimsShare, o)
+				is.NoErr(o.tail.Step(0))
+				if c.owned {
+					o.append(o.View(), o.claimRecord(o.View(), jayowner.Fleet, 0, m.Clock()))
+					is.NoErr(o.tail.Step(0))
+				}
+				c.missed(o)
+				o.Release()
+				go o.claim(t.Context())
+				for range 100 {
+					time.Sleep(10 * time.Millisecond)
+					is.NoErr(o.tail.Step(0))
+				}
+				claim, claimed := o.View().Claim(jayowner.Fleet)
+				is.True(claimed)
+				is.Equal(claim.Incarnation, m.Incarnation)
+				is.True(claim.Released)
+			})
+		})
+	}
+}
