A worker with unprocessed ends still holds restored tasks

Found by review.

A worker holds restored tasks until a report whose ends are all processed. TestUnprocessedEndsHoldTasks failed before.

--- a/jaysched/formerruns.go
+++ b/jaysched/formerruns.go
@@ -27,7 +27,7 @@
 	// inventory has been read after the takeover.
 	candidates   map[string]bool
 	candidatesAt time.Duration
-	// reports are the workers that have reported to this owner.
+	// reports are the workers that have reported to this owner, with all ends processed.
 	reports map[string]bool
 	// unlisted are the candidates that exist, are not on the list and have not reported.
 	unlisted map[string]bool
@@ -79,7 +79,7 @@
 	delete(f.unlisted, id)
 }
 
-// reported records that a worker has reported to this owner.
+// reported records that a worker has reported to this owner, and that all its ends are processed.
 func (f *formerRuns) reported(id string) {
 	if f.candidatesAt > 0 && !f.candidates[id] {
 		return
@@ -95,10 +95,11 @@
 	return f.candidatesAt > 0 && len(f.unlisted) == 0
 }
 
-// mayHaveFormerRuns reports whether a worker on the list may have runs of a former owner.
+// mayHaveFormerRuns reports whether a worker on the list may have runs of a former owner, or ends of
+// such runs, that are not known.
 func (p *Pool) mayHaveFormerRuns(w *worker) bool {
 	f := &p.formerRuns
-	return w.contact == unconfirmed && !f.reports[w.ID] && (f.candidatesAt == 0 || f.candidates[w.ID])
+	return !f.reports[w.ID] && (f.candidatesAt == 0 || f.candidates[w.ID])
 }
 
 // formerRunsPossible reports whether some worker may still have runs that a former owner
--- a/jaysched/formerruns_test.go
+++ b/jaysched/formerruns_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"jaythread/jayport"
 	"jaythread/jayspec"
 )
 
@@ -125,3 +126,30 @@
 	}
 	wantStarts(t, next, time.Second, 1)
 }
+
+// Guards against two runs of a task: its end stands behind one of a job that may still become known,
+// and the worker that lists both counts as one without unknown ends.
+func TestUnprocessedEndsHoldTasks(t *testing.T) {
+	is := is.New(t)
+	first := newHarness(t, 2)
+	spec := newSpec("j", 1, single)
+	declare(first, spec)
+	next := takeOver(t, first, spec)
+	next.pool.JobsKnown(next.now - time.Second)
+	for _, f := range next.workers {
+		for run := range f.active {
+			f.end(jayport.RunRef{Task: jayport.TaskID{Job: "unknown"}, Number: 1}, jayport.EndedDone)
+			f.end(run, jayport.EndedDone)
+		}
+	}
+	readInventory(next)
+	next.run()
+	next.pass(unrecordedDelay)
+	is.Equal(next.starts("j.0.0.0"), 0)
+	next.pool.JobsKnown(next.now)
+	next.now += unrecordedDelay
+	next.reports()
+	next.record()
+	wantState(t, next, "j", StateDone)
+	is.Equal(next.starts("j.0.0.0"), 0)
+}
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -208,7 +208,10 @@
 	w.pace.reportedAt = now
 	p.clearSuspicions(w, now)
 	clear(w.unknownJobs)
-	p.processEnds(w, report.Ended, now)
+	processed := p.processEnds(w, report.Ended, now)
+	if processed && len(report.Ended) < jayport.MaxReportedEnds {
+		p.formerRuns.reported(w.ID)
+	}
 	seen := p.processActiveRuns(w, report.Active, now)
 	for _, end := range report.Ended {
 		if end.Number > w.processed {
@@ -231,25 +234,26 @@
 	}
 	if w.contact == unconfirmed {
 		w.firstReportAt = now
-		p.formerRuns.reported(w.ID)
 	}
 	w.contact = connected
 	w.asking = false
 	w.missingReports = 0
 }
 
-// processEnds handles the new ends in order, up to one whose job may still become known.
-func (p *Pool) processEnds(w *worker, ends []jayport.EndedRun, now time.Duration) {
+// processEnds handles the new ends in order, up to one whose job may still become known. It reports
+// whether it has handled all of them.
+func (p *Pool) processEnds(w *worker, ends []jayport.EndedRun, now time.Duration) (all bool) {
 	for _, end := range ends {
 		if end.Number <= w.processed {
 			continue
 		}
 		if p.mayBecomeKnown(w, end.Run, now) {
-			return
+			return false
 		}
 		p.processEnd(w, end, now)
 		w.processed = end.Number
 	}
+	return true
 }
 
 // processActiveRuns handles the active runs on a worker and counts those that must not continue
