Possible use is computed again when a worker grows

Found by review: a worker that has not reported and whose capacity grows may run more of a former owner's tasks, and the value of up to 100 ms before counted too little of a quota. TestPossibleUseFollowsAGrowingWorker failed before.

--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -81,6 +81,7 @@
 	}
 	if listed.Capacity != w.Capacity {
 		p.resize(w, listed.Capacity, now)
+		p.quotas.possible = nil
 	}
 	w.listed = true
 	w.Draining = listed.Draining
--- a/jaysched/quota_test.go
+++ b/jaysched/quota_test.go
@@ -157,3 +157,22 @@
 		is.True(w.pool.waitsForQuota(j, w.now)) // so it is not rejected for a lack of room
 	}
 }
+
+// Guards against a quota that is exceeded while workers report to a new owner: what they may run is
+// computed at intervals, and a worker that grows may run more.
+func TestPossibleUseFollowsAGrowingWorker(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 1, WithFormerOwner(time.Hour))
+	w.pool.SetQuotas(acmeQuotas(8000))
+	w.addWorker("w1")
+	w.workers["w1"].silent = true
+	w.workers["w1"].info.Capacity.ProcessorsMilli = 2000
+	w.list()
+	w.pool.InventoryRead([]string{"w0", "w1"}, w.now, w.now)
+	w.pool.Restore(ofAcme("j", 6), nil, w.now)
+	w.run()
+	is.Equal(acmeUse(w).Used.ProcessorsMilli, int64(2000))
+	w.workers["w1"].info.Capacity.ProcessorsMilli = 4000
+	w.list()
+	is.Equal(acmeUse(w).Used.ProcessorsMilli, int64(4000))
+}
