A worker with runs of an unknown job is kept until its lease has ended

Found by review. A worker that leaves the list and does not answer was forgotten at once if it had no known runs, and with it that it runs tasks of a job that the new owner has not read yet: the job, once read, was started a second time. The test fails without the change.

--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -62,6 +62,8 @@
 		// worker by now. While tasks are held for runs of a former owner, however, a worker
 		// that never reported may have such a run.
 		mayRun := p.mayHaveFormerRuns(w) && now < p.formerRuns.heldUntil
+		// So may one with runs of a job that is not known yet, until its lease has ended.
+		mayRun = mayRun || len(w.unknownJobs) > 0 && w.contact != lapsed && now < w.leaseBound
 		if !w.listed && w.contact != connected && len(w.runs) == 0 && !mayRun {
 			left = append(left, w)
 		}
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -223,7 +223,10 @@
 		p.dropMissing(w, seen, asked, now)
 	}
 	w.askAt = now
-	if w.processed > w.acknowledged || report.Partial || len(w.unknownJobs) > 0 || w.unaccountedRuns > 0 {
+	switch {
+	case w.unaccountedRuns > 0:
+		w.askAt = now + unrecordedDelay // the worker takes no runs until the next report
+	case w.processed > w.acknowledged || report.Partial || len(w.unknownJobs) > 0:
 		w.askAt = now + repeatDelay(len(report.Ended))
 	}
 }
--- a/jaysched/unknownjobs_test.go
+++ b/jaysched/unknownjobs_test.go
@@ -130,3 +130,26 @@
 	w.record()
 	wantState(t, w, "j", StateDone)
 }
+
+// Guards against two runs of a task: the worker that runs it leaves the list before the new owner has
+// read the task's job, and is forgotten although its lease lasts.
+func TestWorkerWithRunsOfAnUnknownJobIsKeptUntilItsLeaseEnds(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 1)
+	w.pool.JobsKnown(w.now - time.Second)
+	run := jayport.RunRef{Task: jayport.TaskID{Job: "late"}, Number: 1}
+	w.workers["w0"].active[run] = jayport.ActiveRun{Run: run, Speed: 100}
+	w.reports()
+	w.now += unrecordedDelay
+	w.reports() // its lease is renewed
+	delete(w.workers, "w0")
+	w.list()
+	for range silentAfter + 1 {
+		w.pool.ReportFailed(refOf("w0"), w.now)
+		w.pass(silentRetryDelay)
+	}
+	is.Equal(len(w.pool.workers), 1)
+	w.pass(5 * time.Second)
+	w.pass(time.Millisecond)
+	is.Equal(len(w.pool.workers), 0)
+}
