Occurrences that are not due take no memory

Change: a job holds the occurrences that have begun or could begin, and of a step the tasks that were started, and one that waits. Due occurrences beyond 64 waiting tasks are counted, not held; they still count as demand, in the shares and for the quotas. An ended occurrence is released, as is a task that is done, and all of a job whose end is recorded.

The random model of the scheduler has jobs with times, checks that no task starts before its time and that each starts; it found that newJob held occurrences before the progress was restored, so that the job ended after its first occurrence (mended here, before landing). TestCrashesAreCountedAcrossOwners took the progress of a job whose end was recorded, which has none any more; it now lets the end remain unrecorded, with the same checks.

--- a/jaysched/advice.go
+++ b/jaysched/advice.go
@@ -65,7 +65,7 @@
 	if s.advice.asking || now < s.advice.askAt {
 		return
 	}
-	reserves := slices.ContainsFunc(s.tasks, func(t *task) bool { return t.waiting() && p.mayReserve(t, now) })
+	reserves := s.waitingTask(func(t *task) bool { return p.mayReserve(t, now) }) != nil
 	missing := s.waiting
 	var unknown []*worker
 	for _, w := range p.sorted {
@@ -113,15 +113,26 @@
 			continue
 		}
 		if text, good := got.Tickets[id]; good {
-			s.advice.tickets[id] = ticket{text: text, until: asked + got.Valid}
+			s.advice.permit(id, ticket{text: text, until: asked + got.Valid})
 		} else {
 			s.advice.refuse(id, p.workers[id], now)
 		}
 	}
 }
 
+// permit records a worker's ticket.
+func (a *advice) permit(id string, t ticket) {
+	if a.tickets == nil {
+		a.tickets = map[string]ticket{}
+	}
+	a.tickets[id] = t
+}
+
 // refuse records that a worker, which may have left, must not run the step.
 func (a *advice) refuse(id string, w *worker, now time.Duration) {
+	if a.refused == nil {
+		a.refused = map[string]bool{}
+	}
 	a.refused[id] = true
 	switch {
 	case a.triedAt == 0:
@@ -180,9 +191,9 @@
 
 // stepOf returns a step of an open job, or nil.
 func (p *Pool) stepOf(id jayport.StepID) *step {
-	t := p.taskOf(jayport.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step})
-	if t == nil {
+	j, known := p.jobs[id.Job]
+	if !known {
 		return nil
 	}
-	return t.step
+	return j.stepOf(id)
 }
--- a/jaysched/crash.go
+++ b/jaysched/crash.go
@@ -201,7 +201,7 @@
 
 // hasServingTask reports whether some task of a job is neither done nor parked.
 func (j *job) hasServingTask() bool {
-	serves := false
+	serves := j.unheldTasks() > 0
 	j.eachTask(func(t *task) { serves = serves || !t.done && !t.parked })
 	return serves
 }
--- a/jaysched/crash_test.go
+++ b/jaysched/crash_test.go
@@ -333,6 +333,7 @@
 		w := newHarness(t, 4)
 		declare(w, spec)
 		w.crashWorkersOf(0, "j.0.0.0")
+		w.storeUnavailable = true
 		w.crashWorkersOf(0, "j.0.0.0")
 		is.Equal(w.pool.jobs["j"].outcome, Failed)
 		w.pool.jobs["j"].outcome = Open // the record is older than the end
--- a/jaysched/deadline.go
+++ b/jaysched/deadline.go
@@ -100,7 +100,7 @@
 // seconds.
 func (p *Pool) waitingWork(j *job) float64 {
 	work := 0.0
-	for _, s := range j.occurrences[0].steps {
+	for _, s := range j.earliest().steps {
 		takes := p.durations.predict(j.spec.Queue, s.decl.Estimate)
 		work += float64(s.waiting) * float64(needOf(s).ProcessorsMilli) * takes.Seconds()
 	}
@@ -113,7 +113,7 @@
 	if j.longRunning || j.spec.Schedule.Timed() {
 		return onTime
 	}
-	ends := now + p.remainingOccurrenceTime(j.occurrences[0], now)
+	ends := now + p.remainingOccurrenceTime(j.earliest(), now)
 	switch {
 	case ends <= j.target:
 		return onTime
--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -27,6 +27,7 @@
 		p.heldBack = false
 		return p.takeActions()
 	}
+	p.holdDue(now)
 	p.expireLeases(now)
 	p.resend(now)
 	p.vacate(now)
@@ -40,6 +41,13 @@
 	return p.takeActions()
 }
 
+// holdDue holds the occurrences that have become due.
+func (p *Pool) holdDue(now time.Duration) {
+	for _, j := range p.open {
+		j.holdDue(now)
+	}
+}
+
 func (p *Pool) takeActions() []Action {
 	actions := p.actions
 	p.actions = nil
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -119,6 +119,9 @@
 			}
 		}
 	}
+	if _, due := j.unheld(now); due > 0 {
+		total = total.Add(j.initialNeed().Times(int64(due)))
+	}
 	return total
 }
 
--- a/jaysched/ends.go
+++ b/jaysched/ends.go
@@ -38,7 +38,11 @@
 		p.dropRun(r, now)
 		p.recordEvent(Event{Kind: RunEnded, Worker: w.ID, Run: end.Run, Detail: end.Ending.String(), Waited: now - r.confirmedAt}, now)
 	}
+	if t == nil && present {
+		t = r.task
+	}
 	if t == nil {
+		p.processLateEnd(w, end, now)
 		return
 	}
 	t.lastRun = max(t.lastRun, end.Run.Number)
@@ -59,6 +63,23 @@
 	}
 }
 
+// processLateEnd handles the end of a run that the pool does not have, of a task that is done or whose
+// job has ended.
+func (p *Pool) processLateEnd(w *worker, end jayport.EndedRun, now time.Duration) {
+	if _, known := p.jobs[end.Run.Task.Job]; !known {
+		return
+	}
+	switch end.Ending {
+	case jayport.EndedDone:
+		w.lastDone = end.Number
+		p.succeeded(w, now)
+	case jayport.EndedFailed:
+		id := end.Run.Task
+		p.failed(w, jayport.StepID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step}, false, now)
+	case jayport.EndedStopped, jayport.EndedLapsed, jayport.EndedBroken, jayport.EndedAlone, jayport.EndedUnknown:
+	}
+}
+
 // taskDone handles a successful end of a run of a task. The end of one member of a gang ends
 // the whole gang.
 func (p *Pool) taskDone(t *task, r *run, w *worker, now time.Duration) {
@@ -78,7 +99,7 @@
 	p.copyEnded(t, r, now)
 	finished := []*task{t}
 	if t.step.decl.Gang {
-		finished = t.step.tasks
+		finished = slices.Clone(t.step.tasks)
 	}
 	for _, f := range finished {
 		p.finishTask(f, now)
@@ -111,8 +132,8 @@
 	if s.occ.openSteps > 0 {
 		return
 	}
-	s.job.openOccurrences--
-	if s.job.openOccurrences > 0 {
+	s.job.endOccurrence(s.occ)
+	if s.job.schedule.open > 0 {
 		return
 	}
 	p.end(s.job, Done, now)
--- a/jaysched/fairness.go
+++ b/jaysched/fairness.go
@@ -145,6 +145,9 @@
 			}
 		}
 	}
+	if _, due := j.unheld(now); due > 0 && j.deadlineStatus != expired {
+		wanted += j.initialNeed().ProcessorsMilli * int64(due)
+	}
 	return used, wanted
 }
 
@@ -295,7 +298,7 @@
 		return false
 	}
 	wants := int64(0)
-	for _, s := range j.occurrences[0].steps {
+	for _, s := range j.earliest().steps {
 		if s.openPredecessors == 0 {
 			wants += needOf(s).ProcessorsMilli * int64(s.waiting)
 		}
--- a/jaysched/heldback.go
+++ b/jaysched/heldback.go
@@ -53,17 +53,17 @@
 	if s.decl.Gang || p.smallerNeedUnmet(s) && !p.slowWorkerSuits(s, now) || !p.withinQuota(s, 1) {
 		return false
 	}
-	for _, t := range s.tasks {
-		if !t.waiting() || now < t.notBefore || formerRuns && t.mayRunUnreported {
-			continue
-		}
-		if slices.ContainsFunc(p.sorted, func(w *worker) bool { return p.allows(w, t, now) }) {
-			return true
+	could := false
+	s.waitingTask(func(t *task) (decided bool) {
+		if now < t.notBefore || formerRuns && t.mayRunUnreported {
+			return false
 		}
-		if t.isolation() <= watched {
+		could = slices.ContainsFunc(p.sorted, func(w *worker) bool { return p.allows(w, t, now) })
+		if !could && t.isolation() <= watched {
 			p.noteNoRoom(s)
-			return false
+			return true
 		}
-	}
-	return false
+		return could
+	})
+	return could
 }
--- a/jaysched/heldback_test.go
+++ b/jaysched/heldback_test.go
@@ -40,7 +40,7 @@
 	w.pool.SetStarts(2)
 	w.pool.Declare(newSpec("a", 1, tasks(2, 1000, 100), func(s *jayspec.Step) { s.MaxPerInstance = 1 }), w.now)
 	w.pool.Declare(newSpec("j", 1, tasks(2, 1000, 100)), w.now)
-	w.pool.jobs["j"].occurrences[0].steps[0].tasks[0].crashes = make([]crash, isolatedAfter)
+	w.pool.jobs["j"].occurrences[0].steps[0].holdTask(0).crashes = make([]crash, isolatedAfter)
 	w.pool.Decide(w.now)
 	is.New(t).True(w.pool.StartsHeldBack())
 	w = newSpeedHarness(t, 2, 0)
--- a/jaysched/incarnation_test.go
+++ b/jaysched/incarnation_test.go
@@ -195,7 +195,7 @@
 		declare(w, spec)
 		asked := w.now
 		s := w.pool.jobs["j"].occurrences[0].steps[0]
-		s.advice.tickets["a"] = ticket{text: "old", until: w.now + time.Hour}
+		s.advice.permit("a", ticket{text: "old", until: w.now + time.Hour})
 		w.pool.workers["a"].health.recordRefusal(jayport.RefusedUnhealthy, w.now)
 		w.restart("a", 2000)
 		w.now += time.Millisecond
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -71,10 +71,15 @@
 	forecast          jobForecast
 	// beyondShare says that other jobs use the share of the job's organisation.
 	beyondShare bool
+	// occurrences are the held occurrences, in the order of their numbers: those that have begun
+	// or could begin, and have not ended.
 	occurrences []*occurrence
-	// openOccurrences counts the occurrences that have not ended.
-	openOccurrences int
-	// waiting counts the tasks of all steps that are not done and have no run.
+	schedule    schedule
+	// mayRunUnreported says that a former owner may have started any task of the job on a worker
+	// that has not reported yet.
+	mayRunUnreported bool
+	// waiting counts the tasks of the steps of the held occurrences that are not done and have no
+	// run.
 	waiting int
 	outcome Outcome
 	endedAt time.Duration
@@ -112,7 +117,13 @@
 	openPredecessors int
 	// successors are the steps that wait for this one.
 	successors []*step
-	tasks      []*task
+	// tasks are the held tasks in the order of their indexes: those with an index below made that
+	// are not done or have a run. The tasks with higher indexes wait, and nothing distinguishes
+	// them.
+	tasks []*task
+	made  int
+	// done has the bit of each task that is done, see setBit.
+	done []byte
 	// rack is the rack on which a rack-local step runs.
 	rack string
 	// gangRun is the number of the gang's latest run.
@@ -135,6 +146,16 @@
 	s.job.waiting += more
 }
 
+// countPlaced adds to the number of present runs of the step's tasks on a worker.
+func (s *step) countPlaced(w *worker, more int) {
+	if s.placed == nil {
+		s.placed = map[*worker]int{}
+	}
+	if s.placed[w] += more; s.placed[w] == 0 {
+		delete(s.placed, w)
+	}
+}
+
 func (s *step) ready(now time.Duration) bool {
 	return s.openPredecessors == 0 && s.open > 0 && now >= s.occ.due
 }
@@ -202,6 +223,7 @@
 		if t.waiting() {
 			t.step.addWaiting(1)
 		}
+		t.step.release(t)
 		return
 	}
 }
@@ -222,27 +244,20 @@
 	}
 	t.done = true
 	t.step.open--
+	t.step.done = setBit(t.step.done, t.index)
+	t.step.release(t)
 }
 
-// newJob creates the occurrences, steps and tasks of a declared job. dueAt converts times of
-// day to the pool's clock.
+// newJob returns a declared job of which no occurrence is held yet. dueAt converts times of day to the pool's clock.
 func newJob(spec *jayspec.Job, now time.Duration, dueAt func(time.Time) time.Duration) *job {
-	j := &job{
-		spec:            spec,
-		submittedAt:     now,
-		longRunning:     spec.LongRunning(),
-		openOccurrences: spec.Schedule.Count(),
-	}
+	j := &job{spec: spec, submittedAt: now, longRunning: spec.LongRunning()}
 	// A job that was submitted to a former owner has already waited for some time.
 	if submitted := dueAt(spec.Accepted); submitted > 0 {
 		j.submittedAt = min(now, submitted)
 	}
-	for n := range spec.Schedule.Count() {
-		due := now
-		if spec.Schedule.Timed() {
-			due = dueAt(spec.Schedule.Due(n))
-		}
-		j.occurrences = append(j.occurrences, newOccurrence(j, n, due))
+	j.schedule = schedule{first: now, open: spec.Schedule.Count()}
+	if spec.Schedule.Timed() {
+		j.schedule.first = dueAt(spec.Schedule.First)
 	}
 	return j
 }
@@ -258,13 +273,12 @@
 			decl:    decl,
 			open:    decl.Tasks,
 			waiting: decl.Tasks,
-			placed:  map[*worker]int{},
-			advice:  advice{tickets: map[string]ticket{}, refused: map[string]bool{}},
 			readyAt: due,
 		}
 		j.waiting += decl.Tasks
-		for index := range decl.Tasks {
-			s.tasks = append(s.tasks, &task{step: s, index: index})
+		if decl.Gang || decl.LongRunning {
+			// The members of a gang start together, and a service misses each of its tasks.
+			s.holdTask(decl.Tasks - 1)
 		}
 		for _, before := range uniqueSteps(decl.After) {
 			s.openPredecessors++
@@ -324,7 +338,7 @@
 	}
 }
 
-// eachTask calls a function for every task.
+// eachTask calls a function for every held task.
 func (j *job) eachTask(do func(*task)) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
@@ -334,15 +348,3 @@
 		}
 	}
 }
-
-// taskOf returns the task with an ID, or nil.
-func (j *job) taskOf(id jayport.TaskID) *task {
-	if id.Occurrence < 0 || id.Occurrence >= len(j.occurrences) {
-		return nil
-	}
-	o := j.occurrences[id.Occurrence]
-	if id.Step < 0 || id.Step >= len(o.steps) || id.Index < 0 || id.Index >= len(o.steps[id.Step].tasks) {
-		return nil
-	}
-	return o.steps[id.Step].tasks[id.Index]
-}
--- a/jaysched/model_test.go
+++ b/jaysched/model_test.go
@@ -34,8 +34,8 @@
 	stored           map[string]*jaywire.JobProgress
 	pending          *Batch
 	usedIncarnations map[jayport.Incarnation]bool
-	// done are the tasks whose successful end was acknowledged.
-	done map[jayport.TaskID]bool
+	// done are the tasks whose successful end was acknowledged, started those that were started.
+	done, started map[jayport.TaskID]bool
 }
 
 // modelCall is a call in flight from an owner.
@@ -63,13 +63,15 @@
 
 const modelLease = 2 * time.Second
 
-func newModel(t *rapid.T) *model {
+// newModel returns a model with two jobs and further ones.
+func newModel(t *rapid.T, further ...*jayspec.Job) *model {
 	m := &model{
 		t: t, now: time.Minute, term: 1,
 		workers: map[string]*modelWorker{}, listed: map[string]jayport.Worker{},
 		stored: map[string]*jaywire.JobProgress{}, usedIncarnations: map[jayport.Incarnation]bool{}, done: map[jayport.TaskID]bool{},
+		started: map[jayport.TaskID]bool{},
 	}
-	m.pool = NewPool("seats", m.settings())
+	m.pool = NewPool("seats", m.settings(), WithDueTimes(modelTime))
 	learnDurations(m.pool)
 	for _, id := range []string{"a", "b"} {
 		m.workers[id] = &modelWorker{info: jayport.Worker{
@@ -90,9 +92,18 @@
 		m.specs = append(m.specs, spec)
 		m.pool.Declare(spec, m.now)
 	}
+	for _, spec := range further {
+		m.specs = append(m.specs, spec)
+		m.pool.Declare(spec, m.now)
+	}
 	return m
 }
 
+// modelTime converts a time of day to the model's clock, which is zero at the beginning of 1970.
+func modelTime(at time.Time) time.Duration {
+	return at.Sub(time.Unix(0, 0))
+}
+
 func (m *model) settings() Settings {
 	return Settings{Lease: modelLease, Stop: 200 * time.Millisecond, MoveTime: time.Second, FarFactor: 1.5, WorkerSpeeds: true, CopyShare: 1}
 }
@@ -212,12 +223,19 @@
 	}
 	w.lease = max(w.lease, o.LeaseUntil)
 	m.checkStart(o.Run)
+	m.started[o.Run.Task] = true
 	w.active[o.Run] = true
 	return nil
 }
 
-// checkStart fails the test if a task is started twice, or a third time if it may have a copy.
+// checkStart fails the test if a task is started twice, or a third time if it may have a copy, or
+// before its time.
 func (m *model) checkStart(run jayport.RunRef) {
+	for _, spec := range m.specs {
+		if spec.ID == run.Task.Job && spec.Schedule.Timed() && m.now < modelTime(spec.Schedule.Due(run.Task.Occurrence)) {
+			m.t.Fatalf("%v is started before its time", run)
+		}
+	}
 	if m.done[run.Task] {
 		m.t.Fatalf("%v is started after its end was acknowledged", run)
 	}
@@ -254,8 +272,12 @@
 	if OutcomeOf(progress) != Open {
 		return true
 	}
+	occurrence := uint32(task.Occurrence)
+	if slices.Contains(progress.GetEndedAhead(), occurrence) || occurrence < progress.GetNextOccurrence() && !slices.Contains(progress.GetOpenOccurrences(), occurrence) {
+		return true
+	}
 	for _, s := range progress.GetSteps() {
-		if int(s.Step) == task.Step && hasBit(s.Done, task.Index) {
+		if s.Occurrence == occurrence && int(s.Step) == task.Step && hasBit(s.Done, task.Index) {
 			return true
 		}
 	}
@@ -336,7 +358,7 @@
 func (m *model) takeOver() {
 	m.term++
 	m.pending = nil
-	m.pool = NewPool("seats", m.settings(), WithFence(m.term, m.term), WithFormerOwner(m.now+modelLease+modelLease/10))
+	m.pool = NewPool("seats", m.settings(), WithDueTimes(modelTime), WithFence(m.term, m.term), WithFormerOwner(m.now+modelLease+modelLease/10))
 	learnDurations(m.pool)
 	for _, spec := range m.specs {
 		if outcome := OutcomeOf(m.stored[spec.ID]); outcome != Open {
@@ -399,65 +421,97 @@
 // Guards against lost ends, tasks that run twice, and ends attributed to another incarnation,
 // whatever the order in which the return of a worker becomes known.
 func TestIncarnationsUnderRandomEventOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { newModel(t).play() })
+}
+
+// Guards against occurrences that are lost or run twice when their pool changes its owner, also those
+// that overlap, are due at once, or were due while nobody owned the pool.
+func TestOccurrencesUnderRandomEventOrders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(t)
-		crashes := 0
-		worker := func() string { return rapid.SampledFrom([]string{"a", "b"}).Draw(t, "worker") }
-		t.Repeat(map[string]func(*rapid.T){
-			"decide": func(*rapid.T) { m.decide() },
-			"pass":   func(t *rapid.T) { m.pass(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond) },
-			"call": func(t *rapid.T) {
-				if len(m.calls) == 0 {
-					t.Skip("no call")
-				}
-				m.deliver(takeRandom(t, "call", &m.calls), rapid.IntRange(0, 9).Draw(t, "lost") == 0)
-			},
-			"answer": func(t *rapid.T) {
-				if len(m.answers) == 0 {
-					t.Skip("no answer")
-				}
-				takeRandom(t, "answer", &m.answers)()
-			},
-			"end": func(t *rapid.T) {
-				w := m.workers[worker()]
-				if !w.up || len(w.active) == 0 {
-					t.Skip("nothing runs")
-				}
-				w.end(rapid.SampledFrom(w.runs()).Draw(t, "run"), jayport.EndedDone)
-			},
-			"crash": func(t *rapid.T) {
-				w := m.workers[worker()]
-				if !w.up || crashes >= maxCrashes-1 {
-					t.Skip("the worker is down or has crashed often enough")
-				}
-				crashes++
-				w.up, w.active = false, nil
-			},
-			"return": func(t *rapid.T) {
-				id := worker()
-				if m.workers[id].up {
-					t.Skip("the worker is up")
-				}
-				m.start(id)
-			},
-			"straggle": func(*rapid.T) {
-				// Runs become overdue at workers that report, so that they get copies.
-				m.list()
-				for range 3 {
-					m.exchange()
-					m.pass(copyInterval)
-				}
-			},
-			"list":   func(*rapid.T) { m.list() },
-			"survey": func(*rapid.T) { m.readInventory() },
-			"record": func(*rapid.T) { m.record() },
-			"takeOver": func(t *rapid.T) {
-				if rapid.IntRange(0, 3).Draw(t, "lose") > 0 {
-					t.Skip("the owner is kept")
+		spec := newSpec("t", 2)
+		spec.Steps[0].Tasks = 3
+		spec.Schedule = jayspec.Schedule{
+			Occurrences: rapid.SampledFrom([]int{1, 4, 40}).Draw(t, "occurrences"),
+			First:       time.UnixMilli(rapid.SampledFrom([]int64{0, 59_000, 60_500}).Draw(t, "first")),
+			Interval:    rapid.SampledFrom([]time.Duration{0, time.Millisecond, 300 * time.Millisecond}).Draw(t, "interval"),
+		}
+		m := newModel(t, spec)
+		m.play()
+		if OutcomeOf(m.stored[spec.ID]) == Failed {
+			return // given up, since one of its tasks has lost as many workers as a task may
+		}
+		for occurrence := range spec.Schedule.Occurrences {
+			for step := range spec.Steps {
+				for index := range spec.Steps[step].Tasks {
+					task := jayport.TaskID{Job: spec.ID, Occurrence: occurrence, Step: step, Index: index}
+					if !m.started[task] {
+						t.Fatalf("%v was never started, and the job is %v", task, OutcomeOf(m.stored[spec.ID]))
+					}
 				}
-				m.takeOver()
-			},
-		})
-		m.settle()
+			}
+		}
+	})
+}
+
+// play lets random events happen, then continues without faults until all jobs have ended.
+func (m *model) play() {
+	t := m.t
+	crashes := 0
+	worker := func() string { return rapid.SampledFrom([]string{"a", "b"}).Draw(t, "worker") }
+	t.Repeat(map[string]func(*rapid.T){
+		"decide": func(*rapid.T) { m.decide() },
+		"pass":   func(t *rapid.T) { m.pass(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond) },
+		"call": func(t *rapid.T) {
+			if len(m.calls) == 0 {
+				t.Skip("no call")
+			}
+			m.deliver(takeRandom(t, "call", &m.calls), rapid.IntRange(0, 9).Draw(t, "lost") == 0)
+		},
+		"answer": func(t *rapid.T) {
+			if len(m.answers) == 0 {
+				t.Skip("no answer")
+			}
+			takeRandom(t, "answer", &m.answers)()
+		},
+		"end": func(t *rapid.T) {
+			w := m.workers[worker()]
+			if !w.up || len(w.active) == 0 {
+				t.Skip("nothing runs")
+			}
+			w.end(rapid.SampledFrom(w.runs()).Draw(t, "run"), jayport.EndedDone)
+		},
+		"crash": func(t *rapid.T) {
+			w := m.workers[worker()]
+			if !w.up || crashes >= maxCrashes-1 {
+				t.Skip("the worker is down or has crashed often enough")
+			}
+			crashes++
+			w.up, w.active = false, nil
+		},
+		"return": func(t *rapid.T) {
+			id := worker()
+			if m.workers[id].up {
+				t.Skip("the worker is up")
+			}
+			m.start(id)
+		},
+		"straggle": func(*rapid.T) {
+			// Runs become overdue at workers that report, so that they get copies.
+			m.list()
+			for range 3 {
+				m.exchange()
+				m.pass(copyInterval)
+			}
+		},
+		"list":   func(*rapid.T) { m.list() },
+		"survey": func(*rapid.T) { m.readInventory() },
+		"record": func(*rapid.T) { m.record() },
+		"takeOver": func(t *rapid.T) {
+			if rapid.IntRange(0, 3).Draw(t, "lose") > 0 {
+				t.Skip("the owner is kept")
+			}
+			m.takeOver()
+		},
 	})
+	m.settle()
 }
--- /dev/null
+++ b/jaysched/occurrences.go
@@ -0,0 +1,255 @@
+package jaysched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"jaythread/jaypool"
+	"jaythread/jayport"
+)
+
+// maxHeldWaiting is the number of tasks of a job that could start and wait, from which no further
+// occurrence is held. A job with many occurrences that are due needs no more memory than those of
+// its tasks that run, and these.
+const maxHeldWaiting = 64
+
+// schedule says which occurrences of a job have ended, in as much memory as the exceptions need.
+//
+// It handles this load: hundreds of jobs are due once a minute for a day. With all their occurrences
+// in memory, each owner of the pool exceeds its memory, one after the other, and each decision
+// checks tasks that are due in hours.
+type schedule struct {
+	// first is when occurrence 0 is due.
+	first time.Duration
+	// next is the number of the first occurrence that is neither held nor has ended. Those below
+	// it that are not held have ended.
+	next int
+	// endedAhead are the numbers above next of occurrences that have ended: another owner, whose
+	// clock was ahead, has begun them.
+	endedAhead map[int]bool
+	// open counts the occurrences that have not ended.
+	open int
+}
+
+// dueOf returns when an occurrence of the job is due.
+func (j *job) dueOf(number int) time.Duration {
+	interval := j.spec.Schedule.Interval
+	if interval > 0 && time.Duration(number) > (MaxDuration-max(0, j.schedule.first))/interval {
+		return MaxDuration
+	}
+	return j.schedule.first + time.Duration(number)*interval
+}
+
+// holdDue holds the occurrences that are due, the earliest first, until maxHeldWaiting tasks could
+// start. That of a job without times is always held.
+func (j *job) holdDue(now time.Duration) {
+	sched := &j.schedule
+	ready := -1
+	for ; sched.next < j.spec.Schedule.Count(); sched.next++ {
+		switch {
+		case sched.endedAhead[sched.next]:
+			delete(sched.endedAhead, sched.next)
+			continue
+		case j.held(sched.next) != nil:
+			continue
+		case j.spec.Schedule.Timed() && now < j.dueOf(sched.next):
+			return
+		}
+		if ready < 0 {
+			ready = j.readyWaiting()
+		}
+		if ready >= maxHeldWaiting {
+			return
+		}
+		ready += j.hold(sched.next).readyWaiting()
+	}
+}
+
+// readyWaiting counts the tasks of the held occurrences that wait and depend on no open step.
+func (j *job) readyWaiting() int {
+	count := 0
+	for _, o := range j.occurrences {
+		count += o.readyWaiting()
+	}
+	return count
+}
+
+func (o *occurrence) readyWaiting() int {
+	count := 0
+	for _, s := range o.steps {
+		if s.openPredecessors == 0 {
+			count += s.waiting
+		}
+	}
+	return count
+}
+
+// held returns a held occurrence, or nil.
+func (j *job) held(number int) *occurrence {
+	n, found := slices.BinarySearchFunc(j.occurrences, number, compareNumber)
+	if !found {
+		return nil
+	}
+	return j.occurrences[n]
+}
+
+func compareNumber(o *occurrence, number int) int {
+	return cmp.Compare(o.number, number)
+}
+
+// hold returns an occurrence that has not ended, and holds it from now on.
+func (j *job) hold(number int) *occurrence {
+	n, found := slices.BinarySearchFunc(j.occurrences, number, compareNumber)
+	if !found {
+		j.occurrences = slices.Insert(j.occurrences, n, newOccurrence(j, number, j.dueOf(number)))
+	}
+	return j.occurrences[n]
+}
+
+// endOccurrence releases an occurrence whose steps have all ended.
+func (j *job) endOccurrence(o *occurrence) {
+	j.occurrences = slices.DeleteFunc(j.occurrences, func(other *occurrence) bool { return other == o })
+	j.schedule.open--
+	if o.number >= j.schedule.next {
+		if j.schedule.endedAhead == nil {
+			j.schedule.endedAhead = map[int]bool{}
+		}
+		j.schedule.endedAhead[o.number] = true
+	}
+}
+
+// ended reports whether an occurrence has ended.
+func (j *job) ended(number int) bool {
+	return j.schedule.endedAhead[number] || number < j.schedule.next && j.held(number) == nil
+}
+
+// unheld returns how many occurrences have not ended and are not held, and how many of them are due.
+func (j *job) unheld(now time.Duration) (all, due int) {
+	all = j.schedule.open - len(j.occurrences)
+	if all == 0 || now < j.dueOf(j.schedule.next) {
+		return all, 0
+	}
+	if interval := j.spec.Schedule.Interval; interval > 0 {
+		passed := int64((now - j.dueOf(j.schedule.next)) / interval)
+		return all, int(min(int64(all), 1+passed))
+	}
+	return all, all
+}
+
+// earliest returns the first held occurrence, or one without steps.
+func (j *job) earliest() *occurrence {
+	if len(j.occurrences) == 0 {
+		return &occurrence{}
+	}
+	return j.occurrences[0]
+}
+
+// unheldTasks counts the tasks that are not held and not done, those of the occurrences that are
+// not held included.
+func (j *job) unheldTasks() int {
+	all, _ := j.unheld(0)
+	count := all * j.spec.Tasks()
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			count += s.unheld()
+		}
+	}
+	return count
+}
+
+// markUnreported records that a former owner may have started any task of the job.
+func (j *job) markUnreported() {
+	j.mayRunUnreported = true
+	j.eachTask(func(t *task) { t.mayRunUnreported = !t.done })
+}
+
+// stepOf returns a step of an occurrence that has not ended, or nil.
+func (j *job) stepOf(id jayport.StepID) *step {
+	if id.Occurrence < 0 || id.Occurrence >= j.spec.Schedule.Count() || id.Step < 0 || id.Step >= len(j.spec.Steps) {
+		return nil
+	}
+	o := j.held(id.Occurrence)
+	if o == nil && (j.outcome != Open || j.ended(id.Occurrence)) {
+		return nil
+	}
+	return j.hold(id.Occurrence).steps[id.Step]
+}
+
+// taskOf returns the task with an ID, or nil if there is none or it is done.
+func (j *job) taskOf(id jayport.TaskID) *task {
+	s := j.stepOf(jayport.StepID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step})
+	if s == nil || id.Index < 0 || id.Index >= s.decl.Tasks {
+		return nil
+	}
+	return s.holdTask(id.Index)
+}
+
+// holdTask returns the task with an index, and holds it and those before it that are not done. It
+// returns nil if the task is done and has no run.
+func (s *step) holdTask(index int) *task {
+	for ; s.made <= index; s.made++ {
+		if !hasBit(s.done, s.made) {
+			s.tasks = append(s.tasks, &task{step: s, index: s.made, mayRunUnreported: s.job.mayRunUnreported})
+		}
+	}
+	n, found := slices.BinarySearchFunc(s.tasks, index, func(t *task, index int) int { return cmp.Compare(t.index, index) })
+	if !found {
+		return nil
+	}
+	return s.tasks[n]
+}
+
+// unheld counts the tasks that are neither held nor done.
+func (s *step) unheld() int {
+	return s.decl.Tasks - s.made
+}
+
+// release stops holding a task that is done and has no run.
+func (s *step) release(t *task) {
+	if t.done && len(t.runs) == 0 {
+		s.tasks = slices.DeleteFunc(s.tasks, func(other *task) bool { return other == t })
+	}
+}
+
+// taskAt returns the held task at a position. If there is none, the next task is held; it is nil if
+// all are.
+func (s *step) taskAt(position int) *task {
+	for position >= len(s.tasks) && s.made < s.decl.Tasks {
+		s.holdTask(s.made)
+	}
+	if position >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[position]
+}
+
+// waitingTask returns the first waiting task of a step for which a condition holds, or nil. A nil
+// condition holds for each.
+func (s *step) waitingTask(holds func(*task) bool) *task {
+	for n := 0; s.waiting > 0; n++ {
+		pristine := n >= len(s.tasks)
+		t := s.taskAt(n)
+		if t == nil {
+			return nil
+		}
+		if t.waiting() && (holds == nil || holds(t)) {
+			return t
+		}
+		if pristine {
+			return nil // the later ones do not differ from it
+		}
+	}
+	return nil
+}
+
+// initialNeed returns what the tasks of an occurrence need together that could start when it is due.
+func (j *job) initialNeed() jaypool.Resources {
+	var total jaypool.Resources
+	for n := range j.spec.Steps {
+		if s := &j.spec.Steps[n]; len(s.After) == 0 {
+			total = total.Add(declaredNeed(s).Times(int64(s.Tasks)))
+		}
+	}
+	return total
+}
--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -278,14 +278,14 @@
 // up for a task that is about to end.
 func (p *Pool) forecastOf(j *job, spread float64, now time.Duration) jobForecast {
 	o := p.outlook
-	steps := j.occurrences[0].steps
+	steps := j.earliest().steps
 	o.left = append(o.left[:0], make([]time.Duration, len(steps))...)
 	var f jobForecast
 	open, all := 0, 0
 	for n := len(steps) - 1; n >= 0; n-- {
 		s := steps[n]
 		open += s.open
-		all += len(s.tasks)
+		all += s.decl.Tasks
 		if s.open == 0 {
 			continue
 		}
@@ -424,7 +424,7 @@
 	if p.quotas.none() {
 		return false
 	}
-	for _, s := range j.occurrences[0].steps {
+	for _, s := range j.earliest().steps {
 		if s.waiting > 0 && s.ready(now) {
 			return !p.quotaAllows(s, 1)
 		}
--- a/jaysched/packing.go
+++ b/jaysched/packing.go
@@ -23,8 +23,8 @@
 		return p.longRunWorkers()
 	}
 	k := p.newPacking(now)
-	for _, t := range p.unplacedTasks(now) {
-		k.place(t)
+	for _, s := range p.unplacedTasks(now) {
+		k.place(s)
 	}
 	return k.workers()
 }
@@ -40,11 +40,11 @@
 	return count
 }
 
-// unplacedTasks returns the tasks that need a worker, the largest first: long-running ones that
+// unplacedTasks returns the step of each task that needs a worker, the largest first: long-running ones that
 // wait, or run on a worker that is being vacated, and others that wait although no worker could
 // take them even if only long-running tasks ran there.
-func (p *Pool) unplacedTasks(now time.Duration) []*task {
-	var tasks []*task
+func (p *Pool) unplacedTasks(now time.Duration) []*step {
+	var steps []*step
 	for _, j := range p.open {
 		if !j.longRunning && j.waiting == 0 {
 			continue
@@ -52,30 +52,35 @@
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				if s.ready(now) {
-					tasks = append(tasks, p.unplacedTasksOf(s, now)...)
+					steps = append(steps, slices.Repeat([]*step{s}, p.countUnplaced(s, now))...)
 				}
 			}
 		}
 	}
-	slices.SortStableFunc(tasks, func(a, b *task) int {
-		return cmp.Compare(needOf(b.step).MemoryMegabytes, needOf(a.step).MemoryMegabytes)
+	slices.SortStableFunc(steps, func(a, b *step) int {
+		return cmp.Compare(needOf(b).MemoryMegabytes, needOf(a).MemoryMegabytes)
 	})
-	return tasks
+	return steps
 }
 
-func (p *Pool) unplacedTasksOf(s *step, now time.Duration) []*task {
+func (p *Pool) countUnplaced(s *step, now time.Duration) int {
 	if s.decl.LongRunning {
-		return slices.DeleteFunc(slices.Clone(s.tasks), func(t *task) bool { return t.done || t.parked || t.runsOnUsableWorker() })
+		count := 0
+		for _, t := range s.tasks {
+			if !t.done && !t.parked && !t.runsOnUsableWorker() {
+				count++
+			}
+		}
+		return count
 	}
 	if s.waiting == 0 || p.fitsSomewhere(s, now) {
-		return nil
+		return 0
 	}
-	waiting := slices.DeleteFunc(slices.Clone(s.tasks), func(t *task) bool { return !t.waiting() })
 	if s.seeksWorker(p.settings.MoveTime+reportDelay, now) {
 		// Tasks that end by themselves can all run on the first worker that is not refused.
-		return waiting[:min(1, len(waiting))]
+		return 1
 	}
-	return waiting
+	return s.waiting
 }
 
 // runsOnUsableWorker reports whether a task runs on a worker where it may stay.
@@ -124,18 +129,18 @@
 	return k
 }
 
-// place assigns a task to a present worker, an additional one that has room, or else a new
-// additional one. In the latter case the workers that have room but must not run the task count as
+// place assigns a task of a step to a present worker, an additional one that has room, or else a new
+// additional one. In the latter case the workers that have room but must not run it count as
 // used, since the additional one is needed beside them.
-func (k *packing) place(t *task) {
+func (k *packing) place(s *step) {
 	var refused []*bin
 	for _, b := range k.bins {
 		switch {
-		case !b.fits(t):
-		case b.worker != nil && k.pool.mustNotRun(b.worker, t.step, k.now):
+		case !b.fits(s):
+		case b.worker != nil && k.pool.mustNotRun(b.worker, s, k.now):
 			refused = append(refused, b)
 		default:
-			b.add(t)
+			b.add(s)
 			return
 		}
 	}
@@ -143,7 +148,7 @@
 		b.used = true
 	}
 	b := &bin{room: k.size}
-	b.add(t)
+	b.add(s)
 	k.bins = append(k.bins, b)
 }
 
@@ -158,9 +163,9 @@
 	return count
 }
 
-func (b *bin) fits(t *task) bool {
-	most := t.step.decl.MaxPerInstance
-	return b.room.Fits(needOf(t.step)) && (most == 0 || b.count(t.step) < most)
+func (b *bin) fits(s *step) bool {
+	most := s.decl.MaxPerInstance
+	return b.room.Fits(needOf(s)) && (most == 0 || b.count(s) < most)
 }
 
 // count returns the number of tasks of a step on the worker.
@@ -172,13 +177,13 @@
 	return count
 }
 
-func (b *bin) add(t *task) {
+func (b *bin) add(s *step) {
 	b.used = true
-	b.room = b.room.Sub(needOf(t.step))
+	b.room = b.room.Sub(needOf(s))
 	if b.placed == nil {
 		b.placed = map[*step]int{}
 	}
-	b.placed[t.step]++
+	b.placed[s]++
 }
 
 // blockedByMemory returns how many thousandths of a core no short task can use because
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -53,11 +53,19 @@
 	}
 	noRoom := p.smallerNeedUnmet(s) && !p.slowWorkerSuits(s, now)
 	p.lackedRoom = p.lackedRoom || noRoom
-	for _, t := range s.tasks {
+	for n := 0; n < len(s.tasks) || !noRoom; n++ {
 		if p.startsLeft <= 0 || noRoom && !s.suspected && !s.decl.LongRunning {
 			return
 		}
+		pristine := n >= len(s.tasks)
+		t := s.taskAt(n)
+		if t == nil {
+			return
+		}
 		if !t.waiting() || now < t.notBefore || formerRuns && t.mayRunUnreported {
+			if pristine {
+				return // the later tasks do not differ from it
+			}
 			continue
 		}
 		if noRoom && !p.mayReserve(t, now) {
@@ -146,14 +154,12 @@
 		}
 		// Room is reserved immediately, so that the choice for the next member accounts for it.
 		w.free = w.free.Sub(needOf(s))
-		s.placed[w]++
+		s.countPlaced(w, 1)
 		chosen = append(chosen, w)
 	}
 	for _, w := range chosen {
 		w.free = w.free.Add(needOf(s))
-		if s.placed[w]--; s.placed[w] == 0 {
-			delete(s.placed, w)
-		}
+		s.countPlaced(w, -1)
 	}
 	if len(chosen) < len(s.tasks) {
 		p.lackedRoom = true
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -302,6 +302,7 @@
 		return false
 	}
 	j := newJob(spec, now, p.dueAt)
+	j.holdDue(now)
 	chain := p.add(j)
 	if _, expected := p.expected[spec.ID]; !expected {
 		p.addArrival(spec, chain, now)
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -71,7 +71,7 @@
 	for _, id := range slices.Sorted(maps.Keys(b.outcomes)) {
 		outcome := b.outcomes[id]
 		if j, known := p.jobs[id]; known && outcome != Open && j.recorded == Open {
-			j.recorded = outcome
+			j.recorded, j.occurrences = outcome, nil
 			p.recordEvent(Event{Kind: JobRecorded, Job: id, Detail: outcome.String(), Waited: now - j.endedAt}, now)
 		}
 	}
@@ -103,7 +103,16 @@
 		record.Organisation = j.spec.Organisation
 		return record
 	}
+	if j.spec.Schedule.Timed() {
+		record.NextOccurrence = uint32(j.schedule.next)
+		for _, number := range slices.Sorted(maps.Keys(j.schedule.endedAhead)) {
+			record.EndedAhead = append(record.EndedAhead, uint32(number))
+		}
+	}
 	for _, o := range j.occurrences {
+		if o.number < j.schedule.next && j.spec.Schedule.Timed() {
+			record.OpenOccurrences = append(record.OpenOccurrences, uint32(o.number))
+		}
 		for _, s := range o.steps {
 			if step := s.progress(); step != nil {
 				record.Steps = append(record.Steps, step)
@@ -114,15 +123,11 @@
 }
 
 func (s *step) progress() *jaywire.StepProgress {
-	record := &jaywire.StepProgress{Occurrence: uint32(s.id.Occurrence), Step: uint32(s.id.Step)}
-	for n, t := range s.tasks {
-		if t.done {
-			record.Done = setBit(record.Done, n)
-			continue
-		}
-		if len(t.failedRuns) > 0 || t.checkpoint != "" || len(t.crashes) > 0 {
+	record := &jaywire.StepProgress{Occurrence: uint32(s.id.Occurrence), Step: uint32(s.id.Step), Done: slices.Clone(s.done)}
+	for _, t := range s.tasks {
+		if !t.done && (len(t.failedRuns) > 0 || t.checkpoint != "" || len(t.crashes) > 0) {
 			record.Tasks = append(record.Tasks, &jaywire.TaskProgress{
-				Index: uint32(n), FailedRuns: t.failedRuns, Checkpoint: t.checkpoint, LastRun: t.lastRun, Crashes: t.crashRecords(), TrialRun: t.trial,
+				Index: uint32(t.index), FailedRuns: t.failedRuns, Checkpoint: t.checkpoint, LastRun: t.lastRun, Crashes: t.crashRecords(), TrialRun: t.trial,
 			})
 		}
 	}
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -164,6 +164,9 @@
 				}
 			}
 		}
+		if _, due := j.unheld(now); due > 0 {
+			use.Wanted = use.Wanted.Add(j.initialNeed().Times(int64(due)))
+		}
 		uses[organisation] = use
 	}
 	return p.quotas.limits.Report(p.fence, all, uses)
@@ -246,6 +249,19 @@
 			total = total.Add(t.step.decl.Need)
 		}
 	})
+	if !j.mayRunUnreported {
+		return total
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			total = total.Add(s.decl.Need.Times(int64(s.unheld())))
+		}
+	}
+	unheld, _ := j.unheld(0)
+	for n := range j.spec.Steps {
+		s := &j.spec.Steps[n]
+		total = total.Add(s.Need.Times(int64(unheld * s.Tasks)))
+	}
 	return total
 }
 
--- a/jaysched/rack.go
+++ b/jaysched/rack.go
@@ -13,11 +13,12 @@
 func (p *Pool) rackFor(s *step, now time.Duration) string {
 	room := map[string]int{}
 	best := ""
+	t := s.waitingTask(nil)
 	for _, w := range p.sorted {
 		if s.placed[w] > 0 {
 			return w.Rack
 		}
-		if !p.allows(w, s.tasks[0], now) {
+		if t == nil || !p.allows(w, t, now) {
 			continue
 		}
 		room[w.Rack] += min(s.waiting, countFits(w.free, needOf(s)))
--- a/jaysched/reserve_test.go
+++ b/jaysched/reserve_test.go
@@ -54,7 +54,7 @@
 	suspect.Policy.Objective = time.Hour
 	declare(w, suspect)
 	for run := range int64(isolatedAfter) {
-		w.pool.jobs["suspect"].occurrences[0].steps[0].tasks[0].addCrash(crash{run: run})
+		w.pool.jobs["suspect"].occurrences[0].steps[0].holdTask(0).addCrash(crash{run: run})
 	}
 	w.run()
 	is.New(t).Equal(w.reservations(), 1)
--- a/jaysched/restore.go
+++ b/jaysched/restore.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jaythread/jayport"
 	"jaythread/jayspec"
 	"jaythread/jaywire"
 )
@@ -18,11 +19,10 @@
 	j.inherited = true
 	if progress != nil {
 		j.started = progress.Started
-		for _, record := range progress.Steps {
-			j.restoreStep(record)
-		}
+		j.restoreProgress(progress)
 	}
-	j.eachTask(func(t *task) { t.mayRunUnreported = !t.done })
+	j.holdDue(now)
+	j.markUnreported()
 	if p.restoredAt == 0 {
 		p.restoredAt = now
 	}
@@ -44,7 +44,7 @@
 	if !known || j.outcome != Open || now >= p.restoredAt+takeoverReportTimeout || !p.formerRunsPossible(now) {
 		return true
 	}
-	unreported := false
+	unreported := j.mayRunUnreported && j.unheldTasks() > 0
 	j.eachTask(func(t *task) { unreported = unreported || t.mayRunUnreported && !t.done })
 	return !unreported
 }
@@ -65,7 +65,9 @@
 // none of its tasks is started: a task that is done would run twice.
 func (p *Pool) RestoreUnreadable(spec *jayspec.Job, now time.Duration) {
 	if _, known := p.jobs[spec.ID]; !known {
-		p.jobs[spec.ID] = newJob(spec, now, p.dueAt)
+		j := newJob(spec, now, p.dueAt)
+		j.holdDue(now)
+		p.jobs[spec.ID] = j
 	}
 }
 
@@ -83,26 +85,45 @@
 	return Outcome(progress.Outcome)
 }
 
-func (j *job) restoreStep(record *jaywire.StepProgress) {
-	if int(record.Occurrence) >= len(j.occurrences) {
-		return
+// restoreProgress restores what a former owner has recorded. An earlier version recorded no numbers
+// of occurrences, but the steps of all that had begun.
+func (j *job) restoreProgress(progress *jaywire.JobProgress) {
+	count := j.spec.Schedule.Count()
+	j.schedule.next = min(int(progress.NextOccurrence), count)
+	j.schedule.open = count - j.schedule.next
+	for _, number := range progress.OpenOccurrences {
+		if int(number) < j.schedule.next && j.held(int(number)) == nil {
+			j.hold(int(number))
+			j.schedule.open++
+		}
 	}
-	o := j.occurrences[record.Occurrence]
-	if int(record.Step) >= len(o.steps) {
+	for _, number := range progress.EndedAhead {
+		if int(number) >= j.schedule.next && int(number) < count && !j.schedule.endedAhead[int(number)] {
+			j.endOccurrence(&occurrence{number: int(number)})
+		}
+	}
+	for _, record := range progress.Steps {
+		j.restoreStep(record)
+	}
+}
+
+func (j *job) restoreStep(record *jaywire.StepProgress) {
+	s := j.stepOf(jayport.StepID{Job: j.spec.ID, Occurrence: int(record.Occurrence), Step: int(record.Step)})
+	if s == nil {
 		return
 	}
-	s := o.steps[record.Step]
-	for _, t := range record.Tasks {
-		if int(t.Index) < len(s.tasks) {
-			s.tasks[t.Index].failedRuns = t.FailedRuns
-			s.tasks[t.Index].checkpoint = t.Checkpoint
-			s.tasks[t.Index].lastRun = t.LastRun
-			s.tasks[t.Index].restoreCrashes(t)
+	for n := range s.decl.Tasks {
+		if hasBit(record.Done, n) && !hasBit(s.done, n) {
+			s.restoreDone(n)
 		}
 	}
-	for n, t := range s.tasks {
-		if hasBit(record.Done, n) {
-			t.finish()
+	for _, t := range record.Tasks {
+		if int(t.Index) < s.decl.Tasks && !hasBit(s.done, int(t.Index)) {
+			held := s.holdTask(int(t.Index))
+			held.failedRuns = t.FailedRuns
+			held.checkpoint = t.Checkpoint
+			held.lastRun = t.LastRun
+			held.restoreCrashes(t)
 		}
 	}
 	if s.open > 0 {
@@ -111,8 +132,19 @@
 	for _, next := range s.successors {
 		next.openPredecessors--
 	}
-	o.openSteps--
-	if o.openSteps == 0 {
-		j.openOccurrences--
+	s.occ.openSteps--
+	if s.occ.openSteps == 0 {
+		j.endOccurrence(s.occ)
+	}
+}
+
+// restoreDone marks a task as done.
+func (s *step) restoreDone(index int) {
+	if index < s.made {
+		s.holdTask(index).finish()
+		return
 	}
+	s.done = setBit(s.done, index)
+	s.addWaiting(-1)
+	s.open--
 }
--- a/jaysched/speed.go
+++ b/jaysched/speed.go
@@ -409,7 +409,7 @@
 	if p.deadlineStatusOf(j, now) == expired {
 		return MaxDuration
 	}
-	return j.target - now - p.remainingOccurrenceTime(j.occurrences[0], now)
+	return j.target - now - p.remainingOccurrenceTime(j.earliest(), now)
 }
 
 // probeTask returns a waiting task of a job that may be a probe on a worker, or nil.
@@ -424,12 +424,12 @@
 				continue
 			}
 			w.pace.probingStep = s
-			at := slices.IndexFunc(s.tasks, func(t *task) bool {
-				return t.waiting() && t.checkpoint == "" && now >= t.notBefore && !(formerRuns && t.mayRunUnreported) && p.allows(w, t, now)
+			t := s.waitingTask(func(t *task) bool {
+				return t.checkpoint == "" && now >= t.notBefore && !(formerRuns && t.mayRunUnreported) && p.allows(w, t, now)
 			})
 			w.pace.probingStep = nil
-			if at >= 0 {
-				return s.tasks[at]
+			if t != nil {
+				return t
 			}
 		}
 	}
--- a/jaysched/unknownjobs.go
+++ b/jaysched/unknownjobs.go
@@ -46,7 +46,7 @@
 	j := p.jobs[spec.ID]
 	j.foundInStore, j.inherited = true, true
 	p.quotas.possible = nil
-	j.eachTask(func(t *task) { t.mayRunUnreported = true })
+	j.markUnreported()
 	return true
 }
 
--- a/jaysched/waiting.go
+++ b/jaysched/waiting.go
@@ -95,6 +95,9 @@
 				}
 			}
 		})
+		if j.mayRunUnreported {
+			held += j.unheldTasks()
+		}
 	}
 	return held, service
 }
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -7,6 +7,7 @@
 
 	"jaythread/jaypool"
 	"jaythread/jayport"
+	"jaythread/jayspec"
 )
 
 // clockDrift is the maximum share by which a worker's clock may be slow: the two percent of the
@@ -214,7 +215,7 @@
 	if r.isolation != unsuspected {
 		w.suspected++
 	}
-	r.task.step.placed[w]++
+	r.task.step.countPlaced(w, 1)
 }
 
 // remove releases the room of a run. It returns false if the worker has no such run.
@@ -242,9 +243,7 @@
 	if len(w.runs) == 0 {
 		w.idleSince = now
 	}
-	if r.task.step.placed[w]--; r.task.step.placed[w] == 0 {
-		delete(r.task.step.placed, w)
-	}
+	r.task.step.countPlaced(w, -1)
 	return true
 }
 
@@ -280,8 +279,12 @@
 // needOf returns the room that a run of the step takes. Best-effort tasks use spare processor
 // time only.
 func needOf(s *step) jaypool.Resources {
-	need := s.decl.Need
-	if s.decl.Fills {
+	return declaredNeed(s.decl)
+}
+
+func declaredNeed(decl *jayspec.Step) jaypool.Resources {
+	need := decl.Need
+	if decl.Fills {
 		need.ProcessorsMilli = 0
 	}
 	return need
