A cancelling of an unknown job holds when its record arrives later

An append of the job's record that is under way, of the owner or of any other entry, takes effect later, is read and begun as a new job.

Change: a cancelling of a job that the owner does not know is kept as the end of that job, recorded before it is answered, and kept for as long as ended jobs, two minutes at least. A record of the job that arrives within that time, whoever appended it, finds its end: the job is shown as canceled and never begins. While the store is away the cancelling is not answered with 410, since nothing could hold it; the caller gets 503 and asks again. A cancelling by another organisation has no effect on a job. A later submission of the ID by the same organisation is rejected with 409, since it would never run. GET answers 410 as before. A pool keeps at most 5,000 of them. "record of a cancelled job arrived" in the log tells whose append it was and its age.

--- a/jaynode/expire.go
+++ b/jaynode/expire.go
@@ -22,11 +22,15 @@
 // job's declaration before its progress record: if this entry is lost in between, the
 // next owner still knows that the job has ended.
 func (d *poolDuty) expire(now time.Duration) {
-	if now < d.nextExpireAt || d.node.settings.RetainEnded == 0 {
+	if now < d.nextExpireAt {
 		return
 	}
 	d.nextExpireAt = now + expireInterval
-	ids := d.pool.Expired(now, d.node.settings.RetainEnded+expireMargin, expireBatchSize)
+	retain := d.node.settings.RetainEnded
+	if retain > 0 {
+		retain += expireMargin
+	}
+	ids := d.pool.Expired(now, retain, expireBatchSize)
 	if len(ids) == 0 {
 		return
 	}
@@ -60,6 +64,7 @@
 	}
 	for _, id := range ids {
 		d.storedJobs.Delete(id)
+		d.canceled.Delete(id)
 	}
 }
 
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -105,7 +105,7 @@
 }
 
 // storeAtOwner asks the owner of a job's pool to store the job. Its errors are
-// jayport.ErrRejected, jayport.ErrNoAnswer, errTaken and *hopelessError.
+// jayport.ErrRejected, jayport.ErrNoAnswer, errTaken, errCanceled and *hopelessError.
 //
 // The outcome is final if this entry should not append the job itself. An owner that can
 // reach the store and still rejects a job does so because the store is slow. If all
@@ -138,6 +138,9 @@
 	if stored.GetTaken() {
 		return true, errTaken
 	}
+	if stored.GetCanceled() {
+		return true, errCanceled
+	}
 	if stored.GetHopeless() {
 		return true, &hopelessError{retryAfter: millis(stored.GetRetryAfterMillis())}
 	}
@@ -148,6 +151,10 @@
 // errTaken is returned for a job whose ID belongs to a job of another organisation.
 var errTaken = errors.New("a job of another organisation has the ID")
 
+// errCanceled is returned for a job that was cancelled before it was submitted, or while its record
+// was on its way.
+var errCanceled = errors.New("the job was cancelled before")
+
 // errOwnerSuspected is returned for a request to an owner that no longer answers pings.
 var errOwnerSuspected = fmt.Errorf("%w: the owner of the pool does not answer pings", jayport.ErrNoAnswer)
 
@@ -186,7 +193,7 @@
 
 // store appends a job and passes it to the pool's duty, if this entry owns the pool.
 // While the store accepts no jobs, it retries for as long as the job may wait. Its errors
-// are jayport.ErrRejected, jayport.ErrNoAnswer, errTaken and *hopelessError.
+// are jayport.ErrRejected, jayport.ErrNoAnswer, errTaken, errCanceled and *hopelessError.
 //
 // The owner also reads all jobs from the store, but a read can be blocked while appends
 // go on. Jobs that were accepted would then start only after that read had timed out.
@@ -201,6 +208,9 @@
 		// slower.
 		return nil
 	}
+	if i.node.canceledBefore(pool, id, organisation) {
+		return errCanceled
+	}
 	if err := i.admit(pool, id, value); err != nil {
 		return err
 	}
@@ -300,7 +310,7 @@
 		return &jaywire.JobStored{Outcome: jaywire.StoreOutcome_STORE_OUTCOME_MALFORMED}
 	}
 	err := i.store(ask.Pool, ask.Job, declaration.Organisation, ask.Declaration, millis(ask.TimeoutMillis), millis(ask.OutageWaitMillis))
-	stored := &jaywire.JobStored{Outcome: jayrelay.OutcomeOf(err), StoreAway: i.storeUnreachable(), Taken: errors.Is(err, errTaken)}
+	stored := &jaywire.JobStored{Outcome: jayrelay.OutcomeOf(err), StoreAway: i.storeUnreachable(), Taken: errors.Is(err, errTaken), Canceled: errors.Is(err, errCanceled)}
 	writeHopeless(stored, err)
 	return stored
 }
@@ -323,6 +333,8 @@
 		return nil
 	case errors.Is(err, errTaken):
 		return jayverdict.NewNotRun(statusConflict, "the job ID is taken", 0)
+	case errors.Is(err, errCanceled):
+		return jayverdict.NewNotRun(statusConflict, "the job was cancelled before it was submitted", 0)
 	case errors.Is(err, jayport.ErrRejected), errors.Is(err, jayport.ErrMalformed):
 		return jayverdict.NewNotRun(statusUnavailable, "the store does not take the job", retryAfter(i.node.store.LostFor()))
 	default:
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -48,6 +48,8 @@
 	// storedJobs maps the IDs of the jobs that are in the store to the names of their
 	// organisations.
 	storedJobs sync.Map
+	// canceled is the set of the IDs of jobs that were cancelled while they were not known.
+	canceled sync.Map
 	// lacksRoom is set while tasks wait for free capacity.
 	lacksRoom atomic.Bool
 	// places is the number of rejected jobs that are to return.
--- a/jaynode/queries.go
+++ b/jaynode/queries.go
@@ -190,20 +190,34 @@
 
 // cancelOwned cancels a job if this entry owns its pool. It answers only after the end of
 // the job has been recorded: if this owner failed before that, the next one would start
-// the job's tasks again.
+// the job's tasks again. The same holds for a job that is not known, since its record may still
+// arrive in the store.
 func (n *Node) cancelOwned(ask *jaywire.CancelJob) *jaywire.JobAnswer {
+	duty := n.ownedPool(ask.Pool)
+	if duty == nil || !duty.loaded.Load() {
+		return &jaywire.JobAnswer{}
+	}
 	until := n.clock() + askTimeout
 	for {
-		recorded := false
-		answer := n.answerOwned(ask.Pool, func(p *jaysched.Pool, now time.Duration) (jaysched.State, bool) {
-			known := visible(p, ask.Organisation, ask.Job) && p.Cancel(ask.Job, now)
-			recorded = p.Recorded(ask.Job)
-			return jaysched.StateCanceled, known
-		})
-		if !answer.Owned || !answer.Known || recorded {
-			return answer
-		}
-		if n.clock() >= until {
+		var known, recorded, kept, unconfirmed bool
+		asked := duty.ask(func() {
+			now := n.clock()
+			unconfirmed = duty.pool.OwnerUnconfirmed()
+			if known = visible(duty.pool, ask.Organisation, ask.Job) && duty.pool.Cancel(ask.Job, now); known {
+				recorded, kept = duty.pool.Recorded(ask.Job), true
+				return
+			}
+			recorded, kept = duty.pool.CancelUnknown(ask.Job, ask.GetOrganisation(), now)
+			if kept {
+				duty.canceled.Store(ask.Job, true)
+			}
+		}, askTimeout)
+		switch {
+		case !asked || unconfirmed || !kept:
+			return &jaywire.JobAnswer{}
+		case recorded:
+			return &jaywire.JobAnswer{Owned: true, Known: known, State: jaywire.JobState_JOB_STATE_CANCELED}
+		case n.clock() >= until:
 			return &jaywire.JobAnswer{}
 		}
 		time.Sleep(recordedPollInterval)
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -225,6 +225,9 @@
 func (d *poolDuty) declare(job *jayspec.Job, how string, declare func(*jayspec.Job, time.Duration) bool) {
 	d.post(func(now time.Duration) {
 		d.storedJobs.Store(job.ID, job.Organisation)
+		if d.pool.CanceledBefore(job.ID, job.Organisation) {
+			d.logger.Info("record of a cancelled job arrived", "job", job.ID, "organisation", job.Organisation, "how", how, "age", time.Since(job.Accepted).String())
+		}
 		if declare(job, now) {
 			d.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "organisation", job.Organisation, "steps", job.Summary(), "coreSeconds", job.Work(), "within", d.pool.AllowedTime(job.ID).String(), "how", how)
 		}
@@ -243,6 +246,21 @@
 	}
 }
 
+// canceledBefore reports whether this entry owns a pool and a job of the pool was cancelled while it
+// was not known.
+func (n *Node) canceledBefore(pool, id, organisation string) bool {
+	duty := n.ownedPool(pool)
+	if duty == nil || !duty.loaded.Load() {
+		return false
+	}
+	if _, canceled := duty.canceled.Load(id); !canceled {
+		return false
+	}
+	before := false
+	duty.ask(func() { before = duty.pool.CanceledBefore(id, organisation) }, askTimeout)
+	return before
+}
+
 // declareStored passes a job that this entry has just stored to the duty of its pool, if
 // this entry owns the pool.
 func (n *Node) declareStored(pool, id string, value []byte) {
@@ -272,9 +290,13 @@
 	return true, holder.(string)
 }
 
+// restore passes a stored job with its recorded progress to the pool.
 func (t *jobTail) restore(job *jayspec.Job, progress *jaywire.JobProgress, recorded bool) {
 	pool, now := t.duty.pool, t.duty.node.clock()
 	t.duty.storedJobs.Store(job.ID, job.Organisation)
+	if !jaysched.AppliesTo(progress, job.Organisation) {
+		progress, recorded = nil, false
+	}
 	if outcome := jaysched.OutcomeOf(progress); outcome != jaysched.Open {
 		pool.RestoreEnded(job.ID, job.Organisation, outcome, now)
 		return
@@ -298,6 +320,12 @@
 		t.restore(t.loaded[id], progress, known)
 	}
 	for id, progress := range recorded {
+		if by := progress.GetCanceledBy(); len(by) > 0 {
+			t.duty.pool.RestoreCanceled(id, by, now)
+			t.duty.canceled.Store(id, true)
+			t.ended++
+			continue
+		}
 		if outcome := jaysched.OutcomeOf(progress); outcome != jaysched.Open {
 			t.duty.pool.RestoreEnded(id, progress.Organisation, outcome, now)
 			t.duty.storedJobs.Store(id, progress.Organisation)
--- /dev/null
+++ b/jaysched/cancelmark.go
@@ -0,0 +1,93 @@
+package jaysched
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"jaythread/jayspec"
+	"jaythread/jaywire"
+)
+
+// maxCancelMarks limits the cancellations of unknown jobs that a pool keeps: each costs memory and a
+// record until it expires.
+const maxCancelMarks = 5000
+
+// CancelUnknown keeps that an organisation has cancelled a job that the pool does not know, so that
+// the job never starts if its record arrives later. It reports whether that is recorded in the
+// store; kept is false if the pool keeps too many cancellations of unknown jobs. An end of a job of
+// another organisation is not affected.
+//
+// It prevents this failure: a caller submits a job while the store does not answer, leaves, cancels the
+// job and is told that it does not exist; then the append of its record takes effect and the job
+// runs. The append may be that of any entry, so that no owner knows whether one is under way.
+func (p *Pool) CancelUnknown(id, organisation string, now time.Duration) (recorded, kept bool) {
+	j, known := p.jobs[id]
+	switch {
+	case known && !j.unsubmitted():
+		return true, true // it belongs to another organisation
+	case !known && p.cancelMarks >= maxCancelMarks:
+		return false, false
+	case !known:
+		j = &job{spec: &jayspec.Job{ID: id}, outcome: Canceled, submittedAt: now}
+		p.jobs[id] = j
+		p.cancelMarks++
+	}
+	if !slices.Contains(j.canceledBy, organisation) {
+		j.canceledBy = append(j.canceledBy, organisation)
+		j.recorded = Open
+		p.recordEvent(Event{Kind: UnknownJobCanceled, Job: id, Organisation: organisation}, now)
+		p.markChanged(j)
+	}
+	j.endedAt = now
+	return j.recorded != Open, true
+}
+
+// CanceledBefore reports whether a job of an organisation was cancelled before it was known.
+func (p *Pool) CanceledBefore(id, organisation string) bool {
+	j, known := p.jobs[id]
+	return known && j.unsubmitted() && covers(j.canceledBy, organisation)
+}
+
+// unsubmitted reports whether only a cancellation of the job is known.
+func (j *job) unsubmitted() bool {
+	return len(j.canceledBy) > 0
+}
+
+// covers reports whether some of the organisations may cancel a job of an organisation.
+func covers(canceledBy []string, organisation string) bool {
+	return len(canceledBy) > 0 && (organisation == "" || slices.Contains(canceledBy, organisation))
+}
+
+// declareCanceled handles the declaration of a job with a cancellation of before. It reports whether
+// the job stays cancelled; a cancellation by another organisation has no effect.
+func (p *Pool) declareCanceled(j *job, spec *jayspec.Job, now time.Duration) (canceled bool) {
+	p.cancelMarks--
+	if !covers(j.canceledBy, spec.Organisation) {
+		delete(p.jobs, spec.ID)
+		return false
+	}
+	p.recordEvent(Event{
+		Kind: JobEnded, Job: spec.ID, Organisation: spec.Organisation, Waited: now - j.submittedAt,
+		Detail: fmt.Sprintf("%v before it was known", Canceled), Since: now - j.endedAt,
+	}, now)
+	j.spec, j.canceledBy = &jayspec.Job{ID: spec.ID, Organisation: spec.Organisation}, nil
+	p.markChanged(j)
+	return true
+}
+
+// AppliesTo reports whether a record is the progress of a job of an organisation: a cancellation that
+// was kept before the job was known may be that of another organisation.
+func AppliesTo(progress *jaywire.JobProgress, organisation string) bool {
+	by := progress.GetCanceledBy()
+	return len(by) == 0 || covers(by, organisation)
+}
+
+// RestoreCanceled adds a cancellation that a former owner has kept of a job that it did not know.
+func (p *Pool) RestoreCanceled(id string, canceledBy []string, now time.Duration) {
+	if _, known := p.jobs[id]; known {
+		return
+	}
+	p.jobs[id] = &job{spec: &jayspec.Job{ID: id}, outcome: Canceled, recorded: Canceled, canceledBy: canceledBy, submittedAt: now, endedAt: now}
+	p.cancelMarks++
+}
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -91,6 +91,8 @@
 	policyOf func(queue string) (jayspec.Policy, bool)
 
 	jobs map[string]*job
+	// cancelMarks counts the jobs of which only a cancellation is known.
+	cancelMarks int
 	// open are the jobs that have not ended, in the order in which they are served.
 	open []*job
 	// noRoom are the needs that no worker could meet in the present decision.
@@ -209,7 +211,7 @@
 // such job.
 func (p *Pool) StateOf(id string, now time.Duration) (state State, known bool) {
 	j, known := p.jobs[id]
-	if !known {
+	if !known || j.unsubmitted() {
 		return Queued, false
 	}
 	return j.state(now), true
@@ -247,7 +249,7 @@
 // organisations.
 func (p *Pool) VisibleTo(organisation, id string) bool {
 	j, known := p.jobs[id]
-	return known && (j.spec.Organisation == "" || j.spec.Organisation == organisation)
+	return known && !j.unsubmitted() && (j.spec.Organisation == "" || j.spec.Organisation == organisation)
 }
 
 // Recorded reports whether a job has ended and its end is recorded in the store.
@@ -298,12 +300,16 @@
 
 // Declare adds a job that this owner has stored. A known job stays unchanged.
 func (p *Pool) Declare(spec *jayspec.Job, now time.Duration) (added bool) {
-	if _, known := p.jobs[spec.ID]; known {
+	former, known := p.jobs[spec.ID]
+	if known && (!former.unsubmitted() || p.declareCanceled(former, spec, now)) {
 		return false
 	}
 	j := newJob(spec, now, p.dueAt)
 	j.holdDue(now)
 	chain := p.add(j)
+	if known {
+		p.markChanged(j) // replaces the record of the cancellation
+	}
 	if _, expected := p.expected[spec.ID]; !expected {
 		p.addArrival(spec, chain, now)
 	}
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -70,8 +70,15 @@
 func (p *Pool) BatchRecorded(b *Batch, now time.Duration) {
 	for _, id := range slices.Sorted(maps.Keys(b.outcomes)) {
 		outcome := b.outcomes[id]
-		if j, known := p.jobs[id]; known && outcome != Open && j.recorded == Open {
+		j, known := p.jobs[id]
+		if !known || outcome == Open || j.outcome != outcome || j.recorded != Open {
+			continue
+		}
+		if changed := j.unsubmitted() && j.dirty; !changed {
 			j.recorded, j.occurrences = outcome, nil
+			if j.unsubmitted() {
+				continue
+			}
 			p.recordEvent(Event{Kind: JobRecorded, Job: id, Detail: outcome.String(), Waited: now - j.endedAt}, now)
 		}
 	}
@@ -100,7 +107,7 @@
 func (j *job) progress() *jaywire.JobProgress {
 	record := &jaywire.JobProgress{Outcome: jaywire.JobOutcome(j.outcome), Started: j.started}
 	if j.outcome != Open {
-		record.Organisation = j.spec.Organisation
+		record.Organisation, record.CanceledBy = j.spec.Organisation, j.canceledBy
 		return record
 	}
 	if j.spec.Schedule.Timed() {
