An append of a job is revoked after a minute

Cause: an append is repeated until its outcome is known, for as long as that takes. An entry that is cut off from the store, or suspended, stores a job minutes after its caller has left, and after a cancelling of the job, which is kept for two minutes at least, has expired.

Change: the intake's journals send no record later than a minute after it was added, counted by the clock that goes on while a process is suspended. An append that was already attempted is replaced by one without records of the producer's next epoch, after which the store rejects all attempts of before, and ends as unknown; an entry that was never sent is rejected. An attempt that a suspended peer relays may still arrive later if the entry that sent it has ended.

--- a/jayjournal/delivery.go
+++ b/jayjournal/delivery.go
@@ -29,6 +29,7 @@
 // attemptResult is the result of one attempt to append.
 type attemptResult struct {
 	sequence int64
+	epoch    int64
 	err      error
 }
 
@@ -49,11 +50,15 @@
 	mayHaveTakenEffect bool
 	// attempts is the number of attempts made.
 	attempts int
+	// addedAt is when the first of the entries was added, revoked says that the journal does not
+	// append them any more.
+	addedAt time.Duration
+	revoked bool
 }
 
 // deliver appends records, repeating the append until its outcome is known. It never
-// returns ErrNoAnswer.
-func (j *Journal) deliver(ctx context.Context, records []jayport.Record) error {
+// returns ErrNoAnswer. addedAt is when the first of the records was added.
+func (j *Journal) deliver(ctx context.Context, records []jayport.Record, addedAt time.Duration) error {
 	d := &delivery{
 		journal: j,
 		call: jayport.Append{
@@ -63,6 +68,7 @@
 			AsOf:      jayport.AnyOffset,
 		},
 		results: make(chan attemptResult, maxInFlight),
+		addedAt: addedAt,
 	}
 	if len(records) == 0 {
 		d.call.Producer.Sequence = 0
@@ -106,6 +112,9 @@
 // send starts an attempt. Each attempt has a longer timeout than the one before, up to
 // maxTimeout.
 func (d *delivery) send() {
+	if !d.revoked && len(d.call.Records) > 0 && d.journal.tooOld(d.addedAt) {
+		d.revoke()
+	}
 	call, producer := d.call, *d.call.Producer
 	call.Producer = &producer
 	timeout := max(minTimeout, latencyMargin*d.journal.latency())
@@ -114,10 +123,26 @@
 	d.inFlight++
 	go func() {
 		_, err := d.journal.store.Append(call, timeout)
-		d.results <- attemptResult{sequence: producer.Sequence, err: err}
+		d.results <- attemptResult{sequence: producer.Sequence, epoch: producer.Epoch, err: err}
 	}()
 }
 
+// revoke replaces the append by one without records of a higher epoch, after which the store rejects
+// all attempts of before.
+//
+// It prevents this failure: an entry is suspended, or cut off from the store, while the answer to an
+// append is missing. Minutes later it goes on, and repeats an append that nobody waits for any more and
+// whose job was cancelled long ago.
+func (d *delivery) revoke() {
+	j := d.journal
+	d.revoked = true
+	j.epoch++
+	j.sequence = 0
+	d.call.Records = nil
+	d.call.Producer = &jayport.Producer{Name: j.producer, Epoch: j.epoch}
+	j.logger.Info("append revoked", "partition", j.partition.String(), "age", (j.clock() - d.addedAt).String(), "attempts", d.attempts)
+}
+
 // handleResult processes the result of an attempt; known is true if it determines the outcome
 // of the append.
 func (d *delivery) handleResult(ctx context.Context, o attemptResult) (known bool, err error) {
@@ -125,6 +150,11 @@
 	var fenced *jayport.FencedError
 	var sequence *jayport.SequenceError
 	switch {
+	case o.epoch != d.call.Producer.Epoch:
+		// An attempt of before the append was revoked.
+		return o.err == nil, nil
+	case d.revoked && (o.err == nil || errors.As(o.err, &sequence)):
+		return true, ErrRevoked
 	case o.err == nil:
 		if len(d.call.Records) > 0 {
 			j.sequence = o.sequence
--- a/jayjournal/journal.go
+++ b/jayjournal/journal.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,10 @@
 // has no effect.
 var ErrFull = errors.New("journal is full")
 
+// ErrRevoked is passed to the entries of an append that exceeded the maximum age. The append may have
+// taken effect, and will not any more if it has not.
+var ErrRevoked = errors.New("append revoked")
+
 // Entry is a set of records that are appended together, or a check for fencing
 // if it has no records.
 type Entry struct {
@@ -45,7 +50,8 @@
 	// *jayport.FencedError if another producer has taken over.
 	Done func(error)
 
-	state atomic.Int32
+	state   atomic.Int32
+	addedAt time.Duration
 }
 
 const (
@@ -84,6 +90,8 @@
 	// appendStarted is the clock's time at which the current append began, or
 	// zero if there is none.
 	appendStarted atomic.Int64
+	// maxAge limits the time from Add to the last attempt of an append. Zero is no limit.
+	maxAge time.Duration
 	// latency returns the store's current latency of appends.
 	latency  func() time.Duration
 	onAppend func(took time.Duration, records int)
@@ -114,6 +122,13 @@
 	}
 }
 
+// WithMaxAge limits how long after its Add an entry may take effect: later, the append is revoked
+// instead of repeated, also by a process that was suspended meanwhile. An attempt that is already
+// on its way may still arrive.
+func WithMaxAge(age time.Duration) Option {
+	return func(j *Journal) { j.maxAge = age }
+}
+
 // WithObserver sets a function that is called after each successful append, with
 // its duration and number of records.
 func WithObserver(onAppend func(took time.Duration, records int)) Option {
@@ -142,6 +157,7 @@
 
 // Add queues an entry. It returns ErrFull if the queue is full.
 func (j *Journal) Add(e *Entry) error {
+	e.addedAt = j.clock()
 	if !j.queue.Offer(e) {
 		return ErrFull
 	}
@@ -162,7 +178,12 @@
 // older epochs. Its error is a *jayport.FencedError or that of the context. An
 // entry without records has the same effect when its turn comes.
 func (j *Journal) Fence(ctx context.Context) error {
-	return j.deliver(ctx, nil)
+	return j.deliver(ctx, nil, j.clock())
+}
+
+// tooOld reports whether an entry that was added at some time must not be sent any more.
+func (j *Journal) tooOld(addedAt time.Duration) bool {
+	return j.maxAge > 0 && j.clock()-addedAt >= j.maxAge
 }
 
 // Run appends the queued entries until the context ends, another producer takes
@@ -183,11 +204,11 @@
 		for _, e := range batch {
 			records = append(records, e.Records...)
 		}
-		err := j.deliver(ctx, records)
+		err := j.deliver(ctx, records, batch[0].addedAt)
 		for _, e := range batch {
 			e.Done(err)
 		}
-		if err != nil && !errors.Is(err, jayport.ErrRejected) {
+		if err != nil && !errors.Is(err, jayport.ErrRejected) && !errors.Is(err, ErrRevoked) {
 			return err
 		}
 	}
@@ -205,6 +226,10 @@
 		if !e.state.CompareAndSwap(entryQueued, entrySent) {
 			continue
 		}
+		if j.tooOld(e.addedAt) {
+			e.Done(fmt.Errorf("%w: the entry waited for longer than %v", jayport.ErrRejected, j.maxAge))
+			continue
+		}
 		batch = append(batch, e)
 		records += len(e.Records)
 		for _, r := range e.Records {
--- a/jayjournal/journal_test.go
+++ b/jayjournal/journal_test.go
@@ -73,6 +73,9 @@
 	if a.Producer.Epoch < s.epoch {
 		return &jayport.FencedError{}
 	}
+	if next.done {
+		s.epoch = a.Producer.Epoch
+	}
 	if next.done && len(a.Records) > 0 {
 		if _, repeated := s.taken[a.Producer.Sequence]; !repeated {
 			s.taken[a.Producer.Sequence] = a.Records
@@ -371,3 +374,51 @@
 	s.taken.Store(max(s.taken.Load(), a.Producer.Sequence-s.expects+1))
 	return jayport.Appended{}, nil
 }
+
+// TestOldAppendsAreRevoked guards against a job that is stored minutes after its caller has left and
+// cancelled it: the append was repeated until the store answered.
+func TestOldAppendsAreRevoked(t *testing.T) {
+	const age = time.Minute
+	outage := slices.Repeat([]scriptedResponse{lostBeforeAppend}, 1000)
+	play := func(name string, test func(is *is.I, t *testing.T, s *scriptedStore, j *Journal)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStore(outage...)
+				test(is.New(t), t, s, start(t, s, WithFailOnReject(), WithMaxAge(age)))
+			})
+		})
+	}
+	end := func(s *scriptedStore) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.script = nil
+	}
+	play("the store is away for long", func(is *is.I, t *testing.T, s *scriptedStore, j *Journal) {
+		_, done := add(t, j, "late")
+		time.Sleep(age + maxTimeout)
+		end(s)
+		is.True(errors.Is(<-done, ErrRevoked))
+		is.Equal(s.order, nil)
+		_, done = add(t, j, "next")
+		is.NoErr(<-done)
+		is.Equal(s.order, []string{"next"})
+		is.True(errors.As(s.apply(jayport.Append{Producer: &jayport.Producer{Epoch: 1}, Records: []jayport.Record{{Key: "late"}}}), new(*jayport.FencedError)))
+	})
+	play("the store is back in time", func(is *is.I, t *testing.T, s *scriptedStore, j *Journal) {
+		_, done := add(t, j, "a")
+		time.Sleep(age / 2)
+		end(s)
+		is.NoErr(<-done)
+		is.Equal(s.order, []string{"a"})
+	})
+	play("the entry waits behind it", func(is *is.I, t *testing.T, s *scriptedStore, j *Journal) {
+		_, first := add(t, j, "first")
+		synctest.Wait()
+		_, second := add(t, j, "second")
+		time.Sleep(age + maxTimeout)
+		end(s)
+		is.True(errors.Is(<-first, ErrRevoked))
+		is.True(errors.Is(<-second, jayport.ErrRejected))
+		is.Equal(s.order, nil)
+	})
+}
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -40,6 +40,10 @@
 	stuckLatencies = 4
 )
 
+// maxAppendAge limits how long after its submission a job's record may take effect. It is shorter than
+// the time for which a cancelling of an unknown job is kept, and no caller waits that long.
+const maxAppendAge = time.Minute
+
 // intake accepts jobs from callers and writes them to the store.
 type intake struct {
 	node     *Node
@@ -52,7 +56,7 @@
 	i := &intake{node: n, logger: n.logger.WithName("intake"), link: jaypeer.NewClient(n.incarnation, storeJobTimeout, nil)}
 	for number := range n.ports.Formats.OwnPartitions() {
 		p := n.ports.Formats.Own(topicJobs, number)
-		i.journals = append(i.journals, jayjournal.New(n.store, p, n.incarnation, 1, n.clock, i.logger, jayjournal.WithFailOnReject(), jayjournal.WithLatency(n.store.Latency), jayjournal.WithLink(n.settings.LinkMegabits)))
+		i.journals = append(i.journals, jayjournal.New(n.store, p, n.incarnation, 1, n.clock, i.logger, jayjournal.WithFailOnReject(), jayjournal.WithMaxAge(maxAppendAge), jayjournal.WithLatency(n.store.Latency), jayjournal.WithLink(n.settings.LinkMegabits)))
 	}
 	return i
 }
