Jobs for which the owner has no memory are rejected

Cause: the intake accepted jobs whatever the owner of their pool can hold. What an accepted job takes in memory is small now, but gangs, services, long texts and the number of jobs still have no bound together, and an owner that exceeds its memory is killed, as is each next one.

Change: a pool estimates the memory of its open jobs. The intake of its owner answers a further one with 503, Retry-After 5 s and the two numbers, also on behalf of other entries, once they take the pool's part of 40 % of `jobService.memoryMegabytes`. All pools share it, since the last entry may own all of them. The collector is told of 85 % of the entry's memory. A job that is known is accepted as before. An entry that cannot reach the owner still stores jobs without asking it. `jaythread_open_job_bytes` tells the estimate.

--- a/jaycli/serve_jobs.go
+++ b/jaycli/serve_jobs.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -28,10 +29,15 @@
 // lines are written.
 const logFlushTimeout = 200 * time.Millisecond
 
+// heapLimitPercent is the share of the entry's memory from which on the garbage collector works more
+// often. The rest is left for what the runtime does not count.
+const heapLimitPercent = 85
+
 // serveJobs runs an entry that schedules jobs on the users' platform.
 func serveJobs(ctx context.Context, c *cli.Command, options *jayoptions.Options) error {
 	logger, lines := jaylogger.NewBuffered(os.Stdout, options.LogFormat, options.LogLevel)
 	defer lines.Close(logFlushTimeout)
+	debug.SetMemoryLimit(options.JobService.MemoryMegabytes << 20 * heapLimitPercent / 100)
 	metrics := jaymetric.NewJobMetrics()
 	metrics.Counter("jaythread_lost_log_lines_total", "Log lines that found no room.", func() float64 { return float64(lines.Lost()) })
 	if err := serveMetrics(options.JobService.MetricsAddr, metrics); err != nil {
@@ -70,6 +76,7 @@
 		PeerAddr:        options.PeerAddr,
 		ProcessorsMilli: int64(s.Processors * 1000),
 		LinkMegabits:    int64(math.Ceil(s.LinkMegabits)), // zero would be an unknown link
+		MemoryBytes:     s.MemoryMegabytes << 20,
 		StoreReadRate:   s.StoreReadRate,
 		HostCommandRate: s.InventoryCommandRate,
 		HostCommands:    s.CommandsInFlight(),
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -109,7 +109,7 @@
 }
 
 // storeAtOwner asks the owner of a job's pool to store the job. Its errors are
-// jayport.ErrRejected, jayport.ErrNoAnswer, errTaken, errCanceled and *hopelessError.
+// jayport.ErrRejected, jayport.ErrNoAnswer, errTaken, errCanceled, *hopelessError and *fullError.
 //
 // The outcome is final if this entry should not append the job itself. An owner that can
 // reach the store and still rejects a job does so because the store is slow. If all
@@ -145,6 +145,9 @@
 	if stored.GetCanceled() {
 		return true, errCanceled
 	}
+	if stored.GetMaxHeldBytes() > 0 {
+		return true, &fullError{held: stored.GetHeldBytes(), limit: stored.GetMaxHeldBytes()}
+	}
 	if stored.GetHopeless() {
 		return true, &hopelessError{retryAfter: millis(stored.GetRetryAfterMillis())}
 	}
@@ -197,7 +200,7 @@
 
 // store appends a job and passes it to the pool's duty, if this entry owns the pool.
 // While the store accepts no jobs, it retries for as long as the job may wait. Its errors
-// are jayport.ErrRejected, jayport.ErrNoAnswer, errTaken, errCanceled and *hopelessError.
+// are jayport.ErrRejected, jayport.ErrNoAnswer, errTaken, errCanceled, *hopelessError and *fullError.
 //
 // The owner also reads all jobs from the store, but a read can be blocked while appends
 // go on. Jobs that were accepted would then start only after that read had timed out.
@@ -315,7 +318,7 @@
 	}
 	err := i.store(ask.Pool, ask.Job, declaration.Organisation, ask.Declaration, millis(ask.TimeoutMillis), millis(ask.OutageWaitMillis))
 	stored := &jaywire.JobStored{Outcome: jayrelay.OutcomeOf(err), StoreAway: i.storeUnreachable(), Taken: errors.Is(err, errTaken), Canceled: errors.Is(err, errCanceled)}
-	writeHopeless(stored, err)
+	writeRejection(stored, err)
 	return stored
 }
 
@@ -332,9 +335,12 @@
 	if verdict := hopelessVerdict(err); verdict != nil {
 		return verdict
 	}
+	var full *fullError
 	switch {
 	case err == nil:
 		return nil
+	case errors.As(err, &full):
+		return jayverdict.NewNotRun(statusUnavailable, full.Error(), fullRetryAfter)
 	case errors.Is(err, errTaken):
 		return jayverdict.NewNotRun(statusConflict, "the job ID is taken", 0)
 	case errors.Is(err, errCanceled):
--- a/jaynode/meters.go
+++ b/jaynode/meters.go
@@ -165,6 +165,7 @@
 		return float64(duties)
 	})
 	n.metrics.Gauge("jaythread_return_places", "Rejected jobs that have a place in the order of return, in the pools that this entry owns.", n.returnPlaces)
+	n.metrics.Gauge("jaythread_open_job_bytes", "Estimated memory of the open jobs of the pools that this entry owns.", n.openJobBytes)
 	n.metrics.Gauge("jaythread_declarations_age_seconds", "Age of this entry's view of the operators' declarations.", func() float64 {
 		return (n.clock() - n.declarations.asOf()).Seconds()
 	})
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -54,6 +54,8 @@
 	lacksRoom atomic.Bool
 	// places is the number of rejected jobs that are to return.
 	places atomic.Int64
+	// jobBytes estimates the memory of the pool's open jobs.
+	jobBytes atomic.Int64
 	// latency measures how long the pool's workers take to answer.
 	latency *jaysched.Latency
 
@@ -174,6 +176,7 @@
 	}
 	d.lacksRoom.Store(d.pool.LacksRoom())
 	d.places.Store(int64(d.pool.Places()))
+	d.jobBytes.Store(d.pool.Footprint())
 	d.flush()
 	d.expire(now)
 	d.logEvents()
--- a/jaynode/rejection.go
+++ b/jaynode/rejection.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -36,25 +37,61 @@
 	return jayverdict.NewNotRun(statusTooMany, "the job cannot be done in time", hopeless.retryAfter)
 }
 
+// fullError is the rejection of a job for which the owner of its pool has no memory. Both fields are in
+// bytes.
+type fullError struct {
+	held, limit int64
+}
+
+// Error names the memory that the pool's jobs take, and may take.
+func (e *fullError) Error() string {
+	return fmt.Sprintf("the open jobs of the pool take %d bytes of memory, of at most %d", e.held, e.limit)
+}
+
+// fullRetryAfter is the delay after which the caller of a job is asked to retry for which there is no
+// memory: thousands of jobs have to end first.
+const fullRetryAfter = 5 * time.Second
+
+// jobMemoryPercent is the share of an entry's memory for the open jobs of all pools: the last entry may
+// have to own all of them. The collector lets the heap grow to twice what is live.
+const jobMemoryPercent = 40
+
+// maxJobBytes returns the limit of the memory for the open jobs of one pool.
+func (n *Node) maxJobBytes() int64 {
+	limit := n.settings.MemoryBytes * jobMemoryPercent / 100
+	if limit == 0 {
+		return math.MaxInt64
+	}
+	pools := 1
+	if c := n.Catalog(); c != nil {
+		pools = max(1, len(c.WorkingPools()))
+	}
+	return limit / int64(pools)
+}
+
 // admit asks the pool's duty, if this entry owns the pool, whether a job that is about to be
-// stored is rejected. It returns a *hopelessError if so. A pool that does not answer in time
-// rejects nothing.
+// stored is rejected. It returns a *hopelessError or a *fullError if so. A pool that does not
+// answer in time rejects nothing.
 func (i *intake) admit(pool, id string, value []byte) error {
 	duty := i.node.ownedPool(pool)
-	if !i.node.settings.Overload.RejectHopeless || duty == nil || !duty.loaded.Load() {
+	if duty == nil || !duty.loaded.Load() {
 		return nil
 	}
+	limit := i.node.maxJobBytes()
 	job, err := decodeJob(pool, id, value)
 	if err != nil {
 		return nil // the append has its own check
 	}
 	var admission jaysched.Admission
 	var settled atomic.Bool
-	decided := false
+	decided, fits, held := false, true, int64(0)
 	asked := duty.ask(func() {
 		// A decision after the timeout would give a place to a job that is being stored.
-		if !settled.Load() {
-			decided = true
+		if settled.Load() {
+			return
+		}
+		decided = true
+		if fits, held = duty.pool.Fits(job, limit); fits {
 			admission = duty.pool.Admit(job, i.node.clock())
 		}
 	}, admitTimeout)
@@ -62,12 +99,15 @@
 		settled.Store(true)
 		// The job is stored all the same, so that no later request for it may be rejected.
 		duty.post(func(now time.Duration) {
-			if !decided || admission.Rejected {
+			if !decided || !fits || admission.Rejected {
 				duty.pool.AdmitUndecided(job, now)
 			}
 		})
 		return nil
 	}
+	if !fits {
+		return &fullError{held: held, limit: limit}
+	}
 	if !admission.Rejected {
 		return nil
 	}
@@ -83,8 +123,13 @@
 	duty.post(func(time.Duration) { duty.pool.AppendEnded(id) })
 }
 
-// writeHopeless writes a rejection into the answer to a peer.
-func writeHopeless(stored *jaywire.JobStored, err error) {
+// writeRejection writes a rejection into the answer to a peer.
+func writeRejection(stored *jaywire.JobStored, err error) {
+	var full *fullError
+	if errors.As(err, &full) {
+		stored.Outcome, stored.StoreAway = jaywire.StoreOutcome_STORE_OUTCOME_NOT_DONE, false
+		stored.HeldBytes, stored.MaxHeldBytes = full.held, full.limit
+	}
 	var hopeless *hopelessError
 	if errors.As(err, &hopeless) {
 		// An entry of an earlier version reads the outcome only.
@@ -122,3 +167,14 @@
 	}
 	return float64(places)
 }
+
+// openJobBytes estimates the memory of the open jobs of the pools that this entry owns, in bytes.
+func (n *Node) openJobBytes() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	bytes := int64(0)
+	for _, duty := range n.pools {
+		bytes += duty.jobBytes.Load()
+	}
+	return float64(bytes)
+}
--- a/jaynode/settings.go
+++ b/jaynode/settings.go
@@ -10,6 +10,8 @@
 	// ProcessorsMilli and LinkMegabits are the entry's share of its host.
 	ProcessorsMilli int64
 	LinkMegabits    int64
+	// MemoryBytes is the memory that the entry may use. Zero is no limit.
+	MemoryBytes int64
 	// StoreReadRate is the number of reads per second that the store serves all entries
 	// together. Zero means that there is no limit.
 	StoreReadRate float64
--- a/jayoptions/jobs.go
+++ b/jayoptions/jobs.go
@@ -28,6 +28,9 @@
 	// first to the entries with the most resources.
 	Processors   float64 `json:"processors"`
 	LinkMegabits float64 `json:"linkMegabits"`
+	// MemoryMegabytes is the memory that the entry may use, in 2^20 bytes. Jobs for which there is
+	// none are rejected.
+	MemoryMegabytes int64 `json:"memoryMegabytes"`
 	// StoreReadRate is the number of reads per second that the store serves all entries
 	// together. Entries that are many read less often. Zero means that there is no limit.
 	StoreReadRate float64 `json:"storeReadRate"`
@@ -84,6 +87,7 @@
 	return JobService{
 		Processors:      1,
 		LinkMegabits:    1000,
+		MemoryMegabytes: 256,
 		MaxLease:        Duration(10 * time.Second),
 		StopTime:        Duration(200 * time.Millisecond),
 		GangTime:        Duration(3 * time.Second),
@@ -132,6 +136,7 @@
 	}
 	checkNumber(d, "/jobService/processors", j.Processors, 0.01, 1024)
 	checkNumber(d, "/jobService/linkMegabits", j.LinkMegabits, 0.1, 1e6)
+	checkNumber(d, "/jobService/memoryMegabytes", float64(j.MemoryMegabytes), 64, 1<<20)
 	checkNumber(d, "/jobService/storeReadRate", j.StoreReadRate, 0, 1e9)
 	checkNumber(d, "/jobService/inventoryCommandRate", j.InventoryCommandRate, 0, 1e6)
 	checkNumber(d, "/jobService/farFactor", j.FarFactor, 1, 1000)
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -47,6 +47,8 @@
 // job is a declared job and its progress.
 type job struct {
 	spec *jayspec.Job
+	// footprint is what the job counts for in the pool's memory, in bytes.
+	footprint int64
 	// submittedAt is when the job was submitted.
 	submittedAt time.Duration
 	// foundInStore says that another owner stored the job, so that a former owner may have
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -91,6 +91,8 @@
 	policyOf func(queue string) (jayspec.Policy, bool)
 
 	jobs map[string]*job
+	// footprint is the sum of the footprints of the jobs that have not ended.
+	footprint int64
 	// cancelMarks counts the jobs of which only a cancellation is known.
 	cancelMarks int
 	// open are the jobs that have not ended, in the order in which they are served.
@@ -320,6 +322,8 @@
 // add adds a job and returns how long it takes if it runs alone.
 func (p *Pool) add(j *job) (chain time.Duration) {
 	p.jobs[j.spec.ID] = j
+	j.footprint = Footprint(j.spec)
+	p.footprint += j.footprint
 	policy := p.policy(j.spec)
 	j.advised, j.priority = policy.Advised, policy.Priority
 	chain = p.longestChain(j.spec)
@@ -349,6 +353,7 @@
 func (p *Pool) end(j *job, outcome Outcome, now time.Duration) {
 	j.outcome = outcome
 	j.endedAt = now
+	p.footprint -= j.footprint
 	p.markChanged(j)
 	p.open = slices.DeleteFunc(p.open, func(other *job) bool { return other == j })
 	j.eachTask(func(t *task) {
