Soak: hurried callers cancel jobs whose submission they did not await

Every fifth seed has callers that submit a job, leave after 100 ms without waiting for the answer, and cancel it at another entry until that is answered with 2xx or 410. Six seconds after the last fault no task of such a job may start any more. Former regressions keep their draws.

--- a/jaysoak/callers_test.go
+++ b/jaysoak/callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -86,7 +87,12 @@
 
 // callWith is call with an API key, or without one if it is empty.
 func (c *callers) callWith(key string, p *process, method, path string, body []byte) answer {
-	request, err := http.NewRequest(method, "http://"+p.caller+path, bytes.NewReader(body))
+	return c.callContext(context.Background(), key, p, method, path, body)
+}
+
+// callContext is callWith for a caller that leaves when the context ends.
+func (c *callers) callContext(ctx context.Context, key string, p *process, method, path string, body []byte) answer {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+p.caller+path, bytes.NewReader(body))
 	if err != nil {
 		c.soak.fail("soak", err.Error())
 		return answer{}
--- a/jaysoak/soak_test.go
+++ b/jaysoak/soak_test.go
@@ -46,6 +46,8 @@
 	// largeConfiguration says that the configuration takes longer over the entries' links to the
 	// store than a read of the store may take without an answer.
 	largeConfiguration bool
+	// hurried says that some callers leave before their jobs are accepted, and cancel them.
+	hurried bool
 }
 
 const (
@@ -57,11 +59,11 @@
 )
 
 // newScenario returns the scenario of a seed. The decisions under overload are enabled in every
-// third one, and every fourth one has a large configuration, apart from the seeds of former
-// regressions.
+// third one, and every fourth one has a large configuration, and every fifth one hurried callers, apart from the
+// seeds of former regressions.
 func newScenario(seed uint64) scenario {
 	failedOnce := slices.ContainsFunc(regressions, func(s scenario) bool { return s.seed == seed })
-	return scenario{seed: seed, faultKinds: allFaultKinds, overloaded: seed%3 == 2 && !failedOnce, largeConfiguration: seed%4 == 3 && !failedOnce}
+	return scenario{seed: seed, faultKinds: allFaultKinds, overloaded: seed%3 == 2 && !failedOnce, largeConfiguration: seed%4 == 3 && !failedOnce, hurried: seed%5 == 1 && !failedOnce}
 }
 
 const (
@@ -256,6 +258,10 @@
 	if played.overloaded {
 		calls.Go(func() { c.overload(length) })
 	}
+	hurried := &hurriedCallers{callers: c}
+	if played.hurried {
+		calls.Go(func() { hurried.run(until, rand.New(rand.NewPCG(seed, 8))) })
+	}
 	for time.Now().Before(until) {
 		number++
 		job, own := number, rand.New(rand.NewPCG(seed, uint64(number)+100))
@@ -268,6 +274,10 @@
 	}
 	calls.Wait()
 	s.faults.Wait()
+	if played.hurried {
+		hurried.check()
+		t.Logf("%d jobs of hurried callers, %d cancelled", hurried.submitted, len(hurried.canceled))
+	}
 	accepted, refused := c.awaitEnds(finishTime, r)
 	s.awaitSecondRuns()
 	s.checkConfiguration(c)
