A job that is declared while its cancellation expires keeps its state

Cause: the removal of an expired cancellation of an unknown job went through the declarations first, as that of an ended job does. A job that was declared meanwhile would have lost its declaration, or its record, and the pool forgot it. Found by reading, before landing.

Change: only the record of the cancellation is removed, in order with the pool's other records, and a job that was declared meanwhile is not forgotten.

Measured: TestJobDeclaredWhileItsCancellationExpires fails without the change (the job is forgotten).

--- a/jaynode/expire.go
+++ b/jaynode/expire.go
@@ -30,39 +30,49 @@
 	if retain > 0 {
 		retain += expireMargin
 	}
-	ids := d.pool.Expired(now, retain, expireBatchSize)
-	if len(ids) == 0 {
+	jobs, cancellations := d.pool.Expired(now, retain, expireBatchSize)
+	if len(cancellations) > 0 {
+		// There is no declaration. The removal precedes the record of a job that is declared now.
+		addToJournal(d.journal, d.removals(cancellations), d.removed("cancellations of unknown jobs", cancellations))
+	}
+	if len(jobs) == 0 {
 		return
 	}
+	removed := d.removed("ended jobs", jobs)
+	declarations := d.node.intake.journals[d.node.partitionOf(d.name)]
+	addToJournal(declarations, d.removals(jobs), func(err error) {
+		if err != nil {
+			removed(err)
+			return
+		}
+		addToJournal(d.journal, d.removals(jobs), removed)
+	})
+}
+
+// removals returns the records that remove those of jobs.
+func (d *poolDuty) removals(ids []string) []jayport.Record {
 	removals := make([]jayport.Record, 0, len(ids))
 	for _, id := range ids {
 		removals = append(removals, jayport.Record{Key: jobKey(d.name, id)})
 	}
-	removed := func(err error) {
+	return removals
+}
+
+// removed returns a function that handles the result of removing the records of jobs.
+func (d *poolDuty) removed(what string, ids []string) func(error) {
+	return func(err error) {
 		if err != nil {
-			d.logger.Info("ended jobs not removed", "jobs", len(ids), "error", err.Error())
+			d.logger.Info(what+" not removed", "jobs", len(ids), "error", err.Error())
 		} else {
-			d.logger.Info("ended jobs removed", "jobs", len(ids), "first", ids[0])
+			d.logger.Info(what+" removed", "jobs", len(ids), "first", ids[0])
 		}
 		d.post(func(time.Duration) { d.forget(ids, err == nil) })
 	}
-	declarations := d.node.intake.journals[d.node.partitionOf(d.name)]
-	addToJournal(declarations, removals, func(err error) {
-		if err != nil {
-			removed(err)
-			return
-		}
-		addToJournal(d.journal, removals, removed)
-	})
 }
 
 // forget removes jobs from memory after their records were removed.
 func (d *poolDuty) forget(ids []string, removed bool) {
-	d.pool.Removed(ids, removed)
-	if !removed {
-		return
-	}
-	for _, id := range ids {
+	for _, id := range d.pool.Removed(ids, removed) {
 		d.storedJobs.Delete(id)
 		d.canceled.Delete(id)
 	}
--- a/jaysched/cancelmark.go
+++ b/jaysched/cancelmark.go
@@ -72,6 +72,7 @@
 		Detail: fmt.Sprintf("%v before it was known", Canceled), Since: now - j.endedAt,
 	}, now)
 	j.spec, j.canceledBy = &jayspec.Job{ID: spec.ID, Organisation: spec.Organisation}, nil
+	j.endedAt, j.removing = now, false
 	p.markChanged(j)
 	return true
 }
--- a/jaysched/cancelmark_test.go
+++ b/jaysched/cancelmark_test.go
@@ -20,9 +20,12 @@
 	is.True(!kept)
 	w.record()
 	w.now += minCancelMarkTime - 1
-	is.Equal(len(w.pool.Expired(w.now, 0, 10)), 0)
+	_, expired := w.pool.Expired(w.now, 0, 10)
+	is.Equal(len(expired), 0)
 	w.now++
-	w.pool.Removed(w.pool.Expired(w.now, 0, 10), true)
+	jobs, expired := w.pool.Expired(w.now, 0, 10)
+	is.Equal(len(jobs), 0)
+	w.pool.Removed(expired, true)
 	_, kept = w.pool.CancelUnknown("one more", "", w.now)
 	is.True(kept)
 }
@@ -59,3 +62,29 @@
 	wantState(t, w, "j", Running)
 	is.Equal(len(w.record().Progress["j"].CanceledBy), 0)
 }
+
+// TestJobDeclaredWhileItsCancellationExpires guards against a job that is forgotten, or runs although
+// it was cancelled, because it arrives while the record of the cancellation is being removed.
+func TestJobDeclaredWhileItsCancellationExpires(t *testing.T) {
+	declareLate := func(canceledBy string) *harness {
+		w := newHarness(t, 1)
+		w.pool.CancelUnknown("j", canceledBy, w.now)
+		w.record()
+		w.now += minCancelMarkTime
+		_, expired := w.pool.Expired(w.now, 0, 10)
+		spec := newSpec("j", 1)
+		spec.Organisation = "acme"
+		w.pool.DeclareFound(spec, w.now)
+		is.New(t).Equal(len(w.pool.Removed(expired, true)), 0)
+		w.run()
+		return w
+	}
+	t.Run("by the same organisation", func(t *testing.T) {
+		w := declareLate("acme")
+		is.New(t).Equal(OutcomeOf(w.record().Progress["j"]), Canceled) // recorded anew
+		wantState(t, w, "j", StateCanceled)
+	})
+	t.Run("by another organisation", func(t *testing.T) {
+		wantState(t, declareLate("zeta"), "j", Running)
+	})
+}
--- a/jaysched/expire.go
+++ b/jaysched/expire.go
@@ -10,10 +10,11 @@
 const minCancelMarkTime = 2 * time.Minute
 
 // Expired returns at most the given number of jobs whose end has been recorded in the store and
-// that ended at least the retention time ago. Their records can be removed: a store that keeps
+// that ended at least the retention time ago, those of which only a cancellation is known apart. Their
+// records can be removed: a store that keeps
 // the newest record of each key forever would fill up with them. A retention time of zero keeps
 // the jobs forever, and cancellations of unknown jobs for minCancelMarkTime.
-func (p *Pool) Expired(now, retain time.Duration, most int) []string {
+func (p *Pool) Expired(now, retain time.Duration, most int) (jobs, cancellations []string) {
 	var expired []string
 	for id, j := range p.jobs {
 		if j.recorded != Open && now-j.endedAt >= j.retention(retain) && !j.removing {
@@ -21,11 +22,16 @@
 		}
 	}
 	slices.Sort(expired)
-	expired = expired[:min(len(expired), most)]
-	for _, id := range expired {
-		p.jobs[id].removing = true
+	for _, id := range expired[:min(len(expired), most)] {
+		j := p.jobs[id]
+		j.removing = true
+		if j.unsubmitted() {
+			cancellations = append(cancellations, id)
+		} else {
+			jobs = append(jobs, id)
+		}
 	}
-	return expired
+	return jobs, cancellations
 }
 
 // retention returns for how long the end of a job is kept.
@@ -41,19 +47,21 @@
 }
 
 // Removed handles the result of removing the records of expired jobs. If they were removed, the
-// jobs are forgotten; otherwise they expire again.
-func (p *Pool) Removed(ids []string, done bool) {
+// jobs are forgotten, and returned; otherwise they expire again.
+func (p *Pool) Removed(ids []string, done bool) (forgotten []string) {
 	for _, id := range ids {
 		j, known := p.jobs[id]
 		switch {
-		case !known:
+		case !known || !j.removing: // it was declared meanwhile
 		case done:
 			if j.unsubmitted() {
 				p.cancelMarks--
 			}
 			delete(p.jobs, id)
+			forgotten = append(forgotten, id)
 		default:
 			j.removing = false
 		}
 	}
+	return forgotten
 }
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -339,7 +339,7 @@
 // outcome.
 func (p *Pool) Cancel(id string, now time.Duration) (known bool) {
 	j, known := p.jobs[id]
-	if !known {
+	if !known || j.unsubmitted() {
 		return false
 	}
 	if j.outcome == Open {
