Soak: the tasks of hurried callers have the size that quotas are counted in

The stand-in counts quotas in tasks of one core, and those of hurried callers took a tenth of one, so that the product rightly started more of them. Their tasks have the size of all others now; the check is as before.

--- a/jaysoak/hurried_test.go
+++ b/jaysoak/hurried_test.go
@@ -57,7 +57,7 @@
 func hurriedBody() []byte {
 	var steps []any
 	for n := range hurriedSteps {
-		step := map[string]any{"count": 1, "cpu": 100, "memMb": 10, "estMs": hurriedStep.Milliseconds()}
+		step := map[string]any{"count": 1, "cpu": 1000, "memMb": 100, "estMs": hurriedStep.Milliseconds()}
 		if n > 0 {
 			step["after"] = []int{n - 1}
 		}
