Restored tasks that are done do not count as unreported

Cause: tasks that are done and were restored from a record were not held in memory, and counted as tasks that have not been started, which a former owner may have started: the state of a job was not answered for up to 2 s after a takeover although all its runs had been reported, and the quota of its organisation seemed to be in use. Found by reading, before landing.

Change: a restored step holds its tasks up to the last one that is done, apart from those that are done, like a step whose tasks were started here.

--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -122,9 +122,8 @@
 	openPredecessors int
 	// successors are the steps that wait for this one.
 	successors []*step
-	// tasks are the held tasks in the order of their indexes: those with an index below made that
-	// are not done or have a run. The tasks with higher indexes wait, and nothing distinguishes
-	// them.
+	// tasks are the tasks that are held in memory, in the order of their indexes: those with an index
+	// below made that are not done or have a run. Those from made on wait and are all alike.
 	tasks []*task
 	made  int
 	// done has the bit of each task that is done, see setBit.
@@ -253,7 +252,8 @@
 	t.step.release(t)
 }
 
-// newJob returns a declared job of which no occurrence is held yet. dueAt converts times of day to the pool's clock.
+// newJob returns a declared job. It holds no occurrence yet, so that recorded progress can be restored
+// first. dueAt converts times of day to the pool's clock.
 func newJob(spec *jayspec.Job, now time.Duration, dueAt func(time.Time) time.Duration) *job {
 	j := &job{spec: spec, submittedAt: now, longRunning: spec.LongRunning()}
 	// A job that was submitted to a former owner has already waited for some time.
--- a/jaysched/occurrences.go
+++ b/jaysched/occurrences.go
@@ -9,12 +9,13 @@
 	"jaythread/jayport"
 )
 
-// maxHeldWaiting is the number of tasks of a job that could start and wait, from which no further
-// occurrence is held. A job with many occurrences that are due needs no more memory than those of
-// its tasks that run, and these.
+// maxHeldWaiting is the number of waiting tasks of a job from which no further occurrence of it is
+// held in memory, although it is due. Without a limit, a job whose occurrences are all due at once, or
+// that waits for room for long, would need memory for all of them.
 const maxHeldWaiting = 64
 
-// schedule says which occurrences of a job have ended, in as much memory as the exceptions need.
+// schedule says which occurrences of a job are to come and which have ended, without a list of them.
+// Only the others are held in memory, see job.occurrences.
 //
 // It handles this load: hundreds of jobs are due once a minute for a day. With all their occurrences
 // in memory, each owner of the pool exceeds its memory, one after the other, and each decision
@@ -124,7 +125,8 @@
 	return j.schedule.endedAhead[number] || number < j.schedule.next && j.held(number) == nil
 }
 
-// unheld returns how many occurrences have not ended and are not held, and how many of them are due.
+// unheld returns how many occurrences have not ended and are not held in memory, and how many of these
+// are due.
 func (j *job) unheld(now time.Duration) (all, due int) {
 	all = j.schedule.open - len(j.occurrences)
 	if all == 0 || now < j.dueOf(j.schedule.next) {
@@ -188,7 +190,7 @@
 // holdTask returns the task with an index, and holds it and those before it that are not done. It
 // returns nil if the task is done and has no run.
 func (s *step) holdTask(index int) *task {
-	for ; s.made <= index; s.made++ {
+	for ; s.made <= index && s.made < s.decl.Tasks; s.made++ {
 		if !hasBit(s.done, s.made) {
 			s.tasks = append(s.tasks, &task{step: s, index: s.made, mayRunUnreported: s.job.mayRunUnreported})
 		}
--- a/jaysched/occurrences_test.go
+++ b/jaysched/occurrences_test.go
@@ -104,6 +104,21 @@
 	is.True(largest <= 1000)
 }
 
+func TestStateOfRestoredJobIsKnownOnceItsRunsAreReported(t *testing.T) {
+	// Guards against callers without an answer after a takeover: tasks that are done, and are not in
+	// memory, counted as tasks of which no worker has reported a run.
+	is := is.New(t)
+	p := NewPool("seats", Settings{}, WithFence(2, 2), WithFormerOwner(time.Hour))
+	record := &jaywire.JobProgress{Steps: []*jaywire.StepProgress{{Done: []byte{0xfe, 0b11}}, {Step: 1, Done: []byte{0b01}}}}
+	spec := newSpec("j", 2)
+	spec.Steps[0].Tasks = 10
+	p.Restore(spec, record, time.Second)
+	j := p.jobs["j"]
+	is.Equal(j.unheldTasks(), 0)
+	j.eachTask(func(t *task) { t.mayRunUnreported = false }) // as a report does
+	is.True(p.StateKnown("j", time.Second))
+}
+
 func TestProgressOfEarlierVersionsIsRestored(t *testing.T) {
 	// Guards against tasks that run twice after an upgrade: records of earlier versions list the
 	// steps of all occurrences.
--- a/jaysched/packing.go
+++ b/jaysched/packing.go
@@ -40,9 +40,9 @@
 	return count
 }
 
-// unplacedTasks returns the step of each task that needs a worker, the largest first: long-running ones that
-// wait, or run on a worker that is being vacated, and others that wait although no worker could
-// take them even if only long-running tasks ran there.
+// unplacedTasks returns the step of each task that needs a worker, the largest first: long-running
+// tasks that wait, or run on a worker that is being vacated, and others that wait although no
+// worker could take them even if only long-running tasks ran there.
 func (p *Pool) unplacedTasks(now time.Duration) []*step {
 	var steps []*step
 	for _, j := range p.open {
@@ -63,6 +63,7 @@
 	return steps
 }
 
+// countUnplaced counts the tasks of a step that need a worker.
 func (p *Pool) countUnplaced(s *step, now time.Duration) int {
 	if s.decl.LongRunning {
 		count := 0
--- a/jaysched/restore.go
+++ b/jaysched/restore.go
@@ -117,6 +117,7 @@
 			s.restoreDone(n)
 		}
 	}
+	s.holdTask(bitsInByte*len(s.done) - 1)
 	for _, t := range record.Tasks {
 		if int(t.Index) < s.decl.Tasks && !hasBit(s.done, int(t.Index)) {
 			held := s.holdTask(int(t.Index))
