A cancellation that is repeated while it expires is recorded again

Cause: a second cancelling of an unknown job, while the record of the first one was being removed two minutes later, was answered by that record. Found by reading, before landing.

Change: it is recorded anew, after the removal, and the job is not forgotten.

Measured: the third case of TestJobDeclaredWhileItsCancellationExpires fails without the change.

--- a/jaysched/cancelmark.go
+++ b/jaysched/cancelmark.go
@@ -15,8 +15,8 @@
 
 // CancelUnknown keeps that an organisation has cancelled a job that the pool does not know, so that
 // the job never starts if its record arrives later. It reports whether that is recorded in the
-// store; kept is false if the pool keeps too many cancellations of unknown jobs. An end of a job of
-// another organisation is not affected.
+// store; kept is false if the pool keeps too many cancellations of unknown jobs. A job of another
+// organisation is not affected.
 //
 // It prevents this failure: a caller submits a job while the store does not answer, leaves, cancels the
 // job and is told that it does not exist; then the append of its record takes effect and the job
@@ -33,9 +33,12 @@
 		p.jobs[id] = j
 		p.cancelMarks++
 	}
-	if !slices.Contains(j.canceledBy, organisation) {
+	added := !slices.Contains(j.canceledBy, organisation)
+	if added {
 		j.canceledBy = append(j.canceledBy, organisation)
-		j.recorded = Open
+	}
+	if added || j.removing {
+		j.recorded, j.removing = Open, false
 		p.recordEvent(Event{Kind: UnknownJobCanceled, Job: id, Organisation: organisation}, now)
 		p.markChanged(j)
 	}
--- a/jaysched/cancelmark_test.go
+++ b/jaysched/cancelmark_test.go
@@ -87,4 +87,16 @@
 	t.Run("by another organisation", func(t *testing.T) {
 		wantState(t, declareLate("zeta"), "j", Running)
 	})
+	t.Run("it is cancelled again", func(t *testing.T) {
+		is := is.New(t)
+		w := newHarness(t, 1)
+		w.pool.CancelUnknown("j", "acme", w.now)
+		w.record()
+		w.now += minCancelMarkTime
+		_, expired := w.pool.Expired(w.now, 0, 10)
+		recorded, _ := w.pool.CancelUnknown("j", "acme", w.now)
+		is.True(!recorded)
+		is.Equal(len(w.pool.Removed(expired, true)), 0)
+		is.Equal(OutcomeOf(w.record().Progress["j"]), Canceled)
+	})
 }
