--- a/jaysched/cancelmark.go
+++ b/jaysched/cancelmark.go
@@ -9,18 +9,18 @@
 	"jaythread/jaywire"
 )
 
-// maxCancelMarks limits the cancellations of unknown jobs that a pool keeps: each costs memory and a
-// record until it expires.
+// maxCancelMarks limits the number of unknown jobs whose cancellation a pool keeps. Each takes memory
+// and a record in the store until it expires.
 const maxCancelMarks = 5000
 
-// CancelUnknown keeps that an organisation has cancelled a job that the pool does not know, so that
-// the job never starts if its record arrives later. It reports whether that is recorded in the
-// store; kept is false if the pool keeps too many cancellations of unknown jobs. A job of another
-// organisation is not affected.
+// CancelUnknown cancels a job that the pool does not know, on behalf of an organisation. The job never
+// starts if its declaration arrives later. The caller may be answered once recorded is true: the
+// cancellation is then in the store. kept is false if the pool keeps maxCancelMarks of them already.
+// A job of another organisation is not affected.
 //
 // It prevents this failure: a caller submits a job while the store does not answer, leaves, cancels the
-// job and is told that it does not exist; then the append of its record takes effect and the job
-// runs. The append may be that of any entry, so that no owner knows whether one is under way.
+// job and is told that it does not exist; then the append of its declaration takes effect and the job
+// runs. Any entry may have made that append, so that no owner knows whether one is under way.
 func (p *Pool) CancelUnknown(id, organisation string, now time.Duration) (recorded, kept bool) {
 	j, known := p.jobs[id]
 	switch {
@@ -46,7 +46,7 @@
 	return j.recorded != Open, true
 }
 
-// CanceledBefore reports whether a job of an organisation was cancelled before it was known.
+// CanceledBefore reports whether a job of an organisation was cancelled before it was declared.
 func (p *Pool) CanceledBefore(id, organisation string) bool {
 	j, known := p.jobs[id]
 	return known && j.unsubmitted() && covers(j.canceledBy, organisation)
@@ -62,8 +62,8 @@
 	return len(canceledBy) > 0 && (organisation == "" || slices.Contains(canceledBy, organisation))
 }
 
-// declareCanceled handles the declaration of a job with a cancellation of before. It reports whether
-// the job stays cancelled; a cancellation by another organisation has no effect.
+// declareCanceled handles the declaration of a job that was cancelled before. It reports whether the
+// job stays cancelled: a cancellation by another organisation has no effect.
 func (p *Pool) declareCanceled(j *job, spec *jayspec.Job, now time.Duration) (canceled bool) {
 	p.cancelMarks--
 	if !covers(j.canceledBy, spec.Organisation) {
@@ -80,14 +80,15 @@
 	return true
 }
 
-// AppliesTo reports whether a record is the progress of a job of an organisation: a cancellation that
-// was kept before the job was known may be that of another organisation.
+// AppliesTo reports whether a record is the progress of a job of an organisation. The cancellation of an
+// unknown job by another organisation is not.
 func AppliesTo(progress *jaywire.JobProgress, organisation string) bool {
 	by := progress.GetCanceledBy()
 	return len(by) == 0 || covers(by, organisation)
 }
 
-// RestoreCanceled adds a cancellation that a former owner has kept of a job that it did not know.
+// RestoreCanceled restores the cancellation of a job that the former owner did not know. It does
+// nothing if the job is known by now.
 func (p *Pool) RestoreCanceled(id string, canceledBy []string, now time.Duration) {
 	if _, known := p.jobs[id]; known {
 		return
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -92,8 +92,8 @@
 	witnessed bool
 	// shownByPeer says that another entry may have shown the job as done.
 	shownByPeer bool
-	// canceledBy are the organisations that have cancelled the job before it was known. It is empty
-	// once it is known.
+	// canceledBy are the organisations that have cancelled the job before it was declared. It is empty
+	// once the job is declared.
 	canceledBy []string
 	// removing says that the records of the ended job are being removed.
 	removing bool
--- a/jaysched/occurrences.go
+++ b/jaysched/occurrences.go
@@ -99,7 +99,7 @@
 	return cmp.Compare(o.number, number)
 }
 
-// hold returns an occurrence that has not ended, and holds it from now on.
+// hold returns an occurrence that has not ended, which is held in memory from then on.
 func (j *job) hold(number int) *occurrence {
 	n, found := slices.BinarySearchFunc(j.occurrences, number, compareNumber)
 	if !found {
@@ -187,8 +187,8 @@
 	return s.holdTask(id.Index)
 }
 
-// holdTask returns the task with an index, and holds it and those before it that are not done. It
-// returns nil if the task is done and has no run.
+// holdTask returns the task with an index, which is held in memory from then on, as are those before it
+// that are not done. It returns nil if the task is done and has no run.
 func (s *step) holdTask(index int) *task {
 	for ; s.made <= index && s.made < s.decl.Tasks; s.made++ {
 		if !hasBit(s.done, s.made) {
@@ -214,8 +214,8 @@
 	}
 }
 
-// taskAt returns the held task at a position. If there is none, the next task is held; it is nil if
-// all are.
+// taskAt returns the task at a position in tasks. Beyond the last one, it holds the next task of the
+// step; it returns nil if there is none.
 func (s *step) taskAt(position int) *task {
 	for position >= len(s.tasks) && s.made < s.decl.Tasks {
 		s.holdTask(s.made)
@@ -230,7 +230,7 @@
 // condition holds for each.
 func (s *step) waitingTask(holds func(*task) bool) *task {
 	for n := 0; s.waiting > 0; n++ {
-		pristine := n >= len(s.tasks)
+		untouched := n >= len(s.tasks)
 		t := s.taskAt(n)
 		if t == nil {
 			return nil
@@ -238,7 +238,7 @@
 		if t.waiting() && (holds == nil || holds(t)) {
 			return t
 		}
-		if pristine {
+		if untouched {
 			return nil // the later ones do not differ from it
 		}
 	}
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -57,13 +57,13 @@
 		if p.startsLeft <= 0 || noRoom && !s.suspected && !s.decl.LongRunning {
 			return
 		}
-		pristine := n >= len(s.tasks)
+		untouched := n >= len(s.tasks)
 		t := s.taskAt(n)
 		if t == nil {
 			return
 		}
 		if !t.waiting() || now < t.notBefore || formerRuns && t.mayRunUnreported {
-			if pristine {
+			if untouched {
 				return // the later tasks do not differ from it
 			}
 			continue
