Failing test: a task that crashes workers is started a sixth time

Trace, from the entries' logs: its first owner (fence 1) was lost with the worker that the task had crashed, before it had noticed that, and so was the next one (fence 7); the third (fence 9) counted four more losses, as many as it allows after one owner like that. Two in a row are not allowed for.

The test plays this without a clock.

--- a/jaysched/crash_test.go
+++ b/jaysched/crash_test.go
@@ -343,3 +343,39 @@
 		is.Equal(w.starts("j.0.0.0"), 2)
 	})
 }
+
+// TestCrasherIsGivenUpThoughTwoOwnersAreLostWithIt guards against a job that crashes more workers than it
+// may: two owners are lost, each together with a worker that the job has just crashed, and the later
+// losses may be by chance.
+func TestCrasherIsGivenUpThoughTwoOwnersAreLostWithIt(t *testing.T) {
+	spec := newSpec("j", 1, single)
+	w := newHarness(t, 6)
+	declare(w, spec)
+	starts := 0
+	for term := int64(2); term <= 3; term++ {
+		progress := w.pool.jobs["j"].progress() // the loss is not recorded
+		starts += len(w.running())
+		w.crashWorkersOf(0, "j.0.0.0")
+		next := newHarness(t, 0, WithFence(term, term), WithFormerOwner(w.now+15*time.Second))
+		next.now, next.workers = w.now, w.workers
+		for _, f := range next.workers {
+			clear(f.active) // the former owner is lost before it starts the job again
+		}
+		next.pool.Restore(spec, progress, next.now)
+		next.list()
+		readInventory(next)
+		next.reportFor(16 * time.Second)
+		w = next
+	}
+	for w.crashWorkersOf(0, "j.0.0.0") > 0 {
+		for _, s := range w.pool.jobs["j"].earliest().steps {
+			for n := range s.tasks[0].crashes {
+				s.tasks[0].crashes[n].probability = certainProbability
+			}
+		}
+	}
+	w.record()
+	wantState(t, w, "j", StateFailed)
+	is := is.New(t)
+	is.True(starts+w.starts("j.0.0.0") <= maxStartsOfCrasher)
+}
