Occurrences, footprints and cancellations have packages of their own

A job that is declared before its cancellation is in the store counts as recorded only once its own record is (TestCancellationIsShownOnceRecorded).

--- a/jaynode/expire.go
+++ b/jaynode/expire.go
@@ -26,26 +26,26 @@
 		return
 	}
 	d.nextExpireAt = now + expireInterval
-	retain := d.node.settings.RetainEnded
-	if retain > 0 {
-		retain += expireMargin
-	}
-	jobs, cancellations := d.pool.Expired(now, retain, expireBatchSize)
-	if len(cancellations) > 0 {
+	retain := d.node.settings.RetainEnded + expireMargin
+	if ids := d.pool.ExpiredCancellations(now, retain, expireBatchSize); len(ids) > 0 {
 		// There is no declaration. The removal precedes the record of a job that is declared now.
-		addToJournal(d.journal, d.removals(cancellations), d.removed("cancellations of unknown jobs", cancellations))
+		addToJournal(d.journal, d.removals(ids), d.removed("cancellations of unknown jobs", ids, d.forgetCancellations))
+	}
+	if d.node.settings.RetainEnded == 0 {
+		return
 	}
-	if len(jobs) == 0 {
+	ids := d.pool.Expired(now, retain, expireBatchSize)
+	if len(ids) == 0 {
 		return
 	}
-	removed := d.removed("ended jobs", jobs)
+	removed := d.removed("ended jobs", ids, d.forget)
 	declarations := d.node.intake.journals[d.node.partitionOf(d.name)]
-	addToJournal(declarations, d.removals(jobs), func(err error) {
+	addToJournal(declarations, d.removals(ids), func(err error) {
 		if err != nil {
 			removed(err)
 			return
 		}
-		addToJournal(d.journal, d.removals(jobs), removed)
+		addToJournal(d.journal, d.removals(ids), removed)
 	})
 }
 
@@ -58,26 +58,38 @@
 	return removals
 }
 
-// removed returns a function that handles the result of removing the records of jobs.
-func (d *poolDuty) removed(what string, ids []string) func(error) {
+// removed returns a function that logs the result of removing the records of jobs and passes it to
+// forget.
+func (d *poolDuty) removed(what string, ids []string, forget func(ids []string, removed bool)) func(error) {
 	return func(err error) {
 		if err != nil {
 			d.logger.Info(what+" not removed", "jobs", len(ids), "error", err.Error())
 		} else {
 			d.logger.Info(what+" removed", "jobs", len(ids), "first", ids[0])
 		}
-		d.post(func(time.Duration) { d.forget(ids, err == nil) })
+		d.post(func(time.Duration) { forget(ids, err == nil) })
 	}
 }
 
 // forget removes jobs from memory after their records were removed.
 func (d *poolDuty) forget(ids []string, removed bool) {
-	for _, id := range d.pool.Removed(ids, removed) {
+	d.pool.Removed(ids, removed)
+	if !removed {
+		return
+	}
+	for _, id := range ids {
 		d.storedJobs.Delete(id)
 		d.canceled.Delete(id)
 	}
 }
 
+// forgetCancellations forgets the cancellations of unknown jobs whose records were removed.
+func (d *poolDuty) forgetCancellations(ids []string, removed bool) {
+	for _, id := range d.pool.CancellationsRemoved(ids, removed) {
+		d.canceled.Delete(id)
+	}
+}
+
 // addToJournal adds records to a journal and calls done with the outcome, also if the
 // journal accepts no entry. An entry without records checks whether the producer has been
 // fenced.
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
 
+	"jaythread/jayfootprint"
 	"jaythread/jayjournal"
 	"jaythread/jaymember"
 	"jaythread/jayowner"
@@ -109,7 +110,8 @@
 }
 
 // storeAtOwner asks the owner of a job's pool to store the job. Its errors are
-// jayport.ErrRejected, jayport.ErrNoAnswer, errTaken, errCanceled, *hopelessError and *fullError.
+// jayport.ErrRejected, jayport.ErrNoAnswer, errTaken, errCanceled, *hopelessError and
+// *jayfootprint.FullError.
 //
 // The outcome is final if this entry should not append the job itself. An owner that can
 // reach the store and still rejects a job does so because the store is slow. If all
@@ -146,7 +148,7 @@
 		return true, errCanceled
 	}
 	if stored.GetMaxHeldBytes() > 0 {
-		return true, &fullError{held: stored.GetHeldBytes(), limit: stored.GetMaxHeldBytes()}
+		return true, &jayfootprint.FullError{Held: stored.GetHeldBytes(), Limit: stored.GetMaxHeldBytes()}
 	}
 	if stored.GetHopeless() {
 		return true, &hopelessError{retryAfter: millis(stored.GetRetryAfterMillis())}
@@ -200,7 +202,8 @@
 
 // store appends a job and passes it to the pool's duty, if this entry owns the pool.
 // While the store accepts no jobs, it retries for as long as the job may wait. Its errors
-// are jayport.ErrRejected, jayport.ErrNoAnswer, errTaken, errCanceled, *hopelessError and *fullError.
+// are jayport.ErrRejected, jayport.ErrNoAnswer, errTaken, errCanceled, *hopelessError and
+// *jayfootprint.FullError.
 //
 // The owner also reads all jobs from the store, but a read can be blocked while appends
 // go on. Jobs that were accepted would then start only after that read had timed out.
@@ -335,12 +338,12 @@
 	if verdict := hopelessVerdict(err); verdict != nil {
 		return verdict
 	}
-	var full *fullError
+	var full *jayfootprint.FullError
 	switch {
 	case err == nil:
 		return nil
 	case errors.As(err, &full):
-		return jayverdict.NewNotRun(statusUnavailable, full.Error(), fullRetryAfter)
+		return jayverdict.NewNotRun(statusUnavailable, full.Error(), jayfootprint.RetryAfter)
 	case errors.Is(err, errTaken):
 		return jayverdict.NewNotRun(statusConflict, "the job ID is taken", 0)
 	case errors.Is(err, errCanceled):
--- a/jaynode/memory_test.go
+++ b/jaynode/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sort"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -9,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"jaythread/jaysched"
+	"jaythread/jayfootprint"
 	"jaythread/jayverdict"
 	"jaythread/jaywire"
 )
@@ -28,8 +29,8 @@
 		is.NoErr(err)
 		held := w.duty.jobBytes.Load()
 		is.True(held > 0) // that of the fixture's job
-		limit := held + jaysched.Footprint(job)
-		n.settings.MemoryBytes = (limit - 1) * 100 / jobMemoryPercent
+		limit := held + jayfootprint.Of(job, 1)
+		n.settings.MemoryBytes = memoryFor(limit - 1)
 
 		store := &jaywire.StoreJob{Pool: "seats", Job: lateID, Declaration: lateJob(t, ""), TimeoutMillis: 1000}
 		answer := n.intake.storeFor(store)
@@ -40,11 +41,16 @@
 		var verdict *jayverdict.Error
 		is.True(errors.As(n.intake.submitError(err), &verdict))
 		is.Equal(verdict.Status, statusUnavailable)
-		is.Equal(verdict.RetryAfter, fullRetryAfter)
+		is.Equal(verdict.RetryAfter, jayfootprint.RetryAfter)
 		is.True(strings.Contains(verdict.Error(), "bytes of memory, of at most"))
 		is.NoErr(n.intake.store("seats", testID, "", storedJob(t), time.Second, 0)) // accepted before
 
-		n.settings.MemoryBytes = (limit + 1) * 100 / jobMemoryPercent
+		n.settings.MemoryBytes = memoryFor(limit)
 		is.NoErr(n.intake.store("seats", lateID, "", lateJob(t, ""), time.Second, 0))
 	})
 }
+
+// memoryFor returns the memory of an entry that limits the open jobs of its only pool to some bytes.
+func memoryFor(limit int64) int64 {
+	return 1 + int64(sort.Search(1<<30, func(n int) bool { return jayfootprint.Limit(int64(n)+1, 1) >= limit }))
+}
--- a/jaynode/rejection.go
+++ b/jaynode/rejection.go
@@ -3,11 +3,11 @@
 import (
 	"errors"
 	"fmt"
-	"math"
 	"sync/atomic"
 	"time"
 
 	"jaythread/jayfleet"
+	"jaythread/jayfootprint"
 	"jaythread/jayport"
 	"jaythread/jaysched"
 	"jaythread/jayverdict"
@@ -37,40 +37,17 @@
 	return jayverdict.NewNotRun(statusTooMany, "the job cannot be done in time", hopeless.retryAfter)
 }
 
-// fullError is the rejection of a job for which the owner of its pool has no memory. Both fields are in
-// bytes.
-type fullError struct {
-	held, limit int64
-}
-
-// Error names the memory that the pool's jobs take, and may take.
-func (e *fullError) Error() string {
-	return fmt.Sprintf("the open jobs of the pool take %d bytes of memory, of at most %d", e.held, e.limit)
-}
-
-// fullRetryAfter is the delay after which the caller of a job is asked to retry for which there is no
-// memory: thousands of jobs have to end first.
-const fullRetryAfter = 5 * time.Second
-
-// jobMemoryPercent is the share of an entry's memory for the open jobs of all pools: the last entry may
-// have to own all of them. The collector lets the heap grow to twice what is live.
-const jobMemoryPercent = 40
-
 // maxJobBytes returns the limit of the memory for the open jobs of one pool.
 func (n *Node) maxJobBytes() int64 {
-	limit := n.settings.MemoryBytes * jobMemoryPercent / 100
-	if limit == 0 {
-		return math.MaxInt64
-	}
 	pools := 1
 	if c := n.Catalog(); c != nil {
-		pools = max(1, len(c.WorkingPools()))
+		pools = len(c.WorkingPools())
 	}
-	return limit / int64(pools)
+	return jayfootprint.Limit(n.settings.MemoryBytes, pools)
 }
 
 // admit asks the pool's duty, if this entry owns the pool, whether a job that is about to be
-// stored is rejected. It returns a *hopelessError or a *fullError if so. A pool that does not
+// stored is rejected. It returns a *hopelessError or a *jayfootprint.FullError if so. A pool that does not
 // answer in time rejects nothing.
 func (i *intake) admit(pool, id string, value []byte) error {
 	duty := i.node.ownedPool(pool)
@@ -106,7 +83,7 @@
 		return nil
 	}
 	if !fits {
-		return &fullError{held: held, limit: limit}
+		return &jayfootprint.FullError{Held: held, Limit: limit}
 	}
 	if !admission.Rejected {
 		return nil
@@ -125,10 +102,10 @@
 
 // writeRejection writes a rejection into the answer to a peer.
 func writeRejection(stored *jaywire.JobStored, err error) {
-	var full *fullError
+	var full *jayfootprint.FullError
 	if errors.As(err, &full) {
 		stored.Outcome, stored.StoreAway = jaywire.StoreOutcome_STORE_OUTCOME_NOT_DONE, false
-		stored.HeldBytes, stored.MaxHeldBytes = full.held, full.limit
+		stored.HeldBytes, stored.MaxHeldBytes = full.Held, full.Limit
 	}
 	var hopeless *hopelessError
 	if errors.As(err, &hopeless) {
--- a/jaysched/ends.go
+++ b/jaysched/ends.go
@@ -133,7 +133,7 @@
 		return
 	}
 	s.job.endOccurrence(s.occ)
-	if s.job.schedule.open > 0 {
+	if s.job.series.Open() > 0 {
 		return
 	}
 	p.end(s.job, Done, now)
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jaythread/jayoccurrence"
 	"jaythread/jayport"
 	"jaythread/jayspec"
 )
@@ -76,7 +77,7 @@
 	// occurrences are the held occurrences, in the order of their numbers: those that have begun
 	// or could begin, and have not ended.
 	occurrences []*occurrence
-	schedule    schedule
+	series      jayoccurrence.Series
 	// mayRunUnreported says that a former owner may have started any task of the job on a worker
 	// that has not reported yet.
 	mayRunUnreported bool
@@ -92,9 +93,6 @@
 	witnessed bool
 	// shownByPeer says that another entry may have shown the job as done.
 	shownByPeer bool
-	// canceledBy are the organisations that have cancelled the job before it was declared. It is empty
-	// once the job is declared.
-	canceledBy []string
 	// removing says that the records of the ended job are being removed.
 	removing bool
 	started  bool
@@ -260,10 +258,11 @@
 	if submitted := dueAt(spec.Accepted); submitted > 0 {
 		j.submittedAt = min(now, submitted)
 	}
-	j.schedule = schedule{first: now, open: spec.Schedule.Count()}
+	first := now
 	if spec.Schedule.Timed() {
-		j.schedule.first = dueAt(spec.Schedule.First)
+		first = dueAt(spec.Schedule.First)
 	}
+	j.series = jayoccurrence.New(first, spec.Schedule.Interval, spec.Schedule.Count())
 	return j
 }
 
--- a/jaysched/occurrences.go
+++ b/jaysched/occurrences.go
@@ -14,57 +14,20 @@
 // that waits for room for long, would need memory for all of them.
 const maxHeldWaiting = 64
 
-// schedule says which occurrences of a job are to come and which have ended, without a list of them.
-// Only the others are held in memory, see job.occurrences.
-//
-// It handles this load: hundreds of jobs are due once a minute for a day. With all their occurrences
-// in memory, each owner of the pool exceeds its memory, one after the other, and each decision
-// checks tasks that are due in hours.
-type schedule struct {
-	// first is when occurrence 0 is due.
-	first time.Duration
-	// next is the number of the first occurrence that is neither held nor has ended. Those below
-	// it that are not held have ended.
-	next int
-	// endedAhead are the numbers above next of occurrences that have ended: another owner, whose
-	// clock was ahead, has begun them.
-	endedAhead map[int]bool
-	// open counts the occurrences that have not ended.
-	open int
-}
-
-// dueOf returns when an occurrence of the job is due.
-func (j *job) dueOf(number int) time.Duration {
-	interval := j.spec.Schedule.Interval
-	if interval > 0 && time.Duration(number) > (MaxDuration-max(0, j.schedule.first))/interval {
-		return MaxDuration
-	}
-	return j.schedule.first + time.Duration(number)*interval
-}
-
 // holdDue holds the occurrences that are due, the earliest first, until maxHeldWaiting tasks could
 // start. That of a job without times is always held.
 func (j *job) holdDue(now time.Duration) {
-	sched := &j.schedule
 	ready := -1
-	for ; sched.next < j.spec.Schedule.Count(); sched.next++ {
-		switch {
-		case sched.endedAhead[sched.next]:
-			delete(sched.endedAhead, sched.next)
-			continue
-		case j.held(sched.next) != nil:
-			continue
-		case j.spec.Schedule.Timed() && now < j.dueOf(sched.next):
-			return
-		}
+	j.series.Begin(now, func(number int) bool { return j.held(number) != nil }, func(number int) bool {
 		if ready < 0 {
 			ready = j.readyWaiting()
 		}
 		if ready >= maxHeldWaiting {
-			return
+			return false
 		}
-		ready += j.hold(sched.next).readyWaiting()
-	}
+		ready += j.hold(number).readyWaiting()
+		return true
+	})
 }
 
 // readyWaiting counts the tasks of the held occurrences that wait and depend on no open step.
@@ -103,7 +66,7 @@
 func (j *job) hold(number int) *occurrence {
 	n, found := slices.BinarySearchFunc(j.occurrences, number, compareNumber)
 	if !found {
-		j.occurrences = slices.Insert(j.occurrences, n, newOccurrence(j, number, j.dueOf(number)))
+		j.occurrences = slices.Insert(j.occurrences, n, newOccurrence(j, number, j.series.Due(number)))
 	}
 	return j.occurrences[n]
 }
@@ -111,32 +74,13 @@
 // endOccurrence releases an occurrence whose steps have all ended.
 func (j *job) endOccurrence(o *occurrence) {
 	j.occurrences = slices.DeleteFunc(j.occurrences, func(other *occurrence) bool { return other == o })
-	j.schedule.open--
-	if o.number >= j.schedule.next {
-		if j.schedule.endedAhead == nil {
-			j.schedule.endedAhead = map[int]bool{}
-		}
-		j.schedule.endedAhead[o.number] = true
-	}
-}
-
-// ended reports whether an occurrence has ended.
-func (j *job) ended(number int) bool {
-	return j.schedule.endedAhead[number] || number < j.schedule.next && j.held(number) == nil
+	j.series.End(o.number)
 }
 
 // unheld returns how many occurrences have not ended and are not held in memory, and how many of these
 // are due.
 func (j *job) unheld(now time.Duration) (all, due int) {
-	all = j.schedule.open - len(j.occurrences)
-	if all == 0 || now < j.dueOf(j.schedule.next) {
-		return all, 0
-	}
-	if interval := j.spec.Schedule.Interval; interval > 0 {
-		passed := int64((now - j.dueOf(j.schedule.next)) / interval)
-		return all, int(min(int64(all), 1+passed))
-	}
-	return all, all
+	return j.series.Unheld(len(j.occurrences), now)
 }
 
 // earliest returns the first held occurrence, or one without steps.
@@ -168,11 +112,11 @@
 
 // stepOf returns a step of an occurrence that has not ended, or nil.
 func (j *job) stepOf(id jayport.StepID) *step {
-	if id.Occurrence < 0 || id.Occurrence >= j.spec.Schedule.Count() || id.Step < 0 || id.Step >= len(j.spec.Steps) {
+	if id.Occurrence < 0 || id.Occurrence >= j.series.Count() || id.Step < 0 || id.Step >= len(j.spec.Steps) {
 		return nil
 	}
 	o := j.held(id.Occurrence)
-	if o == nil && (j.outcome != Open || j.ended(id.Occurrence)) {
+	if o == nil && (j.outcome != Open || j.series.Ended(id.Occurrence)) {
 		return nil
 	}
 	return j.hold(id.Occurrence).steps[id.Step]
--- a/jaysched/occurrences_test.go
+++ b/jaysched/occurrences_test.go
@@ -134,9 +134,9 @@
 	p := NewPool("seats", Settings{}, WithDueTimes(modelTime))
 	p.Restore(timed("j", 5, 0, time.Minute), record, time.Minute)
 	j := p.jobs["j"]
-	is.Equal(j.schedule.open, 3)
-	is.Equal(j.schedule.next, 2)
-	is.True(j.ended(0) && j.ended(3))
+	is.Equal(j.series.Open(), 3)
+	is.Equal(j.series.Next(), 2)
+	is.True(j.series.Ended(0) && j.series.Ended(3))
 	is.Equal(len(j.occurrences), 1) // the third one is not due
 	is.Equal(j.stepOf(jayport.StepID{Job: "j", Occurrence: 1, Step: 0}).open, 0)
 	is.Equal(j.stepOf(jayport.StepID{Job: "j", Occurrence: 1, Step: 1}).open, 2)
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"jaythread/jaycancel"
+	"jaythread/jayfootprint"
 	"jaythread/jaypool"
 	"jaythread/jayport"
 	"jaythread/jayspec"
@@ -93,8 +95,8 @@
 	jobs map[string]*job
 	// footprint is the sum of the footprints of the jobs that have not ended.
 	footprint int64
-	// cancelMarks counts the jobs of which only a cancellation is known.
-	cancelMarks int
+	// cancellations are those of unknown jobs.
+	cancellations *jaycancel.Register
 	// open are the jobs that have not ended, in the order in which they are served.
 	open []*job
 	// noRoom are the needs that no worker could meet in the present decision.
@@ -187,6 +189,8 @@
 		endedWorkers: map[string]endedIncarnations{},
 		expected:     map[string]time.Duration{},
 
+		cancellations: jaycancel.NewRegister(),
+
 		quotas:     newQuotas(),
 		durations:  newDurations(),
 		outlook:    newOutlook(),
@@ -213,7 +217,7 @@
 // such job.
 func (p *Pool) StateOf(id string, now time.Duration) (state State, known bool) {
 	j, known := p.jobs[id]
-	if !known || j.unsubmitted() {
+	if !known {
 		return Queued, false
 	}
 	return j.state(now), true
@@ -251,7 +255,7 @@
 // organisations.
 func (p *Pool) VisibleTo(organisation, id string) bool {
 	j, known := p.jobs[id]
-	return known && !j.unsubmitted() && (j.spec.Organisation == "" || j.spec.Organisation == organisation)
+	return known && (j.spec.Organisation == "" || j.spec.Organisation == organisation)
 }
 
 // Recorded reports whether a job has ended and its end is recorded in the store.
@@ -302,14 +306,18 @@
 
 // Declare adds a job that this owner has stored. A known job stays unchanged.
 func (p *Pool) Declare(spec *jayspec.Job, now time.Duration) (added bool) {
-	former, known := p.jobs[spec.ID]
-	if known && (!former.unsubmitted() || p.declareCanceled(former, spec, now)) {
+	if _, known := p.jobs[spec.ID]; known {
+		return false
+	}
+	canceledAt, covered, canceled := p.cancellations.Declare(spec.ID, spec.Organisation)
+	if covered {
+		p.declareCanceled(spec, canceledAt, now)
 		return false
 	}
 	j := newJob(spec, now, p.dueAt)
 	j.holdDue(now)
 	chain := p.add(j)
-	if known {
+	if canceled {
 		p.markChanged(j) // replaces the record of the cancellation
 	}
 	if _, expected := p.expected[spec.ID]; !expected {
@@ -322,7 +330,7 @@
 // add adds a job and returns how long it takes if it runs alone.
 func (p *Pool) add(j *job) (chain time.Duration) {
 	p.jobs[j.spec.ID] = j
-	j.footprint = Footprint(j.spec)
+	j.footprint = jayfootprint.Of(j.spec, maxHeldWaiting)
 	p.footprint += j.footprint
 	policy := p.policy(j.spec)
 	j.advised, j.priority = policy.Advised, policy.Priority
@@ -335,11 +343,23 @@
 	return chain
 }
 
+// Fits reports whether a job can be added within a limit of the memory for the pool's open jobs, and how
+// much they take, both in bytes. A known job always can.
+func (p *Pool) Fits(spec *jayspec.Job, limit int64) (fits bool, held int64) {
+	_, known := p.jobs[spec.ID]
+	return known || p.footprint+jayfootprint.Of(spec, maxHeldWaiting) <= limit, p.footprint
+}
+
+// Footprint estimates how many bytes of memory the pool needs for its open jobs.
+func (p *Pool) Footprint() int64 {
+	return p.footprint
+}
+
 // Cancel ends a job; known is false if the pool has no such job. A job that has ended keeps its
 // outcome.
 func (p *Pool) Cancel(id string, now time.Duration) (known bool) {
 	j, known := p.jobs[id]
-	if !known || j.unsubmitted() {
+	if !known {
 		return false
 	}
 	if j.outcome == Open {
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"jaythread/jaycancel"
 	"jaythread/jaywire"
 )
 
@@ -17,6 +18,8 @@
 	outcomes map[string]Outcome
 	ends     map[*worker]int64
 	trials   map[*task]int64
+	// cancellations are those of unknown jobs. Their records are in Progress.
+	cancellations jaycancel.Changes
 }
 
 // markChanged marks a job's progress as to be recorded.
@@ -34,7 +37,7 @@
 
 // Recordable reports whether progress is to be recorded now.
 func (p *Pool) Recordable(now time.Duration) bool {
-	if p.recordNow || slices.ContainsFunc(p.changed, func(j *job) bool { return j.outcome != Open }) {
+	if p.recordNow || p.cancellations.Changed() || slices.ContainsFunc(p.changed, func(j *job) bool { return j.outcome != Open }) {
 		return true
 	}
 	return now >= p.batchRecordedAt+recordDelay
@@ -54,6 +57,10 @@
 		})
 	}
 	p.changed, p.recordNow = p.changed[:0], false
+	b.cancellations = p.cancellations.TakeChanges()
+	for id, by := range b.cancellations.By {
+		b.Progress[id] = &jaywire.JobProgress{Outcome: jaywire.JobOutcome(Canceled), CanceledBy: by}
+	}
 	for _, w := range p.sorted {
 		if w.processed > w.acknowledged {
 			b.ends[w] = w.processed
@@ -71,17 +78,12 @@
 	for _, id := range slices.Sorted(maps.Keys(b.outcomes)) {
 		outcome := b.outcomes[id]
 		j, known := p.jobs[id]
-		if !known || outcome == Open || j.outcome != outcome || j.recorded != Open {
-			continue
-		}
-		if changed := j.unsubmitted() && j.dirty; !changed {
+		if known && outcome != Open && j.recorded == Open {
 			j.recorded, j.occurrences = outcome, nil
-			if j.unsubmitted() {
-				continue
-			}
 			p.recordEvent(Event{Kind: JobRecorded, Job: id, Detail: outcome.String(), Waited: now - j.endedAt}, now)
 		}
 	}
+	p.cancellations.Recorded(b.cancellations)
 	for t, run := range b.trials {
 		t.trialStored = max(t.trialStored, run)
 	}
@@ -96,6 +98,7 @@
 
 // BatchRejected handles a batch that is not recorded: its progress is to be recorded again.
 func (p *Pool) BatchRejected(b *Batch) {
+	p.cancellations.Rejected(b.cancellations)
 	for _, id := range slices.Sorted(maps.Keys(b.Progress)) {
 		if j, known := p.jobs[id]; known {
 			p.markChanged(j)
@@ -107,17 +110,17 @@
 func (j *job) progress() *jaywire.JobProgress {
 	record := &jaywire.JobProgress{Outcome: jaywire.JobOutcome(j.outcome), Started: j.started}
 	if j.outcome != Open {
-		record.Organisation, record.CanceledBy = j.spec.Organisation, j.canceledBy
+		record.Organisation = j.spec.Organisation
 		return record
 	}
 	if j.spec.Schedule.Timed() {
-		record.NextOccurrence = uint32(j.schedule.next)
-		for _, number := range slices.Sorted(maps.Keys(j.schedule.endedAhead)) {
+		record.NextOccurrence = uint32(j.series.Next())
+		for _, number := range j.series.EndedAhead() {
 			record.EndedAhead = append(record.EndedAhead, uint32(number))
 		}
 	}
 	for _, o := range j.occurrences {
-		if o.number < j.schedule.next && j.spec.Schedule.Timed() {
+		if o.number < j.series.Next() && j.spec.Schedule.Timed() {
 			record.OpenOccurrences = append(record.OpenOccurrences, uint32(o.number))
 		}
 		for _, s := range o.steps {
--- a/jaysched/restore.go
+++ b/jaysched/restore.go
@@ -88,20 +88,7 @@
 // restoreProgress restores what a former owner has recorded. An earlier version recorded no numbers
 // of occurrences, but the steps of all that had begun.
 func (j *job) restoreProgress(progress *jaywire.JobProgress) {
-	count := j.spec.Schedule.Count()
-	j.schedule.next = min(int(progress.NextOccurrence), count)
-	j.schedule.open = count - j.schedule.next
-	for _, number := range progress.OpenOccurrences {
-		if int(number) < j.schedule.next && j.held(int(number)) == nil {
-			j.hold(int(number))
-			j.schedule.open++
-		}
-	}
-	for _, number := range progress.EndedAhead {
-		if int(number) >= j.schedule.next && int(number) < count && !j.schedule.endedAhead[int(number)] {
-			j.endOccurrence(&occurrence{number: int(number)})
-		}
-	}
+	j.series.Restore(int(progress.NextOccurrence), progress.OpenOccurrences, progress.EndedAhead, func(number int) { j.hold(number) })
 	for _, record := range progress.Steps {
 		j.restoreStep(record)
 	}
--- a/jaysched/unknownjobs.go
+++ b/jaysched/unknownjobs.go
@@ -54,7 +54,7 @@
 // that was stored and is not known yet.
 func (p *Pool) mayBecomeKnown(w *worker, run jayport.RunRef, now time.Duration) bool {
 	job := run.Task.Job
-	if j, known := p.jobs[job]; known && !j.unsubmitted() || !p.unknownJobs.tracked {
+	if _, known := p.jobs[job]; known || !p.unknownJobs.tracked {
 		delete(p.unknownJobs.seenAt, job)
 		return false
 	}
