--- a/jaycancel/register_test.go
+++ b/jaycancel/register_test.go
@@ -25,7 +25,7 @@
 	is.True(kept)
 }
 
-// TestCancellationsByTwoOrganisationsAreBothRecorded guards against a cancelling that is answered
+// TestCancellationsByTwoOrganisationsAreBothRecorded guards against a cancellation that is answered
 // although only that of another organisation is recorded.
 func TestCancellationsByTwoOrganisationsAreBothRecorded(t *testing.T) {
 	is := is.New(t)
@@ -47,7 +47,7 @@
 	recordedNow(true)
 }
 
-// TestRepeatedCancellationDoesNotExpire guards against a cancelling that is answered while its only
+// TestRepeatedCancellationDoesNotExpire guards against a cancellation that is answered while its only
 // record is being removed.
 func TestRepeatedCancellationDoesNotExpire(t *testing.T) {
 	is := is.New(t)
--- a/jayjournal/delivery.go
+++ b/jayjournal/delivery.go
@@ -128,7 +128,7 @@
 }
 
 // revoke replaces the append by one without records of a higher epoch, after which the store rejects
-// all attempts of before.
+// all earlier attempts.
 //
 // It prevents this failure: an entry is suspended, or cut off from the store, while the answer to an
 // append is missing. Minutes later it goes on, and repeats an append that nobody waits for any more and
@@ -151,7 +151,7 @@
 	var sequence *jayport.SequenceError
 	switch {
 	case o.epoch != d.call.Producer.Epoch:
-		// An attempt of before the append was revoked.
+		// An attempt that was made before the append was revoked.
 		return o.err == nil, nil
 	case d.revoked && (o.err == nil || errors.As(o.err, &sequence)):
 		return true, ErrRevoked
--- a/jaynode/cancel_test.go
+++ b/jaynode/cancel_test.go
@@ -55,7 +55,7 @@
 	return count
 }
 
-// TestCanceledJobWhoseRecordArrivesLater guards against a job that runs although its cancelling was
+// TestCanceledJobWhoseRecordArrivesLater guards against a job that runs although its cancellation was
 // answered: it was unknown, since the store did not answer, and then its record took effect.
 func TestCanceledJobWhoseRecordArrivesLater(t *testing.T) {
 	play := func(name string, arrive func(t *testing.T, w *poolFixture) (arrived func())) {
@@ -89,7 +89,7 @@
 	play("the append of another entry was under way", func(t *testing.T, w *poolFixture) func() {
 		return func() { w.appendLate(t, "") }
 	})
-	play("the cancelling came to the former owner", func(t *testing.T, w *poolFixture) func() {
+	play("the cancellation came to the former owner", func(t *testing.T, w *poolFixture) func() {
 		return func() {
 			w.replaceOwner()
 			w.appendLate(t, "")
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -42,7 +42,7 @@
 )
 
 // maxAppendAge limits how long after its submission a job's record may take effect. It is shorter than
-// the time for which a cancelling of an unknown job is kept, and no caller waits that long.
+// the time for which a cancellation of an unknown job is kept, and no caller waits that long.
 const maxAppendAge = time.Minute
 
 // intake accepts jobs from callers and writes them to the store.
@@ -160,8 +160,8 @@
 // errTaken is returned for a job whose ID belongs to a job of another organisation.
 var errTaken = errors.New("a job of another organisation has the ID")
 
-// errCanceled is returned for a job that was cancelled before it was submitted, or while its record
-// was on its way.
+// errCanceled is returned for a job that was cancelled before this request for it arrived, and is not
+// stored.
 var errCanceled = errors.New("the job was cancelled before")
 
 // errOwnerSuspected is returned for a request to an owner that no longer answers pings.
--- a/jaysched/cancellations_test.go
+++ b/jaysched/cancellations_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 )
 
-// TestBatchOfACancellationDoesNotEndTheJob guards against a job that seems cancelled: a cancelling by
+// TestBatchOfACancellationDoesNotEndTheJob guards against a job that seems cancelled: a cancellation by
 // another organisation was being recorded when the job arrived.
 func TestBatchOfACancellationDoesNotEndTheJob(t *testing.T) {
 	is := is.New(t)
@@ -50,7 +50,7 @@
 	})
 }
 
-// TestCancellationIsShownOnceRecorded guards against a job that runs after its cancelling was answered:
+// TestCancellationIsShownOnceRecorded guards against a job that runs after its cancellation was answered:
 // it was declared before the cancellation was in the store.
 func TestCancellationIsShownOnceRecorded(t *testing.T) {
 	is := is.New(t)
--- a/jaysched/ends.go
+++ b/jaysched/ends.go
@@ -63,8 +63,8 @@
 	}
 }
 
-// processLateEnd handles the end of a run that the pool does not have, of a task that is done or whose
-// job has ended.
+// processLateEnd handles the end of a run of a task that is done, or whose job has ended. The pool does
+// not have the run any more, and the end counts only for the worker.
 func (p *Pool) processLateEnd(w *worker, end jayport.EndedRun, now time.Duration) {
 	if _, known := p.jobs[end.Run.Task.Job]; !known {
 		return
--- a/jaysched/occurrences.go
+++ b/jaysched/occurrences.go
@@ -30,7 +30,7 @@
 	})
 }
 
-// readyWaiting counts the tasks of the held occurrences that wait and depend on no open step.
+// readyWaiting counts the tasks of all held occurrences that wait and depend on no open step.
 func (j *job) readyWaiting() int {
 	count := 0
 	for _, o := range j.occurrences {
@@ -39,6 +39,7 @@
 	return count
 }
 
+// readyWaiting counts the tasks of the occurrence that wait and depend on no open step.
 func (o *occurrence) readyWaiting() int {
 	count := 0
 	for _, s := range o.steps {
--- a/jaysoak/hurried_test.go
+++ b/jaysoak/hurried_test.go
@@ -26,7 +26,7 @@
 // hurriedCallers submit jobs, leave before they have an answer, and cancel the jobs at another entry.
 type hurriedCallers struct {
 	callers *callers
-	// canceled are the IDs of the jobs whose cancelling was answered with 2xx or 410.
+	// canceled are the IDs of the jobs whose cancellation was answered with 2xx or 410.
 	canceled []string
 	// submitted counts the jobs.
 	submitted int
@@ -78,7 +78,7 @@
 	time.Sleep(3 * hurriedStep)
 	for _, id := range h.canceled {
 		if starts := checker.Starts(id); starts > before[id] {
-			h.callers.soak.fail("unasked", fmt.Sprintf("%s starts tasks although its cancelling was answered: %d, then %d", id, before[id], starts))
+			h.callers.soak.fail("unasked", fmt.Sprintf("%s starts tasks although its cancellation was answered: %d, then %d", id, before[id], starts))
 		}
 	}
 }
