--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -313,7 +314,7 @@
 		d.pool.Ended(to, "another incarnation answers", now)
 		return true
 	case jayport.RefusedFenced:
-		d.end("a worker has seen a higher fence")
+		d.end(fmt.Sprintf("worker %s has seen a higher fence", to.ID))
 		return true
 	default:
 		return false
@@ -379,6 +380,9 @@
 		if event.Since > 0 {
 			values = append(values, "since", event.Since.String())
 		}
+		if event.Confirmed != 0 {
+			values = append(values, "confirmed", event.Confirmed.String())
+		}
 		d.logger.Info(string(event.Kind), values...)
 	}
 }
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -229,7 +229,7 @@
 			d.logger.Info("record of a cancelled job arrived", "job", job.ID, "organisation", job.Organisation, "how", how, "age", time.Since(job.Accepted).String())
 		}
 		if declare(job, now) {
-			d.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "organisation", job.Organisation, "steps", job.Summary(), "coreSeconds", job.Work(), "within", d.pool.AllowedTime(job.ID).String(), "how", how)
+			d.logger.Info("job declared", "job", job.ID, "how", how, "queue", job.Queue, "organisation", job.Organisation, "steps", job.Summary(), "coreSeconds", job.Work(), "within", d.pool.AllowedTime(job.ID).String())
 		}
 	})
 }
@@ -308,7 +308,7 @@
 		return
 	}
 	pool.Restore(job, progress, now)
-	t.duty.logger.Info("job declared", "job", job.ID, "queue", job.Queue, "organisation", job.Organisation, "steps", job.Summary(), "coreSeconds", job.Work(), "within", pool.AllowedTime(job.ID).String(), "restored", true)
+	t.duty.logger.Info("job declared", "job", job.ID, "how", "restored", "queue", job.Queue, "organisation", job.Organisation, "steps", job.Summary(), "coreSeconds", job.Work(), "within", pool.AllowedTime(job.ID).String(), "restored", true)
 }
 
 // finishLoad restores the jobs that were read, and the ended jobs whose declarations have
--- a/jaysched/ends.go
+++ b/jaysched/ends.go
@@ -67,6 +67,7 @@
 // not have the run any more, and the end counts only for the worker.
 func (p *Pool) processLateEnd(w *worker, end jayport.EndedRun, now time.Duration) {
 	if _, known := p.jobs[end.Run.Task.Job]; !known {
+		p.recordEvent(Event{Kind: EndIgnored, Worker: w.ID, Run: end.Run, Detail: end.Ending.String() + ", of an unknown job"}, now)
 		return
 	}
 	switch end.Ending {
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -93,12 +93,19 @@
 	// Waited is how long the task or job had waited, or how long ago a run that has ended had
 	// begun.
 	Waited time.Duration
+	// Confirmed is how long ago the owner was last known not to have been replaced, for RunStarted,
+	// RunLost, RunVanished and WorkerLapsed of an owner that may be replaced.
+	Confirmed time.Duration
 	// LostMilli is the lost work of a RunRestarted, in thousandths of a core times seconds.
 	LostMilli float64
 }
 
 func (p *Pool) recordEvent(e Event, now time.Duration) {
 	e.At = now
+	switch e.Kind {
+	case RunStarted, RunLost, RunVanished, WorkerLapsed:
+		e.Confirmed = p.ownership.confirmationAge(now)
+	}
 	p.events = append(p.events, e)
 }
 
--- a/jaysched/ownership.go
+++ b/jaysched/ownership.go
@@ -72,6 +72,15 @@
 	return !o.replaceable || o.confirmedAt >= at
 }
 
+// confirmationAge returns how long ago the owner was last known not to have been replaced, and zero
+// for an owner that cannot be replaced.
+func (o *ownership) confirmationAge(now time.Duration) time.Duration {
+	if !o.replaceable {
+		return 0
+	}
+	return now - o.confirmedAt
+}
+
 // lapsed reports whether the owner's last confirmation is too old for it to act.
 func (o *ownership) lapsed(now time.Duration) bool {
 	return o.replaceable && now-o.confirmedAt > o.validFor
