Failing tests: a slow store of one entry extends its ownership

An owner that confirms its ownership takes the confirmation as valid for two of its own append latencies. If only its own way to the store is slow, the next owner sends its first order within milliseconds.

--- a/jaynode/poolduty_test.go
+++ b/jaynode/poolduty_test.go
@@ -158,6 +158,69 @@
 	})
 }
 
+// slowDown makes the store slow for this entry only, until its measured latency shows it.
+func (w *poolFixture) slowDown(latency time.Duration) {
+	w.entry.store.set(func(s *faultyStore) { s.answerDelay = latency })
+	for range 8 {
+		_, _ = w.entry.node.store.Append(jayport.Append{Partition: jayport.Partition{Topic: "other"}, AsOf: jayport.AnyOffset}, time.Second)
+	}
+}
+
+// replace makes another entry take the pool over without this one learning of it.
+func (w *poolFixture) replace(t *testing.T) {
+	t.Helper()
+	producer := jayport.Producer{Name: string(w.claim.Duty), Epoch: w.claim.Fence + 1}
+	if _, err := w.entry.store.store.append(jayport.Append{Partition: jayport.Partition{Topic: topicProgress}, Producer: &producer, AsOf: jayport.AnyOffset}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// join adds a worker to the list of workers.
+func (w *poolFixture) join(id string) {
+	w.entry.node.heartbeats.mu.Lock()
+	w.entry.node.heartbeats.workers[id] = jayport.Worker{ID: id, Pool: "seats", Capacity: jaypool.Resources{ProcessorsMilli: 4000, MemoryMegabytes: 4000}}
+	w.entry.node.heartbeats.mu.Unlock()
+	w.duty.workersChanged()
+}
+
+// Guards against a task that two owners start: the store is slow for the former owner only, which
+// took its confirmation as valid for two of its own latencies and used a worker that had joined
+// after it was replaced.
+func TestSlowStoreOfOneEntryDoesNotExtendItsOwnership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newPoolFixture(t, 1, "w0", "w1")
+		w.refreshClaimsFor(time.Second)
+		w.slowDown(400 * time.Millisecond)
+		w.refreshClaims()
+		w.replace(t)
+		time.Sleep(100 * time.Millisecond)
+		w.join("w2")
+		time.Sleep(time.Second)
+		starts, _ := w.workers.counts()
+		is.Equal(starts, 0)
+	})
+}
+
+// Guards against a task that two owners start: the store is slow for the former owner, which goes on
+// for longer than the next one waits for its leases.
+func TestSlowStoreDoesNotExtendTheOwnershipTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newPoolFixture(t, 1)
+		w.refreshClaimsFor(time.Second)
+		w.slowDown(400 * time.Millisecond)
+		w.refreshClaims()
+		w.entry.store.set(func(s *faultyStore) { s.unreachable = true })
+		time.Sleep(ownershipTimeout + 100*time.Millisecond)
+		_, before := w.workers.counts()
+		time.Sleep(3 * time.Second)
+		_, after := w.workers.counts()
+		w.entry.store.set(func(s *faultyStore) { s.unreachable, s.answerDelay = false, 0 })
+		is.Equal(before, after)
+	})
+}
+
 func TestClaimsOfOtherOwnersDoNotConfirmOwnership(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
