Failing tests: conclusions of an owner that was replaced

A lease counts as over only once the owner is confirmed for a later time; all other ways to conclude that a run is over ask for nothing, and a job that another owner has stored is begun at once.

--- /dev/null
+++ b/jaysched/replaced_test.go
@@ -0,0 +1,101 @@
+package jaysched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaythread/jayport"
+)
+
+// newReplacedHarness returns a harness whose owner was replaced without knowing it: a task runs on
+// w0, and w1 has not heard of the next owner.
+func newReplacedHarness(t *testing.T) *harness {
+	t.Helper()
+	w := newConfirmedHarness(t, 1)
+	declare(w, newSpec("j", 1, single))
+	is.New(t).Equal(w.starts("j.0.0.0"), 1)
+	w.now += time.Second // the owner is confirmed up to here
+	w.addWorker("w1")
+	w.list()
+	w.run()
+	w.pool.OwnerConfirmed(w.now, nil, w.now)
+	w.now += time.Second
+	return w
+}
+
+// wantStartAfterConfirmation checks that a task is started again only once the owner is confirmed.
+func wantStartAfterConfirmation(t *testing.T, w *harness, task string, before int) {
+	t.Helper()
+	is := is.New(t)
+	w.run()
+	is.Equal(w.starts(task), before)
+	asked := confirms(w)
+	w.pass(confirmRetryDelay)
+	is.True(confirms(w) > 0 && asked > 0)
+	w.pool.OwnerConfirmed(w.now, nil, w.now)
+	w.run()
+	is.Equal(w.starts(task), before+1)
+}
+
+// Guards against tasks that a replaced owner starts after the next one has recorded their ends: it
+// concludes that their runs are over from something other than their ends.
+func TestLostRunIsRestartedOnceTheOwnerIsConfirmed(t *testing.T) {
+	t.Run("the worker has left the inventory", func(t *testing.T) {
+		w := newReplacedHarness(t)
+		w.workers["w0"].silent = true
+		w.pool.ReportFailed(refOf("w0"), w.now)
+		w.pool.InventoryRead([]string{"w1"}, w.now, w.now)
+		wantStartAfterConfirmation(t, w, "j.0.0.0", 1)
+	})
+	t.Run("another incarnation answers", func(t *testing.T) {
+		w := newReplacedHarness(t)
+		w.pool.Ended(refOf("w0"), "another incarnation answers", w.now)
+		wantStartAfterConfirmation(t, w, "j.0.0.0", 1)
+	})
+	t.Run("the report lacks the run", func(t *testing.T) {
+		w := newReplacedHarness(t)
+		clear(w.workers["w0"].active)
+		w.pool.Reported(refOf("w0"), jayport.Report{Clock: w.now}, w.now, w.now)
+		wantStartAfterConfirmation(t, w, "j.0.0.0", 1)
+	})
+}
+
+// Guards against a job that two owners begin: the next one has stored it, and the former one reads it
+// before it reads that it was replaced.
+func TestFoundJobBeginsOnceTheOwnerIsConfirmed(t *testing.T) {
+	w := newReplacedHarness(t)
+	w.pool.DeclareFound(newSpec("k", 1, single), w.now)
+	wantStartAfterConfirmation(t, w, "k.0.0.0", 0)
+}
+
+// Guards against tasks that are started again while they run: the inventory does not have a worker yet
+// that is listed and answers.
+func TestAnsweringWorkerIsNotEndedByTheInventory(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 2)
+	declare(w, newSpec("j", 1, single))
+	w.now += 100 * time.Millisecond // its next report is not due yet
+	w.pool.InventoryRead(nil, w.now, w.now)
+	is.Equal(len(w.pool.workers), 2)
+	for id := range w.workers {
+		w.pool.ReportFailed(refOf(id), w.now)
+	}
+	w.workers["w0"].silent, w.workers["w1"].silent = true, true
+	w.pool.InventoryRead(nil, w.now, w.now)
+	is.Equal(len(w.pool.workers), 0)
+}
+
+// Guards against tasks that are started while a former owner's run of them continues: the worker lists
+// the run in a row that cannot be read.
+func TestPartialReportDoesNotEndTheWaitForFormerRuns(t *testing.T) {
+	is := is.New(t)
+	w := takeOverIdle(t, "w2")
+	w.pool.Reported(refOf("w2"), jayport.Report{Clock: w.now, Partial: true}, w.now, w.now)
+	w.pass(time.Second)
+	is.Equal(w.starts("j.0.0.0"), 0)
+	w.pool.Reported(refOf("w2"), jayport.Report{Clock: w.now}, w.now, w.now)
+	w.run()
+	is.Equal(w.starts("j.0.0.0"), 1)
+}
