A task whose run was lost restarts once its owner is confirmed

Cause: a lease counts as over only once the owner is confirmed for a later time, but the other conclusions that a run is over asked for nothing: the worker left the inventory, another incarnation answers, a report lacks the run (its end was acknowledged by the next owner). Likewise a job that another owner had stored was begun at once, on a worker that the next owner had not reached yet. Class: a conclusion about the present, drawn from the right to act of the past.

Change: each such conclusion carries its time, and the task starts once the owner is confirmed for it: one append without records, only for lost runs and found jobs. Probes on slow workers obey the same condition (mayStart).

--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -63,7 +63,7 @@
 			w.contact = lapsed
 			w.lapsedSuspects, w.lapsedSuspectsAtStart = w.suspects()
 			p.recordEvent(Event{Kind: WorkerLapsed, Worker: w.ID, Since: w.lastAnswerAt}, now)
-			p.loseRuns(w, "its lease has ended", now)
+			p.loseRuns(w, "its lease has ended", w.leaseBound, now)
 		}
 		// Requests to a worker that is no longer listed and does not answer are not repeated
 		// forever: each attempt is a new connection to an address that may belong to another
--- a/jaysched/heldback.go
+++ b/jaysched/heldback.go
@@ -55,7 +55,7 @@
 	}
 	could := false
 	s.waitingTask(func(t *task) (decided bool) {
-		if now < t.notBefore || formerRuns && t.mayRunUnreported {
+		if !p.mayStart(t, formerRuns, now) {
 			return false
 		}
 		could = slices.ContainsFunc(p.sorted, func(w *worker) bool { return p.allows(w, t, now) })
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -55,6 +55,8 @@
 	// foundInStore says that another owner stored the job, so that a former owner may have
 	// begun it.
 	foundInStore bool
+	// foundAt is when such a job was found.
+	foundAt time.Duration
 	// inherited says that a former owner may have begun the job.
 	inherited bool
 	// longRunning says that the job runs until it is cancelled, advised that the advisor
@@ -191,8 +193,10 @@
 	parked bool
 	// released says that a run of the task was restarted to release its worker.
 	released bool
-	// droppedAt is when the task lost its latest run.
+	// droppedAt is when the task lost its latest run, lostAt when its latest run was over whose end
+	// is not known.
 	droppedAt time.Duration
+	lostAt    time.Duration
 	// notBefore delays the next start after a failure, by retryDelay after the latest one.
 	notBefore  time.Duration
 	retryDelay time.Duration
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -144,21 +144,28 @@
 		p.recordLoss(w, now)
 	}
 	p.recordEvent(Event{Kind: WorkerLeft, Worker: w.ID, Detail: why}, now)
-	p.loseRuns(w, why, now)
+	p.loseRuns(w, why, now, now)
 	p.remove(w)
 	p.forgetAdvice(w)
 	p.actions = append(p.actions, ForgetWorker{To: w.workerRef()})
 	p.attribute(w, suspects, atStart, now)
 }
 
-// loseRuns removes all runs of a worker: their tasks wait again.
-func (p *Pool) loseRuns(w *worker, why string, now time.Duration) {
+// loseRuns removes all runs of a worker, which were over at some time: their tasks wait again.
+func (p *Pool) loseRuns(w *worker, why string, over, now time.Duration) {
 	for _, r := range slices.Clone(w.inOrder) {
 		p.recordEvent(Event{Kind: RunLost, Worker: w.ID, Run: r.ref(), Detail: why, Since: now - w.lastAnswerAt, Waited: now - r.orderedAt}, now)
-		p.dropRun(r, now)
+		p.loseRun(r, over, now)
 	}
 }
 
+// loseRun removes a run that was over at some time without its end being known.
+func (p *Pool) loseRun(r *run, over, now time.Duration) {
+	r.task.lostAt = over
+	p.ownership.need(over)
+	p.dropRun(r, now)
+}
+
 func (p *Pool) dropRun(r *run, now time.Duration) {
 	if r.worker.remove(r, now) {
 		p.quotas.countRun(r, -1)
@@ -281,7 +288,7 @@
 		confirmed := r.confirmedAt > 0 && r.confirmedAt < asked
 		if confirmed && !seen[r.ref()] {
 			p.recordEvent(Event{Kind: RunVanished, Worker: w.ID, Run: r.ref(), Waited: now - r.orderedAt}, now)
-			p.dropRun(r, now)
+			p.loseRun(r, now, now)
 		}
 	}
 }
--- a/jaysched/ownership.go
+++ b/jaysched/ownership.go
@@ -19,8 +19,10 @@
 // seen no fence at all. The symptom is a task that two entries started within some seconds.
 //
 // Therefore a lease counts as ended, and a worker as usable, only if the owner had not been
-// replaced at a time after the lease ended or the worker was found. The check takes one append
-// without records, in parallel with the worker's first report.
+// replaced at a time after the lease ended or the worker was found. The same holds for a run that
+// is concluded to be over without its end, which the next owner may have recorded and
+// acknowledged, and for a job that another owner has stored. The check takes one append without
+// records, in parallel with the worker's first report.
 type ownership struct {
 	// replaceable says that the owner may be replaced at all.
 	replaceable bool
@@ -30,8 +32,10 @@
 	validFor time.Duration
 	// resumedAt is when the owner resumed after a pause, in which it may have been replaced.
 	resumedAt time.Duration
-	asking    bool
-	askAt     time.Duration
+	// neededAt is the latest time up to which a lost run or a found job needs the owner confirmed.
+	neededAt time.Duration
+	asking   bool
+	askAt    time.Duration
 }
 
 // WithReplaceableOwner makes the pool act only while its owner is known to be the owner: it was
@@ -81,6 +85,11 @@
 	return now - o.confirmedAt
 }
 
+// need requests that the owner be confirmed up to a time.
+func (o *ownership) need(at time.Duration) {
+	o.neededAt = max(o.neededAt, at)
+}
+
 // lapsed reports whether the owner's last confirmation is too old for it to act.
 func (o *ownership) lapsed(now time.Duration) bool {
 	return o.replaceable && now-o.confirmedAt > o.validFor
@@ -95,10 +104,10 @@
 	p.actions = append(p.actions, ConfirmOwner{})
 }
 
-// needsConfirmation reports whether a worker that was found, or a lease that should have ended,
-// waits for the confirmation that the owner was not replaced.
+// needsConfirmation reports whether a worker or job that was found, a lease that should have ended, or
+// a lost run waits for the confirmation that the owner was not replaced.
 func (p *Pool) needsConfirmation(now time.Duration) bool {
-	if p.ownership.lapsed(now) || p.OwnerUnconfirmed() {
+	if p.ownership.lapsed(now) || p.OwnerUnconfirmed() || !p.ownership.confirmedSince(p.ownership.neededAt) {
 		return true
 	}
 	for _, w := range p.sorted {
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -62,7 +62,7 @@
 		if t == nil {
 			return
 		}
-		if !t.waiting() || now < t.notBefore || formerRuns && t.mayRunUnreported {
+		if !t.waiting() || !p.mayStart(t, formerRuns, now) {
 			if untouched {
 				return // the later tasks do not differ from it
 			}
@@ -78,6 +78,15 @@
 	}
 }
 
+// mayStart reports whether a waiting task may start as far as its former runs and the owner are
+// concerned. formerRuns says that a former owner may have started the restored tasks.
+func (p *Pool) mayStart(t *task, formerRuns bool, now time.Duration) bool {
+	if now < t.notBefore || formerRuns && t.mayRunUnreported {
+		return false
+	}
+	return p.ownership.confirmedSince(max(t.lostAt, t.step.job.foundAt))
+}
+
 // placeTask starts a task, or reserves a worker for it. It returns false if the other tasks of
 // its step find no worker either.
 func (p *Pool) placeTask(t *task, now time.Duration) (tryNext bool) {
@@ -135,7 +144,7 @@
 func (p *Pool) placeGang(s *step, formerRuns bool, now time.Duration) {
 	var chosen []*worker
 	for _, t := range s.tasks {
-		if !t.waiting() || now < t.notBefore || formerRuns && t.mayRunUnreported {
+		if !t.waiting() || !p.mayStart(t, formerRuns, now) {
 			return
 		}
 	}
--- a/jaysched/unknownjobs.go
+++ b/jaysched/unknownjobs.go
@@ -44,7 +44,8 @@
 		return false
 	}
 	j := p.jobs[spec.ID]
-	j.foundInStore, j.inherited = true, true
+	j.foundInStore, j.foundAt, j.inherited = true, now, true
+	p.ownership.need(now)
 	p.quotas.possible = nil
 	j.markUnreported()
 	return true
