A worker that answers has not ended

Cause: a worker that is on the list of workers and not in an inventory read after it joined was taken for ended as soon as it had not answered since the read began; it need not answer for up to a second while a report waits. Its tasks were started elsewhere while they ran. Whether the platform lists a worker before its inventory has it is not known; nothing on its pages excludes it.

Tests in which a worker ends let its request fail now, as an ended worker's does; what they demand is unchanged.

--- a/jaysched/crash_test.go
+++ b/jaysched/crash_test.go
@@ -51,9 +51,11 @@
 	return len(crashed)
 }
 
-// inventoryLoses ends a worker and passes the pool an inventory without it.
+// inventoryLoses ends a worker, which leaves a request unanswered, and passes the pool an inventory
+// without it.
 func (w *harness) inventoryLoses(id string) {
 	delete(w.workers, id)
+	w.pool.ReportFailed(refOf(id), w.now)
 	w.now += time.Millisecond
 	w.pool.InventoryRead(sortedKeys(w.workers), w.now, w.now)
 	w.list()
@@ -198,7 +200,9 @@
 			for _, id := range sortedKeys(w.workers) {
 				if w.workers[id].info.Rack != rack {
 					left = append(left, id)
+					continue
 				}
+				w.pool.ReportFailed(refOf(id), w.now)
 			}
 			w.now += time.Millisecond
 			w.pool.InventoryRead(left, w.now, w.now)
--- a/jaysched/incarnation_test.go
+++ b/jaysched/incarnation_test.go
@@ -69,6 +69,7 @@
 		is.New(w.t).Equal(w.pool.workers["a"], nil) // not used before its heartbeat is listed
 	})
 	returns("the inventory shows it first", func(w *harness) {
+		w.pool.ReportFailed(jayport.WorkerRef{ID: "a", Incarnation: 1000, Addr: "a:1"}, w.now)
 		w.now += time.Millisecond
 		w.pool.InventoryRead(nil, w.now, w.now)
 		w.restart("a", 2000)
--- a/jaysched/suspect_test.go
+++ b/jaysched/suspect_test.go
@@ -118,6 +118,7 @@
 		for id := range w.workers {
 			if lost[id] {
 				w.workers[id].silent = true
+				w.pool.ReportFailed(refOf(id), w.now)
 			} else {
 				left = append(left, id)
 			}
@@ -345,6 +346,9 @@
 			f.info.Rack = "r"
 		}
 		w = relist(w)
+		for id := range w.workers {
+			w.pool.ReportFailed(refOf(id), w.now)
+		}
 		clear(w.workers)
 		w.pool.InventoryRead(nil, w.now, w.now)
 		w.now += rackLossWindow / 4
