A report with unreadable rows does not end the wait for former runs

Cause: a worker counted as having reported all runs of a former owner although some rows of its report could not be read, so that a restored task could be started while its run continued.

Change: only a complete report counts. TestPartialReportDoesNotEndTheWaitForFormerRuns failed before (1 != 0) and passes. The wait stays bounded by the former owner's leases.

--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -218,7 +218,7 @@
 	p.clearSuspicions(w, now)
 	clear(w.unknownJobs)
 	processed := p.processEnds(w, report.Ended, now)
-	if processed && len(report.Ended) < jayport.MaxReportedEnds {
+	if processed && !report.Partial && len(report.Ended) < jayport.MaxReportedEnds {
 		p.formerRuns.reported(w.ID)
 	}
 	seen := p.processActiveRuns(w, report.Active, now)
