Only a worker that the inventory never had must be silent to have ended

A worker that the inventory has had and lacks now has ended; only one that it never had may be new to it. TestAnsweringWorkerIsNotEndedByTheInventory covers both.

--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -92,8 +92,9 @@
 
 // InventoryRead handles the list of workers that the inventory had in the pool at the time
 // asked. A worker that is not on the list of workers may have runs that a former owner started;
-// a worker that the inventory no longer has, that has not answered since and leaves requests
-// unanswered has ended. A list that is older than the newest one is ignored.
+// a worker that the inventory no longer has, and that has not answered since, has ended. One that it
+// never had must leave a request unanswered as well: it may be on the list of workers first. A list
+// of the inventory that is older than the newest one is ignored.
 func (p *Pool) InventoryRead(ids []string, asked, now time.Duration) {
 	if !p.formerRuns.inventoryRead(ids, asked, p.workers) {
 		return
@@ -105,8 +106,8 @@
 	}
 	var ended []*worker
 	for _, w := range p.sorted {
-		// A worker that has just joined may be listed before the inventory has it.
-		if !exists[w.ID] && w.joinedAt < asked && w.lastAnswerAt < asked && w.missingReports > 0 {
+		w.inventoried = w.inventoried || exists[w.ID]
+		if !exists[w.ID] && w.joinedAt < asked && w.lastAnswerAt < asked && (w.inventoried || w.missingReports > 0) {
 			w.confirmedLost = true
 			ended = append(ended, w)
 		}
--- a/jaysched/replaced_test.go
+++ b/jaysched/replaced_test.go
@@ -79,6 +79,10 @@
 	w.now += 100 * time.Millisecond // its next report is not due yet
 	w.pool.InventoryRead(nil, w.now, w.now)
 	is.Equal(len(w.pool.workers), 2)
+	w.pool.InventoryRead([]string{"w1"}, w.now, w.now)
+	w.now += time.Millisecond
+	w.pool.InventoryRead(nil, w.now, w.now)
+	is.Equal(sortedKeys(w.pool.workers), []string{"w0"}) // the inventory had w1
 	for id := range w.workers {
 		w.pool.ReportFailed(refOf(id), w.now)
 	}
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -70,8 +70,10 @@
 	// asking says that a request is in flight; askAt is when the next one is due.
 	asking bool
 	askAt  time.Duration
-	// listed says that the latest list of workers contains the worker.
-	listed bool
+	// listed says that the latest list of workers contains the worker, inventoried that the inventory
+	// has had it.
+	listed      bool
+	inventoried bool
 	// unaccountedRuns counts the runs in the latest report that the pool does not account for:
 	// they take an unknown amount of room until they have been stopped.
 	unaccountedRuns int
