The next owner waits for as long as the former one relies on

Change: an owner to which the store is slow records, under its fence, that the next owner waits 800 ms after it has fenced this one before its first order. Once that is recorded, a confirmation holds for that much longer, whoever the next owner is and however fast the store is for it. The next owner reads the record with the progress of the jobs, which it does anyway; while the store is fast there is none.

During an upgrade a next owner of an earlier version does not wait.

--- a/jaynode/duty.go
+++ b/jaynode/duty.go
@@ -25,11 +25,17 @@
 	cancel  context.CancelFunc
 	inbox   *jayring.Ring[event]
 	journal *jayjournal.Journal
+	// confirmations asks the store whether the duty has another owner. Its appends have no records, so
+	// that they need not wait for those of the journal, which have the same producer.
+	confirmations *jayjournal.Journal
 }
 
 // newDuty returns the duty of a claim; its records are kept in the given partition.
 func newDuty(n *Node, claim jayowner.Claim, p jayport.Partition, inboxSize int, logger logr.Logger) duty {
 	ctx, cancel := context.WithCancel(context.Background())
+	newJournal := func() *jayjournal.Journal {
+		return jayjournal.New(n.store, p, string(claim.Duty), claim.Fence, n.clock, logger, jayjournal.WithLatency(n.store.Latency), jayjournal.WithLink(n.settings.LinkMegabits))
+	}
 	return duty{
 		node:    n,
 		claim:   claim,
@@ -37,7 +43,9 @@
 		ctx:     ctx,
 		cancel:  cancel,
 		inbox:   jayring.New[event](inboxSize),
-		journal: jayjournal.New(n.store, p, string(claim.Duty), claim.Fence, n.clock, logger, jayjournal.WithLatency(n.store.Latency), jayjournal.WithLink(n.settings.LinkMegabits)),
+		journal: newJournal(),
+
+		confirmations: newJournal(),
 	}
 }
 
@@ -52,11 +60,13 @@
 // of the journal, such as that the owner was replaced and its producer is fenced, ends
 // the duty.
 func (d *duty) startJournal() {
-	d.node.duties.Go(func() {
-		if err := d.journal.Run(d.ctx); err != nil && d.ctx.Err() == nil {
-			d.end(err.Error())
-		}
-	})
+	for _, journal := range []*jayjournal.Journal{d.journal, d.confirmations} {
+		d.node.duties.Go(func() {
+			if err := journal.Run(d.ctx); err != nil && d.ctx.Err() == nil {
+				d.end(err.Error())
+			}
+		})
+	}
 }
 
 // loop calls step at each tick and whenever events are waiting, until the duty ends.
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -70,7 +70,8 @@
 	flushing     bool
 	nextExpireAt time.Duration
 	// nextSharesAt is when the organisations' shares are passed to the metrics next.
-	nextSharesAt time.Duration
+	nextSharesAt  time.Duration
+	takeoverDelay takeoverDelay
 	// heldBack tracks for how long the limit of starts in flight holds tasks back.
 	heldBack heldBack
 	// lastActiveAt is when the duty's goroutine last processed an event or began a step.
@@ -170,6 +171,7 @@
 	now := d.node.clock()
 	d.detectPause(now)
 	d.updateOwnership()
+	d.reviewTakeoverDelay()
 	d.pool.JobsKnown(jobsAsOf)
 	d.pool.SetStarts(d.latency.Starts())
 	for _, action := range d.pool.Decide(now) {
--- a/jaynode/poolownership.go
+++ b/jaynode/poolownership.go
@@ -35,7 +35,7 @@
 // by fencing the former owner's producer.
 func (d *poolDuty) confirmOwner() {
 	asked := d.node.clock()
-	addToJournal(d.journal, nil, func(err error) {
+	addToJournal(d.confirmations, nil, func(err error) {
 		d.post(func(now time.Duration) { d.pool.OwnerConfirmed(asked, err, now) })
 	})
 }
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -44,6 +44,7 @@
 		d.logger.Info("pool takeover failed", "error", err.Error())
 		return false
 	}
+	fencedAt := d.node.clock()
 	// Both are read in parallel, since each call takes long if the store is slow.
 	var jobs sync.WaitGroup
 	var shown map[string]bool
@@ -57,6 +58,10 @@
 	if d.ctx.Err() != nil {
 		return false
 	}
+	d.awaitTakeoverDelay(fencedAt)
+	if d.ctx.Err() != nil {
+		return false
+	}
 	d.jobs.finishLoad(progress)
 	for _, id := range slices.Sorted(maps.Keys(shown)) {
 		d.logger.Info("job was shown as done by a former owner", "job", id)
@@ -117,7 +122,7 @@
 // loadProgress reads the progress records of the pool by job ID and retries until it
 // succeeds or the duty ends.
 func (d *poolDuty) loadProgress() map[string]*jaywire.JobProgress {
-	c := &progressCollector{pool: d.name, byJob: map[string]*jaywire.JobProgress{}, logger: d.logger}
+	c := &progressCollector{pool: d.name, byJob: map[string]*jaywire.JobProgress{}, logger: d.logger, delay: &d.takeoverDelay.recorded}
 	tail := jaytail.New(d.node.store, d.node.ports.Formats.Own(topicProgress, d.node.partitionOf(d.name)),
 		jaytail.Options{Prefix: d.name + "/"}, c, d.node.clock, d.logger)
 	for d.ctx.Err() == nil {
@@ -137,16 +142,25 @@
 	pool   string
 	byJob  map[string]*jaywire.JobProgress
 	logger logr.Logger
+	// delay receives the takeover delay.
+	delay *time.Duration
 }
 
 // Reset discards the collected records before a reload.
-func (c *progressCollector) Reset() { clear(c.byJob) }
+func (c *progressCollector) Reset() {
+	clear(c.byJob)
+	*c.delay = 0
+}
 
-// Apply decodes a progress record.
+// Apply decodes a progress record, or the takeover delay.
 func (c *progressCollector) Apply(r jayport.Record) {
 	if r.Value == nil {
 		return
 	}
+	if jobID(c.pool, r.Key) == takeoverDelayKey {
+		*c.delay = readTakeoverDelay(r.Value)
+		return
+	}
 	record := &jaywire.JobProgress{}
 	if err := proto.Unmarshal(r.Value, record); err != nil {
 		c.logger.Error(err, "job progress cannot be decoded", "key", r.Key)
--- a/jaysched/ownership.go
+++ b/jaysched/ownership.go
@@ -28,7 +28,10 @@
 	replaceable bool
 	// confirmedAt is the latest time at which the owner had not been replaced.
 	confirmedAt time.Duration
-	// validFor is how long after that time the owner may act.
+	// takeoverDelay is how long the next owner waits, after it has replaced this one, before it
+	// acts.
+	takeoverDelay time.Duration
+	// validFor is how long after confirmedAt the owner may act.
 	validFor time.Duration
 	// resumedAt is when the owner resumed after a pause, in which it may have been replaced.
 	resumedAt time.Duration
@@ -49,6 +52,12 @@
 	p.ownership.confirmedAt = max(p.ownership.confirmedAt, at)
 }
 
+// SetTakeoverDelay sets how long the next owner waits, after it has replaced this one, before it acts.
+// It must be recorded where the next owner finds it.
+func (p *Pool) SetTakeoverDelay(delay time.Duration) {
+	p.ownership.takeoverDelay = delay
+}
+
 // OwnerPaused records that the owner was paused until now: until it is confirmed that it has not
 // been replaced in the meantime, no run is started, and requests about jobs are not answered
 // from its state. Otherwise a job that the next owner had ended would be shown as running again.
@@ -71,9 +80,9 @@
 	p.SetConfirmedAt(asked)
 }
 
-// confirmedSince reports whether the owner is known not to have been replaced up to a time.
+// confirmedSince reports whether no other owner is known to have acted up to a time.
 func (o *ownership) confirmedSince(at time.Duration) bool {
-	return !o.replaceable || o.confirmedAt >= at
+	return !o.replaceable || o.confirmedAt+o.takeoverDelay >= at
 }
 
 // confirmationAge returns how long ago the owner was last known not to have been replaced, and zero
