Failing test: a load repeats a page whose last key cannot be requested

The store is asked for the keys after the last one of a page. An empty key is the same as none, and a key that is not UTF-8 arrives in JSON with other bytes, which sort before the key: both times the store returns the same page, and the load requests it again without a pause. All later records stay unread and each call is billed. A page ends at a large value, so one record of another writer suffices.

--- a/jaytail/tail_test.go
+++ b/jaytail/tail_test.go
@@ -80,12 +80,15 @@
 	}
 	var all []jayport.Record
 	for key, r := range m.newest {
-		if key > after {
+		if after == "" || key > after {
 			all = append(all, r)
 		}
 	}
 	slices.SortFunc(all, func(a, b jayport.Record) int { return strings.Compare(a.Key, b.Key) })
 	page := jayport.Latest{Records: all[:min(m.perPage, len(all))], More: len(all) > m.perPage, End: m.first + int64(len(m.records))}
+	for n := range page.Records {
+		page.Records[n].Key = string([]rune(page.Records[n].Key)) // as in JSON
+	}
 	if m.during != nil {
 		m.during()
 	}
@@ -219,6 +222,30 @@
 	return New(m, jayport.Partition{Topic: "t"}, options, s, jayclock.Since(time.Now().Add(-time.Hour)), logr.Discard()), s
 }
 
+func TestLoadPassesKeysThatCannotBeRequested(t *testing.T) {
+	// Guards against a load that requests one page again and again, since it cannot name the
+	// page's last key to the store.
+	for name, foreign := range map[string]string{"empty": "", "not UTF-8": "k\xff", "first byte not UTF-8": "\xff"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMemoryStore()
+			m.perPage = 1
+			m.during = func() {
+				if m.pages > 20 {
+					m.newest = map[string]jayport.Record{} // ends the load
+				}
+			}
+			for _, key := range []string{"a", "k", "m", "z", foreign} {
+				m.put(key, "x")
+			}
+			tail, got := newTail(m, Options{})
+			is.NoErr(tail.Step(0))
+			is.Equal(len(got.values), 5)
+			is.True(m.pages <= 7) // one for each key, and one or two for the foreign one
+		})
+	}
+}
+
 func TestTail(t *testing.T) {
 	t.Run("loads all pages, then follows", func(t *testing.T) {
 		is := is.New(t)
