A load continues after keys that cannot be requested

Callers would have seen an entry that never gets ready, or an owner that follows no list, beside one record with an empty key or a key that is not UTF-8 at the end of a page.

Cause: the load took the last key of a page for the place from which the store continues. Class: progress that depends on the content of a record of another writer.

Change: a load continues after "\x00" if the key is empty, and at the next start in ASCII if a page brought it no further. Records whose keys have the same start and are not UTF-8 may be passed over in a load; a read of new records still returns them.

go test -race ./jaytail: ok, 1.1 s.

--- a/jaytail/tail.go
+++ b/jaytail/tail.go
@@ -6,8 +6,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/go-logr/logr"
 
@@ -308,11 +311,35 @@
 		if t.applyPage(page) {
 			break
 		}
+		if t.loadAfter = continueAfter(after, t.loadAfter); t.loadAfter == "" {
+			break
+		}
 	}
 	t.loaded, t.loadAfter, t.pageTimeout = true, "", readTimeout
 	return nil
 }
 
+// continueAfter returns the key after which a load continues, or "" if no further key can be
+// requested: the last key of the page that was requested after another key. The store cannot be
+// asked for the keys after an empty one, which stands for none, or after one that is not UTF-8,
+// which the page names with other bytes. Instead of such a key, the first one is used that has
+// another ASCII character where they are not UTF-8.
+func continueAfter(requested, last string) string {
+	if last == "" {
+		return "\x00"
+	}
+	start, _, replaced := strings.Cut(last, string(utf8.RuneError))
+	if last > requested || !replaced {
+		return last
+	}
+	for n := len(start) - 1; n >= 0; n-- {
+		if start[n] < unicode.MaxASCII {
+			return start[:n] + string(rune(start[n]+1))
+		}
+	}
+	return ""
+}
+
 // applyPage passes a page of a load to the handler and reports whether it is the last
 // one.
 func (t *Tail) applyPage(page jayport.Latest) (last bool) {
