A batch that cannot be encoded is not recorded in part

Change: such a batch is not recorded at all, and tried again. The test is new; on the code before, the function returned the other record and no error.

--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -68,6 +68,7 @@
 	existing     []string
 	jobs         *jobTail
 	flushing     bool
+	nextFlushAt  time.Duration
 	nextExpireAt time.Duration
 	// nextSharesAt is when the organisations' shares are passed to the metrics next.
 	nextSharesAt  time.Duration
@@ -325,14 +326,20 @@
 
 // flush writes the changed progress of the pool's jobs, one append at a time.
 func (d *poolDuty) flush() {
-	if d.flushing || !d.pool.Recordable(d.node.clock()) {
+	if now := d.node.clock(); d.flushing || now < d.nextFlushAt || !d.pool.Recordable(now) {
 		return
 	}
 	batch := d.pool.TakeBatch()
 	if batch == nil {
 		return
 	}
-	records := d.progressRecords(batch)
+	records, err := d.progressRecords(batch)
+	if err != nil {
+		d.logger.Error(err, "progress not recorded")
+		d.pool.BatchRejected(batch)
+		d.nextFlushAt = d.node.clock() + storeRetryDelay
+		return
+	}
 	if len(records) == 0 {
 		d.pool.BatchRecorded(batch, d.node.clock())
 		return
--- a/jaynode/poolduty_test.go
+++ b/jaynode/poolduty_test.go
@@ -13,6 +13,7 @@
 	"jaythread/jayowner"
 	"jaythread/jaypool"
 	"jaythread/jayport"
+	"jaythread/jaysched"
 	"jaythread/jaywire"
 )
 
@@ -337,6 +338,19 @@
 	})
 }
 
+// Guards against an end that is acknowledged and not recorded: the progress of its job cannot be encoded.
+func TestBatchThatCannotBeEncodedIsNotRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newPoolFixture(t, 1)
+		w.refreshClaimsFor(time.Second)
+		batch := &jaysched.Batch{Progress: map[string]*jaywire.JobProgress{testID: {Organisation: "\xff"}, "other": {}}}
+		records, err := w.duty.progressRecords(batch)
+		is.True(err != nil)
+		is.Equal(len(records), 0)
+	})
+}
+
 func TestRestartedDutyWaitsForItsFormerRuns(t *testing.T) {
 	// Guards against running a task twice: the duty of a pool's first owner ended by itself and
 	// was started again under the same claim, and did not wait for the runs that it had started
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -1,6 +1,7 @@
 package jaynode
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -172,8 +173,10 @@
 // CaughtUp implements jaytail.Handler and does nothing.
 func (c *progressCollector) CaughtUp(time.Duration) {}
 
-// progressRecords returns the records of a batch, sorted by key.
-func (d *poolDuty) progressRecords(batch *jaysched.Batch) []jayport.Record {
+// progressRecords returns the records of a batch, sorted by key. Its error names a job whose progress
+// cannot be encoded; nothing of the batch may be recorded then, since the ends in it would be
+// acknowledged.
+func (d *poolDuty) progressRecords(batch *jaysched.Batch) ([]jayport.Record, error) {
 	var records []jayport.Record
 	for id, progress := range batch.Progress {
 		if progress.Outcome != jaywire.JobOutcome_JOB_OUTCOME_UNSPECIFIED {
@@ -181,13 +184,12 @@
 		}
 		value, err := proto.Marshal(progress)
 		if err != nil {
-			d.logger.Error(err, "job progress cannot be encoded", "job", id)
-			continue
+			return nil, fmt.Errorf("progress of job %q cannot be encoded: %w", id, err)
 		}
 		records = append(records, jayport.Record{Key: jobKey(d.name, id), Value: value})
 	}
 	slices.SortFunc(records, func(a, b jayport.Record) int { return strings.Compare(a.Key, b.Key) })
-	return records
+	return records, nil
 }
 
 // jobTail reads the jobs that are submitted for a pool.
