The former owner's leases are awaited from its fencing

Cause: the next owner held restored tasks for ownershipTimeout and a lease from the start of its duty. Appends of the former one confirm it until it is fenced, so that it grants leases for as long after the fencing. Whatever time the next owner takes between its claim and its fence, by a slow store or a pause, was missing from the wait; with a pause of 15 s nothing was held at all.

Change: the wait begins when the former owner has been fenced.

--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -32,8 +32,8 @@
 	// ownershipTimeout is how long an owner goes on without a confirmation from the store
 	// that it still owns its pool. It is longer than most outages.
 	ownershipTimeout = 10 * time.Second
-	// formerLeaseWait is how long after a claim leases of the former owner may still be
-	// valid: the former owner may learn of the claim only after ownershipTimeout.
+	// formerLeaseWait is how long after the former owner was fenced its leases may still be
+	// valid: it may learn of that only after ownershipTimeout.
 	formerLeaseWait = ownershipTimeout + leaseTime + leaseTime/20
 	// maxNotFoundAge is the maximum age of the data on which the answer that a job does
 	// not exist is based.
@@ -44,6 +44,8 @@
 type poolDuty struct {
 	duty
 	name string
+	// hasFormer says that there may be runs of a former owner.
+	hasFormer bool
 	// loaded is set once the jobs and their progress have been read.
 	loaded atomic.Bool
 	// storedJobs maps the IDs of the jobs that are in the store to the names of their
@@ -104,9 +106,8 @@
 		options = append(options, jaysched.WithLender(fleet.Fence))
 	}
 	// A duty that ended by itself is started again under the same claim.
-	if _, restarted := n.startedClaims.LoadOrStore(startedClaim{pool: name, fence: claim.Fence}, true); restarted || claim.Term > 1 {
-		options = append(options, jaysched.WithFormerOwner(n.clock()+formerLeaseWait))
-	}
+	_, restarted := n.startedClaims.LoadOrStore(startedClaim{pool: name, fence: claim.Fence}, true)
+	d.hasFormer = restarted || claim.Term > 1
 	d.pool = jaysched.NewPool(name, jaysched.Settings{
 		Lease:     min(leaseTime, n.settings.MaxLease),
 		Stop:      n.settings.StopTime,
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -45,6 +45,9 @@
 		return false
 	}
 	fencedAt := d.node.clock()
+	if d.hasFormer {
+		d.pool.HoldFormerRuns(fencedAt + formerLeaseWait)
+	}
 	// Both are read in parallel, since each call takes long if the store is slow.
 	var jobs sync.WaitGroup
 	var shown map[string]bool
--- a/jaysched/formerruns.go
+++ b/jaysched/formerruns.go
@@ -41,6 +41,12 @@
 	return func(p *Pool) { p.formerRuns.heldUntil = heldUntil }
 }
 
+// HoldFormerRuns is WithFormerOwner for a pool that exists already; it may be called before the first
+// decision. The former owner may grant leases until some time after it was fenced.
+func (p *Pool) HoldFormerRuns(until time.Duration) {
+	p.formerRuns.heldUntil = until
+}
+
 // TakenOver records that a former owner uses no worker that joins from the given time on. Without
 // it that is so from the start.
 func (p *Pool) TakenOver(at time.Duration) {
