The jobs are read once more after the takeover delay

Cause: the former owner relies on the next one not to act until the takeover delay is over. It begins jobs that it finds until then; the next owner had read the jobs before its wait, and took those that its own entry stored afterwards for its own.

Change: after the wait the next owner reads the jobs once more (one read, only while a delay is recorded), so that jobs stored meanwhile are restored and held like those that were stored before.

TestJobStoredDuringTheTakeoverDelayIsHeld failed before (1 != 0) and passes; go test -race ./jaynode passes.

--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -61,7 +61,11 @@
 	if d.ctx.Err() != nil {
 		return false
 	}
-	d.awaitTakeoverDelay(fencedAt)
+	if d.takeoverDelay.recorded > 0 {
+		d.awaitTakeoverDelay(fencedAt)
+		// The former owner may have begun jobs that were stored since the read.
+		d.loadJobs()
+	}
 	if d.ctx.Err() != nil {
 		return false
 	}
