--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -46,6 +46,9 @@
 		return false
 	}
 	fencedAt := d.node.clock()
+	if d.hasFormer {
+		d.pool.HoldFormerRuns(fencedAt + formerLeaseWait)
+	}
 	// Both are read in parallel, since each call takes long if the store is slow.
 	var jobs sync.WaitGroup
 	var shown map[string]bool
@@ -59,7 +62,11 @@
 	if d.ctx.Err() != nil {
 		return false
 	}
-	d.awaitTakeoverDelay(fencedAt)
+	if d.takeoverDelay.recorded > 0 {
+		d.awaitTakeoverDelay(fencedAt)
+		// The former owner may have begun jobs that were stored since the read.
+		d.loadJobs()
+	}
 	if d.ctx.Err() != nil {
 		return false
 	}
