A leaving entry repeats the release of its duties until it is done

Seen: a pool without an owner for seconds after its owner has left. The release was appended once, under the condition that nothing was claimed since the view was read. If another entry's claim came first it was refused as stale, and nobody repeated it; a claim of this entry whose append was under way when the duties were released was never released at all.

No bound of the stop grows: the stop does not wait for it.

--- a/jaymember/claims.go
+++ b/jaymember/claims.go
@@ -40,11 +40,14 @@
 	ownShareDelay = 100 * time.Millisecond
 )
 
-// claim claims vacant duties until the context ends.
+// claim claims vacant duties until the context ends. Once this entry is leaving, it releases those
+// that it owns: a release may have failed, and a claim may have been under way.
 func (o *Owners) claim(ctx context.Context) {
 	jayclock.Sleep(ctx, ownShareDelay)
 	for ctx.Err() == nil {
-		if !o.members.Stopping() {
+		if o.members.Stopping() {
+			o.releaseOwned(ctx)
+		} else {
 			o.claimVacant(ctx)
 		}
 		jayclock.Sleep(ctx, claimInterval)
@@ -236,12 +239,24 @@
 	return jayowner.Capacity(e.ProcessorsMilli, e.LinkMegabits)
 }
 
-// Release releases this entry's duties, so that other entries claim them at once.
+// releaseOwned releases the duties that this entry still owns, and waits for a newer view before
+// the next attempt.
+func (o *Owners) releaseOwned(ctx context.Context) {
+	if view := o.table.Load(); view != nil && o.release(view) {
+		o.awaitRead(ctx, view.next)
+	}
+}
+
+// Release releases this entry's duties, so that other entries claim them at once. Once the entry is
+// leaving, a release that fails is repeated until the membership ends.
 func (o *Owners) Release() {
-	view := o.table.Load()
-	if view == nil {
-		return
+	if view := o.table.Load(); view != nil {
+		o.release(view)
 	}
+}
+
+// release releases the duties that this entry owns in a view. It reports whether there are any.
+func (o *Owners) release(view *View) bool {
 	var records []jayport.Record
 	for _, c := range view.Claims() {
 		if c.Incarnation == o.members.Incarnation && !c.Released {
@@ -250,7 +265,7 @@
 		}
 	}
 	if len(records) == 0 {
-		return
+		return false
 	}
 	_, err := o.members.Store.Append(jayport.Append{
 		Partition: o.members.Formats.Own(topicOwners, 0),
@@ -260,4 +275,5 @@
 	if err != nil {
 		o.logger.Info("duties not released", "error", err.Error())
 	}
+	return true
 }
