--- /dev/null
+++ b/jaynode/stop_test.go
@@ -0,0 +1,59 @@
+package jaynode
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaythread/jayclock"
+	"jaythread/jaypeer"
+	"jaythread/jayport"
+	"jaythread/jayrelay"
+	"jaythread/jaywire"
+)
+
+// silentStore never answers a read until the test ends.
+type silentStore struct {
+	jayport.Store
+	asked, release chan struct{}
+}
+
+// Read waits until the test ends.
+func (s *silentStore) Read(jayport.Partition, int64, time.Duration, time.Duration) (jayport.Page, error) {
+	close(s.asked)
+	<-s.release
+	return jayport.Page{}, errUnreachable
+}
+
+// TestStopDuringAPeersCall guards against a process that is killed with the requests that it serves,
+// since its stop waits for a peer's call to a store that does not answer.
+func TestStopDuringAPeersCall(t *testing.T) {
+	is := is.New(t)
+	n := newTestEntry(t, "e0", newSharedStore(), newSharedHosts(jayclock.Boot, nil), jayclock.Boot).node
+	store := &silentStore{asked: make(chan struct{}), release: make(chan struct{})}
+	t.Cleanup(func() { close(store.release) })
+	n.relayServer = jayrelay.NewServer(store, n.clock)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	_, n.cancel = context.WithCancel(t.Context())
+	n.duties.Go(func() { n.peerServer.Serve(listener, nil) })
+	peer := jaypeer.NewClient("e1-00000000", time.Minute, nil)
+	go func() {
+		call := jayrelay.SharedReadCall(jayport.Partition{}, 0, 0, 0)
+		_, _ = peer.Ask(n.incarnation, listener.Addr().String(), &jaywire.PeerRequest{Body: &jaywire.PeerRequest_StoreCall{StoreCall: call}})
+	}()
+	<-store.asked
+	stopped := make(chan struct{})
+	go func() {
+		n.Stop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(10 * stopTimeout):
+		t.Error("Stop waits for the store")
+	}
+}
