A stop waits for no request of a peer beyond its bound

Cause: Node.Stop closed the peer server before its own time limit began, and jaypeer.Server.Close waits until all handlers have returned. A handler reads the store for a peer; that takes its timeout, and up to 30 s more while the response keeps arriving over a narrow link. The clients were closed before the limit too, with their lock held while each session ended.

Change: package jaystop runs the stages of a stop with one deadline and logs each that has not ended: what it waited for, what is pending and for how long. Node.Stop runs all its waits as such stages within the 300 ms that it had for the last one. Server.Pending names the oldest request that is being handled; neither server nor client holds its lock while a session closes.

Before: TestStopDuringAPeersCall FAIL (3.04s) "Stop waits for the store".

--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -17,6 +17,7 @@
 	"jaythread/jaypeer"
 	"jaythread/jayport"
 	"jaythread/jayrelay"
+	"jaythread/jaystop"
 	"jaythread/jaytail"
 	"jaythread/jaywire"
 	"jaythread/jaywitness"
@@ -195,28 +196,33 @@
 // records for seconds, and their results are not needed any more.
 const stopTimeout = 300 * time.Millisecond
 
-// Stop ends all duties and closes all connections.
+// Stop ends all duties and closes all connections. It returns after stopTimeout at the latest, and
+// logs what it has waited for in vain.
 func (n *Node) Stop() {
 	n.stopping.Store(true)
 	n.endDuties()
 	n.cancel()
-	n.peerServer.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	ended := jaystop.Run(ctx, n.logger,
+		jaystop.Stage{Name: "requests of peers", Run: n.peerServer.Close, Pending: n.peerServer.Pending},
+		jaystop.Stage{Name: "connections to peers", Run: n.closeLinks},
+		jaystop.Stage{Name: "calls of duties", Run: n.duties.Wait},
+	)
+	if ended {
+		n.logger.Info("stopped")
+		return
+	}
+	n.logger.Info("stopped while calls were pending")
+}
+
+// closeLinks closes the connections to peers.
+func (n *Node) closeLinks() {
 	n.peers.Close()
 	n.relayPeers.link.Close()
 	n.readerPeers.link.Close()
 	n.intake.link.Close()
 	n.members.Close()
-	ended := make(chan struct{})
-	go func() {
-		n.duties.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-		n.logger.Info("stopped")
-	case <-time.After(stopTimeout):
-		n.logger.Info("stopped while calls were pending")
-	}
 }
 
 // Catalog returns the catalog in force, or nil if none has been read yet.
--- a/jaypeer/client.go
+++ b/jaypeer/client.go
@@ -11,7 +11,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -95,12 +97,13 @@
 	return response, nil
 }
 
-// Close closes all sessions.
+// Close closes all sessions. Requests that wait for an answer fail.
 func (c *Client) Close() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.closed = true
-	for _, s := range c.sessions {
+	sessions := slices.Collect(maps.Values(c.sessions))
+	c.mu.Unlock()
+	for _, s := range sessions {
 		_ = s.Close()
 	}
 }
--- a/jaypeer/server.go
+++ b/jaypeer/server.go
@@ -3,7 +3,11 @@
 import (
 	"bufio"
 	"crypto/tls"
+	"fmt"
+	"maps"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,13 +31,15 @@
 	listener net.Listener
 	sessions map[*yamux.Session]struct{}
 	closed   bool
+	// handling holds the requests that are being handled and when that began.
+	handling map[*jaywire.PeerRequest]time.Time
 	done     sync.WaitGroup
 }
 
 // NewServer returns a server for the entry with the ID self. The timeout is how long the writing of
 // a response may go without progress.
 func NewServer(self string, timeout time.Duration, handler Handler) *Server {
-	return &Server{self: self, handler: handler, timeout: timeout, sessions: map[*yamux.Session]struct{}{}}
+	return &Server{self: self, handler: handler, timeout: timeout, sessions: map[*yamux.Session]struct{}{}, handling: map[*jaywire.PeerRequest]time.Time{}}
 }
 
 // Serve accepts connections until Close. If config is nil, connections are not
@@ -60,21 +66,40 @@
 	}
 }
 
-// Close closes the listener and all sessions, and waits until all requests are
-// processed.
+// Close closes the listener and all sessions, and waits until all requests are processed. That takes
+// as long as their handlers take; Pending may be called meanwhile.
 func (s *Server) Close() {
 	s.mu.Lock()
 	s.closed = true
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
-	for session := range s.sessions {
+	sessions := slices.Collect(maps.Keys(s.sessions))
+	s.mu.Unlock()
+	for _, session := range sessions {
 		_ = session.Close()
 	}
-	s.mu.Unlock()
 	s.done.Wait()
 }
 
+// Pending describes the requests that are being handled: their number, and the kind, the sender and
+// the age of the oldest one. It is empty if there is none.
+func (s *Server) Pending() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var oldest *jaywire.PeerRequest
+	for request, began := range s.handling {
+		if oldest == nil || began.Before(s.handling[oldest]) {
+			oldest = request
+		}
+	}
+	if oldest == nil {
+		return ""
+	}
+	kind := strings.TrimPrefix(fmt.Sprintf("%T", oldest.Body), "*jaywire.PeerRequest_")
+	return fmt.Sprintf("%d requests, %s of %s for %v", len(s.handling), kind, oldest.From, time.Since(s.handling[oldest]).Round(time.Millisecond))
+}
+
 func (s *Server) add(session *yamux.Session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -129,10 +154,23 @@
 	// A request to an earlier incarnation at this address gets an empty response:
 	// this incarnation does not have the state of that one.
 	if request.To == "" || request.To == s.self {
-		response = s.handler(request)
+		response = s.handle(request)
 	}
 	response.From = s.self
 	_ = conn.SetWriteDeadline(time.Now().Add(s.timeout))
 	_, err := protodelim.MarshalTo(conn, response)
 	return err == nil
 }
+
+// handle calls the handler.
+func (s *Server) handle(request *jaywire.PeerRequest) *jaywire.PeerResponse {
+	s.mu.Lock()
+	s.handling[request] = time.Now()
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.handling, request)
+		s.mu.Unlock()
+	}()
+	return s.handler(request)
+}
