--- a/jaynode/stop_test.go
+++ b/jaynode/stop_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"jaythread/jayclock"
+	"jaythread/jayowner"
 	"jaythread/jaypeer"
 	"jaythread/jayport"
 	"jaythread/jayrelay"
@@ -57,3 +59,20 @@
 		t.Error("Stop waits for the store")
 	}
 }
+
+// TestLeaveDoesNotWaitForTheStore guards against a stop that uses its time for the release of the
+// duties, and cuts the requests in progress: the store does not answer.
+func TestLeaveDoesNotWaitForTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := jayclock.Since(time.Now().Add(-time.Hour))
+		e := newTestEntry(t, "e0", newSharedStore(), newSharedHosts(clock, nil), clock)
+		e.setClaims(e.claim(jayowner.Fleet, 1, 1))
+		e.store.set(func(s *faultyStore) { s.unreachable = true })
+		began := clock()
+		e.node.Leave()
+		is.Equal(clock()-began, time.Duration(0))
+		time.Sleep(2 * jayport.CallTimeout) // ends the release
+		is.Equal(e.store.appends, 1)
+	})
+}
