A leaving entry drains while its duties are released

Cause: Node.Leave appended the release and returned with its answer, and the drain began after that.

Before: "stop_test.go:74: 500ms != 0s".

--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -184,12 +184,12 @@
 	n.duties.Go(func() { tail.Run(ctx) })
 }
 
-// Leave releases all duties of this entry. It performs each of them until another entry
-// has claimed it, and still answers callers.
+// Leave releases all duties of this entry, without waiting for the store. The entry performs each
+// of them until another one has claimed it, and still answers callers.
 func (n *Node) Leave() {
 	n.stopping.Store(true)
 	n.logger.Info("leaving")
-	n.members.Owners.Release()
+	n.duties.Go(n.members.Owners.Release)
 }
 
 // stopTimeout is how long Stop waits for pending calls. Reads of the store can wait for
--- a/jaynode/stop_test.go
+++ b/jaynode/stop_test.go
@@ -73,6 +73,6 @@
 		e.node.Leave()
 		is.Equal(clock()-began, time.Duration(0))
 		time.Sleep(2 * jayport.CallTimeout) // ends the release
-		is.Equal(e.store.appends, 1)
+		e.store.set(func(s *faultyStore) { is.Equal(s.appends, 1) })
 	})
 }
