Failing test: a stop during a start cuts a request and exceeds its bound

An entry whose store has not answered yet keeps a caller's query waiting for the owner of its pool until the query's deadline. A stop waits for it until stopBound, cuts it, and then takes its time for the event loops and the node beyond the bound: 2.5 s with a bound of 2 s.

stop_test.go:53: not true: time.Since(began) < time.Duration(o.StopBound) --- FAIL: TestStopDuringAStart (2.54s)

--- /dev/null
+++ b/jaycli/stop_test.go
@@ -0,0 +1,58 @@
+package jaycli
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"jaythread/jayaddress"
+	"jaythread/jaycatalog"
+	"jaythread/jayedge"
+	"jaythread/jaymetric"
+	"jaythread/jayoptions"
+)
+
+// TestStopDuringAStart guards against a request that ends without an answer, and a process that is
+// killed, when an entry is stopped before the store has answered it: the request waits for the owner
+// of a pool until its own deadline.
+func TestStopDuringAStart(t *testing.T) {
+	is := is.New(t)
+	silent, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	o := jayoptions.New()
+	o.StopGrace, o.StopBound = 0, jayoptions.Duration(2*time.Second)
+	o.JobService.StoreAddr = silent.Addr().String()
+	o.CallerAddr, err = jayaddress.Free()
+	is.NoErr(err)
+	o.PeerAddr, err = jayaddress.Free()
+	is.NoErr(err)
+	node := newNode(o, logr.Discard(), jaymetric.NewJobMetrics())
+	entered := make(chan struct{})
+	edge := jayedge.NewEdge(jayedge.Options{Addr: o.CallerAddr, EventLoops: 1, MaxRequestBytes: 1 << 10, MaxConns: 10, Idle: time.Minute, Write: time.Minute}, func(ctx *fasthttp.RequestCtx) {
+		close(entered)
+		if _, _, err := node.JobState(jaycatalog.Queue{Pool: "seats"}, "", "00", time.Minute); err != nil {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	}, logr.Discard())
+	is.NoErr(edge.Start())
+	is.NoErr(node.Start(t.Context()))
+	caller, err := net.Dial("tcp4", o.CallerAddr)
+	is.NoErr(err)
+	_, err = caller.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+	is.NoErr(err)
+	<-entered
+	began := time.Now()
+	err = stopNode(o, node, edge)
+	is.True(time.Since(began) < time.Duration(o.StopBound))
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+}
