A stop answers its callers and ends within stopBound

Seen: a stop of an entry whose store has not answered yet took 2.5 s with a stopBound of 2 s and cut a query without an answer (rule LOST).

Cause: the whole stopBound was the time of the callers; the event loops (1 s; gnet looks for their end twice a second, so that 0.5 s passed at each stop), the node (300 ms) and the log (200 ms) came on top. Requests in progress waited for their own deadline, however near the end of the process was.

Change: the time for the callers is stopBound less what the stages after it may take (200 + 300 + 200 ms). The edge waits for the return of the engine itself. Node.Cut, 200 ms before the callers' time is over, answers what is still in progress: queries as not run (503), submissions and cancellations as possibly run (504). Edge.Stop logs the requests that it cuts.

Before: TestStopDuringAStart FAIL (2.54s), "not true: time.Since(began) < time.Duration(o.StopBound)".

--- a/jaycli/serve_jobs.go
+++ b/jaycli/serve_jobs.go
@@ -135,13 +135,24 @@
 	return fasthttpadaptor.NewFastHTTPHandler(m.Handler())
 }
 
-// stopNode stops an entry gracefully. Its duties are released at once, so that
+const (
+	// closeTimeout is the part of the stopBound setting that is left for closing the connections
+	// and writing the log once the callers are answered.
+	closeTimeout = jayedge.CloseTimeout + jaynode.StopTimeout + logFlushTimeout
+	// lastAnswersTime is how long before that the requests that are still in progress are answered.
+	lastAnswersTime = 200 * time.Millisecond
+)
+
+// stopNode stops an entry gracefully within the stopBound setting. Its duties are released, so that
 // other entries take them over. Callers are served until the load balancer has
 // noticed that the entry is leaving; after that, the requests in progress are still
 // answered.
 func stopNode(options *jayoptions.Options, node *jaynode.Node, edge *jayedge.Edge) error {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(options.StopBound))
+	callersTime := time.Duration(options.StopBound) - closeTimeout
+	ctx, cancel := context.WithTimeout(context.Background(), callersTime)
 	defer cancel()
+	cut := time.AfterFunc(callersTime-lastAnswersTime, node.Cut)
+	defer cut.Stop()
 	node.Leave()
 	edge.Drain(ctx, time.Duration(options.StopGrace))
 	err := edge.Stop(ctx)
--- a/jayedge/edge.go
+++ b/jayedge/edge.go
@@ -16,6 +16,8 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/panjf2000/gnet/v2/pkg/logging"
 	"github.com/valyala/fasthttp"
+
+	"jaythread/jaystop"
 )
 
 // stopPoll is the interval at which Stop checks for connections that have become
@@ -43,13 +45,15 @@
 type Edge struct {
 	gnet.BuiltinEventEngine
 
-	options  Options
-	server   *fasthttp.Server
-	handler  fasthttp.RequestHandler
-	logger   logr.Logger
-	engine   gnet.Engine
-	booted   chan struct{}
-	failed   chan error
+	options Options
+	server  *fasthttp.Server
+	handler fasthttp.RequestHandler
+	logger  logr.Logger
+	engine  gnet.Engine
+	booted  chan struct{}
+	// ended is closed once the engine has ended, with runError.
+	ended    chan struct{}
+	runError error
 	conns    atomic.Int64
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -69,7 +73,7 @@
 		handler: handler,
 		logger:  logger,
 		booted:  make(chan struct{}),
-		failed:  make(chan error, 1),
+		ended:   make(chan struct{}),
 		pipes:   map[*pipe]struct{}{},
 	}
 	e.server = &fasthttp.Server{
@@ -107,7 +111,8 @@
 	}
 	_ = probe.Close()
 	go func() {
-		e.failed <- gnet.Run(e, "tcp4://"+e.options.Addr,
+		defer close(e.ended)
+		e.runError = gnet.Run(e, "tcp4://"+e.options.Addr,
 			gnet.WithNumEventLoop(e.options.EventLoops),
 			gnet.WithReuseAddr(true),
 			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
@@ -118,8 +123,8 @@
 	select {
 	case <-e.booted:
 		return nil
-	case err := <-e.failed:
-		return fmt.Errorf("listen for callers: %w", err)
+	case <-e.ended:
+		return fmt.Errorf("listen for callers: %w", e.runError)
 	}
 }
 
@@ -166,21 +171,34 @@
 // ErrCut means that requests were still in flight at the end of the time limit.
 var ErrCut = errors.New("stopped with requests in flight")
 
+// CloseTimeout limits how long Stop waits for the event loops once the callers are answered.
+const CloseTimeout = 200 * time.Millisecond
+
 // Stop refuses new connections, closes idle ones and waits until all requests are
-// answered or the context ends. Then it ends the event loops.
+// answered or the context ends; its error then wraps ErrCut. After that it ends the event loops
+// within CloseTimeout.
 func (e *Edge) Stop(ctx context.Context) error {
 	e.stopping.Store(true)
 	e.closing.Store(true)
 	cut := e.awaitCallers(ctx)
-	stop, cancel := context.WithTimeout(context.Background(), time.Second)
+	closing, cancel := context.WithTimeout(context.Background(), CloseTimeout)
 	defer cancel()
-	if err := e.engine.Stop(stop); err != nil && cut == nil {
-		cut = err
-	}
+	jaystop.Run(closing, e.logger, jaystop.Stage{Name: "event loops", Run: e.stopEngine})
 	return cut
 }
 
+// stopEngine ends the event loops.
+func (e *Edge) stopEngine() {
+	// Engine.Stop looks for the end of the loops twice a second. With a context that is done it
+	// only begins the shutdown.
+	done, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = e.engine.Stop(done)
+	<-e.ended
+}
+
 func (e *Edge) awaitCallers(ctx context.Context) error {
+	began := time.Now()
 	tick := time.NewTicker(stopPoll)
 	defer tick.Stop()
 	for {
@@ -190,6 +208,8 @@
 		}
 		select {
 		case <-ctx.Done():
+			pending := fmt.Sprintf("%d requests on %d connections", e.InFlight(), open)
+			e.logger.Info("stop does not wait any longer", "for", "callers", "pending", pending, "waited", time.Since(began).String())
 			return fmt.Errorf("%w: %d connections", ErrCut, open)
 		case <-tick.C:
 		}
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -72,7 +72,7 @@
 // *jayverdict.Error.
 func (n *Node) Submit(job *jayspec.Job, deadline time.Duration) error {
 	started := n.clock()
-	err := n.intake.submit(job, deadline)
+	err := untilCut(n, error(errCutCommand), func() error { return n.intake.submit(job, deadline) })
 	n.countAnswer("submit", started, err)
 	took := n.clock() - started
 	if err != nil {
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -82,8 +82,11 @@
 	fleet         *fleetDuty
 
 	stopping atomic.Bool
-	cancel   context.CancelFunc
-	duties   sync.WaitGroup
+	// cut is closed when the requests in progress are to be answered at once.
+	cut     chan struct{}
+	cutOnce sync.Once
+	cancel  context.CancelFunc
+	duties  sync.WaitGroup
 }
 
 // Option configures a node.
@@ -130,6 +133,7 @@
 		incarnation: jaymember.NewIncarnation(settings.Entry),
 		started:     time.Now(),
 		pools:       map[string]*poolDuty{},
+		cut:         make(chan struct{}),
 	}
 	for _, option := range options {
 		option(n)
@@ -192,17 +196,17 @@
 	n.duties.Go(n.members.Owners.Release)
 }
 
-// stopTimeout is how long Stop waits for pending calls. Reads of the store can wait for
+// StopTimeout is how long Stop waits for pending calls. Reads of the store can wait for
 // records for seconds, and their results are not needed any more.
-const stopTimeout = 300 * time.Millisecond
+const StopTimeout = 300 * time.Millisecond
 
-// Stop ends all duties and closes all connections. It returns after stopTimeout at the latest, and
+// Stop ends all duties and closes all connections. It returns after StopTimeout at the latest, and
 // logs what it has waited for in vain.
 func (n *Node) Stop() {
 	n.stopping.Store(true)
 	n.endDuties()
 	n.cancel()
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), StopTimeout)
 	defer cancel()
 	ended := jaystop.Run(ctx, n.logger,
 		jaystop.Stage{Name: "requests of peers", Run: n.peerServer.Close, Pending: n.peerServer.Pending},
--- a/jaynode/queries.go
+++ b/jaynode/queries.go
@@ -30,7 +30,7 @@
 			n.intake.logAnswer("query", id, known, n.clock()-began, err)
 		}
 	}()
-	return n.askOwner(queue.Pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskJob{
+	return n.askOwner(errCutQuery, queue.Pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskJob{
 		AskJob: &jaywire.AskJob{Pool: queue.Pool, Job: id, Organisation: &organisation, Witness: true},
 	}}, func(c jayowner.Claim, answer *jaywire.JobAnswer) bool {
 		if !answer.GetUnrecorded() || n.witness(c, queue.Pool, id, answer.GetFence()) {
@@ -53,7 +53,7 @@
 		n.countAnswer("cancel", began, err)
 		n.intake.logAnswer("cancellation", id, known, n.clock()-began, err)
 	}()
-	_, known, err = n.askOwner(queue.Pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_CancelJob{
+	_, known, err = n.askOwner(errCutCommand, queue.Pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_CancelJob{
 		CancelJob: &jaywire.CancelJob{Pool: queue.Pool, Job: id, Organisation: &organisation},
 	}}, func(jayowner.Claim, *jaywire.JobAnswer) bool { return true })
 	return known, err
@@ -76,28 +76,42 @@
 	request := &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskPending{
 		AskPending: &jaywire.AskPending{Pool: queue.Pool, Queue: queue.Name},
 	}}
-	var pending int
+	type outcome struct {
+		pending int
+		err     error
+	}
 	began := n.clock()
-	err := n.askUntilAnswered(queue.Pool, deadline, request, func(_ jayowner.Claim, r *jaywire.PeerResponse) bool {
-		answer := r.GetPending()
-		pending = int(answer.GetPending())
-		return answer.GetOwned()
+	o := untilCut(n, outcome{err: errCutQuery}, func() (o outcome) {
+		o.err = n.askUntilAnswered(queue.Pool, deadline, request, func(_ jayowner.Claim, r *jaywire.PeerResponse) bool {
+			answer := r.GetPending()
+			o.pending = int(answer.GetPending())
+			return answer.GetOwned()
+		})
+		return o
 	})
-	n.countAnswer("pending", began, err)
-	return pending, err
+	n.countAnswer("pending", began, o.err)
+	return o.pending, o.err
 }
 
 // askOwner asks the owner of a pool about a job until it answers. An answer counts only if
-// accept, which is given the owner's claim, accepts it.
-func (n *Node) askOwner(pool string, deadline time.Duration, request *jaywire.PeerRequest, accept func(jayowner.Claim, *jaywire.JobAnswer) bool) (state jaysched.State, known bool, err error) {
-	err = n.askUntilAnswered(pool, deadline, request, func(c jayowner.Claim, r *jaywire.PeerResponse) bool {
-		answer := r.GetJob()
-		accepted := answer.GetOwned() && accept(c, answer)
-		known = answer.GetKnown()
-		state = stateOf(answer.GetState())
-		return accepted
+// accept, which is given the owner's claim, accepts it. The error is cut if requests are cut.
+func (n *Node) askOwner(cut error, pool string, deadline time.Duration, request *jaywire.PeerRequest, accept func(jayowner.Claim, *jaywire.JobAnswer) bool) (state jaysched.State, known bool, err error) {
+	type outcome struct {
+		state jaysched.State
+		known bool
+		err   error
+	}
+	o := untilCut(n, outcome{err: cut}, func() (o outcome) {
+		o.err = n.askUntilAnswered(pool, deadline, request, func(c jayowner.Claim, r *jaywire.PeerResponse) bool {
+			answer := r.GetJob()
+			accepted := answer.GetOwned() && accept(c, answer)
+			o.known = answer.GetKnown()
+			o.state = stateOf(answer.GetState())
+			return accepted
+		})
+		return o
 	})
-	return state, known, err
+	return o.state, o.known, o.err
 }
 
 // askUntilAnswered repeats a query until the owner of the pool answers or the deadline
--- a/jaynode/stop_test.go
+++ b/jaynode/stop_test.go
@@ -55,7 +55,7 @@
 	}()
 	select {
 	case <-stopped:
-	case <-time.After(10 * stopTimeout):
+	case <-time.After(10 * StopTimeout):
 		t.Error("Stop waits for the store")
 	}
 }
