An entry without the job service stops within stopBound

Cause: only the wait for callers ended with stopBound. The proposal to leave (2 s), the shutdown of the operators' server, the handlers of peers' requests and the calls of duties came after it, the last three without a bound: an operator who had sent half a request, or a platform that did not answer, kept the process until it was killed.

Change: the callers' time is stopBound less CloseTimeout of the edge and 1.5 s (a quarter of stopBound if that is less) for the rest, whose stages run at the same time and are logged if they do not end. The proposal to leave takes what the callers have left, 2 s at most as before.

Before: TestStopWithoutAPlatform FAIL (2.00s) "Stop exceeds stopBound".

--- a/jayentry/stop.go
+++ b/jayentry/stop.go
@@ -5,14 +5,27 @@
 	"time"
 
 	"jaythread/jayclock"
+	"jaythread/jayedge"
+	"jaythread/jaystop"
 	"jaythread/jaywire"
 )
 
+const (
+	// maxCloseTime limits how long a stop waits for pending calls at its end. A read of the log waits
+	// for records for a second.
+	maxCloseTime = 1500 * time.Millisecond
+	// closeShare is the divisor that gives the same limit as a part of the stopBound setting. The
+	// smaller of the two applies.
+	closeShare = 4
+)
+
 // Stop shuts the entry down gracefully: it reports itself as not ready, answers
 // the requests in flight, flushes its claims and gives up its membership. It takes
 // at most the stopBound setting.
 func (e *Entry) Stop() error {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.options.StopBound))
+	bound := time.Duration(e.options.StopBound)
+	closeTime := min(maxCloseTime, bound/closeShare)
+	ctx, cancel := context.WithTimeout(context.Background(), bound-closeTime-jayedge.CloseTimeout)
 	defer cancel()
 	e.stopping.Store(true)
 	e.members.SetStopping()
@@ -20,7 +33,7 @@
 	e.edge.Drain(ctx, time.Duration(e.options.StopGrace))
 	cut := e.edge.Stop(ctx)
 	e.flushAndLeave(ctx)
-	e.close()
+	e.close(closeTime)
 	if cut != nil {
 		return cut
 	}
@@ -34,26 +47,33 @@
 	for e.claimLog.committer.Pending() > 0 && e.claimsFresh() && ctx.Err() == nil {
 		jayclock.Sleep(ctx, 10*time.Millisecond)
 	}
-	if e.stateFollower.Age() > viewLease {
-		// The log is down. The other entries detect the end of this one by its
-		// closed peer port.
+	deadline, _ := ctx.Deadline()
+	timeout := min(proposeTimeout, time.Until(deadline))
+	if e.stateFollower.Age() > viewLease || timeout <= 0 {
+		// The log is down, or there is no time left. The other entries detect the end of this one
+		// by its closed peer port.
 		return
 	}
 	_, err := e.store.Propose(&jaywire.Command{
 		Reason: "stopped",
 		Body:   &jaywire.Command_LeaveEntry{LeaveEntry: &jaywire.LeaveEntry{Entry: e.options.Entry}},
-	}, proposeTimeout)
+	}, timeout)
 	if err != nil {
 		e.logger.Info("leave not confirmed", "error", err.Error())
 	}
 }
 
-func (e *Entry) close() {
+// close ends the duties and closes all connections within a time limit.
+func (e *Entry) close(limit time.Duration) {
 	e.cancel()
-	_ = e.api.HTTP().Shutdown()
-	e.peers.Close()
-	e.peerLink.Close()
-	e.duties.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	jaystop.Run(ctx, e.logger,
+		jaystop.Stage{Name: "requests of operators", Run: func() { _ = e.api.HTTP().ShutdownWithContext(ctx) }},
+		jaystop.Stage{Name: "requests of peers", Run: e.peers.Close, Pending: e.peers.Pending},
+		jaystop.Stage{Name: "connections to peers", Run: e.peerLink.Close},
+		jaystop.Stage{Name: "calls of duties", Run: e.duties.Wait},
+	)
 }
 
 // Kill ends the entry abruptly, like a crash. It is for tests.
@@ -65,5 +85,5 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	_ = e.edge.Stop(ctx)
-	e.close()
+	e.close(maxCloseTime)
 }
--- a/jayentry/stop_test.go
+++ b/jayentry/stop_test.go
@@ -19,6 +19,12 @@
 	release chan struct{}
 }
 
+// Append waits until the test ends.
+func (p *silentPlatform) Append(string, []byte) (uint64, error) {
+	<-p.release
+	return 0, jayplatform.ErrUnavailable
+}
+
 // Read waits until the test ends.
 func (p *silentPlatform) Read(string, uint64, time.Duration) (jayplatform.Page, error) {
 	<-p.release
