Failing test: a start does not notice that it is to stop

serve without the job service calls the platform before it listens. A signal that arrives meanwhile is noticed after platformTimeout (a minute at most), and after the whole start.

--- a/jaycli/stop_test.go
+++ b/jaycli/stop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -56,3 +58,23 @@
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
 }
+
+// TestStopBeforeThePlatformAnswers guards against a process that is killed, since it does not notice
+// that it is to stop while its first call to the platform waits for an answer.
+func TestStopBeforeThePlatformAnswers(t *testing.T) {
+	is := is.New(t)
+	silent, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	config := writeFile(t, "entry.jsonc", `{"platformUrl": "http://`+silent.Addr().String()+`", "platformTimeout": "10s", "stopBound": "2s"}`)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	ended := make(chan int, 1)
+	go func() { ended <- run(ctx, []string{"jaythread", "serve", "--config", config}, io.Discard, io.Discard) }()
+	select {
+	case code := <-ended:
+		is.Equal(code, ExitGood)
+	case <-time.After(2 * time.Second):
+		t.Error("serve does not stop")
+	}
+}
