A start notices that it is to stop while the platform does not answer

Cause: serve waited for its first call to the platform without regard to the context that a signal ends.

Change: the wait ends with the context, and serve returns before it opens its listeners.

Before: TestStopBeforeThePlatformAnswers FAIL "serve does not stop" after 2 s.

--- a/jaycli/serve.go
+++ b/jaycli/serve.go
@@ -37,12 +37,16 @@
 	platform := jayplatform.NewClient(options.PlatformURL, time.Duration(options.PlatformTimeout))
 	// The first call reports a wrong address to the operator at once. If the entry
 	// only retried, it would never become ready and the command would not fail.
-	if _, err := platform.Since(0, 0); err != nil {
+	if err := firstCall(ctx, platform); err != nil {
 		if len(options.PeerSeeds) == 0 {
 			return err
 		}
 		logger.Info("platform is unavailable; requesting the state from peers", "error", err.Error())
 	}
+	if ctx.Err() != nil {
+		logger.Info("stopped before the start")
+		return nil
+	}
 	entry, err := jayentry.New(options, platform, logger)
 	if err != nil {
 		return err
@@ -54,6 +58,21 @@
 	return entry.Stop()
 }
 
+// firstCall calls the platform. It returns nil without an answer if the context ends before.
+func firstCall(ctx context.Context, platform *jayplatform.Client) error {
+	answered := make(chan error, 1)
+	go func() {
+		_, err := platform.Since(0, 0)
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
+
 // loadSettings reads the settings from a file, or returns the defaults if no file is
 // given.
 func loadSettings(file string) (*jayoptions.Options, error) {
