Test: a stop during a takeover is bounded

The store answers nothing while an entry follows it, announces itself and takes a pool and the fleet over; Leave and Stop together take no longer than StopTimeout.

--- a/jaynode/stop_test.go
+++ b/jaynode/stop_test.go
@@ -76,3 +76,28 @@
 		e.store.set(func(s *faultyStore) { is.Equal(s.appends, 1) })
 	})
 }
+
+// TestStopDuringATakeover guards against a process that is killed while a takeover or a start waits
+// for the store.
+func TestStopDuringATakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := jayclock.Since(time.Now().Add(-time.Hour))
+		e := newTestEntry(t, "e0", newSharedStore(), newSharedHosts(clock, nil), clock)
+		e.store.set(func(s *faultyStore) { s.unreachable = true })
+		var ctx context.Context
+		ctx, e.node.cancel = context.WithCancel(t.Context())
+		e.node.members.Start(ctx)
+		e.node.intake.start(ctx)
+		e.setClaims(e.claim(jayowner.Fleet, 1, 1), e.claim(jayowner.PoolDuty("seats"), 2, 2))
+		e.node.reconcileDuties()
+		time.Sleep(time.Second)
+		is.True(e.node.ownsAnyDuty())
+		began := clock()
+		e.node.Leave()
+		e.node.Stop()
+		is.True(clock()-began <= StopTimeout)
+		e.store.set(func(s *faultyStore) { s.unreachable = false })
+		time.Sleep(time.Minute) // ends the calls
+	})
+}
