--- a/jaypeer/peer_test.go
+++ b/jaypeer/peer_test.go
@@ -265,3 +265,24 @@
 	is.Equal(len(response.GetStoreResult().GetRecords()[0].GetValue()), len(value))
 	is.True(time.Since(began) > 2*timeout)
 }
+
+// TestServerClosedBeforeItServes guards against a stop during a start that leaves the server accepting
+// connections for ever.
+func TestServerClosedBeforeItServes(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	s := NewServer("b", testTimeout, ackHeartbeat)
+	s.Close()
+	ended := make(chan struct{})
+	go func() {
+		s.Serve(listener, nil)
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Error("Serve accepts connections after Close")
+	}
+}
