A peer server that is closed does not begin to serve

Cause: Serve set its listener without a look at closed. A stop in the moment of the start closed nothing, and Serve then accepted connections and closed them again until the end of the process; the stop waited for it in vain. Sessions were counted after the lock was released, so that Close could miss one.

Change: Serve returns at once if the server is closed; a session is counted under the lock under which Close looks for sessions.

Before: TestServerClosedBeforeItServes FAIL "Serve accepts connections after Close".

--- a/jaypeer/server.go
+++ b/jaypeer/server.go
@@ -48,9 +48,10 @@
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
-	s.mu.Lock()
-	s.listener = listener
-	s.mu.Unlock()
+	if !s.setListener(listener) {
+		_ = listener.Close()
+		return
+	}
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -61,7 +62,6 @@
 			_ = conn.Close()
 			continue
 		}
-		s.done.Add(1)
 		go s.serveSession(session)
 	}
 }
@@ -100,6 +100,15 @@
 	return fmt.Sprintf("%d requests, %s of %s for %v", len(s.handling), kind, oldest.From, time.Since(s.handling[oldest]).Round(time.Millisecond))
 }
 
+// setListener sets the listener that Close closes, unless the server is closed.
+func (s *Server) setListener(listener net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = listener
+	return !s.closed
+}
+
+// add adds a session that Close waits for, unless the server is closed.
 func (s *Server) add(session *yamux.Session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -107,6 +116,7 @@
 		return false
 	}
 	s.sessions[session] = struct{}{}
+	s.done.Add(1)
 	return true
 }
 
