Failing test: serve waits for its log to be read

serve without the job service writes its log without a buffer: once the pipe behind standard error is full, each line waits, also those of a stop.

--- a/jaycli/stop_test.go
+++ b/jaycli/stop_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -66,15 +68,39 @@
 	silent, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	defer func() { _ = silent.Close() }()
-	config := writeFile(t, "entry.jsonc", `{"platformUrl": "http://`+silent.Addr().String()+`", "platformTimeout": "10s", "stopBound": "2s"}`)
+	is.Equal(serveUntilDone(t, `{"platformUrl": "http://`+silent.Addr().String()+`", "platformTimeout": "10s"}`), ExitGood)
+}
+
+// serveUntilDone runs serve with a context that is done, and returns its exit code. It fails the
+// test if serve does not end.
+func serveUntilDone(t *testing.T, settings string) int {
+	t.Helper()
+	config := writeFile(t, "entry.jsonc", settings)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	ended := make(chan int, 1)
 	go func() { ended <- run(ctx, []string{"jaythread", "serve", "--config", config}, io.Discard, io.Discard) }()
 	select {
 	case code := <-ended:
-		is.Equal(code, ExitGood)
+		return code
 	case <-time.After(2 * time.Second):
-		t.Error("serve does not stop")
+		t.Fatal("serve does not stop")
+		return ExitRefused
 	}
 }
+
+// TestStopWithoutAReaderOfTheLog guards against a process that is killed, since it waits for its
+// standard error to be read.
+func TestStopWithoutAReaderOfTheLog(t *testing.T) {
+	is := is.New(t)
+	unread, full, err := os.Pipe()
+	is.NoErr(err)
+	defer func() { _, _ = unread.Close(), full.Close() }()
+	is.NoErr(full.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)))
+	_, err = full.Write(make([]byte, 1<<21))
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	is.NoErr(full.SetWriteDeadline(time.Time{}))
+	defer func(stderr *os.File) { os.Stderr = stderr }(os.Stderr)
+	os.Stderr = full
+	is.Equal(serveUntilDone(t, `{}`), ExitGood)
+}
