serve does not wait for its log to be read

Cause: serve without the job service wrote its log to standard error without a buffer, unlike the job service.

Change: it uses the buffered writer too and closes it within 200 ms at its end. Entry.Stop leaves that much of stopBound for it.

--- a/jaycli/serve.go
+++ b/jaycli/serve.go
@@ -33,7 +33,8 @@
 	if options.JobService.Enabled() {
 		return serveJobs(ctx, c, options)
 	}
-	logger := jaylogger.New(os.Stderr, options.LogFormat, options.LogLevel)
+	logger, lines := jaylogger.NewBuffered(os.Stderr, options.LogFormat, options.LogLevel)
+	defer lines.Close(logFlushTimeout)
 	platform := jayplatform.NewClient(options.PlatformURL, time.Duration(options.PlatformTimeout))
 	// The first call reports a wrong address to the operator at once. If the entry
 	// only retried, it would never become ready and the command would not fail.
--- a/jayentry/stop.go
+++ b/jayentry/stop.go
@@ -17,6 +17,8 @@
 	// closeShare is the divisor that gives the same limit as a part of the stopBound setting. The
 	// smaller of the two applies.
 	closeShare = 4
+	// logTime is the part of that time that is left for the process to write its log.
+	logTime = 200 * time.Millisecond
 )
 
 // Stop shuts the entry down gracefully: it reports itself as not ready, answers
@@ -33,7 +35,7 @@
 	e.edge.Drain(ctx, time.Duration(e.options.StopGrace))
 	cut := e.edge.Stop(ctx)
 	e.flushAndLeave(ctx)
-	e.close(closeTime)
+	e.close(closeTime - logTime)
 	if cut != nil {
 		return cut
 	}
