Failing test: an admission is not answered when requests are cut

Queries, cancellations and submissions are answered at the cut; a call whose admission waits for a newer configuration is not, and may take 400 ms more.

stop_test.go:152: not true: atOnce --- FAIL: TestCutAnswersAllRequests/admission (0.07s)

--- a/jaynode/stop_test.go
+++ b/jaynode/stop_test.go
@@ -9,11 +9,15 @@
 
 	"github.com/matryer/is"
 
+	"jaythread/jaycatalog"
 	"jaythread/jayclock"
+	"jaythread/jaymember"
 	"jaythread/jayowner"
 	"jaythread/jaypeer"
+	"jaythread/jaypool"
 	"jaythread/jayport"
 	"jaythread/jayrelay"
+	"jaythread/jayspec"
 	"jaythread/jaywire"
 )
 
@@ -101,3 +105,53 @@
 		time.Sleep(time.Minute) // ends the calls
 	})
 }
+
+// TestCutAnswersAllRequests guards against a request that ends without an answer when the entry
+// stops, since it waits for the store or for an owner.
+func TestCutAnswersAllRequests(t *testing.T) {
+	queue := jaycatalog.Queue{Pool: "seats"}
+	for name, request := range map[string]func(n *Node) error{
+		"admission": func(n *Node) error {
+			n.ports.Arrivals.Exists(n.ports.Formats.Declarations(), 100) // may declare the queue
+			_, err := n.Admit(jaycatalog.Call{Host: "h", Path: "/new/"})
+			return err
+		},
+		"query": func(n *Node) error {
+			_, _, err := n.JobState(queue, "", testID, time.Minute)
+			return err
+		},
+		"cancellation": func(n *Node) error {
+			_, err := n.CancelJob(queue, "", testID, time.Minute)
+			return err
+		},
+		"count": func(n *Node) error {
+			_, err := n.Pending(queue, time.Minute)
+			return err
+		},
+		"submission": func(n *Node) error {
+			step := jayspec.Step{Tasks: 1, Need: jaypool.Resources{ProcessorsMilli: 100}, Estimate: time.Second}
+			return n.Submit(&jayspec.Job{ID: testID, Queue: "list", Pool: "seats", Steps: []jayspec.Step{step}}, 10*time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				a := newAdmission(t)
+				a.node.members.Owners.Publish(&jaymember.View{Table: jayowner.NewTable(), AsOf: a.node.clock(), AnsweredAt: a.node.clock()})
+				a.store.set(func(s *faultyStore) { s.unreachable = true })
+				answered := make(chan error, 1)
+				go func() { answered <- request(a.node) }()
+				time.Sleep(50 * time.Millisecond)
+				waited := len(answered) == 0
+				a.node.Cut()
+				synctest.Wait()
+				atOnce := len(answered) == 1
+				a.store.set(func(s *faultyStore) { s.unreachable = false })
+				time.Sleep(time.Minute) // ends the request in the background
+				is.True(waited)
+				is.True(atOnce)
+				is.True(<-answered != nil)
+			})
+		})
+	}
+}
