An admission is answered when requests are cut

Cause: Node.Admit waits up to 400 ms for a read of the declarations, and was not among the waits that Node.Cut ends.

Change: it is; the call is rejected as not run (503).

Before: TestCutAnswersAllRequests/admission FAIL "not true: atOnce".

--- a/jaynode/admit.go
+++ b/jaynode/admit.go
@@ -41,7 +41,7 @@
 	}
 	admission, decision := catalog.Admit(call)
 	if n.needsConfirmation(admission, decision, arrived, asOf) {
-		if !n.declarations.confirmer.await(arrived) {
+		if !untilCut(n, false, func() bool { return n.declarations.confirmer.await(arrived) }) {
 			return admission, n.unconfirmed(admission, arrived)
 		}
 		admission, decision = n.Catalog().Admit(call)
