--- a/jaynode/queries_test.go
+++ b/jaynode/queries_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"jaythread/jaypool"
+	"jaythread/jayring"
 	"jaythread/jayspec"
 	"jaythread/jaywire"
 )
@@ -61,3 +62,18 @@
 		is.True(known(acmeJob, nil)) // asked by an entry of an earlier version
 	})
 }
+
+// TestAbandonedQueryDoesNotRun guards against a query that writes its result while the answer without
+// it is already on its way: the pool's goroutine came to it after its timeout.
+func TestAbandonedQueryDoesNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &poolDuty{duty: duty{ctx: t.Context(), inbox: jayring.New[event](1)}}
+		ran := false
+		is.True(!d.ask(func() { ran = true }, askTimeout))
+		late, queued := d.inbox.Take()
+		is.True(queued)
+		late(0)
+		is.True(!ran)
+	})
+}
