A query that was abandoned does not run any more

A cancellation whose caller had been told that nobody answers was carried out later.

Change: the function runs or is abandoned, whichever is decided first. If it has begun at the timeout, ask waits for it; it waits for nothing itself.

Before: TestAbandonedQueryDoesNotRun FAIL "not true: !ran".

--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -185,11 +185,18 @@
 	d.countHeldBack(now)
 }
 
-// ask runs a function in the duty's goroutine and waits for it. It returns false if the
-// inbox is full, the duty has ended or the timeout has passed.
+// ask runs a function in the duty's goroutine and waits for it. It returns false, and the function
+// does not run, if the inbox is full, or if the duty has ended or the timeout has passed before the
+// function has begun.
 func (d *poolDuty) ask(do func(), timeout time.Duration) bool {
 	done := make(chan struct{})
-	if !d.inbox.Offer(func(time.Duration) { do(); close(done) }) {
+	var decided atomic.Bool // by the first of the two goroutines that sets it
+	if !d.inbox.Offer(func(time.Duration) {
+		if decided.CompareAndSwap(false, true) {
+			do()
+			close(done)
+		}
+	}) {
 		return false
 	}
 	timer := time.NewTimer(timeout)
@@ -198,10 +205,13 @@
 	case <-done:
 		return true
 	case <-d.ctx.Done():
-		return false
 	case <-timer.C:
+	}
+	if decided.CompareAndSwap(false, true) {
 		return false
 	}
+	<-done // the function has begun; it waits for nothing
+	return true
 }
 
 func (d *poolDuty) workersChanged() {
