--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -17,6 +17,7 @@
 	"jaythread/jaypeer"
 	"jaythread/jayport"
 	"jaythread/jayrelay"
+	"jaythread/jaystop"
 	"jaythread/jaytail"
 	"jaythread/jaywire"
 	"jaythread/jaywitness"
@@ -81,8 +82,11 @@
 	fleet         *fleetDuty
 
 	stopping atomic.Bool
-	cancel   context.CancelFunc
-	duties   sync.WaitGroup
+	// cut is closed when the requests in progress are to be answered at once.
+	cut     chan struct{}
+	cutOnce sync.Once
+	cancel  context.CancelFunc
+	duties  sync.WaitGroup
 }
 
 // Option configures a node.
@@ -129,6 +133,7 @@
 		incarnation: jaymember.NewIncarnation(settings.Entry),
 		started:     time.Now(),
 		pools:       map[string]*poolDuty{},
+		cut:         make(chan struct{}),
 	}
 	for _, option := range options {
 		option(n)
@@ -183,40 +188,45 @@
 	n.duties.Go(func() { tail.Run(ctx) })
 }
 
-// Leave releases all duties of this entry. It performs each of them until another entry
-// has claimed it, and still answers callers.
+// Leave releases all duties of this entry, without waiting for the store. The entry performs each
+// of them until another one has claimed it, and still answers callers.
 func (n *Node) Leave() {
 	n.stopping.Store(true)
 	n.logger.Info("leaving")
-	n.members.Owners.Release()
+	n.duties.Go(n.members.Owners.Release)
 }
 
-// stopTimeout is how long Stop waits for pending calls. Reads of the store can wait for
+// StopTimeout is how long Stop waits for pending calls. Reads of the store can wait for
 // records for seconds, and their results are not needed any more.
-const stopTimeout = 300 * time.Millisecond
+const StopTimeout = 300 * time.Millisecond
 
-// Stop ends all duties and closes all connections.
+// Stop ends all duties and closes all connections. It returns after StopTimeout at the latest, and
+// logs what it has waited for in vain.
 func (n *Node) Stop() {
 	n.stopping.Store(true)
 	n.endDuties()
 	n.cancel()
-	n.peerServer.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), StopTimeout)
+	defer cancel()
+	ended := jaystop.Run(ctx, n.logger,
+		jaystop.Stage{Name: "requests of peers", Run: n.peerServer.Close, Pending: n.peerServer.Pending},
+		jaystop.Stage{Name: "connections to peers", Run: n.closeLinks},
+		jaystop.Stage{Name: "calls of duties", Run: n.duties.Wait},
+	)
+	if ended {
+		n.logger.Info("stopped")
+		return
+	}
+	n.logger.Info("stopped while calls were pending")
+}
+
+// closeLinks closes the connections to peers.
+func (n *Node) closeLinks() {
 	n.peers.Close()
 	n.relayPeers.link.Close()
 	n.readerPeers.link.Close()
 	n.intake.link.Close()
 	n.members.Close()
-	ended := make(chan struct{})
-	go func() {
-		n.duties.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-		n.logger.Info("stopped")
-	case <-time.After(stopTimeout):
-		n.logger.Info("stopped while calls were pending")
-	}
 }
 
 // Catalog returns the catalog in force, or nil if none has been read yet.
