Soak: a successor takes over around the end of the lost workers' leases

Change: peers are lost 2.5 to 4.1 s after the workers and the store 0.4 to 1.2 s after these, with a slowness of 150 to 400 ms each way, as a store that answers late and not one that the relay replaces.

--- a/jaysoak/separation_test.go
+++ b/jaysoak/separation_test.go
@@ -36,14 +36,16 @@
 
 func randomSeparation(r *rand.Rand) separation {
 	millis := func(from, to int) time.Duration { return time.Duration(from+r.IntN(to-from)) * time.Millisecond }
-	anyCut := func() linkFault { return []linkFault{linkSilent, linkSilent, linkOneWay, linkStalled}[r.IntN(4)] }
+	anyCut := func() linkFault {
+		return []linkFault{linkSilent, linkSilent, linkSilent, linkOneWay, linkStalled}[r.IntN(5)]
+	}
 	a := separation{
-		pool: []string{"seats", "fees"}[r.IntN(2)], machines: uint(r.Uint64()), crossed: r.IntN(4) > 0, delay: millis(80, 400),
-		link: anyCut(), storeLink: anyCut(), deaf: r.IntN(4) == 0,
+		pool: []string{"seats", "fees"}[r.IntN(2)], machines: uint(r.Uint64()), crossed: r.IntN(4) > 0, delay: millis(150, 400),
+		link: anyCut(), storeLink: anyCut(), deaf: r.IntN(6) == 0,
 		workersAt: millis(0, 1500), pause: millis(700, 3000), again: r.Float64(),
 	}
-	a.peersAt = a.workersAt + millis(1500, 4200)
-	a.storeAt = a.peersAt + millis(0, 1500)
+	a.peersAt = a.workersAt + millis(2500, 4100)
+	a.storeAt = a.peersAt + millis(400, 1200)
 	a.length = a.workersAt + millis(5000, 7500)
 	return a
 }
