Failing tests: a job that two owners store has two owners

replaced_test.go:114: 1 != 0 --- FAIL: TestJobThatTwoOwnersStoreWaitsForUnreportedWorkers replaced_test.go:130: not true: start.Order.Run.Task.Job != "k" --- FAIL: TestJobThatTwoOwnersStoreWaitsForTheNextReport

--- a/jaysched/replaced_test.go
+++ b/jaysched/replaced_test.go
@@ -103,3 +103,30 @@
 	w.run()
 	is.Equal(w.starts("j.0.0.0"), 1)
 }
+
+// Guards against a job that two owners begin: a caller repeats its request, the former owner and the
+// next one both store the job, and a worker that has not reported to the next one runs it.
+func TestJobThatTwoOwnersStoreWaitsForUnreportedWorkers(t *testing.T) {
+	is := is.New(t)
+	w := takeOverIdle(t, "w2")
+	declare(w, newSpec("k", 1, single))
+	w.pass(time.Second)
+	is.Equal(w.starts("k.0.0.0"), 0)
+	w.pool.Reported(refOf("w2"), jayport.Report{Clock: w.now}, w.now, w.now)
+	w.run()
+	is.Equal(w.starts("k.0.0.0"), 1)
+}
+
+// Guards against the same fault on a worker whose report of the job came before the job itself.
+func TestJobThatTwoOwnersStoreWaitsForTheNextReport(t *testing.T) {
+	is := is.New(t)
+	w := takeOverIdle(t)
+	w.pool.JobsKnown(w.now)
+	w.workers["w2"].end(jayport.RunRef{Task: jayport.TaskID{Job: "k"}, Number: 1}, jayport.EndedDone)
+	w.pool.Reported(refOf("w2"), w.workers["w2"].report(w.now), w.now, w.now)
+	w.pool.Declare(newSpec("k", 1, single), w.now)
+	for _, a := range w.pool.Decide(w.now) {
+		start, _ := a.(StartRun)
+		is.True(start.Order.Run.Task.Job != "k")
+	}
+}
