A job of which a worker has reported a run waits for its next report

Cause: a worker's report of a job that is not known is kept until the job is read from the store. If this owner stored the job itself meanwhile, for a caller that repeats its request, the job was begun at once, although the report said that a former owner had begun it.

Change: such a job waits for the worker's next report, like one that is read. The test of it failed before and passes.

--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -315,6 +315,8 @@
 		return false
 	}
 	j := newJob(spec, now, p.dueAt)
+	// A former owner may have stored the job too, and begun it.
+	j.foundInStore = p.hasUnprocessedRuns(j)
 	j.holdDue(now)
 	chain := p.add(j)
 	if canceled {
