Failing test: owners that record a trial and are lost count as crashes

A suspect's next run is recorded before it begins. The next owner counts that record as one more loss until a worker reports the run. If the start was never sent, or got lost, no worker ever does, and the count is recorded like that of a worker that was lost. So each further owner adds one, and the fourth gives up a job that crashes nothing.

The test has its shape: both tasks start on one worker, it leaves the inventory, three owners are lost before or after they send the start.

--- FAIL: TestOwnersWithoutLossesDoNotCountAsCrashes/the_owner_is_lost_before_the_start trial_test.go:61: failed != open --- FAIL: TestOwnersWithoutLossesDoNotCountAsCrashes/the_start_is_lost_with_its_owner trial_test.go:61: failed != open

--- /dev/null
+++ b/jaysched/trial_test.go
@@ -0,0 +1,73 @@
+package jaysched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaythread/jayport"
+	"jaythread/jayspec"
+	"jaythread/jaywire"
+)
+
+// nextOwner returns the harness of the owner that takes over from a lost one, with the progress that
+// is recorded of a job. Every worker that is left has reported.
+func nextOwner(w *harness, spec *jayspec.Job, progress *jaywire.JobProgress, term int64) *harness {
+	w.t.Helper()
+	next := newHarness(w.t, 0, WithFence(term, term), WithFormerOwner(w.now+15*time.Second))
+	next.now, next.workers, next.sent, next.lose, next.storeUnavailable = w.now, w.workers, w.sent, w.lose, w.storeUnavailable
+	next.pool.Restore(spec, progress, next.now)
+	next.list()
+	readInventory(next)
+	next.run()
+	return next
+}
+
+// suspectedHarness returns a harness in which both tasks of a job have lost their worker, which left
+// the inventory just after their start.
+func suspectedHarness(t *testing.T, spec *jayspec.Job, change func(*harness)) *harness {
+	t.Helper()
+	w := newHarness(t, 6)
+	declare(w, spec)
+	is.New(t).Equal(w.running()["j.0.0.0"], w.running()["j.0.0.1"])
+	change(w)
+	w.inventoryLoses(w.running()["j.0.0.0"])
+	return w
+}
+
+// wantCrashes checks the number of losses that are attributed to each task of a job.
+func wantCrashes(t *testing.T, w *harness, job string, want int) {
+	t.Helper()
+	w.pool.jobs[job].eachTask(func(task *task) { is.New(t).Equal(len(task.crashes), want) })
+}
+
+func isStart(a Action) bool {
+	_, start := a.(StartRun)
+	return start
+}
+
+// Guards against a sound job that is given up after quick changes of the owner: each has recorded the
+// next run of a suspect, and no worker was lost since.
+func TestOwnersWithoutLossesDoNotCountAsCrashes(t *testing.T) {
+	changes := func(name string, change func(*harness), starts int) {
+		t.Run(name, func(t *testing.T) {
+			spec := newSpec("j", 1)
+			w := suspectedHarness(t, spec, change)
+			for term := int64(2); term <= 4; term++ {
+				w = nextOwner(w, spec, w.pool.jobs["j"].progress(), term)
+			}
+			is := is.New(t)
+			is.Equal(w.pool.jobs["j"].outcome.String(), Open.String())
+			is.Equal(w.starts("j.0.0.0"), starts)
+			wantCrashes(t, w, "j", 1)
+			w.lose, w.storeUnavailable = func(Action) bool { return false }, false
+			w.reportFor(2 * trialRecordTimeout)
+			w.finish("j", 0, jayport.EndedDone)
+			w.record()
+			wantState(t, w, "j", StateDone)
+		})
+	}
+	changes("the owner is lost before the start", func(w *harness) { w.storeUnavailable = true }, 1)
+	changes("the start is lost with its owner", func(w *harness) { w.lose = isStart }, 5)
+}
