Failing test: a trial that is over counts as a loss after a takeover

The recorded trial of a suspect is withdrawn only when the end of its run is listed. It stays in the task's record after the worker has refused the start, after the worker has answered without the run, and after the run was trusted.

trial_test.go:42: 2 != 1 --- FAIL: .../the_worker_does_not_know_the_run_any_more trial_test.go:42: 2 != 1 --- FAIL: .../the_worker_has_refused_the_start trial_test.go:42: 1 != 0 --- FAIL: .../the_worker_was_lost_long_after_the_start

--- a/jaysched/trial_test.go
+++ b/jaysched/trial_test.go
@@ -71,3 +71,34 @@
 	changes("the owner is lost before the start", func(w *harness) { w.storeUnavailable = true }, 1)
 	changes("the start is lost with its owner", func(w *harness) { w.lose = isStart }, 5)
 }
+
+// Guards against a loss that is attributed to a task although its worker was not lost: the worker
+// answered without the run, and then the owner is lost.
+func TestTrialsThatAreOverDoNotCountAsCrashes(t *testing.T) {
+	over := func(name string, crashes int, end func(w *harness, worker string)) {
+		t.Run(name, func(t *testing.T) {
+			spec := newSpec("j", 1, single)
+			w := newHarness(t, 6)
+			declare(w, spec)
+			w.crashWorkersOf(0, "j.0.0.0")
+			worker := w.running()["j.0.0.0"]
+			end(w, worker)
+			delete(w.workers, worker)
+			w = nextOwner(w, spec, w.pool.jobs["j"].progress(), 2)
+			wantCrashes(t, w, "j", crashes)
+		})
+	}
+	over("the worker does not know the run any more", 1, func(w *harness, worker string) {
+		clear(w.workers[worker].active)
+		w.pool.Reported(refOf(worker), w.workers[worker].report(w.now), w.now, w.now)
+	})
+	over("the worker has refused the start", 1, func(w *harness, worker string) {
+		for ref := range w.workers[worker].active {
+			w.pool.StartAnswered(refOf(worker), ref, w.now, &jayport.RefusedError{Reason: jayport.RefusedNoRoom}, w.now)
+		}
+	})
+	over("the worker was lost long after the start", 0, func(w *harness, worker string) {
+		w.reportFor(crashRiskTime + time.Second)
+		w.pool.jobs["j"].earliest().steps[0].tasks[0].checkpoint = "half" // the task has a record
+	})
+}
