A recorded trial counts as a loss only if its worker is gone

Cause: the record of a suspect's next run says that it may begin.

Change: the record names the worker on which the run is to start, as the crash of the run trialRun, so that the wire types stay as they are. A suspect starts on that worker, or another one is recorded first. The next owner starts the task again only once it knows of that worker, or once no lease of the former owner can last: - the worker lists the run: no loss; an active run stays recorded; - it answers without the run: no loss, and the record is withdrawn; - it is neither listed nor in the inventory, or has ended without draining: one loss, of that worker and rack; - it is in the inventory and does not answer: it counts if it is gone later.

What cannot be told apart: a worker that is lost by itself between the record and the next owner's look counts although the run may not have begun. That is one loss for each such worker, never for an owner alone, and the opposite would let a crasher start without limit while its owners are lost with it. A crashed worker that is back under its ID before the next owner's first look does not count, as the record does not name its incarnation.

The test "a run of a suspect is lost together with its owner" expected the loss before the new owner had read a list of workers. It now expects it as soon as the list and the inventory lack the worker, and still the same number.

--- a/jaysched/crash.go
+++ b/jaysched/crash.go
@@ -47,9 +47,6 @@
 	// rackLost says that the whole rack seemed to be lost. Such a loss counts towards the
 	// number of the task's losses, but its probability is no evidence against the task.
 	rackLost bool
-	// unconfirmed says that a former owner was about to start the run and that no worker has
-	// reported it since.
-	unconfirmed bool
 	// disproved says that a later run of the task was started and its worker survived.
 	disproved bool
 }
@@ -60,9 +57,6 @@
 // String names the worker and lists the evidence against the run.
 func (c crash) String() string {
 	text := c.worker
-	if c.unconfirmed {
-		text = fmt.Sprintf("run %d with its owner", c.run)
-	}
 	if c.atStart {
 		text += " at its start"
 	}
@@ -91,21 +85,21 @@
 		if !others && !rackLost {
 			c.probability = p.chanceOfLoss(w, r, now)
 		}
-		p.attributeTo(r, c, now)
+		p.attributeTo(t, c, now-r.orderedAt, now)
 	}
 }
 
-// attributeTo records the loss of a worker with the task of a run, and gives up its job if the
-// task is proven to crash its workers.
-func (p *Pool) attributeTo(r *run, c crash, now time.Duration) {
-	t := r.task
+// attributeTo records the loss of a worker with a task whose run was ordered some time ago, and
+// gives up its job if the task is proven to crash its workers.
+func (p *Pool) attributeTo(t *task, c crash, ordered, now time.Duration) {
 	if slices.ContainsFunc(t.crashes, func(known crash) bool { return known.run == c.run }) {
 		return
 	}
 	t.addCrash(c)
+	p.endTrial(t, c.run)
 	p.markChanged(t.step.job)
 	p.recordNow = true
-	p.recordEvent(Event{Kind: CrashAttributed, Worker: c.worker, Run: r.ref(), Detail: fmt.Sprintf("%v, %d in all", c, len(t.crashes)), Waited: now - r.orderedAt}, now)
+	p.recordEvent(Event{Kind: CrashAttributed, Worker: c.worker, Run: jayport.RunRef{Task: t.id(), Number: c.run}, Detail: fmt.Sprintf("%v, %d in all", c, len(t.crashes)), Waited: ordered}, now)
 	switch {
 	case t.parked:
 	case t.crashesWorkers(p.oneRack()):
@@ -220,23 +214,32 @@
 	})
 }
 
-// crashRecords returns the losses that the task may have caused in their stored form.
+// crashRecords returns the losses that the task may have caused in their stored form. The one of the
+// recorded trial is among them: it is a loss only if its worker is gone.
 func (t *task) crashRecords() []*jaywire.WorkerCrash {
 	var records []*jaywire.WorkerCrash
 	for _, c := range t.crashes {
-		records = append(records, &jaywire.WorkerCrash{Run: c.run, Worker: c.worker, Rack: c.rack, AtStart: c.atStart, Probability: c.probability, RackLost: c.rackLost})
+		records = append(records, c.record())
+	}
+	if c := t.recordedTrial(); c.run > 0 {
+		records = append(records, c.record())
 	}
 	return records
 }
 
-// restoreCrashes restores the losses that a former owner has recorded. A run that it was
-// about to start counts as one more loss until a worker reports the run.
+func (c crash) record() *jaywire.WorkerCrash {
+	return &jaywire.WorkerCrash{Run: c.run, Worker: c.worker, Rack: c.rack, AtStart: c.atStart, Probability: c.probability, RackLost: c.rackLost}
+}
+
+// restoreCrashes restores the losses that a former owner has recorded, and its trial. An earlier
+// version did not record the worker of a trial, which then does not count.
 func (t *task) restoreCrashes(record *jaywire.TaskProgress) {
 	for _, r := range record.Crashes {
-		t.addCrash(crash{run: r.Run, worker: r.Worker, rack: r.Rack, atStart: r.AtStart, probability: r.Probability, rackLost: r.RackLost})
-	}
-	known := slices.ContainsFunc(t.crashes, func(c crash) bool { return c.run == record.TrialRun })
-	if record.TrialRun > 0 && !known {
-		t.addCrash(crash{run: record.TrialRun, atStart: true, probability: certainProbability, unconfirmed: true})
+		c := crash{run: r.Run, worker: r.Worker, rack: r.Rack, atStart: r.AtStart, probability: r.Probability, rackLost: r.RackLost}
+		if r.Run == record.TrialRun {
+			t.holdTrials().former = c
+		} else {
+			t.addCrash(c)
+		}
 	}
 }
--- a/jaysched/crash_test.go
+++ b/jaysched/crash_test.go
@@ -306,18 +306,15 @@
 		is.True(next.starts("j.0.0.0") <= maxStartsOfCrasher)
 	})
 	t.Run("a run of a suspect is lost together with its owner", func(t *testing.T) {
-		// The run was recorded before it began, and no worker has reported it since.
+		// The run was recorded with its worker before it began, and the worker is gone.
 		is := is.New(t)
 		w := newHarness(t, 4)
 		declare(w, spec)
 		w.crashWorkersOf(0, "j.0.0.0")
 		is.Equal(w.starts("j.0.0.0"), 2)
 		progress := w.pool.jobs["j"].progress()
-		w.crashWorkersOf(0, "j.0.0.0")
-		next := newHarness(t, 0, WithFence(2, 2), WithFormerOwner(w.now+15*time.Second))
-		next.now, next.workers = w.now, w.workers
-		next.pool.Restore(spec, progress, next.now)
-		is.Equal(len(next.pool.jobs["j"].occurrences[0].steps[0].tasks[0].crashes), 2)
+		delete(w.workers, w.running()["j.0.0.0"])
+		wantCrashes(t, nextOwner(w, spec, progress, 2), "j", 2)
 	})
 	t.Run("a run of a suspect that continues does not count", func(t *testing.T) {
 		is := is.New(t)
--- a/jaysched/ends.go
+++ b/jaysched/ends.go
@@ -46,7 +46,7 @@
 		return
 	}
 	t.lastRun = max(t.lastRun, end.Run.Number)
-	t.clearUnconfirmed(end.Run.Number)
+	t.trialShown(end.Run.Number, w, false)
 	p.endTrial(t, end.Run.Number)
 	t.step.gangRun = max(t.step.gangRun, end.Run.Number)
 	if end.Checkpoint != "" && t.step.decl.Checkpoint && !t.done && len(t.runs) == 0 {
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -184,11 +184,8 @@
 	failedOn []string
 	// crashes are the losses of workers that the task may have caused.
 	crashes []crash
-	// trial is the number of the next run of a suspect, which waits to be recorded since
-	// trialAt; trialStored is the latest one that is recorded.
-	trial       int64
-	trialAt     time.Duration
-	trialStored int64
+	// trials are the recorded runs of a suspect, or nil.
+	trials *trials
 	// parked says that the task, one of a service, is not started any more.
 	parked bool
 	// released says that a run of the task was restarted to release its worker.
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -114,11 +115,19 @@
 	for _, w := range ended {
 		p.Ended(w.workerRef(), "not in the inventory", now)
 	}
+	if p.formerRuns.candidatesAt == 0 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.formerTrials)) {
+		if _, known := p.workers[id]; !known && !exists[id] {
+			p.endFormerTrials(id, true, now)
+		}
+	}
 }
 
 // NeedsInventory reports whether the pool waits for information about workers that do not answer.
 func (p *Pool) NeedsInventory(now time.Duration) bool {
-	if p.formerRunsPossible(now) {
+	if p.formerRunsPossible(now) || p.formerTrialsOpen(now) {
 		return true
 	}
 	return slices.ContainsFunc(p.sorted, func(w *worker) bool { return w.contact == silent && len(w.runs) > 0 })
@@ -150,6 +159,7 @@
 	p.forgetAdvice(w)
 	p.actions = append(p.actions, ForgetWorker{To: w.workerRef()})
 	p.attribute(w, suspects, atStart, now)
+	p.endFormerTrials(w.ID, !w.Draining, now)
 }
 
 // loseRuns removes all runs of a worker, which were over at some time: their tasks wait again.
@@ -229,6 +239,9 @@
 	}
 	if len(report.Ended) < jayport.MaxReportedEnds && !report.Partial {
 		p.dropMissing(w, seen, asked, now)
+		if processed {
+			p.endFormerTrials(w.ID, false, now)
+		}
 	}
 	w.askAt = now
 	switch {
@@ -319,7 +332,7 @@
 	t.lastRun = max(t.lastRun, r.number)
 	t.step.gangRun = max(t.step.gangRun, r.number)
 	t.mayRunUnreported = false
-	t.clearUnconfirmed(r.number)
+	t.trialShown(r.number, w, true)
 	t.step.job.started = true
 	if active.Checkpoint != "" && t.step.decl.Checkpoint {
 		t.checkpoint = active.Checkpoint
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -84,6 +84,9 @@
 	if now < t.notBefore || formerRuns && t.mayRunUnreported {
 		return false
 	}
+	if now < p.formerRuns.heldUntil && t.awaitsFormerTrial() {
+		return false
+	}
 	return p.ownership.confirmedSince(max(t.lostAt, t.step.job.foundAt))
 }
 
@@ -98,7 +101,7 @@
 		return p.noWorkerFound(t, now)
 	}
 	number := p.nextRun(t.lastRun)
-	if !p.admitTrial(t, number, now) {
+	if !p.admitTrial(t, w, number, now) {
 		w.reservedFor = t
 		p.reservedForSuspects++
 		return true
@@ -175,8 +178,8 @@
 		return
 	}
 	admitted := true
-	for _, t := range s.tasks {
-		admitted = p.admitTrial(t, number, now) && admitted
+	for n, t := range s.tasks {
+		admitted = p.admitTrial(t, chosen[n], number, now) && admitted
 	}
 	if !admitted {
 		return
@@ -195,6 +198,9 @@
 // chooseIsolated returns the worker for a task, or nil if none has room. No task is isolated more
 // strictly than strictest.
 func (p *Pool) chooseIsolated(t *task, strictest isolation, now time.Duration) *worker {
+	if w := p.recordedWorker(t); w != nil && p.obstacleTo(w, t, strictest, now) == noObstacle {
+		return w
+	}
 	var best *worker
 	for _, w := range p.sorted {
 		if p.obstacleTo(w, t, strictest, now) != noObstacle {
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -133,6 +133,8 @@
 	// sorted are the workers in the order of their IDs.
 	sorted     []*worker
 	formerRuns formerRuns
+	// formerTrials are the tasks with recorded trials of former owners, by the workers of the trials.
+	formerTrials map[string][]*task
 	// restoredAt is when this owner first restored a job.
 	restoredAt  time.Duration
 	ownership   ownership
@@ -187,6 +189,7 @@
 		jobs:         map[string]*job{},
 		workers:      map[string]*worker{},
 		endedWorkers: map[string]endedIncarnations{},
+		formerTrials: map[string][]*task{},
 		expected:     map[string]time.Duration{},
 
 		cancellations: jaycancel.NewRegister(),
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -17,7 +17,7 @@
 	Progress map[string]*jaywire.JobProgress
 	outcomes map[string]Outcome
 	ends     map[*worker]int64
-	trials   map[*task]int64
+	trials   map[*task]trial
 	// cancellations are those of unknown jobs. Their records are in Progress.
 	cancellations jaycancel.Changes
 }
@@ -45,14 +45,14 @@
 
 // TakeBatch returns and clears the progress to be recorded, or nil if there is none.
 func (p *Pool) TakeBatch() *Batch {
-	b := &Batch{Progress: map[string]*jaywire.JobProgress{}, outcomes: map[string]Outcome{}, ends: map[*worker]int64{}, trials: map[*task]int64{}}
+	b := &Batch{Progress: map[string]*jaywire.JobProgress{}, outcomes: map[string]Outcome{}, ends: map[*worker]int64{}, trials: map[*task]trial{}}
 	for _, j := range p.changed {
 		j.dirty = false
 		b.Progress[j.spec.ID] = j.progress()
 		b.outcomes[j.spec.ID] = j.outcome
 		j.eachTask(func(t *task) {
-			if t.trial > t.trialStored {
-				b.trials[t] = t.trial
+			if known := t.knownTrials(); known.latest.run > 0 && known.latest != known.stored {
+				b.trials[t] = known.latest
 			}
 		})
 	}
@@ -84,8 +84,8 @@
 		}
 	}
 	p.cancellations.Recorded(b.cancellations)
-	for t, run := range b.trials {
-		t.trialStored = max(t.trialStored, run)
+	for t, stored := range b.trials {
+		t.holdTrials().stored = stored
 	}
 	p.batchRecordedAt = now
 	for _, w := range p.sorted {
@@ -135,9 +135,10 @@
 func (s *step) progress() *jaywire.StepProgress {
 	record := &jaywire.StepProgress{Occurrence: uint32(s.id.Occurrence), Step: uint32(s.id.Step), Done: slices.Clone(s.done)}
 	for _, t := range s.tasks {
-		if !t.done && (len(t.failedRuns) > 0 || t.checkpoint != "" || len(t.crashes) > 0) {
+		trialRun := t.recordedTrial().run
+		if !t.done && (len(t.failedRuns) > 0 || t.checkpoint != "" || len(t.crashes) > 0 || trialRun > 0) {
 			record.Tasks = append(record.Tasks, &jaywire.TaskProgress{
-				Index: uint32(t.index), FailedRuns: t.failedRuns, Checkpoint: t.checkpoint, LastRun: t.lastRun, Crashes: t.crashRecords(), TrialRun: t.trial,
+				Index: uint32(t.index), FailedRuns: t.failedRuns, Checkpoint: t.checkpoint, LastRun: t.lastRun, Crashes: t.crashRecords(), TrialRun: trialRun,
 			})
 		}
 	}
--- a/jaysched/restore.go
+++ b/jaysched/restore.go
@@ -28,6 +28,7 @@
 	}
 	p.add(j)
 	p.quotas.possible = nil
+	p.awaitFormerTrials(j)
 	p.giveUpCrashing(j, now)
 }
 
--- a/jaysched/suspect.go
+++ b/jaysched/suspect.go
@@ -13,8 +13,6 @@
 	// crashRiskTime is how long a run must have been on a worker before it is not suspected at
 	// all.
 	crashRiskTime = 10 * time.Second
-	// trialRecordTimeout is how long a suspect waits for the record of its next run.
-	trialRecordTimeout = time.Second
 	// isolatedAfter is the number of losses after which a suspect shares no worker with other
 	// jobs.
 	isolatedAfter = 2
@@ -213,32 +211,3 @@
 	}
 	return in
 }
-
-// clearUnconfirmed removes the assumed loss of a run that a worker has reported.
-func (t *task) clearUnconfirmed(run int64) {
-	t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool { return c.unconfirmed && c.run == run })
-}
-
-// admitTrial reports whether the next run of a task may begin. The run of a suspect is recorded
-// first: if the owner is lost together with the worker, the next owner could not learn of the
-// run otherwise.
-func (p *Pool) admitTrial(t *task, number int64, now time.Duration) bool {
-	if t.isolation() <= watched || t.trialStored >= number {
-		return true
-	}
-	if t.trial < number {
-		t.trial, t.trialAt = number, now
-		p.markChanged(t.step.job)
-		p.recordNow = true
-	}
-	return now >= t.trialAt+trialRecordTimeout
-}
-
-// endTrial removes a run that has ended from a suspect's record. The worker forgets the end only
-// once that is recorded, and the next owner would count the run as lost with its worker.
-func (p *Pool) endTrial(t *task, run int64) {
-	if t.trial == run && t.step.job.outcome == Open {
-		t.trial = 0
-		p.markChanged(t.step.job)
-	}
-}
--- /dev/null
+++ b/jaysched/trial.go
@@ -0,0 +1,157 @@
+package jaysched
+
+import (
+	"slices"
+	"time"
+)
+
+// trialRecordTimeout is how long a suspect waits for the record of its next run.
+const trialRecordTimeout = time.Second
+
+// trial is a run of a suspect, which is recorded with its worker before it begins: if the owner is
+// lost together with the worker, the next owner could not learn of the run otherwise.
+//
+// A recorded trial alone does not show that the run began. The next owner therefore looks for the
+// worker: the run is over without a loss if the worker answers without it, and counts as the loss of
+// a worker if the worker is gone. A worker that was lost by itself before the run began cannot be
+// told apart, and counts too: otherwise a task that crashes its workers could be started without
+// limit if its owners are lost with them. A worker that has returned under its ID answers without the
+// run, and its loss does not count: the record does not name its incarnation.
+type trial struct {
+	run    int64
+	worker string
+	rack   string
+}
+
+// trials are the runs of a suspect that were recorded before they began.
+type trials struct {
+	// latest is the latest one whose outcome is not known, which waits to be recorded since
+	// waitsSince; stored is the latest one that is recorded.
+	latest     trial
+	waitsSince time.Duration
+	stored     trial
+	// former is the loss that counts if the worker of a former owner's trial is gone. Its run is
+	// zero if there is none.
+	former crash
+}
+
+// knownTrials returns the trials of a task.
+func (t *task) knownTrials() trials {
+	if t.trials == nil {
+		return trials{}
+	}
+	return *t.trials
+}
+
+// holdTrials returns the trials of a task, to be changed.
+func (t *task) holdTrials() *trials {
+	if t.trials == nil {
+		t.trials = &trials{}
+	}
+	return t.trials
+}
+
+// admitTrial reports whether the next run of a task may begin on a worker. That of a suspect is
+// recorded first.
+func (p *Pool) admitTrial(t *task, w *worker, number int64, now time.Duration) bool {
+	next := trial{run: number, worker: w.ID, rack: w.Rack}
+	if t.isolation() <= watched || t.knownTrials().stored == next {
+		return true
+	}
+	held := t.holdTrials()
+	if held.latest.run < number {
+		held.waitsSince = now
+	}
+	if held.latest != next {
+		held.latest = next
+		p.markChanged(t.step.job)
+		p.recordNow = true
+	}
+	return now >= held.waitsSince+trialRecordTimeout
+}
+
+// recordedWorker returns the worker that is recorded for the next run of a task, or nil.
+func (p *Pool) recordedWorker(t *task) *worker {
+	next := t.knownTrials().latest
+	if next.run <= t.lastRun {
+		return nil
+	}
+	return p.workers[next.worker]
+}
+
+// endTrial removes a run from a task's record whose outcome is known.
+func (p *Pool) endTrial(t *task, run int64) {
+	if t.trials != nil && t.trials.latest.run == run && t.step.job.outcome == Open {
+		t.trials.latest = trial{}
+		p.markChanged(t.step.job)
+	}
+}
+
+// recordedTrial returns the loss that the next owner is to attribute to a task if the worker is
+// gone. Its run is zero if there is none.
+func (t *task) recordedTrial() crash {
+	known := t.knownTrials()
+	if known.latest.run == 0 {
+		return known.former
+	}
+	return crash{run: known.latest.run, worker: known.latest.worker, rack: known.latest.rack, atStart: true, probability: certainProbability}
+}
+
+// trialShown handles a run that a worker has shown. If a former owner has recorded it and it is
+// active, it remains recorded.
+func (t *task) trialShown(run int64, w *worker, active bool) {
+	if t.knownTrials().former.run != run {
+		return
+	}
+	t.trials.former = crash{}
+	if active {
+		t.trials.latest = trial{run: run, worker: w.ID, rack: w.Rack}
+	}
+}
+
+// awaitFormerTrials registers the recorded trials of a restored job.
+func (p *Pool) awaitFormerTrials(j *job) {
+	j.eachTask(func(t *task) {
+		if t.awaitsFormerTrial() {
+			worker := t.trials.former.worker
+			p.formerTrials[worker] = append(p.formerTrials[worker], t)
+		}
+	})
+}
+
+// formerTrialsOpen reports whether the outcome of a former owner's trial may still become known
+// before its task starts again.
+func (p *Pool) formerTrialsOpen(now time.Duration) bool {
+	if now >= p.formerRuns.heldUntil {
+		return false
+	}
+	for _, tasks := range p.formerTrials {
+		if slices.ContainsFunc(tasks, (*task).awaitsFormerTrial) {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitsFormerTrial reports whether the outcome of a former owner's trial of the task is unknown.
+func (t *task) awaitsFormerTrial() bool {
+	return t.knownTrials().former.run > 0 && !t.done && t.step.job.outcome == Open
+}
+
+// endFormerTrials ends the trials that former owners have recorded for a worker. They count as its
+// loss if the worker is lost.
+func (p *Pool) endFormerTrials(worker string, lost bool, now time.Duration) {
+	tasks := p.formerTrials[worker]
+	delete(p.formerTrials, worker)
+	for _, t := range tasks {
+		if !t.awaitsFormerTrial() {
+			continue
+		}
+		c := t.trials.former
+		t.trials.former = crash{}
+		p.markChanged(t.step.job)
+		if lost {
+			p.attributeTo(t, c, 0, now)
+		}
+	}
+}
--- a/jaysched/trial_test.go
+++ b/jaysched/trial_test.go
@@ -102,3 +102,52 @@
 		w.pool.jobs["j"].earliest().steps[0].tasks[0].checkpoint = "half" // the task has a record
 	})
 }
+
+// Guards against a task that is started without limit: each of its owners is lost with the worker that
+// the task has crashed.
+func TestSuspectIsGivenUpThoughItsOwnersAreLostWithIt(t *testing.T) {
+	is := is.New(t)
+	spec := newSpec("j", 1, single)
+	w := newHarness(t, maxStartsOfCrasher+1)
+	declare(w, spec)
+	w.crashWorkersOf(0, "j.0.0.0")
+	for term := int64(2); w.pool.jobs["j"].outcome == Open; term++ {
+		progress := w.pool.jobs["j"].progress()
+		delete(w.workers, w.running()["j.0.0.0"])
+		w = nextOwner(w, spec, progress, term)
+		is.True(w.starts("j.0.0.0") <= maxStartsOfCrasher)
+	}
+	is.Equal(w.pool.jobs["j"].outcome.String(), Failed.String())
+}
+
+// Guards against a suspect that starts before it is known whether its previous run was lost with the
+// worker: the worker is still listed and does not answer.
+func TestSuspectWaitsForTheWorkerOfItsTrial(t *testing.T) {
+	ends := func(name string, crashes int, end func(*harness, *fakeWorker)) {
+		t.Run(name, func(t *testing.T) {
+			spec := newSpec("j", 1, single)
+			w := newHarness(t, 4)
+			declare(w, spec)
+			w.crashWorkersOf(0, "j.0.0.0")
+			f := w.workers[w.running()["j.0.0.0"]]
+			f.silent = true
+			clear(f.active)
+			w = nextOwner(w, spec, w.pool.jobs["j"].progress(), 2)
+			w.reportFor(time.Second)
+			wantCrashes(t, w, "j", 1)
+			is := is.New(t)
+			is.True(w.pool.NeedsInventory(w.now))
+			is.Equal(len(w.running()), 0)
+			end(w, f)
+			w.run()
+			wantCrashes(t, w, "j", crashes)
+			is.Equal(len(w.running()), 1)
+		})
+	}
+	ends("which is gone", 2, func(w *harness, f *fakeWorker) { w.inventoryLoses(f.info.ID) })
+	ends("which answers without the run", 1, func(w *harness, f *fakeWorker) {
+		f.silent = false
+		w.reports()
+	})
+	ends("until no lease of the former owner can last", 1, func(w *harness, _ *fakeWorker) { w.reportFor(15 * time.Second) })
+}
