A trial that is over is withdrawn from the record

Cause: a suspect's recorded trial was withdrawn only when the end of its run was listed. After a refused start, a report without the run, a loss of the worker that is not attributed to the run, or after the run was trusted it stayed, and counted as one more loss if the owner was lost later.

Change: each of these ends the trial.

TestTrialsThatAreOverDoNotCountAsCrashes failed before (2 != 1, 2 != 1, 1 != 0) and passes.

--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -154,6 +154,9 @@
 		p.recordLoss(w, now)
 	}
 	p.recordEvent(Event{Kind: WorkerLeft, Worker: w.ID, Detail: why}, now)
+	for _, r := range w.inOrder {
+		p.endTrial(r.task, r.number)
+	}
 	p.loseRuns(w, why, now, now)
 	p.remove(w)
 	p.forgetAdvice(w)
@@ -302,6 +305,7 @@
 		confirmed := r.confirmedAt > 0 && r.confirmedAt < asked
 		if confirmed && !seen[r.ref()] {
 			p.recordEvent(Event{Kind: RunVanished, Worker: w.ID, Run: r.ref(), Waited: now - r.orderedAt}, now)
+			p.endTrial(r.task, r.number)
 			p.loseRun(r, now, now)
 		}
 	}
@@ -407,6 +411,7 @@
 		return
 	}
 	r.task.notBefore = now + refusedRetryDelay
+	p.endTrial(r.task, r.number)
 	if reason == jayport.RefusedNoTicket {
 		delete(r.task.step.advice.tickets, r.worker.ID)
 	}
--- a/jaysched/suspect.go
+++ b/jaysched/suspect.go
@@ -134,6 +134,7 @@
 		case r.isolation == unsuspected || len(r.task.crashes) == 0:
 		case r.pastCrashRisk():
 			r.task.crashes = nil
+			p.endTrial(r.task, r.number)
 			p.markChanged(r.task.step.job)
 			p.recordEvent(Event{Kind: TaskCleared, Worker: w.ID, Run: r.ref(), Detail: "trusted", Waited: now - r.orderedAt}, now)
 		case r.pastStartRisk() && r.task.isolation() == isolatedStart:
