--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -115,11 +116,19 @@
 	for _, w := range ended {
 		p.Ended(w.workerRef(), "not in the inventory", now)
 	}
+	if p.formerRuns.candidatesAt == 0 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.formerTrials)) {
+		if _, known := p.workers[id]; !known && !exists[id] {
+			p.endFormerTrials(id, true, now)
+		}
+	}
 }
 
 // NeedsInventory reports whether the pool waits for information about workers that do not answer.
 func (p *Pool) NeedsInventory(now time.Duration) bool {
-	if p.formerRunsPossible(now) {
+	if p.formerRunsPossible(now) || p.formerTrialsOpen(now) {
 		return true
 	}
 	return slices.ContainsFunc(p.sorted, func(w *worker) bool { return w.contact == silent && len(w.runs) > 0 })
@@ -146,11 +155,15 @@
 		p.recordLoss(w, now)
 	}
 	p.recordEvent(Event{Kind: WorkerLeft, Worker: w.ID, Detail: why}, now)
+	for _, r := range w.inOrder {
+		p.endTrial(r.task, r.number)
+	}
 	p.loseRuns(w, why, now, now)
 	p.remove(w)
 	p.forgetAdvice(w)
 	p.actions = append(p.actions, ForgetWorker{To: w.workerRef()})
 	p.attribute(w, suspects, atStart, now)
+	p.endFormerTrials(w.ID, !w.Draining, now)
 }
 
 // loseRuns removes all runs of a worker, which were over at some time: their tasks wait again.
@@ -230,6 +243,9 @@
 	}
 	if len(report.Ended) < jayport.MaxReportedEnds && !report.Partial {
 		p.dropMissing(w, seen, asked, now)
+		if processed {
+			p.endFormerTrials(w.ID, false, now)
+		}
 	}
 	w.askAt = now
 	switch {
@@ -290,6 +306,7 @@
 		confirmed := r.confirmedAt > 0 && r.confirmedAt < asked
 		if confirmed && !seen[r.ref()] {
 			p.recordEvent(Event{Kind: RunVanished, Worker: w.ID, Run: r.ref(), Waited: now - r.orderedAt}, now)
+			p.endTrial(r.task, r.number)
 			p.loseRun(r, now, now)
 		}
 	}
@@ -320,7 +337,7 @@
 	t.lastRun = max(t.lastRun, r.number)
 	t.step.gangRun = max(t.step.gangRun, r.number)
 	t.mayRunUnreported = false
-	t.clearUnconfirmed(r.number)
+	t.trialShown(r.number, w, true)
 	t.step.job.started = true
 	if active.Checkpoint != "" && t.step.decl.Checkpoint {
 		t.checkpoint = active.Checkpoint
@@ -395,6 +412,7 @@
 		return
 	}
 	r.task.notBefore = now + refusedRetryDelay
+	p.endTrial(r.task, r.number)
 	if reason == jayport.RefusedNoTicket {
 		delete(r.task.step.advice.tickets, r.worker.ID)
 	}
--- /dev/null
+++ b/jaysched/trial_test.go
@@ -0,0 +1,153 @@
+package jaysched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaythread/jayport"
+	"jaythread/jayspec"
+	"jaythread/jaywire"
+)
+
+// nextOwner returns the harness of the owner that takes over from a lost one, with the progress that
+// is recorded of a job. Every worker that is left has reported.
+func nextOwner(w *harness, spec *jayspec.Job, progress *jaywire.JobProgress, term int64) *harness {
+	w.t.Helper()
+	next := newHarness(w.t, 0, WithFence(term, term), WithFormerOwner(w.now+15*time.Second))
+	next.now, next.workers, next.sent, next.lose, next.storeUnavailable = w.now, w.workers, w.sent, w.lose, w.storeUnavailable
+	next.pool.Restore(spec, progress, next.now)
+	next.list()
+	readInventory(next)
+	next.run()
+	return next
+}
+
+// suspectedHarness returns a harness in which both tasks of a job have lost their worker, which left
+// the inventory just after their start.
+func suspectedHarness(t *testing.T, spec *jayspec.Job, change func(*harness)) *harness {
+	t.Helper()
+	w := newHarness(t, 6)
+	declare(w, spec)
+	is.New(t).Equal(w.running()["j.0.0.0"], w.running()["j.0.0.1"])
+	change(w)
+	w.inventoryLoses(w.running()["j.0.0.0"])
+	return w
+}
+
+// wantCrashes checks the number of losses that are attributed to each task of a job.
+func wantCrashes(t *testing.T, w *harness, job string, want int) {
+	t.Helper()
+	w.pool.jobs[job].eachTask(func(task *task) { is.New(t).Equal(len(task.crashes), want) })
+}
+
+func isStart(a Action) bool {
+	_, start := a.(StartRun)
+	return start
+}
+
+// Guards against a sound job that is given up after quick changes of the owner: each has recorded the
+// next run of a suspect, and no worker was lost since.
+func TestOwnersWithoutLossesDoNotCountAsCrashes(t *testing.T) {
+	changes := func(name string, change func(*harness), starts int) {
+		t.Run(name, func(t *testing.T) {
+			spec := newSpec("j", 1)
+			w := suspectedHarness(t, spec, change)
+			for term := int64(2); term <= 4; term++ {
+				w = nextOwner(w, spec, w.pool.jobs["j"].progress(), term)
+			}
+			is := is.New(t)
+			is.Equal(w.pool.jobs["j"].outcome.String(), Open.String())
+			is.Equal(w.starts("j.0.0.0"), starts)
+			wantCrashes(t, w, "j", 1)
+			w.lose, w.storeUnavailable = func(Action) bool { return false }, false
+			w.reportFor(2 * trialRecordTimeout)
+			w.finish("j", 0, jayport.EndedDone)
+			w.record()
+			wantState(t, w, "j", StateDone)
+		})
+	}
+	changes("the owner is lost before the start", func(w *harness) { w.storeUnavailable = true }, 1)
+	changes("the start is lost with its owner", func(w *harness) { w.lose = isStart }, 5)
+}
+
+// Guards against a loss that is attributed to a task although its worker was not lost: the worker
+// answered without the run, and then the owner is lost.
+func TestTrialsThatAreOverDoNotCountAsCrashes(t *testing.T) {
+	over := func(name string, crashes int, end func(w *harness, worker string)) {
+		t.Run(name, func(t *testing.T) {
+			spec := newSpec("j", 1, single)
+			w := newHarness(t, 6)
+			declare(w, spec)
+			w.crashWorkersOf(0, "j.0.0.0")
+			worker := w.running()["j.0.0.0"]
+			end(w, worker)
+			delete(w.workers, worker)
+			w = nextOwner(w, spec, w.pool.jobs["j"].progress(), 2)
+			wantCrashes(t, w, "j", crashes)
+		})
+	}
+	over("the worker does not know the run any more", 1, func(w *harness, worker string) {
+		clear(w.workers[worker].active)
+		w.pool.Reported(refOf(worker), w.workers[worker].report(w.now), w.now, w.now)
+	})
+	over("the worker has refused the start", 1, func(w *harness, worker string) {
+		for ref := range w.workers[worker].active {
+			w.pool.StartAnswered(refOf(worker), ref, w.now, &jayport.RefusedError{Reason: jayport.RefusedNoRoom}, w.now)
+		}
+	})
+	over("the worker was lost long after the start", 0, func(w *harness, worker string) {
+		w.reportFor(crashRiskTime + time.Second)
+		w.pool.jobs["j"].earliest().steps[0].tasks[0].checkpoint = "half" // the task has a record
+	})
+}
+
+// Guards against a task that is started without limit: each of its owners is lost with the worker that
+// the task has crashed.
+func TestSuspectIsGivenUpThoughItsOwnersAreLostWithIt(t *testing.T) {
+	is := is.New(t)
+	spec := newSpec("j", 1, single)
+	w := newHarness(t, maxStartsOfCrasher+1)
+	declare(w, spec)
+	w.crashWorkersOf(0, "j.0.0.0")
+	for term := int64(2); w.pool.jobs["j"].outcome == Open; term++ {
+		progress := w.pool.jobs["j"].progress()
+		delete(w.workers, w.running()["j.0.0.0"])
+		w = nextOwner(w, spec, progress, term)
+		is.True(w.starts("j.0.0.0") <= maxStartsOfCrasher)
+	}
+	is.Equal(w.pool.jobs["j"].outcome.String(), Failed.String())
+}
+
+// Guards against a suspect that starts before it is known whether its previous run was lost with the
+// worker: the worker is still listed and does not answer.
+func TestSuspectWaitsForTheWorkerOfItsTrial(t *testing.T) {
+	ends := func(name string, crashes int, end func(*harness, *fakeWorker)) {
+		t.Run(name, func(t *testing.T) {
+			spec := newSpec("j", 1, single)
+			w := newHarness(t, 4)
+			declare(w, spec)
+			w.crashWorkersOf(0, "j.0.0.0")
+			f := w.workers[w.running()["j.0.0.0"]]
+			f.silent = true
+			clear(f.active)
+			w = nextOwner(w, spec, w.pool.jobs["j"].progress(), 2)
+			w.reportFor(time.Second)
+			wantCrashes(t, w, "j", 1)
+			is := is.New(t)
+			is.True(w.pool.NeedsInventory(w.now))
+			is.Equal(len(w.running()), 0)
+			end(w, f)
+			w.run()
+			wantCrashes(t, w, "j", crashes)
+			is.Equal(len(w.running()), 1)
+		})
+	}
+	ends("which is gone", 2, func(w *harness, f *fakeWorker) { w.inventoryLoses(f.info.ID) })
+	ends("which answers without the run", 1, func(w *harness, f *fakeWorker) {
+		f.silent = false
+		w.reports()
+	})
+	ends("until no lease of the former owner can last", 1, func(w *harness, _ *fakeWorker) { w.reportFor(15 * time.Second) })
+}
