Failing test: a task starts a sixth time after two owners are lost at its start

--- FAIL: TestUnsuspectedTaskIsGivenUpThoughTwoOwnersAreLostWithIt trial_test.go:144: not true: w.starts("j.0.0.0") <= maxStartsOfCrasher

--- a/jaysched/trial_test.go
+++ b/jaysched/trial_test.go
@@ -120,6 +120,30 @@
 	is.Equal(w.pool.jobs["j"].outcome.String(), Failed.String())
 }
 
+// Guards against a task that is started a sixth time: two owners in a row are lost with a worker that the
+// task has crashed at its start, so that it is no suspect, and the later losses may be by chance.
+func TestUnsuspectedTaskIsGivenUpThoughTwoOwnersAreLostWithIt(t *testing.T) {
+	is := is.New(t)
+	spec := newSpec("j", 1, single)
+	w := newHarness(t, maxStartsOfCrasher+1)
+	declare(w, spec)
+	for term := int64(2); term <= 3; term++ {
+		progress := w.pool.jobs["j"].progress() // the loss is not recorded
+		delete(w.workers, w.running()["j.0.0.0"])
+		w = nextOwner(w, spec, progress, term)
+	}
+	for w.crashWorkersOf(0, "j.0.0.0") > 0 {
+		w.pool.jobs["j"].eachTask(func(task *task) {
+			for n := range task.crashes {
+				task.crashes[n].probability = certainProbability
+			}
+		})
+	}
+	w.record()
+	wantState(t, w, "j", StateFailed)
+	is.True(w.starts("j.0.0.0") <= maxStartsOfCrasher)
+}
+
 // Guards against a suspect that starts before it is known whether its previous run was lost with the
 // worker: the worker is still listed and does not answer.
 func TestSuspectWaitsForTheWorkerOfItsTrial(t *testing.T) {
