The runs of an inherited job are recorded while they begin

Cause: only a suspect's run is recorded before it begins. A task whose owner is lost with the first worker that it crashes is no suspect for the next owner, whose start of it is not recorded either.

Change: an owner records each run of an inherited job with its worker, without delaying the run: the record is written with the next batch, 40 ms later at most and an append. The next owner treats it as a trial. The first owner's starts are still recorded by nobody, which is the one loss that is allowed for. A job's record has 64 such runs at most, for its size.

Errors: an owner that is lost before the append is written is not counted. A sound run that is lost with its worker and its owner counts as one loss, also long after its start, since the record is withdrawn with the run's end only; the next run that lives for 10 s clears the task. Such a loss does not isolate the task ("watched").

--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -159,6 +159,7 @@
 		waited = 0 // a copy: its task runs already
 	}
 	p.recordEvent(Event{Kind: RunStarted, Worker: w.ID, Run: r.ref(), Since: now - w.lastAnswerAt, Waited: waited}, now)
+	p.recordStart(t, w, number)
 	p.sendStart(r, now)
 }
 
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -184,7 +184,7 @@
 	failedOn []string
 	// crashes are the losses of workers that the task may have caused.
 	crashes []crash
-	// trials are the recorded runs of a suspect, or nil.
+	// trials are the recorded runs, or nil.
 	trials *trials
 	// parked says that the task, one of a service, is not started any more.
 	parked bool
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -119,12 +119,13 @@
 			record.EndedAhead = append(record.EndedAhead, uint32(number))
 		}
 	}
+	unsuspectedTrials := 0
 	for _, o := range j.occurrences {
 		if o.number < j.series.Next() && j.spec.Schedule.Timed() {
 			record.OpenOccurrences = append(record.OpenOccurrences, uint32(o.number))
 		}
 		for _, s := range o.steps {
-			if step := s.progress(); step != nil {
+			if step := s.progress(&unsuspectedTrials); step != nil {
 				record.Steps = append(record.Steps, step)
 			}
 		}
@@ -132,11 +133,18 @@
 	return record
 }
 
-func (s *step) progress() *jaywire.StepProgress {
+// progress returns the stored form of a step's progress, or nil if there is none. It counts the trials
+// of tasks that have no other progress.
+func (s *step) progress(unsuspectedTrials *int) *jaywire.StepProgress {
 	record := &jaywire.StepProgress{Occurrence: uint32(s.id.Occurrence), Step: uint32(s.id.Step), Done: slices.Clone(s.done)}
 	for _, t := range s.tasks {
 		trialRun := t.recordedTrial().run
-		if !t.done && (len(t.failedRuns) > 0 || t.checkpoint != "" || len(t.crashes) > 0 || trialRun > 0) {
+		progressed := len(t.failedRuns) > 0 || t.checkpoint != "" || len(t.crashes) > 0
+		if !t.done && !progressed && trialRun > 0 {
+			*unsuspectedTrials++
+			progressed = *unsuspectedTrials <= maxUnsuspectedTrials
+		}
+		if !t.done && progressed {
 			record.Tasks = append(record.Tasks, &jaywire.TaskProgress{
 				Index: uint32(t.index), FailedRuns: t.failedRuns, Checkpoint: t.checkpoint, LastRun: t.lastRun, Crashes: t.crashRecords(), TrialRun: trialRun,
 			})
--- a/jaysched/trial.go
+++ b/jaysched/trial.go
@@ -5,11 +5,17 @@
 	"time"
 )
 
-// trialRecordTimeout is how long a suspect waits for the record of its next run.
-const trialRecordTimeout = time.Second
+const (
+	// trialRecordTimeout is how long a suspect waits for the record of its next run.
+	trialRecordTimeout = time.Second
+	// maxUnsuspectedTrials is the maximum number of trials of unsuspected tasks in the record of one
+	// job. It limits the record's size.
+	maxUnsuspectedTrials = 64
+)
 
-// trial is a run of a suspect, which is recorded with its worker before it begins: if the owner is
-// lost together with the worker, the next owner could not learn of the run otherwise.
+// trial is a run that is recorded with its worker: that of a suspect before it begins, that of an
+// inherited job while it begins. If the owner is lost together with the worker, the next owner could
+// not learn of the run otherwise.
 //
 // A recorded trial alone does not show that the run began. The next owner therefore looks for the
 // worker: the run is over without a loss if the worker answers without it, and counts as the loss of
@@ -23,7 +29,7 @@
 	rack   string
 }
 
-// trials are the runs of a suspect that were recorded before they began.
+// trials are the recorded runs of a task.
 type trials struct {
 	// latest is the latest one whose outcome is not known, which waits to be recorded since
 	// waitsSince; stored is the latest one that is recorded.
@@ -70,6 +76,19 @@
 	return now >= held.waitsSince+trialRecordTimeout
 }
 
+// recordStart records a run of an inherited job that begins on a worker. A former owner may have been
+// lost together with the first worker that the task has crashed, so that the task is no suspect; if
+// this owner is lost with the next one, that must be known to the owner after it. The run does not wait
+// for the record.
+func (p *Pool) recordStart(t *task, w *worker, number int64) {
+	began := trial{run: number, worker: w.ID, rack: w.Rack}
+	if !t.step.job.inherited || t.knownTrials().latest == began {
+		return
+	}
+	t.holdTrials().latest = began
+	p.markChanged(t.step.job)
+}
+
 // recordedWorker returns the worker that is recorded for the next run of a task, or nil.
 func (p *Pool) recordedWorker(t *task) *worker {
 	next := t.knownTrials().latest
@@ -94,7 +113,8 @@
 	if known.latest.run == 0 {
 		return known.former
 	}
-	return crash{run: known.latest.run, worker: known.latest.worker, rack: known.latest.rack, atStart: true, probability: certainProbability}
+	// Whether the run of an unsuspected task has just been started is not recorded.
+	return crash{run: known.latest.run, worker: known.latest.worker, rack: known.latest.rack, atStart: len(t.crashes) > 0, probability: certainProbability}
 }
 
 // trialShown handles a run that a worker has shown. If a former owner has recorded it and it is
--- a/jaysched/trial_test.go
+++ b/jaysched/trial_test.go
@@ -144,6 +144,16 @@
 	is.True(w.starts("j.0.0.0") <= maxStartsOfCrasher)
 }
 
+// Guards against a record that grows with the number of tasks that an owner restarts.
+func TestRecordOfUnsuspectedTrialsIsLimited(t *testing.T) {
+	is := is.New(t)
+	spec := newSpec("j", 1, func(s *jayspec.Step) { s.Tasks = 2 * maxUnsuspectedTrials })
+	w := newHarness(t, maxUnsuspectedTrials)
+	w = nextOwner(w, spec, nil, 2)
+	is.Equal(len(w.running()), 2*maxUnsuspectedTrials)
+	is.Equal(len(w.pool.jobs["j"].progress().Steps[0].Tasks), maxUnsuspectedTrials)
+}
+
 // Guards against a suspect that starts before it is known whether its previous run was lost with the
 // worker: the worker is still listed and does not answer.
 func TestSuspectWaitsForTheWorkerOfItsTrial(t *testing.T) {
