--- a/jaysched/trial_test.go
+++ b/jaysched/trial_test.go
@@ -97,6 +97,17 @@
 			w.pool.StartAnswered(refOf(worker), ref, w.now, &jayport.RefusedError{Reason: jayport.RefusedNoRoom}, w.now)
 		}
 	})
+	t.Run("the loss is attributed after the lease has ended", func(t *testing.T) {
+		is := is.New(t)
+		w := newHarness(t, 1)
+		declare(w, newSpec("j", 1, single))
+		w.crashWorkersOf(0, "j.0.0.0")
+		task, worker := w.pool.jobs["j"].earliest().steps[0].tasks[0], w.running()["j.0.0.0"]
+		w.silenceUntilLeaseEnds(worker)
+		w.pool.Ended(refOf(worker), "another incarnation answers", w.now)
+		is.Equal(len(task.crashes), 2)
+		is.Equal(task.knownTrials().latest.run, int64(0))
+	})
 	over("the worker was lost long after the start", 0, func(w *harness, worker string) {
 		w.reportFor(crashRiskTime + time.Second)
 		w.pool.jobs["j"].earliest().steps[0].tasks[0].checkpoint = "half" // the task has a record
@@ -111,10 +122,11 @@
 	w := newHarness(t, maxStartsOfCrasher+1)
 	declare(w, spec)
 	w.crashWorkersOf(0, "j.0.0.0")
-	for term := int64(2); w.pool.jobs["j"].outcome == Open; term++ {
+	for term := int64(2); w.pool.jobs["j"].outcome == Open; term += 2 {
+		w = nextOwner(w, spec, w.pool.jobs["j"].progress(), term) // adopts the run
 		progress := w.pool.jobs["j"].progress()
 		delete(w.workers, w.running()["j.0.0.0"])
-		w = nextOwner(w, spec, progress, term)
+		w = nextOwner(w, spec, progress, term+1)
 		is.True(w.starts("j.0.0.0") <= maxStartsOfCrasher)
 	}
 	is.Equal(w.pool.jobs["j"].outcome.String(), Failed.String())
@@ -154,6 +166,36 @@
 	is.Equal(len(w.pool.jobs["j"].progress().Steps[0].Tasks), maxUnsuspectedTrials)
 }
 
+// Guards against a suspect whose run is looked for on another worker than that on which it began.
+func TestSuspectStartsOnTheRecordedWorker(t *testing.T) {
+	admitted := func(t *testing.T) (w *harness, recorded string) {
+		t.Helper()
+		w = newHarness(t, 4)
+		declare(w, newSpec("j", 1, single))
+		w.storeUnavailable = true
+		w.crashWorkersOf(0, "j.0.0.0")
+		w.record()
+		return w, w.pool.jobs["j"].earliest().steps[0].tasks[0].knownTrials().stored.worker
+	}
+	t.Run("although another one suits it better", func(t *testing.T) {
+		w, recorded := admitted(t)
+		w.pool.workers[recorded].pace.slow = true
+		w.run()
+		is.New(t).Equal(w.running()["j.0.0.0"], recorded)
+	})
+	t.Run("or on another one that is recorded first", func(t *testing.T) {
+		is := is.New(t)
+		w, recorded := admitted(t)
+		w.workers[recorded].info.Draining = true
+		w.list()
+		w.run()
+		is.Equal(len(w.running()), 0)
+		w.record()
+		w.run()
+		is.Equal(len(w.running()), 1)
+	})
+}
+
 // Guards against a suspect that starts before it is known whether its previous run was lost with the
 // worker: the worker is still listed and does not answer.
 func TestSuspectWaitsForTheWorkerOfItsTrial(t *testing.T) {
@@ -166,7 +208,9 @@
 			f := w.workers[w.running()["j.0.0.0"]]
 			f.silent = true
 			clear(f.active)
-			w = nextOwner(w, spec, w.pool.jobs["j"].progress(), 2)
+			for term := int64(2); term <= 3; term++ {
+				w = nextOwner(w, spec, w.pool.jobs["j"].progress(), term)
+			}
 			w.reportFor(time.Second)
 			wantCrashes(t, w, "j", 1)
 			is := is.New(t)
@@ -184,4 +228,25 @@
 		w.reports()
 	})
 	ends("until no lease of the former owner can last", 1, func(w *harness, _ *fakeWorker) { w.reportFor(15 * time.Second) })
+	t.Run("which is listed and not in the inventory", func(t *testing.T) {
+		is := is.New(t)
+		spec := newSpec("j", 1, single)
+		w := newHarness(t, 4)
+		declare(w, spec)
+		w.crashWorkersOf(0, "j.0.0.0")
+		lost := w.workers[w.running()["j.0.0.0"]]
+		next := newHarness(t, 0, WithFence(2, 2), WithFormerOwner(w.now+15*time.Second))
+		next.now, next.workers = w.now, w.workers
+		next.pool.Restore(spec, w.pool.jobs["j"].progress(), next.now)
+		next.list()
+		delete(next.workers, lost.info.ID)
+		readInventory(next)
+		next.run()
+		is.Equal(len(next.running()), 0)
+		is.True(next.pool.NeedsInventory(next.now))
+		readInventory(next)
+		next.run()
+		wantCrashes(t, next, "j", 2)
+		is.Equal(len(next.running()), 1)
+	})
 }
