The record of a trial names the worker's incarnation

The second start was recorded with i-m0-1, which crashed and was back under its ID 1.1 s later, before the next owner looked; it answered without the run, so that its loss did not count. The record of the first loss was lost with its owner too.

Change: the worker of a trial is recorded as its ID, "@" and its incarnation. If both incarnations are known and differ, the recorded one is gone and counts.

"of which another incarnation answers" fails without the comparison (1 != 2) and passes with it.

--- a/jaysched/crash.go
+++ b/jaysched/crash.go
@@ -38,7 +38,10 @@
 type crash struct {
 	run    int64
 	worker string
-	rack   string
+	// incarnation is that of the worker if the crash stands for a trial, and zero otherwise or if it
+	// is not known.
+	incarnation jayport.Incarnation
+	rack        string
 	// atStart says that the run had just been started.
 	atStart bool
 	// probability is the probability that the worker failed by itself in that time. It is
@@ -222,7 +225,7 @@
 		records = append(records, c.record())
 	}
 	if c := t.recordedTrial(); c.run > 0 {
-		records = append(records, c.record())
+		records = append(records, c.trialRecord())
 	}
 	return records
 }
@@ -237,7 +240,7 @@
 	for _, r := range record.Crashes {
 		c := crash{run: r.Run, worker: r.Worker, rack: r.Rack, atStart: r.AtStart, probability: r.Probability, rackLost: r.RackLost}
 		if r.Run == record.TrialRun {
-			t.holdTrials().former = c
+			t.holdTrials().former = c.asTrial()
 		} else {
 			t.addCrash(c)
 		}
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -120,7 +120,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.formerTrials)) {
 		if _, known := p.workers[id]; !known && !exists[id] {
-			p.endFormerTrials(id, true, now)
+			p.endFormerTrials(id, 0, true, now)
 		}
 	}
 }
@@ -162,7 +162,7 @@
 	p.forgetAdvice(w)
 	p.actions = append(p.actions, ForgetWorker{To: w.workerRef()})
 	p.attribute(w, suspects, atStart, now)
-	p.endFormerTrials(w.ID, !w.Draining, now)
+	p.endFormerTrials(w.ID, w.Incarnation, !w.Draining, now)
 }
 
 // loseRuns removes all runs of a worker, which were over at some time: their tasks wait again.
@@ -243,7 +243,7 @@
 	if len(report.Ended) < jayport.MaxReportedEnds && !report.Partial {
 		p.dropMissing(w, seen, asked, now)
 		if processed {
-			p.endFormerTrials(w.ID, false, now)
+			p.endFormerTrials(w.ID, w.Incarnation, false, now)
 		}
 	}
 	w.askAt = now
--- a/jaysched/trial.go
+++ b/jaysched/trial.go
@@ -1,8 +1,14 @@
 package jaysched
 
 import (
+	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
+
+	"jaythread/jayport"
+	"jaythread/jaywire"
 )
 
 const (
@@ -21,12 +27,19 @@
 // worker: the run is over without a loss if the worker answers without it, and counts as the loss of
 // a worker if the worker is gone. A worker that was lost by itself before the run began cannot be
 // told apart, and counts too: otherwise a task that crashes its workers could be started without
-// limit if its owners are lost with them. A worker that has returned under its ID answers without the
-// run, and its loss does not count: the record does not name its incarnation.
+// limit if its owners are lost with them. A worker that answers as another incarnation is gone. One that
+// does not report its incarnation and has returned under its ID answers without the run, and its loss
+// does not count.
 type trial struct {
-	run    int64
-	worker string
-	rack   string
+	run         int64
+	worker      string
+	incarnation jayport.Incarnation
+	rack        string
+}
+
+// newTrial returns the trial of a run on a worker.
+func newTrial(w *worker, run int64) trial {
+	return trial{run: run, worker: w.ID, incarnation: w.Incarnation, rack: w.Rack}
 }
 
 // trials are the recorded runs of a task.
@@ -60,7 +73,7 @@
 // admitTrial reports whether the next run of a task may begin on a worker. That of a suspect is
 // recorded first.
 func (p *Pool) admitTrial(t *task, w *worker, number int64, now time.Duration) bool {
-	next := trial{run: number, worker: w.ID, rack: w.Rack}
+	next := newTrial(w, number)
 	if t.isolation() <= watched || t.knownTrials().stored == next {
 		return true
 	}
@@ -81,7 +94,7 @@
 // this owner is lost with the next one, that must be known to the owner after it. The run does not wait
 // for the record.
 func (p *Pool) recordStart(t *task, w *worker, number int64) {
-	began := trial{run: number, worker: w.ID, rack: w.Rack}
+	began := newTrial(w, number)
 	if !t.step.job.inherited || t.knownTrials().latest == began {
 		return
 	}
@@ -114,7 +127,7 @@
 		return known.former
 	}
 	// Whether the run of an unsuspected task has just been started is not recorded.
-	return crash{run: known.latest.run, worker: known.latest.worker, rack: known.latest.rack, atStart: len(t.crashes) > 0, probability: certainProbability}
+	return crash{run: known.latest.run, worker: known.latest.worker, incarnation: known.latest.incarnation, rack: known.latest.rack, atStart: len(t.crashes) > 0, probability: certainProbability}
 }
 
 // trialShown handles a run that a worker has shown. If a former owner has recorded it and it is
@@ -125,7 +138,7 @@
 	}
 	t.trials.former = crash{}
 	if active {
-		t.trials.latest = trial{run: run, worker: w.ID, rack: w.Rack}
+		t.trials.latest = newTrial(w, run)
 	}
 }
 
@@ -159,8 +172,9 @@
 }
 
 // endFormerTrials ends the trials that former owners have recorded for a worker. They count as its
-// loss if the worker is lost.
-func (p *Pool) endFormerTrials(worker string, lost bool, now time.Duration) {
+// loss if the worker is lost, or if its present incarnation is another one. Zero stands for an unknown
+// incarnation.
+func (p *Pool) endFormerTrials(worker string, present jayport.Incarnation, lost bool, now time.Duration) {
 	tasks := p.formerTrials[worker]
 	delete(p.formerTrials, worker)
 	for _, t := range tasks {
@@ -168,6 +182,8 @@
 			continue
 		}
 		c := t.trials.former
+		lost := lost || present != 0 && c.incarnation != 0 && c.incarnation != present
+		c.incarnation = 0
 		t.trials.former = crash{}
 		p.markChanged(t.step.job)
 		if lost {
@@ -175,3 +191,25 @@
 		}
 	}
 }
+
+// incarnationSeparator separates the ID and the incarnation of a worker in the record of a trial.
+const incarnationSeparator = "@"
+
+// trialRecord returns a trial in its stored form, in which the worker's incarnation follows its ID.
+func (c crash) trialRecord() *jaywire.WorkerCrash {
+	record := c.record()
+	record.Worker = fmt.Sprintf("%s%s%d", c.worker, incarnationSeparator, int64(c.incarnation))
+	return record
+}
+
+// asTrial returns the trial that is restored as a crash. Without a readable incarnation its worker is an
+// ID.
+func (c crash) asTrial() crash {
+	text := c.worker
+	if at := strings.LastIndex(text, incarnationSeparator); at >= 0 {
+		if number, err := strconv.ParseInt(text[at+len(incarnationSeparator):], 10, 64); err == nil {
+			c.worker, c.incarnation = text[:at], jayport.Incarnation(number)
+		}
+	}
+	return c
+}
--- a/jaysched/trial_test.go
+++ b/jaysched/trial_test.go
@@ -228,6 +228,18 @@
 		w.reports()
 	})
 	ends("until no lease of the former owner can last", 1, func(w *harness, _ *fakeWorker) { w.reportFor(15 * time.Second) })
+	t.Run("of which another incarnation answers", func(t *testing.T) {
+		spec := newSpec("j", 1, single)
+		w := newHarness(t, 4)
+		declare(w, spec)
+		for _, id := range []string{"w1", "w2", "w3"} {
+			w.workers[id].info.Incarnation = 2
+		}
+		w.list()
+		w.crashWorkersOf(0, "j.0.0.0")
+		w.restart(w.running()["j.0.0.0"], 3)
+		wantCrashes(t, nextOwner(w, spec, w.pool.jobs["j"].progress(), 2), "j", 2)
+	})
 	t.Run("which is listed and not in the inventory", func(t *testing.T) {
 		is := is.New(t)
 		spec := newSpec("j", 1, single)
