--- a/jaysched/replaced_test.go
+++ b/jaysched/replaced_test.go
@@ -130,3 +130,45 @@
 		is.True(start.Order.Run.Task.Job != "k")
 	}
 }
+
+// endAll ends all runs of a worker.
+func (f *fakeWorker) endAll(ending jayport.Ending) {
+	for ref := range f.active {
+		f.end(ref, ending)
+	}
+}
+
+// Guards against a task that two owners start again: a replaced owner hears that a run has ended without
+// success, as the next one does, and starts the task on a worker that the next one has not reached.
+func TestEndedRunIsRestartedOnceTheOwnerIsConfirmed(t *testing.T) {
+	for _, ending := range []jayport.Ending{jayport.EndedFailed, jayport.EndedStopped} {
+		t.Run(ending.String(), func(t *testing.T) {
+			w := newReplacedHarness(t)
+			w.workers["w0"].endAll(ending)
+			w.pool.Reported(refOf("w0"), w.workers["w0"].report(w.now), w.now, w.now)
+			w.now += failureRetryDelay
+			wantStartAfterConfirmation(t, w, "j.0.0.0", 1)
+		})
+	}
+}
+
+// Guards against a task that two owners start: a former owner used a worker that was on the list before
+// the inventory had it, and the next one does not wait for that worker's report.
+func TestListedWorkerThatTheInventoryLacksMayHaveFormerRuns(t *testing.T) {
+	is := is.New(t)
+	first := newHarness(t, 3)
+	spec := newSpec("j", 1, single)
+	declare(first, spec)
+	next := takeOver(t, first, spec)
+	for _, f := range next.workers {
+		clear(f.active)
+	}
+	next.pool.TakenOver(next.now)
+	next.list()
+	next.pool.InventoryRead([]string{"w0", "w1"}, next.now, next.now) // w2 is listed
+	for _, id := range []string{"w0", "w1"} {
+		next.pool.Reported(refOf(id), next.workers[id].report(next.now), next.now, next.now)
+	}
+	next.pool.Decide(next.now)
+	is.True(next.pool.formerRunsPossible(next.now))
+}
