A command whose record is refused by a fence is not sent

TestCommandsWithAFencedRecordAreNotSent failed before (not true: !sent.Load()) and passes. A command whose record is still pending may be sent as before, where fences are checked.

--- a/jaynode/fleetcommands.go
+++ b/jaynode/fleetcommands.go
@@ -58,7 +58,9 @@
 			// The duty has ended, for example because another entry owns the fleet now.
 			return
 		}
-		if !d.guard.MaySend(record, sendBy, d.node.clock()) {
+		// The next owner of the fleet does not know of a command whose record is refused by its fence.
+		var fenced *jayport.FencedError
+		if errors.As(err, &fenced) || !d.guard.MaySend(record, sendBy, d.node.clock()) {
 			entry.Withdraw()
 			d.commandAnswered(host, jayfleet.ErrStale)
 			return
