A task whose run failed or was stopped restarts once its owner is confirmed

A request that waits at a worker under the former owner's fence may be answered after the next owner has reported there: both learn that the run has failed, and both start the task again, the former one on a worker that the next one has not reached.

Change: an end other than done needs the owner confirmed, like a lost run: one append without records. TestEndedRunIsRestartedOnceTheOwnerIsConfirmed failed before (2 != 1, both endings) and passes.

--- a/jaysched/ends.go
+++ b/jaysched/ends.go
@@ -35,7 +35,11 @@
 	if present {
 		ran = now - r.orderedAt
 		w.fullUntil = 0
-		p.dropRun(r, now)
+		if end.Ending == jayport.EndedDone {
+			p.dropRun(r, now)
+		} else {
+			p.loseRun(r, now, now)
+		}
 		p.recordEvent(Event{Kind: RunEnded, Worker: w.ID, Run: end.Run, Detail: end.Ending.String(), Waited: now - r.confirmedAt}, now)
 	}
 	if t == nil && present {
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -190,8 +190,8 @@
 	parked bool
 	// released says that a run of the task was restarted to release its worker.
 	released bool
-	// droppedAt is when the task lost its latest run, lostAt when its latest run was over whose end
-	// is not known.
+	// droppedAt is when the task lost its latest run, lostAt when its latest run was over without
+	// the task being done.
 	droppedAt time.Duration
 	lostAt    time.Duration
 	// notBefore delays the next start after a failure, by retryDelay after the latest one.
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -174,7 +174,8 @@
 	}
 }
 
-// loseRun removes a run that was over at some time without its end being known.
+// loseRun removes a run that was over at some time without its task being done, as far as is known: a
+// replaced owner may learn of it as the next one does.
 func (p *Pool) loseRun(r *run, over, now time.Duration) {
 	r.task.lostAt = over
 	p.ownership.need(over)
