Failing test: a job that the next owner stores during the takeover delay has two owners

The next owner passes the jobs that it stores itself to Declare, which takes them for new: they do not wait for the workers' reports.

TestJobStoredDuringTheTakeoverDelayMayHaveFormerRuns: 1 != 0 // w1 has not reported

--- a/jaynode/poolduty_test.go
+++ b/jaynode/poolduty_test.go
@@ -402,3 +402,31 @@
 		is.True(starts > 0)
 	})
 }
+
+// recordTakeoverDelay records a delay as the former owner does.
+func (w *poolFixture) recordTakeoverDelay(t *testing.T, delay time.Duration) {
+	t.Helper()
+	is := is.New(t)
+	value, err := proto.Marshal(&jaywire.TakeoverDelay{Millis: delay.Milliseconds()})
+	is.NoErr(err)
+	_, err = w.entry.store.store.append(jayport.Append{Partition: jayport.Partition{Topic: topicProgress}, AsOf: jayport.AnyOffset,
+		Records: []jayport.Record{{Key: jobKey("seats", takeoverDelayKey), Value: value}}})
+	is.NoErr(err)
+}
+
+// Guards against a job that two owners begin: it is stored by the next one during the takeover delay, in
+// which the former one still begins the jobs that it reads.
+func TestJobStoredDuringTheTakeoverDelayMayHaveFormerRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newIdlePoolFixture(t, 2, "w1")
+		w.recordTakeoverDelay(t, slowTakeoverDelay)
+		w.entry.node.pools["seats"] = w.duty
+		w.start(t)
+		time.Sleep(slowTakeoverDelay / 2)
+		w.appendLate(t, "")
+		w.entry.node.declareStored("seats", lateID, lateJob(t, ""))
+		w.refreshClaimsFor(3 * time.Second)
+		is.Equal(w.workers.startsOf(lateID), 0) // w1 has not reported
+	})
+}
