Failing test: a replaced owner restarts a task whose run has failed or was stopped

The worker answers a request of the former owner that waits for an end, after the next owner has adopted the run.

TestEndedRunIsRestartedOnceTheOwnerIsConfirmed/failed, /stopped: 2 != 1

--- a/jaysched/replaced_test.go
+++ b/jaysched/replaced_test.go
@@ -103,3 +103,24 @@
 	w.run()
 	is.Equal(w.starts("j.0.0.0"), 1)
 }
+
+// endAll ends all runs of a worker.
+func (f *fakeWorker) endAll(ending jayport.Ending) {
+	for ref := range f.active {
+		f.end(ref, ending)
+	}
+}
+
+// Guards against a task that two owners start again: a replaced owner hears that a run has ended without
+// success, as the next one does, and starts the task on a worker that the next one has not reached.
+func TestEndedRunIsRestartedOnceTheOwnerIsConfirmed(t *testing.T) {
+	for _, ending := range []jayport.Ending{jayport.EndedFailed, jayport.EndedStopped} {
+		t.Run(ending.String(), func(t *testing.T) {
+			w := newReplacedHarness(t)
+			w.workers["w0"].endAll(ending)
+			w.pool.Reported(refOf("w0"), w.workers["w0"].report(w.now), w.now, w.now)
+			w.now += failureRetryDelay
+			wantStartAfterConfirmation(t, w, "j.0.0.0", 1)
+		})
+	}
+}
