Failing test: the leases of a former owner are counted from the claim, not from the fence

The former owner is confirmed by its appends until it is fenced. If the fence comes later than 0.2 s after the claim was read, tasks are released before the last lease of the former owner has ended.

--- a/jaynode/poolduty_test.go
+++ b/jaynode/poolduty_test.go
@@ -430,3 +430,22 @@
 		is.Equal(w.workers.startsOf(lateID), 0) // w1 has not reported
 	})
 }
+
+// Guards against a task that two owners start: the next one counts the former one's leases from its
+// claim, but the former one is confirmed by the store until it is fenced, which happens later.
+func TestFormerLeasesAreCountedFromTheFence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newIdlePoolFixture(t, 2, "w1")
+		w.entry.store.set(func(s *faultyStore) { s.refuseTopic = topicProgress })
+		w.start(t)
+		w.refreshClaimsFor(5 * time.Second)
+		w.entry.store.set(func(s *faultyStore) { s.refuseTopic = "" })
+		w.refreshClaimsFor(ownershipTimeout + leaseTime)
+		starts, _ := w.workers.counts()
+		is.Equal(starts, 0)
+		w.refreshClaimsFor(2 * time.Second)
+		starts, _ = w.workers.counts()
+		is.Equal(starts, 2)
+	})
+}
