--- a/jaysched/replaced_test.go
+++ b/jaysched/replaced_test.go
@@ -124,3 +124,24 @@
 		})
 	}
 }
+
+// Guards against a task that two owners start: a former owner used a worker that was on the list before
+// the inventory had it, and the next one does not wait for that worker's report.
+func TestListedWorkerThatTheInventoryLacksMayHaveFormerRuns(t *testing.T) {
+	is := is.New(t)
+	first := newHarness(t, 3)
+	spec := newSpec("j", 1, single)
+	declare(first, spec)
+	next := takeOver(t, first, spec)
+	for _, f := range next.workers {
+		clear(f.active)
+	}
+	next.pool.TakenOver(next.now)
+	next.list()
+	next.pool.InventoryRead([]string{"w0", "w1"}, next.now, next.now) // w2 is listed
+	for _, id := range []string{"w0", "w1"} {
+		next.pool.Reported(refOf(id), next.workers[id].report(next.now), next.now, next.now)
+	}
+	next.pool.Decide(next.now)
+	is.True(next.pool.formerRunsPossible(next.now))
+}
