Failing test: a command of the fleet's owner is sent although its record was refused by a fence

Where the inventory checks fences, Guard.MaySend ignores the state of the record. A command whose record was refused since another entry owns the fleet is sent unless the duty has ended first, which happens after the record's outcome is passed on. The next owner does not hold the host.

--- a/jaynode/fleetcommands_test.go
+++ b/jaynode/fleetcommands_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -185,3 +186,27 @@
 		is.Equal(state, jayfleet.RecordPending)
 	})
 }
+
+// Guards against commands of a replaced owner that the next one does not know: their record was refused
+// since the owner is fenced, and they are sent before the duty ends.
+func TestCommandsWithAFencedRecordAreNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := jayclock.Since(time.Now().Add(-time.Hour))
+		e := newTestEntry(t, "e1", newSharedStore(), newSharedHosts(clock, nil), clock)
+		e.node.settings.FencesChecked = true
+		duty := newFleetDuty(e.node, e.claim(jayowner.Fleet, 1, 1))
+		_, ok := duty.takeOver()
+		is.True(ok)
+		next := jayport.Append{Partition: jayport.Partition{Topic: topicFleet}, AsOf: jayport.AnyOffset, Producer: &jayport.Producer{Name: string(jayowner.Fleet), Epoch: 6}}
+		_, err := e.store.store.append(next)
+		is.NoErr(err)
+		var sent atomic.Bool
+		duty.recordAndSend("m1", clock()+time.Second, func() error { sent.Store(true); return nil })
+		var fenced *jayport.FencedError
+		is.True(errors.As(duty.journal.Run(duty.ctx), &fenced)) // the duty ends after this
+		synctest.Wait()
+		is.True(!sent.Load())
+		duty.cancel()
+	})
+}
