--- a/jaynode/poolduty_test.go
+++ b/jaynode/poolduty_test.go
@@ -449,3 +449,30 @@
 		is.Equal(starts, 2)
 	})
 }
+
+// Guards against an owner that is confirmed from the time of an answer, or later: it was replaced after the
+// store had executed the append, and uses a worker that joined before the answer.
+func TestAppendsConfirmUpToTheirQuestion(t *testing.T) {
+	for name, ask := range map[string]func(*poolFixture){
+		"without records": func(w *poolFixture) { w.join("w2") },
+		"with progress": func(w *poolFixture) {
+			w.duty.ask(func() { w.duty.pool.CancelUnknown(lateID, "", w.clock()) }, time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newPoolFixture(t, 1, "w0", "w1", "w2")
+				w.refreshClaimsFor(time.Second)
+				w.entry.store.set(func(s *faultyStore) { s.answerDelay = slowStoreLatency - 10*time.Millisecond })
+				ask(w)
+				time.Sleep(2 * poolTick)
+				w.replace(t)
+				w.join("w3")
+				time.Sleep(time.Second)
+				starts, _ := w.workers.counts()
+				is.New(t).Equal(starts, 0)
+				w.entry.store.set(func(s *faultyStore) { s.answerDelay = 0 })
+			})
+		})
+	}
+}
