The owner's right to act has a package of its own

jaysched and jaynode had grown by it. jayownership holds both sides of one agreement, pure: what an owner may conclude from which confirmation (Right), and how long the next owner waits (TakeoverDelay). jaysched asks it before each conclusion; jaynode records and waits.

--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -10,6 +10,7 @@
 	"jaythread/jayjournal"
 	"jaythread/jayload"
 	"jaythread/jayowner"
+	"jaythread/jayownership"
 	"jaythread/jayport"
 	"jaythread/jaysched"
 	"jaythread/jayspec"
@@ -74,7 +75,7 @@
 	nextExpireAt time.Duration
 	// nextSharesAt is when the organisations' shares are passed to the metrics next.
 	nextSharesAt  time.Duration
-	takeoverDelay takeoverDelay
+	takeoverDelay jayownership.TakeoverDelay
 	// heldBack tracks for how long the limit of starts in flight holds tasks back.
 	heldBack heldBack
 	// lastActiveAt is when the duty's goroutine last processed an event or began a step.
--- a/jaynode/poolduty_test.go
+++ b/jaynode/poolduty_test.go
@@ -11,6 +11,7 @@
 	"jaythread/jayclock"
 	"jaythread/jayjournal"
 	"jaythread/jayowner"
+	"jaythread/jayownership"
 	"jaythread/jaypool"
 	"jaythread/jayport"
 	"jaythread/jaysched"
@@ -241,19 +242,6 @@
 	})
 }
 
-func TestWantedTakeoverDelay(t *testing.T) {
-	is := is.New(t)
-	for _, c := range []struct{ latency, recorded, want time.Duration }{
-		{4 * time.Millisecond, 0, 0},
-		{100 * time.Millisecond, 0, 0},
-		{200 * time.Millisecond, 0, slowTakeoverDelay},
-		{100 * time.Millisecond, slowTakeoverDelay, slowTakeoverDelay},
-		{20 * time.Millisecond, slowTakeoverDelay, 0},
-	} {
-		is.Equal(wantedTakeoverDelay(c.latency, c.recorded), c.want)
-	}
-}
-
 // Guards against a task that two owners start: the store is slow for the former owner, which goes on
 // for longer than the next one waits for its leases.
 func TestSlowStoreDoesNotExtendTheOwnershipTimeout(t *testing.T) {
@@ -416,7 +404,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				w := newPoolFixture(t, 1, "w0", "w1", "w2")
 				w.refreshClaimsFor(time.Second)
-				w.entry.store.set(func(s *faultyStore) { s.answerDelay = slowStoreLatency - 10*time.Millisecond })
+				w.entry.store.set(func(s *faultyStore) { s.answerDelay = jayownership.SlowStoreLatency - 10*time.Millisecond })
 				ask(w)
 				time.Sleep(2 * poolTick)
 				w.replace(t)
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"jaythread/jayclock"
+	"jaythread/jayownership"
 	"jaythread/jayport"
 	"jaythread/jaysched"
 	"jaythread/jayspec"
@@ -62,7 +63,7 @@
 	if d.ctx.Err() != nil {
 		return false
 	}
-	if d.takeoverDelay.recorded > 0 {
+	if d.takeoverDelay.Recorded() > 0 {
 		d.awaitTakeoverDelay(fencedAt)
 		// The former owner may have begun jobs that were stored since the read.
 		d.loadJobs()
@@ -130,7 +131,7 @@
 // loadProgress reads the progress records of the pool by job ID and retries until it
 // succeeds or the duty ends.
 func (d *poolDuty) loadProgress() map[string]*jaywire.JobProgress {
-	c := &progressCollector{pool: d.name, byJob: map[string]*jaywire.JobProgress{}, logger: d.logger, delay: &d.takeoverDelay.recorded}
+	c := &progressCollector{pool: d.name, byJob: map[string]*jaywire.JobProgress{}, logger: d.logger, delay: &d.takeoverDelay}
 	tail := jaytail.New(d.node.store, d.node.ports.Formats.Own(topicProgress, d.node.partitionOf(d.name)),
 		jaytail.Options{Prefix: d.name + "/"}, c, d.node.clock, d.logger)
 	for d.ctx.Err() == nil {
@@ -151,13 +152,13 @@
 	byJob  map[string]*jaywire.JobProgress
 	logger logr.Logger
 	// delay receives the takeover delay.
-	delay *time.Duration
+	delay *jayownership.TakeoverDelay
 }
 
 // Reset discards the collected records before a reload.
 func (c *progressCollector) Reset() {
 	clear(c.byJob)
-	*c.delay = 0
+	c.delay.Restore(0)
 }
 
 // Apply decodes a progress record, or the takeover delay.
@@ -166,7 +167,7 @@
 		return
 	}
 	if jobID(c.pool, r.Key) == takeoverDelayKey {
-		*c.delay = readTakeoverDelay(r.Value)
+		c.delay.Restore(jayownership.DecodeTakeoverDelay(r.Value, ownershipTimeout))
 		return
 	}
 	record := &jaywire.JobProgress{}
--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -22,7 +22,7 @@
 // Decide returns the actions that are due now.
 func (p *Pool) Decide(now time.Duration) []Action {
 	p.confirmOwner(now)
-	if p.ownership.lapsed(now) {
+	if p.right.Lapsed(now) {
 		// Another owner may have waited until this owner's leases ended, and may act now.
 		p.heldBack = false
 		return p.takeActions()
@@ -59,7 +59,7 @@
 func (p *Pool) expireLeases(now time.Duration) {
 	var left []*worker
 	for _, w := range p.sorted {
-		if w.contact == silent && now >= w.leaseBound && p.ownership.confirmedSince(w.leaseBound) {
+		if w.contact == silent && now >= w.leaseBound && p.right.Covers(w.leaseBound) {
 			w.contact = lapsed
 			w.lapsedSuspects, w.lapsedSuspectsAtStart = w.suspects()
 			p.recordEvent(Event{Kind: WorkerLapsed, Worker: w.ID, Since: w.lastAnswerAt}, now)
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -104,7 +104,7 @@
 	e.At = now
 	switch e.Kind {
 	case RunStarted, RunLost, RunVanished, WorkerLapsed:
-		e.Confirmed = p.ownership.confirmationAge(now)
+		e.Confirmed = p.right.Age(now)
 	}
 	p.events = append(p.events, e)
 }
--- a/jaysched/formerruns.go
+++ b/jaysched/formerruns.go
@@ -11,7 +11,7 @@
 // It prevents this failure: an owner is lost, and the next one starts a task that runs on a worker
 // which has not reported yet. A former owner that does not know that it was replaced may even start
 // a run; but it uses no worker that has joined since, because it uses a worker only once the store
-// has confirmed after the worker joined that it still is the owner (see ownership). A worker that
+// has confirmed after the worker joined that it still is the owner (see jayownership.Right). A worker that
 // has reported to this owner refuses the orders of all former ones.
 //
 // Therefore restored tasks wait only for the workers that existed when the takeover was complete,
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -178,7 +178,7 @@
 // replaced owner may learn of it as the next one does.
 func (p *Pool) loseRun(r *run, over, now time.Duration) {
 	r.task.lostAt = over
-	p.ownership.need(over)
+	p.right.Need(over)
 	p.dropRun(r, now)
 }
 
--- a/jaysched/ownership_test.go
+++ b/jaysched/ownership_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"jaythread/jayownership"
 )
 
 // newConfirmedHarness returns a harness whose owner was confirmed at its beginning and receives
@@ -71,7 +73,7 @@
 	w.pool.OwnerConfirmed(w.now, errLost, w.now)
 	w.run()
 	is.Equal(confirms(w), 1) // not repeated immediately
-	w.now += confirmRetryDelay
+	w.now += jayownership.ConfirmRetryDelay
 	w.run()
 	is.Equal(confirms(w), 2)
 	w.pool.OwnerConfirmed(w.now, nil, w.now)
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -87,7 +87,7 @@
 	if now < p.formerRuns.heldUntil && t.awaitsFormerTrial() {
 		return false
 	}
-	return p.ownership.confirmedSince(max(t.lostAt, t.step.job.foundAt))
+	return p.right.Covers(max(t.lostAt, t.step.job.foundAt))
 }
 
 // placeTask starts a task, or reserves a worker for it. It returns false if the other tasks of
@@ -260,7 +260,7 @@
 	switch {
 	case !w.usable():
 		return notUsable
-	case !p.ownership.confirmedSince(w.joinedAt):
+	case !p.right.Covers(w.joinedAt):
 		return notConfirmed
 	case w.unaccountedRuns > 0:
 		return unaccounted
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -9,6 +9,7 @@
 
 	"jaythread/jaycancel"
 	"jaythread/jayfootprint"
+	"jaythread/jayownership"
 	"jaythread/jaypool"
 	"jaythread/jayport"
 	"jaythread/jayspec"
@@ -137,7 +138,7 @@
 	formerTrials map[string][]*task
 	// restoredAt is when this owner first restored a job.
 	restoredAt  time.Duration
-	ownership   ownership
+	right       jayownership.Right
 	unknownJobs unknownJobs
 	// endedWorkers are the workers with ended incarnations, by their IDs.
 	endedWorkers map[string]endedIncarnations
--- a/jaysched/replaced_test.go
+++ b/jaysched/replaced_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"jaythread/jayownership"
 	"jaythread/jayport"
 )
 
@@ -32,7 +33,7 @@
 	w.run()
 	is.Equal(w.starts(task), before)
 	asked := confirms(w)
-	w.pass(confirmRetryDelay)
+	w.pass(jayownership.ConfirmRetryDelay)
 	is.True(confirms(w) > 0 && asked > 0)
 	w.pool.OwnerConfirmed(w.now, nil, w.now)
 	w.run()
--- a/jaysched/unknownjobs.go
+++ b/jaysched/unknownjobs.go
@@ -45,7 +45,7 @@
 	}
 	j := p.jobs[spec.ID]
 	j.foundInStore, j.foundAt, j.inherited = true, now, true
-	p.ownership.need(now)
+	p.right.Need(now)
 	p.quotas.possible = nil
 	j.markUnreported()
 	return true
