--- a/jaynode/admit.go
+++ b/jaynode/admit.go
@@ -5,6 +5,7 @@
 
 	"jaythread/jaycatalog"
 	"jaythread/jayspec"
+	"jaythread/jaystop"
 	"jaythread/jayverdict"
 )
 
@@ -41,7 +42,7 @@
 	}
 	admission, decision := catalog.Admit(call)
 	if n.needsConfirmation(admission, decision, arrived, asOf) {
-		if !untilCut(n, false, func() bool { return n.declarations.confirmer.await(arrived) }) {
+		if !jaystop.Until(n.cut, false, func() bool { return n.declarations.confirmer.await(arrived) }) {
 			return admission, n.unconfirmed(admission, arrived)
 		}
 		admission, decision = n.Catalog().Admit(call)
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -17,6 +17,7 @@
 	"jaythread/jayport"
 	"jaythread/jayrelay"
 	"jaythread/jayspec"
+	"jaythread/jaystop"
 	"jaythread/jayverdict"
 	"jaythread/jaywire"
 )
@@ -72,7 +73,7 @@
 // *jayverdict.Error.
 func (n *Node) Submit(job *jayspec.Job, deadline time.Duration) error {
 	started := n.clock()
-	err := untilCut(n, error(errCutCommand), func() error { return n.intake.submit(job, deadline) })
+	err := jaystop.Until(n.cut, error(errCutCommand), func() error { return n.intake.submit(job, deadline) })
 	n.countAnswer("submit", started, err)
 	took := n.clock() - started
 	if err != nil {
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -82,11 +82,10 @@
 	fleet         *fleetDuty
 
 	stopping atomic.Bool
-	// cut is closed when the requests in progress are to be answered at once.
-	cut     chan struct{}
-	cutOnce sync.Once
-	cancel  context.CancelFunc
-	duties  sync.WaitGroup
+	// cut is made when the requests in progress are to be answered at once.
+	cut    *jaystop.Cut
+	cancel context.CancelFunc
+	duties sync.WaitGroup
 }
 
 // Option configures a node.
@@ -133,7 +132,7 @@
 		incarnation: jaymember.NewIncarnation(settings.Entry),
 		started:     time.Now(),
 		pools:       map[string]*poolDuty{},
-		cut:         make(chan struct{}),
+		cut:         jaystop.NewCut(),
 	}
 	for _, option := range options {
 		option(n)
--- a/jaynode/queries.go
+++ b/jaynode/queries.go
@@ -8,6 +8,7 @@
 	"jaythread/jayowner"
 	"jaythread/jaypeer"
 	"jaythread/jaysched"
+	"jaythread/jaystop"
 	"jaythread/jayverdict"
 	"jaythread/jaywire"
 )
@@ -81,7 +82,7 @@
 		err     error
 	}
 	began := n.clock()
-	o := untilCut(n, outcome{err: errCutQuery}, func() (o outcome) {
+	o := jaystop.Until(n.cut, outcome{err: errCutQuery}, func() (o outcome) {
 		o.err = n.askUntilAnswered(queue.Pool, deadline, request, func(_ jayowner.Claim, r *jaywire.PeerResponse) bool {
 			answer := r.GetPending()
 			o.pending = int(answer.GetPending())
@@ -101,7 +102,7 @@
 		known bool
 		err   error
 	}
-	o := untilCut(n, outcome{err: cut}, func() (o outcome) {
+	o := jaystop.Until(n.cut, outcome{err: cut}, func() (o outcome) {
 		o.err = n.askUntilAnswered(pool, deadline, request, func(c jayowner.Claim, r *jaywire.PeerResponse) bool {
 			answer := r.GetJob()
 			accepted := answer.GetOwned() && accept(c, answer)
