Recorded trials have a package of their own

jaysched had grown by them. jaytrial holds, pure, which runs of a task are recorded with their workers, and the stored form of the worker; what a lost worker counts for stays in jaysched.

--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jaythread/jaycancel"
+	"jaythread/jaytrial"
 	"jaythread/jaywire"
 )
 
@@ -17,7 +18,7 @@
 	Progress map[string]*jaywire.JobProgress
 	outcomes map[string]Outcome
 	ends     map[*worker]int64
-	trials   map[*task]trial
+	trials   map[*task]jaytrial.Trial
 	// cancellations are those of unknown jobs. Their records are in Progress.
 	cancellations jaycancel.Changes
 }
@@ -45,14 +46,15 @@
 
 // TakeBatch returns and clears the progress to be recorded, or nil if there is none.
 func (p *Pool) TakeBatch() *Batch {
-	b := &Batch{Progress: map[string]*jaywire.JobProgress{}, outcomes: map[string]Outcome{}, ends: map[*worker]int64{}, trials: map[*task]trial{}}
+	b := &Batch{Progress: map[string]*jaywire.JobProgress{}, outcomes: map[string]Outcome{}, ends: map[*worker]int64{}, trials: map[*task]jaytrial.Trial{}}
 	for _, j := range p.changed {
 		j.dirty = false
 		b.Progress[j.spec.ID] = j.progress()
 		b.outcomes[j.spec.ID] = j.outcome
 		j.eachTask(func(t *task) {
-			if known := t.knownTrials(); known.latest.run > 0 && known.latest != known.stored {
-				b.trials[t] = known.latest
+			known := t.knownTrials()
+			if latest, unrecorded := known.Unrecorded(); unrecorded {
+				b.trials[t] = latest
 			}
 		})
 	}
@@ -85,7 +87,7 @@
 	}
 	p.cancellations.Recorded(b.cancellations)
 	for t, stored := range b.trials {
-		t.holdTrials().stored = stored
+		t.holdTrials().Recorded(stored)
 	}
 	p.batchRecordedAt = now
 	for _, w := range p.sorted {
--- a/jaysched/reserve_test.go
+++ b/jaysched/reserve_test.go
@@ -9,6 +9,7 @@
 	"jaythread/jaypool"
 	"jaythread/jayport"
 	"jaythread/jayspec"
+	"jaythread/jaytrial"
 )
 
 // newFullHarness returns a harness with two workers that short tasks fill.
@@ -88,6 +89,6 @@
 	}
 	w.run()
 	is.Equal(len(w.running()), 0)
-	w.pass(trialRecordTimeout)
+	w.pass(jaytrial.RecordTimeout)
 	is.Equal(len(w.running()), 4)
 }
--- a/jaysched/suspect_test.go
+++ b/jaysched/suspect_test.go
@@ -12,6 +12,7 @@
 
 	"jaythread/jayport"
 	"jaythread/jayspec"
+	"jaythread/jaytrial"
 )
 
 // Guards against giving up a task for losses of workers that it did not cause.
@@ -220,7 +221,7 @@
 		lostAtStart(w)
 		w.run()
 		is.Equal(len(w.running()), 0)
-		w.reportFor(trialRecordTimeout - startRiskTime)
+		w.reportFor(jaytrial.RecordTimeout - startRiskTime)
 		is.Equal(len(w.running()), 0)
 		w.reportFor(2 * startRiskTime)
 		is.Equal(len(w.running()), 2)
--- a/jaysched/trial.go
+++ b/jaysched/trial.go
@@ -1,59 +1,31 @@
 package jaysched
 
 import (
-	"fmt"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"jaythread/jayport"
+	"jaythread/jaytrial"
 	"jaythread/jaywire"
 )
 
-const (
-	// trialRecordTimeout is how long a suspect waits for the record of its next run.
-	trialRecordTimeout = time.Second
-	// maxUnsuspectedTrials is the maximum number of trials of unsuspected tasks in the record of one
-	// job. It limits the record's size.
-	maxUnsuspectedTrials = 64
-)
-
-// trial is a run that is recorded with its worker: that of a suspect before it begins, that of an
-// inherited job while it begins. If the owner is lost together with the worker, the next owner could
-// not learn of the run otherwise.
-//
-// A recorded trial alone does not show that the run began. The next owner therefore looks for the
-// worker: the run is over without a loss if the worker answers without it, and counts as the loss of
-// a worker if the worker is gone. A worker that was lost by itself before the run began cannot be
-// told apart, and counts too: otherwise a task that crashes its workers could be started without
-// limit if its owners are lost with them. A worker that answers as another incarnation is gone. One that
-// does not report its incarnation and has returned under its ID answers without the run, and its loss
-// does not count.
-type trial struct {
-	run         int64
-	worker      string
-	incarnation jayport.Incarnation
-	rack        string
-}
-
-// newTrial returns the trial of a run on a worker.
-func newTrial(w *worker, run int64) trial {
-	return trial{run: run, worker: w.ID, incarnation: w.Incarnation, rack: w.Rack}
-}
+// maxUnsuspectedTrials is the maximum number of trials of unsuspected tasks in the record of one job. It
+// limits the record's size.
+const maxUnsuspectedTrials = 64
 
 // trials are the recorded runs of a task.
 type trials struct {
-	// latest is the latest one whose outcome is not known, which waits to be recorded since
-	// waitsSince; stored is the latest one that is recorded.
-	latest     trial
-	waitsSince time.Duration
-	stored     trial
+	jaytrial.Trials
 	// former is the loss that counts if the worker of a former owner's trial is gone. Its run is
 	// zero if there is none.
 	former crash
 }
 
+// newTrial returns the trial of a run on a worker.
+func newTrial(w *worker, run int64) jaytrial.Trial {
+	return jaytrial.Trial{Run: run, Worker: w.ID, Incarnation: w.Incarnation, Rack: w.Rack}
+}
+
 // knownTrials returns the trials of a task.
 func (t *task) knownTrials() trials {
 	if t.trials == nil {
@@ -71,22 +43,17 @@
 }
 
 // admitTrial reports whether the next run of a task may begin on a worker. That of a suspect is
-// recorded first. If the recorded worker has become unsuitable, the run begins on another one while that
-// is recorded: in a series of losses a suspect would wait for record after record.
+// recorded first.
 func (p *Pool) admitTrial(t *task, w *worker, number int64, now time.Duration) bool {
 	if t.isolation() <= watched {
 		return true
 	}
-	held := t.holdTrials()
-	if held.latest.run < number {
-		held.waitsSince = now
-	}
-	if next := newTrial(w, number); held.latest != next {
-		held.latest = next
+	admitted, changed := t.holdTrials().Admit(newTrial(w, number), now)
+	if changed {
 		p.markChanged(t.step.job)
 		p.recordNow = true
 	}
-	return held.stored.run >= number || now >= held.waitsSince+trialRecordTimeout
+	return admitted
 }
 
 // recordStart records a run of an inherited job that begins on a worker. A former owner may have been
@@ -94,27 +61,24 @@
 // this owner is lost with the next one, that must be known to the owner after it. The run does not wait
 // for the record.
 func (p *Pool) recordStart(t *task, w *worker, number int64) {
-	began := newTrial(w, number)
-	if !t.step.job.inherited || t.knownTrials().latest == began {
-		return
+	if t.step.job.inherited && t.holdTrials().Begin(newTrial(w, number)) {
+		p.markChanged(t.step.job)
 	}
-	t.holdTrials().latest = began
-	p.markChanged(t.step.job)
 }
 
 // recordedWorker returns the worker that is recorded for the next run of a task, or nil.
 func (p *Pool) recordedWorker(t *task) *worker {
-	next := t.knownTrials().latest
-	if next.run <= t.lastRun {
+	known := t.knownTrials()
+	next := known.Latest()
+	if next.Run <= t.lastRun {
 		return nil
 	}
-	return p.workers[next.worker]
+	return p.workers[next.Worker]
 }
 
 // endTrial removes a run from a task's record whose outcome is known.
 func (p *Pool) endTrial(t *task, run int64) {
-	if t.trials != nil && t.trials.latest.run == run && t.step.job.outcome == Open {
-		t.trials.latest = trial{}
+	if t.trials != nil && t.step.job.outcome == Open && t.trials.End(run) {
 		p.markChanged(t.step.job)
 	}
 }
@@ -123,11 +87,12 @@
 // gone. Its run is zero if there is none.
 func (t *task) recordedTrial() crash {
 	known := t.knownTrials()
-	if known.latest.run == 0 {
+	latest := known.Latest()
+	if latest.Run == 0 {
 		return known.former
 	}
 	// Whether the run of an unsuspected task has just been started is not recorded.
-	return crash{run: known.latest.run, worker: known.latest.worker, incarnation: known.latest.incarnation, rack: known.latest.rack, atStart: len(t.crashes) > 0, probability: certainProbability}
+	return crash{run: latest.Run, worker: latest.Worker, incarnation: latest.Incarnation, rack: latest.Rack, atStart: len(t.crashes) > 0, probability: certainProbability}
 }
 
 // trialShown handles a run that a worker has shown. If a former owner has recorded it and it is
@@ -138,7 +103,7 @@
 	}
 	t.trials.former = crash{}
 	if active {
-		t.trials.latest = newTrial(w, run)
+		t.trials.Begin(newTrial(w, run))
 	}
 }
 
@@ -192,24 +157,15 @@
 	}
 }
 
-// incarnationSeparator separates the ID and the incarnation of a worker in the record of a trial.
-const incarnationSeparator = "@"
-
 // trialRecord returns a trial in its stored form, in which the worker's incarnation follows its ID.
 func (c crash) trialRecord() *jaywire.WorkerCrash {
 	record := c.record()
-	record.Worker = fmt.Sprintf("%s%s%d", c.worker, incarnationSeparator, int64(c.incarnation))
+	record.Worker = jaytrial.WorkerText(c.worker, c.incarnation)
 	return record
 }
 
-// asTrial returns the trial that is restored as a crash. Without a readable incarnation its worker is an
-// ID.
+// asTrial returns the trial that is restored as a crash.
 func (c crash) asTrial() crash {
-	text := c.worker
-	if at := strings.LastIndex(text, incarnationSeparator); at >= 0 {
-		if number, err := strconv.ParseInt(text[at+len(incarnationSeparator):], 10, 64); err == nil {
-			c.worker, c.incarnation = text[:at], jayport.Incarnation(number)
-		}
-	}
+	c.worker, c.incarnation = jaytrial.ParseWorker(c.worker)
 	return c
 }
--- a/jaysched/trial_test.go
+++ b/jaysched/trial_test.go
@@ -8,6 +8,7 @@
 
 	"jaythread/jayport"
 	"jaythread/jayspec"
+	"jaythread/jaytrial"
 	"jaythread/jaywire"
 )
 
@@ -62,7 +63,7 @@
 			is.Equal(w.starts("j.0.0.0"), starts)
 			wantCrashes(t, w, "j", 1)
 			w.lose, w.storeUnavailable = func(Action) bool { return false }, false
-			w.reportFor(2 * trialRecordTimeout)
+			w.reportFor(2 * jaytrial.RecordTimeout)
 			w.finish("j", 0, jayport.EndedDone)
 			w.record()
 			wantState(t, w, "j", StateDone)
@@ -106,7 +107,7 @@
 		w.silenceUntilLeaseEnds(worker)
 		w.pool.Ended(refOf(worker), "another incarnation answers", w.now)
 		is.Equal(len(task.crashes), 2)
-		is.Equal(task.knownTrials().latest.run, int64(0))
+		is.Equal(task.holdTrials().Latest().Run, int64(0))
 	})
 	over("the worker was lost long after the start", 0, func(w *harness, worker string) {
 		w.reportFor(crashRiskTime + time.Second)
@@ -175,7 +176,7 @@
 		w.storeUnavailable = true
 		w.crashWorkersOf(0, "j.0.0.0")
 		w.record()
-		return w, w.pool.jobs["j"].earliest().steps[0].tasks[0].knownTrials().stored.worker
+		return w, w.pool.jobs["j"].earliest().steps[0].tasks[0].holdTrials().Stored().Worker
 	}
 	t.Run("although another one suits it better", func(t *testing.T) {
 		w, recorded := admitted(t)
