Logs tell who keeps the end of a job that is shown before it is recorded

A query that was answered by a witness logged nothing, and a takeover did not say which entries it asked, which answered and which it passed over. Now a line names the witness of each such end, or that there is none; a line at each takeover names the chosen, asked, failed and unanswered witnesses, or says that nobody was asked; and the line for a job that a witness knows says whether the pool knows the job. No decision is changed.

--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -56,6 +56,8 @@
 	jobs.Go(d.loadJobs)
 	if d.claim.Term > 1 {
 		jobs.Go(func() { shown = d.node.collectWitnessed(d.name, d.claim.Fence) })
+	} else {
+		d.logger.Info("no witnesses asked", "term", d.claim.Term, "restarted", d.hasFormer)
 	}
 	defer jobs.Wait()
 	progress := d.loadProgress()
@@ -73,7 +75,8 @@
 	}
 	d.jobs.finishLoad(progress)
 	for _, id := range slices.Sorted(maps.Keys(shown)) {
-		d.logger.Info("job was shown as done by a former owner", "job", id)
+		_, known := d.pool.StateOf(id, d.node.clock())
+		d.logger.Info("job was shown as done by a former owner", "job", id, "known", known)
 		d.pool.RestoreShown(id, d.node.clock())
 	}
 	d.pool.TakenOver(d.node.clock())
--- a/jaynode/witness.go
+++ b/jaynode/witness.go
@@ -23,9 +23,12 @@
 func (n *Node) witness(c jayowner.Claim, pool, id string, fence int64) bool {
 	owns := c.Incarnation == n.incarnation
 	if !owns && slices.Contains(n.witnessNames(pool), n.settings.Entry) {
-		return n.witnesses.Keep(pool, id, fence)
+		kept := n.witnesses.Keep(pool, id, fence)
+		n.logger.Info("witness of an unrecorded end", "pool", pool, "job", id, "fence", fence, "owner", c.Incarnation, "witness", n.incarnation, "kept", kept)
+		return kept
 	}
 	if !n.placeWitness(c, pool, id, fence) {
+		n.logger.Info("no witness of an unrecorded end", "pool", pool, "job", id, "fence", fence, "owner", c.Incarnation)
 		return false
 	}
 	if duty := n.ownedPool(pool); owns && duty != nil {
@@ -62,16 +65,21 @@
 	peers := slices.DeleteFunc(n.witnessesOf(pool), func(e *jaywire.EntryRecord) bool { return e.Incarnation == owner.Incarnation })
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	peers = peers[:min(len(peers), witnessPeers)]
-	kept := make(chan bool, len(peers))
+	type outcome struct {
+		witness string
+		kept    bool
+	}
+	kept := make(chan outcome, len(peers))
 	for _, e := range peers {
 		go func() {
 			body := &jaywire.WitnessJob{Pool: pool, Job: job, Fence: fence}
 			response, err := n.peers.Ask(e.Incarnation, e.PeerAddr, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_WitnessJob{WitnessJob: body}})
-			kept <- err == nil && response.GetJobWitnessed().GetKept()
+			kept <- outcome{e.Incarnation, err == nil && response.GetJobWitnessed().GetKept()}
 		}()
 	}
 	for range peers {
-		if <-kept {
+		if o := <-kept; o.kept {
+			n.logger.Info("witness of an unrecorded end", "pool", pool, "job", job, "fence", fence, "owner", owner.Incarnation, "witness", o.witness, "kept", true)
 			return true
 		}
 	}
@@ -82,26 +90,39 @@
 // done. Entries that do not answer in time are passed over.
 func (n *Node) collectWitnessed(pool string, fence int64) map[string]bool {
 	peers := n.witnessesOf(pool)
-	answers := make(chan []string, len(peers)+1)
-	answers <- n.witnesses.Collect(pool, fence)
+	type answer struct {
+		witness string
+		jobs    []string
+		err     error
+	}
+	answers := make(chan answer, len(peers)+1)
+	answers <- answer{witness: n.incarnation, jobs: n.witnesses.Collect(pool, fence)}
+	began, asked, failed, unanswered := n.clock(), []string{}, []string{}, map[string]bool{}
 	for _, e := range peers {
+		asked = append(asked, e.Incarnation)
+		unanswered[e.Incarnation] = true
 		go func() {
 			body := &jaywire.AskWitnessed{Pool: pool, Fence: fence}
 			response, err := n.peers.Ask(e.Incarnation, e.PeerAddr, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskWitnessed{AskWitnessed: body}})
-			if err != nil {
-				answers <- nil
-				return
-			}
-			answers <- response.GetWitnessedJobs().GetJobs()
+			answers <- answer{e.Incarnation, response.GetWitnessedJobs().GetJobs(), err}
 		}()
 	}
 	shown := map[string]bool{}
+	defer func() {
+		n.logger.Info("witnesses asked", "pool", pool, "fence", fence, "entries", n.members.Entries.Count(),
+			"chosen", n.witnessNames(pool), "asked", asked, "failed", failed, "unanswered", slices.Sorted(maps.Keys(unanswered)),
+			"jobs", len(shown), "took", (n.clock() - began).String())
+	}()
 	timer := time.NewTimer(collectTimeout)
 	defer timer.Stop()
 	for range len(peers) + 1 {
 		select {
-		case jobs := <-answers:
-			for _, job := range jobs {
+		case a := <-answers:
+			delete(unanswered, a.witness)
+			if a.err != nil {
+				failed = append(failed, a.witness)
+			}
+			for _, job := range a.jobs {
 				shown[job] = true
 			}
 		case <-timer.C:
