A job is shown as done only once that is recorded

Cause: while the store was away, an end was shown 0.15 s after it was known, with one other entry as witness in memory. Any number of entries may be lost at once, and be stopped in order; if the owner, the worker that lists the end and the witness were lost before the end was recorded, nobody knew of it. More holders only make the loss rarer: all entries may be lost at once, and there is no other place that keeps anything.

Change: callers are shown no outcome but the recorded one, as it is for failed and cancelled jobs. The witnesses are removed: the register, the choice of sixteen, the questions of a takeover and their messages. A new owner needs to ask nobody but the store.

Why it holds: the store loses nothing that it has acknowledged, a new owner fences the former one before it reads, and so it reads every end that was shown.

TestStateIsNotAnsweredBeforeWorkersHaveReported asserts the same of a job that was shown as running.

--- a/jaymember/announce_test.go
+++ b/jaymember/announce_test.go
@@ -48,8 +48,8 @@
 }
 
 // TestRestartedEntriesAnnounceThemselvesSoon guards against a restart of all entries of a small
-// system after which none knows another for a second, so that none can be a witness or reach the
-// store for another.
+// system after which none knows another for a second, so that none can reach the store for
+// another.
 func TestRestartedEntriesAnnounceThemselvesSoon(t *testing.T) {
 	for _, entries := range []int{4, 583} {
 		clock := jayclock.Since(time.Now().Add(-time.Hour))
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -20,7 +20,6 @@
 	"jaythread/jaystop"
 	"jaythread/jaytail"
 	"jaythread/jaywire"
-	"jaythread/jaywitness"
 )
 
 // Topics of the job service in the platform's store.
@@ -66,14 +65,12 @@
 	// startedAt is the same moment on the node's clock.
 	startedAt time.Duration
 
-	declarations   *declarations
-	heartbeats     *workerHeartbeats
-	members        *jaymember.Members
-	intake         *intake
-	witnesses      *jaywitness.Register
-	witnessChoices jaywitness.Choices
-	peers          *jaypeer.Client
-	peerServer     *jaypeer.Server
+	declarations *declarations
+	heartbeats   *workerHeartbeats
+	members      *jaymember.Members
+	intake       *intake
+	peers        *jaypeer.Client
+	peerServer   *jaypeer.Server
 
 	// startedClaims is the set of the claims under which a pool's duty was started.
 	startedClaims sync.Map
@@ -155,7 +152,6 @@
 	n.heartbeats = newWorkerHeartbeats(n)
 	n.members = newMembers(n)
 	n.intake = newIntake(n)
-	n.witnesses = jaywitness.New(n.clock, settings.RetainEnded)
 	n.registerGauges()
 	return n
 }
@@ -280,12 +276,6 @@
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Demand{Demand: n.demandOwned(body.AskDemand)}}
 	case *jaywire.PeerRequest_StoreCall:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_StoreResult{StoreResult: n.relayServer.Serve(body.StoreCall)}}
-	case *jaywire.PeerRequest_WitnessJob:
-		kept := n.witnesses.Keep(body.WitnessJob.Pool, body.WitnessJob.Job, body.WitnessJob.Fence)
-		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_JobWitnessed{JobWitnessed: &jaywire.JobWitnessed{Kept: kept}}}
-	case *jaywire.PeerRequest_AskWitnessed:
-		jobs := n.witnesses.Collect(body.AskWitnessed.Pool, body.AskWitnessed.Fence)
-		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_WitnessedJobs{WitnessedJobs: &jaywire.WitnessedJobs{Jobs: jobs}}}
 	case *jaywire.PeerRequest_Announce:
 		taken := !n.stopping.Load() && n.members.Announcer.Take(body.Announce)
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Announced{Announced: &jaywire.EntryAnnounced{Taken: taken}}}
--- a/jaynode/queries.go
+++ b/jaynode/queries.go
@@ -32,18 +32,8 @@
 		}
 	}()
 	return n.askOwner(errCutQuery, queue.Pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskJob{
-		AskJob: &jaywire.AskJob{Pool: queue.Pool, Job: id, Organisation: &organisation, Witness: true},
-	}}, func(c jayowner.Claim, answer *jaywire.JobAnswer) bool {
-		if !answer.GetUnrecorded() || n.witness(c, queue.Pool, id, answer.GetFence()) {
-			return true
-		}
-		if c.Incarnation != n.incarnation || n.shownByPeer(queue.Pool, id) {
-			return false
-		}
-		// Without a witness, this owner shows the job as done only once that is recorded.
-		answer.State = jaywire.JobState_JOB_STATE_RUNNING
-		return true
-	})
+		AskJob: &jaywire.AskJob{Pool: queue.Pool, Job: id, Organisation: &organisation},
+	}})
 }
 
 // CancelJob cancels a job; known is false if the job does not exist or belongs to another
@@ -56,7 +46,7 @@
 	}()
 	_, known, err = n.askOwner(errCutCommand, queue.Pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_CancelJob{
 		CancelJob: &jaywire.CancelJob{Pool: queue.Pool, Job: id, Organisation: &organisation},
-	}}, func(jayowner.Claim, *jaywire.JobAnswer) bool { return true })
+	}})
 	return known, err
 }
 
@@ -83,7 +73,7 @@
 	}
 	began := n.clock()
 	o := jaystop.Until(n.cut, outcome{err: errCutQuery}, func() (o outcome) {
-		o.err = n.askUntilAnswered(queue.Pool, deadline, request, func(_ jayowner.Claim, r *jaywire.PeerResponse) bool {
+		o.err = n.askUntilAnswered(queue.Pool, deadline, request, func(r *jaywire.PeerResponse) bool {
 			answer := r.GetPending()
 			o.pending = int(answer.GetPending())
 			return answer.GetOwned()
@@ -94,21 +84,19 @@
 	return o.pending, o.err
 }
 
-// askOwner asks the owner of a pool about a job until it answers. An answer counts only if
-// accept, which is given the owner's claim, accepts it. The error is cut if requests are cut.
-func (n *Node) askOwner(cut error, pool string, deadline time.Duration, request *jaywire.PeerRequest, accept func(jayowner.Claim, *jaywire.JobAnswer) bool) (state jaysched.State, known bool, err error) {
+// askOwner asks the owner of a pool about a job until it answers. The error is cut if requests are cut.
+func (n *Node) askOwner(cut error, pool string, deadline time.Duration, request *jaywire.PeerRequest) (state jaysched.State, known bool, err error) {
 	type outcome struct {
 		state jaysched.State
 		known bool
 		err   error
 	}
 	o := jaystop.Until(n.cut, outcome{err: cut}, func() (o outcome) {
-		o.err = n.askUntilAnswered(pool, deadline, request, func(c jayowner.Claim, r *jaywire.PeerResponse) bool {
+		o.err = n.askUntilAnswered(pool, deadline, request, func(r *jaywire.PeerResponse) bool {
 			answer := r.GetJob()
-			accepted := answer.GetOwned() && accept(c, answer)
 			o.known = answer.GetKnown()
 			o.state = stateOf(answer.GetState())
-			return accepted
+			return answer.GetOwned()
 		})
 		return o
 	})
@@ -117,12 +105,12 @@
 
 // askUntilAnswered repeats a query until the owner of the pool answers or the deadline
 // has passed. The queries are idempotent.
-func (n *Node) askUntilAnswered(pool string, deadline time.Duration, request *jaywire.PeerRequest, answered func(jayowner.Claim, *jaywire.PeerResponse) bool) error {
+func (n *Node) askUntilAnswered(pool string, deadline time.Duration, request *jaywire.PeerRequest, answered func(*jaywire.PeerResponse) bool) error {
 	until := n.clock() + deadline
 	for {
 		if c, ok := n.members.Owners.OwnerOf(jayowner.PoolDuty(pool)); ok {
 			response, err := n.askIncarnation(c, request)
-			if err == nil && answered(c, response) {
+			if err == nil && answered(response) {
 				return nil
 			}
 		}
@@ -136,9 +124,6 @@
 // askIncarnation sends a request to an owner, which may be this entry itself.
 func (n *Node) askIncarnation(c jayowner.Claim, request *jaywire.PeerRequest) (*jaywire.PeerResponse, error) {
 	if c.Incarnation == n.incarnation {
-		if ask := request.GetAskJob(); ask != nil {
-			return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Job{Job: n.jobAnswer(ask, false)}}, nil
-		}
 		return n.handlePeer(request), nil
 	}
 	response, err := n.peers.Ask(c.Incarnation, c.PeerAddr, request)
@@ -151,48 +136,23 @@
 // askTimeout limits how long a query waits for a pool's goroutine.
 const askTimeout = 300 * time.Millisecond
 
-// askOwned answers a peer's query for the state of a job if this entry owns its pool.
+// askOwned answers a query for the state of a job if this entry owns its pool.
 func (n *Node) askOwned(ask *jaywire.AskJob) *jaywire.JobAnswer {
-	return n.jobAnswer(ask, true)
-}
-
-// jobAnswer answers a query of a peer or of this entry for the state of a job.
-func (n *Node) jobAnswer(ask *jaywire.AskJob, fromPeer bool) *jaywire.JobAnswer {
-	stateKnown, unrecorded := true, false
+	stateKnown := true
 	answer := n.answerOwned(ask.Pool, func(p *jaysched.Pool, now time.Duration) (jaysched.State, bool) {
 		if !visible(p, ask.Organisation, ask.Job) {
 			return jaysched.Queued, false
 		}
 		stateKnown = p.StateKnown(ask.Job, now)
-		unrecorded = p.NeedsWitness(ask.Job, now)
-		if unrecorded && !ask.Witness {
-			return jaysched.Running, true
-		}
-		if unrecorded && fromPeer {
-			p.ShowByPeer(ask.Job)
-		}
-		return p.StateOf(ask.Job, now)
+		return p.StateOf(ask.Job)
 	})
 	if !stateKnown {
 		// The entry that asked retries after queryRetryDelay.
 		return &jaywire.JobAnswer{}
 	}
-	answer.Unrecorded = unrecorded && ask.Witness
-	if duty := n.ownedPool(ask.Pool); duty != nil {
-		answer.Fence = duty.claim.Fence
-	}
 	return answer
 }
 
-// shownByPeer reports whether a peer may have shown a job of a pool that this entry owns as done.
-func (n *Node) shownByPeer(pool, id string) bool {
-	shown := true
-	if duty := n.ownedPool(pool); duty != nil {
-		duty.ask(func() { shown = duty.pool.ShownByPeer(id) }, askTimeout)
-	}
-	return shown
-}
-
 // visible reports whether a caller may know of a job. The organisation is nil in a request
 // of an entry of an earlier version, for which all jobs are visible.
 func visible(p *jaysched.Pool, organisation *string, job string) bool {
--- a/jaynode/stored_test.go
+++ b/jaynode/stored_test.go
@@ -60,7 +60,7 @@
 			pool.TakeBatch()
 		}
 		pool.RestoreEnded("other", "", jaysched.OutcomeOf(record), time.Second)
-		pool.StateOf("other", time.Second)
+		pool.StateOf("other")
 		_ = jayowner.NewTable().Apply(jayport.Record{Key: "fleet", Value: declared})
 		c := newFleetCollector(logr.Discard())
 		c.Apply(jayport.Record{Key: waveKeys + "1", Value: progressed})
@@ -88,7 +88,7 @@
 		is.True(duty.takeOver())
 		duty.cancel()
 		is.Equal(duty.pool.Pending("q"), 1) // the other job is pending, this one is blocked
-		state, known := duty.pool.StateOf(testID, clock())
+		state, known := duty.pool.StateOf(testID)
 		is.True(known)
 		is.Equal(state, jaysched.Queued)
 		e.node.duties.Wait()
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -52,13 +52,7 @@
 	}
 	// Both are read in parallel, since each call takes long if the store is slow.
 	var jobs sync.WaitGroup
-	var shown map[string]bool
 	jobs.Go(d.loadJobs)
-	if d.claim.Term > 1 {
-		jobs.Go(func() { shown = d.node.collectWitnessed(d.name, d.claim.Fence) })
-	} else {
-		d.logger.Info("no witnesses asked", "term", d.claim.Term, "restarted", d.hasFormer)
-	}
 	defer jobs.Wait()
 	progress := d.loadProgress()
 	jobs.Wait()
@@ -74,11 +68,6 @@
 		return false
 	}
 	d.jobs.finishLoad(progress)
-	for _, id := range slices.Sorted(maps.Keys(shown)) {
-		_, known := d.pool.StateOf(id, d.node.clock())
-		d.logger.Info("job was shown as done by a former owner", "job", id, "known", known)
-		d.pool.RestoreShown(id, d.node.clock())
-	}
 	d.pool.TakenOver(d.node.clock())
 	d.updateWorkers(d.node.clock())
 	d.node.duties.Go(d.pollInventory)
--- a/jaysched/bounds_test.go
+++ b/jaysched/bounds_test.go
@@ -134,13 +134,6 @@
 		w.pool.batchRecordedAt = w.now
 		return w.pool.Recordable(w.now + after)
 	})
-	changesAt(t, "a job that is done is shown unrecorded after 0.15 s", 150*time.Millisecond, func(after time.Duration) bool {
-		w := newHarness(t, 1)
-		declare(w, newSpec("j", 1))
-		w.finish("j", 0, jayport.EndedDone)
-		state, _ := w.pool.StateOf("j", w.pool.jobs["j"].endedAt+after)
-		return state == StateDone
-	})
 }
 
 func TestBoundsOfWorkers(t *testing.T) {
--- a/jaysched/expire_test.go
+++ b/jaysched/expire_test.go
@@ -26,7 +26,7 @@
 	is.Equal(w.pool.Expired(w.now+2*time.Minute, time.Minute, 10), []string{"a"})
 	wantState(t, w, "a", StateDone)
 	w.pool.Removed([]string{"a"}, true)
-	_, known := w.pool.StateOf("a", w.now)
+	_, known := w.pool.StateOf("a")
 	is.True(!known)
 	wantState(t, w, "b", Running)
 }
--- a/jaysched/foreign_test.go
+++ b/jaysched/foreign_test.go
@@ -92,7 +92,7 @@
 			}
 			w.pool.Demand(w.now)
 		}
-		if state, _ := w.pool.StateOf(job.ID, w.now); state != StateDone {
+		if state, _ := w.pool.StateOf(job.ID); state != StateDone {
 			r.Fatalf("the job is %v after 10 s beside two sound workers", state)
 		}
 	})
--- a/jaysched/harness_test.go
+++ b/jaysched/harness_test.go
@@ -296,7 +296,7 @@
 
 func wantState(t *testing.T, w *harness, id string, want State) {
 	t.Helper()
-	got, known := w.pool.StateOf(id, w.now)
+	got, known := w.pool.StateOf(id)
 	is.New(t).True(known)
 	is.New(t).Equal(got.String(), want.String())
 }
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -91,10 +91,6 @@
 	// recorded is the outcome recorded in the store. Callers are shown no other outcome, since
 	// the loss of the owner would revoke it.
 	recorded Outcome
-	// witnessed says that another entry keeps that the job is shown as done.
-	witnessed bool
-	// shownByPeer says that another entry may have shown the job as done.
-	shownByPeer bool
 	// removing says that the records of the ended job are being removed.
 	removing bool
 	started  bool
@@ -307,28 +303,9 @@
 	return unique
 }
 
-// showUnrecordedAfter is the time after which a job that is done is shown as done although its
-// end could not be recorded. It is far above the time that recording takes while the store is
-// healthy.
-const showUnrecordedAfter = 150 * time.Millisecond
-
-// shownOutcome returns the outcome that is shown to callers. An outcome that is not recorded
-// could be revoked: after the loss of an owner the next one restarts everything that it does
-// not know to have ended. While the store is unavailable that would delay every answer until
-// the store is available again, so a job that is done is shown as done after a short time: the
-// workers keep its ends too, the next owner asks them, and a worker with unrecorded ends is not
-// moved to another pool. An entry is its witness, which the next owner asks as well: the worker
-// may be lost with the owner.
-func (j *job) shownOutcome(now time.Duration) Outcome {
-	if j.recorded == Open && j.outcome == Done && (j.witnessed || now-j.endedAt > showUnrecordedAfter) {
-		return Done
-	}
-	return j.recorded
-}
-
 // state returns the state that is shown to callers.
-func (j *job) state(now time.Duration) State {
-	switch j.shownOutcome(now) {
+func (j *job) state() State {
+	switch j.recorded {
 	case Done:
 		return StateDone
 	case Failed:
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -219,39 +219,12 @@
 
 // StateOf returns the state of a job as shown to callers; known is false if the pool has no
 // such job.
-func (p *Pool) StateOf(id string, now time.Duration) (state State, known bool) {
+func (p *Pool) StateOf(id string) (state State, known bool) {
 	j, known := p.jobs[id]
 	if !known {
 		return Queued, false
 	}
-	return j.state(now), true
-}
-
-// NeedsWitness reports whether the outcome that is shown of a job would be lost with this owner
-// and a worker.
-func (p *Pool) NeedsWitness(id string, now time.Duration) bool {
-	j, known := p.jobs[id]
-	return known && j.recorded == Open && !j.witnessed && j.shownOutcome(now) != Open
-}
-
-// Witnessed records that another entry keeps that a job is shown as done.
-func (p *Pool) Witnessed(id string) {
-	if j, known := p.jobs[id]; known {
-		j.witnessed = true
-	}
-}
-
-// ShowByPeer records that a peer has learned that a job is done and may show it.
-func (p *Pool) ShowByPeer(id string) {
-	if j, known := p.jobs[id]; known {
-		j.shownByPeer = true
-	}
-}
-
-// ShownByPeer reports whether a peer may have shown that a job is done.
-func (p *Pool) ShownByPeer(id string) bool {
-	j, known := p.jobs[id]
-	return known && j.shownByPeer
+	return j.state(), true
 }
 
 // VisibleTo reports whether the callers of an organisation may know of a job. A job without an
--- a/jaysched/record_test.go
+++ b/jaysched/record_test.go
@@ -9,22 +9,34 @@
 	"jaythread/jayport"
 )
 
-func TestDoneJobIsShownWhileTheStoreIsUnavailable(t *testing.T) {
-	// Guards against callers that wait for jobs that are done until the store is available
-	// again: a job's last task ends during an outage of the store, and an end was shown only
-	// once it was recorded.
+// TestDoneJobIsShownOnlyOnceRecorded guards against a job that is shown as done and runs again: its end
+// was not recorded, and was lost with its owner, its worker and the entry that kept it.
+func TestDoneJobIsShownOnlyOnceRecorded(t *testing.T) {
 	is := is.New(t)
 	w := newHarness(t, 1)
-	declare(w, newSpec("j", 1))
+	spec := newSpec("j", 1)
+	declare(w, spec)
+	w.storeUnavailable = true
 	w.finish("j", 0, jayport.EndedDone)
-	wantState(t, w, "j", Running)
-	w.pass(time.Second)
+	for range 100 {
+		w.pass(100 * time.Millisecond)
+		wantState(t, w, "j", Running)
+	}
+	is.Equal(w.pool.Demand(w.now).Loads[0].Runs, 1) // its end would be lost with the worker
+	w.storeUnavailable = false
+	batch := w.record()
 	wantState(t, w, "j", StateDone)
-	load := w.pool.Demand(w.now).Loads[0]
-	is.Equal(load.Runs, 1) // its end would be lost with the worker
-	w.record()
 	w.pass(time.Second)
 	is.Equal(w.pool.Demand(w.now).Loads[0].Runs, 0)
+	t.Run("it stays done though its owner and its worker are lost", func(t *testing.T) {
+		is := is.New(t)
+		next := newHarness(t, 1, WithFence(2, 2))
+		next.pool.RestoreEnded(spec.ID, "", OutcomeOf(batch.Progress["j"]), next.now)
+		next.pass(time.Second)
+		is.Equal(next.starts("j.0.0.0"), 0)
+		next.record()
+		wantState(t, next, "j", StateDone)
+	})
 }
 
 func TestEndsAreAcknowledgedOnlyOnceRecorded(t *testing.T) {
@@ -114,37 +126,3 @@
 	w.pass(time.Second)
 	is.True(w.starts("j.0.0.0") > starts)
 }
-
-func TestJobShownAsDoneStaysDone(t *testing.T) {
-	// Guards against a job that is shown as done and later as queued, and runs again: its owner
-	// could not record the end, and both the owner and the worker that kept the end were lost.
-	is := is.New(t)
-	w := newHarness(t, 1)
-	spec := newSpec("j", 1)
-	declare(w, spec)
-	for ref := range w.workers["w0"].active {
-		w.workers["w0"].end(ref, jayport.EndedDone)
-	}
-	w.storeUnavailable = true
-	w.pass(time.Millisecond)
-	w.reports()
-	is.True(!w.pool.NeedsWitness("j", w.now)) // not shown yet
-	w.pass(2 * showUnrecordedAfter)
-	wantState(t, w, "j", StateDone)
-	is.True(w.pool.NeedsWitness("j", w.now))
-	w.pool.Witnessed("j")
-	is.True(!w.pool.NeedsWitness("j", w.now))
-	next := newHarness(t, 1, WithFence(2, 2))
-	next.pool.Restore(spec, nil, next.now)
-	next.pool.RestoreShown("j", next.now)
-	state, known := next.pool.StateOf("j", next.now)
-	is.True(known)
-	is.Equal(state, StateDone)
-	is.True(next.pool.StateKnown("j", next.now))
-	next.run()
-	next.pass(time.Second)
-	is.Equal(next.starts("j.0.0.0"), 0)
-	next.record()
-	wantState(t, next, "j", StateDone)
-	is.Equal(next.pool.jobs["j"].recorded, Done)
-}
--- a/jaysched/restore.go
+++ b/jaysched/restore.go
@@ -37,9 +37,9 @@
 // lost one does not.
 const takeoverReportTimeout = 2 * time.Second
 
-// StateKnown reports whether the state of a job can be answered. A former owner may have shown
-// the job as done to its caller before that was recorded; then only the workers have the ends
-// of its tasks, and until they have reported, the job seems to be running.
+// StateKnown reports whether the state of a job can be answered. What has happened to the job since
+// the former owner recorded it is known once the workers have reported: until then a job that was shown
+// as running may seem to be queued.
 func (p *Pool) StateKnown(id string, now time.Duration) bool {
 	j, known := p.jobs[id]
 	if !known || j.outcome != Open || now >= p.restoredAt+takeoverReportTimeout || !p.formerRunsPossible(now) {
@@ -50,18 +50,6 @@
 	return !unreported
 }
 
-// RestoreShown ends a restored job that a former owner has shown as done, by the word of a
-// witness. Its end is recorded like any other.
-func (p *Pool) RestoreShown(id string, now time.Duration) {
-	j, known := p.jobs[id]
-	if !known || j.outcome != Open {
-		return
-	}
-	j.witnessed = true
-	p.end(j, Done, now)
-	p.recordEvent(Event{Kind: JobEnded, Job: id, Detail: Done.String(), Waited: now - j.submittedAt}, now)
-}
-
 // RestoreUnreadable adds a job whose recorded progress cannot be read. Its runs continue, but
 // none of its tasks is started: a task that is done would run twice.
 func (p *Pool) RestoreUnreadable(spec *jayspec.Job, now time.Duration) {
--- a/jaysched/takeover_test.go
+++ b/jaysched/takeover_test.go
@@ -220,17 +220,15 @@
 }
 
 func TestStateIsNotAnsweredBeforeWorkersHaveReported(t *testing.T) {
-	// Guards against a job that was shown as done and is shown as running again: a job is done
-	// while the store is unavailable and is shown as done after a short time, its owner is
-	// lost, and the next one is asked before the workers have reported the ends. The content of
-	// the store was taken for complete.
+	// Guards against a job that was shown as running and is shown as queued: its owner is lost, and
+	// the next one is asked before the workers have reported its runs and their ends. The content
+	// of the store was taken for complete.
 	is := is.New(t)
 	first := newHarness(t, 2)
 	spec := newSpec("j", 1, func(s *jayspec.Step) { s.MaxPerInstance = 1 })
 	declare(first, spec)
 	first.finish("j", 0, jayport.EndedDone)
-	first.now += 2 * showUnrecordedAfter
-	wantState(t, first, "j", StateDone)
+	wantState(t, first, "j", Running)
 	next := takeOver(t, first, spec)
 	next.workers["w1"].silent = true
 	next.run()
