A metric for the time until the end of a job is recorded

Callers are shown a job as done only once its end is recorded. During an outage that takes as long as the outage; so far only the log lines 'job recorded' told how long. jaythread_job_end_recording_seconds shows it for each pool.

--- a/jaymetric/jobs.go
+++ b/jaymetric/jobs.go
@@ -23,6 +23,7 @@
 	poolEvents        *prometheus.CounterVec
 	taskWait          *prometheus.HistogramVec
 	jobDuration       *prometheus.HistogramVec
+	endRecording      *prometheus.HistogramVec
 	commands          *prometheus.CounterVec
 	dutyChanges       *prometheus.CounterVec
 	hostsGiven        *prometheus.CounterVec
@@ -78,6 +79,7 @@
 		poolEvents:        newCounterVec("jaythread_pool_events_total", "What the owner of a pool decided or learned, as in its log lines.", "pool", "event"),
 		taskWait:          newHistogramVec("jaythread_task_wait_seconds", "Time from when a task could start to its start.", "pool"),
 		jobDuration:       newHistogramVec("jaythread_job_duration_seconds", "Time from a job's submission to its end.", "pool"),
+		endRecording:      newHistogramVec("jaythread_job_end_recording_seconds", "Time from a job's end until it is recorded, so that callers are shown it.", "pool"),
 		commands:          newCounterVec("jaythread_host_commands_total", "Moves and maintenances of instances by outcome.", "command", "outcome"),
 		hostsGiven:        newCounterVec("jaythread_hosts_given_total", "Instances that a pool was asked to give to another one and has emptied, by reason.", "pool", "reason"),
 		workLost:          newCounterVec("jaythread_lost_work_core_seconds_total", "Work of runs that were restarted to release their worker.", "pool"),
@@ -99,7 +101,7 @@
 			Name: "jaythread_start_limit", Help: "Present limit of starts in flight, in the pools that this entry owns.",
 		}, []string{"pool"}),
 	}
-	m.Registry.MustRegister(m.startsHeldBack, m.startLimit, m.burstPredictions, m.hostsGiven, m.workLost, m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.commands, m.dutyChanges, m.beyondShare, m.share)
+	m.Registry.MustRegister(m.startsHeldBack, m.startLimit, m.burstPredictions, m.hostsGiven, m.workLost, m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.endRecording, m.commands, m.dutyChanges, m.beyondShare, m.share)
 	m.Runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -147,6 +149,11 @@
 	m.jobDuration.WithLabelValues(pool).Observe(took.Seconds())
 }
 
+// EndRecorded records how long a job's end waited until it was recorded.
+func (m *JobMetrics) EndRecorded(pool string, took time.Duration) {
+	m.endRecording.WithLabelValues(pool).Observe(took.Seconds())
+}
+
 // HostCommanded counts a command of the fleet's owner to an instance.
 func (m *JobMetrics) HostCommanded(command, outcome string) {
 	m.commands.WithLabelValues(command, outcome).Inc()
--- a/jaynode/meters.go
+++ b/jaynode/meters.go
@@ -144,6 +144,8 @@
 		m.TaskStarted(d.name, event.Waited)
 	case jaysched.JobEnded:
 		m.JobEnded(d.name, event.Waited)
+	case jaysched.JobRecorded:
+		m.EndRecorded(d.name, event.Waited)
 	case jaysched.RunRestarted:
 		m.WorkLost(d.name, event.LostMilli/milliPerCore)
 	case jaysched.QuotaFree:
