A duty that ended by itself is claimed again instead of started again

A duty that had ended by itself, for example because an append was rejected as malformed, was started again under the same claim. A caller was told that its job was cancelled, workers that their ends were noted, and neither was recorded. Appends and start orders of the former self that were still under way could not be told from its own either, since the fence was the same; the takeover could miss them.

Shown: TestRestartedDutyRecordsItsProgress failed before ("not true: newestOf(w, topicProgress, ...) != nil": a cancellation was answered and not in the store), TestRestartedDutyHasItsOwnFence failed too.

Cause: the fence stands for the process's calls under one claim, but two successive duties used it.

Change: an entry does not start a duty under a claim under which it has ended by itself; the membership claims it again, with the next fence and term. So the former self is fenced at the store and at the workers like any former owner, and the takeover treats it as one. Other entries see one claim more.

--- a/jaymember/claims.go
+++ b/jaymember/claims.go
@@ -200,7 +200,8 @@
 	var vacant []jayowner.Duty
 	for _, d := range o.members.Duties() {
 		c, claimed := view.Claim(d)
-		if claimed && !c.Released && !o.members.Liveness.presumedEndedWithin(c.Incarnation, o.timeoutFactorOf(d, now), now) {
+		ended := o.members.Liveness.presumedEndedWithin(c.Incarnation, o.timeoutFactorOf(d, now), now) || o.endedHere(c)
+		if claimed && !c.Released && !ended {
 			delete(o.vacantSince, d)
 			continue
 		}
@@ -212,6 +213,11 @@
 	return vacant
 }
 
+// endedHere reports whether a claim is one of this entry, which has ended the duty by itself.
+func (o *Owners) endedHere(c jayowner.Claim) bool {
+	return c.Incarnation == o.members.Incarnation && o.members.Ended != nil && o.members.Ended(c)
+}
+
 // dutyCounts returns the number of duties of each owner.
 func dutyCounts(view *View) map[string]int {
 	counts := map[string]int{}
--- a/jaymember/members.go
+++ b/jaymember/members.go
@@ -73,6 +73,9 @@
 	Duties func() []jayowner.Duty
 	// OwnsAnyDuty reports whether this entry owns any duty.
 	OwnsAnyDuty func() bool
+	// Ended reports whether this entry has ended a duty under one of its claims by itself. The duty is
+	// claimed again: its former self has used the fence.
+	Ended func(jayowner.Claim) bool
 	// Stopping reports whether this entry is stopping and claims no more duties.
 	Stopping func() bool
 	// OnClaimsRead is called after each read of the claims.
--- a/jaynode/duties.go
+++ b/jaynode/duties.go
@@ -31,13 +31,13 @@
 	if n.stopping.Load() {
 		return
 	}
-	if n.fleet == nil && fleetClaim.Incarnation == n.incarnation && !fleetClaim.Released {
+	if n.fleet == nil && n.mayStart(fleetClaim) {
 		n.fleet = newFleetDuty(n, fleetClaim)
 		n.duties.Go(n.fleet.run)
 	}
 	for _, c := range view.Claims() {
 		pool, isPool := c.Duty.Pool()
-		if !isPool || c.Released || c.Incarnation != n.incarnation {
+		if !isPool || !n.mayStart(c) {
 			continue
 		}
 		if _, running := n.pools[pool]; !running {
@@ -48,6 +48,20 @@
 	}
 }
 
+// mayStart reports whether this entry may start a duty under a claim. A duty that has ended by itself is
+// not started again under the same claim: the store and the workers could not tell the calls of its
+// former self that are still under way from its own. The caller holds the lock.
+func (n *Node) mayStart(c jayowner.Claim) bool {
+	return c.Incarnation == n.incarnation && !c.Released && n.ended[c.Duty] != c.Fence
+}
+
+// hasEnded reports whether a duty has ended by itself under a claim.
+func (n *Node) hasEnded(c jayowner.Claim) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ended[c.Duty] == c.Fence
+}
+
 // endDuties ends all duties of an entry that is stopping.
 func (n *Node) endDuties() {
 	n.mu.Lock()
@@ -68,6 +82,7 @@
 	defer n.mu.Unlock()
 	if n.pools[duty.name] == duty {
 		delete(n.pools, duty.name)
+		n.ended[duty.claim.Duty] = duty.claim.Fence
 	}
 }
 
@@ -77,6 +92,7 @@
 	defer n.mu.Unlock()
 	if n.fleet == duty {
 		n.fleet = nil
+		n.ended[duty.claim.Duty] = duty.claim.Fence
 	}
 }
 
--- a/jaynode/members.go
+++ b/jaynode/members.go
@@ -26,6 +26,7 @@
 		Partition:       n.partitionOf,
 		Duties:          n.dueDuties,
 		OwnsAnyDuty:     n.ownsAnyDuty,
+		Ended:           n.hasEnded,
 		Stopping:        n.stopping.Load,
 		OnClaimsRead:    n.reconcileDuties,
 		Go:              n.duties.Go,
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -13,6 +13,7 @@
 	"jaythread/jayclock"
 	"jaythread/jaymember"
 	"jaythread/jaymetric"
+	"jaythread/jayowner"
 	"jaythread/jaypace"
 	"jaythread/jaypeer"
 	"jaythread/jayport"
@@ -75,11 +76,11 @@
 	peers          *jaypeer.Client
 	peerServer     *jaypeer.Server
 
-	// startedClaims is the set of the claims under which a pool's duty was started.
-	startedClaims sync.Map
-	mu            sync.Mutex
-	pools         map[string]*poolDuty
-	fleet         *fleetDuty
+	mu    sync.Mutex
+	pools map[string]*poolDuty
+	fleet *fleetDuty
+	// ended holds the fence of the latest claim under which each duty has ended by itself.
+	ended map[jayowner.Duty]int64
 
 	stopping atomic.Bool
 	// cut is made when the requests in progress are to be answered at once.
@@ -132,6 +133,7 @@
 		incarnation: jaymember.NewIncarnation(settings.Entry),
 		started:     time.Now(),
 		pools:       map[string]*poolDuty{},
+		ended:       map[jayowner.Duty]int64{},
 		cut:         jaystop.NewCut(),
 	}
 	for _, option := range options {
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -45,8 +45,6 @@
 type poolDuty struct {
 	duty
 	name string
-	// hasFormer says that there may be runs of a former owner.
-	hasFormer bool
 	// loaded is set once the jobs and their progress have been read.
 	loaded atomic.Bool
 	// storedJobs maps the IDs of the jobs that are in the store to the names of their
@@ -82,12 +80,6 @@
 	lastActiveAt time.Duration
 }
 
-// startedClaim is a claim under which a pool's duty was started.
-type startedClaim struct {
-	pool  string
-	fence int64
-}
-
 func newPoolDuty(n *Node, name string, claim jayowner.Claim) *poolDuty {
 	p := n.ports.Formats.Own(topicProgress, n.partitionOf(name))
 	d := &poolDuty{
@@ -107,9 +99,6 @@
 		fleet, _ := view.Claim(jayowner.Fleet)
 		options = append(options, jaysched.WithLender(fleet.Fence))
 	}
-	// A duty that ended by itself is started again under the same claim.
-	_, restarted := n.startedClaims.LoadOrStore(startedClaim{pool: name, fence: claim.Fence}, true)
-	d.hasFormer = restarted || claim.Term > 1
 	d.pool = jaysched.NewPool(name, jaysched.Settings{
 		Lease:     min(leaseTime, n.settings.MaxLease),
 		Stop:      n.settings.StopTime,
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -47,7 +47,7 @@
 		return false
 	}
 	fencedAt := d.node.clock()
-	if d.hasFormer {
+	if d.claim.Term > 1 {
 		d.pool.HoldFormerRuns(fencedAt + formerLeaseWait)
 	}
 	// Both are read in parallel, since each call takes long if the store is slow.
@@ -57,7 +57,7 @@
 	if d.claim.Term > 1 {
 		jobs.Go(func() { shown = d.node.collectWitnessed(d.name, d.claim.Fence) })
 	} else {
-		d.logger.Info("no witnesses asked", "term", d.claim.Term, "restarted", d.hasFormer)
+		d.logger.Info("no witnesses asked", "term", d.claim.Term)
 	}
 	defer jobs.Wait()
 	progress := d.loadProgress()
