An owner checks how old its data is before it looks for a job

A caller that asked for an accepted job could be told that it does not exist: the owner of the pool was out of touch with the store, another entry had stored the job, and the owner reached the store again between its look into the pool and the check of how old its data is. The check then passed on the strength of data that the look had not used. Counts of pending jobs had the same order.

Shown: TestOwnerRegainsTheStoreDuringAQuery failed before ("not true: !answer.Owned").

Change: the age is checked first. Jobs that were read by then are in the pool's inbox before the question, so the answer rests on data at least as new.

--- a/jaynode/queries.go
+++ b/jaynode/queries.go
@@ -245,7 +245,7 @@
 	if duty == nil || !duty.loaded.Load() {
 		return answer
 	}
-	unconfirmed := false
+	current, unconfirmed := duty.current(), false
 	asked := duty.ask(func() {
 		unconfirmed = duty.pool.OwnerUnconfirmed()
 		state, known := query(duty.pool, n.clock())
@@ -256,12 +256,13 @@
 		return &jaywire.JobAnswer{}
 	}
 	// An unknown job may have been submitted a moment ago.
-	answer.Owned = answer.Known || duty.current()
+	answer.Owned = answer.Known || current
 	return answer
 }
 
 // current reports whether the duty's data is recent enough to answer that a job does not
-// exist: the claims and the submitted jobs have both been read within maxNotFoundAge.
+// exist: the claims and the submitted jobs have both been read within maxNotFoundAge. It must be called
+// before the pool is asked.
 func (d *poolDuty) current() bool {
 	oldest := d.node.clock() - maxNotFoundAge
 	return d.jobs.tail.AsOf() > oldest && d.node.members.Owners.View().AsOf > oldest
@@ -272,11 +273,11 @@
 	if duty == nil || !duty.loaded.Load() {
 		return &jaywire.PendingAnswer{}
 	}
-	pending := 0
+	current, pending := duty.current(), 0
 	if !duty.ask(func() { pending = duty.pool.Pending(queue) }, askTimeout) {
 		return &jaywire.PendingAnswer{}
 	}
-	return &jaywire.PendingAnswer{Owned: duty.current(), Pending: uint32(pending)}
+	return &jaywire.PendingAnswer{Owned: current, Pending: uint32(pending)}
 }
 
 func stateOf(state jaywire.JobState) jaysched.State {
--- a/jaynode/queries_test.go
+++ b/jaynode/queries_test.go
@@ -9,6 +9,7 @@
 
 	"jaythread/jaypool"
 	"jaythread/jayring"
+	"jaythread/jaysched"
 	"jaythread/jayspec"
 	"jaythread/jaywire"
 )
@@ -34,6 +35,30 @@
 	})
 }
 
+// Guards against answering that an accepted job does not exist: the owner reaches the store again after
+// it has looked for the job and before it checks how old its data is.
+func TestOwnerRegainsTheStoreDuringAQuery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newPoolFixture(t, 1)
+		n := w.entry.node
+		n.pools["seats"] = w.duty
+		w.refreshClaimsFor(time.Second)
+		regain := func() {
+			w.entry.store.set(func(s *faultyStore) { s.unreachable = false })
+			time.Sleep(5 * time.Second)
+			w.refreshClaims()
+		}
+		w.entry.store.set(func(s *faultyStore) { s.unreachable = true })
+		time.Sleep(3 * time.Second)
+		answer := n.answerOwned("seats", func(*jaysched.Pool, time.Duration) (jaysched.State, bool) {
+			regain()
+			return jaysched.Queued, false
+		})
+		is.True(!answer.Owned)
+	})
+}
+
 func TestOrganisationsDuringAnUpgrade(t *testing.T) {
 	// Guards against accepted jobs that seem not to exist while entries of an earlier version
 	// run: they store jobs and ask for them without an organisation.
