Statuses of waves are written in order and under the fleet's fence

Operators could see a wave as running for good although it was done: each status was appended by a goroutine of its own, without a producer, and repeated until the store answered. The append of the first status could be carried out after that of the last one: seconds late, after an outage in which both waited, or by a former owner of the fleet.

Shown: both cases of TestLateWaveStatusIsNotShown failed before ("false != true"; run with the calls in goroutines, as the code made them).

Cause: the newest record of the key is what is shown, and nothing kept an older one from becoming it.

The store carries each out once, in order, and rejects those of former owners once the next one has written. A status that is rejected as malformed is logged and does not end the duty.

--- a/jaynode/fleetcommands.go
+++ b/jaynode/fleetcommands.go
@@ -6,7 +6,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"jaythread/jayclock"
 	"jaythread/jayfleet"
 	"jaythread/jayjournal"
 	"jaythread/jayport"
@@ -118,7 +117,7 @@
 			return
 		}
 		if a.Done || len(a.Maintained) == 0 {
-			d.node.duties.Go(func() { d.writeWaveStatus(a.Wave, a.Done) })
+			d.writeWaveStatus(a.Wave, a.Done)
 		}
 	})
 	if err := d.journal.Add(entry); err != nil {
@@ -126,17 +125,28 @@
 	}
 }
 
-// writeWaveStatus writes the status of a wave for operators and retries until the store
-// accepts it.
+// startJournals writes the duty's records and the statuses of waves until the duty ends.
+func (d *fleetDuty) startJournals() {
+	d.startJournal()
+	d.node.duties.Go(func() {
+		for d.ctx.Err() == nil {
+			var fenced *jayport.FencedError
+			if err := d.statuses.Run(d.ctx); errors.As(err, &fenced) {
+				d.end(err.Error())
+			}
+		}
+	})
+}
+
+// writeWaveStatus writes the status of a wave for operators. A status that was written before, by this
+// owner or a former one, cannot replace it later.
 func (d *fleetDuty) writeWaveStatus(wave string, done bool) {
-	p, record := d.node.ports.Formats.WaveStatus(wave, done)
-	for d.ctx.Err() == nil {
-		_, err := d.node.store.Append(jayport.Append{Partition: p, Records: []jayport.Record{record}, AsOf: jayport.AnyOffset}, jayport.CallTimeout)
-		if err == nil {
-			d.logger.Info("wave status written", "wave", wave, "done", done)
+	_, record := d.node.ports.Formats.WaveStatus(wave, done)
+	addToJournal(d.statuses, []jayport.Record{record}, func(err error) {
+		if err != nil {
+			d.logger.Info("wave status not written", "wave", wave, "done", done, "error", err.Error())
 			return
 		}
-		d.logger.Info("writing wave status failed; retrying", "wave", wave, "error", err.Error())
-		jayclock.Sleep(d.ctx, storeRetryDelay)
-	}
+		d.logger.Info("wave status written", "wave", wave, "done", done)
+	})
 }
--- a/jaynode/fleetduty.go
+++ b/jaynode/fleetduty.go
@@ -8,6 +8,7 @@
 	"jaythread/jayburst"
 	"jaythread/jayclock"
 	"jaythread/jayfleet"
+	"jaythread/jayjournal"
 	"jaythread/jayload"
 	"jaythread/jaylogger"
 	"jaythread/jaymember"
@@ -43,6 +44,8 @@
 type fleetDuty struct {
 	duty
 	guard jayfleet.Guard
+	// statuses writes the status of each wave for operators, in the order of its changes.
+	statuses *jayjournal.Journal
 
 	// The fields below are used only by the duty's goroutine.
 	fleet *jayfleet.Fleet
@@ -72,8 +75,10 @@
 }
 
 func newFleetDuty(n *Node, claim jayowner.Claim) *fleetDuty {
+	statuses, _ := n.ports.Formats.WaveStatus("", false)
 	return &fleetDuty{
-		duty: newDuty(n, claim, n.ports.Formats.Own(topicFleet, 0), fleetInbox, n.logger.WithName("fleet").WithValues("fence", claim.Fence)),
+		statuses: jayjournal.New(n.store, statuses, string(claim.Duty), claim.Fence, n.clock, n.logger, jayjournal.WithLatency(n.store.Latency)),
+		duty:     newDuty(n, claim, n.ports.Formats.Own(topicFleet, 0), fleetInbox, n.logger.WithName("fleet").WithValues("fence", claim.Fence)),
 		guard: jayfleet.Guard{
 			FencesChecked:    n.settings.FencesChecked,
 			OwnerChangeDelay: n.settings.HolderTime,
@@ -104,7 +109,7 @@
 	if !ok {
 		return
 	}
-	d.startJournal()
+	d.startJournals()
 	d.loop(fleetTick, func() { d.step(recorded) })
 }
 
--- a/jaynode/fleetduty_test.go
+++ b/jaynode/fleetduty_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"jaythread/jayclock"
 	"jaythread/jayfleet"
 	"jaythread/jaymember"
+	"jaythread/jayowner"
+	"jaythread/jayport"
 	"jaythread/jaysched"
 	"jaythread/jaywire"
 )
@@ -60,6 +64,47 @@
 	is.Equal(waveStartTime(now-time.Second, nil, now, wall), now-time.Second)
 }
 
+// Guards against a wave that is done and shown as running for good: the append of its first status is
+// carried out late, after that of the last one, which the same owner or the next one has written.
+func TestLateWaveStatusIsNotShown(t *testing.T) {
+	for name, replaced := range map[string]bool{"by the same owner": false, "by the next owner": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				clock := jayclock.Since(time.Now().Add(-time.Hour))
+				store, hosts := newSharedStore(), newSharedHosts(clock, nil)
+				first, second := newTestEntry(t, "e1", store, hosts, clock), newTestEntry(t, "e2", store, hosts, clock)
+				start := func(e *testEntry, fence int64) *fleetDuty {
+					d := newFleetDuty(e.node, e.claim(jayowner.Fleet, fence, fence))
+					_, ok := d.takeOver()
+					is.True(ok)
+					d.startJournals()
+					t.Cleanup(func() {
+						d.cancel()
+						e.node.duties.Wait()
+						time.Sleep(20 * time.Second) // lets pending calls return
+					})
+					return d
+				}
+				owner := start(first, 1)
+				first.store.set(func(s *faultyStore) { s.requestDelay = 3 * time.Second })
+				owner.writeWaveStatus("1", false)
+				time.Sleep(50 * time.Millisecond)
+				first.store.set(func(s *faultyStore) { s.requestDelay = 0 })
+				if replaced {
+					owner.cancel()
+					owner = start(second, 6)
+				}
+				owner.writeWaveStatus("1", true)
+				time.Sleep(5 * time.Second)
+				shown := store.latest(jayport.Partition{Topic: "status"}, "").Records
+				is.Equal(len(shown), 1)
+				is.Equal(string(shown[0].Value), "true")
+			})
+		})
+	}
+}
+
 func TestArrivingWorkIsReported(t *testing.T) {
 	is := is.New(t)
 	report := &jaywire.DemandReport{}
