The records of a job are removed only once its declaration has been read

A cancelled job ran: its owner had stored it, and so knew it without reading it, while its reads of the submitted jobs failed and its appends did not. After the retention time it removed the job's records and forgot the job. When the reads worked again, the history of the partition began with the declaration, and the owner took the job for a new one. A job that was done would have run again.

Cause: the memory of a job's end was given up before the owner had passed the record that this memory guards against.

Change: jobs expire by the time up to which all stored jobs are known, not by the present time. A job ends after its declaration was stored, so that this has been read by then.

--- a/jaynode/expire.go
+++ b/jaynode/expire.go
@@ -34,7 +34,8 @@
 	if d.node.settings.RetainEnded == 0 {
 		return
 	}
-	ids := d.pool.Expired(now, retain, expireBatchSize)
+	// A job whose declaration has not been read would be taken for a new one.
+	ids := d.pool.Expired(d.jobs.tail.AsOf(), retain, expireBatchSize)
 	if len(ids) == 0 {
 		return
 	}
--- a/jaynode/expire_test.go
+++ b/jaynode/expire_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"jaythread/jayport"
+	"jaythread/jaywire"
 )
 
 // newestOf returns the value of the newest record with a key in a topic, or nil.
@@ -48,6 +49,33 @@
 	})
 }
 
+// Guards against running a cancelled job: its owner, which has stored it, reads its declaration only after
+// the records of the job were removed.
+func TestJobIsKeptUntilItsDeclarationIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newPoolFixture(t, 1)
+		n := w.entry.node
+		n.pools["seats"] = w.duty
+		is.True(w.duty.ask(func() { n.settings.RetainEnded = time.Second }, time.Second))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		n.intake.start(ctx)
+		w.refreshClaimsFor(time.Second)
+		started, _ := w.workers.counts()
+		w.entry.store.set(func(s *faultyStore) { s.refuseReads, s.refuseReadsBy = topicJobs, jayport.ErrRejected })
+		time.Sleep(2 * time.Second) // ends the read that is waiting
+		const id = "00000000000000c1"
+		is.NoErr(n.intake.store("seats", id, "", storedJob(t), time.Second, 0))
+		is.True(n.cancelOwned(&jaywire.CancelJob{Pool: "seats", Job: id}).Known)
+		w.refreshClaimsFor(5 * time.Minute)
+		w.entry.store.set(func(s *faultyStore) { s.refuseReads = "" })
+		w.refreshClaimsFor(5 * time.Second)
+		starts, _ := w.workers.counts()
+		is.Equal(starts, started)
+	})
+}
+
 // Guards against an owner that counts on the future: whatever the store's latency, it is confirmed up
 // to the time at which the question was sent, and no later, unless the next owner knows.
 func TestConfirmationReachesNoFurtherThanTheQuestion(t *testing.T) {
--- a/jaysched/expire.go
+++ b/jaysched/expire.go
@@ -6,12 +6,13 @@
 )
 
 // Expired returns at most the given number of jobs whose end has been recorded in the store and
-// that ended at least the retention time ago. Their records can be removed: a store that keeps
-// the newest record of each key forever would fill up with them.
-func (p *Pool) Expired(now, retain time.Duration, most int) []string {
+// that ended at least the retention time before asOf, the time up to which all stored jobs are
+// known. Their records can be removed: a store that keeps the newest record of each key forever
+// would fill up with them.
+func (p *Pool) Expired(asOf, retain time.Duration, most int) []string {
 	var expired []string
 	for id, j := range p.jobs {
-		if j.recorded != Open && now-j.endedAt >= retain && !j.removing {
+		if j.recorded != Open && asOf-j.endedAt >= retain && !j.removing {
 			expired = append(expired, id)
 		}
 	}
