A host in an unreadable row does not count as removed from its wave

A wave was shown as done although one of its hosts was not maintained: a row of the inventory could not be read, not even its name, and a host that is missing from the list counted as removed. Pools already take a list with unreadable rows for incomplete.

Shown: the new case of TestWaves failed before ("not true: !done").

Change: while the newest list has unreadable rows, a wave is not done as long as it lacks a host that was not maintained.

--- a/jayfleet/waves.go
+++ b/jayfleet/waves.go
@@ -73,11 +73,12 @@
 	if w.done {
 		return
 	}
-	down, left := 0, []*host{}
+	down, left, removed := 0, []*host{}, true
 	for _, name := range w.Hosts {
 		h, present := f.hosts[name]
 		if !present {
 			// A host that was removed permanently needs no maintenance.
+			removed = removed && (f.complete || w.maintained[name])
 			continue
 		}
 		if m, busy := h.command.(maintaining); busy && m.wave == w.Name || h.State == jayport.HostMaintained {
@@ -93,7 +94,7 @@
 			left = append(left, h)
 		}
 	}
-	if len(left) == 0 && down == 0 {
+	if len(left) == 0 && down == 0 && removed {
 		w.done = true
 		return
 	}
--- a/jayfleet/waves_test.go
+++ b/jayfleet/waves_test.go
@@ -55,6 +55,15 @@
 		is.Equal(maintained, map[string]bool{"m1": true})
 		is.True(w.fleet.waves["1"].done)
 	})
+	t.Run("a host that may be in an unreadable row is not taken for removed", func(t *testing.T) {
+		// Guards against a wave that is shown as done while one of its hosts was not maintained: the
+		// row of the host could not be read.
+		w := newWorld(t, map[string]int{"seats": 2})
+		w.fleet.AddWave(wave(w.names, 30*time.Second, 2), w.now, []string{"m0"}, false)
+		w.hosts["m1"] = &jayport.Host{Unreadable: true}
+		w.steps(time.Second)
+		is.New(t).True(!w.fleet.waves["1"].done)
+	})
 	t.Run("a removed host does not delay the wave", func(t *testing.T) {
 		w := newWorld(t, map[string]int{"seats": 2})
 		w.wanted["seats"] = 2 * hostMilli
