The end of a job is kept for as long as an append of it may be under way

With a setting retainEnded below two minutes, a job that had ended could run again: the append of its declaration by another entry, of which nobody waits for the answer any more, may be repeated for a minute after the submission and carried out after the records of the job were removed. The owner then takes the job for a new one. The default and all known deployments keep ends for 2 minutes, so that no caller is known to have seen it.

Change: MinRetainEnded is twice the longest time for which an append may be repeated, as for cancellations of unknown jobs.

--- a/jaycli/serve_jobs.go
+++ b/jaycli/serve_jobs.go
@@ -87,7 +87,7 @@
 		MaintenanceTime: time.Duration(s.MaintenanceTime),
 		HolderTime:      time.Duration(s.HolderTime),
 		FencesChecked:   s.FencesChecked,
-		RetainEnded:     time.Duration(s.RetainEnded),
+		RetainEnded:     max(time.Duration(s.RetainEnded), jaynode.MinRetainEnded),
 		RevocationTime:  time.Duration(s.RevocationTime),
 		DeclarationTime: time.Duration(s.DeclarationTime),
 		Overload:        jaynode.Overload(s.Overload),
--- a/jaynode/expire.go
+++ b/jaynode/expire.go
@@ -7,6 +7,10 @@
 	"jaythread/jayport"
 )
 
+// MinRetainEnded is the least time for which the end of a job should be kept: an append of the job's
+// declaration that was under way has taken effect by then or never does.
+const MinRetainEnded = 2 * maxAppendAge
+
 const (
 	// expireInterval is the time between two searches for ended jobs whose records can be
 	// removed.
--- a/jaynode/expire_test.go
+++ b/jaynode/expire_test.go
@@ -76,6 +76,30 @@
 	})
 }
 
+// Guards against running an ended job again: an append of its declaration that was under way takes effect
+// after its records were removed.
+func TestEndedJobOutlivesAppendsOfItsDeclaration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newPoolFixture(t, 1)
+		n := w.entry.node
+		n.pools["seats"] = w.duty
+		is.True(w.duty.ask(func() { n.settings.RetainEnded = MinRetainEnded }, time.Second))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		n.intake.start(ctx)
+		w.refreshClaimsFor(time.Second)
+		is.True(n.cancelOwned(&jaywire.CancelJob{Pool: "seats", Job: testID}).Known)
+		started, _ := w.workers.counts()
+		w.refreshClaimsFor(maxAppendAge)
+		_, err := w.entry.store.store.append(jayport.Append{Partition: jayport.Partition{Topic: topicJobs}, Records: []jayport.Record{{Key: jobKey("seats", testID), Value: storedJob(t)}}, AsOf: jayport.AnyOffset})
+		is.NoErr(err)
+		w.refreshClaimsFor(5 * time.Second)
+		starts, _ := w.workers.counts()
+		is.Equal(starts, started)
+	})
+}
+
 // Guards against an owner that counts on the future: whatever the store's latency, it is confirmed up
 // to the time at which the question was sent, and no later, unless the next owner knows.
 func TestConfirmationReachesNoFurtherThanTheQuestion(t *testing.T) {
--- a/jaynode/settings.go
+++ b/jaynode/settings.go
@@ -36,8 +36,8 @@
 	// FencesChecked is set if the inventory rejects commands with a lower fence than the
 	// host has already received.
 	FencesChecked bool
-	// RetainEnded is how long the state of an ended job remains available. Zero keeps it
-	// forever.
+	// RetainEnded is how long the state of an ended job remains available. It should be at least
+	// MinRetainEnded; zero keeps the state forever.
 	RetainEnded time.Duration
 	// RevocationTime is how long after the removal of an API key calls with it may still be
 	// accepted. Zero means that there is no limit.
