--- a/jaynode/expire.go
+++ b/jaynode/expire.go
@@ -7,6 +7,10 @@
 	"jaythread/jayport"
 )
 
+// MinRetainEnded is the least time for which the end of a job should be kept: an append of the job's
+// declaration that was under way has taken effect by then or never does.
+const MinRetainEnded = 2 * maxAppendAge
+
 const (
 	// expireInterval is the time between two searches for ended jobs whose records can be
 	// removed.
@@ -34,7 +38,8 @@
 	if d.node.settings.RetainEnded == 0 {
 		return
 	}
-	ids := d.pool.Expired(now, retain, expireBatchSize)
+	// A job whose declaration has not been read would be taken for a new one.
+	ids := d.pool.Expired(d.jobs.tail.AsOf(), retain, expireBatchSize)
 	if len(ids) == 0 {
 		return
 	}
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -47,7 +47,7 @@
 		return false
 	}
 	fencedAt := d.node.clock()
-	if d.hasFormer {
+	if d.claim.Term > 1 {
 		d.pool.HoldFormerRuns(fencedAt + formerLeaseWait)
 	}
 	// Both are read in parallel, since each call takes long if the store is slow.
