--- a/jaysoak/callers_test.go
+++ b/jaysoak/callers_test.go
@@ -172,7 +172,8 @@
 	return &job{id: id, path: prefix + id, organisation: number % len(c.soak.scenario.organisations()), returnsInTurn: number%2 == 0}
 }
 
-// runJob submits a job, may cancel it, and then checks its state several times.
+// runJob submits a job, may cancel it, and then checks its state several times, and until all outages
+// are over.
 func (c *callers) runJob(number int, r *rand.Rand) {
 	j := c.newJob(number, []string{"/seats/", "/fees/"}[r.IntN(2)])
 	if !c.submit(j, c.jobBody(j, r), r) {
@@ -185,8 +186,8 @@
 			c.soak.fail("lost", j.id+" is unknown when it is cancelled")
 		}
 	}
-	for range 4 {
-		time.Sleep(time.Duration(100+r.IntN(500)) * time.Millisecond)
+	for n := 0; n < 4 || !c.soak.calm(); n++ {
+		time.Sleep(time.Duration(100+r.IntN(500)) * time.Millisecond / c.soak.scenario.askRate())
 		c.checkState(j, c.soak.anyEntry(r))
 		if c.soak.scenario.organised() {
 			c.probe(j, r)
--- a/jaysoak/soak_test.go
+++ b/jaysoak/soak_test.go
@@ -48,6 +48,9 @@
 	largeConfiguration bool
 	// hurried says that some callers leave before their jobs are accepted, and cancel them.
 	hurried bool
+	// outages says that all faults are losses of entries and workers during outages of the store, and
+	// that callers keep asking for their jobs.
+	outages bool
 }
 
 const (
@@ -61,12 +64,12 @@
 // newScenario returns the scenario of a seed: that of the regression, or one of all kinds of faults. The
 // decisions under overload are enabled in every third of these, without faults that only one entry
 // sees: more work is left after the longer ones than the workers can do in time. Every fourth one has
-// a large configuration, and every fifth one hurried callers.
+// a large configuration, and every fifth one hurried callers. Every fifth one without overload has outages.
 func newScenario(seed uint64) scenario {
 	if n := slices.IndexFunc(regressions, func(s scenario) bool { return s.seed == seed }); n >= 0 {
 		return regressions[n]
 	}
-	s := scenario{seed: seed, faultKinds: allFaultKinds, overloaded: seed%3 == 2, largeConfiguration: seed%4 == 3, hurried: seed%5 == 1}
+	s := scenario{seed: seed, faultKinds: allFaultKinds, overloaded: seed%3 == 2, largeConfiguration: seed%4 == 3, hurried: seed%5 == 1, outages: seed%5 == 4 && seed%3 != 2}
 	if s.overloaded {
 		s.faultKinds = keyFaultKinds
 	}
@@ -116,12 +119,20 @@
 // jobSpacing returns the factor by which jobs follow one another more slowly. Without an owner for
 // several seconds, the quotas would not suffice to end all jobs in time.
 func (s scenario) jobSpacing() time.Duration {
-	if s.asymmetric() {
+	if s.asymmetric() || s.outages {
 		return 2
 	}
 	return 1
 }
 
+// askRate returns the factor by which callers ask for their jobs more often.
+func (s scenario) askRate() time.Duration {
+	if s.outages {
+		return 4
+	}
+	return 1
+}
+
 // organisations returns the names of the organisations that submit jobs.
 func (s scenario) organisations() []string {
 	if s.overloaded {
@@ -151,6 +162,8 @@
 	// A new owner of a pool was asked for what organisations use before it had looked at their
 	// quotas, and told that nothing is in use.
 	{seed: 4, faultKinds: keyFaultKinds},
+	// A job was shown as done before that was recorded, and ran again after everything that knew it was lost.
+	{seed: 75005, faultKinds: firstFaultKinds, outages: true},
 }
 
 // soak is the run of one scenario: an installation with its faults and the violations found.
@@ -163,6 +176,8 @@
 	organisations organisations
 	// version is the newest version of the configuration, guarded by organisations.configuring.
 	version int
+	// outagesEnded is closed when the last outage is over, or there are none.
+	outagesEnded chan struct{}
 
 	// log is the log of the workers and the faults.
 	log *os.File
@@ -297,6 +312,11 @@
 	if played.overloaded {
 		calls.Go(func() { c.overload(length) })
 	}
+	if played.outages {
+		calls.Go(func() { s.playOutages(until, rand.New(rand.NewPCG(seed, 9))) })
+	} else {
+		close(s.outagesEnded)
+	}
 	hurried := &hurriedCallers{callers: c}
 	if played.hurried {
 		calls.Go(func() { hurried.run(until, rand.New(rand.NewPCG(seed, 8))) })
@@ -305,7 +325,7 @@
 		number++
 		job, own := number, rand.New(rand.NewPCG(seed, uint64(number)+100))
 		calls.Go(func() { c.runJob(job, own) })
-		if time.Now().After(next) {
+		if !played.outages && time.Now().After(next) {
 			s.injectFault(r)
 			next = time.Now().Add(time.Duration(200+r.IntN(900)) * time.Millisecond * played.faultSpacing())
 		}
@@ -357,7 +377,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &soak{t: t, scenario: played, platform: platform, log: log}
+	s := &soak{t: t, scenario: played, platform: platform, log: log, outagesEnded: make(chan struct{})}
 	platform.Checker.Log = func(text string) { s.logf("%s", text) }
 	if played.asymmetric() {
 		platform.Store.View = localise
