Progress that cannot be read is replaced by nothing but an outcome

A job whose progress record was damaged is held: its runs go on, and none of its tasks is started. But the end of such a run had the job's progress recorded as far as this owner had seen it, and the next owner took that for all of it: tasks that were done ran again.

Shown: TestUnreadableProgressIsNotReplaced failed before ("1 != 0").

Change: the progress of such a job is not recorded until it has an outcome.

--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -94,6 +94,9 @@
 	// removing says that the records of the ended job are being removed.
 	removing bool
 	started  bool
+	// unreadable says that the job's recorded progress could not be read. It is replaced only by an
+	// outcome: whatever this owner knows is less.
+	unreadable bool
 	// dirty says that the progress differs from the one last passed to the store.
 	dirty bool
 }
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -49,6 +49,9 @@
 	b := &Batch{Progress: map[string]*jaywire.JobProgress{}, outcomes: map[string]Outcome{}, ends: map[*worker]int64{}, trials: map[*task]jaytrial.Trial{}}
 	for _, j := range p.changed {
 		j.dirty = false
+		if j.unreadable && j.outcome == Open {
+			continue
+		}
 		b.Progress[j.spec.ID] = j.progress()
 		b.outcomes[j.spec.ID] = j.outcome
 		j.eachTask(func(t *task) {
--- a/jaysched/restore.go
+++ b/jaysched/restore.go
@@ -55,6 +55,7 @@
 func (p *Pool) RestoreUnreadable(spec *jayspec.Job, now time.Duration) {
 	if _, known := p.jobs[spec.ID]; !known {
 		j := newJob(spec, now, p.dueAt)
+		j.unreadable = true
 		j.holdDue(now)
 		p.jobs[spec.ID] = j
 	}
