A job that two owners store waits until the former one's jobs are known

What callers saw: a task that must run once ran twice. A caller repeats its request while the pool changes its owner. The former owner, which does not know that it was replaced, stores the job and begins it on a worker that the next owner has not reached. The next owner stores the job too, takes it for a new one and starts it elsewhere.

Cause: a job that an owner has stored itself needed no confirmation of the ownership, so that a former owner could begin such jobs for up to 10 s after its replacement; and the next owner held only jobs that it had restored or had found in the store.

Change: an owner begins a job that it has stored only if it was confirmed at most 1 s before. So all jobs that a former owner begins are in the store 1.05 s after the takeover. A job that the next owner stores before it has read the jobs up to then counts as one of the former owner: it waits for the workers that may have its runs. Once the jobs up to that time and the job's own record are read, it is released unless the store has a second record of it. Holding it for one worker that is cut off thus ends after about 2 s (1.05 s, and a read that waits up to 1 s), and after up to 14 s only if two owners did store it, or the jobs were read anew without their earlier records. If all workers have reported, nothing is held.

--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -223,8 +223,12 @@
 	return t
 }
 
-// Reset implements jaytail.Handler; known jobs are kept.
-func (t *jobTail) Reset() {}
+// Reset begins a reload; known jobs are kept.
+func (t *jobTail) Reset() {
+	if !t.loading {
+		t.duty.post(func(time.Duration) { t.duty.pool.JobsReloaded() })
+	}
+}
 
 // CaughtUp implements jaytail.Handler and does nothing.
 func (t *jobTail) CaughtUp(time.Duration) {}
--- a/jayownership/right.go
+++ b/jayownership/right.go
@@ -4,8 +4,13 @@
 
 import "time"
 
-// ConfirmRetryDelay is the delay before a question that was not answered is repeated.
-const ConfirmRetryDelay = 200 * time.Millisecond
+const (
+	// ConfirmRetryDelay is the delay before a question that was not answered is repeated.
+	ConfirmRetryDelay = 200 * time.Millisecond
+	// maxStoredLag is how long after its latest confirmation an owner may store a job and begin it
+	// without another one.
+	maxStoredLag = time.Second
+)
 
 // Right is the owner's right to act. All times are those of the owner's clock. The zero value is that of
 // an owner that cannot be replaced.
@@ -19,7 +24,8 @@
 // Therefore a conclusion about a time holds only if the owner had not been replaced at that time or
 // later: that a lease has ended, that a worker is usable, that a run is over without its task being
 // done, which the next owner may have recorded otherwise, and that a job which another owner has
-// stored is to be begun.
+// stored is to be begun. A job that the owner has stored itself needs a confirmation that is recent:
+// the next owner knows until when it may have to share such jobs with this one.
 type Right struct {
 	replaceable bool
 	// confirmedAt is the latest time at which the owner had not been replaced.
@@ -74,6 +80,18 @@
 	return r.Covers(r.resumedAt)
 }
 
+// NeededForStored returns the time up to which an owner must be confirmed to begin a job that it has
+// stored at the given time.
+func NeededForStored(at time.Duration) time.Duration {
+	return at - maxStoredLag
+}
+
+// StoredByFormerUntil returns the time up to which former owners may store jobs that they begin, if they
+// do not act on anything that has happened since takenOverAt.
+func StoredByFormerUntil(takenOverAt time.Duration) time.Duration {
+	return takenOverAt + maxStoredLag + maxStoredLag/clockDriftDivisor
+}
+
 // Lapsed reports whether the latest confirmation is too old for the owner to act.
 func (r *Right) Lapsed(now time.Duration) bool {
 	return r.replaceable && now-r.confirmedAt > r.validFor
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -55,8 +55,8 @@
 	// foundInStore says that another owner stored the job, so that a former owner may have
 	// begun it.
 	foundInStore bool
-	// foundAt is when such a job was found.
-	foundAt time.Duration
+	// ownerNeededAt is the time up to which the owner must be confirmed to begin the job.
+	ownerNeededAt time.Duration
 	// inherited says that a former owner may have begun the job.
 	inherited bool
 	// longRunning says that the job runs until it is cancelled, advised that the advisor
--- a/jaysched/owners_model_test.go
+++ b/jaysched/owners_model_test.go
@@ -691,7 +691,10 @@
 		m.after(m.upTo(2*modelLease), func() { delete(next.faults, "append") })
 	}
 	m.after(m.upTo(time.Second), func() { next.fail("jobs") })
-	m.after(m.upTo(time.Second), former.store)
+	m.after(m.upTo(3*time.Second), func() {
+		former.store()
+		m.after(m.upTo(300*time.Millisecond), next.store)
+	})
 	for _, w := range workers {
 		switch m.random.IntN(4) {
 		case 0:
@@ -722,14 +725,23 @@
 	o.m.tracef("owner %d: fault %d on %s", o.fence, o.faults[to], to)
 }
 
-// store stores a job.
+// store stores a job, or one that its caller submits again.
 func (o *modelOwner) store() {
 	m := o.m
-	if m.healed || m.submitted == 6 {
+	if m.healed {
+		return
+	}
+	repeated := m.submitted > 0 && m.random.IntN(2) == 0
+	if !repeated && m.submitted == 6 {
 		return
 	}
-	m.submitted++
+	if !repeated {
+		m.submitted++
+	}
 	spec := newSpec(fmt.Sprint("k", m.submitted), 1)
+	if _, known := o.pool.jobs[spec.ID]; known {
+		return
+	}
 	m.call(o, "append", 2*time.Second, func(reply func(func())) {
 		m.tracef("owner %d stores %s", o.fence, spec.ID)
 		m.jobs = append(m.jobs[:len(m.jobs):len(m.jobs)], spec)
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -87,7 +87,7 @@
 	if now < p.formerRuns.heldUntil && t.awaitsFormerTrial() {
 		return false
 	}
-	return p.right.Covers(max(t.lostAt, t.step.job.foundAt))
+	return p.right.Covers(max(t.lostAt, t.step.job.ownerNeededAt))
 }
 
 // placeTask starts a task, or reserves a worker for it. It returns false if the other tasks of
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -322,6 +322,8 @@
 	// A former owner may have stored the job too, and begun it.
 	j.foundInStore = p.hasUnprocessedRuns(j)
 	j.holdDue(now)
+	p.needOwner(j, jayownership.NeededForStored(now))
+	p.shareWithFormer(j, now)
 	chain := p.add(j)
 	if canceled {
 		p.markChanged(j) // replaces the record of the cancellation
--- a/jaysched/replaced_test.go
+++ b/jaysched/replaced_test.go
@@ -8,6 +8,7 @@
 
 	"jaythread/jayownership"
 	"jaythread/jayport"
+	"jaythread/jayspec"
 )
 
 // newReplacedHarness returns a harness whose owner was replaced without knowing it: a task runs on
@@ -118,6 +119,76 @@
 	is.Equal(w.starts("k.0.0.0"), 1)
 }
 
+// Guards against the same fault after the jobs of the takeover are known: the store has two records of the
+// job, or may have had two.
+func TestJobOfTwoRecordsWaitsForUnreportedWorkers(t *testing.T) {
+	for name, read := range map[string]func(w *harness, job *jayspec.Job){
+		"both are read": func(w *harness, job *jayspec.Job) {
+			w.pool.DeclareFound(job, w.now)
+			w.pool.DeclareFound(job, w.now)
+		},
+		"the newest is read": func(w *harness, job *jayspec.Job) {
+			w.pool.JobsReloaded()
+			w.pool.DeclareFound(job, w.now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := takeOverIdle(t, "w2")
+			w.pool.JobsKnown(w.now)
+			job := newSpec("k", 1, single)
+			declare(w, job)
+			read(w, job)
+			for range 8 {
+				w.pass(time.Second)
+				w.pool.JobsKnown(w.now)
+			}
+			is.Equal(w.starts("k.0.0.0"), 0)
+			w.pool.Reported(refOf("w2"), jayport.Report{Clock: w.now}, w.now, w.now)
+			w.run()
+			is.Equal(w.starts("k.0.0.0"), 1)
+		})
+	}
+}
+
+// Guards against jobs that wait for as long as a worker is cut off, though no former owner has stored them.
+func TestJobOfOneRecordDoesNotWaitForUnreportedWorkers(t *testing.T) {
+	is := is.New(t)
+	w := takeOverIdle(t, "w2")
+	w.pool.JobsKnown(w.now)
+	early, late := newSpec("early", 1, single), newSpec("late", 1, single)
+	declare(w, early)
+	w.pool.DeclareFound(early, w.now)
+	w.pass(2 * time.Second)
+	declare(w, late)
+	is.Equal(w.starts("early.0.0.0"), 0)
+	known := jayownership.StoredByFormerUntil(w.pool.formerRuns.takenOverAt)
+	w.pool.JobsKnown(known - time.Nanosecond)
+	w.run()
+	is.Equal(w.starts("early.0.0.0"), 0)
+	w.pool.JobsKnown(known)
+	w.run()
+	is.Equal(w.starts("early.0.0.0"), 1)
+	is.Equal(w.starts("late.0.0.0"), 0) // its own record may not have been read yet
+	w.pool.DeclareFound(late, w.now)
+	w.pool.JobsKnown(w.now)
+	w.run()
+	is.Equal(w.starts("late.0.0.0"), 1)
+	declare(w, newSpec("later", 1, single))
+	is.Equal(w.starts("later.0.0.0"), 1)
+}
+
+// Guards against the same fault by the former owner: it stores a job long after the next one has taken over,
+// which has begun it.
+func TestStoredJobBeginsOnceTheOwnerWasConfirmedRecently(t *testing.T) {
+	w := newReplacedHarness(t)
+	declare(w, newSpec("j1", 1, single))
+	is.New(t).Equal(w.starts("j1.0.0.0"), 1)
+	w.now += time.Millisecond
+	w.pool.Declare(newSpec("k", 1, single), w.now)
+	wantStartAfterConfirmation(t, w, "k.0.0.0", 0)
+}
+
 // Guards against the same fault on a worker whose report of the job came before the job itself.
 func TestJobThatTwoOwnersStoreWaitsForTheNextReport(t *testing.T) {
 	is := is.New(t)
--- a/jaysched/takeover_test.go
+++ b/jaysched/takeover_test.go
@@ -20,6 +20,7 @@
 	for _, spec := range specs {
 		next.pool.Restore(spec, nil, next.now)
 	}
+	next.pool.TakenOver(next.now)
 	next.list()
 	return next
 }
