A worker with runs that the pool does not account for is not vacated

The owner of a pool told the fleet's owner that a worker is vacated while the worker ran tasks of a job that the owner had not read yet, or held the end of such a task: only runs of known jobs were counted, and only ends that had been processed. The host was then moved or maintained; the runs ended, and an end that only the worker had was lost, so that its task ran again.

Shown: both cases of TestWorkerWithRunsOfAnUnknownJobIsNotVacated failed before ("2 != 1" workers vacated).

Change: a worker whose newest report has runs that the pool does not account for, or ends behind those of an unknown job, counts as one that has a run. That lasts until its next report once the jobs are known.

--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -14,7 +14,8 @@
 	CapacityMilli int64
 	UsedMilli     int64
 	// Runs counts the worker's runs. It is one higher while the worker holds unrecorded ends of
-	// tasks that are done: those would be lost with the worker.
+	// tasks that are done, or runs or ends that the pool does not account for: those would be lost
+	// with the worker.
 	Runs     int
 	LongRuns int
 	// Vacated says that the worker is closed and has no runs.
@@ -127,7 +128,7 @@
 
 func (p *Pool) load(w *worker, now time.Duration) Load {
 	l := Load{Worker: w.ID, CapacityMilli: w.Capacity.ProcessorsMilli, UsedMilli: w.Capacity.ProcessorsMilli - w.free.ProcessorsMilli, Runs: len(w.runs), SpeedPercent: w.speedPercent()}
-	if w.lastDone > w.acknowledged {
+	if w.lastDone > w.acknowledged || w.unaccountedRuns > 0 || len(w.unknownJobs) > 0 {
 		l.Runs++
 	}
 	for _, r := range w.runs {
--- a/jaysched/unknownjobs_test.go
+++ b/jaysched/unknownjobs_test.go
@@ -67,6 +67,36 @@
 	})
 }
 
+// Guards against a host that is moved with a run of a job that the owner does not know yet, or with the
+// end of such a run: its worker was reported as vacated.
+func TestWorkerWithRunsOfAnUnknownJobIsNotVacated(t *testing.T) {
+	vacated := func(w *harness) (workers int) {
+		w.pool.SetVacating([]Vacate{{Worker: "w0"}, {Worker: "w1"}}, w.now)
+		for _, l := range w.pool.Demand(w.now).Loads {
+			if l.Vacated {
+				workers++
+			}
+		}
+		return workers
+	}
+	t.Run("while it runs", func(t *testing.T) {
+		is := is.New(t)
+		w, _ := newTakeoverOfUnknownJob(t)
+		is.True(len(w.running()) > 0)
+		is.Equal(vacated(w), 1) // the other one
+	})
+	t.Run("while its end is not processed", func(t *testing.T) {
+		is := is.New(t)
+		w, job := newTakeoverOfUnknownJob(t)
+		for index := range len(w.running()) {
+			w.finish(job, index, jayport.EndedDone)
+		}
+		reportAgain(w)
+		is.Equal(len(w.running()), 0)
+		is.Equal(vacated(w), 1)
+	})
+}
+
 func TestFoundJobWaitsForWorkersThatHaveNotReported(t *testing.T) {
 	// Guards against a task that runs twice after a takeover: the former owner has begun a job
 	// on a worker that does not answer the next one, which finds the job afterwards. Only jobs
