Listed workers that the inventory lacks hold restored tasks

What callers would see: a task that must run once runs twice. A former owner uses a worker that is on the list of workers before the inventory has it. The next owner takes the workers of the inventory for all that may have runs of the former one, and starts the task while that worker has not reported.

Change: the workers that this owner knows from the list when it reads the inventory after its takeover count as well. Those that are listed later hold nothing, as before.

TestListedEntryThatDoesNotAnswerHoldsNoTasksForLong, which passed before too, checks the other side: an entry of the list that is no worker holds tasks for a missed request and the next reading of the inventory only.

What remains, by reading: that same rule ends the wait for a worker that the inventory still lacks then and that does not answer this owner; and this owner's list may be 0.3 s old, so that the worker may be in neither.

--- a/jaysched/formerruns.go
+++ b/jaysched/formerruns.go
@@ -24,7 +24,8 @@
 	// since.
 	takenOverAt time.Duration
 	// candidates are the workers that existed before candidatesAt, which is zero until the
-	// inventory has been read after the takeover.
+	// inventory has been read after the takeover. A worker may be on the list before the inventory
+	// has it.
 	candidates   map[string]bool
 	candidatesAt time.Duration
 	// reports are the workers that have reported to this owner, with all ends processed.
@@ -68,6 +69,9 @@
 			f.candidates[id] = true
 		}
 		if asked >= f.takenOverAt {
+			for id := range known {
+				f.candidates[id] = true
+			}
 			f.candidatesAt = asked
 		}
 	}
--- a/jaysched/replaced_test.go
+++ b/jaysched/replaced_test.go
@@ -244,3 +244,23 @@
 	next.pool.Decide(next.now)
 	is.True(next.pool.formerRunsPossible(next.now))
 }
+
+// Guards against restored tasks that wait for up to 14 s for an entry of the list that is no worker: no
+// inventory has it, and nothing answers.
+func TestListedEntryThatDoesNotAnswerHoldsNoTasksForLong(t *testing.T) {
+	is := is.New(t)
+	first := newHarness(t, 3)
+	spec := newSpec("j", 1, single)
+	declare(first, spec)
+	next := takeOver(t, first, spec)
+	for _, f := range next.workers {
+		clear(f.active)
+	}
+	next.workers["w2"].silent = true
+	next.run()
+	for range 4 {
+		next.pool.InventoryRead([]string{"w0", "w1"}, next.now, next.now)
+		next.pass(500 * time.Millisecond)
+	}
+	is.Equal(next.starts("j.0.0.0"), 1)
+}
