--- a/jaynode/unrecorded_test.go
+++ b/jaynode/unrecorded_test.go
@@ -50,8 +50,14 @@
 	w.entry.node.pools["seats"] = w.duty
 	w.refreshClaimsFor(time.Second)
 	w.entry.store.set(func(s *faultyStore) { s.refuseTopic = topicProgress })
+	w.endSteps(2)
+	return w
+}
+
+// endSteps ends the runs of some steps, one step after the other.
+func (w *poolFixture) endSteps(steps int) {
 	ended := map[string][]jayport.EndedRun{}
-	for range 2 { // steps
+	for range steps {
 		w.workers.mu.Lock()
 		for id, active := range w.workers.active {
 			for run := range active {
@@ -64,5 +70,4 @@
 		w.workers.mu.Unlock()
 		w.refreshClaimsFor(500 * time.Millisecond)
 	}
-	return w
 }
