A job that is too large does not end the storing of jobs

Callers were refused every job of some pools by an entry (503, "the store does not take the job") until it was restarted: another caller had submitted a job whose declaration is larger than the store's records (recordBytes; a long image or label, within maxRequestBytes). If the entry owned the pool, no entry could store jobs for it, and no records of ended jobs were removed.

Shown: TestJobThatIsTooLargeBlocksNoOther failed before ("the store does not take the job"); the store of the tests rejects large records now, as the platform does.

Change: the journals of the intake go on after an append that was rejected as malformed. Entries of the same append are refused too; nothing of them is stored.

--- a/jaynode/fakes_test.go
+++ b/jaynode/fakes_test.go
@@ -101,6 +101,9 @@
 	return latest
 }
 
+// recordBytes is the size beyond which the store rejects a record.
+const recordBytes = 1 << 18
+
 // faultyStore is one entry's access to the shared store, with injected faults.
 type faultyStore struct {
 	store *sharedStore
@@ -166,6 +169,10 @@
 	if refused {
 		return jayport.Appended{}, fmt.Errorf("%w: test", jayport.ErrRejected)
 	}
+	tooLarge := func(r jayport.Record) bool { return len(r.Key)+len(r.Value) > recordBytes }
+	if slices.ContainsFunc(a.Records, tooLarge) {
+		return jayport.Appended{}, fmt.Errorf("%w: test", jayport.ErrMalformed)
+	}
 	return call(w, timeout, func() (jayport.Appended, error) { return w.store.append(a) })
 }
 
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -65,7 +65,11 @@
 
 func (i *intake) start(ctx context.Context) {
 	for _, j := range i.journals {
-		i.node.duties.Go(func() { _ = j.Run(ctx) })
+		i.node.duties.Go(func() {
+			// A job that the store rejects as malformed does not prevent others from being stored.
+			for errors.Is(j.Run(ctx), jayport.ErrMalformed) {
+			}
+		})
 	}
 }
 
