The progress of many jobs is recorded in several appends

An owner was lost when the store was back after an outage, and its successors with it: it recorded the progress of all jobs that had changed meanwhile in one append. Above callBytes the store rejects that as malformed, which ends the duty. Since callers are shown recorded ends only, no end of the pool was shown until then.

Shown: TestProgressOfALongOutageIsRecorded failed before ("context canceled": 150 jobs of 1000 tasks that have failed once, 3 MB); the store of the tests rejects such calls now, as the platform does.

Change: a batch takes jobs up to 1 MB. The rest is recorded next, and the ends are acknowledged with the last part only, since any of them may belong to it.

--- a/jaynode/fakes_test.go
+++ b/jaynode/fakes_test.go
@@ -101,8 +101,12 @@
 	return latest
 }
 
-// recordBytes is the size beyond which the store rejects a record.
-const recordBytes = 1 << 18
+// recordBytes is the size beyond which the store rejects a record, and callBytes that of all records of an
+// append.
+const (
+	recordBytes = 1 << 18
+	callBytes   = 1 << 21
+)
 
 // faultyStore is one entry's access to the shared store, with injected faults.
 type faultyStore struct {
@@ -170,7 +174,11 @@
 		return jayport.Appended{}, fmt.Errorf("%w: test", jayport.ErrRejected)
 	}
 	tooLarge := func(r jayport.Record) bool { return len(r.Key)+len(r.Value) > recordBytes }
-	if slices.ContainsFunc(a.Records, tooLarge) {
+	size := 0
+	for _, r := range a.Records {
+		size += len(r.Key) + len(r.Value)
+	}
+	if size > callBytes || slices.ContainsFunc(a.Records, tooLarge) {
 		return jayport.Appended{}, fmt.Errorf("%w: test", jayport.ErrMalformed)
 	}
 	return call(w, timeout, func() (jayport.Appended, error) { return w.store.append(a) })
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"jaythread/jaycancel"
 	"jaythread/jaytrial"
 	"jaythread/jaywire"
@@ -44,15 +46,31 @@
 	return now >= p.batchRecordedAt+recordDelay
 }
 
-// TakeBatch returns and clears the progress to be recorded, or nil if there is none.
+const (
+	// maxBatchBytes is the size of a batch from which no further job is added to it. The store accepts
+	// twice as much, and one record is at most a quarter of it.
+	maxBatchBytes = 1 << 20
+	// recordOverhead bounds what a record takes beside the progress: its key and the time of the end.
+	recordOverhead = 256
+)
+
+// TakeBatch returns and clears the progress to be recorded, or nil if there is none. If that is more
+// than one append may hold, the rest remains to be recorded, and the ends with it.
 func (p *Pool) TakeBatch() *Batch {
 	b := &Batch{Progress: map[string]*jaywire.JobProgress{}, outcomes: map[string]Outcome{}, ends: map[*worker]int64{}, trials: map[*task]jaytrial.Trial{}}
+	taken, size := 0, 0
 	for _, j := range p.changed {
+		if size >= maxBatchBytes {
+			break
+		}
+		taken++
 		j.dirty = false
 		if j.unreadable && j.outcome == Open {
 			continue
 		}
-		b.Progress[j.spec.ID] = j.progress()
+		progress := j.progress()
+		size += recordOverhead + proto.Size(progress)
+		b.Progress[j.spec.ID] = progress
 		b.outcomes[j.spec.ID] = j.outcome
 		j.eachTask(func(t *task) {
 			known := t.knownTrials()
@@ -61,13 +79,14 @@
 			}
 		})
 	}
-	p.changed, p.recordNow = p.changed[:0], false
+	p.changed = slices.Delete(p.changed, 0, taken)
+	p.recordNow = len(p.changed) > 0
 	b.cancellations = p.cancellations.TakeChanges()
 	for id, by := range b.cancellations.By {
 		b.Progress[id] = &jaywire.JobProgress{Outcome: jaywire.JobOutcome(Canceled), CanceledBy: by}
 	}
 	for _, w := range p.sorted {
-		if w.processed > w.acknowledged {
+		if w.processed > w.acknowledged && len(p.changed) == 0 {
 			b.ends[w] = w.processed
 		}
 	}
