--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/jaythread ] && [ -x target/review-2 ] || { echo "build first: the line of the deploy file, then review/build-2.sh"; exit 2; }
-exec target/review-2 slow "$here/record.txt"
+exec target/review-2 quota "$here/record.txt"
--- a/review/_stand2/entry.go
+++ b/review/_stand2/entry.go
@@ -26,8 +26,12 @@
 	stopped bool
 }
 
+// entryIP is the loopback address of the entries. It differs between stands that run at the same time, so
+// that a free port stays free until its entry listens there.
+var entryIP = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()/200%200, 1+os.Getpid()%200)
+
 func freeAddr() string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", entryIP+":0")
 	if err != nil {
 		panic(err)
 	}
