review: let the stand's store take the same time for each answer

In those that held, the owner took a job that it had just stored for one of a former owner, since the stand's store answered a read at once and the append of the same record after 4 ms; the progress record then exceeded recordBytes and the owner ended before it could stall.

Change: reads take 4 ms too.

--- a/review/_stand2/store.go
+++ b/review/_stand2/store.go
@@ -16,8 +16,8 @@
 	// recordBytes is the size of the largest record that the store takes, as in the settings on the
 	// page DEPLOY.md.
 	recordBytes = 262_144
-	// appendTime is how long the store takes for an append.
-	appendTime = 4 * time.Millisecond
+	// answerTime is how long the store takes for an answer.
+	answerTime = 4 * time.Millisecond
 )
 
 // storeServer is the platform's store. Each entry has an address of its own for it, so that the store
@@ -33,7 +33,7 @@
 
 func newStoreServer(r *record) *storeServer {
 	s := &storeServer{Store: jaystub.NewStore(func() float64 { return 1 }), record: r}
-	s.SetFaults(jaystub.Faults{AppendTime: appendTime})
+	s.SetFaults(jaystub.Faults{AppendTime: answerTime})
 	return s
 }
 
@@ -64,6 +64,9 @@
 		}
 	}
 	s.Store.Handle(ctx)
+	if !ctx.IsPost() {
+		time.Sleep(answerTime) // appends have taken it already
+	}
 }
 
 // refused returns the number of appends that were refused for a record that is too large.
