Keep jobs known and run once when their queue changes its pool

Cause: a job was looked up, stored and recognised under the pool that the newest configuration gives its queue, while the job stays in the pool that it was submitted to. While a change spreads, two entries also stored the same job in two pools. pending and the policy followed the queue's name.

Change: the owner of each pool records the queues that the pool has jobs of, beside the claims. From these records, the changes of the configuration and what owners tell each other follows which pools may have jobs of a queue (jayhome). If there are several, a job is not begun before the owners agree (jayhome.Decide): a pool that has settled the job keeps it, else the first by name; the other one withdraws it and removes its declaration. Queries, cancellations, pending and repeated submissions ask all these pools. A pool that has left the configuration keeps an owner while it has jobs.

Why it works: a question is asked after the asker's queues are recorded, so that the owner asked, and each later one, knows that it has to ask in turn.

WithPolicies and Pending have other parameters; their tests pass the same values.

--- a/jaycatalog/catalog.go
+++ b/jaycatalog/catalog.go
@@ -41,6 +41,12 @@
 	Public bool
 }
 
+// Address returns what callers address the queue by. It does not depend on the queue's name and pool,
+// which another revision may change.
+func (q *Queue) Address() string {
+	return q.Host + q.Prefix
+}
+
 // Limits holds the limits on requests and connections of callers.
 type Limits struct {
 	HeaderBytes   int
@@ -59,6 +65,8 @@
 	// means that no queue needs a key.
 	Organisations *jayorg.Directory
 	rules         jayrule.List
+	// byAddress holds the names of the queues by their addresses.
+	byAddress map[string]string
 }
 
 // Option configures a new catalog.
@@ -77,6 +85,8 @@
 		Limits:   limits,
 		Pools:    make(map[string]Pool, len(pools)),
 		Queues:   make(map[string]Queue, len(queues)),
+
+		byAddress: make(map[string]string, len(queues)),
 	}
 	for _, p := range pools {
 		c.Pools[p.Name] = p
@@ -87,6 +97,7 @@
 	})
 	for _, q := range ordered {
 		c.Queues[q.Name] = q
+		c.byAddress[q.Address()] = q.Name
 		c.rules = append(c.rules, jayrule.Rule{
 			Name:  q.Name,
 			About: jayrule.AboutRequest,
@@ -111,6 +122,12 @@
 	return queue, path[len(queue.Prefix):], true
 }
 
+// QueueAt returns the queue at an address.
+func (c *Catalog) QueueAt(address string) (queue Queue, found bool) {
+	name, found := c.byAddress[address]
+	return c.Queues[name], found
+}
+
 // WorkingPools returns the names of all pools except standby pools, sorted.
 func (c *Catalog) WorkingPools() []string {
 	var names []string
--- a/jaymember/members.go
+++ b/jaymember/members.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"jaythread/jayclock"
+	"jaythread/jayhome"
 	"jaythread/jayowner"
 	"jaythread/jaypace"
 	"jaythread/jayport"
@@ -78,6 +79,9 @@
 	Ended func(jayowner.Claim) bool
 	// Stopping reports whether this entry is stopping and claims no more duties.
 	Stopping func() bool
+	// Homes receives the records of the pools' queues, which stand beside the claims. Nil stands for a new
+	// register.
+	Homes *jayhome.Register
 	// OnClaimsRead is called after each read of the claims.
 	OnClaimsRead func()
 	// Go runs a function in a goroutine that the entry waits for when it stops.
@@ -99,6 +103,9 @@
 // New returns a membership; Start starts it.
 func New(options Options) *Members {
 	m := &Members{Options: options}
+	if m.Homes == nil {
+		m.Homes = jayhome.NewRegister()
+	}
 	m.Entries = newEntries(m)
 	m.Owners = newOwners(m)
 	m.Liveness = newLiveness(m)
--- a/jaymember/owners.go
+++ b/jaymember/owners.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"jaythread/jayhome"
 	"jaythread/jayowner"
 	"jaythread/jayport"
 	"jaythread/jaytail"
@@ -59,8 +60,14 @@
 	o.working.Reset()
 }
 
-// Apply applies a claim.
+// Apply applies a claim, or the record of a pool's queues.
 func (o *Owners) Apply(r jayport.Record) {
+	if pool, ok := jayhome.PoolOf(r); ok {
+		if err := o.members.Homes.Apply(r); err != nil {
+			o.logger.Error(err, "queues of a pool cannot be decoded", "pool", pool)
+		}
+		return
+	}
 	if err := o.working.Apply(r); err != nil {
 		o.logger.Error(err, "claim cannot be decoded", "duty", r.Key)
 		return
--- a/jaynode/codec.go
+++ b/jaynode/codec.go
@@ -15,6 +15,7 @@
 func encodeJob(j *jayspec.Job) ([]byte, error) {
 	record := &jaywire.JobDeclaration{
 		Queue:              j.Queue,
+		Address:            j.Address,
 		Organisation:       j.Organisation,
 		Spec:               j.Text,
 		Occurrences:        uint32(j.Schedule.Occurrences),
@@ -72,6 +73,7 @@
 	job := &jayspec.Job{
 		ID:           id,
 		Queue:        record.Queue,
+		Address:      record.Address,
 		Pool:         pool,
 		Organisation: record.Organisation,
 
--- a/jaynode/declarations.go
+++ b/jaynode/declarations.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"jaythread/jaycatalog"
+	"jaythread/jayhome"
 	"jaythread/jayport"
 	"jaythread/jaytail"
 )
@@ -28,6 +29,8 @@
 	mu    sync.Mutex
 	waves map[string]declaredWave
 	now   func() time.Duration
+	// homes learns the pools of the queues before a catalog comes in force.
+	homes *jayhome.Register
 }
 
 // declaredWave is a wave with the time at which this entry learned of it.
@@ -37,7 +40,7 @@
 }
 
 func newDeclarations(n *Node) *declarations {
-	d := &declarations{formats: n.ports.Formats, logger: n.logger.WithName("catalog"), arrivals: n.ports.Arrivals, waves: map[string]declaredWave{}, now: n.clock}
+	d := &declarations{formats: n.ports.Formats, logger: n.logger.WithName("catalog"), arrivals: n.ports.Arrivals, waves: map[string]declaredWave{}, now: n.clock, homes: n.homes}
 	interval := func() time.Duration { return n.pace.Interval(declarationsShare) }
 	d.tail = n.newTail(n.ports.Formats.Declarations(), jaytail.Options{Wait: declarationsWait, Interval: interval, Shared: n.sharedReads.Read, MaxTimeout: declarationsMaxTimeout, KnownEnd: d.knownEnd}, d)
 	d.confirmer = newConfirmer(d.asOf, n.newTail(n.ports.Formats.Declarations(), jaytail.Options{MaxTimeout: declarationsMaxTimeout, KnownEnd: d.knownEnd}, d), n.pace)
@@ -92,6 +95,9 @@
 		return
 	}
 	d.adoptedAt.Store(int64(d.now()))
+	for _, q := range c.Queues {
+		d.homes.Assign(q.Address(), q.Pool)
+	}
 	d.catalog.Store(c)
 	d.logger.Info("catalog in force", "revision", c.Revision, "queues", len(c.Queues), "pools", len(c.Pools), "organisations", c.Organisations.Size())
 }
--- /dev/null
+++ b/jaynode/homes.go
@@ -0,0 +1,350 @@
+package jaynode
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"jaythread/jayclock"
+	"jaythread/jayhome"
+	"jaythread/jayowner"
+	"jaythread/jayspec"
+	"jaythread/jayverdict"
+	"jaythread/jaywire"
+)
+
+const (
+	// settleInterval is the delay between two rounds of questions about disputed jobs.
+	settleInterval = 20 * time.Millisecond
+	// queuesInterval is the time between two searches for queues without jobs.
+	queuesInterval = 5 * time.Second
+	// maxRemovalAge is how long the removal of a withdrawn job's declaration is repeated. The pool that
+	// has the job knows it for longer, and no new job has its ID by then.
+	maxRemovalAge = MinRetainEnded / 2
+)
+
+// addressOf returns the address of a job's queue. An earlier version has stored the queue's name only.
+func (n *Node) addressOf(job *jayspec.Job) string {
+	if job.Address != "" {
+		return job.Address
+	}
+	if c := n.Catalog(); c != nil {
+		if q, found := c.Queues[job.Queue]; found {
+			return q.Address()
+		}
+	}
+	return ""
+}
+
+// disputes is what a pool's duty knows of jobs that other pools may have received too.
+type disputes struct {
+	// wake wakes the goroutine that records queues and settles jobs.
+	wake chan struct{}
+
+	// withdrawn holds the jobs whose declarations are to be removed, with the time at which they were
+	// withdrawn. It is used only by the duty's goroutine.
+	withdrawn map[string]time.Duration
+
+	// nextRemovalAt is used only by the goroutine that settles jobs.
+	nextRemovalAt time.Duration
+}
+
+func newDisputes() disputes {
+	return disputes{wake: make(chan struct{}, 1), withdrawn: map[string]time.Duration{}}
+}
+
+// dispute holds a job that another pool may have received too. It is called by the duty's goroutine
+// before the pool decides on the job.
+func (d *poolDuty) dispute(job *jayspec.Job, now time.Duration) {
+	disputed := len(d.node.homes.Others(job.Address, d.name)) > 0 && d.pool.Dispute(job.ID, now)
+	if !disputed && d.node.homes.HasRecorded(d.name, job.Address) {
+		return
+	}
+	select {
+	case d.disputes.wake <- struct{}{}:
+	default:
+	}
+}
+
+// settleJobs keeps the pool's queues recorded and settles disputed jobs until the duty ends.
+func (d *poolDuty) settleJobs() {
+	review := time.NewTicker(queuesInterval)
+	defer review.Stop()
+	for d.ctx.Err() == nil {
+		if !d.recordQueues(nil) {
+			jayclock.Sleep(d.ctx, storeRetryDelay)
+			continue
+		}
+		for d.settleRound() && d.ctx.Err() == nil {
+			jayclock.Sleep(d.ctx, settleInterval)
+		}
+		d.repeatRemovals()
+		select {
+		case <-d.ctx.Done():
+		case <-d.disputes.wake:
+		case <-review.C:
+		}
+	}
+}
+
+// recordQueues records the queues that may have jobs in the pool: those of its jobs and the given ones, and
+// those that the configuration assigns to it once they have had jobs. It reports whether the record is up
+// to date.
+func (d *poolDuty) recordQueues(also []*jayspec.Job) bool {
+	var queues map[string]bool
+	var complete bool
+	if !d.ask(func() { queues, complete = d.pool.Addresses() }, askTimeout) {
+		return false
+	}
+	for _, job := range also {
+		queues[job.Address] = true
+	}
+	recorded, catalog := d.node.homes.Recorded(d.name), d.node.Catalog()
+	for _, address := range recorded {
+		// The queue of an ended job that is not known may be any that was recorded.
+		if q, found := catalog.QueueAt(address); !complete || found && q.Pool == d.name {
+			queues[address] = true
+		}
+	}
+	wanted := slices.Sorted(maps.Keys(queues))
+	if slices.Equal(recorded, wanted) {
+		return true
+	}
+	if err := d.node.members.Owners.RecordQueues(d.claim, d.name, wanted); err != nil {
+		d.logger.Info("queues not recorded", "queues", len(wanted), "error", err.Error())
+		return false
+	}
+	d.logger.Info("queues recorded", "queues", len(wanted), "before", len(recorded))
+	return true
+}
+
+// settleRound asks the owners of other pools about all disputed jobs and settles or withdraws those that
+// the answers allow. It reports whether any job remains.
+func (d *poolDuty) settleRound() (more bool) {
+	var jobs []*jayspec.Job
+	if !d.ask(func() { jobs = d.pool.Disputed() }, askTimeout) {
+		return true
+	}
+	if len(jobs) == 0 {
+		return false
+	}
+	// The queues are recorded first: an owner that takes another pool over after its former owner has
+	// answered reads them, and asks this pool.
+	if !d.recordQueues(jobs) {
+		return true
+	}
+	asked := d.node.clock()
+	answers, err := d.node.askOtherPools(d.name, jobs)
+	if err != nil {
+		return true
+	}
+	d.post(func(now time.Duration) {
+		var withdrawn []string
+		for _, job := range jobs {
+			verdict, pool := jayhome.Decide(d.name, answers.answers(job.ID))
+			switch {
+			case verdict == jayhome.Yield && d.pool.Withdraw(job.ID, now):
+				d.logger.Info("job withdrawn", "job", job.ID, "queue", job.Queue, "why", "another pool has it", "pool", pool)
+				d.storedJobs.Delete(job.ID)
+				withdrawn = append(withdrawn, job.ID)
+			case verdict == jayhome.Keep && d.pool.Settle(job.ID, asked, now):
+				d.logger.Info("job settled", "job", job.ID, "queue", job.Queue, "others", len(answers.asked[job.ID]))
+			}
+		}
+		d.removeWithdrawn(withdrawn, now)
+	})
+	return true
+}
+
+// removeWithdrawn removes the declarations of jobs that another pool has. Otherwise the next owner would
+// read them, and begin the jobs once the other pool has forgotten them.
+func (d *poolDuty) removeWithdrawn(ids []string, now time.Duration) {
+	if len(ids) == 0 {
+		return
+	}
+	for _, id := range ids {
+		if _, known := d.disputes.withdrawn[id]; !known {
+			d.disputes.withdrawn[id] = now
+		}
+	}
+	removed := func(ids []string, removed bool) {
+		for _, id := range ids {
+			if removed {
+				delete(d.disputes.withdrawn, id)
+			}
+		}
+	}
+	declarations := d.node.intake.journals[d.node.partitionOf(d.name)]
+	addToJournal(declarations, d.removals(ids), d.removed("declarations of withdrawn jobs", ids, removed))
+}
+
+// repeatRemovals repeats removals that have failed.
+func (d *poolDuty) repeatRemovals() {
+	if now := d.node.clock(); now >= d.disputes.nextRemovalAt {
+		d.disputes.nextRemovalAt = now + queuesInterval
+		d.post(func(now time.Duration) {
+			maps.DeleteFunc(d.disputes.withdrawn, func(_ string, since time.Duration) bool { return now-since > maxRemovalAge })
+			d.removeWithdrawn(slices.Sorted(maps.Keys(d.disputes.withdrawn)), now)
+		})
+	}
+}
+
+// holdings are the answers of other pools about jobs.
+type holdings struct {
+	// asked are the pools that were asked about each job.
+	asked map[string][]string
+	// held is what each pool that has answered has of each job.
+	held map[string]map[string]*jaywire.Holding
+}
+
+// answers returns the answers about a job.
+func (h *holdings) answers(job string) []jayhome.Answer {
+	var answers []jayhome.Answer
+	for _, pool := range h.asked[job] {
+		held, answered := h.held[pool]
+		answers = append(answers, jayhome.Answer{Pool: pool, Answered: answered, Holding: decodeHolding(held[job])})
+	}
+	return answers
+}
+
+func encodeHolding(h jayhome.Holding) jaywire.HoldingState {
+	return jaywire.HoldingState(h)
+}
+
+// decodeHolding decodes what a pool has of a job, which is nil if it has nothing. A state of a later version
+// is unclear.
+func decodeHolding(holding *jaywire.Holding) jayhome.Holding {
+	switch {
+	case holding == nil:
+		return jayhome.None
+	case holding.State <= 0 || holding.State > jaywire.HoldingState_HOLDING_STATE_SETTLED:
+		return jayhome.Unclear
+	default:
+		return jayhome.Holding(holding.State)
+	}
+}
+
+// errClaimsOutdated is returned while it is not known who owns the other pools.
+var errClaimsOutdated = errors.New("the claims read are not the newest")
+
+// askOtherPools asks the owners of all other pools that may have some jobs, by the newest claims. A pool
+// that was never claimed has begun no job, and its first owner asks before it does.
+func (n *Node) askOtherPools(pool string, jobs []*jayspec.Job) (*holdings, error) {
+	view, confirmed := n.members.Owners.Confirmed()
+	if !confirmed {
+		return nil, errClaimsOutdated
+	}
+	h := n.newHoldings(pool, jobs)
+	h.ask(n, pool, jobs, func(other string) (jayowner.Claim, bool) { return view.Claim(jayowner.PoolDuty(other)) })
+	return h, nil
+}
+
+// newHoldings returns holdings without answers.
+func (n *Node) newHoldings(pool string, jobs []*jayspec.Job) *holdings {
+	h := &holdings{asked: map[string][]string{}, held: map[string]map[string]*jaywire.Holding{}}
+	for _, job := range jobs {
+		h.asked[job.ID] = n.homes.Others(job.Address, pool)
+	}
+	return h
+}
+
+// ask asks each pool's owner about its jobs, all at the same time.
+func (h *holdings) ask(n *Node, pool string, jobs []*jayspec.Job, ownerOf func(pool string) (jayowner.Claim, bool)) {
+	requests := map[string]*jaywire.AskHoldings{}
+	for _, job := range jobs {
+		for _, other := range h.asked[job.ID] {
+			if requests[other] == nil {
+				requests[other] = &jaywire.AskHoldings{Pool: other, Asker: pool}
+			}
+			requests[other].Jobs = append(requests[other].Jobs, &jaywire.AskedJob{Job: job.ID, Organisation: job.Organisation, Address: job.Address})
+		}
+	}
+	var mu sync.Mutex
+	var answers sync.WaitGroup
+	for other, request := range requests {
+		c, claimed := ownerOf(other)
+		if !claimed {
+			mu.Lock()
+			h.held[other] = nil
+			mu.Unlock()
+			continue
+		}
+		answers.Go(func() {
+			response, err := n.askIncarnation(c, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskHoldings{AskHoldings: request}})
+			if err != nil || !response.GetHoldings().GetOwned() {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			h.held[other] = map[string]*jaywire.Holding{}
+			for _, holding := range response.GetHoldings().Jobs {
+				h.held[other][holding.Job] = holding
+			}
+		})
+	}
+	answers.Wait()
+}
+
+// holdingsOwned answers which of some jobs a pool has, if this entry owns the pool.
+func (n *Node) holdingsOwned(ask *jaywire.AskHoldings) *jaywire.Holdings {
+	duty := n.ownedPool(ask.Pool)
+	if duty == nil || !duty.loaded.Load() {
+		return &jaywire.Holdings{}
+	}
+	// From here on the duty disputes jobs of these queues.
+	for _, job := range ask.Jobs {
+		n.homes.Learn(job.Address, ask.Asker)
+	}
+	answer := &jaywire.Holdings{}
+	asked := duty.ask(func() {
+		now := n.clock()
+		answer.Owned = !duty.pool.OwnerUnconfirmed()
+		for _, job := range ask.Jobs {
+			held, organisation := duty.pool.HoldingOf(job.Job, job.Organisation, now)
+			if held == jayhome.None {
+				continue
+			}
+			if held == jayhome.Disputed && jayhome.GoesFirst(ask.Asker, ask.Pool) {
+				duty.pool.Concede(job.Job, now)
+			}
+			answer.Jobs = append(answer.Jobs, &jaywire.Holding{Job: job.Job, State: encodeHolding(held), Organisation: organisation})
+		}
+	}, askTimeout)
+	if !asked {
+		return &jaywire.Holdings{}
+	}
+	return answer
+}
+
+// storedElsewhere reports whether another pool has a job, and that job's organisation. clear is false if
+// some pool has not answered.
+func (n *Node) storedElsewhere(job *jayspec.Job) (stored bool, organisation string, clear bool) {
+	h := n.newHoldings(job.Pool, []*jayspec.Job{job})
+	if len(h.asked[job.ID]) == 0 {
+		return false, "", true
+	}
+	h.ask(n, job.Pool, []*jayspec.Job{job}, func(other string) (jayowner.Claim, bool) {
+		return n.members.Owners.OwnerOf(jayowner.PoolDuty(other))
+	})
+	clear = true
+	for _, other := range h.asked[job.ID] {
+		held, answered := h.held[other]
+		if holding, has := held[job.ID]; has {
+			return true, holding.Organisation, true
+		}
+		clear = clear && answered
+	}
+	return false, "", clear
+}
+
+// mayBeElsewhere turns the refusal of a job that another pool may have into an error that leaves open whether
+// it runs.
+func mayBeElsewhere(err error) error {
+	var refused *jayverdict.Error
+	if !errors.As(err, &refused) || refused.Verdict != jayverdict.NotRun {
+		return err
+	}
+	return jayverdict.NewMayHaveRun(statusTimeout, "a former pool of the queue, which may have the job, does not answer", err)
+}
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -101,7 +101,23 @@
 	if err != nil {
 		return jayverdict.NewNotRun(statusBadRequest, err.Error(), 0)
 	}
-	until, outageWait := i.node.clock()+deadline, outageWaitOf(job, deadline)
+	until := i.node.clock() + deadline
+	stored, holder, clear := i.node.storedElsewhere(job)
+	switch {
+	case stored && holder != "" && holder != job.Organisation:
+		return i.submitError(errTaken)
+	case stored:
+		return nil
+	case !clear:
+		return mayBeElsewhere(i.submitHere(job, value, until))
+	}
+	return i.submitHere(job, value, until)
+}
+
+// submitHere stores a job in its pool until the caller's deadline.
+func (i *intake) submitHere(job *jayspec.Job, value []byte, until time.Duration) error {
+	deadline := until - i.node.clock()
+	outageWait := outageWaitOf(job, deadline)
 	final, outcome := i.storeAtOwner(job, value, deadline, outageWait)
 	if final || i.node.clock() >= until || i.storeUnreachable() {
 		return i.submitError(outcome)
--- a/jaynode/members.go
+++ b/jaynode/members.go
@@ -28,6 +28,7 @@
 		OwnsAnyDuty:     n.ownsAnyDuty,
 		Ended:           n.hasEnded,
 		Stopping:        n.stopping.Load,
+		Homes:           n.homes,
 		OnClaimsRead:    n.reconcileDuties,
 		Go:              n.duties.Go,
 	})
@@ -43,5 +44,11 @@
 	for _, pool := range c.WorkingPools() {
 		duties = append(duties, jayowner.PoolDuty(pool))
 	}
+	for _, pool := range n.homes.Pools() {
+		// The jobs of a pool that has left the configuration still run there.
+		if _, declared := c.Pools[pool]; !declared {
+			duties = append(duties, jayowner.PoolDuty(pool))
+		}
+	}
 	return duties
 }
--- a/jaynode/node.go
+++ b/jaynode/node.go
@@ -11,6 +11,7 @@
 
 	"jaythread/jaycatalog"
 	"jaythread/jayclock"
+	"jaythread/jayhome"
 	"jaythread/jaymember"
 	"jaythread/jaymetric"
 	"jaythread/jayowner"
@@ -67,6 +68,7 @@
 	startedAt time.Duration
 
 	declarations *declarations
+	homes        *jayhome.Register
 	heartbeats   *workerHeartbeats
 	members      *jaymember.Members
 	intake       *intake
@@ -132,6 +134,7 @@
 		pools:       map[string]*poolDuty{},
 		ended:       map[jayowner.Duty]int64{},
 		cut:         jaystop.NewCut(),
+		homes:       jayhome.NewRegister(),
 	}
 	for _, option := range options {
 		option(n)
@@ -271,7 +274,9 @@
 	case *jaywire.PeerRequest_CancelJob:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Job{Job: n.cancelOwned(body.CancelJob)}}
 	case *jaywire.PeerRequest_AskPending:
-		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Pending{Pending: n.pendingOwned(body.AskPending.Pool, body.AskPending.Queue)}}
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Pending{Pending: n.pendingOwned(body.AskPending)}}
+	case *jaywire.PeerRequest_AskHoldings:
+		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_Holdings{Holdings: n.holdingsOwned(body.AskHoldings)}}
 	case *jaywire.PeerRequest_StoreJob:
 		return &jaywire.PeerResponse{Body: &jaywire.PeerResponse_JobStored{JobStored: n.intake.storeFor(body.StoreJob)}}
 	case *jaywire.PeerRequest_AskDemand:
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -74,6 +74,7 @@
 	// nextSharesAt is when the organisations' shares are passed to the metrics next.
 	nextSharesAt  time.Duration
 	takeoverDelay jayownership.TakeoverDelay
+	disputes      disputes
 	// heldBack tracks for how long the limit of starts in flight holds tasks back.
 	heldBack heldBack
 	// lastActiveAt is when the duty's goroutine last processed an event or began a step.
@@ -87,6 +88,8 @@
 		name:    name,
 		latency: jaysched.NewLatency(),
 		loads:   jayload.NewSender(),
+
+		disputes: newDisputes(),
 	}
 	options := []jaysched.Option{
 		jaysched.WithFence(claim.Fence, claim.Term),
@@ -114,13 +117,16 @@
 	return d
 }
 
-// policyOf returns the current policy of a queue.
-func (n *Node) policyOf(queue string) (jayspec.Policy, bool) {
+// policyOf returns the current policy of a job's queue, whatever the queue is named now.
+func (n *Node) policyOf(job *jayspec.Job) (jayspec.Policy, bool) {
 	c := n.Catalog()
 	if c == nil {
 		return jayspec.Policy{}, false
 	}
-	q, found := c.Queues[queue]
+	q, found := c.QueueAt(job.Address)
+	if job.Address == "" {
+		q, found = c.Queues[job.Queue]
+	}
 	return q.Policy, found
 }
 
@@ -140,6 +146,7 @@
 	d.startJournal()
 	tail := d.jobs.tail
 	d.node.duties.Go(func() { tail.Run(d.ctx) })
+	d.node.duties.Go(d.settleJobs)
 	d.loaded.Store(true)
 	d.loop(poolTick, d.step)
 }
--- a/jaynode/queries.go
+++ b/jaynode/queries.go
@@ -1,10 +1,12 @@
 package jaynode
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
 	"jaythread/jaycatalog"
+	"jaythread/jayhome"
 	"jaythread/jayowner"
 	"jaythread/jaypeer"
 	"jaythread/jaysched"
@@ -31,9 +33,43 @@
 			n.intake.logAnswer("query", id, known, n.clock()-began, err)
 		}
 	}()
-	return n.askOwner(errCutQuery, queue.Pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskJob{
-		AskJob: &jaywire.AskJob{Pool: queue.Pool, Job: id, Organisation: &organisation},
-	}})
+	_, state, known, err = n.findJob(errCutQuery, queue, organisation, id, deadline)
+	return state, known, err
+}
+
+// findJob returns the pool that has a job of a queue and the job's state. The job does not exist if no pool
+// that may have it knows it; pool is then the queue's.
+func (n *Node) findJob(cut error, queue jaycatalog.Queue, organisation, id string, deadline time.Duration) (pool string, state jaysched.State, known bool, err error) {
+	type outcome struct {
+		pool  string
+		state jaysched.State
+		known bool
+		err   error
+	}
+	ask := func(pool string) outcome {
+		o := outcome{pool: pool}
+		o.state, o.known, o.err = n.askOwner(cut, pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskJob{
+			AskJob: &jaywire.AskJob{Pool: pool, Job: id, Organisation: &organisation},
+		}})
+		return o
+	}
+	others := n.homes.Others(queue.Address(), queue.Pool)
+	if len(others) == 0 {
+		o := ask(queue.Pool)
+		return o.pool, o.state, o.known, o.err
+	}
+	answers := make(chan outcome, 1+len(others))
+	for _, pool := range append(others, queue.Pool) {
+		go func() { answers <- ask(pool) }()
+	}
+	for range 1 + len(others) {
+		o := <-answers
+		if o.known {
+			return o.pool, o.state, true, nil
+		}
+		err = cmp.Or(err, o.err)
+	}
+	return queue.Pool, jaysched.Queued, false, err
 }
 
 // CancelJob cancels a job; known is false if the job does not exist or belongs to another
@@ -44,8 +80,14 @@
 		n.countAnswer("cancel", began, err)
 		n.intake.logAnswer("cancellation", id, known, n.clock()-began, err)
 	}()
-	_, known, err = n.askOwner(errCutCommand, queue.Pool, deadline, &jaywire.PeerRequest{Body: &jaywire.PeerRequest_CancelJob{
-		CancelJob: &jaywire.CancelJob{Pool: queue.Pool, Job: id, Organisation: &organisation},
+	pool, until := queue.Pool, began+deadline
+	if len(n.homes.Others(queue.Address(), pool)) > 0 {
+		if pool, _, _, err = n.findJob(errCutCommand, queue, organisation, id, deadline); err != nil {
+			return false, err
+		}
+	}
+	_, known, err = n.askOwner(errCutCommand, pool, until-n.clock(), &jaywire.PeerRequest{Body: &jaywire.PeerRequest_CancelJob{
+		CancelJob: &jaywire.CancelJob{Pool: pool, Job: id, Organisation: &organisation},
 	}})
 	return known, err
 }
@@ -62,22 +104,30 @@
 	}
 }
 
-// Pending returns the number of jobs of a queue that have not started.
+// Pending returns the number of jobs of a queue that have not started, in all pools that may have any.
 func (n *Node) Pending(queue jaycatalog.Queue, deadline time.Duration) (int, error) {
-	request := &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskPending{
-		AskPending: &jaywire.AskPending{Pool: queue.Pool, Queue: queue.Name},
-	}}
 	type outcome struct {
 		pending int
 		err     error
 	}
 	began := n.clock()
+	until := began + deadline
 	o := jaystop.Until(n.cut, outcome{err: errCutQuery}, func() (o outcome) {
-		o.err = n.askUntilAnswered(queue.Pool, deadline, request, func(r *jaywire.PeerResponse) bool {
-			answer := r.GetPending()
-			o.pending = int(answer.GetPending())
-			return answer.GetOwned()
-		})
+		for _, pool := range append(n.homes.Others(queue.Address(), queue.Pool), queue.Pool) {
+			request := &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskPending{
+				AskPending: &jaywire.AskPending{Pool: pool, Queue: queue.Name, Address: queue.Address()},
+			}}
+			o.err = n.askUntilAnswered(pool, until-n.clock(), request, func(r *jaywire.PeerResponse) bool {
+				answer := r.GetPending()
+				if answer.GetOwned() {
+					o.pending += int(answer.GetPending())
+				}
+				return answer.GetOwned()
+			})
+			if o.err != nil {
+				return o
+			}
+		}
 		return o
 	})
 	n.countAnswer("pending", began, o.err)
@@ -178,6 +228,9 @@
 		asked := duty.ask(func() {
 			now := n.clock()
 			unconfirmed = duty.pool.OwnerUnconfirmed()
+			if held, _ := duty.pool.HoldingOf(ask.Job, ask.GetOrganisation(), now); held == jayhome.Unclear || held == jayhome.Disputed {
+				return // another pool may have it
+			}
 			if known = visible(duty.pool, ask.Organisation, ask.Job) && duty.pool.Cancel(ask.Job, now); known {
 				recorded, kept = duty.pool.Recorded(ask.Job), true
 				return
@@ -228,13 +281,13 @@
 	return d.jobs.tail.AsOf() > oldest && d.node.members.Owners.View().AsOf > oldest
 }
 
-func (n *Node) pendingOwned(pool, queue string) *jaywire.PendingAnswer {
-	duty := n.ownedPool(pool)
+func (n *Node) pendingOwned(ask *jaywire.AskPending) *jaywire.PendingAnswer {
+	duty := n.ownedPool(ask.Pool)
 	if duty == nil || !duty.loaded.Load() {
 		return &jaywire.PendingAnswer{}
 	}
 	current, pending := duty.current(), 0
-	if !duty.ask(func() { pending = duty.pool.Pending(queue) }, askTimeout) {
+	if !duty.ask(func() { pending = duty.pool.Pending(ask.Queue, ask.Address) }, askTimeout) {
 		return &jaywire.PendingAnswer{}
 	}
 	return &jaywire.PendingAnswer{Owned: current, Pending: uint32(pending)}
--- a/jaynode/quota_test.go
+++ b/jaynode/quota_test.go
@@ -20,7 +20,7 @@
 	now := 10 * time.Second
 	n := &Node{}
 	n.clock = func() time.Duration { return now }
-	n.declarations = &declarations{logger: logr.Discard(), now: n.clock, tail: &jaytail.Tail{}, confirmer: &confirmer{tail: &jaytail.Tail{}}}
+	n.declarations = &declarations{logger: logr.Discard(), now: n.clock, homes: n.homes, tail: &jaytail.Tail{}, confirmer: &confirmer{tail: &jaytail.Tail{}}}
 	duty := &fleetDuty{duty: duty{node: n}}
 	declare := func(revision, milli int64) {
 		now += time.Second
--- a/jaynode/stored_test.go
+++ b/jaynode/stored_test.go
@@ -87,7 +87,7 @@
 		duty := newPoolDuty(e.node, "seats", e.claim(jayowner.PoolDuty("seats"), 6, 1))
 		is.True(duty.takeOver())
 		duty.cancel()
-		is.Equal(duty.pool.Pending("q"), 1) // the other job is pending, this one is blocked
+		is.Equal(duty.pool.Pending("q", ""), 1) // the other job is pending, this one is blocked
 		state, known := duty.pool.StateOf(testID)
 		is.True(known)
 		is.Equal(state, jaysched.Queued)
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -233,6 +233,7 @@
 		t.duty.logger.Error(err, "job declaration cannot be decoded", "job", id, "offset", r.Offset)
 		return
 	}
+	job.Address = t.duty.node.addressOf(job)
 	if t.loading {
 		t.loaded[id] = job
 		return
@@ -249,6 +250,7 @@
 			d.logger.Info("record of a cancelled job arrived", "job", job.ID, "organisation", job.Organisation, "how", how, "age", time.Since(job.Accepted).String())
 		}
 		if declare(job, now) {
+			d.dispute(job, now)
 			d.logger.Info("job declared", "job", job.ID, "how", how, "queue", job.Queue, "organisation", job.Organisation, "steps", job.Summary(), "coreSeconds", job.Work(), "within", d.pool.AllowedTime(job.ID).String())
 		}
 	})
@@ -328,6 +330,7 @@
 		return
 	}
 	pool.Restore(job, progress, now)
+	t.duty.dispute(job, now)
 	t.duty.logger.Info("job declared", "job", job.ID, "how", "restored", "queue", job.Queue, "organisation", job.Organisation, "steps", job.Summary(), "coreSeconds", job.Work(), "within", pool.AllowedTime(job.ID).String(), "restored", true)
 }
 
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -55,6 +55,9 @@
 	// foundInStore says that another owner stored the job, so that a former owner may have
 	// begun it.
 	foundInStore bool
+	// disputed says that another pool may have the job too, disputedAt since when.
+	disputed   bool
+	disputedAt time.Duration
 	// ownerNeededAt is the time up to which the owner must be confirmed to begin the job.
 	ownerNeededAt time.Duration
 	// inherited says that a former owner may have begun the job.
--- a/jaysched/latency_test.go
+++ b/jaysched/latency_test.go
@@ -79,7 +79,7 @@
 	w.pool.SetStarts(3)
 	w.pool.Declare(newSpec("j", 1, tasks(6, 1000, 100)), w.now)
 	w.pool.Decide(w.now)
-	is.Equal(w.pool.Pending("q"), 1)
+	is.Equal(w.pool.Pending("q", ""), 1)
 	is.Equal(w.pool.jobs["j"].waiting, 3)
 	is.True(!w.pool.LacksRoom()) // there is room
 	w.pool.SetStarts(10)
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -87,6 +87,9 @@
 	if now < p.formerRuns.heldUntil && t.awaitsFormerTrial() {
 		return false
 	}
+	if t.step.job.unsettled() {
+		return false
+	}
 	return p.right.Covers(max(t.lostAt, t.step.job.ownerNeededAt))
 }
 
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -90,8 +90,8 @@
 	fence    int64
 	// dueAt converts a time of day to the pool's clock.
 	dueAt func(time.Time) time.Duration
-	// policyOf returns the present policy of a queue, if the queue still exists.
-	policyOf func(queue string) (jayspec.Policy, bool)
+	// policyOf returns the present policy of a job's queue, if the queue still exists.
+	policyOf func(*jayspec.Job) (jayspec.Policy, bool)
 
 	jobs map[string]*job
 	// footprint is the sum of the footprints of the jobs that have not ended.
@@ -173,8 +173,8 @@
 	return func(p *Pool) { p.dueAt = dueAt }
 }
 
-// WithPolicies sets the function that returns the present policy of a queue.
-func WithPolicies(of func(queue string) (jayspec.Policy, bool)) Option {
+// WithPolicies sets the function that returns the present policy of a job's queue.
+func WithPolicies(of func(*jayspec.Job) (jayspec.Policy, bool)) Option {
 	return func(p *Pool) { p.policyOf = of }
 }
 
@@ -186,7 +186,7 @@
 		term:         1,
 		fence:        1,
 		dueAt:        func(time.Time) time.Duration { return 0 },
-		policyOf:     func(string) (jayspec.Policy, bool) { return jayspec.Policy{}, false },
+		policyOf:     func(*jayspec.Job) (jayspec.Policy, bool) { return jayspec.Policy{}, false },
 		jobs:         map[string]*job{},
 		workers:      map[string]*worker{},
 		endedWorkers: map[string]endedIncarnations{},
@@ -261,11 +261,16 @@
 	return p.lackedRoom
 }
 
-// Pending counts the open jobs of a queue of which no task has started.
-func (p *Pool) Pending(queue string) int {
+// Pending counts the open jobs of a queue of which no task has started. The queue may have had another
+// name when they were submitted. An empty address stands for the queue of that name.
+func (p *Pool) Pending(queue, address string) int {
 	count := 0
 	for _, j := range p.open {
-		if j.spec.Queue == queue && !j.started {
+		ofQueue := j.spec.Address == address
+		if address == "" || j.spec.Address == "" {
+			ofQueue = j.spec.Queue == queue
+		}
+		if ofQueue && !j.started {
 			count++
 		}
 	}
@@ -275,7 +280,7 @@
 // policy returns the present policy of a job's queue, or the one that the job was accepted
 // under.
 func (p *Pool) policy(spec *jayspec.Job) jayspec.Policy {
-	if present, ok := p.policyOf(spec.Queue); ok {
+	if present, ok := p.policyOf(spec); ok {
 		return present
 	}
 	return spec.Policy
--- a/jaysched/restore.go
+++ b/jaysched/restore.go
@@ -39,15 +39,16 @@
 
 // StateKnown reports whether the state of a job can be answered. What has happened to the job since
 // the former owner recorded it is known once the workers have reported: until then a job that was shown
-// as running may seem to be queued.
+// as running may seem to be queued. The state of a job that another pool may have is that pool's to tell.
 func (p *Pool) StateKnown(id string, now time.Duration) bool {
 	j, known := p.jobs[id]
-	if !known || j.outcome != Open || now >= p.restoredAt+takeoverReportTimeout || !p.formerRunsPossible(now) {
+	if known && j.unsettled() {
+		return false
+	}
+	if !known || j.outcome != Open || now >= p.restoredAt+takeoverReportTimeout {
 		return true
 	}
-	unreported := j.mayRunUnreported && j.unheldTasks() > 0
-	j.eachTask(func(t *task) { unreported = unreported || t.mayRunUnreported && !t.done })
-	return !unreported
+	return !p.mayHaveBegun(j, now)
 }
 
 // RestoreUnreadable adds a job whose recorded progress cannot be read. Its runs continue, but
--- a/jaysched/waiting.go
+++ b/jaysched/waiting.go
@@ -141,6 +141,8 @@
 		return "the owner is not confirmed"
 	case t.step.job.foundInStore && p.hasUnprocessedRuns(t.step.job):
 		return "a worker's report precedes the job"
+	case t.step.job.unsettled():
+		return "another pool may have the job"
 	case t.mayRunUnreported && p.formerRunsPossible(now):
 		return "a former owner may have started it: " + p.formerRunsReason()
 	case now < t.notBefore:
--- a/jayspec/job.go
+++ b/jayspec/job.go
@@ -14,6 +14,9 @@
 type Job struct {
 	ID    string
 	Queue string
+	// Address is that of the queue. It is empty for a job that an earlier version has stored and whose
+	// queue is gone.
+	Address string
 	// Pool is the pool in which the job's tasks run. It is determined when the job
 	// is submitted and does not change if the queue is assigned to another pool
 	// later.
