Let a gang that exceeds its organisation's quota wait

Cause: failUnfitJobs ended the job as one that can never start. A quota is a limit on what runs that the next version may change, not a property of the job.

Of TestGangLargerThanItsQuotaWaits three cases failed before the change (failed instead of queued, not started after the quota is raised, no reason recorded).

Change: such a gang waits. It reserves nothing, counts neither as wanted of the quota nor as demand, and is not counted as waiting work for which others are rejected. "gang exceeds quota" is logged once with the value and the limit, and the quota wait metric grows.

Why it works: nothing but the caller and the ends of its tasks ends a job now. TestGangLargerThanItsQuotaFails demanded the fault; its cases stand in TestGangLargerThanItsQuotaWaits with the state queued in place of failed, and four more.

--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -115,7 +115,7 @@
 	var total jaypool.Resources
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			if s.ready(now) {
+			if s.ready(now) && !s.exceedsQuota {
 				total = total.Add(needOf(s).Times(int64(s.open)))
 			}
 		}
--- a/jaysched/events.go
+++ b/jaysched/events.go
@@ -65,6 +65,8 @@
 	// do not wait for it any more.
 	QuotaReached EventKind = "quota reached"
 	QuotaFree    EventKind = "quota free"
+	// GangExceedsQuota is a gang that waits for a larger quota of its organisation.
+	GangExceedsQuota EventKind = "gang exceeds quota"
 	// UnknownJobCanceled is a cancellation of a job that the pool does not know.
 	UnknownJobCanceled EventKind = "unknown job cancelled"
 	// JobRejected is a job that cannot be done while its result is of use, JobReturned one that
@@ -83,7 +85,7 @@
 	At     time.Duration
 	Job    string
 	Worker string
-	// Organisation is set for UnknownJobCanceled, QuotaReached, QuotaFree, JobRejected, BeyondShare and WithinShare.
+	// Organisation is set for UnknownJobCanceled, GangExceedsQuota, QuotaReached, QuotaFree, JobRejected, BeyondShare and WithinShare.
 	Organisation string
 	Run          jayport.RunRef
 	Detail       string
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -142,6 +142,8 @@
 	suspected bool
 	// tooLarge says that no worker is large enough for a task of the step.
 	tooLarge bool
+	// exceedsQuota says that the step is a gang that waits for a larger quota of its organisation.
+	exceedsQuota bool
 	// readyAt is when the last predecessor of the step ended, or when the occurrence began.
 	readyAt time.Duration
 }
--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -426,7 +426,7 @@
 	}
 	for _, s := range j.earliest().steps {
 		if s.waiting > 0 && s.ready(now) {
-			return !p.quotaAllows(s, 1)
+			return s.exceedsQuota || !p.quotaAllows(s, s.startsTogether())
 		}
 	}
 	return false
--- a/jaysched/packing.go
+++ b/jaysched/packing.go
@@ -65,6 +65,9 @@
 
 // countUnplaced counts the tasks of a step that need a worker.
 func (p *Pool) countUnplaced(s *step, now time.Duration) int {
+	if s.exceedsQuota {
+		return 0
+	}
 	if s.decl.LongRunning {
 		count := 0
 		for _, t := range s.tasks {
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -13,7 +13,6 @@
 	p.lackedRoom = false
 	p.updatePossibleUse(now)
 	defer p.recordReachedQuotas(now)
-	defer p.failUnfitJobs(now)
 	defer p.reportWaits(now) // may reach quotas
 	defer p.reportHold(formerRuns, now)
 	defer p.reviewHeldBack(formerRuns, now)
@@ -154,8 +153,7 @@
 			return
 		}
 	}
-	if p.unfitForQuota(s) {
-		p.quotas.unfit = append(p.quotas.unfit, s)
+	if p.reviewGang(s, now) {
 		return
 	}
 	if !p.quotaAllows(s, len(s.tasks)) {
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -33,8 +33,6 @@
 	// decision to the reason, reachedSince those of earlier decisions to the time of the first.
 	reached      map[string]string
 	reachedSince map[string]time.Duration
-	// unfit are the steps that were found in the present decision to be too large for a quota.
-	unfit []*step
 }
 
 // WithLender sets the fence of the newest owner of the fleet when the pool was claimed: earlier
@@ -157,7 +155,7 @@
 		use := uses[organisation]
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.waiting > 0 && s.ready(now) {
+				if s.waiting > 0 && s.ready(now) && !s.exceedsQuota {
 					use.Wanted = use.Wanted.Add(s.decl.Need.Times(int64(s.waiting)))
 					use.Largest = use.Largest.Max(s.togetherNeed())
 					use.Task = use.Task.Max(s.decl.Need)
@@ -172,37 +170,42 @@
 	return p.quotas.limits.Report(p.fence, all, uses)
 }
 
-// togetherNeed returns what those tasks of a step need that can only start together.
-func (s *step) togetherNeed() jaypool.Resources {
+// startsTogether returns how many tasks of a step can only start together.
+func (s *step) startsTogether() int {
 	if s.decl.Gang {
-		return s.decl.Need.Times(int64(s.decl.Tasks))
+		return s.decl.Tasks
 	}
-	return s.decl.Need
+	return 1
 }
 
-// unfitForQuota reports whether a gang is larger than its organisation's quota can ever let start:
-// its members start together, and only one task may exceed the quota.
-func (p *Pool) unfitForQuota(s *step) bool {
-	q, organisation := &p.quotas, s.job.spec.Organisation
+// togetherNeed returns what those tasks of a step need that can only start together.
+func (s *step) togetherNeed() jaypool.Resources {
+	return s.decl.Need.Times(int64(s.startsTogether()))
+}
+
+// exceedsQuota reports whether a gang is larger than the quota of its organisation lets start: its members
+// start together, and only one task may exceed the quota. The gang waits, since another quota may be declared.
+func (p *Pool) exceedsQuota(s *step) bool {
+	organisation := s.job.spec.Organisation
 	others := s.decl.Need.Times(int64(s.decl.Tasks - 1))
-	return organisation != "" && q.declared.Current && jayquota.Exceeds(q.declared.Of[organisation], others)
+	return organisation != "" && jayquota.Exceeds(p.quotas.of(organisation), others)
 }
 
-// failUnfitJobs ends the jobs of steps that can never start. It is called after the open jobs were
-// placed, since it removes jobs from them.
-func (p *Pool) failUnfitJobs(now time.Duration) {
-	for _, s := range p.quotas.unfit {
-		organisation := s.job.spec.Organisation
-		if s.job.outcome != Open {
-			continue
-		}
-		p.end(s.job, Failed, now)
-		p.recordEvent(Event{
-			Kind: JobEnded, Job: s.job.spec.ID, Organisation: organisation, Waited: now - s.job.submittedAt,
-			Detail: fmt.Sprintf("failed: step %d is a gang of %d tasks of %+v, the quota of its organisation is %+v", s.id.Step, s.decl.Tasks, s.decl.Need, p.quotas.declared.Of[organisation]),
-		}, now)
+// reviewGang determines whether a gang waits because it exceeds its quota, and records when that begins.
+// Meanwhile it counts neither as wanted of the quota nor as demand: what it would keep from others it could
+// not use.
+func (p *Pool) reviewGang(s *step, now time.Duration) (waits bool) {
+	before := s.exceedsQuota
+	if s.exceedsQuota = p.exceedsQuota(s); !s.exceedsQuota {
+		return false
+	}
+	organisation := s.job.spec.Organisation
+	reason := fmt.Sprintf("step %d is a gang of %d tasks of %v, the quota of its organisation is %v", s.id.Step, s.decl.Tasks, sizeText(s.decl.Need), sizeText(p.quotas.of(organisation)))
+	p.quotas.reached[organisation] = reason
+	if !before {
+		p.recordEvent(Event{Kind: GangExceedsQuota, Job: s.job.spec.ID, Organisation: organisation, Detail: reason}, now)
 	}
-	p.quotas.unfit = p.quotas.unfit[:0]
+	return true
 }
 
 // possibleUseInterval is the least time between two computations of what runs of a former owner
