Pack the tasks of a step together when the pool's demand is computed

Cause: workersAtLeast assigned the unplaced tasks one by one and searched all workers before each of them, on the goroutine that renews the leases: the square of the number of tasks, every 150 ms.

Change: a step is placed with its number of tasks, and additional workers that run the same tasks are counted together. A task that is too large for any worker counts as one. At most 64 groups of additional workers stay open.

Why it works: the tasks of a step are alike, so that counts say what lists did (TestPackingCountsWhatSingleTasksNeed compares both on 500 seeds), and the effort no longer depends on the width.

--- a/jaysched/packing.go
+++ b/jaysched/packing.go
@@ -23,8 +23,8 @@
 		return p.longRunWorkers()
 	}
 	k := p.newPacking(now)
-	for _, s := range p.unplacedTasks(now) {
-		k.place(s)
+	for _, u := range p.unplacedSteps(now) {
+		k.place(u.step, u.tasks)
 	}
 	return k.workers()
 }
@@ -40,25 +40,34 @@
 	return count
 }
 
-// unplacedTasks returns the step of each task that needs a worker, the largest first: long-running
-// tasks that wait, or run on a worker that is being vacated, and others that wait although no
-// worker could take them even if only long-running tasks ran there.
-func (p *Pool) unplacedTasks(now time.Duration) []*step {
-	var steps []*step
+// unplacedStep is a step with the number of its tasks that need a worker.
+type unplacedStep struct {
+	*step
+	tasks int
+}
+
+// unplacedSteps returns the steps with tasks that need a worker, those with the largest tasks first: long-running
+// tasks that wait, or run on a worker that is being vacated, and others that wait although no worker could take
+// them even if only long-running tasks ran there.
+func (p *Pool) unplacedSteps(now time.Duration) []unplacedStep {
+	var steps []unplacedStep
 	for _, j := range p.open {
 		if !j.longRunning && j.waiting == 0 {
 			continue
 		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.ready(now) {
-					steps = append(steps, slices.Repeat([]*step{s}, p.countUnplaced(s, now))...)
+				if !s.ready(now) {
+					continue
+				}
+				if tasks := p.countUnplaced(s, now); tasks > 0 {
+					steps = append(steps, unplacedStep{step: s, tasks: tasks})
 				}
 			}
 		}
 	}
-	slices.SortStableFunc(steps, func(a, b *step) int {
-		return cmp.Compare(needOf(b).MemoryMegabytes, needOf(a).MemoryMegabytes)
+	slices.SortStableFunc(steps, func(a, b unplacedStep) int {
+		return cmp.Compare(needOf(b.step).MemoryMegabytes, needOf(a.step).MemoryMegabytes)
 	})
 	return steps
 }
@@ -105,89 +114,169 @@
 	return w.Capacity.Sub(w.longRunNeed)
 }
 
-// packing computes by first fit how many workers some tasks need, beside the long-running ones
-// on the present workers.
+// maxOpenBins limits the groups of additional workers that further tasks are added to.
+const maxOpenBins = 64
+
+// packing computes by first fit how many workers some tasks need, beside the long-running ones on the
+// present workers.
+//
+// It handles this load: some jobs have thousands of tasks that fit on no worker. The tasks of a step are
+// alike, and so are the additional workers that they fill: both are counted, and the effort depends on the
+// number of steps.
 type packing struct {
-	pool *Pool
-	now  time.Duration
-	bins []*bin
+	pool    *Pool
+	now     time.Duration
+	present []*bin
+	// added are the additional workers with room, in the order in which they were added; closed counts
+	// those to which nothing is added any more.
+	added  []*bin
+	closed int
 	// size is the capacity of an additional worker.
 	size jaypool.Resources
 }
 
-// bin is a present or an additional worker.
+// bin is a present worker, or some additional ones that run the same tasks.
 type bin struct {
 	worker *worker
+	number int
 	room   jaypool.Resources
 	used   bool
-	placed map[*step]int
 }
 
 func (p *Pool) newPacking(now time.Duration) *packing {
 	k := &packing{pool: p, now: now, size: p.maxCapacity}
 	for _, w := range p.sorted {
 		if w.usable() {
-			k.bins = append(k.bins, &bin{worker: w, room: w.roomBesideLongRuns(), used: w.longRuns > 0})
+			k.present = append(k.present, &bin{worker: w, number: 1, room: w.roomBesideLongRuns(), used: w.longRuns > 0})
 		}
 	}
 	return k
 }
 
-// place assigns a task of a step to a present worker, an additional one that has room, or else a new
-// additional one. In the latter case the workers that have room but must not run it count as
-// used, since the additional one is needed beside them.
-func (k *packing) place(s *step) {
+// place assigns tasks of a step to present workers, then to additional ones that have room, and the rest to
+// new additional ones. If there is a rest, the workers that have room but must not run it count as used, since
+// the additional ones are needed beside them.
+func (k *packing) place(s *step, tasks int) {
 	var refused []*bin
-	for _, b := range k.bins {
+	for _, b := range k.present {
+		most := b.most(s)
+		if tasks == 0 {
+			return
+		}
 		switch {
-		case !b.fits(s):
-		case b.worker != nil && k.pool.mustNotRun(b.worker, s, k.now):
+		case most == 0:
+		case k.pool.mustNotRun(b.worker, s, k.now):
 			refused = append(refused, b)
 		default:
-			b.add(s)
-			return
+			placed := min(tasks, most)
+			b.add(s, placed)
+			tasks -= placed
 		}
 	}
+	if tasks = k.fill(s, tasks); tasks == 0 {
+		return
+	}
 	for _, b := range refused {
 		b.used = true
 	}
-	b := &bin{room: k.size}
-	b.add(s)
-	k.bins = append(k.bins, b)
+	k.extend(s, tasks)
+}
+
+// fill assigns tasks of a step to additional workers that have room, and returns how many are left.
+func (k *packing) fill(s *step, tasks int) (left int) {
+	added := make([]*bin, 0, len(k.added))
+	for _, b := range k.added {
+		most := b.most(s)
+		if tasks == 0 || most == 0 {
+			added = append(added, b)
+			continue
+		}
+		full := min(b.number, tasks/most)
+		tasks -= full * most
+		added = append(added, b.split(full, s, most)...)
+		if b.number > 0 && tasks > 0 {
+			added = append(added, b.split(1, s, tasks)...)
+			tasks = 0
+		}
+		if b.number > 0 {
+			added = append(added, b)
+		}
+	}
+	k.added = added
+	k.closeBins()
+	return tasks
+}
+
+// extend assigns tasks of a step to new additional workers. A task that is too large for any takes one.
+func (k *packing) extend(s *step, tasks int) {
+	b := &bin{number: tasks, room: k.size}
+	most := b.most(s)
+	if most == 0 {
+		k.closed += tasks
+		return
+	}
+	k.added = append(k.added, b.split(tasks/most, s, most)...)
+	k.added = append(k.added, b.split(min(1, tasks%most), s, tasks%most)...)
+	k.closeBins()
+}
+
+// closeBins closes the earliest additional workers, which are the fullest, beyond maxOpenBins.
+func (k *packing) closeBins() {
+	for len(k.added) > maxOpenBins {
+		k.closed += k.added[0].number
+		k.added = k.added[1:]
+	}
 }
 
 // workers counts the workers with long-running tasks and the additional ones.
 func (k *packing) workers() int {
-	count := 0
-	for _, b := range k.bins {
+	count := k.closed
+	for _, b := range k.present {
 		if b.used {
 			count++
 		}
 	}
+	for _, b := range k.added {
+		count += b.number
+	}
 	return count
 }
 
-func (b *bin) fits(s *step) bool {
-	most := s.decl.MaxPerInstance
-	return b.room.Fits(needOf(s)) && (most == 0 || b.count(s) < most)
+// most returns how many tasks of a step each of the workers can take.
+func (b *bin) most(s *step) int {
+	need := needOf(s)
+	if !b.room.Fits(need) {
+		return 0
+	}
+	most := int64(s.decl.Tasks)
+	for _, of := range [][2]int64{
+		{need.ProcessorsMilli, b.room.ProcessorsMilli}, {need.MemoryMegabytes, b.room.MemoryMegabytes}, {need.Accelerators, b.room.Accelerators},
+	} {
+		if of[0] > 0 {
+			most = min(most, of[1]/of[0])
+		}
+	}
+	if limit := s.decl.MaxPerInstance; limit > 0 {
+		most = min(most, int64(max(0, limit-s.placed[b.worker])))
+	}
+	return int(most)
 }
 
-// count returns the number of tasks of a step on the worker.
-func (b *bin) count(s *step) int {
-	count := b.placed[s]
-	if b.worker != nil {
-		count += s.placed[b.worker]
+// split takes some of the workers off the others and adds tasks of a step to each of them. It returns none
+// for no workers.
+func (b *bin) split(number int, s *step, tasks int) []*bin {
+	if number == 0 {
+		return nil
 	}
-	return count
+	b.number -= number
+	part := &bin{number: number, room: b.room}
+	part.add(s, tasks)
+	return []*bin{part}
 }
 
-func (b *bin) add(s *step) {
+func (b *bin) add(s *step, tasks int) {
 	b.used = true
-	b.room = b.room.Sub(needOf(s))
-	if b.placed == nil {
-		b.placed = map[*step]int{}
-	}
-	b.placed[s]++
+	b.room = b.room.Sub(needOf(s).Times(int64(tasks)))
 }
 
 // blockedByMemory returns how many thousandths of a core no short task can use because
--- a/jaysched/packing_test.go
+++ b/jaysched/packing_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"jaythread/jaypool"
 	"jaythread/jayport"
 	"jaythread/jayspec"
 )
@@ -158,3 +161,52 @@
 		try(1)
 	}
 }
+
+// firstFit counts the workers that some tasks need, one task at a time.
+func firstFit(size jaypool.Resources, steps []unplacedStep) int {
+	type room struct {
+		left   jaypool.Resources
+		placed map[*step]int
+	}
+	var rooms []*room
+	for _, u := range steps {
+		for range u.tasks {
+			most := u.decl.MaxPerInstance
+			at := slices.IndexFunc(rooms, func(r *room) bool {
+				return r.left.Fits(u.decl.Need) && (most == 0 || r.placed[u.step] < most)
+			})
+			if at < 0 {
+				at = len(rooms)
+				rooms = append(rooms, &room{left: size, placed: map[*step]int{}})
+			}
+			rooms[at].left = rooms[at].left.Sub(u.decl.Need)
+			rooms[at].placed[u.step]++
+		}
+	}
+	return len(rooms)
+}
+
+// TestPackingCountsWhatSingleTasksNeed guards against a demand for other numbers of workers since the tasks of
+// a step are packed together.
+func TestPackingCountsWhatSingleTasksNeed(t *testing.T) {
+	for seed := range uint64(500) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		size := jaypool.Resources{ProcessorsMilli: 4000, MemoryMegabytes: 1000}
+		k := &packing{pool: NewPool("seats", Settings{}), size: size}
+		var steps []unplacedStep
+		for range 1 + random.IntN(8) {
+			decl := &jayspec.Step{
+				Tasks:          1 + random.IntN(40),
+				Need:           jaypool.Resources{ProcessorsMilli: random.Int64N(5000), MemoryMegabytes: random.Int64N(800)},
+				MaxPerInstance: random.IntN(4),
+			}
+			steps = append(steps, unplacedStep{step: &step{decl: decl, job: &job{spec: &jayspec.Job{}}}, tasks: decl.Tasks})
+		}
+		for _, u := range steps {
+			k.place(u.step, u.tasks)
+		}
+		if got, want := k.workers(), firstFit(size, steps); got != want {
+			t.Fatalf("seed %d: %d workers instead of %d", seed, got, want)
+		}
+	}
+}
