Estimate an occurrence's remaining time once for each decision

The tasks of a service end together on sound workers.

Cause: while a worker counts as slow and has room, each check of a task against it went through all tasks of the task's step for the remaining time of the job. Demand does that check for each run of the pool, on the goroutine that renews the leases, every 150 ms: the square of the width.

Change: the remaining time of an occurrence is estimated once for a time and a review of the workers' speeds, and again once a run of it has ended.

Why it works: the estimate does not depend on the task that is checked. What is started within a decision changes it only by the difference between a predicted and a started run.

--- a/jaysched/deadline.go
+++ b/jaysched/deadline.go
@@ -124,9 +124,29 @@
 	}
 }
 
-// remainingOccurrenceTime returns the expected remaining time of an occurrence if all its
-// waiting tasks are served from now on.
+// remainingEstimate is the expected remaining time of an occurrence at a time, by a review of the workers' speeds.
+type remainingEstimate struct {
+	known  bool
+	at     time.Duration
+	review int
+	left   time.Duration
+}
+
+// remainingOccurrenceTime returns the expected remaining time of an occurrence if all its waiting tasks are
+// served from now on, as it was before any of them was started in the present decision.
+//
+// It handles this load: a job has thousands of tasks, and a worker is slow. For each task, the remaining time
+// of all of them decides whether the worker suits it.
 func (p *Pool) remainingOccurrenceTime(o *occurrence, now time.Duration) time.Duration {
+	e := &o.remaining
+	if !e.known || e.at != now || e.review != p.speeds.reviews {
+		*e = remainingEstimate{known: true, at: now, review: p.speeds.reviews, left: p.estimateRemaining(o, now)}
+	}
+	return e.left
+}
+
+// estimateRemaining computes the expected remaining time of an occurrence.
+func (p *Pool) estimateRemaining(o *occurrence, now time.Duration) time.Duration {
 	longest := time.Duration(0)
 	left := make([]time.Duration, len(o.steps))
 	for n := len(o.steps) - 1; n >= 0; n-- {
--- a/jaysched/growth_test.go
+++ b/jaysched/growth_test.go
@@ -26,7 +26,44 @@
 		}
 		return w
 	},
+	"tasks that run beside a slow worker": func(t *testing.T, tasks int) *harness {
+		w := newWidePool(t)
+		w.declareWide("j", tasks, func(s *jayspec.Step) { s.Checkpoint = true })
+		w.slowDown("w8")
+		return w
+	},
+	"tasks of which half run beside a slow worker": func(t *testing.T, tasks int) *harness {
+		w := newWidePool(t)
+		w.declareWide("j", tasks, func(s *jayspec.Step) {
+			s.Checkpoint = true
+			s.Need.ProcessorsMilli = 2 * 9 * 64_000 / int64(tasks)
+		})
+		w.slowDown("w8")
+		return w
+	},
 
+	"tasks that run longer than predicted": func(t *testing.T, tasks int) *harness {
+		w := newWidePool(t)
+		for range 100 {
+			w.pool.speeds.errorsOf("q").Add(0)
+		}
+		w.declareWide("j", tasks, func(s *jayspec.Step) { s.Estimate, s.Need.ProcessorsMilli = time.Second, 6 })
+		w.now += time.Minute
+		w.reports()
+		return w
+	},
+	"tasks of single steps beside a slow worker": func(t *testing.T, tasks int) *harness {
+		w := newWidePool(t)
+		w.slowDown("w8")
+		job := newSpec("j", tasks, func(s *jayspec.Step) { s.Need.ProcessorsMilli, s.Checkpoint = 20, true })
+		for n := range job.Steps {
+			job.Steps[n].Tasks, job.Steps[n].After, job.Steps[n].Estimate = 1, nil, time.Minute
+		}
+		job.Policy.Objective = time.Hour
+		w.pool.Declare(job, w.now)
+		w.run()
+		return w
+	},
 	"service tasks that fit on no worker": func(t *testing.T, tasks int) *harness {
 		w := newWidePool(t)
 		w.declareWide("j", tasks, func(s *jayspec.Step) { s.LongRunning, s.Need.MemoryMegabytes = true, 300_000 })
@@ -95,6 +132,14 @@
 	}
 }
 
+// slowDown makes a worker count as slow.
+func (w *harness) slowDown(id string) {
+	slow := w.pool.workers[id]
+	slow.pace.slow, slow.pace.factor, slow.pace.slowSince = true, 6.5, w.now
+	w.pool.countSlow()
+	w.pool.speeds.reviewAt = w.now + time.Hour
+}
+
 // growthCalls are the calls that the goroutine of a pool's owner makes.
 var growthCalls = map[string]func(w *harness){
 	"Decide":      func(w *harness) { w.pool.Decide(w.now) },
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -110,6 +110,8 @@
 	due       time.Duration
 	openSteps int
 	steps     []*step
+	// remaining is the latest estimate of the remaining time.
+	remaining remainingEstimate
 }
 
 // step is one step of one occurrence.
@@ -227,6 +229,7 @@
 			continue
 		}
 		t.runs = append(t.runs[:n], t.runs[n+1:]...)
+		t.step.occ.remaining.known = false
 		if t.waiting() {
 			t.step.addWaiting(1)
 		}
@@ -251,6 +254,7 @@
 	}
 	t.done = true
 	t.step.open--
+	t.step.occ.remaining.known = false
 	t.step.done = setBit(t.step.done, t.index)
 	t.step.release(t)
 }
--- a/jaysched/speed.go
+++ b/jaysched/speed.go
@@ -43,6 +43,8 @@
 	// byQueue holds the errors of the predicted durations by queue.
 	byQueue  map[string]*jayspeed.Errors
 	reviewAt time.Duration
+	// reviews counts the changes of what is known about the workers' speeds.
+	reviews int
 	// from is when the predictions were last found to be wrong: runs that began earlier show
 	// nothing about their worker.
 	from time.Duration
@@ -297,6 +299,7 @@
 }
 
 func (p *Pool) countSlow() {
+	p.speeds.reviews++
 	p.speeds.slow, p.speeds.minFactor = 0, math.Inf(1)
 	for _, w := range p.sorted {
 		if w.pace.slow {
