Review evictions and releases of a worker once for each pass

For each run of a service on a closed worker, all tasks of its step were counted twice; for each run of a worker that is to be released, the lost work of all later runs was added up.

Change: a step is reviewed once for each pass over the closed workers, and a stop in that pass is added to the count. planRelease adds up the lost work from the end, once.

--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -211,12 +211,41 @@
 // its step can miss one more task, and another worker has room for it.
 func (p *Pool) mayEvict(r *run, now time.Duration) bool {
 	s := r.task.step
-	if !s.decl.LongRunning || s.unavailable() >= max(1, s.decl.MayMiss) || !p.formerStopsEnded(s, now) {
+	if !s.decl.LongRunning || !p.reviewEviction(s, now) {
 		return false
 	}
 	return p.chooseWorker(r.task, now) != nil
 }
 
+// vacateReview is what decides whether runs of a long-running step may be stopped, in one pass over the runs of
+// closed workers.
+type vacateReview struct {
+	pass        int
+	unavailable int
+	stopsEnded  bool
+}
+
+// reviewEviction reports whether a run of a long-running step may be stopped in the present pass.
+//
+// It handles this load: a closed worker runs thousands of tasks of a service. Which of them are available was
+// determined again for each of them.
+func (p *Pool) reviewEviction(s *step, now time.Duration) bool {
+	e := &s.eviction
+	if e.pass != p.vacating.pass {
+		*e = vacateReview{pass: p.vacating.pass, unavailable: s.unavailable(), stopsEnded: p.formerStopsEnded(s, now)}
+	}
+	return e.stopsEnded && e.unavailable < max(1, s.decl.MayMiss)
+}
+
+// evict stops a run on a worker that is being vacated.
+func (p *Pool) evict(r *run, now time.Duration) {
+	available := r.task.available()
+	p.stop(r, "vacating", now)
+	if available && !r.task.available() {
+		r.task.step.eviction.unavailable++
+	}
+}
+
 // stopReportDelay is how long the report of a stopped run's end takes, beyond the stop itself.
 const stopReportDelay = 600 * time.Millisecond
 
--- a/jaysched/growth_test.go
+++ b/jaysched/growth_test.go
@@ -41,7 +41,13 @@
 		w.slowDown("w8")
 		return w
 	},
-
+	"tasks that run on workers to be released": func(t *testing.T, tasks int) *harness {
+		w := newWidePool(t)
+		w.declareWide("j", tasks, func(s *jayspec.Step) { s.Estimate, s.Need.ProcessorsMilli = time.Millisecond, 6 })
+		w.pool.SetContracting(true, w.now+time.Hour)
+		w.pool.SetVacating([]Vacate{{Worker: "w1", Migrate: true, Restart: true}}, w.now)
+		return w
+	},
 	"tasks that run longer than predicted": func(t *testing.T, tasks int) *harness {
 		w := newWidePool(t)
 		for range 100 {
@@ -74,7 +80,12 @@
 		w.declareWide("j", tasks, func(s *jayspec.Step) { s.LongRunning, s.MaxPerInstance = true, 1 })
 		return w
 	},
-
+	"service tasks of which a worker is closed": func(t *testing.T, tasks int) *harness {
+		w := newWidePool(t)
+		w.declareWide("j", tasks, func(s *jayspec.Step) { s.LongRunning, s.MayMiss = true, 1 })
+		w.pool.SetVacating([]Vacate{{Worker: "w1"}}, w.now)
+		return w
+	},
 	"tasks that run": func(t *testing.T, tasks int) *harness {
 		w := newWidePool(t)
 		w.declareWide("j", tasks, func(s *jayspec.Step) { s.Checkpoint = true })
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -140,6 +140,8 @@
 	placed map[*worker]int
 	// advice holds the advisor's answers, for a queue that has an advisor.
 	advice advice
+	// eviction is used while workers are vacated.
+	eviction vacateReview
 	// suspected says that a task of the step has been suspected of crashing a worker.
 	suspected bool
 	// tooLarge says that no worker is large enough for a task of the step.
--- a/jaysched/release.go
+++ b/jaysched/release.go
@@ -116,9 +116,10 @@
 		runs = append(runs, c)
 	}
 	slices.SortStableFunc(runs, func(a, b candidate) int { return cmp.Compare(a.left, b.left) })
-	lost := 0.0
-	for _, c := range runs {
-		lost += c.lost
+	// lostFrom holds the work that is lost if all runs from an index on are restarted.
+	lostFrom := make([]float64, len(runs)+1)
+	for n := len(runs) - 1; n >= 0; n-- {
+		lostFrom[n] = lostFrom[n+1] + runs[n].lost
 	}
 	best, least, bestAt, ended := releasePlan{}, math.Inf(1), 0, 0.0
 	for n := 0; n <= len(runs); n++ {
@@ -128,11 +129,8 @@
 			c := runs[n-1]
 			wait = max(wait, c.left)
 			ended += work(c.need, c.left)
-			lost = 0
-			for _, later := range runs[n:] {
-				lost += later.lost
-			}
 		}
+		lost := lostFrom[n]
 		unused := max(0, work(w.Capacity, wait)-ended)
 		if lost+unused < least {
 			least, bestAt = lost+unused, n
--- a/jaysched/vacating.go
+++ b/jaysched/vacating.go
@@ -29,6 +29,8 @@
 	// formerUntil is when its orders expire. A command that it sent may still arrive.
 	former      map[string]bool
 	formerUntil time.Duration
+	// pass counts the passes over the runs of closed workers.
+	pass int
 }
 
 // ordered reports whether the present owner of the fleet ordered to vacate a worker.
@@ -90,6 +92,7 @@
 			w.open()
 		}
 	}
+	p.vacating.pass++
 	for _, w := range p.sorted {
 		if w.contact != connected || !w.closed && !w.Draining {
 			continue
@@ -97,7 +100,7 @@
 		for _, r := range w.inOrder {
 			if r.phase == running && p.shouldStop(r, now) {
 				p.recordEvent(Event{Kind: RunStopped, Worker: w.ID, Run: r.ref(), Detail: "vacating"}, now)
-				p.stop(r, "vacating", now)
+				p.evict(r, now)
 			}
 		}
 		p.restartRuns(w, now)
