Bound the time that a pool's owner spends on estimates of its demand

Cause: the fleet's owner asks for a pool's demand every 150 ms, and at once when it has new orders, however long the last estimate took; the goroutine that estimates it also renews the leases.

Change: estimates take at most an eighth of the goroutine's time. Beyond that the fleet's owner gets the last estimates with the present loads, so that no worker with runs is taken for vacated. The duration of each call of the goroutine is in jaythread_pool_call_duration_seconds, "call took long" names calls from 200 ms on, and "owner was busy" is logged in place of "process was paused" if the process has used at least an eighth of the delay as processor time. In both cases the owner must be confirmed again, as before.

--- a/jayclock/clock.go
+++ b/jayclock/clock.go
@@ -24,6 +24,16 @@
 	return time.Duration(t.Nano())
 }
 
+// Processor returns the processor time that this process has used.
+func Processor() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_PROCESS_CPUTIME_ID, &t); err != nil {
+		// Every supported kernel provides this clock.
+		panic("read the processor time: " + err.Error())
+	}
+	return time.Duration(t.Nano())
+}
+
 // Since returns a clock that counts from start by Go's own clock, for tests that
 // run with a fake clock.
 func Since(start time.Time) Clock {
--- a/jaymetric/jobs.go
+++ b/jaymetric/jobs.go
@@ -24,6 +24,7 @@
 	taskWait          *prometheus.HistogramVec
 	jobDuration       *prometheus.HistogramVec
 	endRecording      *prometheus.HistogramVec
+	poolCallDuration  *prometheus.HistogramVec
 	commands          *prometheus.CounterVec
 	dutyChanges       *prometheus.CounterVec
 	hostsGiven        *prometheus.CounterVec
@@ -79,6 +80,7 @@
 		poolEvents:        newCounterVec("jaythread_pool_events_total", "What the owner of a pool decided or learned, as in its log lines.", "pool", "event"),
 		taskWait:          newHistogramVec("jaythread_task_wait_seconds", "Time from when a task could start to its start.", "pool"),
 		jobDuration:       newHistogramVec("jaythread_job_duration_seconds", "Time from a job's submission to its end.", "pool"),
+		poolCallDuration:  newHistogramVec("jaythread_pool_call_duration_seconds", "Calls of the goroutines that own pools: leases are renewed only between them.", "call"),
 		endRecording:      newHistogramVec("jaythread_job_end_recording_seconds", "Time from a job's end until it is recorded, so that callers are shown it.", "pool"),
 		commands:          newCounterVec("jaythread_host_commands_total", "Moves and maintenances of instances by outcome.", "command", "outcome"),
 		hostsGiven:        newCounterVec("jaythread_hosts_given_total", "Instances that a pool was asked to give to another one and has emptied, by reason.", "pool", "reason"),
@@ -101,7 +103,7 @@
 			Name: "jaythread_start_limit", Help: "Present limit of starts in flight, in the pools that this entry owns.",
 		}, []string{"pool"}),
 	}
-	m.Registry.MustRegister(m.startsHeldBack, m.startLimit, m.burstPredictions, m.hostsGiven, m.workLost, m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.endRecording, m.commands, m.dutyChanges, m.beyondShare, m.share)
+	m.Registry.MustRegister(m.startsHeldBack, m.startLimit, m.burstPredictions, m.hostsGiven, m.workLost, m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.endRecording, m.poolCallDuration, m.commands, m.dutyChanges, m.beyondShare, m.share)
 	m.Runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -169,6 +171,11 @@
 	m.workLost.WithLabelValues(pool).Add(coreSeconds)
 }
 
+// PoolCallEnded records a call of the goroutine that owns a pool.
+func (m *JobMetrics) PoolCallEnded(call string, took time.Duration) {
+	m.poolCallDuration.WithLabelValues(call).Observe(took.Seconds())
+}
+
 // DutyChanged counts a duty that this entry took over or ended.
 func (m *JobMetrics) DutyChanged(duty, change string) {
 	m.dutyChanges.WithLabelValues(duty, change).Inc()
--- a/jaynode/demand.go
+++ b/jaynode/demand.go
@@ -54,7 +54,7 @@
 		if len(ask.Arriving) > 0 {
 			duty.pool.SetArriving(decodeArriving(ask.Arriving), now)
 		}
-		demand := duty.pool.Demand(now)
+		demand := duty.demand(now)
 		writeDemand(report, demand)
 		duty.loads.Report(report, encodeLoads(demand.Loads), now.Milliseconds(), ask.LoadsEpoch, ask.LoadsReport)
 		if ask.Quota != nil {
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -75,6 +75,8 @@
 	nextSharesAt  time.Duration
 	takeoverDelay jayownership.TakeoverDelay
 	disputes      disputes
+	calls         ownerCalls
+	demandBudget  demandBudget
 	// heldBack tracks for how long the limit of starts in flight holds tasks back.
 	heldBack heldBack
 	// lastActiveAt is when the duty's goroutine last processed an event or began a step.
@@ -165,7 +167,7 @@
 		}
 		now := d.node.clock()
 		d.detectPause(now)
-		handle(now)
+		d.call(callEvent, func() { handle(now) })
 	}
 	now := d.node.clock()
 	d.detectPause(now)
@@ -173,13 +175,15 @@
 	d.reviewTakeoverDelay()
 	d.pool.JobsKnown(jobsAsOf)
 	d.pool.SetStarts(d.latency.Starts())
-	for _, action := range d.pool.Decide(now) {
-		d.perform(action)
-	}
+	d.call(callDecide, func() {
+		for _, action := range d.pool.Decide(now) {
+			d.perform(action)
+		}
+	})
 	d.lacksRoom.Store(d.pool.LacksRoom())
 	d.places.Store(int64(d.pool.Places()))
 	d.jobBytes.Store(d.pool.Footprint())
-	d.flush()
+	d.call(callRecord, d.flush)
 	d.expire(now)
 	d.logEvents()
 	d.countShares(now)
--- a/jaynode/poolownership.go
+++ b/jaynode/poolownership.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"jaythread/jayclock"
 )
 
 // updateOwnership passes the pool the time up to which this owner is confirmed, if the
@@ -20,15 +22,22 @@
 // not only slow. It is several ticks long.
 const pauseThreshold = 500 * time.Millisecond
 
-// detectPause notifies the pool if the process was paused since the last call. It is
-// called before each event, since the event may be a query that must not be answered from
-// old state.
+// detectPause notifies the pool if the duty's goroutine has done nothing else for long since the last call of
+// this method: since the process was paused, or since a call took long. In either case the owner may have
+// been replaced. It is called before each event, since the event may be a query that must not be answered
+// from old state.
 func (d *poolDuty) detectPause(now time.Duration) {
-	if d.lastActiveAt > 0 && now-d.lastActiveAt > pauseThreshold {
-		d.logger.Info("process was paused", "lasted", (now - d.lastActiveAt).String())
+	processor := jayclock.Processor()
+	if delay := now - d.lastActiveAt; d.lastActiveAt > 0 && delay > pauseThreshold {
+		used := processor - d.calls.processorAt
+		if wasBusy(delay, used) {
+			d.logger.Info("owner was busy", "lasted", delay.String(), "call", d.calls.name, "processorTime", used.String())
+		} else {
+			d.logger.Info("process was paused", "lasted", delay.String(), "processorTime", used.String())
+		}
 		d.pool.OwnerPaused(now)
 	}
-	d.lastActiveAt = now
+	d.lastActiveAt, d.calls.processorAt = now, processor
 }
 
 // confirmOwner checks with the store whether this owner was replaced: a new owner begins
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -75,13 +75,45 @@
 		WorkersAtLeast: p.workersAtLeast(now),
 	}
 	for _, w := range p.sorted {
-		if w.contact == connected && w.listed && !w.Draining {
+		if w.reportsLoad() {
 			d.Loads = append(d.Loads, p.load(w, now))
 		}
 	}
 	return d
 }
 
+// UpdateDemand returns the present demand with the estimates of an earlier one. Which workers have runs, and
+// which are vacated, is that of the given time.
+func (p *Pool) UpdateDemand(earlier Demand, now time.Duration) Demand {
+	estimates := make(map[string]Load, len(earlier.Loads))
+	for _, l := range earlier.Loads {
+		estimates[l.Worker] = l
+	}
+	d := earlier
+	d.Loads = nil
+	for _, w := range p.sorted {
+		if !w.reportsLoad() {
+			continue
+		}
+		l := p.presentLoad(w, now)
+		estimate, known := estimates[w.ID]
+		switch {
+		case l.Runs == 0:
+		case known && l.LongRuns == 0:
+			l.EmptyIn, l.RestartCost, l.Restartable = estimate.EmptyIn, estimate.RestartCost, estimate.Restartable
+		default:
+			l.EmptyIn = MaxDuration
+		}
+		d.Loads = append(d.Loads, l)
+	}
+	return d
+}
+
+// reportsLoad reports whether the worker's load is part of the demand.
+func (w *worker) reportsLoad() bool {
+	return w.contact == connected && w.listed && !w.Draining
+}
+
 // usage is what the tasks that run or could run now need, in thousandths of a core.
 type usage struct {
 	milli int64
@@ -126,23 +158,29 @@
 	return total
 }
 
-func (p *Pool) load(w *worker, now time.Duration) Load {
+// presentLoad returns the load of a worker without what is estimated.
+func (p *Pool) presentLoad(w *worker, now time.Duration) Load {
 	l := Load{Worker: w.ID, CapacityMilli: w.Capacity.ProcessorsMilli, UsedMilli: w.Capacity.ProcessorsMilli - w.free.ProcessorsMilli, Runs: len(w.runs), SpeedPercent: w.speedPercent()}
 	if w.lastDone > w.acknowledged || w.unaccountedRuns > 0 || len(w.unknownJobs) > 0 {
 		l.Runs++
 	}
+	l.LongRuns = w.longRuns
+	if l.Runs == 0 {
+		l.Idle = now - w.idleSince
+		l.Vacated = w.closed && p.vacating.ordered(w.ID)
+	}
+	return l
+}
+
+func (p *Pool) load(w *worker, now time.Duration) Load {
+	l := p.presentLoad(w, now)
 	for _, r := range w.runs {
 		if r.task.step.decl.LongRunning {
-			l.LongRuns++
 			l.EmptyIn = MaxDuration
-			continue
+			break
 		}
 		l.EmptyIn = max(l.EmptyIn, p.timeToEmpty(r, now))
 	}
-	if l.Runs == 0 {
-		l.Idle = now - w.idleSince
-		l.Vacated = w.closed && p.vacating.ordered(w.ID)
-	}
 	p.addRelease(&l, w, now)
 	return l
 }
