Resume all members of a gang from the same checkpoint

Cause: placeGang started each member from its own task's checkpoint.

Change: a gang has one checkpoint, the one that was heard of last from any member; one of an earlier run than the latest that has saved is ignored. Records hold it for each task, as before.

In trial_test.go a field has another name.

--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -142,7 +142,7 @@
 
 // start begins a run of a task on a worker.
 func (p *Pool) start(t *task, w *worker, number int64, now time.Duration) {
-	r := &run{task: t, worker: w, number: number, need: needOf(t.step), orderedAt: now, checkpoint: t.checkpoint, isolation: t.isolation()}
+	r := &run{task: t, worker: w, number: number, need: needOf(t.step), orderedAt: now, checkpoint: t.checkpoint(), isolation: t.isolation()}
 	if t.step.job.advised {
 		r.ticket, _ = t.step.ticketFor(w.ID, now)
 	}
--- a/jaysched/ends.go
+++ b/jaysched/ends.go
@@ -53,8 +53,8 @@
 	t.trialShown(end.Run.Number, w, false)
 	p.endTrial(t, end.Run.Number)
 	t.step.gangRun = max(t.step.gangRun, end.Run.Number)
-	if end.Checkpoint != "" && t.step.decl.Checkpoint && !t.done && len(t.runs) == 0 {
-		t.checkpoint = end.Checkpoint
+	if !t.done && len(t.runs) == 0 {
+		t.saveCheckpoint(end.Checkpoint, end.Run.Number)
 	}
 	switch end.Ending {
 	case jayport.EndedDone:
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -134,8 +134,11 @@
 	done []byte
 	// rack is the rack on which a rack-local step runs.
 	rack string
-	// gangRun is the number of the gang's latest run.
-	gangRun int64
+	// gangRun is the number of the gang's latest run, gangCheckpoint the one of its members' checkpoints that
+	// all of them resume from, and gangCheckpointRun the run that it is from.
+	gangRun           int64
+	gangCheckpoint    string
+	gangCheckpointRun int64
 	// placed counts the present runs of the step's tasks on each worker.
 	placed map[*worker]int
 	// advice holds the advisor's answers, for a queue that has an advisor.
@@ -177,10 +180,11 @@
 	step  *step
 	index int
 	done  bool
+	// ownCheckpoint is the task's checkpoint unless it is a member of a gang, see checkpoint.
+	ownCheckpoint string
 	// failedRuns are the numbers of the runs that have ended as failed. The numbers are kept,
 	// since a worker repeats an end that was recorded but not acknowledged.
 	failedRuns []int64
-	checkpoint string
 	// runs are the present runs; only a task of a speculative step has more than one.
 	runs []*run
 	// lastRun is the number of the task's latest run.
@@ -211,6 +215,27 @@
 	return jayport.TaskID{Job: t.step.id.Job, Occurrence: t.step.id.Occurrence, Step: t.step.id.Step, Index: t.index}
 }
 
+// checkpoint returns the checkpoint that the task resumes from, or an empty one. That of any member of a gang is
+// valid for the gang, and all members must resume from the same one.
+func (t *task) checkpoint() string {
+	if t.step.decl.Gang {
+		return t.step.gangCheckpoint
+	}
+	return t.ownCheckpoint
+}
+
+// saveCheckpoint sets the checkpoint of a run of the task. For a gang, the one that was heard of last counts, but
+// none from before its latest run with a checkpoint.
+func (t *task) saveCheckpoint(checkpoint string, run int64) {
+	switch s := t.step; {
+	case checkpoint == "" || !s.decl.Checkpoint:
+	case !s.decl.Gang:
+		t.ownCheckpoint = checkpoint
+	case run >= s.gangCheckpointRun:
+		s.gangCheckpoint, s.gangCheckpointRun = checkpoint, run
+	}
+}
+
 // waiting reports whether the task needs a worker.
 func (t *task) waiting() bool {
 	return !t.done && !t.parked && len(t.runs) == 0
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -319,9 +319,7 @@
 	if r, known := w.runs[active.Run]; known {
 		p.confirm(r, now)
 		r.speed, r.load = active.Speed, active.Load
-		if active.Checkpoint != "" && r.task.step.decl.Checkpoint {
-			r.task.checkpoint = active.Checkpoint
-		}
+		r.task.saveCheckpoint(active.Checkpoint, active.Run.Number)
 		return true
 	}
 	t := p.taskOf(active.Run.Task)
@@ -340,9 +338,7 @@
 	t.mayRunUnreported = false
 	t.trialShown(r.number, w, true)
 	t.step.job.started = true
-	if active.Checkpoint != "" && t.step.decl.Checkpoint {
-		t.checkpoint = active.Checkpoint
-	}
+	t.saveCheckpoint(active.Checkpoint, active.Run.Number)
 	p.recordEvent(Event{Kind: RunAdopted, Worker: w.ID, Run: active.Run}, now)
 	return true
 }
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -163,14 +163,14 @@
 	record := &jaywire.StepProgress{Occurrence: uint32(s.id.Occurrence), Step: uint32(s.id.Step), Done: slices.Clone(s.done)}
 	for _, t := range s.tasks {
 		trialRun := t.recordedTrial().run
-		progressed := len(t.failedRuns) > 0 || t.checkpoint != "" || len(t.crashes) > 0
+		progressed := len(t.failedRuns) > 0 || t.checkpoint() != "" || len(t.crashes) > 0
 		if !t.done && !progressed && trialRun > 0 {
 			*unsuspectedTrials++
 			progressed = *unsuspectedTrials <= maxUnsuspectedTrials
 		}
 		if !t.done && progressed {
 			record.Tasks = append(record.Tasks, &jaywire.TaskProgress{
-				Index: uint32(t.index), FailedRuns: t.failedRuns, Checkpoint: t.checkpoint, LastRun: t.lastRun, Crashes: t.crashRecords(), TrialRun: trialRun,
+				Index: uint32(t.index), FailedRuns: t.failedRuns, Checkpoint: t.checkpoint(), LastRun: t.lastRun, Crashes: t.crashRecords(), TrialRun: trialRun,
 			})
 		}
 	}
--- a/jaysched/restore.go
+++ b/jaysched/restore.go
@@ -100,8 +100,8 @@
 		if int(t.Index) < s.decl.Tasks && !hasBit(s.done, int(t.Index)) {
 			held := s.holdTask(int(t.Index))
 			held.failedRuns = t.FailedRuns
-			held.checkpoint = t.Checkpoint
 			held.lastRun = t.LastRun
+			held.saveCheckpoint(t.Checkpoint, t.LastRun)
 			held.restoreCrashes(t)
 		}
 	}
--- a/jaysched/speed.go
+++ b/jaysched/speed.go
@@ -428,7 +428,7 @@
 			}
 			w.pace.probingStep = s
 			t := s.waitingTask(func(t *task) bool {
-				return t.checkpoint == "" && p.mayStart(t, formerRuns, now) && p.allows(w, t, now)
+				return t.checkpoint() == "" && p.mayStart(t, formerRuns, now) && p.allows(w, t, now)
 			})
 			w.pace.probingStep = nil
 			if t != nil {
--- a/jaysched/trial_test.go
+++ b/jaysched/trial_test.go
@@ -111,7 +111,7 @@
 	})
 	over("the worker was lost long after the start", 0, func(w *harness, worker string) {
 		w.reportFor(crashRiskTime + time.Second)
-		w.pool.jobs["j"].earliest().steps[0].tasks[0].checkpoint = "half" // the task has a record
+		w.pool.jobs["j"].earliest().steps[0].tasks[0].ownCheckpoint = "half" // the task has a record
 	})
 }
 
