Don't reject jobs for waiting tasks that fit on no worker

Cause: the 80,000 tasks that fit on no worker counted as tasks that lack room, as waiting work and as arriving work, by which the outlook rejects jobs.

Change: a task that needs more than any worker has counts as none of these. It waits beside the others and takes no room from them. The demand still counts it, since another host may be larger.

--- a/jaysched/capacity.go
+++ b/jaysched/capacity.go
@@ -48,10 +48,26 @@
 	}
 }
 
+// fitsNoWorker reports whether a task needs more than any worker has. Such a task waits beside all others: it
+// takes no room from them, and counts neither as waiting nor as arriving work.
+func (p *Pool) fitsNoWorker(need jaypool.Resources) bool {
+	return p.maxCapacity != (jaypool.Resources{}) && !p.maxCapacity.Fits(need)
+}
+
+// waitsForLargerWorker reports whether the next task of a job fits on no worker.
+func (p *Pool) waitsForLargerWorker(j *job, now time.Duration) bool {
+	for _, s := range j.earliest().steps {
+		if s.waiting > 0 && s.ready(now) {
+			return p.fitsNoWorker(needOf(s))
+		}
+	}
+	return false
+}
+
 // noteTooLarge records, once per step, that no worker is large enough for a task of the step.
 func (p *Pool) noteTooLarge(s *step, now time.Duration) {
 	need := needOf(s)
-	if p.maxCapacity.Fits(need) {
+	if !p.fitsNoWorker(need) {
 		s.tooLarge = false
 		return
 	}
--- a/jaysched/deadline.go
+++ b/jaysched/deadline.go
@@ -76,7 +76,7 @@
 func (p *Pool) backlogged(now time.Duration) bool {
 	work, allowed, count := 0.0, 0.0, 0.0
 	for _, j := range p.open {
-		if j.longRunning || j.spec.Schedule.Timed() || j.deadlineStatus == expired {
+		if j.longRunning || j.spec.Schedule.Timed() || j.deadlineStatus == expired || p.waitsForLargerWorker(j, now) {
 			continue
 		}
 		if j.forecast.queue != nil && j.forecast.at == now {
--- a/jaysched/forecast.go
+++ b/jaysched/forecast.go
@@ -178,6 +178,9 @@
 	work := 0.0
 	for n := range spec.Steps {
 		s := &spec.Steps[n]
+		if p.fitsNoWorker(s.Need) {
+			continue
+		}
 		takes := p.durations.predict(spec.Queue, s.Estimate)
 		work += float64(s.Tasks) * float64(s.Need.ProcessorsMilli) * takes.Seconds()
 	}
--- a/jaysched/outlook.go
+++ b/jaysched/outlook.go
@@ -401,7 +401,7 @@
 	o.waitingMilli, o.reviewedAt = 0, now
 	clear(o.arrivingWork)
 	for _, j := range p.open {
-		if j.forecast.at != now || j.waiting == 0 || j.deadlineStatus == expired || p.waitsForQuota(j, now) {
+		if j.forecast.at != now || j.waiting == 0 || j.deadlineStatus == expired || p.waitsForQuota(j, now) || p.waitsForLargerWorker(j, now) {
 			continue
 		}
 		w, known := o.waiting[j.priority]
@@ -559,7 +559,7 @@
 	}
 	for n := range spec.Steps {
 		s := &spec.Steps[n]
-		if !s.Fills {
+		if !s.Fills && !p.fitsNoWorker(s.Need) {
 			a.work += float64(s.Tasks) * float64(s.Need.ProcessorsMilli) * p.durations.predict(spec.Queue, s.Estimate).Seconds()
 		}
 	}
@@ -583,7 +583,7 @@
 	return jaysupply.Lasting(now-p.overloadedSince(), arriving)
 }
 
-// overloadedSince returns when the present overload began. A task that fits no worker lacks room
+// overloadedSince returns when the present overload began. A task that no worker may run lacks room
 // for as long as it waits, so the overload is at most as old as the order by what can be on time.
 func (p *Pool) overloadedSince() time.Duration {
 	o := p.outlook
--- a/jaysched/outlook_test.go
+++ b/jaysched/outlook_test.go
@@ -285,3 +285,22 @@
 		})
 	}
 }
+
+// TestWorkThatFitsNoWorkerRejectsNoOther guards against jobs that are rejected beside free workers: a few others, whose
+// tasks are larger than any worker, counted as waiting work.
+func TestWorkThatFitsNoWorkerRejectsNoOther(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 4)
+	w.pool.settings.RejectHopeless = true
+	learn(w.pool, 1)
+	for n := range 8 {
+		declare(w, newSpec(fmt.Sprint("large", n), 1, tasks(1000, 500, 5000)))
+	}
+	w.passWithFleet(5 * time.Second)
+	is.True(!w.pool.LacksRoom())
+	is.True(!w.pool.Admit(newSpec("sound", 1), w.now).Rejected)
+	declare(w, newSpec("sound", 1))
+	w.passWithFleet(time.Second)
+	is.True(w.pool.jobs["sound"].started)
+	is.Equal(w.pool.jobs["sound"].deadlineStatus, onTime)
+}
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -51,7 +51,7 @@
 		return
 	}
 	noRoom := p.smallerNeedUnmet(s) && !p.slowWorkerSuits(s, now)
-	p.lackedRoom = p.lackedRoom || noRoom
+	p.lackedRoom = p.lackedRoom || noRoom && !p.fitsNoWorker(needOf(s))
 	for n := 0; n < len(s.tasks) || !noRoom; n++ {
 		if p.startsLeft <= 0 || noRoom && !s.suspected && !s.decl.LongRunning {
 			return
@@ -115,7 +115,7 @@
 // noWorkerFound handles a task for which no worker has room, and reserves a worker where that
 // helps. It returns false if the other tasks of its step find no worker either.
 func (p *Pool) noWorkerFound(t *task, now time.Duration) (tryNext bool) {
-	p.lackedRoom = true
+	p.lackedRoom = p.lackedRoom || !p.fitsNoWorker(t.need())
 	if t.isolation() > watched {
 		p.reserveIsolated(t, now)
 		return true
@@ -175,7 +175,7 @@
 		s.countPlaced(w, -1)
 	}
 	if len(chosen) < len(s.tasks) {
-		p.lackedRoom = true
+		p.lackedRoom = p.lackedRoom || !p.fitsNoWorker(needOf(s))
 		return
 	}
 	admitted := true
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -102,7 +102,7 @@
 	open []*job
 	// noRoom are the needs that no worker could meet in the present decision.
 	noRoom []jaypool.Resources
-	// lackedRoom says that some task found no worker in the latest decision.
+	// lackedRoom says that some task that fits on a worker found none in the latest decision.
 	lackedRoom bool
 	// reservedForSuspects counts the workers that are reserved for suspects in the present
 	// decision.
