Record the progress of wide jobs in several records

Cause: a job's progress was one record whatever its size, and trials of tasks with other progress were not bounded.

Change: progress of more than 128 KB is divided into further records (jaypart) that are appended together. The first has everything but the tasks for which it has no room; a job with a missing part is held as one whose progress cannot be read. All trials of unsuspected tasks count for their limit, and an append holds at most 1.5 MB unless a single job needs more.

--- a/jaynode/expire.go
+++ b/jaynode/expire.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jaythread/jayjournal"
+	"jaythread/jaypart"
 	"jaythread/jayport"
 )
 
@@ -50,10 +51,21 @@
 			removed(err)
 			return
 		}
-		addToJournal(d.journal, d.removals(ids), removed)
+		d.post(func(time.Duration) { addToJournal(d.journal, d.progressRemovals(ids), removed) })
 	})
 }
 
+// progressRemovals returns the records that remove the progress of jobs.
+func (d *poolDuty) progressRemovals(ids []string) []jayport.Record {
+	removals := d.removals(ids)
+	for _, id := range ids {
+		for n := range d.parts[id] {
+			removals = append(removals, jayport.Record{Key: jobKey(d.name, jaypart.ID(id, n+1))})
+		}
+	}
+	return removals
+}
+
 // removals returns the records that remove those of jobs.
 func (d *poolDuty) removals(ids []string) []jayport.Record {
 	removals := make([]jayport.Record, 0, len(ids))
@@ -85,6 +97,7 @@
 	for _, id := range ids {
 		d.storedJobs.Delete(id)
 		d.canceled.Delete(id)
+		delete(d.parts, id)
 	}
 }
 
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -74,9 +74,11 @@
 	// nextSharesAt is when the organisations' shares are passed to the metrics next.
 	nextSharesAt  time.Duration
 	takeoverDelay jayownership.TakeoverDelay
-	disputes      disputes
-	calls         ownerCalls
-	demandBudget  demandBudget
+	// parts is the number of further records that the progress of a job has had, by the job's ID.
+	parts        map[string]int
+	disputes     disputes
+	calls        ownerCalls
+	demandBudget demandBudget
 	// heldBack tracks for how long the limit of starts in flight holds tasks back.
 	heldBack heldBack
 	// lastActiveAt is when the duty's goroutine last processed an event or began a step.
@@ -90,6 +92,7 @@
 		name:    name,
 		latency: jaysched.NewLatency(),
 		loads:   jayload.NewSender(),
+		parts:   map[string]int{},
 
 		disputes: newDisputes(),
 	}
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -14,6 +14,7 @@
 
 	"jaythread/jayclock"
 	"jaythread/jayownership"
+	"jaythread/jaypart"
 	"jaythread/jayport"
 	"jaythread/jaysched"
 	"jaythread/jayspec"
@@ -123,7 +124,7 @@
 // loadProgress reads the progress records of the pool by job ID and retries until it
 // succeeds or the duty ends.
 func (d *poolDuty) loadProgress() map[string]*jaywire.JobProgress {
-	c := &progressCollector{pool: d.name, byJob: map[string]*jaywire.JobProgress{}, logger: d.logger, delay: &d.takeoverDelay}
+	c := &progressCollector{pool: d.name, byJob: map[string]*jaywire.JobProgress{}, parts: map[string]map[int]*jaywire.JobProgress{}, logger: d.logger, delay: &d.takeoverDelay}
 	tail := jaytail.New(d.node.store, d.node.ports.Formats.Own(topicProgress, d.node.partitionOf(d.name)),
 		jaytail.Options{Prefix: d.name + "/"}, c, d.node.clock, d.logger)
 	for d.ctx.Err() == nil {
@@ -134,14 +135,19 @@
 		d.logger.Info("reading job progress failed; retrying", "error", err.Error())
 		jayclock.Sleep(d.ctx, storeRetryDelay)
 	}
-	return c.byJob
+	for id, parts := range c.parts {
+		d.parts[id] = slices.Max(slices.Collect(maps.Keys(parts)))
+	}
+	return c.joined()
 }
 
 // progressCollector collects a pool's progress records by job ID. A record that cannot be
 // decoded becomes nil, so that it does not prevent the takeover of the pool.
 type progressCollector struct {
-	pool   string
-	byJob  map[string]*jaywire.JobProgress
+	pool  string
+	byJob map[string]*jaywire.JobProgress
+	// parts are the further records of jobs whose progress has several.
+	parts  map[string]map[int]*jaywire.JobProgress
 	logger logr.Logger
 	// delay receives the takeover delay.
 	delay *jayownership.TakeoverDelay
@@ -150,6 +156,7 @@
 // Reset discards the collected records before a reload.
 func (c *progressCollector) Reset() {
 	clear(c.byJob)
+	clear(c.parts)
 	c.delay.Restore(0)
 }
 
@@ -167,7 +174,26 @@
 		c.logger.Error(err, "job progress cannot be decoded", "key", r.Key)
 		record = nil
 	}
-	c.byJob[jobID(c.pool, r.Key)] = record
+	job, part := jaypart.ParseID(jobID(c.pool, r.Key))
+	if part == 0 {
+		c.byJob[job] = record
+		return
+	}
+	if c.parts[job] == nil {
+		c.parts[job] = map[int]*jaywire.JobProgress{}
+	}
+	c.parts[job][part] = record
+}
+
+// joined returns the progress of each job. That of a job with a missing part cannot be read.
+func (c *progressCollector) joined() map[string]*jaywire.JobProgress {
+	for id, record := range c.byJob {
+		if record != nil && !jaypart.Join(record, c.parts[id]) {
+			c.logger.Info("job progress lacks a part", "job", id, "parts", record.Parts, "found", len(c.parts[id]))
+			c.byJob[id] = nil
+		}
+	}
+	return c.byJob
 }
 
 // CaughtUp implements jaytail.Handler and does nothing.
@@ -182,11 +208,17 @@
 		if progress.Outcome != jaywire.JobOutcome_JOB_OUTCOME_UNSPECIFIED {
 			progress.EndedUnixMillis = time.Now().UnixMilli()
 		}
-		value, err := proto.Marshal(progress)
-		if err != nil {
-			return nil, fmt.Errorf("progress of job %q cannot be encoded: %w", id, err)
+		parts := jaypart.Split(progress, jaypart.MaxBytes)
+		if len(parts) > 1 {
+			d.parts[id] = max(d.parts[id], len(parts)-1)
+		}
+		for n, part := range parts {
+			value, err := proto.Marshal(part)
+			if err != nil {
+				return nil, fmt.Errorf("progress of job %q cannot be encoded: %w", id, err)
+			}
+			records = append(records, jayport.Record{Key: jobKey(d.name, jaypart.ID(id, n)), Value: value})
 		}
-		records = append(records, jayport.Record{Key: jobKey(d.name, id), Value: value})
 	}
 	slices.SortFunc(records, func(a, b jayport.Record) int { return strings.Compare(a.Key, b.Key) })
 	return records, nil
--- a/jaynode/toolarge_test.go
+++ b/jaynode/toolarge_test.go
@@ -66,3 +66,37 @@
 		is.True(newestOf(w, topicProgress, jobKey("seats", fmt.Sprintf("%016x", jobs))) != nil)
 	})
 }
+
+// Guards against a pool without an owner: the progress of a job whose tasks have saved is larger than the store's
+// records, and each owner gives the pool up.
+func TestProgressOfAWideJobIsRecordedInParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newPoolFixture(t, 1)
+		w.refreshClaimsFor(time.Second)
+		const tasks = 10_000
+		job := jobOf(fmt.Sprintf("%016x", 1), time.Second)
+		job.Steps = []jayspec.Step{{Tasks: tasks, Checkpoint: true, Need: jaypool.Resources{ProcessorsMilli: 1 << 30}}}
+		var ended []jayport.EndedRun
+		for index := range tasks {
+			run := jayport.RunRef{Task: jayport.TaskID{Job: job.ID, Index: index}, Number: 1 << 40}
+			ended = append(ended, jayport.EndedRun{Number: int64(index + 1), Run: run, Ending: jayport.EndedStopped, Checkpoint: "00000bb87a21d94b"})
+		}
+		w.duty.post(func(now time.Duration) {
+			w.duty.pool.Declare(job, now)
+			w.duty.pool.Reported(jayport.WorkerRef{ID: "w0"}, jayport.Report{Clock: now, Ended: ended}, now, now)
+			ended = append(ended, jayport.EndedRun{Number: tasks + 1, Run: jayport.RunRef{Task: jayport.TaskID{Job: job.ID}, Number: 1<<40 + 1}, Ending: jayport.EndedFailed})
+			job.Policy.Attempts = 3
+			w.duty.pool.Reported(jayport.WorkerRef{ID: "w0"}, jayport.Report{Clock: now, Ended: ended[tasks:]}, now, now)
+		})
+		w.refreshClaimsFor(2 * time.Second)
+		is.NoErr(w.duty.ctx.Err())
+		is.True(newestOf(w, topicProgress, jobKey("seats", job.ID+"#1")) != nil)
+		w.replaceOwner()
+		progress := w.duty.loadProgress()[job.ID]
+		is.Equal(len(progress.GetSteps()), 1)
+		is.Equal(len(progress.Steps[0].Tasks), tasks)
+		is.Equal(progress.Steps[0].Tasks[tasks-1].Checkpoint, "00000bb87a21d94b")
+		is.Equal(w.duty.parts[job.ID], int(progress.Parts))
+	})
+}
--- a/jaysched/crash.go
+++ b/jaysched/crash.go
@@ -217,14 +217,14 @@
 	})
 }
 
-// crashRecords returns the losses that the task may have caused in their stored form. The one of the
-// recorded trial is among them: it is a loss only if its worker is gone.
-func (t *task) crashRecords() []*jaywire.WorkerCrash {
+// crashRecords returns the losses that the task may have caused in their stored form. That of the recorded
+// trial, if it is wanted, is among them: it is a loss only if its worker is gone.
+func (t *task) crashRecords(withTrial bool) []*jaywire.WorkerCrash {
 	var records []*jaywire.WorkerCrash
 	for _, c := range t.crashes {
 		records = append(records, c.record())
 	}
-	if c := t.recordedTrial(); c.run > 0 {
+	if c := t.recordedTrial(); withTrial && c.run > 0 {
 		records = append(records, c.trialRecord())
 	}
 	return records
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -47,9 +47,10 @@
 }
 
 const (
-	// maxBatchBytes is the size of a batch from which no further job is added to it. The store accepts
-	// twice as much, and one record is at most a quarter of it.
-	maxBatchBytes = 1 << 20
+	// maxBatchBytes is the size of a batch from which no further job is added to it, maxAppendBytes the size
+	// that it must not exceed unless a single job does. The store accepts twice maxBatchBytes.
+	maxBatchBytes  = 1 << 20
+	maxAppendBytes = maxBatchBytes * 3 / 2
 	// recordOverhead bounds what a record takes beside the progress: its key and the time of the end.
 	recordOverhead = 256
 )
@@ -63,13 +64,19 @@
 		if size >= maxBatchBytes {
 			break
 		}
-		taken++
-		j.dirty = false
 		if j.unreadable && j.outcome == Open {
+			taken++
+			j.dirty = false
 			continue
 		}
 		progress := j.progress()
-		size += recordOverhead + proto.Size(progress)
+		more := recordOverhead + proto.Size(progress)
+		if size > 0 && size+more > maxAppendBytes {
+			break
+		}
+		taken++
+		j.dirty = false
+		size += more
 		b.Progress[j.spec.ID] = progress
 		b.outcomes[j.spec.ID] = j.outcome
 		j.eachTask(func(t *task) {
@@ -163,14 +170,14 @@
 	record := &jaywire.StepProgress{Occurrence: uint32(s.id.Occurrence), Step: uint32(s.id.Step), Done: slices.Clone(s.done)}
 	for _, t := range s.tasks {
 		trialRun := t.recordedTrial().run
-		progressed := len(t.failedRuns) > 0 || t.checkpoint() != "" || len(t.crashes) > 0
-		if !t.done && !progressed && trialRun > 0 {
-			*unsuspectedTrials++
-			progressed = *unsuspectedTrials <= maxUnsuspectedTrials
+		if !t.done && trialRun > 0 && len(t.crashes) == 0 {
+			if *unsuspectedTrials++; *unsuspectedTrials > maxUnsuspectedTrials {
+				trialRun = 0
+			}
 		}
-		if !t.done && progressed {
+		if !t.done && (len(t.failedRuns) > 0 || t.checkpoint() != "" || len(t.crashes) > 0 || trialRun > 0) {
 			record.Tasks = append(record.Tasks, &jaywire.TaskProgress{
-				Index: uint32(t.index), FailedRuns: t.failedRuns, Checkpoint: t.checkpoint(), LastRun: t.lastRun, Crashes: t.crashRecords(), TrialRun: trialRun,
+				Index: uint32(t.index), FailedRuns: t.failedRuns, Checkpoint: t.checkpoint(), LastRun: t.lastRun, Crashes: t.crashRecords(trialRun > 0), TrialRun: trialRun,
 			})
 		}
 	}
