Keep cancellations of unknown jobs when their queue changes its pool

Callers saw: a DELETE of a job that is not known is answered with 410; if the queue then changes its pool, a later submission of the ID is accepted, and a record of the job that is still under way would begin it.

Cause: the cancellation is kept in the pool that the queue had then, and the new pool asked other pools about jobs only if they had recorded the queue, which a pool without jobs had not.

Change: a queue with such a cancellation is recorded like one with jobs, before the 410. The owners of all pools of the queue are asked before it, so that they ask in turn. A submission of a cancelled ID is answered with 409 whichever pool keeps the cancellation.

--- a/jaycancel/register.go
+++ b/jaycancel/register.go
@@ -69,6 +69,11 @@
 	return c.recorded == c.version, added, true
 }
 
+// Len returns the number of jobs whose cancellation is kept.
+func (r *Register) Len() int {
+	return len(r.kept)
+}
+
 // Covers reports whether a job of an organisation is cancelled.
 func (r *Register) Covers(id, organisation string) bool {
 	c, known := r.kept[id]
--- a/jaynode/homes.go
+++ b/jaynode/homes.go
@@ -47,27 +47,46 @@
 	// withdrawn. It is used only by the duty's goroutine.
 	withdrawn map[string]time.Duration
 
+	// canceledAt holds the addresses of the queues with cancellations of unknown jobs, which count as jobs.
+	// It is used only by the duty's goroutine.
+	canceledAt map[string]bool
+
 	// nextRemovalAt is used only by the goroutine that settles jobs.
 	nextRemovalAt time.Duration
 }
 
 func newDisputes() disputes {
-	return disputes{wake: make(chan struct{}, 1), withdrawn: map[string]time.Duration{}}
+	return disputes{wake: make(chan struct{}, 1), withdrawn: map[string]time.Duration{}, canceledAt: map[string]bool{}}
 }
 
 // dispute holds a job that another pool may have received too. It is called by the duty's goroutine
 // before the pool decides on the job.
 func (d *poolDuty) dispute(job *jayspec.Job, now time.Duration) {
 	disputed := len(d.node.homes.Others(job.Address, d.name)) > 0 && d.pool.Dispute(job.ID, now)
-	if !disputed && d.node.homes.HasRecorded(d.name, job.Address) {
-		return
+	if disputed || !d.node.homes.HasRecorded(d.name, job.Address) {
+		d.wakeSettling()
 	}
+}
+
+// wakeSettling wakes the goroutine that records queues and settles jobs.
+func (d *poolDuty) wakeSettling() {
 	select {
 	case d.disputes.wake <- struct{}{}:
 	default:
 	}
 }
 
+// keepQueue counts a queue among those of the pool while cancellations of unknown jobs are kept, and reports
+// whether it is recorded. It is called by the duty's goroutine.
+func (d *poolDuty) keepQueue(address string) (recorded bool) {
+	if address == "" || d.node.homes.HasRecorded(d.name, address) {
+		return true
+	}
+	d.disputes.canceledAt[address] = true
+	d.wakeSettling()
+	return false
+}
+
 // settleJobs keeps the pool's queues recorded and settles disputed jobs until the duty ends.
 func (d *poolDuty) settleJobs() {
 	review := time.NewTicker(queuesInterval)
@@ -95,7 +114,7 @@
 func (d *poolDuty) recordQueues(also []*jayspec.Job) bool {
 	var queues map[string]bool
 	var complete bool
-	if !d.ask(func() { queues, complete = d.pool.Addresses() }, askTimeout) {
+	if !d.ask(func() { queues, complete = d.addresses() }, askTimeout) {
 		return false
 	}
 	for _, job := range also {
@@ -120,6 +139,17 @@
 	return true
 }
 
+// addresses returns the queues of the pool's jobs and cancellations; complete is false if there may be others.
+func (d *poolDuty) addresses() (queues map[string]bool, complete bool) {
+	queues, complete = d.pool.Addresses()
+	if !d.pool.KeepsCancellations() {
+		clear(d.disputes.canceledAt)
+		return queues, complete
+	}
+	maps.Copy(queues, d.disputes.canceledAt)
+	return queues, false
+}
+
 // settleRound asks the owners of other pools about all disputed jobs and settles or withdraws those that
 // the answers allow. It reports whether any job remains.
 func (d *poolDuty) settleRound() (more bool) {
@@ -309,7 +339,7 @@
 			if held == jayhome.Disputed && jayhome.GoesFirst(ask.Asker, ask.Pool) {
 				duty.pool.Concede(job.Job, now)
 			}
-			answer.Jobs = append(answer.Jobs, &jaywire.Holding{Job: job.Job, State: encodeHolding(held), Organisation: organisation})
+			answer.Jobs = append(answer.Jobs, &jaywire.Holding{Job: job.Job, State: encodeHolding(held), Organisation: organisation, Canceled: duty.pool.CanceledBefore(job.Job, job.Organisation)})
 		}
 	}, askTimeout)
 	if !asked {
@@ -318,12 +348,12 @@
 	return answer
 }
 
-// storedElsewhere reports whether another pool has a job, and that job's organisation. clear is false if
-// some pool has not answered.
-func (n *Node) storedElsewhere(job *jayspec.Job) (stored bool, organisation string, clear bool) {
+// storedElsewhere asks the owners of the other pools that may have a job. It returns what one of them has of the
+// job, or nil; clear is false if some pool has not answered and none has the job.
+func (n *Node) storedElsewhere(job *jayspec.Job) (holding *jaywire.Holding, clear bool) {
 	h := n.newHoldings(job.Pool, []*jayspec.Job{job})
 	if len(h.asked[job.ID]) == 0 {
-		return false, "", true
+		return nil, true
 	}
 	h.ask(n, job.Pool, []*jayspec.Job{job}, func(other string) (jayowner.Claim, bool) {
 		return n.members.Owners.OwnerOf(jayowner.PoolDuty(other))
@@ -332,11 +362,11 @@
 	for _, other := range h.asked[job.ID] {
 		held, answered := h.held[other]
 		if holding, has := held[job.ID]; has {
-			return true, holding.Organisation, true
+			return holding, true
 		}
 		clear = clear && answered
 	}
-	return false, "", clear
+	return nil, clear
 }
 
 // mayBeElsewhere turns the refusal of a job that another pool may have into an error that leaves open whether
--- a/jaynode/intake.go
+++ b/jaynode/intake.go
@@ -102,11 +102,13 @@
 		return jayverdict.NewNotRun(statusBadRequest, err.Error(), 0)
 	}
 	until := i.node.clock() + deadline
-	stored, holder, clear := i.node.storedElsewhere(job)
-	switch {
-	case stored && holder != "" && holder != job.Organisation:
+	elsewhere, clear := i.node.storedElsewhere(job)
+	switch holder := elsewhere.GetOrganisation(); {
+	case elsewhere.GetCanceled():
+		return i.submitError(errCanceled)
+	case elsewhere != nil && holder != "" && holder != job.Organisation:
 		return i.submitError(errTaken)
-	case stored:
+	case elsewhere != nil:
 		return nil
 	case !clear:
 		return mayBeElsewhere(i.submitHere(job, value, until))
--- a/jaynode/queries.go
+++ b/jaynode/queries.go
@@ -10,6 +10,7 @@
 	"jaythread/jayowner"
 	"jaythread/jaypeer"
 	"jaythread/jaysched"
+	"jaythread/jayspec"
 	"jaythread/jaystop"
 	"jaythread/jayverdict"
 	"jaythread/jaywire"
@@ -82,16 +83,34 @@
 	}()
 	pool, until := queue.Pool, began+deadline
 	if len(n.homes.Others(queue.Address(), pool)) > 0 {
-		if pool, _, _, err = n.findJob(errCutCommand, queue, organisation, id, deadline); err != nil {
+		if pool, known, err = n.findForCancellation(queue, organisation, id, deadline); err != nil {
 			return false, err
 		}
 	}
 	_, known, err = n.askOwner(errCutCommand, pool, until-n.clock(), &jaywire.PeerRequest{Body: &jaywire.PeerRequest_CancelJob{
-		CancelJob: &jaywire.CancelJob{Pool: pool, Job: id, Organisation: &organisation},
+		CancelJob: &jaywire.CancelJob{Pool: pool, Job: id, Organisation: &organisation, Address: queue.Address()},
 	}})
 	return known, err
 }
 
+// findForCancellation returns the pool that has a job of a queue that several pools may have jobs of. If none
+// has, the owners of the others ask the queue's pool from then on, where the cancellation is kept, before
+// they begin a job whose record arrives later.
+func (n *Node) findForCancellation(queue jaycatalog.Queue, organisation, id string, deadline time.Duration) (pool string, known bool, err error) {
+	pool, _, known, err = n.findJob(errCutCommand, queue, organisation, id, deadline)
+	if err != nil || known {
+		return pool, known, err
+	}
+	elsewhere, clear := n.storedElsewhere(&jayspec.Job{ID: id, Organisation: organisation, Address: queue.Address(), Pool: queue.Pool})
+	if elsewhere.GetCanceled() {
+		return queue.Pool, false, nil
+	}
+	if elsewhere != nil || !clear {
+		return "", false, jayverdict.NewNotRun(statusUnavailable, "another pool of the queue may have the job", ownerRetryAfter)
+	}
+	return queue.Pool, false, nil
+}
+
 // logAnswer logs the answer to a caller's query about a job.
 func (i *intake) logAnswer(what, job string, known bool, took time.Duration, err error) {
 	switch {
@@ -238,6 +257,7 @@
 			recorded, kept = duty.pool.CancelUnknown(ask.Job, ask.GetOrganisation(), now)
 			if kept {
 				duty.canceled.Store(ask.Job, true)
+				recorded = duty.keepQueue(ask.Address) && recorded
 			}
 		}, askTimeout)
 		switch {
--- a/jaysched/cancellations.go
+++ b/jaysched/cancellations.go
@@ -23,6 +23,11 @@
 	return recorded, kept
 }
 
+// KeepsCancellations reports whether the pool keeps cancellations of unknown jobs.
+func (p *Pool) KeepsCancellations() bool {
+	return p.cancellations.Len() > 0
+}
+
 // CanceledBefore reports whether a job of an organisation was cancelled and is not declared yet.
 func (p *Pool) CanceledBefore(id, organisation string) bool {
 	return p.cancellations.Covers(id, organisation)
--- a/jaysoak/callers_test.go
+++ b/jaysoak/callers_test.go
@@ -176,7 +176,8 @@
 // are over.
 func (c *callers) runJob(number int, r *rand.Rand) {
 	j := c.newJob(number, []string{"/seats/", "/fees/"}[r.IntN(2)])
-	if !c.submit(j, c.jobBody(j, r), r) {
+	body := c.jobBody(j, r)
+	if !c.submit(j, body, r) {
 		return
 	}
 	if r.IntN(8) == 0 {
@@ -186,6 +187,9 @@
 			c.soak.fail("lost", j.id+" is unknown when it is cancelled")
 		}
 	}
+	if c.soak.scenario.moving && !j.cancelled {
+		c.repeat(j, body, r)
+	}
 	for n := 0; n < 4 || !c.soak.calm(); n++ {
 		time.Sleep(time.Duration(100+r.IntN(500)) * time.Millisecond / c.soak.scenario.askRate())
 		c.checkState(j, c.soak.anyEntry(r))
@@ -195,6 +199,15 @@
 	}
 }
 
+// repeat submits an accepted job once more, as a caller does whose answer was late.
+func (c *callers) repeat(j *job, body []byte, r *rand.Rand) {
+	time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
+	switch response := c.call(c.soak.anyEntry(r), j, http.MethodPost, body); response.status {
+	case http.StatusConflict, http.StatusBadRequest:
+		c.soak.fail("repeat", fmt.Sprintf("%s was accepted, and its repetition is refused: %d %s", j.id, response.status, response.text))
+	}
+}
+
 // submit submits a job, several times if need be, and reports whether it was accepted.
 func (c *callers) submit(j *job, body []byte, r *rand.Rand) bool {
 	j.refused, j.rejected, j.submitted = true, true, time.Now()
--- a/jaysoak/soak_test.go
+++ b/jaysoak/soak_test.go
@@ -51,6 +51,9 @@
 	// outages says that all faults are losses of entries and workers during outages of the store, and
 	// that callers keep asking for their jobs.
 	outages bool
+	// moving says that the queues change their pools, and that callers repeat submissions that were
+	// accepted.
+	moving bool
 }
 
 const (
@@ -65,12 +68,13 @@
 // decisions under overload are enabled in every third of these, without faults that only one entry
 // sees: more work is left after the longer ones than the workers can do in time. Every fourth one has
 // a large configuration, and every fifth one hurried callers. Every fifth one without overload has outages
-// and no large configuration, with which entries would hardly accept jobs between them.
+// and no large configuration, with which entries would hardly accept jobs between them. In every third one
+// the queues change their pools.
 func newScenario(seed uint64) scenario {
 	if n := slices.IndexFunc(regressions, func(s scenario) bool { return s.seed == seed }); n >= 0 {
 		return regressions[n]
 	}
-	s := scenario{seed: seed, faultKinds: allFaultKinds, overloaded: seed%3 == 2, hurried: seed%5 == 1}
+	s := scenario{seed: seed, faultKinds: allFaultKinds, overloaded: seed%3 == 2, hurried: seed%5 == 1, moving: seed%3 == 1}
 	if s.overloaded {
 		s.faultKinds = keyFaultKinds
 	}
@@ -177,8 +181,10 @@
 	entries       []*process
 	workerProxies proxyMap
 	organisations organisations
-	// version is the newest version of the configuration, guarded by organisations.configuring.
+	// version is the newest version of the configuration, and moved says that it assigns the queues to each
+	// other's pools; both are guarded by organisations.configuring.
 	version int
+	moved   bool
 	// outagesEnded is closed when the last outage is over, or there are none. outages counts them, and
 	// lostEnds the workers that crashed in them with unacknowledged ends.
 	outagesEnded      chan struct{}
@@ -322,6 +328,9 @@
 	} else {
 		close(s.outagesEnded)
 	}
+	if played.moving {
+		calls.Go(func() { s.moveQueues(until, rand.New(rand.NewPCG(seed, 10))) })
+	}
 	hurried := &hurriedCallers{callers: c}
 	if played.hurried {
 		calls.Go(func() { hurried.run(until, rand.New(rand.NewPCG(seed, 8))) })
@@ -434,7 +443,11 @@
 // write writes the configuration. The caller holds organisations.configuring, so that versions
 // are stored in their order.
 func (s *soak) write(version int) {
-	queues := [][3]string{{"a.example", "/seats/", "seats"}, {"a.example", "/fees/", "fees"}, {"a.example", versionPath(version), "seats"}}
+	seats, fees := "seats", "fees"
+	if s.moved {
+		seats, fees = fees, seats
+	}
+	queues := [][3]string{{"a.example", "/seats/", seats}, {"a.example", "/fees/", fees}, {"a.example", versionPath(version), "seats"}}
 	if s.scenario.largeConfiguration {
 		for n := range idleQueues {
 			queues = append(queues, [3]string{"a.example", fmt.Sprintf("/idle%d/", n), "seats"})
@@ -444,6 +457,18 @@
 	s.version = version
 }
 
+// moveQueues assigns the queues to each other's pools, again and again until some time.
+func (s *soak) moveQueues(until time.Time, r *rand.Rand) {
+	for time.Now().Before(until) {
+		time.Sleep(time.Duration(300+r.IntN(2500)) * time.Millisecond)
+		s.organisations.configuring.Lock()
+		s.moved = !s.moved
+		s.write(nextVersion())
+		s.logf("queues moved: %v", s.moved)
+		s.organisations.configuring.Unlock()
+	}
+}
+
 // versionPath returns the path of a queue that only one version of the configuration has.
 func versionPath(version int) string {
 	return fmt.Sprintf("/version%d/", version)
