Settle a job in the pool that has recorded progress of it

Cause: after a takeover, a job counted as begun only if it was recorded as started. One whose tasks had ended before any report showed them running was disputed again, and withdrawn in favour of the pool that goes first by name.

Change: a job has begun if a run of it has ended or progress is recorded.

Evidence: TestJobWithRecordedProgressIsNotDisputed failed before the change.

--- a/jaysched/dispute.go
+++ b/jaysched/dispute.go
@@ -10,14 +10,14 @@
 
 // unsettled reports whether the job must not be begun, since another pool may have it.
 func (j *job) unsettled() bool {
-	return j.disputed && !j.started && j.outcome == Open
+	return j.disputed && !j.started && !j.begun && j.outcome == Open
 }
 
 // Dispute holds a job that has not begun until Settle or Withdraw is called. It reports whether the job
 // is held.
 func (p *Pool) Dispute(id string, now time.Duration) bool {
 	j, known := p.jobs[id]
-	if !known || j.outcome != Open || j.started || j.hasRuns() {
+	if !known || j.outcome != Open || j.started || j.begun || j.hasRuns() {
 		return false
 	}
 	if !j.disputed {
--- a/jaysched/dispute_test.go
+++ b/jaysched/dispute_test.go
@@ -8,7 +8,9 @@
 
 	"jaythread/jayhome"
 	"jaythread/jaypool"
+	"jaythread/jayport"
 	"jaythread/jayspec"
+	"jaythread/jaywire"
 )
 
 // TestDisputedJobIsNotBegun guards against a job that runs in two pools: the owner has begun it before the
@@ -53,3 +55,26 @@
 		is.True(!w.pool.Withdraw("j", w.now))
 	})
 }
+
+// TestJobWithRecordedProgressIsNotDisputed guards against a job that two pools run: its pool has withdrawn it after a
+// takeover, although some of its tasks were done.
+func TestJobWithRecordedProgressIsNotDisputed(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 1, WithFence(2, 2))
+	w.pool.Restore(newSpec("j", 1), &jaywire.JobProgress{Steps: []*jaywire.StepProgress{{Done: []byte{1}}}}, w.now)
+	is.True(!w.pool.Dispute("j", w.now))
+	held, _ := w.pool.HoldingOf("j", "", w.now)
+	is.Equal(held, jayhome.Settled)
+	t.Run("nor is one of which a run has ended", func(t *testing.T) {
+		is := is.New(t)
+		w := newHarness(t, 1, WithFence(2, 2))
+		w.pool.Restore(newSpec("j", 1), nil, w.now)
+		is.True(w.pool.Dispute("j", w.now))
+		run := jayport.RunRef{Task: jayport.TaskID{Job: "j"}, Number: 1}
+		w.workers["w0"].ended = []jayport.EndedRun{{Number: 1, Run: run, Ending: jayport.EndedDone}}
+		w.reports()
+		held, _ := w.pool.HoldingOf("j", "", w.now)
+		is.Equal(held, jayhome.Settled)
+		is.True(!w.pool.Withdraw("j", w.now))
+	})
+}
--- a/jaysched/ends.go
+++ b/jaysched/ends.go
@@ -49,6 +49,7 @@
 		p.processLateEnd(w, end, now)
 		return
 	}
+	t.step.job.begun = true
 	t.lastRun = max(t.lastRun, end.Run.Number)
 	t.trialShown(end.Run.Number, w, false)
 	p.endTrial(t, end.Run.Number)
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -97,6 +97,8 @@
 	// removing says that the records of the ended job are being removed.
 	removing bool
 	started  bool
+	// begun says that a run of the job has ended, under this owner or a former one.
+	begun bool
 	// unreadable says that the job's recorded progress could not be read. It is replaced only by an
 	// outcome: whatever this owner knows is less.
 	unreadable bool
--- a/jaysched/restore.go
+++ b/jaysched/restore.go
@@ -19,6 +19,7 @@
 	j.inherited = true
 	if progress != nil {
 		j.started = progress.Started
+		j.begun = progress.NextOccurrence > 0 || len(progress.Steps) > 0
 		j.restoreProgress(progress)
 	}
 	j.holdDue(now)
