Show a job as cancelled whose cancellation another pool keeps

The job was withdrawn, and shown as unknown instead of cancelled.

Cause: a cancellation in another pool counted like a job there.

Change: the pool that has the job ends it as cancelled.

--- a/jaynode/homes.go
+++ b/jaynode/homes.go
@@ -175,6 +175,10 @@
 		for _, job := range jobs {
 			verdict, pool := jayhome.Decide(d.name, answers.answers(job.ID))
 			switch {
+			case verdict == jayhome.Yield && answers.held[pool][job.ID].GetCanceled():
+				// Callers are shown the job as cancelled here: the other pool does not have it.
+				d.logger.Info("job cancelled in another pool", "job", job.ID, "queue", job.Queue, "pool", pool)
+				d.pool.Cancel(job.ID, now)
 			case verdict == jayhome.Yield && d.pool.Withdraw(job.ID, now):
 				d.logger.Info("job withdrawn", "job", job.ID, "queue", job.Queue, "why", "another pool has it", "pool", pool)
 				d.storedJobs.Delete(job.ID)
