Ask for a job once the claims have been read

Cause: which other pools may have jobs of a queue is read with the claims. A query that came before that asked the queue's present pool only.

Change: queries, cancellations and pending wait for the claims, within their deadline, before they choose the pools to ask.

--- a/jaynode/queries.go
+++ b/jaynode/queries.go
@@ -54,7 +54,10 @@
 		}})
 		return o
 	}
-	others := n.homes.Others(queue.Address(), queue.Pool)
+	others, err := n.otherPools(queue, &deadline)
+	if err != nil {
+		return queue.Pool, jaysched.Queued, false, err
+	}
 	if len(others) == 0 {
 		o := ask(queue.Pool)
 		return o.pool, o.state, o.known, o.err
@@ -82,7 +85,11 @@
 		n.intake.logAnswer("cancellation", id, known, n.clock()-began, err)
 	}()
 	pool, until := queue.Pool, began+deadline
-	if len(n.homes.Others(queue.Address(), pool)) > 0 {
+	others, err := n.otherPools(queue, &deadline)
+	if err != nil {
+		return false, err
+	}
+	if len(others) > 0 {
 		if pool, known, err = n.findForCancellation(queue, organisation, id, deadline); err != nil {
 			return false, err
 		}
@@ -93,6 +100,20 @@
 	return known, err
 }
 
+// otherPools returns the pools, except for a queue's own, that may have jobs of the queue. They are known once
+// the claims have been read: it waits for that, and subtracts the time from the deadline.
+func (n *Node) otherPools(queue jaycatalog.Queue, deadline *time.Duration) ([]string, error) {
+	began := n.clock()
+	for until := began + *deadline; !n.members.Owners.Known(); {
+		if n.stopping.Load() || n.clock()+queryRetryDelay >= until {
+			return nil, jayverdict.NewNotRun(statusUnavailable, "the owners of the pools are not known yet", ownerRetryAfter)
+		}
+		time.Sleep(queryRetryDelay)
+	}
+	*deadline -= n.clock() - began
+	return n.homes.Others(queue.Address(), queue.Pool), nil
+}
+
 // findForCancellation returns the pool that has a job of a queue that several pools may have jobs of. If none
 // has, the owners of the others ask the queue's pool from then on, where the cancellation is kept, before
 // they begin a job whose record arrives later.
@@ -132,7 +153,11 @@
 	began := n.clock()
 	until := began + deadline
 	o := jaystop.Until(n.cut, outcome{err: errCutQuery}, func() (o outcome) {
-		for _, pool := range append(n.homes.Others(queue.Address(), queue.Pool), queue.Pool) {
+		others, err := n.otherPools(queue, &deadline)
+		if err != nil {
+			return outcome{err: err}
+		}
+		for _, pool := range append(others, queue.Pool) {
 			request := &jaywire.PeerRequest{Body: &jaywire.PeerRequest_AskPending{
 				AskPending: &jaywire.AskPending{Pool: pool, Queue: queue.Name, Address: queue.Address()},
 			}}
