Limit the questions about jobs that wait for another pool

Cause: while another pool of a queue has no owner, the owner asked about all disputed jobs every 20 ms, with a read of the claims for each round and all jobs in one request.

Change: the delay between two rounds doubles up to 320 ms while no further job is disputed, and a round asks about 500 jobs at most, others each time. docs/OPERATIONS.md says what operators see of a queue that changes its pool.

Measured: the tests of jaynode, and those of platform/movedqueue_test.go with the race detector, pass.

--- a/jaynode/homes.go
+++ b/jaynode/homes.go
@@ -11,8 +11,12 @@
 )
 
 const (
-	// settleInterval is the delay between two rounds of questions about disputed jobs.
-	settleInterval = 20 * time.Millisecond
+	// settleInterval is the least delay between two rounds of questions about disputed jobs. Without further
+	// jobs it doubles up to maxSettleInterval: each round reads the claims.
+	settleInterval    = 20 * time.Millisecond
+	maxSettleInterval = 320 * time.Millisecond
+	// maxAskedJobs limits the number of jobs that one round asks about.
+	maxAskedJobs = 500
 	// disputeReportInterval is the time between two reports of jobs that wait to be settled.
 	disputeReportInterval = 2 * time.Second
 	// queuesInterval is the time between two searches for queues without jobs.
@@ -51,6 +55,7 @@
 	// The fields below are used only by the goroutine that settles jobs.
 	nextRemovalAt time.Duration
 	nextReportAt  time.Duration
+	rounds        int
 }
 
 func newDisputes() disputes {
@@ -95,8 +100,9 @@
 			continue
 		}
 		d.disputes.nextReportAt = d.node.clock() + disputeReportInterval
-		for d.settleRound() && d.ctx.Err() == nil {
+		for pause := settleInterval; d.settleRound() && d.ctx.Err() == nil; pause = min(2*pause, maxSettleInterval) {
 			jayclock.Sleep(d.ctx, settleInterval)
+			d.awaitDispute(pause - settleInterval)
 		}
 		d.repeatRemovals()
 		select {
@@ -107,6 +113,17 @@
 	}
 }
 
+// awaitDispute waits until a further job is disputed, for some time at most.
+func (d *poolDuty) awaitDispute(atMost time.Duration) {
+	timer := time.NewTimer(atMost)
+	defer timer.Stop()
+	select {
+	case <-d.ctx.Done():
+	case <-d.disputes.wake:
+	case <-timer.C:
+	}
+}
+
 // recordQueues records the queues that may have jobs in the pool: those of its jobs and the given ones, and
 // those that the configuration assigns to it once they have had jobs. It reports whether the record is up
 // to date.
@@ -159,6 +176,10 @@
 	if len(jobs) == 0 {
 		return false
 	}
+	// The rounds ask about different jobs, since some may wait for a pool that does not answer.
+	d.disputes.rounds++
+	first := d.disputes.rounds * maxAskedJobs % len(jobs)
+	jobs = slices.Concat(jobs[first:], jobs[:first])[:min(len(jobs), maxAskedJobs)]
 	// The queues are recorded first: an owner that takes another pool over after its former owner has
 	// answered reads them, and asks this pool.
 	if !d.recordQueues(jobs) {
