Test: read recorded progress by an owner that does not run

The test used an owner that runs beside it.

Change: the next owner is not started. The assertions are the same.

--- a/jaynode/toolarge_test.go
+++ b/jaynode/toolarge_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"jaythread/jayclock"
+	"jaythread/jayowner"
 	"jaythread/jaypool"
 	"jaythread/jayport"
 	"jaythread/jayspec"
@@ -92,11 +93,11 @@
 		w.refreshClaimsFor(2 * time.Second)
 		is.NoErr(w.duty.ctx.Err())
 		is.True(newestOf(w, topicProgress, jobKey("seats", job.ID+"#1")) != nil)
-		w.replaceOwner()
-		progress := w.duty.loadProgress()[job.ID]
+		next := newPoolDuty(w.entry.node, "seats", w.entry.claim(jayowner.PoolDuty("seats"), w.claim.Fence+1, 2))
+		progress := next.loadProgress()[job.ID]
 		is.Equal(len(progress.GetSteps()), 1)
 		is.Equal(len(progress.Steps[0].Tasks), tasks)
 		is.Equal(progress.Steps[0].Tasks[tasks-1].Checkpoint, "00000bb87a21d94b")
-		is.Equal(w.duty.parts[job.ID], int(progress.Parts))
+		is.Equal(next.parts[job.ID], int(progress.Parts))
 	})
 }
