Metrics: service tasks without a run, by reason, and their longest wait

Reason and text of a wait come from one table of causes. The texts of `task waits` and the decisions stay as they were; shorter waits record no reached quota.

--- a/jaymetric/jobs.go
+++ b/jaymetric/jobs.go
@@ -37,6 +37,8 @@
 	burstPredictions  *prometheus.CounterVec
 	startsHeldBack    *prometheus.CounterVec
 	startLimit        *prometheus.GaugeVec
+	serviceWaits      *prometheus.GaugeVec
+	serviceWaitMax    *prometheus.GaugeVec
 	organisations     boundedLabels
 }
 
@@ -102,8 +104,14 @@
 		startLimit: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "jaythread_start_limit", Help: "Present limit of starts in flight, in the pools that this entry owns.",
 		}, []string{"pool"}),
+		serviceWaits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "jaythread_service_tasks_waiting", Help: "Long-running tasks that could be started and have no run, by reason, in the pools that this entry owns.",
+		}, []string{"pool", "reason"}),
+		serviceWaitMax: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "jaythread_service_task_longest_wait_seconds", Help: "Longest present wait of a long-running task under this owner, in the pools that this entry owns.",
+		}, []string{"pool"}),
 	}
-	m.Registry.MustRegister(m.startsHeldBack, m.startLimit, m.burstPredictions, m.hostsGiven, m.workLost, m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.endRecording, m.poolCallDuration, m.commands, m.dutyChanges, m.beyondShare, m.share)
+	m.Registry.MustRegister(m.startsHeldBack, m.startLimit, m.serviceWaits, m.serviceWaitMax, m.burstPredictions, m.hostsGiven, m.workLost, m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.endRecording, m.poolCallDuration, m.commands, m.dutyChanges, m.beyondShare, m.share)
 	m.Runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -229,6 +237,22 @@
 	m.startLimit.DeleteLabelValues(pool)
 }
 
+// SetServiceTasksWaiting sets how many long-running tasks of a pool wait for a reason.
+func (m *JobMetrics) SetServiceTasksWaiting(pool, reason string, tasks int) {
+	m.serviceWaits.WithLabelValues(pool, reason).Set(float64(tasks))
+}
+
+// SetLongestServiceWait sets the longest present wait of a long-running task of a pool.
+func (m *JobMetrics) SetLongestServiceWait(pool string, wait time.Duration) {
+	m.serviceWaitMax.WithLabelValues(pool).Set(wait.Seconds())
+}
+
+// RemoveServiceWaits removes the waits of a pool that this entry no longer owns.
+func (m *JobMetrics) RemoveServiceWaits(pool string) {
+	m.serviceWaits.DeletePartialMatch(prometheus.Labels{"pool": pool})
+	m.serviceWaitMax.DeleteLabelValues(pool)
+}
+
 // Gauge registers a gauge whose value is read at each scrape.
 func (m *JobMetrics) Gauge(name, help string, read func() float64) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
--- a/jaynode/meters.go
+++ b/jaynode/meters.go
@@ -155,6 +155,20 @@
 	}
 }
 
+// countServiceWaits passes to the metrics which long-running tasks of the pool wait, after each count.
+func (d *poolDuty) countServiceWaits() {
+	waits := d.pool.ServiceWaits()
+	if waits.At == d.serviceWaitsAt {
+		return
+	}
+	d.serviceWaitsAt = waits.At
+	m := d.node.metrics
+	for _, reason := range jaysched.WaitReasons() {
+		m.SetServiceTasksWaiting(d.name, string(reason), waits.Tasks[reason])
+	}
+	m.SetLongestServiceWait(d.name, waits.Longest)
+}
+
 // registerGauges registers the gauges that are computed when the metrics are scraped.
 func (n *Node) registerGauges() {
 	n.metrics.Gauge("jaythread_duties", "Duties that this entry carries out.", func() float64 {
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -81,6 +81,8 @@
 	demandBudget demandBudget
 	// heldBack tracks for how long the limit of starts in flight holds tasks back.
 	heldBack heldBack
+	// serviceWaitsAt is the time of the waits of long-running tasks that the metrics show.
+	serviceWaitsAt time.Duration
 	// lastActiveAt is when the duty's goroutine last processed an event or began a step.
 	lastActiveAt time.Duration
 }
@@ -145,6 +147,7 @@
 	defer d.node.removePool(d)
 	defer d.node.metrics.SetShares(d.name, nil)
 	defer d.node.metrics.RemoveStartLimit(d.name)
+	defer d.node.metrics.RemoveServiceWaits(d.name)
 	if !d.takeOver() {
 		return
 	}
@@ -191,6 +194,7 @@
 	d.logEvents()
 	d.countShares(now)
 	d.countHeldBack(now)
+	d.countServiceWaits()
 }
 
 // ask runs a function in the duty's goroutine and waits for it. It returns false, and the function
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -13,7 +13,7 @@
 	p.lackedRoom = false
 	p.updatePossibleUse(now)
 	defer p.recordReachedQuotas(now)
-	defer p.reportWaits(now) // may reach quotas
+	defer p.reportWaits(formerRuns, now) // may reach quotas
 	defer p.reportHold(formerRuns, now)
 	defer p.reviewHeldBack(formerRuns, now)
 	p.clearReservations()
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -119,9 +119,9 @@
 	heldBackAt time.Duration
 	// deadlineReviewAt is when the deadline status of the jobs is reviewed next.
 	deadlineReviewAt time.Duration
-	// waitsReportedAt is when the waits of long-running tasks were last reported.
-	waitsReportedAt time.Duration
-	holdReport      holdReport
+	// serviceWaits is the latest report of the waits of long-running tasks.
+	serviceWaits ServiceWaits
+	holdReport   holdReport
 	// lastRoomAt is the latest time at which no task lacked room.
 	lastRoomAt time.Duration
 	// batchRecordedAt is the latest time at which a batch was recorded.
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -95,6 +95,13 @@
 	if p.withinQuota(s, tasks) {
 		return true
 	}
+	p.noteQuotaReached(s, tasks)
+	return false
+}
+
+// noteQuotaReached records that the quota of a step's organisation keeps some of its tasks from
+// starting.
+func (p *Pool) noteQuotaReached(s *step, tasks int) {
 	q, organisation := &p.quotas, s.job.spec.Organisation
 	if q.outdated() {
 		q.reached[organisation] = "the declarations may be outdated"
@@ -102,7 +109,6 @@
 		need := s.decl.Need.Times(int64(tasks))
 		q.reached[organisation] = fmt.Sprintf("used here %+v, needed %+v, %s, quota %+v", q.usedBy(organisation), need, q.limits.Describe(organisation), q.of(organisation))
 	}
-	return false
 }
 
 // withinQuota reports whether the quota of a step's organisation lets some of its tasks start.
--- a/jaysched/waiting.go
+++ b/jaysched/waiting.go
@@ -102,63 +102,170 @@
 	return held, service
 }
 
-// reportWaits records an event for each long-running task that has waited for long, with what
-// keeps it from starting.
-func (p *Pool) reportWaits(now time.Duration) {
-	if now < p.waitsReportedAt+waitReportInterval {
+// WaitReason is why long-running tasks wait, as a label of the metrics.
+type WaitReason string
+
+// The reasons of waits.
+const (
+	WaitOwnerUnconfirmed WaitReason = "ownerUnconfirmed"
+	// WaitFormerRun is that of a task that a former owner may have started.
+	WaitFormerRun WaitReason = "formerRun"
+	WaitQuota     WaitReason = "quota"
+	// WaitNoWorker is that of a task that may start, but on no present worker.
+	WaitNoWorker WaitReason = "noWorker"
+	// WaitWorkerFree is that of a task that waits although it may start on some worker.
+	WaitWorkerFree WaitReason = "workerFree"
+	WaitOther      WaitReason = "other"
+)
+
+// WaitReasons returns all reasons of waits.
+func WaitReasons() []WaitReason {
+	return []WaitReason{WaitOwnerUnconfirmed, WaitFormerRun, WaitQuota, WaitNoWorker, WaitWorkerFree, WaitOther}
+}
+
+// waitCause is what keeps a long-running task from starting.
+type waitCause uint8
+
+const (
+	ownerUnconfirmed waitCause = iota
+	reportPrecedesJob
+	jobUnsettled
+	formerRunPossible
+	runJustEnded
+	overQuota
+	allWorkersHaveObstacles
+	someWorkerFree
+)
+
+// waitCauses holds the reason of each cause and its text in the log. The text of the last two is
+// the number of workers by obstacle.
+var waitCauses = [...]struct {
+	reason WaitReason
+	text   string
+}{
+	ownerUnconfirmed:        {WaitOwnerUnconfirmed, "the owner is not confirmed"},
+	reportPrecedesJob:       {WaitOther, "a worker's report precedes the job"},
+	jobUnsettled:            {WaitOther, "another pool may have the job"},
+	formerRunPossible:       {WaitFormerRun, "a former owner may have started it: "},
+	runJustEnded:            {WaitOther, "its last run has just ended"},
+	overQuota:               {WaitQuota, "the quota of its organisation"},
+	allWorkersHaveObstacles: {reason: WaitNoWorker},
+	someWorkerFree:          {reason: WaitWorkerFree},
+}
+
+// taskWait is why a task waits.
+type taskWait struct {
+	cause waitCause
+	// workers is the number of workers by obstacle if nothing else keeps the task from starting.
+	workers [len(obstacleNames)]int
+}
+
+// reason returns the reason of the wait.
+func (w *taskWait) reason() WaitReason {
+	return waitCauses[w.cause].reason
+}
+
+// ServiceWaits counts the long-running tasks that could be started and have no run.
+type ServiceWaits struct {
+	// At is when the tasks were counted, or zero.
+	At    time.Duration
+	Tasks map[WaitReason]int
+	// Longest is the longest present wait under this owner.
+	Longest time.Duration
+}
+
+// ServiceWaits returns the latest count of the long-running tasks that wait.
+func (p *Pool) ServiceWaits() ServiceWaits {
+	return p.serviceWaits
+}
+
+// reportWaits counts the long-running tasks that wait, and records an event for each that has
+// waited for long, with what keeps it from starting.
+func (p *Pool) reportWaits(formerRuns bool, now time.Duration) {
+	if now < p.serviceWaits.At+waitReportInterval {
 		return
 	}
-	p.waitsReportedAt = now
+	p.serviceWaits = ServiceWaits{At: now, Tasks: map[WaitReason]int{}}
 	for _, j := range p.open {
 		if !j.longRunning {
 			return // the other jobs follow
 		}
+		if j.waiting == 0 {
+			continue
+		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				if s.decl.LongRunning && s.waiting > 0 && s.ready(now) {
-					p.reportWaitsOf(s, now)
+					p.reportWaitsOf(s, formerRuns, now)
 				}
 			}
 		}
 	}
 }
 
-func (p *Pool) reportWaitsOf(s *step, now time.Duration) {
+func (p *Pool) reportWaitsOf(s *step, formerRuns bool, now time.Duration) {
 	for _, t := range s.tasks {
+		if !t.waiting() {
+			continue
+		}
 		waited := now - t.waitingSince()
-		if t.waiting() && waited >= waitReportAfter {
-			run := jayport.RunRef{Task: t.id(), Number: p.nextRun(t.lastRun)}
-			p.recordEvent(Event{Kind: TaskWaits, Run: run, Detail: p.waitReason(t, now), Waited: waited}, now)
+		wait := p.waitOf(t, formerRuns, now)
+		p.serviceWaits.Tasks[wait.reason()]++
+		p.serviceWaits.Longest = max(p.serviceWaits.Longest, waited)
+		if waited < waitReportAfter {
+			continue
 		}
+		if wait.cause == overQuota {
+			p.noteQuotaReached(s, 1)
+		}
+		run := jayport.RunRef{Task: t.id(), Number: p.nextRun(t.lastRun)}
+		p.recordEvent(Event{Kind: TaskWaits, Run: run, Detail: p.waitText(&wait), Waited: waited}, now)
 	}
 }
 
-// waitReason returns why a task waits: what keeps the pool from starting it anywhere, or else the
-// number of workers by obstacle.
-func (p *Pool) waitReason(t *task, now time.Duration) string {
+// waitOf returns why a task waits: what keeps the pool from starting it anywhere, or else the
+// number of workers by obstacle. formerRuns says that a former owner may have started the restored
+// tasks.
+func (p *Pool) waitOf(t *task, formerRuns bool, now time.Duration) taskWait {
 	switch {
 	case p.OwnerUnconfirmed():
-		return "the owner is not confirmed"
+		return taskWait{cause: ownerUnconfirmed}
 	case t.step.job.foundInStore && p.hasUnprocessedRuns(t.step.job):
-		return "a worker's report precedes the job"
+		return taskWait{cause: reportPrecedesJob}
 	case t.step.job.unsettled():
-		return "another pool may have the job"
-	case t.mayRunUnreported && p.formerRunsPossible(now):
-		return "a former owner may have started it: " + p.formerRunsReason()
+		return taskWait{cause: jobUnsettled}
+	case t.mayRunUnreported && formerRuns:
+		return taskWait{cause: formerRunPossible}
 	case now < t.notBefore:
-		return "its last run has just ended"
-	case !p.quotaAllows(t.step, 1):
-		return "the quota of its organisation"
+		return taskWait{cause: runJustEnded}
+	case !p.withinQuota(t.step, 1):
+		return taskWait{cause: overQuota}
 	}
-	counts := map[obstacle]int{}
+	wait := taskWait{cause: allWorkersHaveObstacles}
 	for _, w := range p.sorted {
-		counts[p.obstacleTo(w, t, isolatedStart, now)]++
+		wait.workers[p.obstacleTo(w, t, isolatedStart, now)]++
+	}
+	if wait.workers[noObstacle] > 0 {
+		wait.cause = someWorkerFree
+	}
+	return wait
+}
+
+// waitText returns the text of a wait in the log.
+func (p *Pool) waitText(w *taskWait) string {
+	text := waitCauses[w.cause].text
+	switch w.cause {
+	case formerRunPossible:
+		return text + p.formerRunsReason()
+	case allWorkersHaveObstacles, someWorkerFree:
+	default:
+		return text
 	}
-	var texts []string
-	for o := range obstacleNames {
-		if n := counts[obstacle(o)]; n > 0 {
-			texts = append(texts, fmt.Sprintf("%v %d", obstacle(o), n))
+	var counts []string
+	for o, n := range w.workers {
+		if n > 0 {
+			counts = append(counts, fmt.Sprintf("%v %d", obstacle(o), n))
 		}
 	}
-	return cmp.Or(strings.Join(texts, ", "), "no workers")
+	return cmp.Or(strings.Join(counts, ", "), "no workers")
 }
--- a/jaysched/waiting_test.go
+++ b/jaysched/waiting_test.go
@@ -1,12 +1,15 @@
 package jaysched
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"jaythread/jayport"
 	"jaythread/jayspec"
 )
 
@@ -100,3 +103,88 @@
 	}
 	is.True(events[TasksReleased].Waited >= 2*waitReportInterval)
 }
+
+// Guards against service tasks without a run that no metric shows: how many, for how long, and why.
+func TestServiceWaitsAreCounted(t *testing.T) {
+	counts := func(name string, want WaitReason, setUp func(w *harness), options ...Option) {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newHarness(t, 2, options...)
+			spec := newSpec("j", 1, longRunning)
+			spec.Organisation = "acme"
+			w.pool.Declare(newSpec("short", 1, tasks(20, 1000, 100)), w.now)
+			w.pool.Declare(spec, w.now)
+			setUp(w)
+			w.pass(waitReportInterval)
+			w.pass(waitReportInterval)
+			is.Equal(w.pool.ServiceWaits(), ServiceWaits{At: w.now, Tasks: map[WaitReason]int{want: 2}, Longest: w.pool.ServiceWaits().Longest})
+			is.True(w.pool.ServiceWaits().Longest >= 2*waitReportInterval)
+		})
+	}
+	counts("without workers", WaitNoWorker, func(w *harness) { clear(w.workers); w.list() })
+	counts("while workers are closed", WaitNoWorker, func(w *harness) {
+		for _, known := range w.pool.sorted {
+			known.Draining = true
+		}
+	})
+	counts("while the quota is reached", WaitQuota, func(w *harness) { w.pool.SetQuotas(acmeQuotas(1000)) })
+	counts("while starts are limited", WaitWorkerFree, func(w *harness) { w.pool.SetStarts(0) })
+	counts("without a confirmed owner", WaitOwnerUnconfirmed, func(w *harness) { w.pool.OwnerPaused(w.now) }, WithReplaceableOwner(time.Minute, time.Hour))
+	t.Run("beside runs of a former owner", func(t *testing.T) {
+		is := is.New(t)
+		first := newHarness(t, 2)
+		spec := newSpec("j", 1, longRunning)
+		declare(first, spec)
+		first.workers["w0"].silent = true
+		next := takeOver(t, first, spec)
+		clear(next.workers["w1"].active)
+		readInventory(next)
+		next.reportFor(2 * waitReportInterval)
+		is.Equal(next.pool.ServiceWaits().Tasks, map[WaitReason]int{WaitFormerRun: 2})
+	})
+	t.Run("not once they run", func(t *testing.T) {
+		is := is.New(t)
+		w := newHarness(t, 0)
+		declare(w, newSpec("j", 1, longRunning))
+		w.pass(waitReportInterval)
+		is.Equal(w.pool.ServiceWaits().Tasks[WaitNoWorker], 2)
+		w.addWorker("w0")
+		w.list()
+		w.run()
+		w.pass(waitReportInterval)
+		is.Equal(w.pool.ServiceWaits(), ServiceWaits{At: w.now, Tasks: map[WaitReason]int{}})
+	})
+	t.Run("with a reason that is listed", func(t *testing.T) {
+		for _, cause := range waitCauses {
+			is.New(t).True(slices.Contains(WaitReasons(), cause.reason))
+		}
+	})
+}
+
+// BenchmarkServiceWaits measures the count of 600 service tasks that wait on 500 workers without
+// room, and of none beside 1,000 waiting short tasks.
+func BenchmarkServiceWaits(b *testing.B) {
+	count := func(name string, services, short int) {
+		b.Run(name, func(b *testing.B) {
+			now := time.Minute
+			p := NewPool("seats", Settings{Lease: 4 * time.Second})
+			var list []jayport.Worker
+			for n := range 500 {
+				list = append(list, jayport.Worker{ID: fmt.Sprint("w", n), Pool: "seats"})
+			}
+			p.Listed(list, now)
+			for n := range services {
+				p.Declare(newSpec(fmt.Sprint("s", n), 1, longRunning), now)
+			}
+			for n := range short {
+				p.Declare(newSpec(fmt.Sprint("j", n), 1, single), now)
+			}
+			for b.Loop() {
+				p.serviceWaits.At = 0
+				p.reportWaits(false, now)
+			}
+		})
+	}
+	count("300 services", 300, 0)
+	count("1000 short tasks", 0, 1000)
+}
