Log: run stopped names the worker that had room for the task

Change: the detail of a service task or a run with checkpoints that is stopped to empty its worker is "vacating, room on w1". An urgent stop and that of a copy do not depend on room and stay "vacating". shouldStop returns the worker that the decision found; mayEvict is now roomToEvict. The decisions and the stop order's reason stay as they were; no code reads this detail. Result: TestVacating checks both texts.

--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -185,16 +185,18 @@
 	return l
 }
 
-// shouldStop reports whether a run on a closed worker is to be stopped now.
-func (p *Pool) shouldStop(r *run, now time.Duration) bool {
+// shouldStop reports whether a run on a closed worker is to be stopped now, and which worker has
+// room for its task if the decision depends on it.
+func (p *Pool) shouldStop(r *run, now time.Duration) (room *worker, stop bool) {
 	switch {
 	case r.task.step.decl.LongRunning:
-		return p.mayEvict(r, now)
+		room = p.roomToEvict(r, now)
 	case r.worker.urgent || r.copied && r.task.hasOtherRun(r):
-		return true
-	default:
-		return r.worker.migrate && p.mayMigrate(r, now)
+		return nil, true
+	case r.worker.migrate:
+		room = p.roomToMigrate(r, now)
 	}
+	return room, room != nil
 }
 
 const (
@@ -210,20 +212,29 @@
 // maxLateFactor is the multiple of its allowed time up to which a late job is still of use.
 const maxLateFactor = 3
 
-// mayMigrate reports whether a run should continue elsewhere: it saves its progress, its
-// remaining time exceeds the cost of a migration, its job does not become late by it (or, if it
-// is late anyway, too late to be of use), and another worker has room.
+// mayMigrate reports whether a run should continue elsewhere.
 func (p *Pool) mayMigrate(r *run, now time.Duration) bool {
+	return p.roomToMigrate(r, now) != nil
+}
+
+// roomToMigrate returns the worker with room for a run that should continue elsewhere, or nil if
+// the run should not: it saves its progress, its remaining time exceeds the cost of a migration,
+// its job does not become late by it (or, if it is late anyway, too late to be of use), and
+// another worker has room.
+func (p *Pool) roomToMigrate(r *run, now time.Duration) *worker {
 	s := r.task.step
 	if !s.decl.Checkpoint || s.decl.Gang || p.remainingTime(r, now) < migrationCost {
-		return false
+		return nil
 	}
 	ends := now + p.remainingTime(r, now)
 	bound := s.job.target
 	if ends > bound {
 		bound = s.job.submittedAt + maxLateFactor*(s.job.target-s.job.submittedAt)
 	}
-	return bound-ends > migrationCost+migrationSlack && p.chooseWorker(r.task, now) != nil
+	if bound-ends <= migrationCost+migrationSlack {
+		return nil
+	}
+	return p.chooseWorker(r.task, now)
 }
 
 // remainingTime returns the expected remaining time of a run. A run that has exceeded its
@@ -245,14 +256,15 @@
 	return p.remainingTime(r, now)
 }
 
-// mayEvict reports whether a long-running run may be stopped so that its worker becomes free:
-// its step can miss one more task, and another worker has room for it.
-func (p *Pool) mayEvict(r *run, now time.Duration) bool {
+// roomToEvict returns the worker with room for the task of a long-running run that may be stopped
+// so that its worker becomes free, or nil if it may not: its step can miss one more task, and
+// another worker has room for it.
+func (p *Pool) roomToEvict(r *run, now time.Duration) *worker {
 	s := r.task.step
 	if !s.decl.LongRunning || !p.reviewEviction(s, now) {
-		return false
+		return nil
 	}
-	return p.chooseWorker(r.task, now) != nil
+	return p.chooseWorker(r.task, now)
 }
 
 // vacateReview is what decides whether runs of a long-running step may be stopped, in one pass over the runs of
--- a/jaysched/vacate_test.go
+++ b/jaysched/vacate_test.go
@@ -31,6 +31,16 @@
 	return false
 }
 
+// stopDetails takes the pool's events and returns the details of those of stopped runs.
+func (w *harness) stopDetails() (details []string) {
+	for _, e := range w.pool.TakeEvents() {
+		if e.Kind == RunStopped {
+			details = append(details, e.Detail)
+		}
+	}
+	return details
+}
+
 func TestVacating(t *testing.T) {
 	t.Run("an idle worker is vacated immediately and opened again later", func(t *testing.T) {
 		is := is.New(t)
@@ -72,8 +82,10 @@
 		w.addWorker("w1")
 		w.list()
 		w.run()
+		w.pool.TakeEvents()
 		w.pool.SetVacating([]Vacate{{Worker: "w0"}}, w.now)
 		w.run()
+		is.Equal(w.stopDetails(), []string{"vacating, room on w1"})
 		is.Equal(len(w.workers["w0"].active), 1)
 		vacate(w, "w0", 2*time.Second)
 		is.Equal(len(w.workers["w0"].active), 0)
@@ -108,6 +120,7 @@
 		w.reports()
 		w.pool.SetVacating([]Vacate{{Worker: "w0", Urgent: true}}, w.now)
 		w.run()
+		is.Equal(w.stopDetails(), []string{"vacating", "vacating"})
 		w.reports()
 		is.True(vacated(w, "w0"))
 	})
--- a/jaysched/vacating.go
+++ b/jaysched/vacating.go
@@ -98,10 +98,19 @@
 			continue
 		}
 		for _, r := range w.inOrder {
-			if r.phase == running && p.shouldStop(r, now) {
-				p.recordEvent(Event{Kind: RunStopped, Worker: w.ID, Run: r.ref(), Detail: "vacating"}, now)
-				p.evict(r, now)
+			if r.phase != running {
+				continue
 			}
+			room, stop := p.shouldStop(r, now)
+			if !stop {
+				continue
+			}
+			detail := "vacating"
+			if room != nil {
+				detail += ", room on " + room.ID
+			}
+			p.recordEvent(Event{Kind: RunStopped, Worker: w.ID, Run: r.ref(), Detail: detail}, now)
+			p.evict(r, now)
 		}
 		p.restartRuns(w, now)
 	}
