Record where service tasks run before they start

What callers saw: a service task without a run beside free workers (LOST). Cause: a restored service task waited for every worker that had not reported to the new owner, for 14.2 s, and each owner began anew: no owner could tell where the task may run. Change: an owner records the run of a service task with its worker before it sends the order, in the batch of progress that it writes anyway. After a takeover the task waits for that worker only, and not at all without a record. The claim says from which term on all owners do so, so that records of an earlier version count as before. A replaced owner cannot start a service task any more, since it cannot record it.

--- a/jaymember/claims.go
+++ b/jaymember/claims.go
@@ -153,9 +153,20 @@
 		Incarnation: o.members.Incarnation,
 		Entry:       o.members.Entry,
 		PeerAddr:    o.members.PeerAddr,
+
+		PlacementsSince: placementsSince(former),
 	}.Record()
 }
 
+// placementsSince returns the first term from which on all owners of a duty record placements, this entry
+// included, after the newest claim, if there is one.
+func placementsSince(former jayowner.Claim) int64 {
+	if former.PlacementsSince > 0 {
+		return former.PlacementsSince
+	}
+	return former.Term + 1
+}
+
 // firstClaimDelayPassed reports whether firstClaimDelay has passed.
 func (o *Owners) firstClaimDelayPassed(now time.Duration) bool {
 	return now-o.members.StartedAt >= firstClaimDelay
--- a/jaymember/claims_test.go
+++ b/jaymember/claims_test.go
@@ -115,3 +115,19 @@
 		})
 	}
 }
+
+// Guards against two runs of a service task during an upgrade: a former owner of an earlier version has
+// started it without a record, and the next owner takes the records for complete.
+func TestClaimsTellSinceWhenPlacementsAreRecorded(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		former jayowner.Claim
+		want   int64
+	}{
+		{"the first claim", jayowner.Claim{}, 1},
+		{"an earlier version", jayowner.Claim{Term: 3}, 4},
+		{"the same version", jayowner.Claim{Term: 5, PlacementsSince: 4}, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(placementsSince(c.former), c.want) })
+	}
+}
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -98,6 +98,7 @@
 	}
 	options := []jaysched.Option{
 		jaysched.WithFence(claim.Fence, claim.Term),
+		jaysched.WithPlacementsSince(claim.PlacementsSince),
 		jaysched.WithPolicies(n.policyOf),
 		jaysched.WithDueTimes(n.dueAt),
 		// The claim was read a moment ago; updateOwnership records when.
--- a/jayowner/owner_test.go
+++ b/jayowner/owner_test.go
@@ -36,10 +36,11 @@
 	is.NoErr(table.Apply(at(Claim{Duty: Fleet, Incarnation: "a", Term: 1, Released: true}, 4)))
 	c, _ = table.Claim(Fleet)
 	is.Equal(c.Incarnation, "b") // a late release of a former owner is ignored
-	is.NoErr(table.Apply(at(Claim{Duty: Fleet, Incarnation: "c", Term: 3}, 5)))
+	is.NoErr(table.Apply(at(Claim{Duty: Fleet, Incarnation: "c", Term: 3, PlacementsSince: 2}, 5)))
 	is.NoErr(table.Apply(at(Claim{Duty: Fleet, Incarnation: "b", Term: 2, Released: true}, 6)))
 	c, _ = table.Claim(Fleet)
 	is.Equal(c.Incarnation, "c")
+	is.Equal(c.PlacementsSince, int64(2))
 	is.True(!c.Released) // a former owner's release does not affect the new owner
 	is.True(table.Apply(jayport.Record{Key: "fleet", Value: []byte{0xff}, Offset: 9}) != nil)
 	clone := table.Clone()
--- a/jayowner/table.go
+++ b/jayowner/table.go
@@ -44,6 +44,9 @@
 	// Released is set if the owner has released the duty. The owner still performs the
 	// duty until the next claim.
 	Released bool
+	// PlacementsSince is the first term from which on all owners of the duty record the placements of
+	// service tasks, or zero.
+	PlacementsSince int64
 	// offset is the offset of the duty's newest record.
 	offset int64
 }
@@ -96,6 +99,8 @@
 		Entry:       claim.Entry,
 		PeerAddr:    claim.PeerAddr,
 		Released:    claim.Released,
+
+		PlacementsSince: int64(claim.PlacementsSince),
 	}
 	return nil
 }
@@ -150,6 +155,8 @@
 		PeerAddr:    c.PeerAddr,
 		Term:        uint32(c.Term),
 		Released:    c.Released,
+
+		PlacementsSince: uint32(c.PlacementsSince),
 	})
 	if err != nil {
 		// Encoding a message of plain fields cannot fail.
--- a/jaypart/part.go
+++ b/jaypart/part.go
@@ -50,7 +50,7 @@
 	first := &jaywire.JobProgress{}
 	proto.Merge(first, &jaywire.JobProgress{
 		Outcome: progress.Outcome, EndedUnixMillis: progress.EndedUnixMillis, Started: progress.Started, Organisation: progress.Organisation,
-		NextOccurrence: progress.NextOccurrence, OpenOccurrences: progress.OpenOccurrences, EndedAhead: progress.EndedAhead, CanceledBy: progress.CanceledBy,
+		NextOccurrence: progress.NextOccurrence, OpenOccurrences: progress.OpenOccurrences, EndedAhead: progress.EndedAhead, CanceledBy: progress.CanceledBy, PlacementsTerm: progress.PlacementsTerm,
 	})
 	parts, size := []*jaywire.JobProgress{first}, 0
 	for _, s := range progress.Steps {
--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -117,7 +117,7 @@
 		if now >= r.resendAt+unreportedTimeout {
 			r.phase = unanswered
 		}
-	case running, stopped:
+	case running, stopped, unrecorded:
 	}
 }
 
@@ -160,6 +160,10 @@
 	}
 	p.recordEvent(Event{Kind: RunStarted, Worker: w.ID, Run: r.ref(), Since: now - w.lastAnswerAt, Waited: waited}, now)
 	p.recordStart(t, w, number)
+	if t.step.recordsPlacements() {
+		p.recordPlacement(r)
+		return
+	}
 	p.sendStart(r, now)
 }
 
--- a/jaysched/isolation_wait_test.go
+++ b/jaysched/isolation_wait_test.go
@@ -75,7 +75,7 @@
 // succeed returns the harness of a new owner that restores jobs with their recorded progress; all
 // workers report.
 func (w *harness) succeed(term int64, specs ...*jayspec.Job) *harness {
-	next := newHarness(w.t, 0, WithFence(term, term), WithFormerOwner(w.now+15*time.Second))
+	next := newHarness(w.t, 0, WithFence(term, term), WithFormerOwner(w.now+15*time.Second), WithPlacementsSince(1))
 	next.now, next.workers = w.now, w.workers
 	for _, spec := range specs {
 		next.pool.Restore(spec, w.pool.jobs[spec.ID].progress(), next.now)
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -86,6 +86,9 @@
 	// mayRunUnreported says that a former owner may have started any task of the job on a worker
 	// that has not reported yet.
 	mayRunUnreported bool
+	// placementsTerm is the owner's term if all runs of the job's service tasks are known or recorded, and
+	// zero otherwise.
+	placementsTerm int64
 	// waiting counts the tasks of the steps of the held occurrences that are not done and have no
 	// run.
 	waiting int
@@ -194,6 +197,8 @@
 	// mayRunUnreported says that a former owner may have started the task on a worker that
 	// has not reported yet.
 	mayRunUnreported bool
+	// formerPlacement is the run that a former owner has recorded and that no worker has shown yet, or nil.
+	formerPlacement *placement
 	// failedOn names the workers on which the task failed.
 	failedOn []string
 	// crashes are the losses of workers that the task may have caused.
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -124,6 +124,11 @@
 			p.endFormerTrials(id, 0, true, now)
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(p.formerPlacements)) {
+		if _, known := p.workers[id]; !known && !exists[id] {
+			p.endFormerPlacements(id)
+		}
+	}
 }
 
 // NeedsInventory reports whether the pool waits for information about workers that do not answer.
@@ -164,6 +169,7 @@
 	p.actions = append(p.actions, ForgetWorker{To: w.workerRef()})
 	p.attribute(w, suspects, atStart, now)
 	p.endFormerTrials(w.ID, w.Incarnation, !w.Draining, now)
+	p.endFormerPlacements(w.ID)
 }
 
 // loseRuns removes all runs of a worker, which were over at some time: their tasks wait again.
@@ -188,6 +194,7 @@
 	}
 	r.task.removeRun(r)
 	r.task.droppedAt = now
+	p.placementEnded(r.task)
 }
 
 // ReportFailed handles a request for a report that a worker did not answer.
@@ -246,6 +253,7 @@
 		p.dropMissing(w, seen, asked, now)
 		if processed {
 			p.endFormerTrials(w.ID, w.Incarnation, false, now)
+			p.endFormerPlacements(w.ID)
 		}
 	}
 	w.askAt = now
@@ -336,6 +344,9 @@
 	t.lastRun = max(t.lastRun, r.number)
 	t.step.gangRun = max(t.step.gangRun, r.number)
 	t.mayRunUnreported = false
+	if t.formerPlacement != nil && t.formerPlacement.run == r.number {
+		t.formerPlacement = nil
+	}
 	t.trialShown(r.number, w, true)
 	t.step.job.started = true
 	t.saveCheckpoint(active.Checkpoint, active.Run.Number)
@@ -413,6 +424,11 @@
 	if reason == jayport.RefusedNoTicket {
 		delete(r.task.step.advice.tickets, r.worker.ID)
 	}
+	p.dropUnstarted(r, now)
+}
+
+// dropUnstarted removes a run that has not begun: its task has waited since its previous run.
+func (p *Pool) dropUnstarted(r *run, now time.Duration) {
 	waitingSince := r.task.droppedAt
 	p.dropRun(r, now)
 	r.task.droppedAt = waitingSince
--- a/jaysched/occurrences.go
+++ b/jaysched/occurrences.go
@@ -108,7 +108,7 @@
 // markUnreported records that a former owner may have started any task of the job.
 func (j *job) markUnreported() {
 	j.mayRunUnreported = true
-	j.eachTask(func(t *task) { t.mayRunUnreported = !t.done })
+	j.eachTask(func(t *task) { t.mayRunUnreported = !t.done && t.step.mayHaveUnreported() })
 }
 
 // stepOf returns a step of an occurrence that has not ended, or nil.
@@ -137,7 +137,7 @@
 func (s *step) holdTask(index int) *task {
 	for ; s.made <= index && s.made < s.decl.Tasks; s.made++ {
 		if !hasBit(s.done, s.made) {
-			s.tasks = append(s.tasks, &task{step: s, index: s.made, mayRunUnreported: s.job.mayRunUnreported})
+			s.tasks = append(s.tasks, &task{step: s, index: s.made, mayRunUnreported: s.mayHaveUnreported()})
 		}
 	}
 	n, found := slices.BinarySearchFunc(s.tasks, index, func(t *task, index int) int { return cmp.Compare(t.index, index) })
--- a/jaysched/owners_model_test.go
+++ b/jaysched/owners_model_test.go
@@ -48,9 +48,11 @@
 	claims, epoch int64
 	// takeoverDelay is how long each owner waits before its first order, and what the former one relies on.
 	takeoverDelay time.Duration
-	jobs          []*jayspec.Job
-	submitted     int
-	progress      map[string]*jaywire.JobProgress
+	// placementsSince is the first term from which on the owners are known to record placements.
+	placementsSince int64
+	jobs            []*jayspec.Job
+	submitted       int
+	progress        map[string]*jaywire.JobProgress
 }
 
 type modelTimer struct {
@@ -114,7 +116,8 @@
 func newOwnersModel(t *rapid.T) *ownersModel {
 	delay := rapid.SampledFrom([]time.Duration{0, 200 * time.Millisecond, 800 * time.Millisecond}).Draw(t, "delay")
 	m := &ownersModel{t: t, takeoverDelay: delay, now: time.Minute, random: rand.New(rand.NewPCG(0, 0)), workers: map[string]*ownersWorker{}, ends: map[jayport.TaskID][]*modelEnd{}, progress: map[string]*jaywire.JobProgress{}}
-	m.jobs = []*jayspec.Job{newSpec("j", 2)}
+	m.placementsSince = rapid.SampledFrom([]int64{1, 1, 3, 0}).Draw(t, "placementsSince")
+	m.jobs = []*jayspec.Job{newSpec("j", 2), modelService("s")}
 	m.join()
 	m.join()
 	m.join()
@@ -122,6 +125,16 @@
 	return m
 }
 
+// modelService returns a service of two tasks that fit beside any others.
+func modelService(id string) *jayspec.Job {
+	return newSpec(id, 1, longRunning, func(s *jayspec.Step) { s.Need = jaypool.Resources{MemoryMegabytes: 10} })
+}
+
+// isService reports whether a job of the model runs until it is cancelled.
+func (m *ownersModel) isService(id string) bool {
+	return slices.ContainsFunc(m.jobs, func(j *jayspec.Job) bool { return j.ID == id && j.LongRunning() })
+}
+
 func (m *ownersModel) tracef(format string, args ...any) {
 	m.trace = append(m.trace, m.now.String()+" "+fmt.Sprintf(format, args...))
 }
@@ -297,7 +310,11 @@
 	w.active[o.Run] = true
 	m.after(m.upTo([]time.Duration{30 * time.Millisecond, 500 * time.Millisecond, 2 * modelLease, 2 * modelFormerWait}[m.random.IntN(4)]), func() {
 		if w.lapse(m.local(w)); w.up && w.active[o.Run] {
-			m.end(w, o.Run, jayport.EndedDone)
+			how := jayport.EndedDone
+			if m.isService(o.Run.Task.Job) {
+				how = jayport.EndedFailed
+			}
+			m.end(w, o.Run, how)
 		}
 	})
 	return nil
@@ -362,7 +379,7 @@
 func (m *ownersModel) claim() *modelOwner {
 	m.claims++
 	o := &modelOwner{m: m, fence: m.claims, faults: map[string]modelFault{}}
-	o.pool = NewPool("seats", Settings{Lease: modelLease, Stop: 200 * time.Millisecond, MoveTime: time.Second, FarFactor: 1.5}, WithFence(o.fence, o.fence), WithReplaceableOwner(0, modelOwnerTimeout))
+	o.pool = NewPool("seats", Settings{Lease: modelLease, Stop: 200 * time.Millisecond, MoveTime: time.Second, FarFactor: 1.5}, WithFence(o.fence, o.fence), WithReplaceableOwner(0, modelOwnerTimeout), WithPlacementsSince(m.placementsSince))
 	m.owners = append(m.owners, o)
 	m.tracef("owner %d claims", o.fence)
 	surveyed, asked := m.inventory(), m.now
@@ -739,6 +756,9 @@
 		m.submitted++
 	}
 	spec := newSpec(fmt.Sprint("k", m.submitted), 1)
+	if m.submitted%2 == 0 {
+		spec = modelService(spec.ID)
+	}
 	if _, known := o.pool.jobs[spec.ID]; known {
 		return
 	}
@@ -767,14 +787,16 @@
 	}
 	for range 60 {
 		m.pass(time.Second)
-		open := slices.ContainsFunc(m.jobs, func(j *jayspec.Job) bool { return OutcomeOf(m.progress[j.ID]) == Open })
+		open := slices.ContainsFunc(m.jobs, func(j *jayspec.Job) bool { return !j.LongRunning() && OutcomeOf(m.progress[j.ID]) == Open })
 		if !open {
 			break
 		}
 	}
 	m.pass(2 * modelCallTimeout)
 	for _, j := range m.jobs {
-		if OutcomeOf(m.progress[j.ID]) == Open {
+		if j.LongRunning() {
+			m.checkServes(j)
+		} else if OutcomeOf(m.progress[j.ID]) == Open {
 			m.fatalf("job %s has not ended", j.ID)
 		}
 	}
@@ -785,6 +807,32 @@
 	}
 }
 
+// checkServes fails the test if a task of a service stays without a run.
+func (m *ownersModel) checkServes(service *jayspec.Job) {
+	for n := range service.Steps[0].Tasks {
+		id, waited := jayport.TaskID{Job: service.ID, Index: n}, time.Duration(0)
+		for !m.runs(id) {
+			if waited >= maxServiceInterruption {
+				m.fatalf("%v has no run", id)
+			}
+			m.pass(modelTick)
+			waited += modelTick
+		}
+	}
+}
+
+// runs reports whether a task runs on some worker.
+func (m *ownersModel) runs(id jayport.TaskID) bool {
+	for _, name := range sortedKeys(m.workers) {
+		w := m.workers[name]
+		w.lapse(m.local(w))
+		if w.up && slices.ContainsFunc(w.runs(), func(r jayport.RunRef) bool { return r.Task == id }) {
+			return true
+		}
+	}
+	return false
+}
+
 // Guards against second starts, and ends that are lost, of owners that do not know that they were
 // replaced, whatever calls and answers are late or lost.
 func TestOwnersThatWereReplaced(t *testing.T) {
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -16,6 +16,7 @@
 	defer p.reportWaits(now) // may reach quotas
 	defer p.reportHold(formerRuns, now)
 	defer p.reviewHeldBack(formerRuns, now)
+	p.reviewPlacements(formerRuns)
 	p.clearReservations()
 	p.updateBusyTimes(now)
 	if p.OwnerUnconfirmed() {
@@ -80,7 +81,7 @@
 // mayStart reports whether a waiting task may start as far as its former runs and the owner are
 // concerned. formerRuns says that a former owner may have started the restored tasks.
 func (p *Pool) mayStart(t *task, formerRuns bool, now time.Duration) bool {
-	if now < t.notBefore || formerRuns && t.mayRunUnreported {
+	if now < t.notBefore || p.mayRunUnreported(t, formerRuns, now) {
 		return false
 	}
 	if now < p.formerRuns.heldUntil && t.awaitsFormerTrial() {
--- /dev/null
+++ b/jaysched/placement.go
@@ -0,0 +1,156 @@
+package jaysched
+
+import (
+	"time"
+
+	"jaythread/jayport"
+	"jaythread/jaywire"
+)
+
+// placement is a run of a service task with its worker, which is recorded before the run begins.
+//
+// It handles this load: the host of a service task is lost together with the owner of its pool, and some
+// other worker answers nobody. Without a record the next owner cannot tell that the task does not run there,
+// waits until all leases of the former owner must have ended, and so does each owner after it. With the
+// record the task waits for the worker of its placement only, and not at all if it has none. Other tasks
+// end by themselves, and a record for each of them would cost more than the wait.
+type placement struct {
+	run         int64
+	worker      string
+	incarnation jayport.Incarnation
+}
+
+// WithPlacementsSince sets the first term from which on all owners of the pool record placements: a record
+// of an earlier owner does not have all of them. Zero stands for none.
+func WithPlacementsSince(term int64) Option {
+	return func(p *Pool) { p.placementsSince = term }
+}
+
+// recordsPlacements reports whether the runs of the step's tasks are recorded before they begin.
+func (s *step) recordsPlacements() bool {
+	return s.decl.LongRunning && !s.decl.Speculative
+}
+
+// placement returns the latest run of a task whose outcome is not known, in its stored form, or nil.
+func (t *task) placement() *jaywire.Placement {
+	if !t.step.recordsPlacements() || t.done {
+		return nil
+	}
+	if len(t.runs) > 0 {
+		r := t.runs[0]
+		return &jaywire.Placement{Run: r.number, Worker: r.worker.ID, Incarnation: int64(r.worker.Incarnation)}
+	}
+	if f := t.formerPlacement; f != nil {
+		return &jaywire.Placement{Run: f.run, Worker: f.worker, Incarnation: int64(f.incarnation)}
+	}
+	return nil
+}
+
+// mayHaveUnreported reports whether a former owner may have started tasks of the step of which it has
+// recorded no placement.
+func (s *step) mayHaveUnreported() bool {
+	return s.job.mayRunUnreported && !(s.job.placementsTerm > 0 && s.recordsPlacements())
+}
+
+// completePlacements records that all runs of a job's service tasks are known.
+func (p *Pool) completePlacements(j *job) {
+	if j.longRunning {
+		j.placementsTerm = p.term
+	}
+}
+
+// placementsRecorded reports whether the placements in a record of a job, or nil, are complete.
+func (p *Pool) placementsRecorded(progress *jaywire.JobProgress) bool {
+	if progress == nil {
+		return p.placementsSince == 1
+	}
+	return p.placementsSince > 0 && int64(progress.PlacementsTerm) >= p.placementsSince
+}
+
+// restorePlacements makes the tasks of a restored job wait for the workers of their recorded placements.
+func (p *Pool) restorePlacements(j *job, progress *jaywire.JobProgress) {
+	if !p.placementsRecorded(progress) {
+		j.placementsTerm = 0
+		p.placementsIncomplete = p.placementsIncomplete || j.longRunning
+		return
+	}
+	p.completePlacements(j)
+	for _, record := range progress.GetSteps() {
+		s := j.stepOf(jayport.StepID{Job: j.spec.ID, Occurrence: int(record.Occurrence), Step: int(record.Step)})
+		if s == nil || !s.recordsPlacements() {
+			continue
+		}
+		for _, r := range record.Tasks {
+			if r.Placement == nil || int(r.Index) >= s.decl.Tasks || hasBit(s.done, int(r.Index)) {
+				continue
+			}
+			t := s.holdTask(int(r.Index))
+			t.formerPlacement = &placement{run: r.Placement.Run, worker: r.Placement.Worker, incarnation: jayport.Incarnation(r.Placement.Incarnation)}
+			j.started = true
+			p.formerPlacements[t.formerPlacement.worker] = append(p.formerPlacements[t.formerPlacement.worker], t)
+		}
+	}
+}
+
+// endFormerPlacements ends the placements that former owners have recorded for a worker: it has reported
+// without their runs, or is gone.
+func (p *Pool) endFormerPlacements(worker string) {
+	for _, t := range p.formerPlacements[worker] {
+		if t.formerPlacement != nil && t.formerPlacement.worker == worker {
+			t.formerPlacement = nil
+			p.placementEnded(t)
+		}
+	}
+	delete(p.formerPlacements, worker)
+}
+
+// placementEnded requests that a task be recorded without its placement, so that the next owner does not
+// wait for its worker.
+func (p *Pool) placementEnded(t *task) {
+	if t.step.recordsPlacements() && t.step.job.outcome == Open {
+		p.markChanged(t.step.job)
+	}
+}
+
+// recordPlacement records a run before it begins.
+func (p *Pool) recordPlacement(r *run) {
+	r.phase = unrecorded
+	r.task.formerPlacement = nil
+	p.markChanged(r.task.step.job)
+	p.recordNow = true
+}
+
+// placementRecorded sends the start order of a run whose placement is recorded. If its worker has become
+// unusable in the meantime, the task waits for another one.
+func (p *Pool) placementRecorded(r *run, now time.Duration) {
+	if r.phase != unrecorded || r.worker.runs[r.ref()] != r {
+		return
+	}
+	if !r.worker.usable() {
+		p.endTrial(r.task, r.number)
+		p.dropUnstarted(r, now)
+		return
+	}
+	r.orderedAt = now
+	p.sendStart(r, now)
+}
+
+// mayRunUnreported reports whether a former owner may have started a task on a worker that has not reported
+// yet. formerRuns says whether there is such a worker.
+func (p *Pool) mayRunUnreported(t *task, formerRuns bool, now time.Duration) bool {
+	return formerRuns && t.mayRunUnreported || t.formerPlacement != nil && now < p.formerRuns.heldUntil
+}
+
+// reviewPlacements completes the placements of restored services once all runs of former owners are known.
+func (p *Pool) reviewPlacements(formerRuns bool) {
+	if formerRuns || !p.placementsIncomplete {
+		return
+	}
+	p.placementsIncomplete = false
+	for _, j := range p.open {
+		if j.longRunning && j.placementsTerm == 0 {
+			p.completePlacements(j)
+			p.markChanged(j)
+		}
+	}
+}
--- /dev/null
+++ b/jaysched/placement_test.go
@@ -0,0 +1,126 @@
+package jaysched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaythread/jaywire"
+)
+
+// Guards against two runs of a service task: its owner is lost before the run is recorded, and the next one
+// waits for no worker.
+func TestServiceTaskStartsOnceItsPlacementIsRecorded(t *testing.T) {
+	t.Run("no order is sent before", func(t *testing.T) {
+		is := is.New(t)
+		w := newHarness(t, 2)
+		w.storeUnavailable = true
+		declare(w, service("a", 1))
+		w.pass(time.Second)
+		is.Equal(w.starts("a.0.0.0"), 0)
+		w.storeUnavailable = false
+		w.pass(time.Millisecond)
+		is.Equal(w.starts("a.0.0.0"), 1)
+		is.True(w.running()["a.0.0.0"] != "")
+	})
+	t.Run("a worker that has closed meanwhile gets no order", func(t *testing.T) {
+		// Guards against a start on a worker that drains: the store took long to record the run.
+		is := is.New(t)
+		w := newHarness(t, 2)
+		w.storeUnavailable = true
+		declare(w, service("a", 1))
+		chosen := w.pool.jobs["a"].occurrences[0].steps[0].tasks[0].runs[0].worker.ID
+		w.workers[chosen].info.Draining = true
+		w.list()
+		w.storeUnavailable = false
+		w.pass(time.Second)
+		is.Equal(w.starts("a.0.0.0"), 1)
+		is.True(w.running()["a.0.0.0"] != chosen)
+	})
+	t.Run("a job that is cancelled meanwhile does not run", func(t *testing.T) {
+		is := is.New(t)
+		w := newHarness(t, 2)
+		w.storeUnavailable = true
+		declare(w, service("a", 1))
+		w.pool.Cancel("a", w.now)
+		w.storeUnavailable = false
+		w.pass(time.Second)
+		w.reports()
+		is.Equal(w.starts("a.0.0.0"), 0)
+		is.Equal(len(w.running()), 0)
+	})
+}
+
+// succeedSince is succeed for an owner that knows from which term on all owners record placements.
+func (w *harness) succeedSince(term, since int64, progress *jaywire.JobProgress) *harness {
+	next := newHarness(w.t, 0, WithFence(term, term), WithFormerOwner(w.now+15*time.Second), WithPlacementsSince(since))
+	next.now, next.workers = w.now, w.workers
+	next.pool.Restore(service("a", 1), progress, next.now)
+	next.pool.TakenOver(next.now)
+	next.list()
+	readInventory(next)
+	next.run()
+	return next
+}
+
+// Guards against two runs of a service task, and against a task that waits for each silent worker: which
+// workers a former owner may have used depends on what it has recorded.
+func TestServiceTaskWaitsForTheWorkerOfItsPlacement(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// since is the first term whose owners record placements; recorded says that there is a record.
+		since    int64
+		recorded bool
+		// silent is the kind of worker that does not answer.
+		silent string
+		waits  bool
+	}{
+		{"its worker is silent", 1, true, "own", true},
+		{"another worker is silent", 1, true, "other", false},
+		{"no run is recorded", 1, false, "other", false},
+		{"a former owner was of an earlier version", 2, true, "other", true},
+		{"a former owner without a record was of an earlier version", 2, false, "other", true},
+		{"no owner records placements", 0, true, "other", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newHarness(t, 3)
+			declare(w, service("a", 1))
+			var progress *jaywire.JobProgress
+			if c.recorded {
+				progress = w.pool.jobs["a"].progress()
+			}
+			own := w.running()["a.0.0.0"]
+			for _, id := range sortedKeys(w.workers) {
+				clear(w.workers[id].active) // the run has ended, which the first owner has not learned
+				w.workers[id].silent = (id == own) == (c.silent == "own")
+			}
+			next := w.succeedSince(2, c.since, progress)
+			next.reportFor(time.Second)
+			is.New(t).Equal(next.starts("a.0.0.0") == 0, c.waits)
+			next.reportFor(15 * time.Second)
+			is.New(t).Equal(next.starts("a.0.0.0"), 1)
+		})
+	}
+}
+
+// Guards against services that wait for each silent worker after an upgrade, under all further owners: the
+// placements of runs that an earlier version has started are not recorded.
+func TestPlacementsAreCompletedAfterAnUpgrade(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 3)
+	declare(w, service("a", 1))
+	upgraded := w.succeedSince(2, 2, nil)
+	own := upgraded.running()["a.0.0.0"]
+	upgraded.pass(recordDelay)
+	progress := upgraded.record().Progress["a"]
+	is.Equal(progress.Steps[0].Tasks[0].Placement.Worker, own)
+	for _, id := range sortedKeys(upgraded.workers) {
+		upgraded.workers[id].silent = id != own
+	}
+	clear(upgraded.workers[own].active)
+	upgraded.addWorker("w9")
+	next := upgraded.succeedSince(3, 2, progress)
+	next.reportFor(time.Second)
+	is.Equal(next.starts("a.0.0.0"), 1)
+}
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -136,6 +136,13 @@
 	formerRuns formerRuns
 	// formerTrials are the tasks with recorded trials of former owners, by the workers of the trials.
 	formerTrials map[string][]*task
+	// formerPlacements are the tasks with recorded placements of former owners, by the workers of the
+	// placements.
+	formerPlacements map[string][]*task
+	// placementsSince is the first term from which on all owners record placements; placementsIncomplete says
+	// that a former owner may have started a restored service task without a record.
+	placementsSince      int64
+	placementsIncomplete bool
 	// restoredAt is when this owner first restored a job.
 	restoredAt  time.Duration
 	right       jayownership.Right
@@ -191,7 +198,10 @@
 		workers:      map[string]*worker{},
 		endedWorkers: map[string]endedIncarnations{},
 		formerTrials: map[string][]*task{},
-		expected:     map[string]time.Duration{},
+
+		formerPlacements: map[string][]*task{},
+
+		expected: map[string]time.Duration{},
 
 		cancellations: jaycancel.NewRegister(),
 
@@ -299,6 +309,7 @@
 	j := newJob(spec, now, p.dueAt)
 	// A former owner may have stored the job too, and begun it.
 	j.foundInStore = p.hasUnprocessedRuns(j)
+	p.completePlacements(j)
 	j.holdDue(now)
 	p.needOwner(j, jayownership.NeededForStored(now))
 	p.shareWithFormer(j, now)
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -21,6 +21,8 @@
 	outcomes map[string]Outcome
 	ends     map[*worker]int64
 	trials   map[*task]jaytrial.Trial
+	// placements are the runs that begin once the batch is recorded.
+	placements []*run
 	// cancellations are those of unknown jobs. Their records are in Progress.
 	cancellations jaycancel.Changes
 }
@@ -84,6 +86,9 @@
 			if latest, unrecorded := known.Unrecorded(); unrecorded {
 				b.trials[t] = latest
 			}
+			if len(t.runs) > 0 && t.runs[0].phase == unrecorded {
+				b.placements = append(b.placements, t.runs[0])
+			}
 		})
 	}
 	p.changed = slices.Delete(p.changed, 0, taken)
@@ -118,6 +123,9 @@
 	for t, stored := range b.trials {
 		t.holdTrials().Recorded(stored)
 	}
+	for _, r := range b.placements {
+		p.placementRecorded(r, now)
+	}
 	p.batchRecordedAt = now
 	for _, w := range p.sorted {
 		if processed, ok := b.ends[w]; ok && processed > w.acknowledged {
@@ -144,6 +152,7 @@
 		record.Organisation = j.spec.Organisation
 		return record
 	}
+	record.PlacementsTerm = uint32(j.placementsTerm)
 	if j.spec.Schedule.Timed() {
 		record.NextOccurrence = uint32(j.series.Next())
 		for _, number := range j.series.EndedAhead() {
@@ -175,9 +184,10 @@
 				trialRun = 0
 			}
 		}
-		if !t.done && (len(t.failedRuns) > 0 || t.checkpoint() != "" || len(t.crashes) > 0 || trialRun > 0) {
+		placed := t.placement()
+		if !t.done && (len(t.failedRuns) > 0 || t.checkpoint() != "" || len(t.crashes) > 0 || trialRun > 0 || placed != nil) {
 			record.Tasks = append(record.Tasks, &jaywire.TaskProgress{
-				Index: uint32(t.index), FailedRuns: t.failedRuns, Checkpoint: t.checkpoint(), LastRun: t.lastRun, Crashes: t.crashRecords(trialRun > 0), TrialRun: trialRun,
+				Index: uint32(t.index), FailedRuns: t.failedRuns, Checkpoint: t.checkpoint(), LastRun: t.lastRun, Crashes: t.crashRecords(trialRun > 0), TrialRun: trialRun, Placement: placed,
 			})
 		}
 	}
--- a/jaysched/quota.go
+++ b/jaysched/quota.go
@@ -248,7 +248,7 @@
 func (j *job) unreportedNeed() jaypool.Resources {
 	var total jaypool.Resources
 	j.eachTask(func(t *task) {
-		if t.mayRunUnreported && !t.done && len(t.runs) == 0 {
+		if (t.mayRunUnreported || t.formerPlacement != nil) && !t.done && len(t.runs) == 0 {
 			total = total.Add(t.step.decl.Need)
 		}
 	})
--- a/jaysched/restore.go
+++ b/jaysched/restore.go
@@ -22,6 +22,7 @@
 		j.begun = progress.NextOccurrence > 0 || len(progress.Steps) > 0
 		j.restoreProgress(progress)
 	}
+	p.restorePlacements(j, progress)
 	j.holdDue(now)
 	j.markUnreported()
 	if p.restoredAt == 0 {
--- a/jaysched/unknownjobs.go
+++ b/jaysched/unknownjobs.go
@@ -90,6 +90,7 @@
 // inherit records that a former owner may have begun a job.
 func (p *Pool) inherit(j *job) {
 	j.inherited = true
+	p.restorePlacements(j, nil)
 	j.markUnreported()
 	p.quotas.possible = nil
 }
--- a/jaysched/waiting.go
+++ b/jaysched/waiting.go
@@ -68,7 +68,7 @@
 		h.since, h.reportedAt = now, now
 	case formerRuns && now >= h.reportedAt+waitReportInterval:
 		h.reportedAt = now
-		if held, service := p.heldTasks(); held > 0 {
+		if held, service := p.heldTasks(now); held > 0 {
 			h.reported = true
 			p.recordEvent(Event{Kind: TasksHeld, Detail: fmt.Sprintf("%d, %d of services: %s", held, service, p.formerRunsReason()), Waited: now - h.since}, now)
 		}
@@ -82,13 +82,13 @@
 
 // heldTasks counts the waiting tasks that a former owner may have started, and those of services
 // among them.
-func (p *Pool) heldTasks() (held, service int) {
+func (p *Pool) heldTasks(now time.Duration) (held, service int) {
 	for _, j := range p.open {
 		if j.waiting == 0 {
 			continue
 		}
 		j.eachTask(func(t *task) {
-			if t.mayRunUnreported && t.waiting() {
+			if p.mayRunUnreported(t, true, now) && t.waiting() {
 				held++
 				if t.step.decl.LongRunning {
 					service++
@@ -143,6 +143,8 @@
 		return "a worker's report precedes the job"
 	case t.step.job.unsettled():
 		return "another pool may have the job"
+	case t.formerPlacement != nil && now < p.formerRuns.heldUntil:
+		return "a former owner may have started it on " + t.formerPlacement.worker
 	case t.mayRunUnreported && p.formerRunsPossible(now):
 		return "a former owner may have started it: " + p.formerRunsReason()
 	case now < t.notBefore:
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -160,6 +160,8 @@
 	stopping
 	// stopped runs will end, as the worker has confirmed.
 	stopped
+	// unrecorded runs are sent to the worker once their placement is recorded.
+	unrecorded
 )
 
 func (r *run) ref() jayport.RunRef {
@@ -180,7 +182,7 @@
 		r.worker.resendAt = min(r.worker.resendAt, r.resendAt)
 	case ordered:
 		r.worker.resendAt = min(r.worker.resendAt, r.resendAt+unreportedTimeout)
-	case running, stopped:
+	case running, stopped, unrecorded:
 	}
 }
 
