--- a/jaysched/waiting.go
+++ b/jaysched/waiting.go
@@ -68,7 +68,7 @@
 		h.since, h.reportedAt = now, now
 	case formerRuns && now >= h.reportedAt+waitReportInterval:
 		h.reportedAt = now
-		if held, service := p.heldTasks(); held > 0 {
+		if held, service := p.heldTasks(now); held > 0 {
 			h.reported = true
 			p.recordEvent(Event{Kind: TasksHeld, Detail: fmt.Sprintf("%d, %d of services: %s", held, service, p.formerRunsReason()), Waited: now - h.since}, now)
 		}
@@ -82,13 +82,13 @@
 
 // heldTasks counts the waiting tasks that a former owner may have started, and those of services
 // among them.
-func (p *Pool) heldTasks() (held, service int) {
+func (p *Pool) heldTasks(now time.Duration) (held, service int) {
 	for _, j := range p.open {
 		if j.waiting == 0 {
 			continue
 		}
 		j.eachTask(func(t *task) {
-			if t.mayRunUnreported && t.waiting() {
+			if p.mayRunUnreported(t, true, now) && t.waiting() {
 				held++
 				if t.step.decl.LongRunning {
 					service++
@@ -131,6 +131,7 @@
 	reportPrecedesJob
 	jobUnsettled
 	formerRunPossible
+	formerPlacementPossible
 	runJustEnded
 	overQuota
 	allWorkersHaveObstacles
@@ -147,6 +148,7 @@
 	reportPrecedesJob:       {WaitOther, "a worker's report precedes the job"},
 	jobUnsettled:            {WaitOther, "another pool may have the job"},
 	formerRunPossible:       {WaitFormerRun, "a former owner may have started it: "},
+	formerPlacementPossible: {WaitFormerRun, "a former owner may have started it on "},
 	runJustEnded:            {WaitOther, "its last run has just ended"},
 	overQuota:               {WaitQuota, "the quota of its organisation"},
 	allWorkersHaveObstacles: {reason: WaitNoWorker},
@@ -219,7 +221,7 @@
 			p.noteQuotaReached(s, 1)
 		}
 		run := jayport.RunRef{Task: t.id(), Number: p.nextRun(t.lastRun)}
-		p.recordEvent(Event{Kind: TaskWaits, Run: run, Detail: p.waitText(&wait), Waited: waited}, now)
+		p.recordEvent(Event{Kind: TaskWaits, Run: run, Detail: p.waitText(t, &wait), Waited: waited}, now)
 	}
 }
 
@@ -234,6 +236,8 @@
 		return taskWait{cause: reportPrecedesJob}
 	case t.step.job.unsettled():
 		return taskWait{cause: jobUnsettled}
+	case t.formerPlacement != nil && now < p.formerRuns.heldUntil:
+		return taskWait{cause: formerPlacementPossible}
 	case t.mayRunUnreported && formerRuns:
 		return taskWait{cause: formerRunPossible}
 	case now < t.notBefore:
@@ -251,10 +255,12 @@
 	return wait
 }
 
-// waitText returns the text of a wait in the log.
-func (p *Pool) waitText(w *taskWait) string {
+// waitText returns the text of a task's wait in the log.
+func (p *Pool) waitText(t *task, w *taskWait) string {
 	text := waitCauses[w.cause].text
 	switch w.cause {
+	case formerPlacementPossible:
+		return text + t.formerPlacement.worker
 	case formerRunPossible:
 		return text + p.formerRunsReason()
 	case allWorkersHaveObstacles, someWorkerFree:
