Start a recorded service task only while its owner may act

What callers saw: a service task could run twice. An owner that was replaced or paused while the store recorded a placement sent the start order when the answer came, though its right to act had lapsed. If the worker had not heard of the next owner's fence, it accepted the order and its lease, after the next owner had waited for the last lease that the former one could grant.

Cause: the start order was created in BatchRecorded, outside Decide's check of the owner's right, and Decide hands out waiting actions also when it has lapsed.

Change: BatchRecorded remembers the recorded runs; Decide starts them after its check, and not while the owner is unconfirmed.

--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -30,6 +30,7 @@
 	p.holdDue(now)
 	p.expireLeases(now)
 	p.resend(now)
+	p.startRecorded(now)
 	p.vacate(now)
 	p.reviewDeadlines(now)
 	p.reviewSpeeds(now)
--- a/jaysched/placement.go
+++ b/jaysched/placement.go
@@ -120,6 +120,18 @@
 	p.recordNow = true
 }
 
+// startRecorded starts the runs whose placements are recorded, unless the owner may have been replaced.
+func (p *Pool) startRecorded(now time.Duration) {
+	if p.OwnerUnconfirmed() {
+		return
+	}
+	recorded := p.recordedRuns
+	p.recordedRuns = nil
+	for _, r := range recorded {
+		p.placementRecorded(r, now)
+	}
+}
+
 // placementRecorded sends the start order of a run whose placement is recorded. If its worker has become
 // unusable in the meantime, the task waits for another one.
 func (p *Pool) placementRecorded(r *run, now time.Duration) {
--- a/jaysched/placement_test.go
+++ b/jaysched/placement_test.go
@@ -124,3 +124,35 @@
 	next.reportFor(time.Second)
 	is.Equal(next.starts("a.0.0.0"), 1)
 }
+
+// Guards against two runs of a service task: its owner was replaced while the store recorded the run, and the
+// next owner has waited until the leases of that owner must have ended.
+func TestServiceTaskIsNotStartedByAnOwnerThatMayBeReplaced(t *testing.T) {
+	for name, c := range map[string]struct {
+		waits  time.Duration
+		paused bool
+	}{
+		"the store took longer than the owner may act": {waits: 12 * time.Second},
+		"the owner was paused":                         {waits: time.Second, paused: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newHarness(t, 2, WithReplaceableOwner(time.Minute, 10*time.Second))
+			w.storeUnavailable = true
+			declare(w, service("a", 1))
+			batch, asked := w.pool.TakeBatch(), w.now
+			w.now += c.waits
+			if c.paused {
+				w.pool.OwnerPaused(w.now)
+			}
+			w.pool.SetConfirmedAt(asked)
+			w.pool.BatchRecorded(batch, w.now)
+			w.storeUnavailable = false
+			w.run()
+			is.Equal(w.starts("a.0.0.0"), 0)
+			w.pool.OwnerConfirmed(w.now, nil, w.now)
+			w.reportFor(time.Second)
+			is.Equal(w.starts("a.0.0.0"), 1)
+		})
+	}
+}
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -143,6 +143,8 @@
 	// that a former owner may have started a restored service task without a record.
 	placementsSince      int64
 	placementsIncomplete bool
+	// recordedRuns are the runs whose placements are recorded and that may not have been started yet.
+	recordedRuns []*run
 	// restoredAt is when this owner first restored a job.
 	restoredAt  time.Duration
 	right       jayownership.Right
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -123,9 +123,7 @@
 	for t, stored := range b.trials {
 		t.holdTrials().Recorded(stored)
 	}
-	for _, r := range b.placements {
-		p.placementRecorded(r, now)
-	}
+	p.recordedRuns = append(p.recordedRuns, b.placements...)
 	p.batchRecordedAt = now
 	for _, w := range p.sorted {
 		if processed, ok := b.ends[w]; ok && processed > w.acknowledged {
