Check a worker's room again before a recorded service task starts

What callers saw: a service task could start on a worker without room for it (LIMIT on workers that do not guard their capacity).

Cause: its worker is chosen before the store records the placement, and the start was sent after that without a look at the worker's room. In the meantime the worker may have been resized, or have shown a run that the pool does not account for.

Change: such a run is dropped as on a worker that has closed; the task waits for another worker.

--- a/jaysched/placement.go
+++ b/jaysched/placement.go
@@ -133,12 +133,12 @@
 }
 
 // placementRecorded sends the start order of a run whose placement is recorded. If its worker has become
-// unusable in the meantime, the task waits for another one.
+// unusable or lacks room in the meantime, the task waits for another one.
 func (p *Pool) placementRecorded(r *run, now time.Duration) {
 	if r.phase != unrecorded || r.worker.runs[r.ref()] != r {
 		return
 	}
-	if !r.worker.usable() {
+	if !r.worker.usable() || r.worker.unaccountedRuns > 0 || r.worker.overCommitted() {
 		p.endTrial(r.task, r.number)
 		p.dropUnstarted(r, now)
 		return
--- a/jaysched/placement_test.go
+++ b/jaysched/placement_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"jaythread/jayport"
 	"jaythread/jaywire"
 )
 
@@ -156,3 +157,29 @@
 		})
 	}
 }
+
+// Guards against a start that brings a worker over its capacity: its room has changed while the store recorded
+// the run.
+func TestServiceTaskIsNotStartedOnAWorkerThatLacksRoomMeanwhile(t *testing.T) {
+	foreign := jayport.RunRef{Task: jayport.TaskID{Job: "x"}, Number: 1}
+	for name, change := range map[string]func(w *harness, f *fakeWorker){
+		"it has less capacity": func(_ *harness, f *fakeWorker) { f.info.Capacity.ProcessorsMilli = 500 },
+		"it has a run that the pool does not know": func(w *harness, f *fakeWorker) {
+			f.active[foreign] = jayport.ActiveRun{Run: foreign, Speed: 100}
+			w.lose = func(a Action) bool { _, stop := a.(StopRun); return stop }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newHarness(t, 1)
+			w.storeUnavailable = true
+			declare(w, service("a", 1))
+			change(w, w.workers["w0"])
+			w.list()
+			w.reports()
+			w.storeUnavailable = false
+			w.run()
+			is.Equal(w.starts("a.0.0.0"), 0)
+		})
+	}
+}
