Start the members of a recorded gang together or not at all

What callers saw: members of a gang of a service ended "alone" (GANG).

Cause: the members' placements are recorded in one batch, but each start was then decided by itself: if the worker of one had closed, shrunk or been lost while the store recorded them, only that member was dropped.

Change: if a member cannot start, all members that were not sent are dropped, and the gang is placed again.

Evidence: TestGangOfAServiceStartsTogetherOnceRecorded fails without the change in its four cases (1 start instead of 0).

--- a/jaysched/placement.go
+++ b/jaysched/placement.go
@@ -132,21 +132,59 @@
 	}
 }
 
-// placementRecorded sends the start order of a run whose placement is recorded. If its worker has become
-// unusable or lacks room in the meantime, the task waits for another one.
+// placementRecorded sends the start order of a run whose placement is recorded. If its worker, or that of
+// another member of its gang, has become unusable or lacks room in the meantime, the task waits for another
+// one.
 func (p *Pool) placementRecorded(r *run, now time.Duration) {
 	if r.phase != unrecorded || r.worker.runs[r.ref()] != r {
 		return
 	}
-	if !r.worker.usable() || r.worker.unaccountedRuns > 0 || r.worker.overCommitted() {
-		p.endTrial(r.task, r.number)
-		p.dropUnstarted(r, now)
+	if r.task.step.decl.Gang && !gangMayBegin(r) {
+		for _, t := range r.task.step.tasks {
+			if len(t.runs) > 0 && t.runs[0].phase == unrecorded {
+				p.dropUnsent(t.runs[0], now)
+			}
+		}
+		return
+	}
+	if !r.mayBegin() {
+		p.dropUnsent(r, now)
 		return
 	}
 	r.orderedAt = now
 	p.sendStart(r, now)
 }
 
+// mayBegin reports whether the worker of a run that was not sent can still start it.
+func (r *run) mayBegin() bool {
+	return r.worker.usable() && r.worker.unaccountedRuns == 0 && !r.worker.overCommitted()
+}
+
+// gangMayBegin reports whether all members of the gang of a run can start: none has been lost or stopped.
+func gangMayBegin(r *run) bool {
+	for _, t := range r.task.step.tasks {
+		if len(t.runs) == 0 || t.runs[0].number != r.number {
+			return false
+		}
+		switch member := t.runs[0]; member.phase {
+		case unrecorded:
+			if !member.mayBegin() {
+				return false
+			}
+		case stopping, stopped:
+			return false
+		case ordered, unanswered, running:
+		}
+	}
+	return true
+}
+
+// dropUnsent removes a run that was not sent.
+func (p *Pool) dropUnsent(r *run, now time.Duration) {
+	p.endTrial(r.task, r.number)
+	p.dropUnstarted(r, now)
+}
+
 // mayRunUnreported reports whether a former owner may have started a task on a worker that has not reported
 // yet. formerRuns says whether there is such a worker.
 func (p *Pool) mayRunUnreported(t *task, formerRuns bool, now time.Duration) bool {
--- a/jaysched/placement_test.go
+++ b/jaysched/placement_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"jaythread/jayport"
+	"jaythread/jayspec"
 	"jaythread/jaywire"
 )
 
@@ -183,3 +184,36 @@
 		})
 	}
 }
+
+// Guards against members of a gang that end alone: the worker of another one has been lost or closed while the
+// store recorded the gang.
+func TestGangOfAServiceStartsTogetherOnceRecorded(t *testing.T) {
+	for name, change := range map[string]func(w *harness, f *fakeWorker){
+		"a worker has closed": func(_ *harness, f *fakeWorker) { f.info.Draining = true },
+		"a worker has shrunk": func(_ *harness, f *fakeWorker) { f.info.Capacity.ProcessorsMilli = 500 },
+		"a worker has been lost": func(w *harness, f *fakeWorker) {
+			w.pool.Ended(f.workerRef(), "test", w.now)
+			delete(w.workers, f.info.ID)
+		},
+		"the other one has closed": func(w *harness, _ *fakeWorker) { w.workers["w1"].info.Draining = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newHarness(t, 2)
+			w.storeUnavailable = true
+			declare(w, newSpec("a", 1, longRunning, func(s *jayspec.Step) { s.Gang, s.MaxPerInstance = true, 1 }))
+			change(w, w.workers["w0"])
+			w.list()
+			w.storeUnavailable = false
+			w.pass(time.Millisecond)
+			is.Equal(w.starts("a.0.0.0")+w.starts("a.0.0.1"), 0)
+			w.addWorker("w8")
+			w.addWorker("w9")
+			w.list()
+			w.reportFor(time.Second)
+			is.Equal(w.starts("a.0.0.0"), 1)
+			is.Equal(w.starts("a.0.0.1"), 1)
+			is.Equal(len(w.running()), 2)
+		})
+	}
+}
