Do not suspect service tasks that were not sent to a lost worker

What callers saw: a service task could be kept apart or given up for the loss of workers on which it had never run.

Cause: a run that waits for the record of its placement stands on its worker, and was attributed the worker's loss as one that had just been started.

Change: suspects leaves out runs that were not sent.

Evidence: TestServiceTaskThatWasNotSentIsNoSuspect fails without the change: after the first loss the task is placed no more while the store is down.

--- a/jaysched/placement_test.go
+++ b/jaysched/placement_test.go
@@ -217,3 +217,22 @@
 		})
 	}
 }
+
+// Guards against a service task that is given up for crashes of workers on which it has never run: they are lost
+// while the store does not record the task.
+func TestServiceTaskThatWasNotSentIsNoSuspect(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 12)
+	w.storeUnavailable = true
+	declare(w, newSpec("a", 1, single, longRunning))
+	placed := w.pool.jobs["a"].occurrences[0].steps[0].tasks[0]
+	for range 2 * maxStartsOfCrasher {
+		is.Equal(len(placed.runs), 1)
+		w.crashWorker(placed.runs[0].worker.ID)
+		w.pass(time.Second)
+	}
+	is.Equal(len(placed.crashes), 0)
+	w.storeUnavailable = false
+	w.run()
+	is.Equal(w.starts("a.0.0.0"), 1)
+}
--- a/jaysched/suspect.go
+++ b/jaysched/suspect.go
@@ -84,6 +84,9 @@
 func (w *worker) suspects() (runs []*run, atStart bool) {
 	var untrusted []*run
 	for _, r := range w.inOrder {
+		if r.phase == unrecorded {
+			continue // it was not sent
+		}
 		if !r.pastStartRisk() {
 			runs = append(runs, r)
 		}
