Record runs of service tasks that are found on workers

What callers saw: after an upgrade a service task could run twice. An owner of an earlier version stores a job and begins it without a record. The next owner reads the job late, and records its placements as complete before the run that a worker has shown is adopted; the adoption was never recorded. The owner after it finds no placement and starts the task at once.

Cause: a worker that shows a run of an unknown job counts as reported, so that reviewPlacements did not wait for its next report; and adopting a run did not mark the job as changed.

Change: placements of such a job are not completed while a report of its runs is unprocessed, and an adopted run that no former owner has recorded is.

Evidence: TestRunThatAnEarlierVersionHasStartedIsRecorded fails without the change (placementsTerm 2 without a placement).

--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -194,7 +194,7 @@
 	}
 	r.task.removeRun(r)
 	r.task.droppedAt = now
-	p.placementEnded(r.task)
+	p.placementChanged(r.task)
 }
 
 // ReportFailed handles a request for a report that a worker did not answer.
@@ -344,9 +344,7 @@
 	t.lastRun = max(t.lastRun, r.number)
 	t.step.gangRun = max(t.step.gangRun, r.number)
 	t.mayRunUnreported = false
-	if t.formerPlacement != nil && t.formerPlacement.run == r.number {
-		t.formerPlacement = nil
-	}
+	p.placementAdopted(r)
 	t.trialShown(r.number, w, true)
 	t.step.job.started = true
 	t.saveCheckpoint(active.Checkpoint, active.Run.Number)
--- a/jaysched/placement.go
+++ b/jaysched/placement.go
@@ -98,15 +98,15 @@
 	for _, t := range p.formerPlacements[worker] {
 		if t.formerPlacement != nil && t.formerPlacement.worker == worker {
 			t.formerPlacement = nil
-			p.placementEnded(t)
+			p.placementChanged(t)
 		}
 	}
 	delete(p.formerPlacements, worker)
 }
 
-// placementEnded requests that a task be recorded without its placement, so that the next owner does not
-// wait for its worker.
-func (p *Pool) placementEnded(t *task) {
+// placementChanged requests that a task be recorded with its present placement, or without one, so that the
+// next owner waits for no other worker.
+func (p *Pool) placementChanged(t *task) {
 	if t.step.recordsPlacements() && t.step.job.outcome == Open {
 		p.markChanged(t.step.job)
 	}
@@ -198,9 +198,26 @@
 	}
 	p.placementsIncomplete = false
 	for _, j := range p.open {
-		if j.longRunning && j.placementsTerm == 0 {
+		switch {
+		case !j.longRunning || j.placementsTerm > 0:
+		case j.foundInStore && p.hasUnprocessedRuns(j):
+			p.placementsIncomplete = true
+		default:
 			p.completePlacements(j)
 			p.markChanged(j)
 		}
 	}
 }
+
+// placementAdopted handles the run of a service task that a worker has shown. Unless a former owner has
+// recorded it, it is to be recorded.
+func (p *Pool) placementAdopted(r *run) {
+	t := r.task
+	former := t.formerPlacement
+	if former != nil && former.run == r.number {
+		t.formerPlacement = nil
+	}
+	if former == nil || former.run != r.number || former.worker != r.worker.ID {
+		p.placementChanged(t)
+	}
+}
--- a/jaysched/placement_test.go
+++ b/jaysched/placement_test.go
@@ -236,3 +236,31 @@
 	w.run()
 	is.Equal(w.starts("a.0.0.0"), 1)
 }
+
+// Guards against two runs of a service task after an upgrade: an owner of an earlier version has stored and begun
+// the job without a record, and the next owner has read it late.
+func TestRunThatAnEarlierVersionHasStartedIsRecorded(t *testing.T) {
+	is := is.New(t)
+	first := newHarness(t, 3)
+	declare(first, service("a", 1))
+	own := first.running()["a.0.0.0"]
+	next := newHarness(t, 0, WithFence(2, 2), WithFormerOwner(first.now+15*time.Second), WithPlacementsSince(2))
+	next.now, next.workers = first.now, first.workers
+	next.pool.JobsKnown(next.now - time.Second)
+	next.pool.TakenOver(next.now)
+	next.list()
+	next.run()
+	readInventory(next)
+	reportAgain(next)
+	is.True(next.pool.DeclareFound(service("a", 1), next.now))
+	next.run()
+	if early := next.record(); early != nil {
+		is.Equal(early.Progress["a"].GetPlacementsTerm(), uint32(0)) // the run is not known yet
+	}
+	reportAgain(next)
+	next.now += recordDelay
+	progress := next.record().Progress["a"]
+	is.Equal(progress.PlacementsTerm, uint32(2))
+	is.Equal(progress.Steps[0].Tasks[0].Placement.Worker, own)
+	is.Equal(next.starts("a.0.0.0"), 0)
+}
