Confirm the owner before it concludes that unreported runs are over

What callers saw: TWICE, a task that is started after its end was acknowledged (TestOwnersThatWereReplaced, found once in a run of the tests: owner 2 is replaced without knowing it; a worker that does not answer it reports the end of a task to owner 3 and crashes; owner 2 starts the task on a worker that owner 3 has not reached).

Cause: a task that a former owner may have started is free once no worker without a report is left, or the former owner's leases must have ended. Unlike the loss of a known run, this conclusion needed no confirmation that the owner had not been replaced.

Change: such a task waits until the owner is confirmed up to the loss of the last worker without a report, or up to the end of the hold. Service tasks with a complete record do not need it, since a replaced owner records nothing.

--- a/jaysched/formerruns.go
+++ b/jaysched/formerruns.go
@@ -34,6 +34,11 @@
 	unlisted map[string]bool
 	// readAt is when the newest list of the inventory was requested.
 	readAt time.Duration
+	// overAt is when this owner last concluded that a worker without a report has no run of a former owner any
+	// more. A next owner may know more.
+	overAt time.Duration
+	// deadlineReviewed says that heldUntil has passed and is regarded in overAt.
+	deadlineReviewed bool
 }
 
 // WithFormerOwner holds tasks that a former owner may have started until its leases must have
@@ -56,7 +61,7 @@
 
 // inventoryRead handles a list of the inventory, which was requested at the time asked. It returns
 // false if a newer list is known.
-func (f *formerRuns) inventoryRead(ids []string, asked time.Duration, known map[string]*worker) bool {
+func (f *formerRuns) inventoryRead(ids []string, asked, now time.Duration, known map[string]*worker) bool {
 	if asked < f.readAt {
 		return false
 	}
@@ -75,12 +80,18 @@
 			f.candidatesAt = asked
 		}
 	}
+	former := f.unlisted
 	f.unlisted = map[string]bool{}
 	for _, id := range ids {
 		if _, listed := known[id]; !listed && f.candidates[id] && !f.reports[id] {
 			f.unlisted[id] = true
 		}
 	}
+	for id := range former {
+		if !f.unlisted[id] {
+			f.overAt = now
+		}
+	}
 	return true
 }
 
@@ -115,12 +126,34 @@
 // formerRunsPossible reports whether some worker may still have runs that a former owner
 // started.
 func (p *Pool) formerRunsPossible(now time.Duration) bool {
-	if now >= p.formerRuns.heldUntil {
-		return false
-	}
+	return now < p.formerRuns.heldUntil && p.formerRunsUnreported()
+}
+
+// formerRunsUnreported reports whether some worker that may have had runs of a former owner has neither
+// reported nor ended.
+func (p *Pool) formerRunsUnreported() bool {
 	return !p.formerRuns.allListed() || slices.ContainsFunc(p.sorted, p.mayHaveFormerRuns)
 }
 
+// formerWorkerLost records that a worker is given up that may have runs of a former owner.
+func (p *Pool) formerWorkerLost(w *worker, now time.Duration) {
+	if now < p.formerRuns.heldUntil && p.mayHaveFormerRuns(w) {
+		p.formerRuns.overAt = now
+	}
+}
+
+// reviewFormerRuns requests that the owner be confirmed for the conclusion that runs of former owners are over.
+func (p *Pool) reviewFormerRuns(now time.Duration) {
+	f := &p.formerRuns
+	if now >= f.heldUntil && !f.deadlineReviewed {
+		f.deadlineReviewed = true
+		if p.formerRunsUnreported() {
+			f.overAt = max(f.overAt, f.heldUntil)
+		}
+	}
+	p.right.Need(f.overAt)
+}
+
 // formerRunsReason names the workers that may have runs of a former owner.
 func (p *Pool) formerRunsReason() string {
 	f := &p.formerRuns
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -97,7 +97,7 @@
 // never had must leave a request unanswered as well: it may be on the list of workers first. A list
 // of the inventory that is older than the newest one is ignored.
 func (p *Pool) InventoryRead(ids []string, asked, now time.Duration) {
-	if !p.formerRuns.inventoryRead(ids, asked, p.workers) {
+	if !p.formerRuns.inventoryRead(ids, asked, now, p.workers) {
 		return
 	}
 	p.quotas.possible = nil
@@ -164,6 +164,7 @@
 		p.endTrial(r.task, r.number)
 	}
 	p.loseRuns(w, why, now, now)
+	p.formerWorkerLost(w, now)
 	p.remove(w)
 	p.forgetAdvice(w)
 	p.actions = append(p.actions, ForgetWorker{To: w.workerRef()})
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -9,6 +9,7 @@
 // place starts all tasks that can be started now, in the order of the queue.
 func (p *Pool) place(now time.Duration) {
 	formerRuns := p.formerRunsPossible(now)
+	p.reviewFormerRuns(now)
 	p.noRoom = p.noRoom[:0]
 	p.lackedRoom = false
 	p.updatePossibleUse(now)
@@ -90,6 +91,9 @@
 	if t.step.job.unsettled() {
 		return false
 	}
+	if t.mayRunUnreported && !p.right.Covers(p.formerRuns.overAt) {
+		return false
+	}
 	return p.right.Covers(max(t.lostAt, t.step.job.ownerNeededAt))
 }
 
--- a/jaysched/replaced_test.go
+++ b/jaysched/replaced_test.go
@@ -264,3 +264,48 @@
 	}
 	is.Equal(next.starts("j.0.0.0"), 1)
 }
+
+// Guards against a second start by an owner that was replaced without knowing it: a worker that has not reported
+// to it has reported the end of the task to the next owner, and is gone.
+func TestLossOfAnUnreportedWorkerWaitsForTheConfirmation(t *testing.T) {
+	for _, c := range []string{"it was listed", "it was in the inventory only", "its lease must have ended"} {
+		t.Run(c, func(t *testing.T) {
+			is := is.New(t)
+			first := newHarness(t, 2)
+			spec := newSpec("j", 1, single)
+			declare(first, spec)
+			own := first.running()["j.0.0.0"]
+			next := newHarness(t, 0, WithFence(2, 2), WithFormerOwner(first.now+15*time.Second), WithReplaceableOwner(first.now, 16*time.Second))
+			next.now, next.workers = first.now, first.workers
+			next.pool.Restore(spec, nil, next.now)
+			next.pool.TakenOver(next.now)
+			next.workers[own].silent = true
+			if c == "it was in the inventory only" {
+				delete(next.workers, own)
+			}
+			next.list()
+			next.pool.InventoryRead([]string{"w0", "w1"}, next.now, next.now)
+			next.run()
+			next.reports()
+			is.Equal(next.starts("j.0.0.0"), 0)
+			if c == "its lease must have ended" {
+				next.reportFor(15 * time.Second)
+			} else {
+				next.now += time.Second
+				delete(next.workers, own)
+				next.list()
+				var left []string
+				for id := range next.workers {
+					left = append(left, id)
+				}
+				next.pool.InventoryRead(left, next.now, next.now)
+			}
+			next.run()
+			next.reports()
+			is.Equal(next.starts("j.0.0.0"), 0) // the next owner may know more
+			next.pool.OwnerConfirmed(next.now, nil, next.now)
+			next.reportFor(time.Second)
+			is.Equal(next.starts("j.0.0.0"), 1)
+		})
+	}
+}
