--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -97,7 +97,7 @@
 // never had must leave a request unanswered as well: it may be on the list of workers first. A list
 // of the inventory that is older than the newest one is ignored.
 func (p *Pool) InventoryRead(ids []string, asked, now time.Duration) {
-	if !p.formerRuns.inventoryRead(ids, asked, p.workers) {
+	if !p.formerRuns.inventoryRead(ids, asked, now, p.workers) {
 		return
 	}
 	p.quotas.possible = nil
@@ -164,6 +164,7 @@
 		p.endTrial(r.task, r.number)
 	}
 	p.loseRuns(w, why, now, now)
+	p.formerWorkerLost(w, now)
 	p.remove(w)
 	p.forgetAdvice(w)
 	p.actions = append(p.actions, ForgetWorker{To: w.workerRef()})
@@ -194,7 +195,7 @@
 	}
 	r.task.removeRun(r)
 	r.task.droppedAt = now
-	p.placementEnded(r.task)
+	p.placementChanged(r.task)
 }
 
 // ReportFailed handles a request for a report that a worker did not answer.
@@ -344,9 +345,7 @@
 	t.lastRun = max(t.lastRun, r.number)
 	t.step.gangRun = max(t.step.gangRun, r.number)
 	t.mayRunUnreported = false
-	if t.formerPlacement != nil && t.formerPlacement.run == r.number {
-		t.formerPlacement = nil
-	}
+	p.placementAdopted(r)
 	t.trialShown(r.number, w, true)
 	t.step.job.started = true
 	t.saveCheckpoint(active.Checkpoint, active.Run.Number)
--- a/jaysched/placement.go
+++ b/jaysched/placement.go
@@ -98,15 +98,15 @@
 	for _, t := range p.formerPlacements[worker] {
 		if t.formerPlacement != nil && t.formerPlacement.worker == worker {
 			t.formerPlacement = nil
-			p.placementEnded(t)
+			p.placementChanged(t)
 		}
 	}
 	delete(p.formerPlacements, worker)
 }
 
-// placementEnded requests that a task be recorded without its placement, so that the next owner does not
-// wait for its worker.
-func (p *Pool) placementEnded(t *task) {
+// placementChanged requests that a task be recorded with its present placement, or without one, so that the
+// next owner waits for no other worker.
+func (p *Pool) placementChanged(t *task) {
 	if t.step.recordsPlacements() && t.step.job.outcome == Open {
 		p.markChanged(t.step.job)
 	}
@@ -120,21 +120,71 @@
 	p.recordNow = true
 }
 
-// placementRecorded sends the start order of a run whose placement is recorded. If its worker has become
-// unusable in the meantime, the task waits for another one.
+// startRecorded starts the runs whose placements are recorded, unless the owner may have been replaced.
+func (p *Pool) startRecorded(now time.Duration) {
+	if p.OwnerUnconfirmed() {
+		return
+	}
+	recorded := p.recordedRuns
+	p.recordedRuns = nil
+	for _, r := range recorded {
+		p.placementRecorded(r, now)
+	}
+}
+
+// placementRecorded sends the start order of a run whose placement is recorded. If its worker, or that of
+// another member of its gang, has become unusable or lacks room in the meantime, the task waits for another
+// one.
 func (p *Pool) placementRecorded(r *run, now time.Duration) {
 	if r.phase != unrecorded || r.worker.runs[r.ref()] != r {
 		return
 	}
-	if !r.worker.usable() {
-		p.endTrial(r.task, r.number)
-		p.dropUnstarted(r, now)
+	if r.task.step.decl.Gang && !gangMayBegin(r) {
+		for _, t := range r.task.step.tasks {
+			if len(t.runs) > 0 && t.runs[0].phase == unrecorded {
+				p.dropUnsent(t.runs[0], now)
+			}
+		}
+		return
+	}
+	if !r.mayBegin() {
+		p.dropUnsent(r, now)
 		return
 	}
 	r.orderedAt = now
 	p.sendStart(r, now)
 }
 
+// mayBegin reports whether the worker of a run that was not sent can still start it.
+func (r *run) mayBegin() bool {
+	return r.worker.usable() && r.worker.unaccountedRuns == 0 && !r.worker.overCommitted()
+}
+
+// gangMayBegin reports whether all members of the gang of a run can start: none has been lost or stopped.
+func gangMayBegin(r *run) bool {
+	for _, t := range r.task.step.tasks {
+		if len(t.runs) == 0 || t.runs[0].number != r.number {
+			return false
+		}
+		switch member := t.runs[0]; member.phase {
+		case unrecorded:
+			if !member.mayBegin() {
+				return false
+			}
+		case stopping, stopped:
+			return false
+		case ordered, unanswered, running:
+		}
+	}
+	return true
+}
+
+// dropUnsent removes a run that was not sent.
+func (p *Pool) dropUnsent(r *run, now time.Duration) {
+	p.endTrial(r.task, r.number)
+	p.dropUnstarted(r, now)
+}
+
 // mayRunUnreported reports whether a former owner may have started a task on a worker that has not reported
 // yet. formerRuns says whether there is such a worker.
 func (p *Pool) mayRunUnreported(t *task, formerRuns bool, now time.Duration) bool {
@@ -148,9 +198,26 @@
 	}
 	p.placementsIncomplete = false
 	for _, j := range p.open {
-		if j.longRunning && j.placementsTerm == 0 {
+		switch {
+		case !j.longRunning || j.placementsTerm > 0:
+		case j.foundInStore && p.hasUnprocessedRuns(j):
+			p.placementsIncomplete = true
+		default:
 			p.completePlacements(j)
 			p.markChanged(j)
 		}
 	}
 }
+
+// placementAdopted handles the run of a service task that a worker has shown. Unless a former owner has
+// recorded it, it is to be recorded.
+func (p *Pool) placementAdopted(r *run) {
+	t := r.task
+	former := t.formerPlacement
+	if former != nil && former.run == r.number {
+		t.formerPlacement = nil
+	}
+	if former == nil || former.run != r.number || former.worker != r.worker.ID {
+		p.placementChanged(t)
+	}
+}
--- a/jaysched/placement_test.go
+++ b/jaysched/placement_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 
+	"jaythread/jayport"
+	"jaythread/jayspec"
 	"jaythread/jaywire"
 )
 
@@ -124,3 +126,141 @@
 	next.reportFor(time.Second)
 	is.Equal(next.starts("a.0.0.0"), 1)
 }
+
+// Guards against two runs of a service task: its owner was replaced while the store recorded the run, and the
+// next owner has waited until the leases of that owner must have ended.
+func TestServiceTaskIsNotStartedByAnOwnerThatMayBeReplaced(t *testing.T) {
+	for name, c := range map[string]struct {
+		waits  time.Duration
+		paused bool
+	}{
+		"the store took longer than the owner may act": {waits: 12 * time.Second},
+		"the owner was paused":                         {waits: time.Second, paused: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newHarness(t, 2, WithReplaceableOwner(time.Minute, 10*time.Second))
+			w.storeUnavailable = true
+			declare(w, service("a", 1))
+			batch, asked := w.pool.TakeBatch(), w.now
+			w.now += c.waits
+			if c.paused {
+				w.pool.OwnerPaused(w.now)
+			}
+			w.pool.SetConfirmedAt(asked)
+			w.pool.BatchRecorded(batch, w.now)
+			w.storeUnavailable = false
+			w.run()
+			is.Equal(w.starts("a.0.0.0"), 0)
+			w.pool.OwnerConfirmed(w.now, nil, w.now)
+			w.reportFor(time.Second)
+			is.Equal(w.starts("a.0.0.0"), 1)
+		})
+	}
+}
+
+// Guards against a start that brings a worker over its capacity: its room has changed while the store recorded
+// the run.
+func TestServiceTaskIsNotStartedOnAWorkerThatLacksRoomMeanwhile(t *testing.T) {
+	foreign := jayport.RunRef{Task: jayport.TaskID{Job: "x"}, Number: 1}
+	for name, change := range map[string]func(w *harness, f *fakeWorker){
+		"it has less capacity": func(_ *harness, f *fakeWorker) { f.info.Capacity.ProcessorsMilli = 500 },
+		"it has a run that the pool does not know": func(w *harness, f *fakeWorker) {
+			f.active[foreign] = jayport.ActiveRun{Run: foreign, Speed: 100}
+			w.lose = func(a Action) bool { _, stop := a.(StopRun); return stop }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newHarness(t, 1)
+			w.storeUnavailable = true
+			declare(w, service("a", 1))
+			change(w, w.workers["w0"])
+			w.list()
+			w.reports()
+			w.storeUnavailable = false
+			w.run()
+			is.Equal(w.starts("a.0.0.0"), 0)
+		})
+	}
+}
+
+// Guards against members of a gang that end alone: the worker of another one has been lost or closed while the
+// store recorded the gang.
+func TestGangOfAServiceStartsTogetherOnceRecorded(t *testing.T) {
+	for name, change := range map[string]func(w *harness, f *fakeWorker){
+		"a worker has closed": func(_ *harness, f *fakeWorker) { f.info.Draining = true },
+		"a worker has shrunk": func(_ *harness, f *fakeWorker) { f.info.Capacity.ProcessorsMilli = 500 },
+		"a worker has been lost": func(w *harness, f *fakeWorker) {
+			w.pool.Ended(f.workerRef(), "test", w.now)
+			delete(w.workers, f.info.ID)
+		},
+		"the other one has closed": func(w *harness, _ *fakeWorker) { w.workers["w1"].info.Draining = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newHarness(t, 2)
+			w.storeUnavailable = true
+			declare(w, newSpec("a", 1, longRunning, func(s *jayspec.Step) { s.Gang, s.MaxPerInstance = true, 1 }))
+			change(w, w.workers["w0"])
+			w.list()
+			w.storeUnavailable = false
+			w.pass(time.Millisecond)
+			is.Equal(w.starts("a.0.0.0")+w.starts("a.0.0.1"), 0)
+			w.addWorker("w8")
+			w.addWorker("w9")
+			w.list()
+			w.reportFor(time.Second)
+			is.Equal(w.starts("a.0.0.0"), 1)
+			is.Equal(w.starts("a.0.0.1"), 1)
+			is.Equal(len(w.running()), 2)
+		})
+	}
+}
+
+// Guards against a service task that is given up for crashes of workers on which it has never run: they are lost
+// while the store does not record the task.
+func TestServiceTaskThatWasNotSentIsNoSuspect(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 12)
+	w.storeUnavailable = true
+	declare(w, newSpec("a", 1, single, longRunning))
+	placed := w.pool.jobs["a"].occurrences[0].steps[0].tasks[0]
+	for range 2 * maxStartsOfCrasher {
+		is.Equal(len(placed.runs), 1)
+		w.crashWorker(placed.runs[0].worker.ID)
+		w.pass(time.Second)
+	}
+	is.Equal(len(placed.crashes), 0)
+	w.storeUnavailable = false
+	w.run()
+	is.Equal(w.starts("a.0.0.0"), 1)
+}
+
+// Guards against two runs of a service task after an upgrade: an owner of an earlier version has stored and begun
+// the job without a record, and the next owner has read it late.
+func TestRunThatAnEarlierVersionHasStartedIsRecorded(t *testing.T) {
+	is := is.New(t)
+	first := newHarness(t, 3)
+	declare(first, service("a", 1))
+	own := first.running()["a.0.0.0"]
+	next := newHarness(t, 0, WithFence(2, 2), WithFormerOwner(first.now+15*time.Second), WithPlacementsSince(2))
+	next.now, next.workers = first.now, first.workers
+	next.pool.JobsKnown(next.now - time.Second)
+	next.pool.TakenOver(next.now)
+	next.list()
+	next.run()
+	readInventory(next)
+	reportAgain(next)
+	is.True(next.pool.DeclareFound(service("a", 1), next.now))
+	next.run()
+	if early := next.record(); early != nil {
+		is.Equal(early.Progress["a"].GetPlacementsTerm(), uint32(0)) // the run is not known yet
+	}
+	reportAgain(next)
+	next.now += recordDelay
+	progress := next.record().Progress["a"]
+	is.Equal(progress.PlacementsTerm, uint32(2))
+	is.Equal(progress.Steps[0].Tasks[0].Placement.Worker, own)
+	is.Equal(next.starts("a.0.0.0"), 0)
+}
