Stop a service task only once its next place is kept

Cause: a run on a closed worker was stopped if some worker had room for its task at that moment. Until the run had ended, another stopped task or a short task took the room, and a second task of the service could take the room that a new worker brought for the first one. Change: the room is kept from the stop until the task runs again. The place is forgotten when the worker leaves, drains, closes or lacks the room, or the job ends; another one is sought then. It holds the room of that task only. Waiting service tasks that may not start yet keep a place too, and precede those that are stopped. A place counts as a service's run in the demand, so that the fleet doesn't take the worker as an idle one. No task waits for the room of another worker's run while it holds a place, so that kept places can't block each other. Evidence: TestEvictedTasksDoNotCountOnTheSameRoom (1 instead of 2 run), TestShortTasksDoNotTakeTheRoomOfAnEvictedTask (not on w2) and, new, TestSecondServiceTaskIsNotStoppedWhileTheFirstWaits and TestKeptPlace (the place in the demand) failed before and pass now.

--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -30,6 +30,7 @@
 	p.holdDue(now)
 	p.expireLeases(now)
 	p.resend(now)
+	p.reviewKept(now)
 	p.vacate(now)
 	p.reviewDeadlines(now)
 	p.reviewSpeeds(now)
@@ -149,6 +150,7 @@
 	p.startsLeft--
 	t.lastRun = number
 	t.addRun(r)
+	p.forgetPlace(t)
 	w.add(r)
 	if w.health.onTrial() && !t.step.decl.LongRunning {
 		w.health.trial = r
--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -164,7 +164,8 @@
 	if w.lastDone > w.acknowledged || w.unaccountedRuns > 0 || len(w.unknownJobs) > 0 {
 		l.Runs++
 	}
-	l.LongRuns = w.longRuns
+	l.Runs += len(w.kept)
+	l.LongRuns = w.longRuns + len(w.kept)
 	if l.Runs == 0 {
 		l.Idle = now - w.idleSince
 		l.Vacated = w.closed && p.vacating.ordered(w.ID)
@@ -174,6 +175,9 @@
 
 func (p *Pool) load(w *worker, now time.Duration) Load {
 	l := p.presentLoad(w, now)
+	if len(w.kept) > 0 {
+		l.EmptyIn = MaxDuration
+	}
 	for _, r := range w.runs {
 		if r.task.step.decl.LongRunning {
 			l.EmptyIn = MaxDuration
--- /dev/null
+++ b/jaysched/kept_test.go
@@ -0,0 +1,102 @@
+package jaysched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaythread/jayspec"
+)
+
+// stopsLost says that the answers to stops are lost.
+func stopsLost(a Action) bool { _, stop := a.(StopRun); return stop }
+
+// stopFirst orders the first of two closed workers of an eviction to be vacated. The run there is being
+// stopped, with a place on w2, until the harness loses nothing.
+func stopFirst(t *testing.T) *harness {
+	w := eviction(t)
+	w.lose = stopsLost
+	w.pool.SetVacating([]Vacate{{Worker: "w0"}}, w.now)
+	w.run()
+	return w
+}
+
+func (w *harness) loseNothing() { w.lose = func(Action) bool { return false } }
+
+// stopped reports whether a run of a task was ordered to stop.
+func (w *harness) stopped(task string) bool {
+	for _, a := range w.sent {
+		if s, ok := a.(StopRun); ok && s.Run.Task.String() == task {
+			return true
+		}
+	}
+	return false
+}
+
+// drain drains a worker.
+func (w *harness) drain(id string) {
+	w.workers[id].info.Draining = true
+	w.list()
+}
+
+func TestSecondServiceTaskIsNotStoppedWhileTheFirstWaits(t *testing.T) {
+	t.Run("for room", func(t *testing.T) {
+		// Guards against a service that lacks a task for as long as a wave lasts: the second one took the room
+		// that a new worker brought.
+		is := is.New(t)
+		w := stopFirst(t)
+		w.drain("w2")
+		w.loseNothing()
+		vacate(w, "w0", time.Second)
+		is.Equal(w.running(), map[string]string{"j.0.0.1": "w1"})
+		w.addWorker("w3")
+		w.list()
+		w.vacateBoth(time.Second)
+		is.True(!w.stopped("j.0.0.1"))
+		is.Equal(w.running(), map[string]string{"j.0.0.0": "w3", "j.0.0.1": "w1"})
+	})
+}
+
+func TestKeptPlace(t *testing.T) {
+	changes := func(name string, change func(w *harness)) {
+		t.Run("is replaced when its worker "+name, func(t *testing.T) {
+			// Guards against a service task that waits for room on a worker that cannot run it.
+			w := stopFirst(t)
+			w.addWorker("w3")
+			change(w)
+			w.list()
+			w.run()
+			w.loseNothing()
+			vacate(w, "w0", time.Second)
+			is.New(t).Equal(w.running()["j.0.0.0"], "w3")
+		})
+	}
+	changes("drains", func(w *harness) { w.workers["w2"].info.Draining = true })
+	changes("leaves", func(w *harness) { delete(w.workers, "w2") })
+	changes("lacks the room", func(w *harness) { w.workers["w2"].info.Capacity.MemoryMegabytes = 100 })
+	short := func(w *harness, megabytes int64) {
+		w.pool.Declare(newSpec("short", 1, single, func(s *jayspec.Step) { s.Need.MemoryMegabytes = megabytes }), w.now)
+		w.pass(time.Millisecond)
+	}
+	t.Run("holds no more room than its task needs", func(t *testing.T) {
+		w := stopFirst(t)
+		short(w, 400)
+		is.New(t).True(w.running()["short.0.0.0"] != "")
+	})
+	t.Run("is forgotten when the job is cancelled", func(t *testing.T) {
+		w := stopFirst(t)
+		w.pool.Cancel("j", w.now)
+		short(w, 600)
+		is.New(t).Equal(w.running()["short.0.0.0"], "w2")
+	})
+	t.Run("keeps its worker in the pool", func(t *testing.T) {
+		// Guards against a stopped service task without room: its next worker, without runs, went to another
+		// pool.
+		for _, l := range stopFirst(t).pool.Demand(time.Minute).Loads {
+			if l.Worker == "w2" {
+				is.New(t).Equal(l.LongRuns, 1)
+			}
+		}
+	})
+}
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -65,9 +65,12 @@
 			if untouched {
 				return // the later tasks do not differ from it
 			}
+			if s.decl.LongRunning && !noRoom && t.waiting() && p.mayKeepForWaiting(t, now) {
+				noRoom = !p.keepPlace(t, now)
+			}
 			continue
 		}
-		if noRoom && !p.mayReserve(t, now) {
+		if noRoom && !p.mayReserve(t, now) && p.placeOf(t) == nil {
 			continue
 		}
 		if !p.quotaAllows(s, 1) {
@@ -202,6 +205,9 @@
 	if w := p.recordedWorker(t); w != nil && p.obstacleTo(w, t, strictest, now) == noObstacle {
 		return w
 	}
+	if w := p.placeOf(t); w != nil && p.obstacleTo(w, t, strictest, now) == noObstacle {
+		return w
+	}
 	var best *worker
 	for _, w := range p.sorted {
 		if p.obstacleTo(w, t, strictest, now) != noObstacle {
@@ -223,10 +229,12 @@
 // strictly than strictest.
 func (p *Pool) obstacleTo(w *worker, t *task, strictest isolation, now time.Duration) obstacle {
 	switch {
-	case w.reservedFor != nil && w.reservedFor != t:
+	case w.reservedFor != nil && w.reservedFor != t && !w.isKeptFor(t):
 		return reserved
 	case !w.free.Fits(t.need()):
 		return lacksRoom
+	case len(p.kept) > 0 && w.keptForbids(t):
+		return reserved
 	}
 	if o := p.obstacleBesidesRoom(w, t, now); o != noObstacle {
 		return o
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -147,8 +147,10 @@
 	offeredWork offeredWork
 	// expected are the jobs that are about to be stored, with the time at which they were
 	// submitted.
-	expected  map[string]time.Duration
-	vacating  vacating
+	expected map[string]time.Duration
+	vacating vacating
+	// kept are the places that are kept for tasks, in the order in which they were kept.
+	kept      []keptPlace
 	release   release
 	quotas    quotas
 	fairness  fairness
@@ -389,6 +391,7 @@
 
 func (p *Pool) remove(w *worker) {
 	delete(p.workers, w.ID)
+	w.listed = false // forgets the places that are kept on it
 	p.sorted = slices.DeleteFunc(p.sorted, func(other *worker) bool { return other == w })
 }
 
--- a/jaysched/reserve.go
+++ b/jaysched/reserve.go
@@ -19,7 +19,8 @@
 	var best *worker
 	bestIn := time.Duration(0)
 	for _, w := range p.sorted {
-		if w.reservedFor != nil || !w.roomBesideLongRuns().Fits(t.need()) || !p.allowsIgnoringRoom(w, t, now) {
+		if w.reservedFor != nil || !w.roomBesideLongRuns().Fits(t.need()) ||
+			len(p.kept) > 0 && w.lacksRoomBesideKept(t) || !p.allowsIgnoringRoom(w, t, now) {
 			continue
 		}
 		if in := p.timeToFree(w, now); best == nil || in < bestIn {
--- a/jaysched/suspect.go
+++ b/jaysched/suspect.go
@@ -180,7 +180,8 @@
 			continue
 		}
 		usable++
-		if w.reservedFor != nil || !w.roomBesideLongRuns().Fits(t.need()) || !p.allowsIgnoringRoom(w, t, now) {
+		if w.reservedFor != nil || !w.roomBesideLongRuns().Fits(t.need()) ||
+			len(p.kept) > 0 && w.lacksRoomBesideKept(t) || !p.allowsIgnoringRoom(w, t, now) {
 			continue
 		}
 		if in := p.timeToIsolate(w, t, now); best == nil || in < bestIn {
--- a/jaysched/vacating.go
+++ b/jaysched/vacating.go
@@ -31,6 +31,8 @@
 	formerUntil time.Duration
 	// pass counts the passes over the runs of closed workers.
 	pass int
+	// keptIn is the pass in which places were kept for the waiting tasks of services.
+	keptIn int
 }
 
 // ordered reports whether the present owner of the fleet ordered to vacate a worker.
@@ -98,7 +100,7 @@
 			continue
 		}
 		for _, r := range w.inOrder {
-			if r.phase == running && p.shouldStop(r, now) {
+			if r.phase == running && p.shouldStop(r, now) && p.keepNextPlace(r, now) {
 				p.recordEvent(Event{Kind: RunStopped, Worker: w.ID, Run: r.ref(), Detail: "vacating"}, now)
 				p.evict(r, now)
 			}
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -81,6 +81,8 @@
 	unknownJobs map[string]bool
 	// reservedFor is the only task that may start on the worker in the present decision.
 	reservedFor *task
+	// kept are the tasks that have a place kept on the worker, see keptPlace.
+	kept []*task
 	// closed workers get no new run; the runs of urgent ones are stopped, and those of workers
 	// with migrate set are moved to other workers where that costs little.
 	closed  bool
