Stop no second task of a service while the first waits

Cause: up to mayMiss tasks may be away at once, and a task that waits for its next run, for whatever time, was one of them. Change: while a task of a step waits for a run, no other one of the step is stopped for a wave. Tasks that wait only for the quota of their organisation do not count, since a stop makes room in it. Stops at the same moment, each with its place, are allowed up to mayMiss as before. Evidence: the new case "for its start" failed before (the second task was stopped) and passes now.

--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -265,6 +265,8 @@
 	pass        int
 	unavailable int
 	stopsEnded  bool
+	// awaits says that a task of the step waits for its next run.
+	awaits bool
 }
 
 // reviewEviction reports whether a run of a long-running step may be stopped in the present pass.
@@ -274,9 +276,9 @@
 func (p *Pool) reviewEviction(s *step, now time.Duration) bool {
 	e := &s.eviction
 	if e.pass != p.vacating.pass {
-		*e = vacateReview{pass: p.vacating.pass, unavailable: s.unavailable(), stopsEnded: p.formerStopsEnded(s, now)}
+		*e = vacateReview{pass: p.vacating.pass, unavailable: s.unavailable(), stopsEnded: p.formerStopsEnded(s, now), awaits: p.awaitsRun(s)}
 	}
-	return e.stopsEnded && e.unavailable < max(1, s.decl.MayMiss)
+	return e.stopsEnded && !e.awaits && e.unavailable < max(1, s.decl.MayMiss)
 }
 
 // evict stops a run on a worker that is being vacated.
--- a/jaysched/kept.go
+++ b/jaysched/kept.go
@@ -139,6 +139,12 @@
 		!(t.mayRunUnreported && p.formerRunsPossible(now)) && !t.awaitsFormerTrial() && t.isolation() <= watched
 }
 
+// awaitsRun reports whether a task of a step waits for a run. Tasks that wait for the quota of their
+// organisation do not count: a stop makes room in it.
+func (p *Pool) awaitsRun(s *step) bool {
+	return s.waiting > 0 && p.withinQuota(s, 1)
+}
+
 // keptForbids reports whether a task must not start on a worker since places are kept there for other tasks.
 // A suspect must not start beside a place of another job, whose task could not join it.
 func (w *worker) keptForbids(t *task) bool {
--- a/jaysched/kept_test.go
+++ b/jaysched/kept_test.go
@@ -56,6 +56,23 @@
 		is.True(!w.stopped("j.0.0.1"))
 		is.Equal(w.running(), map[string]string{"j.0.0.0": "w3", "j.0.0.1": "w1"})
 	})
+	t.Run("for its start", func(t *testing.T) {
+		// Guards against a service that lacks two tasks at once: its owner may start no run for a while.
+		is := is.New(t)
+		w := eviction(t)
+		w.addWorker("w3")
+		w.list()
+		w.run()
+		w.pool.SetStarts(0)
+		vacate(w, "w0", time.Second)
+		is.True(w.stopped("j.0.0.0"))
+		w.vacateBoth(time.Second)
+		is.True(!w.stopped("j.0.0.1"))
+		w.pool.SetStarts(10)
+		w.vacateBoth(time.Second)
+		is.Equal(len(w.running()), 2)
+		is.True(w.stopped("j.0.0.1"))
+	})
 }
 
 func TestKeptPlace(t *testing.T) {
