--- a/jaysched/demand.go
+++ b/jaysched/demand.go
@@ -164,7 +164,8 @@
 	if w.lastDone > w.acknowledged || w.unaccountedRuns > 0 || len(w.unknownJobs) > 0 {
 		l.Runs++
 	}
-	l.LongRuns = w.longRuns
+	l.Runs += len(w.kept)
+	l.LongRuns = w.longRuns + len(w.kept)
 	if l.Runs == 0 {
 		l.Idle = now - w.idleSince
 		l.Vacated = w.closed && p.vacating.ordered(w.ID)
@@ -174,6 +175,9 @@
 
 func (p *Pool) load(w *worker, now time.Duration) Load {
 	l := p.presentLoad(w, now)
+	if len(w.kept) > 0 {
+		l.EmptyIn = MaxDuration
+	}
 	for _, r := range w.runs {
 		if r.task.step.decl.LongRunning {
 			l.EmptyIn = MaxDuration
@@ -273,6 +277,8 @@
 	pass        int
 	unavailable int
 	stopsEnded  bool
+	// awaits says that a task of the step waits for its next run.
+	awaits bool
 }
 
 // reviewEviction reports whether a run of a long-running step may be stopped in the present pass.
@@ -282,9 +288,9 @@
 func (p *Pool) reviewEviction(s *step, now time.Duration) bool {
 	e := &s.eviction
 	if e.pass != p.vacating.pass {
-		*e = vacateReview{pass: p.vacating.pass, unavailable: s.unavailable(), stopsEnded: p.formerStopsEnded(s, now)}
+		*e = vacateReview{pass: p.vacating.pass, unavailable: s.unavailable(), stopsEnded: p.formerStopsEnded(s, now), awaits: p.awaitsRun(s)}
 	}
-	return e.stopsEnded && e.unavailable < max(1, s.decl.MayMiss)
+	return e.stopsEnded && !e.awaits && e.unavailable < max(1, s.decl.MayMiss)
 }
 
 // evict stops a run on a worker that is being vacated.
--- a/jaysched/vacating.go
+++ b/jaysched/vacating.go
@@ -31,6 +31,8 @@
 	formerUntil time.Duration
 	// pass counts the passes over the runs of closed workers.
 	pass int
+	// keptIn is the pass in which places were kept for the waiting tasks of services.
+	keptIn int
 }
 
 // ordered reports whether the present owner of the fleet ordered to vacate a worker.
@@ -102,9 +104,12 @@
 				continue
 			}
 			room, stop := p.shouldStop(r, now)
-			if !stop {
+			if !stop || !p.keepNextPlace(r, now) {
 				continue
 			}
+			if place := p.placeOf(r.task); place != nil {
+				room = place
+			}
 			detail := "vacating"
 			if room != nil {
 				detail += ", room on " + room.ID
