Count service tasks whose run is not recorded as waiting

What operators saw: nothing. While the store did not record a placement, its task had a worker and no run there, was logged as "run started", and stood in no metric and no line "task waits": after 10 s without the store a trial showed ServiceWaits{Tasks: map[]} and two lines "run started".

Cause: waits are counted of tasks without a run, and a run that waits for its record counts as one.

Change: reason "unrecorded" in jaythread_service_tasks_waiting and in the log.

Evidence: TestServiceWaitsAreCounted, "while the store does not record their runs".

--- a/jaysched/placement.go
+++ b/jaysched/placement.go
@@ -141,8 +141,8 @@
 	}
 	if r.task.step.decl.Gang && !gangMayBegin(r) {
 		for _, t := range r.task.step.tasks {
-			if len(t.runs) > 0 && t.runs[0].phase == unrecorded {
-				p.dropUnsent(t.runs[0], now)
+			if member := t.unrecordedRun(); member != nil {
+				p.dropUnsent(member, now)
 			}
 		}
 		return
@@ -155,6 +155,14 @@
 	p.sendStart(r, now)
 }
 
+// unrecordedRun returns the run of a task that is not sent before it is recorded, or nil.
+func (t *task) unrecordedRun() *run {
+	if len(t.runs) > 0 && t.runs[0].phase == unrecorded {
+		return t.runs[0]
+	}
+	return nil
+}
+
 // mayBegin reports whether the worker of a run that was not sent can still start it.
 func (r *run) mayBegin() bool {
 	return r.worker.usable() && r.worker.unaccountedRuns == 0 && !r.worker.overCommitted()
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -86,8 +86,8 @@
 			if latest, unrecorded := known.Unrecorded(); unrecorded {
 				b.trials[t] = latest
 			}
-			if len(t.runs) > 0 && t.runs[0].phase == unrecorded {
-				b.placements = append(b.placements, t.runs[0])
+			if r := t.unrecordedRun(); r != nil {
+				b.placements = append(b.placements, r)
 			}
 		})
 	}
--- a/jaysched/waiting.go
+++ b/jaysched/waiting.go
@@ -110,7 +110,9 @@
 	WaitOwnerUnconfirmed WaitReason = "ownerUnconfirmed"
 	// WaitFormerRun is that of a task that a former owner may have started.
 	WaitFormerRun WaitReason = "formerRun"
-	WaitQuota     WaitReason = "quota"
+	// WaitUnrecorded is that of a task whose run is not sent before it is recorded.
+	WaitUnrecorded WaitReason = "unrecorded"
+	WaitQuota      WaitReason = "quota"
 	// WaitNoWorker is that of a task that may start, but on no present worker.
 	WaitNoWorker WaitReason = "noWorker"
 	// WaitWorkerFree is that of a task that waits although it may start on some worker.
@@ -120,7 +122,7 @@
 
 // WaitReasons returns all reasons of waits.
 func WaitReasons() []WaitReason {
-	return []WaitReason{WaitOwnerUnconfirmed, WaitFormerRun, WaitQuota, WaitNoWorker, WaitWorkerFree, WaitOther}
+	return []WaitReason{WaitOwnerUnconfirmed, WaitFormerRun, WaitUnrecorded, WaitQuota, WaitNoWorker, WaitWorkerFree, WaitOther}
 }
 
 // waitCause is what keeps a long-running task from starting.
@@ -132,6 +134,7 @@
 	jobUnsettled
 	formerRunPossible
 	formerPlacementPossible
+	placementUnrecorded
 	runJustEnded
 	overQuota
 	allWorkersHaveObstacles
@@ -149,6 +152,7 @@
 	jobUnsettled:            {WaitOther, "another pool may have the job"},
 	formerRunPossible:       {WaitFormerRun, "a former owner may have started it: "},
 	formerPlacementPossible: {WaitFormerRun, "a former owner may have started it on "},
+	placementUnrecorded:     {WaitUnrecorded, "its run is not recorded"},
 	runJustEnded:            {WaitOther, "its last run has just ended"},
 	overQuota:               {WaitQuota, "the quota of its organisation"},
 	allWorkersHaveObstacles: {reason: WaitNoWorker},
@@ -192,12 +196,9 @@
 		if !j.longRunning {
 			return // the other jobs follow
 		}
-		if j.waiting == 0 {
-			continue
-		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.decl.LongRunning && s.waiting > 0 && s.ready(now) {
+				if s.decl.LongRunning && s.ready(now) {
 					p.reportWaitsOf(s, formerRuns, now)
 				}
 			}
@@ -207,7 +208,7 @@
 
 func (p *Pool) reportWaitsOf(s *step, formerRuns bool, now time.Duration) {
 	for _, t := range s.tasks {
-		if !t.waiting() {
+		if !t.waiting() && t.unrecordedRun() == nil {
 			continue
 		}
 		waited := now - t.waitingSince()
@@ -221,6 +222,9 @@
 			p.noteQuotaReached(s, 1)
 		}
 		run := jayport.RunRef{Task: t.id(), Number: p.nextRun(t.lastRun)}
+		if r := t.unrecordedRun(); r != nil {
+			run = r.ref()
+		}
 		p.recordEvent(Event{Kind: TaskWaits, Run: run, Detail: p.waitText(t, &wait), Waited: waited}, now)
 	}
 }
@@ -232,6 +236,8 @@
 	switch {
 	case p.OwnerUnconfirmed():
 		return taskWait{cause: ownerUnconfirmed}
+	case t.unrecordedRun() != nil:
+		return taskWait{cause: placementUnrecorded}
 	case t.step.job.foundInStore && p.hasUnprocessedRuns(t.step.job):
 		return taskWait{cause: reportPrecedesJob}
 	case t.step.job.unsettled():
--- a/jaysched/waiting_test.go
+++ b/jaysched/waiting_test.go
@@ -142,6 +142,23 @@
 		next.reportFor(2 * waitReportInterval)
 		is.Equal(next.pool.ServiceWaits().Tasks, map[WaitReason]int{WaitFormerRun: 2})
 	})
+	t.Run("while the store does not record their runs", func(t *testing.T) {
+		is := is.New(t)
+		w := newHarness(t, 2)
+		w.storeUnavailable = true
+		declare(w, newSpec("j", 1, longRunning))
+		w.reportFor(waitReportAfter + waitReportInterval)
+		is.Equal(w.pool.ServiceWaits().Tasks, map[WaitReason]int{WaitUnrecorded: 2})
+		waits := map[string]bool{}
+		for _, e := range w.pool.TakeEvents() {
+			if e.Kind == TaskWaits {
+				is.Equal(e.Detail, "its run is not recorded")
+				is.Equal(e.Run.Number, int64(1))
+				waits[e.Run.Task.String()] = true
+			}
+		}
+		is.Equal(len(waits), 2)
+	})
 	t.Run("not once they run", func(t *testing.T) {
 		is := is.New(t)
 		w := newHarness(t, 0)
