Start a service task that waits long on a closed worker with services

Cause: a closed worker got no new run, even if it could not be emptied: tasks of other services stay there until they find room elsewhere. Change: a service task that has waited for longer than a host takes to arrive, and finds no room on an open worker, starts on a closed one that has a run of a service which isn't being stopped. It moves on with the others. Draining, unlisted and silent workers, and closed ones without such a run, are never used. New: TestServiceTaskThatWaitsLongUsesNoWorkerThatIsEmptied.

--- a/jaysched/kept.go
+++ b/jaysched/kept.go
@@ -185,3 +185,34 @@
 	}
 	return total
 }
+
+// chooseClosed returns the worker for a task that has waited long, among the closed ones that are not emptied
+// soon since tasks of services stay there, or nil.
+//
+// It handles this load: during a wave only closed workers have room for a task of a service. They are not
+// emptied before the tasks of services on them find room elsewhere.
+func (p *Pool) chooseClosed(t *task, now time.Duration) *worker {
+	var best *worker
+	for _, w := range p.vacating.withServices {
+		if p.allowsThoughClosed(w, t, now) && w.keepsService() && (best == nil || p.better(t, w, best, now)) {
+			best = w
+		}
+	}
+	return best
+}
+
+// keepsService reports whether the worker is usable but for being closed, and has a run of a service that is
+// not being stopped.
+func (w *worker) keepsService() bool {
+	return w.closed && w.connectedAndListed() && slices.ContainsFunc(w.inOrder, func(r *run) bool {
+		return r.task.step.decl.LongRunning && r.phase == running
+	})
+}
+
+// allowsThoughClosed reports whether a task may start on a closed worker, apart from its being closed.
+func (p *Pool) allowsThoughClosed(w *worker, t *task, now time.Duration) bool {
+	w.closed = false
+	o := p.obstacleTo(w, t, isolatedStart, now)
+	w.closed = true
+	return o == noObstacle
+}
--- a/jaysched/kept_test.go
+++ b/jaysched/kept_test.go
@@ -117,3 +117,31 @@
 		}
 	})
 }
+
+// Guards against a service task that a wave or an upgrade ends: it was started on a worker that drains, or that
+// is about to be taken since it is empty.
+func TestServiceTaskThatWaitsLongUsesNoWorkerThatIsEmptied(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		occupied bool
+		draining bool
+		starts   int
+	}{
+		{"a closed worker that keeps a service", true, false, 1},
+		{"a closed worker without runs", false, false, 0},
+		{"a draining worker", true, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newHarness(t, 1)
+			if c.occupied {
+				declare(w, service("a", 1))
+			}
+			w.workers["w0"].info.Draining = c.draining
+			w.list()
+			w.pool.SetVacating([]Vacate{{Worker: "w0"}}, w.now)
+			declare(w, service("b", 1))
+			vacate(w, "w0", 3*time.Second)
+			is.New(t).Equal(w.starts("b.0.0.0"), c.starts)
+		})
+	}
+}
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -100,7 +100,9 @@
 func (p *Pool) placeTask(t *task, now time.Duration) (tryNext bool) {
 	w := p.chooseWorker(t, now)
 	if w == nil && p.hasWaitedLong(t, now) {
-		w = p.chooseIsolated(t, isolatedStart, now)
+		if w = p.chooseIsolated(t, isolatedStart, now); w == nil {
+			w = p.chooseClosed(t, now)
+		}
 	}
 	if w == nil {
 		return p.noWorkerFound(t, now)
--- a/jaysched/vacating.go
+++ b/jaysched/vacating.go
@@ -33,6 +33,8 @@
 	pass int
 	// keptIn is the pass in which places were kept for the waiting tasks of services.
 	keptIn int
+	// withServices are the closed workers with runs of services, as of the latest pass.
+	withServices []*worker
 }
 
 // ordered reports whether the present owner of the fleet ordered to vacate a worker.
@@ -95,6 +97,7 @@
 		}
 	}
 	p.vacating.pass++
+	p.vacating.withServices = p.vacating.withServices[:0]
 	for _, w := range p.sorted {
 		if w.contact != connected || !w.closed && !w.Draining {
 			continue
@@ -106,6 +109,9 @@
 			}
 		}
 		p.restartRuns(w, now)
+		if w.closed && w.longRuns > 0 {
+			p.vacating.withServices = append(p.vacating.withServices, w)
+		}
 	}
 }
 
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -83,8 +83,8 @@
 	reservedFor *task
 	// kept are the tasks that have a place kept on the worker, see keptPlace.
 	kept []*task
-	// closed workers get no new run; the runs of urgent ones are stopped, and those of workers
-	// with migrate set are moved to other workers where that costs little.
+	// closed workers get no new run, except by chooseClosed; the runs of urgent ones are stopped,
+	// and those of workers with migrate set are moved to other workers where that costs little.
 	closed  bool
 	urgent  bool
 	migrate bool
@@ -200,7 +200,12 @@
 
 // usable reports whether new runs may be started on the worker.
 func (w *worker) usable() bool {
-	return w.contact == connected && w.listed && !w.Draining && !w.closed
+	return w.connectedAndListed() && !w.closed
+}
+
+// connectedAndListed reports whether new runs may be started on the worker unless it is closed.
+func (w *worker) connectedAndListed() bool {
+	return w.contact == connected && w.listed && !w.Draining
 }
 
 // add reserves the room of a run.
