--- a/jaysched/placement.go
+++ b/jaysched/placement.go
@@ -165,7 +165,8 @@
 
 // mayBegin reports whether the worker of a run that was not sent can still start it.
 func (r *run) mayBegin() bool {
-	return r.worker.usable() && r.worker.unaccountedRuns == 0 && !r.worker.overCommitted()
+	w := r.worker
+	return (w.usable() || w.keepsService()) && w.unaccountedRuns == 0 && !w.overCommitted()
 }
 
 // gangMayBegin reports whether all members of the gang of a run can start: none has been lost or stopped.
