Count service tasks without a run while former runs are possible

What callers saw: a service task without a run although hosts are on standby (LOST), for 14 s and anew under each owner. Cause: while some worker has not reported to the new owner, the pool demanded no worker for any task: only those with services counted. A worker that answers nobody keeps that up for 14.2 s, also for tasks that cannot be on it. Change: long-running tasks that the owner may start count as before the takeover; those of short tasks are left out until all workers have reported. TestTasksOnClosedWorkersRaiseDemandForWorkers counts the workers with services by an empty packing now, since the function for it is gone.

--- /dev/null
+++ b/jaysched/demandsuccession_test.go
@@ -0,0 +1,41 @@
+package jaysched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a service task that waits for room although hosts are on standby: a worker without any run
+// answers nobody, and the pool demands no worker for any task meanwhile, anew under each owner.
+func TestSilentWorkerDoesNotHideTheDemandOfServices(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// more is the number of tasks of a service that is submitted to the new owner.
+		more, want int
+	}{
+		{"a restored task without a run", 0, 3},
+		{"a service of the new owner", 5, 5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newHarness(t, 4)
+			spec := service("a", 3)
+			declare(w, spec)
+			w.reportFor(2 * time.Second)
+			lost := w.running()["a.0.0.0"]
+			for _, id := range sortedKeys(w.workers) {
+				w.workers[id].silent = len(w.workers[id].active) == 0
+			}
+			delete(w.workers, lost)
+			w.pool.Ended(refOf(lost), "another incarnation answers", w.now)
+			w.list()
+			next := w.succeed(2, spec)
+			if c.more > 0 {
+				declare(next, service("b", c.more))
+			}
+			next.reportFor(time.Second)
+			is.New(t).Equal(next.pool.Demand(next.now).WorkersAtLeast, c.want)
+		})
+	}
+}
--- a/jaysched/packing.go
+++ b/jaysched/packing.go
@@ -18,28 +18,13 @@
 // allows on none of the workers. In place of refused workers others are sought; the refused ones
 // count as well then, since otherwise the pool would have enough workers.
 func (p *Pool) workersAtLeast(now time.Duration) int {
-	if p.formerRunsPossible(now) {
-		// Tasks that wait may already run somewhere.
-		return p.longRunWorkers()
-	}
 	k := p.newPacking(now)
-	for _, u := range p.unplacedSteps(now) {
+	for _, u := range p.unplacedSteps(p.formerRunsPossible(now), now) {
 		k.place(u.step, u.tasks)
 	}
 	return k.workers()
 }
 
-// longRunWorkers counts the workers with long-running tasks.
-func (p *Pool) longRunWorkers() int {
-	count := 0
-	for _, w := range p.sorted {
-		if w.usable() && w.longRuns > 0 {
-			count++
-		}
-	}
-	return count
-}
-
 // unplacedStep is a step with the number of its tasks that need a worker.
 type unplacedStep struct {
 	*step
@@ -48,8 +33,9 @@
 
 // unplacedSteps returns the steps with tasks that need a worker, those with the largest tasks first: long-running
 // tasks that wait, or run on a worker that is being vacated, and others that wait although no worker could take
-// them even if only long-running tasks ran there.
-func (p *Pool) unplacedSteps(now time.Duration) []unplacedStep {
+// them even if only long-running tasks ran there. While a former owner may have started tasks, only
+// long-running ones count that it has not.
+func (p *Pool) unplacedSteps(formerRuns bool, now time.Duration) []unplacedStep {
 	var steps []unplacedStep
 	for _, j := range p.open {
 		if !j.longRunning && j.waiting == 0 {
@@ -60,7 +46,7 @@
 				if !s.ready(now) {
 					continue
 				}
-				if tasks := p.countUnplaced(s, now); tasks > 0 {
+				if tasks := p.countUnplaced(s, formerRuns, now); tasks > 0 {
 					steps = append(steps, unplacedStep{step: s, tasks: tasks})
 				}
 			}
@@ -73,20 +59,20 @@
 }
 
 // countUnplaced counts the tasks of a step that need a worker.
-func (p *Pool) countUnplaced(s *step, now time.Duration) int {
+func (p *Pool) countUnplaced(s *step, formerRuns bool, now time.Duration) int {
 	if s.exceedsQuota {
 		return 0
 	}
 	if s.decl.LongRunning {
 		count := 0
 		for _, t := range s.tasks {
-			if !t.done && !t.parked && !t.runsOnUsableWorker() {
+			if !t.done && !t.parked && !t.runsOnUsableWorker() && !p.mayRunUnreported(t, formerRuns, now) {
 				count++
 			}
 		}
 		return count
 	}
-	if s.waiting == 0 || p.fitsSomewhere(s, now) {
+	if formerRuns || s.waiting == 0 || p.fitsSomewhere(s, now) {
 		return 0
 	}
 	if s.seeksWorker(p.settings.MoveTime+reportDelay, now) {
--- a/jaysched/packing_test.go
+++ b/jaysched/packing_test.go
@@ -94,7 +94,7 @@
 	w.reports()
 	w.pool.SetVacating([]Vacate{{Worker: "w0"}}, w.now)
 	wantWorkers(t, w, 2)
-	is.Equal(w.pool.longRunWorkers(), 1)
+	is.Equal(w.pool.newPacking(w.now).workers(), 1)
 }
 
 func TestCoresWithoutFreeMemoryAreBlocked(t *testing.T) {
