Carry the wait for a silent worker over the owners of a pool

What callers saw: a service task without a run beside free workers (LOST), for as long as the owners of its pool change. Cause: after a takeover a service task waits for the worker of its recorded placement until all leases of former owners must have ended, 14.2 s after the last of them was fenced. An owner that never heard from the worker granted it no lease, but the next one waited 14.2 s anew. Change: while the worker is silent, its owner records with the placement, once a second, for how long the owners that may have granted it a lease have been fenced. The next owner waits for the rest. It is a duration that has passed when the record is written, and records are read after the fence of those who wrote them, so that differing clocks and the loss of an owner at any time only make it shorter. If the worker answers, it gets no lease and no run before the record is reset, and counts as one with a lease of a former owner until then. Evidence: TestWaitForASilentWorkerIsCarriedOver, owners every 8 and 4 s: no run within 48 s before, one after 15 s now. TestWorkerGetsNoLeaseBeforeItsWaitIsReset fails without the reset. The model of replaced owners: 4,000 runs pass. One wait of 14.2 s remains: the owner and the worker are lost together.

--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -49,7 +49,7 @@
 	}
 	fencedAt := d.node.clock()
 	if d.claim.Term > 1 {
-		d.pool.HoldFormerRuns(fencedAt + formerLeaseWait)
+		d.pool.HoldFormerRuns(fencedAt, fencedAt+formerLeaseWait)
 	}
 	// Both are read in parallel, since each call takes long if the store is slow.
 	var jobs sync.WaitGroup
--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -210,7 +210,7 @@
 // show soon that it has survived.
 func (w *worker) reportWait() time.Duration {
 	switch {
-	case w.processed != w.acknowledged || w.missingReports > 0 || len(w.unknownJobs) > 0:
+	case w.processed != w.acknowledged || w.missingReports > 0 || len(w.unknownJobs) > 0 || len(w.withheldFor) > 0:
 		return 0
 	case w.suspected > 0:
 		return startRiskTime
@@ -233,7 +233,7 @@
 		}
 		// The lease of a worker that may have become silent is not extended: its tasks would
 		// start elsewhere later by as much.
-		if w.contact == connected && w.missingReports == 0 {
+		if w.contact == connected && w.missingReports == 0 && len(w.withheldFor) == 0 {
 			order.LeaseUntil = w.leaseUntil(now, p.settings.Lease)
 		}
 		w.asking = true
--- a/jaysched/formerruns.go
+++ b/jaysched/formerruns.go
@@ -20,6 +20,8 @@
 type formerRuns struct {
 	// heldUntil is when the last lease that a former owner granted must have ended.
 	heldUntil time.Duration
+	// fencedAt is when the former owner was fenced, or zero if that is not known.
+	fencedAt time.Duration
 	// takenOverAt is when the takeover was complete: a former owner uses no worker that has joined
 	// since.
 	takenOverAt time.Duration
@@ -44,8 +46,8 @@
 
 // HoldFormerRuns is WithFormerOwner for a pool that exists already; it may be called before the first
 // decision. The former owner may grant leases until some time after it was fenced.
-func (p *Pool) HoldFormerRuns(until time.Duration) {
-	p.formerRuns.heldUntil = until
+func (p *Pool) HoldFormerRuns(fenced, until time.Duration) {
+	p.formerRuns.fencedAt, p.formerRuns.heldUntil = fenced, until
 }
 
 // TakenOver records that a former owner uses no worker that joins from the given time on. Without
--- a/jaysched/observations.go
+++ b/jaysched/observations.go
@@ -235,6 +235,7 @@
 		p.identify(w, report.Incarnation)
 	}
 	p.answered(w, now)
+	p.withholdLease(w)
 	w.recordClock(report.Clock, now)
 	w.pace.reportedAt = now
 	p.clearSuspicions(w, now)
@@ -258,7 +259,7 @@
 	}
 	w.askAt = now
 	switch {
-	case w.unaccountedRuns > 0:
+	case w.unaccountedRuns > 0 || len(w.withheldFor) > 0:
 		w.askAt = now + unrecordedDelay // the worker takes no runs until the next report
 	case w.processed > w.acknowledged || report.Partial || len(w.unknownJobs) > 0:
 		w.askAt = now + repeatDelay(len(report.Ended))
--- a/jaysched/owners_model_test.go
+++ b/jaysched/owners_model_test.go
@@ -467,7 +467,7 @@
 func (o *modelOwner) takeOver() {
 	m, fencedAt := o.m, o.m.now
 	if o.fence > 1 {
-		o.pool.HoldFormerRuns(fencedAt + modelFormerWait)
+		o.pool.HoldFormerRuns(fencedAt, fencedAt+modelFormerWait)
 	}
 	o.pool.SetTakeoverDelay(m.takeoverDelay)
 	var progress map[string]*jaywire.JobProgress
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -17,6 +17,7 @@
 	defer p.reportHold(formerRuns, now)
 	defer p.reviewHeldBack(formerRuns, now)
 	p.reviewPlacements(formerRuns)
+	p.updatePlacementWaits(now)
 	p.clearReservations()
 	p.updateBusyTimes(now)
 	if p.OwnerUnconfirmed() {
@@ -264,7 +265,7 @@
 		return notUsable
 	case !p.right.Covers(w.joinedAt):
 		return notConfirmed
-	case w.unaccountedRuns > 0:
+	case w.unaccountedRuns > 0 || len(w.withheldFor) > 0:
 		return unaccounted
 	case now < w.fullUntil || w.health.refuses(now):
 		return refusing
--- a/jaysched/placement.go
+++ b/jaysched/placement.go
@@ -18,6 +18,9 @@
 	run         int64
 	worker      string
 	incarnation jayport.Incarnation
+	// carried is for how long the owners that may have granted the worker a lease had been fenced at least
+	// when this owner fenced the last one, and waited is the same when the wait was last to be recorded.
+	carried, waited time.Duration
 }
 
 // WithPlacementsSince sets the first term from which on all owners of the pool record placements: a record
@@ -41,7 +44,7 @@
 		return &jaywire.Placement{Run: r.number, Worker: r.worker.ID, Incarnation: int64(r.worker.Incarnation)}
 	}
 	if f := t.formerPlacement; f != nil {
-		return &jaywire.Placement{Run: f.run, Worker: f.worker, Incarnation: int64(f.incarnation)}
+		return &jaywire.Placement{Run: f.run, Worker: f.worker, Incarnation: int64(f.incarnation), WaitedMillis: uint32(f.waited.Milliseconds())}
 	}
 	return nil
 }
@@ -85,7 +88,8 @@
 				continue
 			}
 			t := s.holdTask(int(r.Index))
-			t.formerPlacement = &placement{run: r.Placement.Run, worker: r.Placement.Worker, incarnation: jayport.Incarnation(r.Placement.Incarnation)}
+			waited := time.Duration(r.Placement.WaitedMillis) * time.Millisecond
+			t.formerPlacement = &placement{run: r.Placement.Run, worker: r.Placement.Worker, incarnation: jayport.Incarnation(r.Placement.Incarnation), carried: waited, waited: waited}
 			j.started = true
 			p.formerPlacements[t.formerPlacement.worker] = append(p.formerPlacements[t.formerPlacement.worker], t)
 		}
@@ -138,7 +142,7 @@
 // mayRunUnreported reports whether a former owner may have started a task on a worker that has not reported
 // yet. formerRuns says whether there is such a worker.
 func (p *Pool) mayRunUnreported(t *task, formerRuns bool, now time.Duration) bool {
-	return formerRuns && t.mayRunUnreported || t.formerPlacement != nil && now < p.formerRuns.heldUntil
+	return formerRuns && t.mayRunUnreported || t.formerPlacement != nil && now < p.placementHeldUntil(t.formerPlacement)
 }
 
 // reviewPlacements completes the placements of restored services once all runs of former owners are known.
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -143,6 +143,8 @@
 	// that a former owner may have started a restored service task without a record.
 	placementsSince      int64
 	placementsIncomplete bool
+	// placementWaitsAt is when the waits for the workers of former placements were last updated.
+	placementWaitsAt time.Duration
 	// restoredAt is when this owner first restored a job.
 	restoredAt  time.Duration
 	right       jayownership.Right
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -23,6 +23,8 @@
 	trials   map[*task]jaytrial.Trial
 	// placements are the runs that begin once the batch is recorded.
 	placements []*run
+	// resets are the waits that the batch resets.
+	resets []waitReset
 	// cancellations are those of unknown jobs. Their records are in Progress.
 	cancellations jaycancel.Changes
 }
@@ -91,6 +93,7 @@
 			}
 		})
 	}
+	b.takeResets(p.sorted)
 	p.changed = slices.Delete(p.changed, 0, taken)
 	p.recordNow = len(p.changed) > 0
 	b.cancellations = p.cancellations.TakeChanges()
@@ -126,6 +129,9 @@
 	for _, r := range b.placements {
 		p.placementRecorded(r, now)
 	}
+	for _, r := range b.resets {
+		r.recorded(now)
+	}
 	p.batchRecordedAt = now
 	for _, w := range p.sorted {
 		if processed, ok := b.ends[w]; ok && processed > w.acknowledged {
--- a/jaysched/waiting.go
+++ b/jaysched/waiting.go
@@ -25,7 +25,7 @@
 	notUsable
 	// notConfirmed workers joined after the owner's latest confirmation.
 	notConfirmed
-	// unaccounted workers have runs that the pool does not account for.
+	// unaccounted workers have runs that the pool does not account for, or get no lease yet.
 	unaccounted
 	// refusing workers have just refused a start.
 	refusing
@@ -143,7 +143,7 @@
 		return "a worker's report precedes the job"
 	case t.step.job.unsettled():
 		return "another pool may have the job"
-	case t.formerPlacement != nil && now < p.formerRuns.heldUntil:
+	case t.formerPlacement != nil && now < p.placementHeldUntil(t.formerPlacement):
 		return "a former owner may have started it on " + t.formerPlacement.worker
 	case t.mayRunUnreported && p.formerRunsPossible(now):
 		return "a former owner may have started it: " + p.formerRunsReason()
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -79,6 +79,8 @@
 	unaccountedRuns int
 	// unknownJobs are the jobs in the latest report that were not known.
 	unknownJobs map[string]bool
+	// withheldFor are the jobs that must be recorded before the worker gets a lease.
+	withheldFor map[*job]bool
 	// reservedFor is the only task that may start on the worker in the present decision.
 	reservedFor *task
 	// closed workers get no new run; the runs of urgent ones are stopped, and those of workers
