A suspected service task does not wait for a trial without a placement

What callers saw: a service task without a run beside free workers (LOST), for as long as the owners of its pool change. Cause: a restored suspect waits until the outcome of its recorded trial is known, or all leases of former owners must have ended. A worker that is silent for good kept it from starting for 14.2 s, anew under each owner, even if the run had not begun: its placement had not been recorded. Change: with complete placements the wait for the worker of the placement stands for that of the trial; it is carried over, and there is none without a placement.

--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -85,7 +85,7 @@
 	if now < t.notBefore || p.mayRunUnreported(t, formerRuns, now) {
 		return false
 	}
-	if now < p.formerRuns.heldUntil && t.awaitsFormerTrial() {
+	if now < p.formerRuns.heldUntil && t.awaitsFormerTrial() && !t.trialsArePlaced() {
 		return false
 	}
 	if t.step.job.unsettled() {
--- a/jaysched/placementwait.go
+++ b/jaysched/placementwait.go
@@ -88,3 +88,9 @@
 		r.worker.askAt = min(r.worker.askAt, now)
 	}
 }
+
+// trialsArePlaced reports whether each recorded trial of a task that has begun is that of a recorded placement:
+// the task waits for the worker of the placement then.
+func (t *task) trialsArePlaced() bool {
+	return t.step.recordsPlacements() && t.step.job.placementsTerm > 0
+}
--- a/jaysched/placementwait_test.go
+++ b/jaysched/placementwait_test.go
@@ -82,3 +82,47 @@
 	is.True(second.lastTo(own).Order.LeaseUntil > 0)
 	is.Equal(second.pool.jobs["a"].progress().Steps[0].Tasks[0].Placement.WaitedMillis, uint32(0))
 }
+
+// Guards against a suspected service task that is without a run for as long as the owner of its pool changes:
+// the worker of its recorded trial does not answer.
+func TestWaitForASilentWorkerOfATrialIsCarriedOver(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// begun says that the recorded run has begun.
+		begun bool
+		most  time.Duration
+	}{
+		{"the run has begun", true, testFormerWait + 12*placementWaitInterval},
+		{"the run has not begun", false, maxServiceInterruption},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newHarness(t, 3)
+			declare(w, service("a", 1))
+			for range isolatedAfter {
+				w.reportFor(2 * time.Second)
+				w.crashWorker(w.running()["a.0.0.0"])
+			}
+			task := w.pool.jobs["a"].occurrences[0].steps[0].tasks[0]
+			if c.begun {
+				w.reportFor(2 * time.Second)
+			} else {
+				w.pool.Decide(w.now)
+				w.pool.BatchRecorded(w.pool.TakeBatch(), w.now) // the trial; its owner is lost before the placement
+			}
+			trial := task.recordedTrial()
+			is.True(trial.run > 0)
+			is.Equal(task.placement() != nil, c.begun)
+			clear(w.workers[trial.worker].active)
+			w.workers[trial.worker].silent = true
+			waited := time.Duration(0)
+			for term := int64(2); w.running()["a.0.0.0"] == "" && waited < 48*time.Second; term++ {
+				w = w.succeedTimed(term)
+				w.reportFor(4 * time.Second)
+				waited += 4 * time.Second
+			}
+			t.Logf("task without a run for %v", waited)
+			is.True(waited <= c.most)
+		})
+	}
+}
