Orders to vacate of former fleet owners expire one by one

What callers saw: workers that stay closed, and service tasks that wait beside them, for as long as the owner of the fleet changes within 2 s each. Cause: a new owner of the fleet took all workers that any former one had closed over with the expiry of the newest order. Change: each order of a former owner keeps its own expiry, after which its commands cannot arrive any more. Evidence: TestOrdersToVacateOfFormerOwnersExpire, closed for 6 s after an order of 2 s before, with ten owners.

--- a/jaysched/vacating.go
+++ b/jaysched/vacating.go
@@ -1,6 +1,7 @@
 package jaysched
 
 import (
+	"maps"
 	"time"
 
 	"jaythread/jayport"
@@ -25,10 +26,9 @@
 	// orders are the orders by worker ID, and until is when they expire.
 	orders map[string]Vacate
 	until  time.Duration
-	// former is the set of the workers that a former owner of the fleet ordered to vacate, and
-	// formerUntil is when its orders expire. A command that it sent may still arrive.
-	former      map[string]bool
-	formerUntil time.Duration
+	// former are the workers that former owners of the fleet ordered to vacate, with the times at which
+	// their orders expire. A command that one of them sent may still arrive.
+	former map[string]time.Duration
 	// pass counts the passes over the runs of closed workers.
 	pass int
 }
@@ -50,13 +50,13 @@
 	if now >= v.until {
 		return
 	}
-	if now >= v.formerUntil {
-		v.former = make(map[string]bool, len(v.orders))
+	maps.DeleteFunc(v.former, func(_ string, until time.Duration) bool { return now >= until })
+	if v.former == nil {
+		v.former = make(map[string]time.Duration, len(v.orders))
 	}
 	for worker := range v.orders {
-		v.former[worker] = true
+		v.former[worker] = v.until
 	}
-	v.formerUntil = v.until
 }
 
 // SetVacating closes the named workers, and those that a former owner of the fleet named a moment
@@ -74,11 +74,8 @@
 			w.vacate(o)
 		}
 	}
-	if now >= v.formerUntil {
-		return
-	}
-	for worker := range v.former {
-		if w, known := p.workers[worker]; known && !w.closed {
+	for worker, until := range v.former {
+		if w, known := p.workers[worker]; known && !w.closed && now < until {
 			w.vacate(Vacate{Worker: worker})
 		}
 	}
