The delay of a service task after crashes does not begin anew

What callers saw: service tasks without a run beside free workers (LOST), for as long as the owners of their pool change within 4 s each. Cause: a service task that was on many lost workers starts after 1 to 4 s, so that it takes one worker at a time. Each new owner delayed it again, though the loss was long ago. Change: the owner that notices a loss delays the task; a restored one is not delayed. A loss that the next owner finds, by the record of the trial, still delays it there.

--- a/jaysched/crash.go
+++ b/jaysched/crash.go
@@ -204,15 +204,11 @@
 }
 
 // giveUpCrashing gives up the tasks of a restored job that a former owner has proven to crash
-// their workers, and delays those that may do so.
+// their workers. Others are not delayed: the delay began under the owner that noticed the latest loss.
 func (p *Pool) giveUpCrashing(j *job, now time.Duration) {
 	j.eachTask(func(t *task) {
-		switch {
-		case j.outcome != Open || t.done:
-		case t.crashesWorkers(false):
+		if j.outcome == Open && !t.done && t.crashesWorkers(false) {
 			p.giveUpTask(t, now)
-		case t.step.decl.LongRunning:
-			t.delayAfterCrashes(now)
 		}
 	})
 }
