A takeover that takes long waits for reports as well

What callers saw: a task that is started again after it was done (TWICE), if the takeover of its pool took longer than the leases of the former owner can last, 14.2 s after it was fenced. Cause: restored tasks wait for reports until those leases must have ended. By then a task that runs is stopped, but one that is done is listed by its worker, which the new owner had not asked yet. Change: the workers have the time that a report takes, 2 s, from the end of the takeover on. Found by the model of replaced owners, in which an owner was paused between its fence and the end of its takeover.

--- a/jaysched/formerruns.go
+++ b/jaysched/formerruns.go
@@ -51,9 +51,14 @@
 }
 
 // TakenOver records that a former owner uses no worker that joins from the given time on. Without
-// it that is so from the start.
+// it that is so from the start. The workers have some time to report ends, also if the takeover took
+// longer than the leases of the former owner.
 func (p *Pool) TakenOver(at time.Duration) {
-	p.formerRuns.takenOverAt = at
+	f := &p.formerRuns
+	f.takenOverAt = at
+	if f.heldUntil > 0 {
+		f.heldUntil = max(f.heldUntil, at+takeoverReportTimeout)
+	}
 }
 
 // inventoryRead handles a list of the inventory, which was requested at the time asked. It returns
