An unreported end needs the owner confirmed

What callers saw: a task that is started again after its end was recorded (TWICE), seen in the model of replaced owners only. Cause: an owner that does not know that it was replaced holds restored tasks for a worker that never answers it. The next owner records the worker's ends; then the worker ends, or the leases of former owners must have ended. The first owner took both for the end of the task's run, without asking whether it still was the owner, and started it on a worker that had not seen the next fence. Change: once the hold ends without the reports of all workers, restored tasks wait for a confirmation that is not older. Service tasks do not need it: their start is recorded, which a replaced owner cannot.

--- a/jaysched/formerruns.go
+++ b/jaysched/formerruns.go
@@ -34,6 +34,10 @@
 	reports map[string]bool
 	// unlisted are the candidates that exist, are not on the list and have not reported.
 	unlisted map[string]bool
+	// over says that no such worker is left, and overAt when the owner concluded that without reports of all
+	// of them, or zero.
+	over   bool
+	overAt time.Duration
 	// readAt is when the newest list of the inventory was requested.
 	readAt time.Duration
 }
@@ -128,6 +132,27 @@
 	return !p.formerRuns.allListed() || slices.ContainsFunc(p.sorted, p.mayHaveFormerRuns)
 }
 
+// reviewFormerRuns notes when the owner concludes that runs of a former owner are over: that a worker has ended
+// or its lease has, without a report to this owner. The next owner may have learned of their ends before.
+func (p *Pool) reviewFormerRuns(formerRuns bool, now time.Duration) {
+	f := &p.formerRuns
+	if f.over == !formerRuns {
+		return
+	}
+	f.over = !formerRuns
+	if !f.over || f.heldUntil == 0 {
+		return
+	}
+	unreported := f.candidatesAt == 0
+	for id := range f.candidates {
+		unreported = unreported || !f.reports[id]
+	}
+	if unreported {
+		f.overAt = now
+		p.right.Need(now)
+	}
+}
+
 // formerRunsReason names the workers that may have runs of a former owner.
 func (p *Pool) formerRunsReason() string {
 	f := &p.formerRuns
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -9,6 +9,7 @@
 // place starts all tasks that can be started now, in the order of the queue.
 func (p *Pool) place(now time.Duration) {
 	formerRuns := p.formerRunsPossible(now)
+	p.reviewFormerRuns(formerRuns, now)
 	p.noRoom = p.noRoom[:0]
 	p.lackedRoom = false
 	p.updatePossibleUse(now)
@@ -88,7 +89,7 @@
 	if now < p.formerRuns.heldUntil && t.awaitsFormerTrial() && !t.trialsArePlaced() {
 		return false
 	}
-	if t.step.job.unsettled() {
+	if t.step.job.unsettled() || t.mayRunUnreported && !p.right.Covers(p.formerRuns.overAt) {
 		return false
 	}
 	return p.right.Covers(max(t.lostAt, t.step.job.ownerNeededAt))
