Model: a worker answers an owner that is cut off, and not the next one

A link that counted as lost let a quarter of the requests through, so that the worker always learned of the next fence. Links may be cut off now, and an event replaces the owner twice around a worker with a run of a service, preferably.

--- a/jaysched/owners_model_test.go
+++ b/jaysched/owners_model_test.go
@@ -110,6 +110,8 @@
 	requestsLost modelFault = 1 << iota
 	answersLost
 	slowLink
+	// cutOff links lose all requests and answers, also late ones.
+	cutOff
 )
 
 // modelStoreParts are the parts of the store, and the inventory: each may fail by itself.
@@ -184,7 +186,7 @@
 	if m.random.IntN(30) == 0 || fault&lost != 0 {
 		takes += m.upTo(2 * modelLease)
 	}
-	return takes, fault&lost == 0 || lost == requestsLost && m.random.IntN(4) == 0
+	return takes, fault&cutOff == 0 && (fault&lost == 0 || lost == requestsLost && m.random.IntN(4) == 0)
 }
 
 // call sends a request, which do carries out where it arrives. The owner gets the answer that do
@@ -666,7 +668,7 @@
 	if len(present) > 0 && m.random.IntN(2) == 0 {
 		o = present[m.random.IntN(len(present))]
 	}
-	switch m.random.IntN(13) {
+	switch m.random.IntN(14) {
 	case 0, 1:
 		if len(present) < maxModelOwners {
 			m.replace(up)
@@ -694,7 +696,39 @@
 		m.leave(w, len(up))
 	case 11, 12:
 		o.store()
+	case 13:
+		if len(present) < maxModelOwners-1 {
+			m.replaceTwice(w)
+		}
+	}
+}
+
+// replaceTwice makes two entries the owner, one after the other. A worker, one with a run of a service if there
+// is one, answers the first of them once this is cut off from the store, and not the second.
+func (m *ownersModel) replaceTwice(w *ownersWorker) {
+	for _, id := range sortedKeys(m.workers) {
+		other := m.workers[id]
+		if other.up && slices.ContainsFunc(other.runs(), func(r jayport.RunRef) bool { return m.isService(r.Task.Job) }) {
+			w = other
+		}
 	}
+	id, first := w.info.ID, m.claim()
+	first.faults[id] = cutOff
+	m.after(time.Second+m.upTo(2*modelLease), func() {
+		if first.ended || m.healed {
+			return
+		}
+		delete(first.faults, id)
+		first.faults["claims"], first.faults["append"] = cutOff, cutOff
+		m.after(m.upTo(time.Second), func() {
+			if first.ended || m.healed {
+				return
+			}
+			second := m.claim()
+			second.faults[id] = cutOff
+			m.after(m.upTo(2*modelFormerWait), func() { delete(second.faults, id) })
+		})
+	})
 }
 
 // replace makes another entry the owner while the newest owner gets no confirmation. Both may be cut
