A gang of a service starts together once it is recorded

Members of a gang start alone, and the gang then waits for as long as these run. Cause: each run was sent by itself once it was recorded. A worker that had closed or ended meanwhile took only its own member out. Change: no member begins unless the workers of all are usable; they are placed anew together. Evidence: TestGangOfAServiceStartsTogether, one member alone before.

--- a/jaysched/placement.go
+++ b/jaysched/placement.go
@@ -124,13 +124,13 @@
 	p.recordNow = true
 }
 
-// placementRecorded sends the start order of a run whose placement is recorded. If its worker has become
-// unusable in the meantime, the task waits for another one.
+// placementRecorded sends the start order of a run whose placement is recorded. If it may not begin any more,
+// the task waits for another worker.
 func (p *Pool) placementRecorded(r *run, now time.Duration) {
 	if r.phase != unrecorded || r.worker.runs[r.ref()] != r {
 		return
 	}
-	if !r.worker.usable() {
+	if !r.mayBegin() {
 		p.endTrial(r.task, r.number)
 		p.dropUnstarted(r, now)
 		return
