Model: the former owner renews until the worker answers the next one

The event that replaces the owner twice did not reach a run that lasts: the former owner learned of the next claim and renewed no lease any more. It is cut off from the store as well now.

--- a/jaysched/owners_model_test.go
+++ b/jaysched/owners_model_test.go
@@ -703,8 +703,9 @@
 	}
 }
 
-// replaceTwice makes two entries the owner, one after the other. A worker, one with a run of a service if there
-// is one, answers the first of them once this is cut off from the store, and not the second.
+// replaceTwice makes two entries the owner, one after the other, while the former one is cut off from the store. A
+// worker, one with a run of a service if there is one, answers the first of them once this is cut off from the store
+// as well, and not the second.
 func (m *ownersModel) replaceTwice(w *ownersWorker) {
 	for _, id := range sortedKeys(m.workers) {
 		other := m.workers[id]
@@ -712,6 +713,8 @@
 			w = other
 		}
 	}
+	former := m.owners[len(m.owners)-1]
+	former.faults["claims"], former.faults["append"] = cutOff, cutOff
 	id, first := w.info.ID, m.claim()
 	first.faults[id] = cutOff
 	m.after(time.Second+m.upTo(2*modelLease), func() {
