An order is not sent once the owner may have been replaced

Cause: the order of a service task is sent when the store has answered. If that took longer than an owner may act without a confirmation, the order was sent all the same, with a new lease, after the next owner had waited for all leases. Change: the run is dropped then, and the task is placed anew once the owner is confirmed.

--- a/jaysched/placement.go
+++ b/jaysched/placement.go
@@ -124,13 +124,13 @@
 	p.recordNow = true
 }
 
-// placementRecorded sends the start order of a run whose placement is recorded. If it may not begin any more,
-// the task waits for another worker.
+// placementRecorded sends the start order of a run whose placement is recorded. If it may not begin any more, or
+// the owner may have been replaced since, the task waits for another run.
 func (p *Pool) placementRecorded(r *run, now time.Duration) {
 	if r.phase != unrecorded || r.worker.runs[r.ref()] != r {
 		return
 	}
-	if !r.mayBegin() {
+	if !r.mayBegin() || p.right.Lapsed(now) || p.OwnerUnconfirmed() {
 		p.endTrial(r.task, r.number)
 		p.dropUnstarted(r, now)
 		return
