--- a/jaysched/formerruns.go
+++ b/jaysched/formerruns.go
@@ -20,6 +20,8 @@
 type formerRuns struct {
 	// heldUntil is when the last lease that a former owner granted must have ended.
 	heldUntil time.Duration
+	// fencedAt is when the former owner was fenced, or zero if that is not known.
+	fencedAt time.Duration
 	// takenOverAt is when the takeover was complete: a former owner uses no worker that has joined
 	// since.
 	takenOverAt time.Duration
@@ -49,14 +51,20 @@
 
 // HoldFormerRuns is WithFormerOwner for a pool that exists already; it may be called before the first
 // decision. The former owner may grant leases until some time after it was fenced.
-func (p *Pool) HoldFormerRuns(until time.Duration) {
-	p.formerRuns.heldUntil = until
+func (p *Pool) HoldFormerRuns(fenced, until time.Duration) {
+	f := &p.formerRuns
+	f.fencedAt, f.heldUntil, f.deadlineReviewed = fenced, until, false
 }
 
 // TakenOver records that a former owner uses no worker that joins from the given time on. Without
-// it that is so from the start.
+// it that is so from the start. The workers have some time to report ends, also if the takeover took
+// longer than the leases of the former owner.
 func (p *Pool) TakenOver(at time.Duration) {
-	p.formerRuns.takenOverAt = at
+	f := &p.formerRuns
+	f.takenOverAt = at
+	if f.heldUntil > 0 {
+		f.heldUntil = max(f.heldUntil, at+takeoverReportTimeout)
+	}
 }
 
 // inventoryRead handles a list of the inventory, which was requested at the time asked. It returns
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -18,6 +18,7 @@
 	defer p.reportHold(formerRuns, now)
 	defer p.reviewHeldBack(formerRuns, now)
 	p.reviewPlacements(formerRuns)
+	p.updatePlacementWaits(now)
 	p.clearReservations()
 	p.updateBusyTimes(now)
 	if p.OwnerUnconfirmed() {
@@ -88,7 +89,7 @@
 	if now < t.notBefore || p.mayRunUnreported(t, formerRuns, now) {
 		return false
 	}
-	if now < p.formerRuns.heldUntil && t.awaitsFormerTrial() {
+	if now < p.formerRuns.heldUntil && t.awaitsFormerTrial() && !t.trialsArePlaced() {
 		return false
 	}
 	if t.step.job.unsettled() {
@@ -278,7 +279,7 @@
 		return notUsable
 	case !p.right.Covers(w.joinedAt):
 		return notConfirmed
-	case w.unaccountedRuns > 0:
+	case w.unaccountedRuns > 0 || len(w.withheldFor) > 0:
 		return unaccounted
 	case now < w.fullUntil || w.health.refuses(now):
 		return refusing
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -145,6 +145,8 @@
 	placementsIncomplete bool
 	// recordedRuns are the runs whose placements are recorded and that may not have been started yet.
 	recordedRuns []*run
+	// placementWaitsAt is when the waits for the workers of former placements were last updated.
+	placementWaitsAt time.Duration
 	// restoredAt is when this owner first restored a job.
 	restoredAt  time.Duration
 	right       jayownership.Right
--- a/jaysched/waiting.go
+++ b/jaysched/waiting.go
@@ -25,7 +25,7 @@
 	notUsable
 	// notConfirmed workers joined after the owner's latest confirmation.
 	notConfirmed
-	// unaccounted workers have runs that the pool does not account for.
+	// unaccounted workers have runs that the pool does not account for, or get no lease yet.
 	unaccounted
 	// refusing workers have just refused a start.
 	refusing
@@ -242,7 +242,7 @@
 		return taskWait{cause: reportPrecedesJob}
 	case t.step.job.unsettled():
 		return taskWait{cause: jobUnsettled}
-	case t.formerPlacement != nil && now < p.formerRuns.heldUntil:
+	case t.formerPlacement != nil && now < p.placementHeldUntil(t.formerPlacement):
 		return taskWait{cause: formerPlacementPossible}
 	case t.mayRunUnreported && formerRuns:
 		return taskWait{cause: formerRunPossible}
