Placements: limit of starts, services without a run, names

Found by the review of the placements, each with a test that failed before: - The limit of starts in flight did not count runs that were being recorded: 8 orders at once with a limit of 3 (TestRecordedRunsStartWithinTheLimitOfStarts). - In a pool that has had an owner of an earlier version, a service without a run had no record, and waited for each silent worker under all further owners. It is recorded when it is declared (TestServiceWithoutARunIsRecordedAfterAnUpgrade). Names that differed by one letter are told apart, and the incarnation of a placement, which was compared with nothing, is not recorded.

--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -148,7 +148,6 @@
 	if t.step.job.advised {
 		r.ticket, _ = t.step.ticketFor(w.ID, now)
 	}
-	p.startsLeft--
 	t.lastRun = number
 	t.addRun(r)
 	p.forgetPlace(t)
@@ -167,6 +166,7 @@
 		p.recordPlacement(r)
 		return
 	}
+	p.startsLeft--
 	p.sendStart(r, now)
 }
 
--- a/jaysched/dispute.go
+++ b/jaysched/dispute.go
@@ -96,7 +96,7 @@
 		return false
 	}
 	unreported := j.mayRunUnreported && j.unheldTasks() > 0
-	j.eachTask(func(t *task) { unreported = unreported || p.mayRunUnreported(t, true, now) && !t.done })
+	j.eachTask(func(t *task) { unreported = unreported || p.heldForFormerOwner(t, true, now) && !t.done })
 	return unreported
 }
 
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -87,7 +87,7 @@
 	// that has not reported yet.
 	mayRunUnreported bool
 	// placementsTerm is the owner's term if all runs of the job's service tasks are known or recorded, and
-	// zero otherwise.
+	// zero otherwise. The record has the term, so that an owner of an earlier version after this one outdates it.
 	placementsTerm int64
 	// waiting counts the tasks of the steps of the held occurrences that are not done and have no
 	// run.
--- a/jaysched/kept.go
+++ b/jaysched/kept.go
@@ -136,7 +136,7 @@
 func (p *Pool) mayKeepForWaiting(t *task, now time.Duration) bool {
 	s := t.step
 	return s.decl.LongRunning && !s.decl.Gang && !s.job.unsettled() && p.withinQuota(s, 1) &&
-		!p.mayRunUnreported(t, t.mayRunUnreported && p.formerRunsPossible(now), now) && !t.awaitsFormerTrial() && t.isolation() <= watched
+		!p.heldForFormerOwner(t, t.mayRunUnreported && p.formerRunsPossible(now), now) && !t.awaitsFormerTrial() && t.isolation() <= watched
 }
 
 // awaitsRun reports whether a task of a step waits for a run. Tasks that wait for the quota of their
--- a/jaysched/packing.go
+++ b/jaysched/packing.go
@@ -66,7 +66,7 @@
 	if s.decl.LongRunning {
 		count := 0
 		for _, t := range s.tasks {
-			if !t.done && !t.parked && !t.runsOnUsableWorker() && !p.mayRunUnreported(t, formerRuns, now) {
+			if !t.done && !t.parked && !t.runsOnUsableWorker() && !p.heldForFormerOwner(t, formerRuns, now) {
 				count++
 			}
 		}
--- a/jaysched/place.go
+++ b/jaysched/place.go
@@ -86,7 +86,7 @@
 // mayStart reports whether a waiting task may start as far as its former runs and the owner are
 // concerned. formerRuns says that a former owner may have started the restored tasks.
 func (p *Pool) mayStart(t *task, formerRuns bool, now time.Duration) bool {
-	if now < t.notBefore || p.mayRunUnreported(t, formerRuns, now) {
+	if now < t.notBefore || p.heldForFormerOwner(t, formerRuns, now) {
 		return false
 	}
 	if now < p.formerRuns.heldUntil && t.awaitsFormerTrial() && !t.trialsArePlaced() {
--- a/jaysched/placement.go
+++ b/jaysched/placement.go
@@ -1,6 +1,7 @@
 package jaysched
 
 import (
+	"slices"
 	"time"
 
 	"jaythread/jayport"
@@ -10,14 +11,12 @@
 // placement is a run of a service task with its worker, which is recorded before the run begins.
 //
 // It handles this load: the host of a service task is lost together with the owner of its pool, and some
-// other worker answers nobody. Without a record the next owner cannot tell that the task does not run there,
-// waits until all leases of the former owner must have ended, and so does each owner after it. With the
-// record the task waits for the worker of its placement only, and not at all if it has none. Other tasks
-// end by themselves, and a record for each of them would cost more than the wait.
+// other worker does not answer. The next owner waits for the worker of the placement only, and not at all if
+// there is none. Other tasks end by themselves, and a record for each of them would cost more than the wait.
+// Those of speculative steps may have several runs, and have no placements.
 type placement struct {
-	run         int64
-	worker      string
-	incarnation jayport.Incarnation
+	run    int64
+	worker string
 	// carried is for how long the owners that may have granted the worker a lease had been fenced at least
 	// when this owner fenced the last one, and waited is the same when the wait was last to be recorded.
 	carried, waited time.Duration
@@ -41,10 +40,10 @@
 	}
 	if len(t.runs) > 0 {
 		r := t.runs[0]
-		return &jaywire.Placement{Run: r.number, Worker: r.worker.ID, Incarnation: int64(r.worker.Incarnation)}
+		return &jaywire.Placement{Run: r.number, Worker: r.worker.ID}
 	}
 	if f := t.formerPlacement; f != nil {
-		return &jaywire.Placement{Run: f.run, Worker: f.worker, Incarnation: int64(f.incarnation), WaitedMillis: uint32(f.waited.Milliseconds())}
+		return &jaywire.Placement{Run: f.run, Worker: f.worker, WaitedMillis: uint32(f.waited.Milliseconds())}
 	}
 	return nil
 }
@@ -62,8 +61,8 @@
 	}
 }
 
-// placementsRecorded reports whether the placements in a record of a job, or nil, are complete.
-func (p *Pool) placementsRecorded(progress *jaywire.JobProgress) bool {
+// recordIsComplete reports whether the placements in a record of a job, or nil, are complete.
+func (p *Pool) recordIsComplete(progress *jaywire.JobProgress) bool {
 	if progress == nil {
 		return p.placementsSince == 1
 	}
@@ -72,7 +71,7 @@
 
 // restorePlacements makes the tasks of a restored job wait for the workers of their recorded placements.
 func (p *Pool) restorePlacements(j *job, progress *jaywire.JobProgress) {
-	if !p.placementsRecorded(progress) {
+	if !p.recordIsComplete(progress) {
 		j.placementsTerm = 0
 		p.placementsIncomplete = p.placementsIncomplete || j.longRunning
 		return
@@ -89,7 +88,7 @@
 			}
 			t := s.holdTask(int(r.Index))
 			waited := time.Duration(r.Placement.WaitedMillis) * time.Millisecond
-			t.formerPlacement = &placement{run: r.Placement.Run, worker: r.Placement.Worker, incarnation: jayport.Incarnation(r.Placement.Incarnation), carried: waited, waited: waited}
+			t.formerPlacement = &placement{run: r.Placement.Run, worker: r.Placement.Worker, carried: waited, waited: waited}
 			j.started = true
 			p.formerPlacements[t.formerPlacement.worker] = append(p.formerPlacements[t.formerPlacement.worker], t)
 		}
@@ -124,7 +123,8 @@
 	p.recordNow = true
 }
 
-// startRecorded starts the runs whose placements are recorded, unless the owner may have been replaced.
+// startRecorded starts the runs whose placements are recorded, within the limit of starts and unless the owner
+// may have been replaced.
 func (p *Pool) startRecorded(now time.Duration) {
 	if p.OwnerUnconfirmed() {
 		return
@@ -132,14 +132,25 @@
 	recorded := p.recordedRuns
 	p.recordedRuns = nil
 	for _, r := range recorded {
-		p.placementRecorded(r, now)
+		if p.startsLeft <= 0 && !r.gangHasBegun() {
+			p.recordedRuns = append(p.recordedRuns, r)
+			continue
+		}
+		p.startRecordedRun(r, now)
 	}
 }
 
-// placementRecorded sends the start order of a run whose placement is recorded. If its worker, or that of
+// gangHasBegun reports whether another member of a run's gang was sent already.
+func (r *run) gangHasBegun() bool {
+	return r.task.step.decl.Gang && slices.ContainsFunc(r.task.step.tasks, func(t *task) bool {
+		return len(t.runs) > 0 && t.runs[0].number == r.number && t.runs[0].phase != unrecorded
+	})
+}
+
+// startRecordedRun sends the start order of a run whose placement is recorded. If its worker, or that of
 // another member of its gang, has become unusable or lacks room in the meantime, the task waits for another
 // one.
-func (p *Pool) placementRecorded(r *run, now time.Duration) {
+func (p *Pool) startRecordedRun(r *run, now time.Duration) {
 	if r.phase != unrecorded || r.worker.runs[r.ref()] != r {
 		return
 	}
@@ -156,6 +167,7 @@
 		return
 	}
 	r.orderedAt = now
+	p.startsLeft--
 	p.sendStart(r, now)
 }
 
@@ -198,9 +210,9 @@
 	p.dropUnstarted(r, now)
 }
 
-// mayRunUnreported reports whether a former owner may have started a task on a worker that has not reported
-// yet. formerRuns says whether there is such a worker.
-func (p *Pool) mayRunUnreported(t *task, formerRuns bool, now time.Duration) bool {
+// heldForFormerOwner reports whether a task must not start, since a former owner may have started it on a worker
+// that has not reported yet. formerRuns says whether there is such a worker.
+func (p *Pool) heldForFormerOwner(t *task, formerRuns bool, now time.Duration) bool {
 	return formerRuns && t.mayRunUnreported || t.formerPlacement != nil && now < p.placementHeldUntil(t.formerPlacement)
 }
 
--- a/jaysched/placement_test.go
+++ b/jaysched/placement_test.go
@@ -264,3 +264,36 @@
 	is.Equal(progress.Steps[0].Tasks[0].Placement.Worker, own)
 	is.Equal(next.starts("a.0.0.0"), 0)
 }
+
+// Guards against a service that waits for each silent worker, under all further owners of a pool that has had
+// one of an earlier version: the service has not been started yet, and has no record.
+func TestServiceWithoutARunIsRecordedAfterAnUpgrade(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 0, WithFence(2, 2), WithPlacementsSince(2))
+	declare(w, service("a", 1))
+	w.pass(recordDelay)
+	batch := w.record()
+	is.True(batch != nil)
+	w.addWorker("w0")
+	w.addWorker("w1")
+	w.workers["w1"].silent = true
+	next := w.succeedSince(3, 2, batch.Progress["a"])
+	next.reportFor(time.Second)
+	is.Equal(next.starts("a.0.0.0"), 1)
+}
+
+// Guards against a burst of orders on the owner's link that the limit of starts in flight does not bound: it did
+// not count runs that were being recorded.
+func TestRecordedRunsStartWithinTheLimitOfStarts(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 8)
+	w.storeUnavailable = true
+	declare(w, service("a", 8))
+	w.pool.SetStarts(3)
+	w.record()
+	w.run()
+	is.Equal(len(w.running()), 3)
+	w.pool.SetStarts(5)
+	w.run()
+	is.Equal(len(w.running()), 8)
+}
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -316,6 +316,9 @@
 	// A former owner may have stored the job too, and begun it.
 	j.foundInStore = p.hasUnprocessedRuns(j)
 	p.completePlacements(j)
+	if j.longRunning && p.placementsSince != 1 {
+		p.markChanged(j) // the next owner does not rely on a missing record
+	}
 	j.holdDue(now)
 	p.needOwner(j, jayownership.NeededForStored(now))
 	p.shareWithFormer(j, now)
--- a/jaysched/waiting.go
+++ b/jaysched/waiting.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		j.eachTask(func(t *task) {
-			if p.mayRunUnreported(t, true, now) && t.waiting() {
+			if p.heldForFormerOwner(t, true, now) && t.waiting() {
 				held++
 				if t.step.decl.LongRunning {
 					service++
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -124,7 +124,7 @@
 	number int64
 	phase  phase
 	need   jaypool.Resources
-	// orderedAt is when the start was sent, confirmedAt when the worker was known to have the
+	// orderedAt is when the start was sent, or decided on if it is not recorded yet, confirmedAt when the worker was known to have the
 	// run.
 	orderedAt   time.Duration
 	confirmedAt time.Duration
