Model: a worker is reached by one owner at a time

The event did not reach its end: an owner ends as soon as any worker that has seen the next fence refuses it. The former owner and the first of the two reach only that worker now.

--- a/jaysched/owners_model_test.go
+++ b/jaysched/owners_model_test.go
@@ -703,9 +703,8 @@
 	}
 }
 
-// replaceTwice makes two entries the owner, one after the other, while the former one is cut off from the store. A
-// worker, one with a run of a service if there is one, answers the first of them once this is cut off from the store
-// as well, and not the second.
+// replaceTwice makes two entries the owner, one after the other. A worker, one with a run of a service if there is
+// one, is all that the former owner reaches, then all that the first of them reaches, and not reached by the second.
 func (m *ownersModel) replaceTwice(w *ownersWorker) {
 	for _, id := range sortedKeys(m.workers) {
 		other := m.workers[id]
@@ -713,16 +712,21 @@
 			w = other
 		}
 	}
-	former := m.owners[len(m.owners)-1]
-	former.faults["claims"], former.faults["append"] = cutOff, cutOff
-	id, first := w.info.ID, m.claim()
+	id, former := w.info.ID, m.owners[len(m.owners)-1]
+	reachOnly := func(o *modelOwner) {
+		for _, to := range append(sortedKeys(m.workers), "claims", "append") {
+			o.faults[to] = cutOff
+		}
+		delete(o.faults, id)
+	}
+	reachOnly(former)
+	first := m.claim()
 	first.faults[id] = cutOff
 	m.after(time.Second+m.upTo(2*modelLease), func() {
 		if first.ended || m.healed {
 			return
 		}
-		delete(first.faults, id)
-		first.faults["claims"], first.faults["append"] = cutOff, cutOff
+		reachOnly(first)
 		m.after(m.upTo(time.Second), func() {
 			if first.ended || m.healed {
 				return
