Log: run started once its order is sent

Cause: a run of a service task was logged as started before its placement was recorded; a run that was dropped instead was followed by another 'run started' with nothing between. The wait metric left out the time of the record. Change: the event is recorded with the first order. Result: the case 'no order is sent before' failed with the event checked.

--- a/jaysched/decide.go
+++ b/jaysched/decide.go
@@ -156,17 +156,23 @@
 		w.health.trial = r
 	}
 	p.quotas.countRun(r, 1)
-	waited := now - t.step.readyAt
-	if len(t.runs) > 1 {
-		waited = 0 // a copy: its task runs already
-	}
-	p.recordEvent(Event{Kind: RunStarted, Worker: w.ID, Run: r.ref(), Since: now - w.lastAnswerAt, Waited: waited}, now)
 	p.recordStart(t, w, number)
 	if t.step.recordsPlacements() {
 		p.recordPlacement(r)
 		return
 	}
+	p.sendFirstStart(r, now)
+}
+
+// sendFirstStart sends the start order of a run for the first time.
+func (p *Pool) sendFirstStart(r *run, now time.Duration) {
+	waited := now - r.task.step.readyAt
+	if len(r.task.runs) > 1 {
+		waited = 0 // a copy: its task runs already
+	}
+	p.recordEvent(Event{Kind: RunStarted, Worker: r.worker.ID, Run: r.ref(), Since: now - r.worker.lastAnswerAt, Waited: waited}, now)
 	p.startsLeft--
+	r.orderedAt = now
 	p.sendStart(r, now)
 }
 
--- a/jaysched/placement.go
+++ b/jaysched/placement.go
@@ -166,9 +166,7 @@
 		p.dropUnsent(r, now)
 		return
 	}
-	r.orderedAt = now
-	p.startsLeft--
-	p.sendStart(r, now)
+	p.sendFirstStart(r, now)
 }
 
 // unrecordedRun returns the run of a task that is not sent before it is recorded, or nil.
--- a/jaysched/placement_test.go
+++ b/jaysched/placement_test.go
@@ -1,6 +1,7 @@
 package jaysched
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 		declare(w, service("a", 1))
 		w.pass(time.Second)
 		is.Equal(w.starts("a.0.0.0"), 0)
+		is.True(!slices.ContainsFunc(w.pool.TakeEvents(), func(e Event) bool { return e.Kind == RunStarted }))
 		w.storeUnavailable = false
 		w.pass(time.Millisecond)
 		is.Equal(w.starts("a.0.0.0"), 1)
