--- a/jaymember/claims.go
+++ b/jaymember/claims.go
@@ -240,14 +240,11 @@
 	return counts
 }
 
-// candidates returns the entries that are not presumed to have ended and not known to be leaving.
-//
-// It handles this load: the strong entries are restarted one after the other. Those that were started last, and
-// leave, would rank first, and the duties would stay vacant until a weak entry claims them.
+// candidates returns the entries that are not presumed to have ended.
 func (o *Owners) candidates(now time.Duration) []jayowner.Candidate {
 	candidates := []jayowner.Candidate{{Incarnation: o.members.Incarnation, Capacity: o.members.capacity(), Started: o.members.Started.UnixMilli()}}
 	for _, e := range o.members.Entries.All() {
-		if e.Incarnation != o.members.Incarnation && !o.members.Liveness.PresumedEnded(e.Incarnation, now) && !o.isLeaving(e.Incarnation) {
+		if e.Incarnation != o.members.Incarnation && !o.members.Liveness.PresumedEnded(e.Incarnation, now) {
 			candidates = append(candidates, jayowner.Candidate{Incarnation: e.Incarnation, Capacity: capacityOf(e), Started: e.StartedUnixMillis})
 		}
 	}
--- a/jaymember/owners.go
+++ b/jaymember/owners.go
@@ -1,7 +1,6 @@
 package jaymember
 
 import (
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,8 +32,6 @@
 	mu sync.Mutex
 	// turnover tracks the recent owners of each duty.
 	turnover *jayowner.Turnover
-	// leaving is the set of incarnations that have released a duty: they claim none any more.
-	leaving map[string]bool
 }
 
 // View is the claims as of a time.
@@ -55,7 +52,6 @@
 		working:     jayowner.NewTable(),
 		vacantSince: map[jayowner.Duty]time.Duration{},
 		turnover:    jayowner.NewTurnover(),
-		leaving:     map[string]bool{},
 	}
 }
 
@@ -79,27 +75,11 @@
 	if c, ok := o.working.Claim(jayowner.Duty(r.Key)); ok {
 		o.mu.Lock()
 		o.turnover.AddClaim(c, o.members.Clock())
-		if c.Released {
-			o.addLeaving(c.Incarnation)
-		}
 		o.mu.Unlock()
 		o.logger.Info("duty claimed", "duty", r.Key, "owner", c.Incarnation, "fence", c.Fence, "term", c.Term, "released", c.Released)
 	}
 }
 
-// addLeaving records that an incarnation is leaving, and forgets those that are not announced any more.
-func (o *Owners) addLeaving(incarnation string) {
-	maps.DeleteFunc(o.leaving, func(other string, _ bool) bool { return !o.members.Entries.announced(other) })
-	o.leaving[incarnation] = true
-}
-
-// isLeaving reports whether an incarnation is known to be leaving.
-func (o *Owners) isLeaving(incarnation string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.leaving[incarnation]
-}
-
 // timeoutFactorOf returns the factor by which the owner of a duty may be silent for
 // longer than usual.
 func (o *Owners) timeoutFactorOf(d jayowner.Duty, now time.Duration) int {
