A leaving owner stops no service tasks for a wave

Cause: the owner of the pool stopped three tasks of a service for a wave 1.6 s after it had been told to leave. It never started them again; the next owner took its place in steps of seconds. Change: a leaving owner leaves such stops to the next one, except on workers that leave themselves. Evidence: TestLeavingOwnerStopsNoServiceTasks, 1 task moved instead of 0 before.

--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -180,6 +180,9 @@
 	d.detectPause(now)
 	d.updateOwnership()
 	d.reviewTakeoverDelay()
+	if d.node.stopping.Load() {
+		d.pool.Leave()
+	}
 	d.pool.JobsKnown(jobsAsOf)
 	d.pool.SetStarts(d.latency.Starts())
 	d.call(callDecide, func() {
--- a/jaysched/kept_test.go
+++ b/jaysched/kept_test.go
@@ -145,3 +145,18 @@
 		})
 	}
 }
+
+// Guards against a service task that is without a run for as long as the next owner takes to take over: an owner that
+// was about to leave had stopped it for a wave.
+func TestLeavingOwnerStopsNoServiceTasks(t *testing.T) {
+	is := is.New(t)
+	w := eviction(t)
+	w.pool.Leave()
+	is.Equal(w.vacateBoth(time.Second), 2)
+	is.Equal(len(w.workers["w2"].active), 0)
+	w.workers["w0"].info.Draining = true
+	w.list()
+	w.pass(time.Millisecond)
+	w.reports()
+	is.Equal(len(w.workers["w2"].active), 1)
+}
--- a/jaysched/vacating.go
+++ b/jaysched/vacating.go
@@ -35,6 +35,8 @@
 	keptIn int
 	// withServices are the closed workers with runs of services, as of the latest pass.
 	withServices []*worker
+	// leaving says that the owner is leaving.
+	leaving bool
 }
 
 // ordered reports whether the present owner of the fleet ordered to vacate a worker.
@@ -85,6 +87,12 @@
 	}
 }
 
+// Leave records that the owner is leaving. It stops no service tasks for a wave any more: the next owner may take
+// long to take over, and does not know the places that are kept for them.
+func (p *Pool) Leave() {
+	p.vacating.leaving = true
+}
+
 // vacate opens workers whose order has expired and stops those runs on closed or draining
 // workers that should continue elsewhere.
 func (p *Pool) vacate(now time.Duration) {
@@ -100,7 +108,7 @@
 			continue
 		}
 		for _, r := range w.inOrder {
-			if r.phase != running {
+			if r.phase != running || p.vacating.leaving && !w.Draining && r.task.step.decl.LongRunning {
 				continue
 			}
 			room, stop := p.shouldStop(r, now)
