Count the silent workers that service tasks may run on in a pool's demand

Cause: after a takeover neither a task that may run on a silent worker nor that worker counted, so that the pool had as many hosts as it asked for. Change: the workers of former placements count until they report or end. Evidence: TestSilentWorkerOfAServiceIsNeeded, 3 workers instead of 4 before.

--- a/jaysched/demandsuccession_test.go
+++ b/jaysched/demandsuccession_test.go
@@ -39,3 +39,21 @@
 		})
 	}
 }
+
+// Guards against a service task that waits for an instance for as long as another worker of its service is silent:
+// the pool counts neither that worker nor the task that may run there, and has as many hosts as it asks for.
+func TestSilentWorkerOfAServiceIsNeeded(t *testing.T) {
+	w := newHarness(t, 4)
+	spec := service("a", 4)
+	declare(w, spec)
+	w.reportFor(2 * time.Second)
+	running := w.running()
+	w.workers[running["a.0.0.1"]].silent = true
+	lost := running["a.0.0.0"]
+	delete(w.workers, lost)
+	w.pool.Ended(refOf(lost), "another incarnation answers", w.now)
+	w.list()
+	next := w.succeed(2, spec)
+	next.reportFor(time.Second)
+	is.New(t).Equal(next.pool.Demand(next.now).WorkersAtLeast, 4)
+}
--- a/jaysched/packing.go
+++ b/jaysched/packing.go
@@ -22,7 +22,7 @@
 	for _, u := range p.unplacedSteps(p.formerRunsPossible(now), now) {
 		k.place(u.step, u.tasks)
 	}
-	return k.workers()
+	return k.workers() + p.workersOfFormerPlacements(now)
 }
 
 // unplacedStep is a step with the number of its tasks that need a worker.
--- a/jaysched/placement.go
+++ b/jaysched/placement.go
@@ -214,6 +214,21 @@
 	return formerRuns && t.mayRunUnreported || t.formerPlacement != nil && now < p.placementHeldUntil(t.formerPlacement)
 }
 
+// workersOfFormerPlacements counts the workers that service tasks wait for since they may run there: the pool
+// needs them beside those that serve.
+func (p *Pool) workersOfFormerPlacements(now time.Duration) int {
+	count := 0
+	for id, tasks := range p.formerPlacements {
+		waits := func(t *task) bool {
+			return t.formerPlacement != nil && t.formerPlacement.worker == id && t.waiting() && p.heldForFormerOwner(t, false, now)
+		}
+		if slices.ContainsFunc(tasks, waits) {
+			count++
+		}
+	}
+	return count
+}
+
 // reviewPlacements completes the placements of restored services once all runs of former owners are known.
 func (p *Pool) reviewPlacements(formerRuns bool) {
 	if formerRuns || !p.placementsIncomplete {
