--- a/deploy/days/planned.py
+++ b/deploy/days/planned.py
@@ -3,8 +3,8 @@
 
     deploy/days/planned.py DIRECTORY COUNT FIRST-SEED
 
-Owners of pools follow one another while hosts of service tasks are lost for good and other workers
-answer nobody, so that tasks wait over several owners. A seed always gives the same day.
+Owners of pools follow one another while hosts of service tasks are lost for good and other workers do not
+answer, so that tasks wait over several owners. A seed always gives the same day.
 """
 import random
 import sys
--- a/jaysched/demandsuccession_test.go
+++ b/jaysched/demandsuccession_test.go
@@ -8,7 +8,7 @@
 )
 
 // Guards against a service task that waits for room although hosts are on standby: a worker without any run
-// answers nobody, and the pool demands no worker for any task meanwhile, anew under each owner.
+// does not answer, and the pool demands no worker for any task meanwhile, anew under each owner.
 func TestSilentWorkerDoesNotHideTheDemandOfServices(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/jaysched/placementwait.go
+++ b/jaysched/placementwait.go
@@ -13,7 +13,7 @@
 // placementHeldUntil returns when the last lease that a former owner granted to the worker of a placement must
 // have ended.
 //
-// It handles this load: a worker answers nobody for good, and the owners of its pool change before the leases
+// It handles this load: a worker does not answer any more, and the owners of its pool change before the leases
 // of former owners must have ended. An owner that has not heard from the worker has granted it no lease, so
 // that the next one waits for the leases of the owners before only: the record of the placement says how long
 // ago these were fenced at least. It is a duration, since the clocks of the entries differ. It applies only
