Show a takeover of a pool that goes on, and where its time went

The only line of a takeover came once it was complete, with its total time.

Change, of log and metrics only: "takeover goes on" once a second until the takeover is complete or the duty ends, with the step, how long the step and the takeover have lasted, and what was read. "taken over" has the time of the fence, the reads, the takeover delay and the restoring. jaythread_pool_takeover_seconds{pool} has a value while a takeover goes on, jaythread_takeover_duration_seconds has the completed ones. The reports come from a goroutine of their own, so that a blocked or busy takeover is reported too.

The gauge is removed and not set to 0 at the end: an entry that claims a pool again may begin the next duty before the former one has returned, whose removal would then take the 0 away for good.

Not done: the age of the oldest lease of a pool. The owner knows neither the leases that a former owner granted nor the runs of workers that have not reported yet, so a gauge in jaysched would not show the incident.

--- a/jaymetric/jobs.go
+++ b/jaymetric/jobs.go
@@ -39,6 +39,8 @@
 	startLimit        *prometheus.GaugeVec
 	serviceWaits      *prometheus.GaugeVec
 	serviceWaitMax    *prometheus.GaugeVec
+	takeover          *prometheus.GaugeVec
+	takeoverDuration  prometheus.Histogram
 	organisations     boundedLabels
 }
 
@@ -110,8 +112,16 @@
 		serviceWaitMax: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "jaythread_service_task_longest_wait_seconds", Help: "Longest present wait of a long-running task under this owner, in the pools that this entry owns.",
 		}, []string{"pool"}),
+		takeover: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "jaythread_pool_takeover_seconds", Help: "How long this entry has been taking a pool over, while its takeover goes on.",
+		}, []string{"pool"}),
+		takeoverDuration: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "jaythread_takeover_duration_seconds",
+			Help:    "Duration of the completed takeovers of pools.",
+			Buckets: []float64{0.01, 0.03, 0.1, 0.3, 1, 2, 4, 8, 15, 30},
+		}),
 	}
-	m.Registry.MustRegister(m.startsHeldBack, m.startLimit, m.serviceWaits, m.serviceWaitMax, m.burstPredictions, m.hostsGiven, m.workLost, m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.endRecording, m.poolCallDuration, m.commands, m.dutyChanges, m.beyondShare, m.share)
+	m.Registry.MustRegister(m.startsHeldBack, m.startLimit, m.serviceWaits, m.serviceWaitMax, m.takeover, m.takeoverDuration, m.burstPredictions, m.hostsGiven, m.workLost, m.rejected, m.decisionAge, m.quotaWait, m.answers, m.answerDuration, m.storeCallDuration, m.orderDuration, m.poolEvents, m.taskWait, m.jobDuration, m.endRecording, m.poolCallDuration, m.commands, m.dutyChanges, m.beyondShare, m.share)
 	m.Runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -253,6 +263,21 @@
 	m.serviceWaitMax.DeleteLabelValues(pool)
 }
 
+// SetTakeover sets how long the present takeover of a pool has lasted.
+func (m *JobMetrics) SetTakeover(pool string, lasted time.Duration) {
+	m.takeover.WithLabelValues(pool).Set(lasted.Seconds())
+}
+
+// RemoveTakeover removes a pool whose takeover is complete or was given up.
+func (m *JobMetrics) RemoveTakeover(pool string) {
+	m.takeover.DeleteLabelValues(pool)
+}
+
+// TakenOver records the duration of a completed takeover of a pool.
+func (m *JobMetrics) TakenOver(took time.Duration) {
+	m.takeoverDuration.Observe(took.Seconds())
+}
+
 // Gauge registers a gauge whose value is read at each scrape.
 func (m *JobMetrics) Gauge(name, help string, read func() float64) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -60,6 +60,8 @@
 	jobBytes atomic.Int64
 	// latency measures how long the pool's workers take to answer.
 	latency *jaysched.Latency
+	// takeover is how far the takeover of the pool is.
+	takeover takeoverProgress
 
 	// The fields below are used only by the duty's goroutine.
 	pool *jaysched.Pool
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,7 +41,8 @@
 // takeOver fences the former owner's producer, then reads the recorded progress and the
 // submitted jobs. It returns false if the duty ended meanwhile.
 func (d *poolDuty) takeOver() bool {
-	began := d.node.clock()
+	stopReports := d.watchTakeover()
+	defer stopReports()
 	// Fencing comes first: records that the former owner wrote after the read would be
 	// missed.
 	if err := d.journal.Fence(d.ctx); err != nil {
@@ -51,29 +53,34 @@
 	if d.claim.Term > 1 {
 		d.pool.HoldFormerRuns(fencedAt, fencedAt+formerLeaseWait)
 	}
+	d.takeover.enter(readingProgress, fencedAt)
 	// Both are read in parallel, since each call takes long if the store is slow.
 	var jobs sync.WaitGroup
 	jobs.Go(d.loadJobs)
 	defer jobs.Wait()
 	progress := d.loadProgress()
+	d.takeover.enter(readingJobs, d.node.clock())
 	jobs.Wait()
 	if d.ctx.Err() != nil {
 		return false
 	}
 	if d.takeoverDelay.Recorded() > 0 {
+		d.takeover.enter(awaitingDelay, d.node.clock())
 		d.awaitTakeoverDelay(fencedAt)
+		d.takeover.enter(readingJobs, d.node.clock())
 		// The former owner may have begun jobs that were stored since the read.
 		d.loadJobs()
 	}
 	if d.ctx.Err() != nil {
 		return false
 	}
+	d.takeover.enter(restoring, d.node.clock())
 	d.jobs.finishLoad(progress)
 	d.pool.TakenOver(d.node.clock())
 	d.updateWorkers(d.node.clock())
 	d.node.duties.Go(d.pollInventory)
-	d.node.metrics.DutyChanged(string(d.claim.Duty), "takenOver")
-	d.logger.Info("taken over", "term", d.claim.Term, "jobs", d.jobs.open, "ended", d.jobs.ended, "took", (d.node.clock() - began).String())
+	stopReports()
+	d.takenOver()
 	return true
 }
 
@@ -124,7 +131,7 @@
 // loadProgress reads the progress records of the pool by job ID and retries until it
 // succeeds or the duty ends.
 func (d *poolDuty) loadProgress() map[string]*jaywire.JobProgress {
-	c := &progressCollector{pool: d.name, byJob: map[string]*jaywire.JobProgress{}, parts: map[string]map[int]*jaywire.JobProgress{}, logger: d.logger, delay: &d.takeoverDelay}
+	c := &progressCollector{pool: d.name, byJob: map[string]*jaywire.JobProgress{}, parts: map[string]map[int]*jaywire.JobProgress{}, logger: d.logger, delay: &d.takeoverDelay, read: &d.takeover.records}
 	tail := jaytail.New(d.node.store, d.node.ports.Formats.Own(topicProgress, d.node.partitionOf(d.name)),
 		jaytail.Options{Prefix: d.name + "/"}, c, d.node.clock, d.logger)
 	for d.ctx.Err() == nil {
@@ -151,6 +158,8 @@
 	logger logr.Logger
 	// delay receives the takeover delay.
 	delay *jayownership.TakeoverDelay
+	// read counts the collected records, without further parts.
+	read *atomic.Int64
 }
 
 // Reset discards the collected records before a reload.
@@ -158,6 +167,7 @@
 	clear(c.byJob)
 	clear(c.parts)
 	c.delay.Restore(0)
+	c.read.Store(0)
 }
 
 // Apply decodes a progress record, or the takeover delay.
@@ -177,6 +187,7 @@
 	job, part := jaypart.ParseID(jobID(c.pool, r.Key))
 	if part == 0 {
 		c.byJob[job] = record
+		c.read.Store(int64(len(c.byJob)))
 		return
 	}
 	if c.parts[job] == nil {
@@ -268,6 +279,7 @@
 	job.Address = t.duty.node.addressOf(job)
 	if t.loading {
 		t.loaded[id] = job
+		t.duty.takeover.jobs.Store(int64(len(t.loaded)))
 		return
 	}
 	t.duty.declare(job, "read", t.duty.pool.DeclareFound)
