Failing test: leases lapse while the next owner reads the jobs

Cause, as seen in plays (trials): an owner grants no lease before its takeover is complete. In the users' record all runs of the pool lapsed four seconds after its owner was stopped.

--- a/jaynode/fakes_test.go
+++ b/jaynode/fakes_test.go
@@ -381,10 +381,12 @@
 	starts []jayport.StartOrder
 	stops  []jayport.RunRef
 	renews int
+	// leases are the ends of the leases of the workers.
+	leases map[string]time.Duration
 }
 
 func newFakeWorkers(clock jayclock.Clock, silent ...string) *fakeWorkers {
-	f := &fakeWorkers{clock: clock, silent: map[string]bool{}, active: map[string]map[jayport.RunRef]bool{}}
+	f := &fakeWorkers{clock: clock, silent: map[string]bool{}, active: map[string]map[jayport.RunRef]bool{}, leases: map[string]time.Duration{}}
 	for _, id := range silent {
 		f.silent[id] = true
 	}
@@ -435,6 +437,7 @@
 	}
 	f.mu.Lock()
 	f.renews++
+	f.leases[to.ID] = max(f.leases[to.ID], o.LeaseUntil)
 	f.mu.Unlock()
 	time.Sleep(o.Wait)
 	report := jayport.Report{Clock: f.clock()}
@@ -449,6 +452,13 @@
 // Forget does nothing.
 func (f *fakeWorkers) Forget(jayport.WorkerRef) {}
 
+// lease returns the end of a worker's lease.
+func (f *fakeWorkers) lease(id string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leases[id]
+}
+
 // counts returns the number of starts and renewals so far.
 func (f *fakeWorkers) counts() (starts, renews int) {
 	f.mu.Lock()
