Renew leases while a pool is taken over

What callers saw: LOST.

Cause: the owner of a pool granted no lease before its takeover was complete. It reads all records of the pool's jobs first, ended ones too, which takes seconds on a small entry or in a burst; leases last four seconds. All runs of the pool ended, and had to be started again by an owner that was busy already.

The pool gets the leases and the reports, so that tasks do not wait for reports that were given meanwhile. The wait for a silent worker that an owner has recorded holds for the next term only, since an owner of a later term may have granted a lease before it has read the record.

--- a/jaynode/poolownership.go
+++ b/jaynode/poolownership.go
@@ -9,13 +9,19 @@
 // updateOwnership passes the pool the time up to which this owner is confirmed, if the
 // newest claims name this owner.
 func (d *poolDuty) updateOwnership() {
+	if at, confirmed := d.claimedAsOf(); confirmed {
+		d.pool.SetConfirmedAt(at)
+	}
+}
+
+// claimedAsOf returns the time up to which the newest claims were read, if they name this owner.
+func (d *poolDuty) claimedAsOf() (at time.Duration, confirmed bool) {
 	view := d.node.members.Owners.View()
 	if view == nil {
-		return
-	}
-	if c, claimed := view.Claim(d.claim.Duty); claimed && c.Fence == d.claim.Fence {
-		d.pool.SetConfirmedAt(view.AsOf)
+		return 0, false
 	}
+	c, claimed := view.Claim(d.claim.Duty)
+	return view.AsOf, claimed && c.Fence == d.claim.Fence
 }
 
 // pauseThreshold is the time without a step from which the process counts as paused, and
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -43,6 +43,7 @@
 func (d *poolDuty) takeOver() bool {
 	stopReports := d.watchTakeover()
 	defer stopReports()
+	fencing := d.node.clock()
 	// Fencing comes first: records that the former owner wrote after the read would be
 	// missed.
 	if err := d.journal.Fence(d.ctx); err != nil {
@@ -53,6 +54,8 @@
 	if d.claim.Term > 1 {
 		d.pool.HoldFormerRuns(fencedAt, fencedAt+formerLeaseWait)
 	}
+	finishLeases := d.renewDuringTakeover(fencing)
+	defer finishLeases()
 	d.takeover.enter(readingProgress, fencedAt)
 	// Both are read in parallel, since each call takes long if the store is slow.
 	var jobs sync.WaitGroup
@@ -78,6 +81,8 @@
 	d.jobs.finishLoad(progress)
 	d.pool.TakenOver(d.node.clock())
 	d.updateWorkers(d.node.clock())
+	d.pool.JobsKnown(d.jobs.tail.AsOf())
+	d.pool.TakeoverLeases(finishLeases(), d.node.clock())
 	d.node.duties.Go(d.pollInventory)
 	stopReports()
 	d.takenOver()
--- a/jayownership/takeoverdelay.go
+++ b/jayownership/takeoverdelay.go
@@ -32,6 +32,12 @@
 	recording bool
 }
 
+// MaxTakeoverDelay returns the longest time after its fence for which a new owner that has not read the recorded
+// delay has to wait before its first order.
+func MaxTakeoverDelay() time.Duration {
+	return SlowTakeoverDelay + SlowTakeoverDelay/clockDriftDivisor
+}
+
 // Restore sets the delay that a former owner has recorded.
 func (d *TakeoverDelay) Restore(recorded time.Duration) {
 	d.recorded = recorded
--- a/jaysched/placement.go
+++ b/jaysched/placement.go
@@ -20,6 +20,9 @@
 	// carried is for how long the owners that may have granted the worker a lease had been fenced at least
 	// when this owner fenced the last one, and waited is the same when the wait was last to be recorded.
 	carried, waited time.Duration
+	// renewed says that this owner has granted the worker a lease during its takeover, so that no wait is carried
+	// over.
+	renewed bool
 }
 
 // WithPlacementsSince sets the first term from which on all owners of the pool record placements: a record
@@ -87,7 +90,10 @@
 				continue
 			}
 			t := s.holdTask(int(r.Index))
-			waited := time.Duration(r.Placement.WaitedMillis) * time.Millisecond
+			waited := time.Duration(0)
+			if int64(progress.PlacementsTerm)+1 == p.term {
+				waited = time.Duration(r.Placement.WaitedMillis) * time.Millisecond
+			}
 			t.formerPlacement = &placement{run: r.Placement.Run, worker: r.Placement.Worker, carried: waited, waited: waited}
 			j.started = true
 			p.formerPlacements[t.formerPlacement.worker] = append(p.formerPlacements[t.formerPlacement.worker], t)
--- a/jaysched/placementwait.go
+++ b/jaysched/placementwait.go
@@ -17,7 +17,8 @@
 // of former owners must have ended. An owner that has not heard from the worker has granted it no lease, so
 // that the next one waits for the leases of the owners before only: the record of the placement says how long
 // ago these were fenced at least. It is a duration, since the clocks of the entries differ. It applies only
-// while no owner has granted the worker a lease since: see withholdLease.
+// while no owner has granted the worker a lease since: see withholdLease. An owner may grant one before it knows
+// the record, during its takeover, so that only the record of the owner before this one applies.
 func (p *Pool) placementHeldUntil(f *placement) time.Duration {
 	return p.formerRuns.heldUntil - f.carried
 }
@@ -35,7 +36,7 @@
 		}
 		for _, t := range p.formerPlacements[id] {
 			f := t.formerPlacement
-			if f == nil || f.worker != id || t.step.job.outcome != Open || f.waited >= p.formerRuns.heldUntil-fenced {
+			if f == nil || f.worker != id || f.renewed || t.step.job.outcome != Open || f.waited >= p.formerRuns.heldUntil-fenced {
 				continue
 			}
 			f.waited = f.carried + now - fenced
--- /dev/null
+++ b/jaysched/takeoverlease_test.go
@@ -0,0 +1,53 @@
+package jaysched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaythread/jayport"
+)
+
+// renewedDuringTakeover is succeedTimed for an owner that has granted a worker a lease during its takeover, and got
+// no report from it since.
+func (w *harness) renewedDuringTakeover(term int64, worker string) *harness {
+	next := w.succeedTimed(term)
+	_, bound := LeaseClock{At: next.now}.LeaseUntil(next.now, next.pool.settings.Lease)
+	next.pool.TakeoverLeases([]TakeoverLease{{To: jayport.WorkerRef{ID: worker}, Bound: bound}}, next.now)
+	return next
+}
+
+// Guards against two runs of a service task: an owner renews the lease of a silent worker during its takeover and is
+// lost before it has recorded anything, and the next one relies on the wait that was recorded before.
+func TestRecordedWaitHoldsForTheNextTermOnly(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 3)
+	declare(w, service("a", 1))
+	own := w.running()["a.0.0.0"]
+	w.workers[own].silent = true
+	second := w.succeedTimed(2)
+	second.reportFor(8 * time.Second)
+	is.True(second.pool.jobs["a"].progress().Steps[0].Tasks[0].Placement.WaitedMillis >= 7000)
+	fourth := second.succeedTimed(4)
+	fourth.reportFor(testFormerWait - time.Second)
+	is.Equal(fourth.starts("a.0.0.0"), 0)
+	fourth.reportFor(2 * time.Second)
+	is.Equal(fourth.starts("a.0.0.0"), 1)
+}
+
+// Guards against two runs of a service task: an owner that has renewed the lease of a silent worker during its
+// takeover records a wait as if it had not.
+func TestNoWaitIsRecordedForARenewedWorker(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 3)
+	declare(w, service("a", 1))
+	own := w.running()["a.0.0.0"]
+	w.workers[own].silent = true
+	second := w.succeedTimed(2)
+	second.reportFor(4 * time.Second)
+	third := second.renewedDuringTakeover(3, own)
+	third.reportFor(4 * time.Second)
+	is.Equal(third.pool.jobs["a"].progress().Steps[0].Tasks[0].Placement.WaitedMillis, uint32(0))
+	is.Equal(third.starts("a.0.0.0"), 0)
+}
--- a/jaysched/worker.go
+++ b/jaysched/worker.go
@@ -266,8 +266,8 @@
 	if w.clockAt == 0 {
 		return 0
 	}
-	until := w.clock + (now - w.clockAt) + length
-	w.leaseBound = max(w.leaseBound, w.clockAt+stretched(until-w.clock))
+	until, bound := LeaseClock{Clock: w.clock, At: w.clockAt}.LeaseUntil(now, length)
+	w.leaseBound = max(w.leaseBound, bound)
 	return until
 }
 
