Pause after long steps of a duty

What callers saw: LOST.

Cause: the owner of a pool decides after each event. While thousands of tasks wait, in a burst, a decision takes a millisecond, and hundreds of first reports arrive after a takeover. The process computes without a pause for up to 1.7 s: it answers no pings and processes no answers of the workers, is presumed to have ended, and is replaced by an entry with the same load. Leases end, since none serves the pool.

Change: after a step of 0.25 ms or longer the duty pauses for three times as long, 10 ms at most. Events collect in the pause, and one decision serves them all.

--- a/jaynode/duty.go
+++ b/jaynode/duty.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-logr/logr"
 
+	"jaythread/jayclock"
 	"jaythread/jayjournal"
 	"jaythread/jayowner"
 	"jaythread/jayport"
@@ -69,6 +70,26 @@
 	}
 }
 
+const (
+	// longStep is the duration from which a step is followed by a pause, in which events collect.
+	longStep = 250 * time.Microsecond
+	// stepShare is the divisor that gives the share of the time that long steps may take, and maxStepPause
+	// limits the pause.
+	stepShare    = 4
+	maxStepPause = 10 * time.Millisecond
+)
+
+// stepPause returns the pause after a step.
+//
+// It handles this load: a new owner decides anew on thousands of waiting tasks after each of hundreds of first
+// reports. The process then answers no pings for a second, and is replaced by an entry with the same load.
+func stepPause(took time.Duration) time.Duration {
+	if took < longStep {
+		return 0
+	}
+	return min((stepShare-1)*took, maxStepPause)
+}
+
 // loop calls step at each tick and whenever events are waiting, until the duty ends.
 func (d *duty) loop(tick time.Duration, step func()) {
 	ticker := time.NewTicker(tick)
@@ -80,7 +101,9 @@
 		case <-ticker.C:
 		case <-d.inbox.Ready():
 		}
+		began := d.node.clock()
 		step()
+		jayclock.Sleep(d.ctx, stepPause(d.node.clock()-began))
 	}
 }
 
