Remove the declaration of an ended job soon after its end is recorded

Cause: a takeover reads the declarations of all jobs of a pool, also of those that ended within RetainEnded (120 s and more), though an ended job is restored from its progress record alone.

Change: once the end of a job is recorded in the progress (acknowledged by the store under the owner's fence), its declaration is removed, together with others: 100 or more at once, fewer after 5 s. The progress record, and the declaration once more, are removed after RetainEnded as before, so that a declaration that a repeated request has stored meanwhile goes too. Ended jobs whose declarations a takeover still finds are removed in the same way, unless the record restores less (the cancellation of an unknown job, a record without the job's organisation). No declaration is removed later than a minute after the end unless the job is being forgotten: with the maximum age of an append, the removal takes effect before any owner forgets the job, also by an owner that was suspended. A job does not expire while its declaration is being removed.

A takeover restored an ended job with a declaration twice, the second time with the organisation in the record; it is restored once, with that of the declaration.

--- a/jaynode/expire.go
+++ b/jaynode/expire.go
@@ -18,6 +18,17 @@
 	expireInterval = 5 * time.Second
 	// expireBatchSize limits the number of jobs whose records are removed at once.
 	expireBatchSize = 500
+	// declarationsInterval is the longest time for which the declaration of an ended job waits to be removed
+	// together with others. Each removal is an append.
+	declarationsInterval = 5 * time.Second
+	// declarationsBatch is the number of ended jobs from which on their declarations are removed at once.
+	// As many are read in vain by a takeover.
+	declarationsBatch = 100
+	// declarationsMax limits the number of declarations that are removed at once.
+	declarationsMax = 500
+	// maxDeclarationAge is how long after the end of a job its declaration may be removed while the end is
+	// kept. With the maximum age of an append, the removal takes effect before any owner forgets the job.
+	maxDeclarationAge = MinRetainEnded - maxAppendAge
 	// expireMargin is how much longer than RetainEnded the state of an ended job is kept,
 	// because the ends of jobs are timed by this entry's own clock.
 	expireMargin = 5 * time.Second
@@ -55,6 +66,32 @@
 	})
 }
 
+// removeDeclarations removes the declarations of jobs whose ends are recorded. The next owner need not read
+// them; callers are shown the jobs until they expire. A declaration that is stored again by a repeated request
+// is removed once the job expires.
+func (d *poolDuty) removeDeclarations(now time.Duration) {
+	waiting := d.pool.DeclaredEnded()
+	if waiting == 0 {
+		d.nextDeclarationsAt = now + declarationsInterval
+		return
+	}
+	many := waiting >= declarationsBatch && !d.removingDeclarations
+	if !many && now < d.nextDeclarationsAt {
+		return
+	}
+	d.nextDeclarationsAt = now + declarationsInterval
+	ids := d.pool.TakeDeclaredEnded(d.node.clock(), maxDeclarationAge, declarationsMax)
+	if len(ids) == 0 {
+		return
+	}
+	d.removingDeclarations = true
+	declarations := d.node.intake.journals[d.node.partitionOf(d.name)]
+	addToJournal(declarations, d.removals(ids), d.removed("declarations of ended jobs", ids, func(ids []string, removed bool) {
+		d.removingDeclarations = !removed
+		d.pool.DeclarationsRemoved(ids, removed)
+	}))
+}
+
 // progressRemovals returns the records that remove the progress of jobs.
 func (d *poolDuty) progressRemovals(ids []string) []jayport.Record {
 	removals := d.removals(ids)
--- a/jaynode/poolduty.go
+++ b/jaynode/poolduty.go
@@ -71,6 +71,10 @@
 	flushing     bool
 	nextFlushAt  time.Duration
 	nextExpireAt time.Duration
+	// nextDeclarationsAt is when a few declarations of ended jobs are removed next. removingDeclarations is
+	// set until the latest removal has succeeded.
+	nextDeclarationsAt   time.Duration
+	removingDeclarations bool
 	// nextSharesAt is when the organisations' shares are passed to the metrics next.
 	nextSharesAt  time.Duration
 	takeoverDelay jayownership.TakeoverDelay
@@ -195,6 +199,7 @@
 	d.jobBytes.Store(d.pool.Footprint())
 	d.call(callRecord, d.flush)
 	d.expire(now)
+	d.removeDeclarations(now)
 	d.logEvents()
 	d.countShares(now)
 	d.countHeldBack(now)
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -353,6 +353,9 @@
 	}
 	if outcome := jaysched.OutcomeOf(progress); outcome != jaysched.Open {
 		pool.RestoreEnded(job.ID, job.Organisation, outcome, now)
+		if len(progress.CanceledBy) == 0 && progress.Organisation == job.Organisation {
+			pool.RemoveDeclaration(job.ID) // the record alone restores the same
+		}
 		return
 	}
 	t.open++
@@ -382,9 +385,12 @@
 			continue
 		}
 		if outcome := jaysched.OutcomeOf(progress); outcome != jaysched.Open {
+			t.ended++
+			if t.loaded[id] != nil {
+				continue // restored above
+			}
 			t.duty.pool.RestoreEnded(id, progress.Organisation, outcome, now)
 			t.duty.storedJobs.Store(id, progress.Organisation)
-			t.ended++
 		}
 	}
 	t.loaded = nil
--- a/jaysched/job.go
+++ b/jaysched/job.go
@@ -97,7 +97,7 @@
 	// recorded is the outcome recorded in the store. Callers are shown no other outcome, since
 	// the loss of the owner would revoke it.
 	recorded Outcome
-	// removing says that the records of the ended job are being removed.
+	// removing says that records of the ended job are being removed.
 	removing bool
 	started  bool
 	// begun says that a run of the job has ended, under this owner or a former one.
--- a/jaysched/pool.go
+++ b/jaysched/pool.go
@@ -128,7 +128,10 @@
 	batchRecordedAt time.Duration
 	// changed are the jobs whose progress is to be recorded.
 	changed []*job
-	workers map[string]*worker
+	// declaredEnded are the ended jobs whose declarations can be removed, in the order in which their
+	// ends were recorded.
+	declaredEnded []*job
+	workers       map[string]*worker
 	// maxCapacity is the largest amount of each resource that any worker had.
 	maxCapacity jaypool.Resources
 	// sorted are the workers in the order of their IDs.
--- a/jaysched/progress.go
+++ b/jaysched/progress.go
@@ -119,6 +119,7 @@
 		j, known := p.jobs[id]
 		if known && outcome != Open && j.recorded == Open {
 			j.recorded, j.occurrences = outcome, nil
+			p.RemoveDeclaration(id)
 			p.recordEvent(Event{Kind: JobRecorded, Job: id, Detail: outcome.String(), Waited: now - j.endedAt}, now)
 		}
 	}
