A vacancy that restarted entries prolong: failing tests

Cause: the strong entries that were started last rank first for each vacant duty. If they are stopping, own nothing any more and still answer pings, or have ended without a duty, nobody claims it before the three ranks have passed, and then in random order. Change: the tests, and a function for the outcome of a ping of an entry that is no owner.

--- a/jaymember/claims_test.go
+++ b/jaymember/claims_test.go
@@ -1,6 +1,7 @@
 package jaymember
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -10,7 +11,10 @@
 
 	"jaythread/jayclock"
 	"jaythread/jayowner"
+	"jaythread/jaypeer"
+	"jaythread/jayport"
 	"jaythread/jaytail"
+	"jaythread/jaywire"
 )
 
 func TestVacantDutyIsClaimedOnce(t *testing.T) {
@@ -131,3 +135,102 @@
 		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(placementsSince(c.former), c.want) })
 	}
 }
+
+// vacancy is a membership with announced peers and a duty without an owner.
+type vacancy struct {
+	*Members
+	records []jayport.Record
+}
+
+// newVacancy returns the membership of a strong entry that has run for a minute.
+func newVacancy(t *testing.T) *vacancy {
+	t.Helper()
+	v := &vacancy{Members: newTestMembers(t, "observer", newMemoryStore(), jayclock.Since(time.Now().Add(-time.Hour)))}
+	v.ProcessorsMilli = 800
+	v.StartedAt = v.Clock() - time.Minute
+	v.Started = time.Now().Add(-time.Minute)
+	return v
+}
+
+// announce adds a peer and returns its incarnation.
+func (v *vacancy) announce(t *testing.T, entry string, started time.Time) string {
+	t.Helper()
+	peer := &jaywire.EntryRecord{Incarnation: NewIncarnation(entry), ProcessorsMilli: 800, StartedUnixMillis: started.UnixMilli()}
+	r, err := announcementRecord(entry, peer)
+	is.New(t).NoErr(err)
+	v.Entries.Apply(r)
+	return peer.Incarnation
+}
+
+// apply applies a claim or a release and publishes the claims.
+func (v *vacancy) apply(c jayowner.Claim) {
+	r := c.Record()
+	r.Offset = int64(len(v.records))
+	v.records = append(v.records, r)
+	v.Owners.Apply(r)
+	v.Owners.Publish(&View{Table: v.Owners.working.Clone(), AsOf: v.Clock(), next: r.Offset + 1})
+}
+
+// release makes an incarnation claim and release a duty.
+func (v *vacancy) release(incarnation string, term int64) {
+	v.apply(jayowner.Claim{Duty: jayowner.Fleet, Incarnation: incarnation, Term: term})
+	v.apply(jayowner.Claim{Duty: jayowner.Fleet, Incarnation: incarnation, Term: term, Released: true})
+}
+
+// claimedAfter returns how long the duty is vacant until the entry claims it.
+func (v *vacancy) claimedAfter() time.Duration {
+	o := v.Owners
+	since := v.Clock()
+	for {
+		now := v.Clock()
+		if records, _ := o.dueClaims(o.View(), o.vacant(o.View(), now), now); len(records) > 0 {
+			return now - since
+		}
+		time.Sleep(claimInterval)
+	}
+}
+
+// TestRestartedEntriesProlongVacancy guards against a pool that goes to a weak entry, 1.8 s after its owner
+// was stopped: the strong entries that were restarted last rank first, although they are stopping or have ended.
+func TestRestartedEntriesProlongVacancy(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		stop func(v *vacancy, incarnation string, term int64)
+	}{
+		{"released a duty", (*vacancy).release},
+		{"answers that it stops", func(v *vacancy, incarnation string, _ int64) {
+			v.Liveness.recordOther(incarnation, &jaywire.Pong{Stopping: true}, nil)
+		}},
+		{"port is closed", func(v *vacancy, incarnation string, _ int64) {
+			v.Liveness.recordOther(incarnation, nil, jaypeer.ErrGone)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v := newVacancy(t)
+				for n, entry := range []string{"e1", "e2", "e3"} {
+					c.stop(v, v.announce(t, entry, time.Now()), int64(n+1))
+				}
+				v.release(v.announce(t, "e4", time.Now()), 4)
+				is.New(t).Equal(v.claimedAfter(), time.Duration(0))
+			})
+		})
+	}
+}
+
+// TestStrongEntryClaimsBeforeWeakOnes guards against a pool that goes to a weak entry while a strong one answers:
+// more candidates than are waited for have ended unnoticed, and the others claim in random order.
+func TestStrongEntryClaimsBeforeWeakOnes(t *testing.T) {
+	for _, ended := range []int{3, 5} {
+		t.Run(fmt.Sprint(ended, " ended"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v := newVacancy(t)
+				for n := range ended {
+					v.announce(t, fmt.Sprint("e", n), time.Now())
+				}
+				v.release(v.announce(t, "owner", time.Now().Add(-time.Hour)), 1)
+				is.New(t).Equal(v.claimedAfter(), time.Duration(ended)*rankDelay)
+			})
+		})
+	}
+}
--- a/jaymember/liveness.go
+++ b/jaymember/liveness.go
@@ -205,15 +205,20 @@
 
 func (l *Liveness) pingOther(e *jaywire.EntryRecord) {
 	l.recordPing(e.Incarnation)
-	_, err := l.link.Ask(e.Incarnation, e.PeerAddr, newPing())
+	response, err := l.link.Ask(e.Incarnation, e.PeerAddr, newPing())
+	l.recordOther(e.Incarnation, response.GetPong(), err)
+}
+
+// recordOther records the outcome of a ping of an entry that is no owner.
+func (l *Liveness) recordOther(incarnation string, _ *jaywire.Pong, err error) {
 	now := l.members.Clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case err == nil:
-		l.lastAnswered[e.Incarnation] = now
+		l.lastAnswered[incarnation] = now
 	case errors.Is(err, jaypeer.ErrReplaced):
-		l.replaced[e.Incarnation] = true
+		l.replaced[incarnation] = true
 	}
 }
 
