Rank no stopping entries for duties; weak ones wait while one serves

Cause: entries that are stopping own no duties any more, and so rank first for those that are released; they claim none. If they hold all three ranks, nobody claims in order, and weak entries claim as soon as strong ones.

Change: a release record, an answer to a ping and a closed port tell that a process claims no more duties: it does not rank. Ten candidates claim in the order of their rank, never later than without one. An entry with less than half the capacity of the former owner waits 3.5 s longer for a released duty while that owner answers: it performs the duty until the next claim. Owners that have released their duties are pinged as before the release.

A claim after a kill is meant to be as before; not measured.

--- a/jaymember/claims.go
+++ b/jaymember/claims.go
@@ -28,6 +28,14 @@
 	// rankedCandidates is the number of candidates that a candidate waits for in the order of
 	// their rank. If so many have not claimed a duty, most may have been lost.
 	rankedCandidates = 3
+	// orderedCandidates is the number of candidates that claim in the order of their rank. Those that do not
+	// rank among the first rankedCandidates claim like an entry without a rank if that is sooner.
+	orderedCandidates = 10
+	// strongerFactor is the ratio of the capacities of two entries above which one counts as weak.
+	strongerFactor = 2
+	// stoppingOwnerDelay is the additional delay before a weak entry claims a duty that a stopping owner still
+	// performs. It is shorter than the time that an entry takes to stop while it has callers.
+	stoppingOwnerDelay = 3500 * time.Millisecond
 	// firstClaimDelay is the time after this entry's start before it claims any vacant
 	// duty, so that it has read the claims and announcements of others.
 	firstClaimDelay = 900 * time.Millisecond
@@ -105,20 +113,35 @@
 	}
 	ranked = true
 	counts := dutyCounts(view)
-	rankings := jayowner.Rankings(vacant, counts, o.candidates(now), rankedCandidates)
+	rankings := jayowner.Rankings(vacant, counts, o.candidates(now), orderedCandidates)
 	owned := counts[o.members.Incarnation]
 	for _, d := range vacant {
 		rank := slices.Index(rankings[d], o.members.Incarnation)
-		if now < o.claimAt(view, d, rank, owned) {
+		at := o.claimAt(view, d, rank, owned)
+		if o.servedByStronger(view, d, now) {
+			at += stoppingOwnerDelay
+		}
+		if now < at {
 			continue
 		}
 		records = append(records, o.claimRecord(view, d, rank, now))
-		ranked = ranked && rank >= 0 && o.knowsOthers(view, d)
+		ranked = ranked && rank >= 0 && rank < rankedCandidates && o.knowsOthers(view, d)
 		owned++
 	}
 	return records, ranked
 }
 
+// servedByStronger reports whether a stopping owner with more than strongerFactor times the capacity of this
+// entry still performs a duty that it has released. Tasks go on, so the duty can wait for a strong entry.
+func (o *Owners) servedByStronger(view *View, d jayowner.Duty, now time.Duration) bool {
+	former, claimed := view.Claim(d)
+	if !claimed || !former.Released || o.members.Liveness.PresumedEnded(former.Incarnation, now) {
+		return false
+	}
+	e, known := o.members.Entries.Named(EntryOf(former.Incarnation))
+	return known && e.Incarnation == former.Incarnation && capacityOf(e) > strongerFactor*o.members.capacity()
+}
+
 // knowsOthers reports whether this entry can rank itself for a vacant duty. A duty that never had
 // an owner belongs to a first start, when an entry knows too few others.
 func (o *Owners) knowsOthers(view *View, d jayowner.Duty) bool {
@@ -128,7 +151,7 @@
 
 // claimAt returns when this entry should claim a vacant duty: in the order of the ranks if it is
 // one of the candidates that rank first, and without regard to the others if it is not, which
-// has the rank -1, or if it does not know them.
+// has the rank -1, or if it does not know them. A rank does not delay a claim.
 func (o *Owners) claimAt(view *View, d jayowner.Duty, rank, owned int) time.Duration {
 	delay := max(rankDelay, rankLatencies*o.members.Store.Latency())
 	// On a slow store a claim takes longer to reach the others.
@@ -137,10 +160,11 @@
 	if !o.knowsOthers(view, d) {
 		return max(since, o.members.StartedAt+firstClaimDelay) + alone
 	}
+	unranked := since + rankedCandidates*delay + alone
 	if rank >= 0 {
-		return since + time.Duration(rank)*delay
+		return min(since+time.Duration(rank)*delay, unranked)
 	}
-	return since + rankedCandidates*delay + alone
+	return unranked
 }
 
 // claimRecord returns the record that claims a duty.
@@ -240,11 +264,11 @@
 	return counts
 }
 
-// candidates returns the entries that are not presumed to have ended.
+// candidates returns the entries that are not known to be stopping or presumed to have ended.
 func (o *Owners) candidates(now time.Duration) []jayowner.Candidate {
 	candidates := []jayowner.Candidate{{Incarnation: o.members.Incarnation, Capacity: o.members.capacity(), Started: o.members.Started.UnixMilli()}}
 	for _, e := range o.members.Entries.All() {
-		if e.Incarnation != o.members.Incarnation && !o.members.Liveness.PresumedEnded(e.Incarnation, now) {
+		if e.Incarnation != o.members.Incarnation && o.members.Liveness.isCandidate(e.Incarnation, now) {
 			candidates = append(candidates, jayowner.Candidate{Incarnation: e.Incarnation, Capacity: capacityOf(e), Started: e.StartedUnixMillis})
 		}
 	}
--- a/jaymember/claims_test.go
+++ b/jaymember/claims_test.go
@@ -155,7 +155,7 @@
 // announce adds a peer and returns its incarnation.
 func (v *vacancy) announce(t *testing.T, entry string, started time.Time) string {
 	t.Helper()
-	peer := &jaywire.EntryRecord{Incarnation: NewIncarnation(entry), ProcessorsMilli: 800, StartedUnixMillis: started.UnixMilli()}
+	peer := &jaywire.EntryRecord{Incarnation: NewIncarnation(entry), PeerAddr: "127.0.0.1:1", ProcessorsMilli: 800, StartedUnixMillis: started.UnixMilli()}
 	r, err := announcementRecord(entry, peer)
 	is.New(t).NoErr(err)
 	v.Entries.Apply(r)
@@ -234,3 +234,34 @@
 		})
 	}
 }
+
+// TestWeakEntryWaitsWhileStoppingOwnerServes guards against a pool that a weak entry takes over from a strong
+// one that still performs it for seconds, while another strong one is about to be ready again.
+func TestWeakEntryWaitsWhileStoppingOwnerServes(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(v *vacancy, owner string)
+		want time.Duration
+	}{
+		{"the owner serves", func(*vacancy, string) {}, stoppingOwnerDelay},
+		{"the owner has ended", func(v *vacancy, owner string) {
+			v.Liveness.RecordOutcome(owner, jaypeer.ErrGone)
+			v.Liveness.checkHeartbeats()
+			time.Sleep(refusedTimeout + time.Millisecond)
+		}, 0},
+		{"the owner was replaced", func(v *vacancy, owner string) {
+			v.Liveness.RecordStopping(v.announce(t, EntryOf(owner), time.Now()))
+		}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v := newVacancy(t)
+				v.ProcessorsMilli = 200
+				owner := v.announce(t, "e1", time.Now().Add(-time.Minute))
+				v.release(owner, 1)
+				c.end(v, owner)
+				is.New(t).Equal(v.claimedAfter(), c.want)
+			})
+		})
+	}
+}
--- a/jaymember/liveness.go
+++ b/jaymember/liveness.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -53,6 +54,10 @@
 	// replaced is the set of incarnations that have certainly ended: another incarnation
 	// answers at their address.
 	replaced map[string]bool
+	// stopping is the set of incarnations that claim no more duties.
+	stopping map[string]bool
+	// closed is the set of entries without duties whose port was closed at the last ping.
+	closed map[string]bool
 	// clocks holds the clocks of the owners that have answered a ping.
 	clocks map[string]PeerClock
 	// lastAnswered is when each entry last answered a ping.
@@ -87,6 +92,8 @@
 		suspicions:   map[string]*suspicion{},
 		clocks:       map[string]PeerClock{},
 		replaced:     map[string]bool{},
+		stopping:     map[string]bool{},
+		closed:       map[string]bool{},
 		lastAnswered: map[string]time.Duration{},
 		lastPinged:   map[string]time.Duration{},
 		watch:        &watch{},
@@ -131,6 +138,33 @@
 	return now-s.since > time.Duration(factor)*isolatedTimeout && l.reachesOthers(incarnation, now)
 }
 
+// isCandidate reports whether an incarnation may claim duties, as far as this entry knows.
+func (l *Liveness) isCandidate(incarnation string, now time.Duration) bool {
+	if l.PresumedEnded(incarnation, now) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.stopping[incarnation] && !l.closed[incarnation]
+}
+
+// RecordStopping records that an incarnation claims no more duties.
+func (l *Liveness) RecordStopping(incarnation string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.add(l.stopping, incarnation)
+}
+
+// add adds an incarnation to a set and removes those whose announcement has been replaced. The caller holds
+// the lock.
+func (l *Liveness) add(set map[string]bool, incarnation string) {
+	if set[incarnation] {
+		return
+	}
+	maps.DeleteFunc(set, func(other string, _ bool) bool { return !l.members.Entries.announced(other) })
+	set[incarnation] = true
+}
+
 // CertainlyEnded reports whether the process of an incarnation that acted at a time of day
 // has certainly ended: another incarnation answers at its address, or another process of
 // the same entry was started after that time.
@@ -172,9 +206,10 @@
 			l.watch.update(l.members, view)
 			owners := map[string]bool{l.members.Incarnation: true}
 			for _, c := range view.Claims() {
-				if c.Released || owners[c.Incarnation] {
+				if owners[c.Incarnation] {
 					continue
 				}
+				// An owner still performs a duty that it has released, until the next claim.
 				owners[c.Incarnation] = true
 				if l.watch.pings(c.Incarnation, round) || l.Suspects(c.Incarnation) {
 					l.members.Go(func() { l.ping(c) })
@@ -210,15 +245,21 @@
 }
 
 // recordOther records the outcome of a ping of an entry that is no owner.
-func (l *Liveness) recordOther(incarnation string, _ *jaywire.Pong, err error) {
+func (l *Liveness) recordOther(incarnation string, pong *jaywire.Pong, err error) {
 	now := l.members.Clock()
+	if pong.GetStopping() {
+		l.RecordStopping(incarnation)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case err == nil:
 		l.lastAnswered[incarnation] = now
+		delete(l.closed, incarnation)
 	case errors.Is(err, jaypeer.ErrReplaced):
 		l.replaced[incarnation] = true
+	case errors.Is(err, jaypeer.ErrGone):
+		l.add(l.closed, incarnation)
 	}
 }
 
@@ -280,6 +321,7 @@
 	defer l.mu.Unlock()
 	if err == nil {
 		l.lastAnswered[incarnation] = now
+		delete(l.closed, incarnation)
 		if s, suspected := l.suspicions[incarnation]; suspected {
 			l.logger.Info("owner answers again", "owner", incarnation, "suspectedFor", (now - s.since).String())
 			delete(l.suspicions, incarnation)
--- a/jaymember/owners.go
+++ b/jaymember/owners.go
@@ -76,6 +76,9 @@
 		o.mu.Lock()
 		o.turnover.AddClaim(c, o.members.Clock())
 		o.mu.Unlock()
+		if c.Released {
+			o.members.Liveness.RecordStopping(c.Incarnation)
+		}
 		o.logger.Info("duty claimed", "duty", r.Key, "owner", c.Incarnation, "fence", c.Fence, "term", c.Term, "released", c.Released)
 	}
 }
