--- a/jaysched/takeoverlease_test.go
+++ b/jaysched/takeoverlease_test.go
@@ -51,3 +51,29 @@
 	is.Equal(third.pool.jobs["a"].progress().Steps[0].Tasks[0].Placement.WaitedMillis, uint32(0))
 	is.Equal(third.starts("a.0.0.0"), 0)
 }
+
+// Guards against two runs of a service task: an owner whose takeover takes longer than the leases of the former owners
+// renews a worker, which falls silent, and starts its task elsewhere before that lease has ended.
+func TestTasksWaitForALeaseOfALongTakeover(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, 3)
+	declare(w, service("a", 1))
+	own := w.running()["a.0.0.0"]
+	w.workers[own].silent = true
+	next := newHarness(t, 0, WithFence(2, 2), WithPlacementsSince(1))
+	next.now, next.workers = w.now, w.workers
+	next.pool.HoldFormerRuns(next.now, next.now+testFormerWait)
+	next.now += 2 * testFormerWait
+	next.pool.Restore(service("a", 1), w.pool.jobs["a"].progress(), next.now)
+	next.pool.TakenOver(next.now)
+	next.list()
+	_, bound := LeaseClock{Clock: next.now, At: next.now}.LeaseUntil(next.now, next.pool.settings.Lease)
+	next.pool.TakeoverLeases([]TakeoverLease{{To: jayport.WorkerRef{ID: own}, Bound: bound}}, next.now)
+	readInventory(next)
+	next.run()
+	t.Logf("lease %v, wait after a takeover %v", next.pool.settings.Lease, takeoverReportTimeout)
+	next.reportFor(bound - next.now - 200*time.Millisecond)
+	is.Equal(next.starts("a.0.0.0"), 0)
+	next.reportFor(time.Second)
+	is.Equal(next.starts("a.0.0.0"), 1)
+}
