--- a/jaysched/takeoverlease_test.go
+++ b/jaysched/takeoverlease_test.go
@@ -77,3 +77,31 @@
 	next.reportFor(time.Second)
 	is.Equal(next.starts("a.0.0.0"), 1)
 }
+
+// Guards against runs that end soon after a takeover: the first lease that follows it is computed as if the worker's clock
+// had been read when the report was used, rather than when it arrived.
+func TestLeaseAfterATakeoverCountsTheAgeOfTheReport(t *testing.T) {
+	is := is.New(t)
+	const age = 2500 * time.Millisecond
+	w := newHarness(t, 3)
+	declare(w, service("a", 1))
+	own := w.running()["a.0.0.0"]
+	next := newHarness(t, 0, WithFence(2, 2), WithPlacementsSince(1))
+	next.now, next.workers = w.now, w.workers
+	next.pool.HoldFormerRuns(next.now, next.now+testFormerWait)
+	clock := next.now // that the worker's report shows
+	next.now += age
+	next.pool.Restore(service("a", 1), w.pool.jobs["a"].progress(), next.now)
+	next.pool.TakenOver(next.now)
+	next.list()
+	report := jayport.Report{Clock: clock}
+	next.pool.TakeoverLeases([]TakeoverLease{{To: jayport.WorkerRef{ID: own}, Report: &report, Asked: clock}}, next.now)
+	for _, a := range next.pool.Decide(next.now) {
+		if r, ok := a.(RenewLease); ok && r.To.ID == own {
+			t.Logf("lease left %v of %v, wait %v", r.Order.LeaseUntil-next.now, next.pool.settings.Lease, r.Order.Wait)
+			is.True(r.Order.LeaseUntil-next.now >= next.pool.settings.Lease-100*time.Millisecond)
+			return
+		}
+	}
+	t.Fatal("no lease")
+}
