Leases during a takeover: age of reports, refusals

A report that was used after the takeover counted as just received, so that the first lease after the takeover was shorter by the age of the report: 1.5 s of 4 s were left in TestLeaseAfterATakeoverCountsTheAgeOfTheReport. The time of its arrival is used now. 2. An owner that was replaced during its takeover, and cut off from the store, went on calling workers that had refused its fence: 94 requests to 2 workers in 10 s in TestTakeoverEndsWhenAWorkerRefusesItsFence. The refusal ends the duty now, and a worker that was started again is not asked any more. 3. After a renewal without an answer, the next one grants no lease, and the one after it came only 1.33 s later. A wait that is not carried over any more is recorded, since an owner of an earlier version would rely on the older record.

--- a/jaynode/takeoverlease.go
+++ b/jaynode/takeoverlease.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -95,11 +97,14 @@
 	return lease, true
 }
 
-// renewWorker renews the lease of a worker at intervals until the context ends.
+// renewWorker renews the lease of a worker at intervals until the context ends, or the worker refuses it: its
+// process was replaced, or this owner was.
 func (l *takeoverLeases) renewWorker(ctx context.Context, lease *takeoverLease) {
-	l.renew(lease) // the first answer only shows the worker's clock
-	for ctx.Err() == nil {
-		if l.renew(lease) {
+	_, err := l.renew(lease) // the first answer only shows the worker's clock
+	for ctx.Err() == nil && !l.refused(lease, err) {
+		var granted bool
+		granted, err = l.renew(lease)
+		if granted {
 			jayclock.Sleep(ctx, takeoverLeaseInterval)
 		} else {
 			jayclock.Sleep(ctx, takeoverRetryDelay)
@@ -107,28 +112,46 @@
 	}
 }
 
-// renew asks a worker for its report, and renews its lease if this owner may. It reports whether the worker
-// has answered.
-func (l *takeoverLeases) renew(lease *takeoverLease) (answered bool) {
+// refused handles the error of a renewal, and reports whether the worker must not be asked again.
+func (l *takeoverLeases) refused(lease *takeoverLease, err error) bool {
+	var refused *jayport.RefusedError
+	if !errors.As(err, &refused) {
+		return false
+	}
+	switch refused.Reason {
+	case jayport.RefusedFenced:
+		l.duty.end(fmt.Sprintf("worker %s has seen a higher fence", lease.To.ID))
+		return true
+	case jayport.RefusedOtherIncarnation:
+		l.duty.node.ports.Workers.Forget(lease.To)
+		return true
+	default:
+		return false
+	}
+}
+
+// renew asks a worker for its report, and renews its lease if this owner may. It reports whether a lease was
+// granted and the worker has answered.
+func (l *takeoverLeases) renew(lease *takeoverLease) (granted bool, err error) {
 	asked := l.duty.node.clock()
 	order, ok := l.order(lease, asked)
 	if !ok {
-		return false
+		return false, nil
 	}
 	report, err := l.duty.node.ports.Workers.Renew(lease.To, order, takeoverLeaseTimeout)
 	at := l.duty.node.clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.stopped {
-		return false
+		return false, nil
 	}
 	lease.Report = nil
 	if err != nil {
-		return false
+		return false, err
 	}
-	lease.Report, lease.Asked = &report, asked
+	lease.Report, lease.Asked, lease.Answered = &report, asked, at
 	lease.clock = jaysched.LeaseClock{Clock: report.Clock, At: at}
-	return true
+	return order.LeaseUntil > 0, nil
 }
 
 // order returns the next order to a worker. From the moment on at which it is sent the worker may have the lease.
--- a/jaysched/takeoverlease.go
+++ b/jaysched/takeoverlease.go
@@ -26,9 +26,9 @@
 	// Bound is when the longest lease granted has ended, or zero.
 	Bound time.Duration
 	// Report is the worker's latest report, or nil if it has left the latest request unanswered. Asked is when
-	// it was requested.
-	Report *jayport.Report
-	Asked  time.Duration
+	// it was requested, Answered when it arrived.
+	Report          *jayport.Report
+	Asked, Answered time.Duration
 }
 
 // TakeoverLeases handles the leases that this owner has granted, and the reports that it has received, during its
@@ -46,8 +46,12 @@
 		}
 	}
 	for _, l := range leases {
-		if l.Report != nil {
-			p.Reported(l.To, *l.Report, l.Asked, now)
+		if l.Report == nil {
+			continue
+		}
+		p.Reported(l.To, *l.Report, l.Asked, now)
+		if w, known := p.workerOf(l.To); known {
+			w.recordClock(l.Report.Clock, l.Answered)
 		}
 	}
 }
@@ -58,6 +62,7 @@
 	for _, t := range p.formerPlacements[worker] {
 		if f := t.formerPlacement; f != nil && f.worker == worker {
 			f.carried, f.waited, f.renewed = 0, 0, true
+			p.markChanged(t.step.job) // an owner of an earlier version relies on an older record
 		}
 	}
 }
--- a/jaysched/takeoverlease_model_test.go
+++ b/jaysched/takeoverlease_model_test.go
@@ -59,7 +59,7 @@
 			again(modelTick)
 			return
 		}
-		lease.Report, lease.Asked, lease.clock = &report, asked, LeaseClock{Clock: report.Clock, At: m.now}
+		lease.Report, lease.Asked, lease.Answered, lease.clock = &report, asked, m.now, LeaseClock{Clock: report.Clock, At: m.now}
 		again(modelLease / 3)
 	}
 	m.call(o, lease.To.ID, modelCallTimeout, func(reply func(func())) {
--- a/jaysched/takeoverlease_test.go
+++ b/jaysched/takeoverlease_test.go
@@ -95,7 +95,7 @@
 	next.pool.TakenOver(next.now)
 	next.list()
 	report := jayport.Report{Clock: clock}
-	next.pool.TakeoverLeases([]TakeoverLease{{To: jayport.WorkerRef{ID: own}, Report: &report, Asked: clock}}, next.now)
+	next.pool.TakeoverLeases([]TakeoverLease{{To: jayport.WorkerRef{ID: own}, Report: &report, Asked: clock, Answered: clock}}, next.now)
 	for _, a := range next.pool.Decide(next.now) {
 		if r, ok := a.(RenewLease); ok && r.To.ID == own {
 			t.Logf("lease left %v of %v, wait %v", r.Order.LeaseUntil-next.now, next.pool.settings.Lease, r.Order.Wait)
