--- a/jaynode/duty.go
+++ b/jaynode/duty.go
@@ -73,8 +73,8 @@
 const (
 	// longStep is the duration from which a step is followed by a pause, in which events collect.
 	longStep = 250 * time.Microsecond
-	// stepShare is the divisor that gives the share of the time that long steps may take, and maxStepPause
-	// limits the pause.
+	// stepShare is the divisor that gives the share of the time that long steps may take, unless maxStepPause
+	// limits the pause after them.
 	stepShare    = 4
 	maxStepPause = 10 * time.Millisecond
 )
--- a/jaynode/takeover.go
+++ b/jaynode/takeover.go
@@ -43,7 +43,7 @@
 func (d *poolDuty) takeOver() bool {
 	stopReports := d.watchTakeover()
 	defer stopReports()
-	fencing := d.node.clock()
+	fenceAsked := d.node.clock()
 	// Fencing comes first: records that the former owner wrote after the read would be
 	// missed.
 	if err := d.journal.Fence(d.ctx); err != nil {
@@ -54,7 +54,7 @@
 	if d.claim.Term > 1 {
 		d.pool.HoldFormerRuns(fencedAt, fencedAt+formerLeaseWait)
 	}
-	finishLeases := d.renewDuringTakeover(fencing)
+	finishLeases := d.renewDuringTakeover(fenceAsked)
 	defer finishLeases()
 	d.takeover.enter(readingProgress, fencedAt)
 	// Both are read in parallel, since each call takes long if the store is slow.
--- a/jaynode/takeoverlease.go
+++ b/jaynode/takeoverlease.go
@@ -37,7 +37,7 @@
 // That takes longer than the leases last, and all runs of the pool would end.
 type takeoverLeases struct {
 	duty *poolDuty
-	// confirmedAt is when this owner had certainly not been replaced.
+	// confirmedAt is a time at which this owner had not been replaced.
 	confirmedAt time.Duration
 
 	mu      sync.Mutex
@@ -51,8 +51,9 @@
 	clock jaysched.LeaseClock
 }
 
-// renewDuringTakeover starts to renew the leases of the pool's workers, if the takeover lasts longer than the former
-// owner, which was fenced just now, may rely on. finish ends that and returns what the pool has to know.
+// renewDuringTakeover renews the leases of the pool's workers until finish is called, which returns what the pool has
+// to know of them. It begins after the longest takeover delay, on which the former owner, which was fenced just now,
+// may rely. This owner had not been replaced at confirmedAt.
 func (d *poolDuty) renewDuringTakeover(confirmedAt time.Duration) (finish func() []jaysched.TakeoverLease) {
 	l := &takeoverLeases{duty: d, confirmedAt: confirmedAt, workers: map[string]*takeoverLease{}}
 	ctx, cancel := context.WithCancel(d.ctx)
